--- /dev/null
+++ b/src/petrelhaven/creed/event.py
@@ -0,0 +1,67 @@
+"""The numbered events of every log, and the one function that writes them."""
+import sys
+
+import logbook
+
+__all__ = ["EVENTS", "emit", "logger"]
+
+EVENTS = {
+    101: ("info", "node started", "none"),
+    102: ("info", "node ready", "none"),
+    103: ("info", "node leaving", "none; it hands over and exits"),
+    104: ("info", "node ended", "none"),
+    105: ("error", "settings declined", "mend the field named"),
+    110: ("warning", "garbage on an internal port", "find who speaks to the port; the connection was closed"),
+    111: ("warning", "internal message of another version", "finish the roll-out"),
+    112: ("warning", "internal handler fault", "report with the fields"),
+    201: ("info", "peer joined", "none"),
+    202: ("warning", "peer suspected", "none; a second opinion is asked"),
+    203: ("warning", "peer gone", "look at the machine if nobody restarted it"),
+    204: ("info", "peer came back", "none"),
+    301: ("info", "view adopted", "none"),
+    302: ("warning", "view proposed", "none; a core came or went"),
+    303: ("error", "disk damaged, core rejoins as empty", "look at the disk; see the disk-loss page"),
+    304: ("info", "core rejoins the chain", "none"),
+    305: ("info", "change committed", "none"),
+    306: ("info", "change in force everywhere", "none"),
+    307: ("warning", "change declined", "the operator was told why"),
+    308: ("warning", "edge declared gone", "look at the machine if nobody restarted it"),
+    309: ("info", "core state loaded from disk", "none"),
+    320: ("info", "epoch", "read `tenet why`"),
+    321: ("warning", "group halted", "read `tenet why`; writes are declined until a primary is elected"),
+    322: ("warning", "no safe candidate", "bring a member of the in-sync set back"),
+    323: ("warning", "platform declined or unreachable", "look at the platform; it is asked again"),
+    324: ("info", "primary promoted", "none"),
+    401: ("info", "lease held", "none"),
+    402: ("warning", "lease lapsed; nothing is sent", "look at the links to the cores"),
+    403: ("info", "change applied", "none"),
+    404: ("warning", "edge was declared gone and joins anew", "look at its links"),
+    410: ("info", "session taken over", "none"),
+    411: ("info", "session handed over", "none"),
+    412: ("warning", "session keeper changed", "none"),
+    420: ("warning", "statement outcome unknown", "none; the visitor was told"),
+    421: ("warning", "member connection lost", "look at the member if it recurs"),
+    422: ("warning", "overload shed", "add edges or lower the load"),
+    901: ("info", "stand-in started", "none"),
+    902: ("info", "stand-in fault switch", "none"),
+    903: ("error", "task fault", "report with the fields"),
+}
+
+_LEVELS = {"info": logbook.INFO, "warning": logbook.WARNING, "error": logbook.ERROR}
+
+
+def logger(name, level="info"):
+    """A log of numbered events on standard error for the node `name`."""
+    h = logbook.StreamHandler(sys.stderr, level=level.upper(), bubble=False,
+                              format_string="{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.channel} {record.message}")
+    h.push_application()
+    return logbook.Logger(name)
+
+
+def emit(log, number, **fields):
+    """Writes event `number` with its fields."""
+    if log is None:
+        return
+    lv, title, _ = EVENTS[number]
+    log.log(_LEVELS[lv], "E{:03d} {}{}".format(
+        number, title, "".join(f" {k}={v}" for k, v in fields.items())))
--- /dev/null
+++ b/src/petrelhaven/drill/fleet.py
@@ -0,0 +1,260 @@
+"""A local fleet of real processes over loopback: daemons, stand-in members and platform, visitors."""
+import asyncio
+import os
+import random
+import signal
+import sys
+import time
+
+import aiohttp
+
+from ..creed.fault import Fault
+from ..creed.http import fetch
+from ..creed.tick import Clock, Nest
+from .check import check
+from .visitor import Visitor
+from .world import SIZES, manifest
+
+__all__ = ["Fleet", "Proc"]
+
+
+class Proc:
+    """One process, its lines of signal, its addresses."""
+
+    def __init__(self, name, argv, errs):
+        self.name, self.argv, self._errs = name, argv, errs
+        self.p = None
+        self.marks = {}
+        self._news = asyncio.Event()
+        self.facts = {}
+
+    async def start(self):
+        """Starts the process."""
+        self.marks, self.facts = {}, dict(self.facts)
+        err = open(os.path.join(self._errs, self.name + ".log"), "ab")
+        self.p = await asyncio.create_subprocess_exec(sys.executable, "-m", *self.argv, stdin=asyncio.subprocess.PIPE,
+                                                      stdout=asyncio.subprocess.PIPE, stderr=err)
+        err.close()
+        self._reader = asyncio.ensure_future(self._read(self.p))
+        return self
+
+    async def _read(self, p):
+        while True:
+            line = (await p.stdout.readline()).decode()
+            if not line:
+                break
+            w, *rest = line.split()
+            if p is self.p:
+                self.facts.update(x.split("=", 1) for x in rest)
+                self.marks[w] = self.marks.get(w, 0) + 1
+                self._news.set()
+        if p is self.p:
+            self.marks["ended"] = 1
+            self._news.set()
+
+    async def mark(self, w, secs=20):
+        """Waits for a line of signal."""
+        async def wait():
+            while w not in self.marks:
+                if "ended" in self.marks and w != "ended":
+                    raise RuntimeError(f"{self.name} ended before it was {w}")
+                self._news.clear()
+                await self._news.wait()
+        await asyncio.wait_for(wait(), secs)
+        return self.facts
+
+    def tell(self, line):
+        """One line to its standard input."""
+        self.p.stdin.write(line.encode() + b"\n")
+
+    def poke(self, s):
+        """Sends a signal, by process id."""
+        if self.p.returncode is None:
+            os.kill(self.p.pid, s)
+
+    async def end(self, s=signal.SIGTERM, secs=20):
+        """Signals and waits for the exit code."""
+        self.poke(s)
+        return await asyncio.wait_for(self.p.wait(), secs)
+
+
+class _Edge:
+    """A visitor's way to one edge."""
+
+    def __init__(self, fleet, proc):
+        self._f, self._p = fleet, proc
+
+    async def open_session(self):
+        """POST /sessions."""
+        return await fetch(self._p.facts["http"], "POST", "/sessions", http=self._f.http, us=8_000_000)
+
+    async def statement(self, sid, d):
+        """POST /sessions/{sid}."""
+        return await fetch(self._p.facts["http"], "POST", f"/sessions/{sid}", doc=d, http=self._f.http, us=8_000_000)
+
+
+class Fleet:
+    """Starts, drives and ends a fleet."""
+
+    def __init__(self, folder, size="small", seed=1, lag_us=None, **bounds):
+        os.makedirs(folder, exist_ok=True)
+        self.dir, self.size, self.z = folder, size, SIZES[size]
+        self.lag_us = self.z["lag_us"] if lag_us is None else lag_us
+        self.bounds = bounds
+        self.rng = random.Random(seed)
+        self.procs = {}
+        self.hist, self.visitors = [], []
+        self.nest, self.clock = Nest(), Clock()
+        self.loop = None
+
+    def _proc(self, name, *argv):
+        p = self.procs[name] = Proc(name, argv, self.dir)
+        return p
+
+    async def start(self):
+        """Starts everything; returns once every edge is ready."""
+        self.loop = asyncio.get_running_loop()
+        self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=400))
+        hs = self.z["halls"]
+        plat = await self._proc("platform", "petrelhaven.feint.main", "platform", "--took-us", str(self.z["took_us"])).start()
+        await plat.mark("started")
+        cores = [self._proc(f"c{i + 1}", "petrelhaven.crux", "--name", f"c{i + 1}", "--hall", hs[i], "--data", os.path.join(self.dir, f"c{i + 1}"),
+                            "--platform", plat.facts["http"], "--seeds", "-") for i in range(3)]
+        await asyncio.gather(*[c.start() for c in cores])
+        self.seeds = [(await c.mark("listening"))["link"] for c in cores]
+        for c in cores:
+            c.tell(",".join(self.seeds))
+        self.cores = [(await c.mark("started"))["http"] for c in cores]
+        rows = []
+        for g in range(self.z["groups"]):
+            for i in range(3):
+                n = f"g{g + 1}m{i + 1}"
+                p = self._proc(n, "petrelhaven.feint.main", "member", "--name", n, "--group", f"g{g + 1}", "--hall", hs[(g + i) % 3],
+                               "--role", "replica" if i else "primary", "--source", self.procs[f"g{g + 1}m1"].facts["http"] if i else "",
+                               "--cap", str(self.z["cap"]), "--lag-us", str(self.lag_us), "--hot", "--data", os.path.join(self.dir, n))
+                await p.start()
+                rows.append([n, f"g{g + 1}", (await p.mark("started"))["http"]])
+        await fetch(plat.facts["http"], "POST", "/members", doc={"members": rows}, http=self.http)
+        for n, _, _ in rows:
+            self.procs[n].tell(",".join(self.cores))
+        self.edges = []
+        for i in range(self.z["edges"]):
+            p = self._proc(f"e{i + 1}", "petrelhaven.verge", "--name", f"e{i + 1}", "--hall", hs[i % 3], "--seeds", ",".join(self.seeds))
+            self.edges.append(_Edge(self, p))
+            await p.start()
+        await asyncio.gather(*[c.mark("ready") for c in cores])
+        self.manifest = manifest(self.size, 1, **self.bounds)
+        await self.apply(self.manifest)
+        await asyncio.gather(*[e._p.mark("ready") for e in self.edges])
+        await self.until(self._settled, 20)
+
+    async def _settled(self):
+        s = await self.head()
+        return s and len(s["epochs"]) == self.z["groups"] and all(e["settled"] and len(e["safe"]) == 2 for e in s["epochs"].values())
+
+    async def head(self):
+        """The head core's status, or None."""
+        for a in self.cores:
+            try:
+                s = await fetch(a, "GET", "/status", http=self.http, us=2_000_000)
+                if s["head"] and s["active"]:
+                    return s
+            except Fault:
+                pass
+
+    async def until(self, fn, secs):
+        """Asks until `fn` answers truly; returns the answer."""
+        async def go():
+            while True:
+                r = await fn()
+                if r:
+                    return r
+                await self.clock.sleep(50_000)
+        return await asyncio.wait_for(go(), secs)
+
+    async def apply(self, text):
+        """Applies a manifest through whichever core answers."""
+        for i in range(40):
+            try:
+                return await fetch(self.cores[i % 3], "POST", "/manifest", data=text.encode(), http=self.http)
+            except Fault as e:
+                if e.status not in (503, 504):
+                    raise
+                await self.clock.sleep(200_000)
+        raise RuntimeError("no core takes the manifest")
+
+    async def again(self, name):
+        """Starts an ended process again at its old addresses."""
+        p = self.procs[name]
+        argv = list(p.argv)
+        for k in ("link", "http"):
+            if k in p.facts and f"--{k}" not in argv:
+                argv += [f"--{k}", p.facts[k]]
+        if "--seeds" in argv:
+            argv[argv.index("--seeds") + 1] = ",".join(self.seeds)
+        if "member" in argv and "--cores" not in argv:
+            argv += ["--cores", ",".join(self.cores)]
+        if "member" in argv:
+            argv = [a for a in argv if a != "--hot"]
+        p.argv = argv
+        return await p.start()
+
+    async def ask(self, edge, fn, us):
+        """A visitor's exchange with an edge."""
+        return await asyncio.wait_for(fn(edge), us / 1e6 + 1)
+
+    def visit(self, count, **kw):
+        """Starts visitors."""
+        for _ in range(count):
+            v = Visitor(self, len(self.visitors), random.Random(self.rng.random()), **kw)
+            self.visitors.append(v)
+            self.nest.spawn(v.run())
+
+    async def calm(self):
+        """Stops the visitors once each knows its last outcome."""
+        for v in self.visitors:
+            v.stop = True
+
+        async def done():
+            return all(v.done for v in self.visitors)
+        await self.until(done, 60)
+
+    async def truth(self):
+        """The data of every group's primary."""
+        out = {}
+        for g, e in (await self.until(self.head, 15))["epochs"].items():
+            d = await fetch(self.procs[e["primary"]].facts["http"], "GET", "/data", http=self.http)
+            out.update({f"{g}:{k}": v for k, v in d["data"].items()})
+        return out
+
+    async def verdict(self):
+        """Violations in what the visitors saw and the members counted."""
+        out = check(self.hist, await self.truth())
+        for n, p in self.procs.items():
+            if n.startswith("g") and p.p.returncode is None:
+                s = await fetch(p.facts["http"], "GET", "/status", http=self.http)
+                if s["most_conns"] > self.z["cap"]:
+                    out.append(("cap passed", n, s["most_conns"]))
+                if s["flood"] > 25:
+                    out.append(("flooded while cold", n, s["flood"]))
+        return out
+
+    async def close(self):
+        """Ends every process of this fleet, by id."""
+        await self.nest.close()
+        await self.http.close()
+        for p in self.procs.values():
+            if p.p and p.p.returncode is None:
+                p.poke(signal.SIGCONT)
+                p.poke(signal.SIGKILL)
+        for p in self.procs.values():
+            if p.p:
+                await p.p.wait()
+
+    def longest(self, since=0.0):
+        """The longest time a visitor's step took, of those begun after `since`."""
+        return max((d for v in self.visitors for t, d in v.gaps if t >= since), default=0)
+
+    def now(self):
+        """Seconds."""
+        return time.monotonic()
--- /dev/null
+++ b/src/petrelhaven/drill/main.py
@@ -0,0 +1,97 @@
+"""drill: a local fleet with load and checks, and the seeded simulator."""
+import argparse
+import asyncio
+import collections
+import json
+import signal
+import sys
+import tempfile
+import time
+
+from .fleet import Fleet
+
+__all__ = ["main"]
+
+
+def _parser():
+    p = argparse.ArgumentParser(prog="drill", description="Tries a fleet out.", epilog="Exit codes: 0 nothing that must never happen was seen, 1 something was, 2 wrong call.")
+    sub = p.add_subparsers(dest="verb", required=True)
+    f = sub.add_parser("fleet", help="start a local fleet of processes, load it, check what visitors saw")
+    f.add_argument("--size", choices=("nordvik", "archivo", "small"), default="nordvik")
+    f.add_argument("--visitors", type=int, default=150)
+    f.add_argument("--seconds", type=float, default=15)
+    f.add_argument("--seed", type=int, default=1)
+    f.add_argument("--faults", default="", help="comma list of crash (a primary), edge (kill -9), core (kill -9 of the head), freeze (an edge), drain (SIGTERM an edge)")
+    f.add_argument("--hold", action="store_true", help="after the load, keep the fleet up until interrupted")
+    f.add_argument("--dir", help="folder for data and logs (a new temporary one)")
+    return p
+
+
+async def _faults(fl, names):
+    for n in names:
+        await fl.clock.sleep(2_500_000)
+        if n == "crash":
+            e = (await fl.until(fl.head, 10))["epochs"]["g1"]
+            await fl.procs[e["primary"]].end(signal.SIGKILL)
+            await fl.clock.sleep(3_000_000)
+            await fl.again(e["primary"])
+        elif n == "edge":
+            await fl.procs["e1"].end(signal.SIGKILL)
+            await fl.clock.sleep(5_000_000)
+            await fl.again("e1")
+        elif n == "core":
+            await fl.procs["c1"].end(signal.SIGKILL)
+            await fl.clock.sleep(4_000_000)
+            await fl.again("c1")
+        elif n == "freeze":
+            fl.procs["e2"].poke(signal.SIGSTOP)
+            await fl.clock.sleep(4_000_000)
+            fl.procs["e2"].poke(signal.SIGCONT)
+        elif n == "drain":
+            await fl.procs["e3"].end(signal.SIGTERM)
+            await fl.again("e3")
+        print(f"fault {n} brought about", flush=True)
+
+
+async def _fleet(a):
+    d = a.dir or tempfile.mkdtemp(prefix="petrelhaven-")
+    fl = Fleet(d, a.size, a.seed)
+    try:
+        t = time.monotonic()
+        await fl.start()
+        print(f"fleet of size {a.size} serves after {time.monotonic() - t:.1f} s; data and logs in {d}", flush=True)
+        print("cores " + ",".join(fl.cores) + "; edges " + ",".join(e._p.facts["http"] for e in fl.edges), flush=True)
+        fl.visit(a.visitors, pause=0.7)
+        end = time.monotonic() + a.seconds
+        await _faults(fl, [x for x in a.faults.split(",") if x])
+        await fl.clock.sleep(max(0, int((end - time.monotonic()) * 1e6)))
+        await fl.calm()
+        c = collections.Counter((h["t"], h.get("outcome", "")) for h in fl.hist)
+        print("seen: " + ", ".join(f"{t} {o or ''}{n}".replace("  ", " ") for (t, o), n in sorted(c.items())))
+        n = collections.Counter()
+        for x in fl.visitors:
+            n.update(x.count)
+        print(f"statements ok {n['ok']}, declined {n['declined']}; longest step {fl.longest():.2f} s")
+        bad = await fl.verdict()
+        for b in bad[:20]:
+            print("VIOLATION " + json.dumps(b, default=str))
+        print(f"violations: {len(bad)}")
+        if a.hold:
+            print("holding; interrupt to end", flush=True)
+            await asyncio.Event().wait()
+        return 1 if bad else 0
+    finally:
+        await fl.close()
+
+
+def main(argv=None):
+    """Runs one drill."""
+    a = _parser().parse_args(argv)
+    try:
+        sys.exit(asyncio.run(_fleet(a)))
+    except KeyboardInterrupt:
+        sys.exit(0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/petrelhaven/drill/net.py
@@ -0,0 +1,363 @@
+"""The simulated machines and what lies between them: delays, cuts, losses, freezes, torn disks."""
+import asyncio
+import collections
+import itertools
+
+from ..creed.contract import TELL, pack, unpack
+from ..creed.fault import Fault, Late, Malformed, Unreached, Unsent
+from ..creed.link import Channel
+from ..creed.tick import Clock, Nest
+
+__all__ = ["Box", "Net", "SimDisk", "SimLink"]
+
+
+class _Handle:
+    __slots__ = ("h", "off")
+
+    def __init__(self):
+        self.h, self.off = None, False
+
+    def cancel(self):
+        """Forgets the tick."""
+        self.off = True
+        if self.h:
+            self.h.cancel()
+
+
+class SimClock(Clock):
+    """A machine's own clock: it may run fast or slow, and stops with the machine."""
+
+    __slots__ = ("box", "rate", "base")
+
+    def __init__(self, box, rate, base):
+        self.box, self.rate, self.base = box, rate, base
+
+    def now(self):
+        return self.base + int(self.box.net.loop.time() * 1e6 * self.rate)
+
+    def later(self, us, fn):
+        k = _Handle()
+        life = self.box.life
+
+        def fire():
+            if k.off or self.box.life != life or not self.box.up:
+                return
+            if self.box.frozen:
+                self.box.thaws.append(fire)
+            else:
+                fn()
+        k.h = self.box.net.loop.call_later(max(us, 0) / 1e6 / self.rate, fire)
+        return k
+
+
+class SimLog:
+    """Keeps events; a task fault in any node is a finding of the run."""
+
+    def __init__(self, net, name):
+        self._net, self._name = net, name
+
+    def log(self, level, text):
+        """Keeps one event."""
+        self._net.log.append((round(self._net.loop.time(), 4), self._name, text))
+        if " task fault" in text or "internal handler fault" in text:
+            self._net.findings.append((round(self._net.loop.time(), 4), "code", self._name, text))
+
+
+class SimDisk:
+    """A disk that survives its machine; it can tear the next write, rot, or be lost."""
+
+    def __init__(self, box):
+        self._box = box
+        self.files = {}
+        self.tear = False
+        self.synced = 0
+
+    def read(self, name):
+        """All bytes of `name`."""
+        return bytes(self.files.get(name, b""))
+
+    def write(self, name, off, data):
+        """Writes and syncs, or tears and takes the machine down."""
+        f = self.files.setdefault(name, bytearray())
+        if len(f) < off + len(data):
+            f.extend(bytes(off + len(data) - len(f)))
+        self.synced += 1
+        if self.tear and len(data) < 60_000:
+            self.tear = False
+            cut = self._box.net.rng.randrange(0, len(data))
+            f[off:off + cut] = data[:cut]
+            self._box.kill()
+            raise asyncio.CancelledError
+        f[off:off + len(data)] = data
+
+    def lose(self):
+        """Another, empty disk."""
+        self.files = {}
+
+
+class Box:
+    """One machine."""
+
+    def __init__(self, net, name, hall, rate=1.0):
+        self.net, self.name, self.hall = net, name, hall
+        self.up, self.frozen, self.life = False, False, 0
+        self.thaws = []
+        self.clock = SimClock(self, rate, net.rng.randrange(1, 1 << 40))
+        self.disk = SimDisk(self)
+        self.nest = None
+        self.link = None
+        self.node = None
+        self.log = SimLog(net, name)
+        self.pipes = {}
+        net.boxes[name] = self
+
+    def boot(self):
+        """Power on with nothing but the disk."""
+        self.up, self.frozen, self.thaws = True, False, []
+        self.life += 1
+        self.nest = Nest(self.log)
+        self.link = SimLink(self)
+        return self
+
+    def kill(self, silent=False):
+        """Power off. Unless `silent`, peers see their connections close."""
+        if not self.up:
+            return
+        self.up = False
+        self.life += 1
+        self.thaws = []
+        self.nest.kill()
+        for p in list(self.pipes.values()):
+            p.cut(silent)
+        self.pipes = {}
+        self.node = None
+        for f in self.net.on_kill:
+            f(self, silent)
+
+    def freeze(self, us):
+        """Stops everything on the machine for a while."""
+        if not self.up or self.frozen:
+            return
+        self.frozen = True
+        life = self.life
+        self.net.loop.call_later(us / 1e6, lambda: self._thaw(life))
+
+    def _thaw(self, life):
+        if self.life == life and self.up:
+            self.frozen = False
+            fs, self.thaws = self.thaws, []
+            for f in fs:
+                f()
+
+    def do(self, life, fn):
+        """Runs `fn` on this machine, now or when it thaws, if it still lives."""
+        if not self.up or self.life != life:
+            return False
+        if self.frozen:
+            self.thaws.append(lambda: self.do(life, fn))
+        else:
+            fn()
+        return True
+
+
+class _Pipe:
+    """One direction of a simulated connection: in order, held while the way is cut."""
+
+    def __init__(self, net, src, dst):
+        self.net, self.src, self.dst = net, src, dst
+        self.q = collections.deque()
+        self.life = dst.life
+        self.last = 0.0
+        self.dead = False
+
+    def send(self, fn):
+        """Brings `fn` to the other side."""
+        if self.dead:
+            return
+        t = self.net.loop.time()
+        self.last = max(self.last, t + self.net.delay(self.src, self.dst))
+        self.q.append((t, fn))
+        self.net.loop.call_at(self.last, self._pump)
+
+    def _pump(self):
+        if not self.q or self.dead:
+            return
+        if self.net.is_cut(self.src.name, self.dst.name):
+            if self.net.loop.time() - self.q[0][0] < 8:
+                self.net.loop.call_later(0.05, self._pump)
+            return
+        _, fn = self.q.popleft()
+        self.dst.do(self.life, fn)
+        if self.q and self.q[0][0] < self.net.loop.time() - 0.05:
+            self._pump()
+
+
+class _End:
+    """Both channels of a simulated connection."""
+
+    def __init__(self, net, a, b):
+        self.net, self.a, self.b = net, a, b
+        self.ab, self.ba = _Pipe(net, a, b), _Pipe(net, b, a)
+        self.ca = Channel(a.link, lambda raw: self.ab.send(lambda: self._feed(self.cb, raw)), lambda: self.shut(a))
+        self.cb = Channel(b.link, lambda raw: self.ba.send(lambda: self._feed(self.ca, raw)), lambda: self.shut(b))
+        self.key = next(net.num)
+        a.pipes[self.key] = self
+        b.pipes[self.key] = self
+
+    @staticmethod
+    def _feed(ch, raw):
+        if not ch.gone.done():
+            try:
+                ch.feed(raw)
+            except Fault as e:
+                ch._link.garbage += 1
+                if isinstance(e, Malformed):
+                    ch.close()
+
+    def shut(self, who):
+        """One side closes."""
+        self.a.pipes.pop(self.key, None)
+        self.b.pipes.pop(self.key, None)
+        o, p, c = (self.b, self.ab, self.cb) if who is self.a else (self.a, self.ba, self.ca)
+        p.send(c.lose)
+
+    def cut(self, silent):
+        """A machine is gone."""
+        for box, ch, p in ((self.a, self.ca, self.ba), (self.b, self.cb, self.ab)):
+            box.pipes.pop(self.key, None)
+            if box.up and not silent:
+                p.send(ch.lose)
+            elif box.up:
+                self.net.loop.call_later(20, lambda ch=ch: ch.lose())
+
+
+class SimLink:
+    """The links of a simulated machine; the same surface as the real ones."""
+
+    def __init__(self, box):
+        self._box = box
+        self.clock, self.nest, self.log = box.clock, box.nest, box.log
+        self.handlers = {}
+        self.garbage = 0
+        self.addr = f"sim:{box.name}"
+        self._out = {}
+        self._opening = {}
+
+    def on(self, kind, fn):
+        """Answers calls of `kind`."""
+        self.handlers[kind] = fn
+
+    def _box_of(self, addr):
+        return self._box.net.boxes[addr.split(":")[1]]
+
+    def tell(self, addr, kind, body):
+        """One datagram: it may be lost, late or doubled."""
+        if self._box.up:
+            net, to = self._box.net, self._box_of(addr)
+            raw = pack(kind, TELL, 0, body)
+            for _ in range(2 if net.rng.random() < net.double else 1):
+                if net.rng.random() >= net.loss:
+                    life = to.life
+                    net.loop.call_later(net.delay(self._box, to), self._land, to, life, raw)
+
+    def _land(self, to, life, raw):
+        if not self._box.net.is_cut(self._box.name, to.name):
+            to.do(life, lambda: to.link.heard(raw))
+
+    def heard(self, raw):
+        """Takes a datagram."""
+        k, _, _, b = unpack(raw)
+        h = self.handlers.get(k)
+        if h:
+            h(b)
+
+    async def open(self, addr):
+        """A connection, unless the other machine is off or the way is cut."""
+        net, to = self._box.net, self._box_of(addr)
+        for way in ((self._box, to), (to, self._box)):
+            await self.clock.sleep(int(net.delay(*way) * 1e6))
+            if net.is_cut(way[0].name, way[1].name) or to.frozen or (not to.up and to.name in net.silent):
+                await self.clock.sleep(1_000_000)
+                raise Unsent(addr)
+            if not to.up or to.node is None:
+                raise Unsent(addr)
+        return _End(net, self._box, to).ca
+
+    async def call(self, addr, kind, body, us):
+        """Calls over the shared connection."""
+        c = self._out.get(addr)
+        if c is None or c.gone.done():
+            t = self._opening.get(addr)
+            if t is None:
+                t = self._opening[addr] = self.nest.spawn(self.open(addr))
+                if t is None:
+                    raise Unsent(addr)
+                t.add_done_callback(lambda _: self._opening.pop(addr, None))
+            c = await asyncio.shield(t)
+            self._out[addr] = c
+        return await c.call(kind, body, us)
+
+
+class Net:
+    """All machines and the ways between them."""
+
+    def __init__(self, loop, rng, apart_us=12_000):
+        self.loop, self.rng = loop, rng
+        self.boxes = {}
+        self.cuts = collections.Counter()
+        self.silent = set()
+        self.loss, self.double = 0.0, 0.0
+        self.apart = apart_us / 2e6
+        self.num = itertools.count()
+        self.log = []
+        self.findings = []
+        self.on_kill = []
+
+    def delay(self, a, b):
+        """One way, in seconds."""
+        d = 0.0003 if a.hall == b.hall else self.apart
+        return d * (0.9 + 0.2 * self.rng.random()) + 0.0001
+
+    def is_cut(self, a, b):
+        """Whether messages from `a` to `b` are stopped."""
+        return self.cuts[(a, b)] > 0
+
+    def cut(self, a, b, us, both=True):
+        """Cuts the ways from every box in `a` to every box in `b` for a while."""
+        ways = [(x, y) for x in a for y in b if x != y] + ([(y, x) for x in a for y in b if x != y] if both else [])
+        for w in ways:
+            self.cuts[w] += 1
+
+        def heal():
+            for w in ways:
+                self.cuts[w] -= 1
+        self.loop.call_later(us / 1e6, heal)
+
+    async def trip(self, src, dst, fn, us):
+        """Goes from `src` to `dst`, awaits `fn()` there and comes back; Late, Unsent or Unreached otherwise."""
+        f = self.loop.create_future()
+        if not dst.up and dst.name not in self.silent:
+            await src.clock.sleep(int(self.delay(src, dst) * 2e6))
+            raise Unsent(dst.name)
+        go, back = _Pipe(self, src, dst), _Pipe(self, dst, src)
+
+        def done(r, e):
+            if not f.done():
+                f.set_result(r) if e is None else f.set_exception(e)
+
+        async def there():
+            try:
+                r, e = await fn(), None
+            except Fault as x:
+                r, e = None, x
+            back.send(lambda: done(r, e))
+        go.send(lambda: dst.nest.spawn(there()))
+
+        def gone(box, silent):
+            if box is dst and not silent:
+                back.send(lambda: done(None, Unreached(dst.name)))
+        self.on_kill.append(gone)
+        try:
+            return await src.clock.limit(f, us)
+        finally:
+            self.on_kill.remove(gone)
--- /dev/null
+++ b/src/petrelhaven/feint/platform.py
@@ -0,0 +1,57 @@
+"""A stand-in platform: failover calls from one node at a time, fenced by epoch."""
+from ..creed.fault import Fenced, NotReady, Unreached
+
+__all__ = ["PlatformLogic"]
+
+
+class PlatformLogic:
+    """Promotes one member and lets the others follow it."""
+
+    def __init__(self, clock, tell, members, took_us=300_000):
+        self.clock, self._tell, self.members, self.took_us = clock, tell, members, took_us
+        self.last = {}
+        self.primary = {}
+        self._by = {}
+        self.calls = []
+        self.decline = False
+        self.slow_us = 0
+
+    async def promote(self, group, member, epoch, by):
+        """Makes `member` the primary of `group`."""
+        if self.decline:
+            raise NotReady("the platform declines for now")
+        if self.slow_us:
+            await self.clock.sleep(self.slow_us)
+        n, m = self.last.get(group, (0, None))
+        if epoch < n or epoch == n and m != member:
+            raise Fenced(f"epoch {n} was promoted already, {m}")
+        if self._by.get(group):
+            raise NotReady(f"a call from {self._by[group]} is being served")
+        self._by[group] = by
+        try:
+            self.calls.append((group, member, epoch, by))
+            self.last[group] = (epoch, member)
+            await self.clock.sleep(self.took_us)
+            await self._tell(member, "promote", {"epoch": epoch})
+            self.primary[group] = (member, epoch)
+            for n in self.members(group):
+                if n != member:
+                    try:
+                        await self._tell(n, "follow", {"source": member, "epoch": epoch})
+                    except Unreached:
+                        pass
+            return {"primary": member, "epoch": epoch}
+        finally:
+            self._by.pop(group, None)
+
+    async def tend(self):
+        """Keeps telling members that came back whom to follow."""
+        while True:
+            await self.clock.sleep(300_000)
+            for g, (p, n) in list(self.primary.items()):
+                for m in self.members(g):
+                    if m != p:
+                        try:
+                            await self._tell(m, "follow", {"source": p, "epoch": n})
+                        except Unreached:
+                            pass
--- /dev/null
+++ b/src/petrelhaven/helm/chain.py
@@ -0,0 +1,214 @@
+"""The chain: entered at the head, answered from the tail, each core synced before it hands on."""
+import asyncio
+
+from ..creed.event import emit
+from ..creed.fault import Deposed, Fault, NotHead, NotReady
+
+__all__ = ["Chain", "CONFIRM_US", "DRIFT"]
+
+CONFIRM_US = 500_000
+DRIFT = 1.05
+
+
+class Chain:
+    """One core's place in the chain of its view."""
+
+    def __init__(self, clock, nest, mem, call, log=None):
+        self.clock, self.nest, self.mem, self._call, self.log = clock, nest, mem, call, log
+        self.view = None
+        self.active_at = 0
+        self.commit = 0
+        self.confirmed = 0
+        self._sent = {}
+        self._news = asyncio.Event()
+        self._moved = asyncio.Event()
+        self._lock = asyncio.Lock()
+        self._feeder = None
+        self.on_commit = []
+        self.on_view = []
+
+    @property
+    def me(self):
+        return self.mem.name
+
+    @property
+    def realm(self):
+        return self.mem.realm
+
+    def _at(self):
+        if self.view and self.view["ids"].get(self.me) == self.mem.disk and self.me in self.view["chain"]:
+            return self.view["chain"].index(self.me)
+        return None
+
+    @property
+    def head(self):
+        return self._at() == 0
+
+    @property
+    def tail(self):
+        return self._at() is not None and self.view["chain"][-1] == self.me
+
+    @property
+    def complete(self):
+        return self.view is not None and self.mem.done == self.view["n"] and self._at() is not None
+
+    @property
+    def ruling(self):
+        """In the current view, holding everything of it, confirmed by a majority lately."""
+        return self.complete and self.clock.now() < self.confirmed
+
+    @property
+    def active(self):
+        """Ruling, and every core of the former view has certainly lapsed."""
+        return self.ruling and self.clock.now() >= self.active_at
+
+    def adopt(self, view):
+        """Takes a decided view if it is newer."""
+        if view is None or self.view and view["n"] <= self.view["n"]:
+            return
+        self.view = view
+        if not self.mem.vote["value"] or self.mem.vote["value"]["n"] < view["n"]:
+            self.mem.put_vote(value=view)
+        self.confirmed = 0
+        self.active_at = self.clock.now() + int(CONFIRM_US * DRIFT)
+        emit(self.log, 301, n=view["n"], chain=",".join(view["chain"]), cause=view["cause"])
+        if self._feeder:
+            self._feeder.cancel()
+            self._feeder = None
+        at = self._at()
+        if at == 0:
+            self.mem.put_done(view["n"])
+        if at is not None and at + 1 < len(view["chain"]):
+            self._feeder = self.nest.spawn(self._feed(view, view["chain"][at + 1]))
+        for f in self.on_view:
+            f()
+        self._settle()
+
+    def _settle(self):
+        if self.tail and self.complete:
+            self._committed(self.realm.seq)
+        self._news.set()
+
+    def _committed(self, seq):
+        if seq > self.commit:
+            self.commit = seq
+            e, self._moved = self._moved, asyncio.Event()
+            e.set()
+            for f in self.on_commit:
+                f()
+
+    async def until(self, seq):
+        """Waits until `seq` is committed here."""
+        while self.commit < seq:
+            await self._moved.wait()
+
+    async def confirm(self):
+        """Keeps asking the other cores whether this view is still theirs."""
+        while True:
+            v = self.view
+            if v:
+                now = self.clock.now()
+                self._sent[self.me] = now
+                for n in v["ids"]:
+                    if n != self.me:
+                        self.nest.spawn(self._ask(n, v["n"], now))
+                self._count(v)
+            await self.clock.sleep(120_000)
+
+    async def _ask(self, name, n, at):
+        try:
+            r = await self._call(name, "view.confirm", {"name": self.me, "n": n}, 400_000)
+        except Fault:
+            return
+        if r["view"] and self.view and r["view"]["n"] > self.view["n"]:
+            self.adopt(r["view"])
+        elif r["ok"] and self.view["n"] == n:
+            self._sent[name] = max(at, self._sent.get(name, 0))
+            self._count(self.view)
+
+    def _count(self, v):
+        ts = sorted((self._sent.get(n, 0) for n in v["ids"]), reverse=True)
+        t = ts[len(v["ids"]) // 2]
+        if t and self.mem.vote["value"] and self.mem.vote["value"]["n"] <= v["n"]:
+            self.confirmed = max(self.confirmed, t + CONFIRM_US)
+
+    async def confirmed_by(self, ch, b):
+        """Answers another core's view.confirm: no, once a newer view was accepted here."""
+        v = self.mem.vote["value"]
+        ok = bool(v and v["n"] == b["n"] and v["ids"].get(self.me) == self.mem.disk)
+        return {"ok": ok, "view": self.view if self.view and self.view["n"] > b["n"] else None}
+
+    async def enter(self, rec, horizon=8_000_000):
+        """Numbers, checks and commits a record; this core must be the active head."""
+        async with self._lock:
+            if not (self.head and self.active):
+                raise NotHead("not the active head", more={"head": self.view["chain"][0] if self.view else None})
+            self.realm.check(rec)
+            seq = self.realm.seq + 1
+            n = self.view["n"]
+            self.mem.put_rec(seq, n, rec)
+            self._news.set()
+            self._settle()
+        await self.clock.limit(self.until(seq), horizon)
+        while not self.active:
+            if self.view["n"] != n and not self.head:
+                raise NotReady("the view changed; read back to see the outcome")
+            await self.clock.sleep(30_000)
+        emit(self.log, 305, seq=seq, kind=rec["t"])
+        return seq
+
+    def read(self):
+        """The control state, answered only by the tail of the current view."""
+        if not (self.tail and self.active):
+            raise NotReady("not the active tail", more={"tail": self.view["chain"][-1] if self.view else None})
+        return self.realm.doc
+
+    async def _feed(self, view, to):
+        held = mark = fed = None
+        while self.view is view:
+            try:
+                if not self.complete:
+                    await self.clock.sleep(40_000)
+                    continue
+                body = {"view": view["n"], "prev": -1, "mark": 0, "recs": [], "frame": None, "done": False}
+                if held is not None:
+                    rs = self.mem.since(held, mark)
+                    if rs is None:
+                        body.update(frame=self.realm.frame(), prev=self.realm.seq, mark=self.mem.mark, done=True)
+                    elif rs or held != fed:
+                        body.update(recs=rs[:100], prev=held, mark=mark, done=len(rs) <= 100)
+                    else:
+                        self._news.clear()
+                        await self._news.wait()
+                        continue
+                r = await self._call(to, "chain.append", body, 1_500_000)
+                held, mark = r["held"], r["mark"]
+                if body["done"]:
+                    fed = held
+                    self._committed(min(r["commit"], self.realm.seq))
+            except Deposed:
+                await self.clock.sleep(100_000)
+                held = fed = None
+            except Fault:
+                held = fed = None
+                await self.clock.sleep(60_000)
+
+    async def append(self, ch, b):
+        """Takes records from the predecessor; answers once all successors hold them."""
+        v = self.view
+        if v is None or v["n"] != b["view"] or not self._at():
+            raise Deposed(f"view {v['n'] if v else 0}")
+        if b["prev"] >= 0:
+            if b["frame"] is not None:
+                if b["prev"] != self.realm.seq or b["mark"] != self.mem.mark:
+                    self.mem.reset(b["frame"], b["mark"])
+            elif (b["prev"], b["mark"]) == (self.realm.seq, self.mem.mark):
+                for s, n, r in b["recs"]:
+                    self.mem.put_rec(s, n, r)
+            if b["done"]:
+                self.mem.put_done(v["n"])
+            seq = self.realm.seq
+            self._settle()
+            if not self.tail and b["done"]:
+                await self.clock.limit(self.until(seq), 1_400_000)
+        return {"held": self.realm.seq, "mark": self.mem.mark, "commit": self.commit}
--- /dev/null
+++ b/src/petrelhaven/helm/core.py
@@ -0,0 +1,254 @@
+"""A core machine: roster, voter, chain, lease desk and the planning duty put together."""
+import asyncio
+
+from transitions import Machine
+
+from ..creed.event import emit
+from ..creed.fault import Duplicate, Fault, Late, Malformed, NotHead, NotReady, Unsent
+from ..creed.reach import Reach
+from ..kith.probe import Prober
+from ..kith.roster import Roster
+from .chain import Chain
+from .desk import Desk
+from .duty import Duty
+from .manifest import read
+from .memory import Memory
+from .vote import Proposer, Voter
+
+__all__ = ["Core"]
+
+_MEND_US = 250_000
+_FACTS = {"member": str, "group": str, "hall": str, "addr": str, "role": str, "log": int, "cap": int,
+          "draining": bool, "boot": str, "store": str, "warm": bool, "term": int}
+
+
+class Core:
+    """One core daemon's logic; clock, link and disk are given."""
+
+    states = ["outside", "joining", "chained"]
+
+    def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, inc, log=None):
+        self.name, self.hall, self.seeds = name, hall, seeds
+        self.clock, self.nest, self.link, self.rng, self.log = clock, nest, link, rng, log
+        self.mem = Memory(disk, name, rng, log)
+        self.roster = Roster(clock, (name, "core", hall, link.addr, inc), log)
+        self.reach = Reach(clock, link, self.roster, rng)
+        self.prober = Prober(clock, link, nest, rng, self.roster, seeds)
+        self.chain = Chain(clock, nest, self.mem, self.call, log)
+        self.desk = Desk(clock, nest, self.chain, self.call, log)
+        self.duty = Duty(clock, nest, self.chain, self.desk, self.roster, self.call, platform, log)
+        self.voter = Voter(self.mem)
+        self._ask = Proposer(self.mem, self.call)
+        self._infos = {}
+        self._alone = clock.now()
+        Machine(self, states=self.states, initial="outside", auto_transitions=False, transitions=[
+            {"trigger": "knock", "source": "*", "dest": "joining"},
+            {"trigger": "enchain", "source": "*", "dest": "chained"},
+            {"trigger": "part", "source": "*", "dest": "outside"}])
+        for k, f in {"vote.prepare": self.voter.prepare, "vote.accept": self.voter.accept, "view.ask": self._told,
+                     "view.learn": self._learn, "view.confirm": self.chain.confirmed_by, "chain.append": self.chain.append,
+                     "chain.enter": self._enter, "chain.read": self._read, "chain.force": self.desk.force,
+                     "duty.heard": self.duty.told, "edge.hold": self.desk.hold, "edge.lease": self.desk.lease,
+                     "edge.enter": self._edge, "creed.belief": self._belief}.items():
+            link.on(k, f)
+        self.chain.on_view.append(self.turn)
+
+    def start(self):
+        """Starts the core's tasks."""
+        emit(self.log, 101, name=self.name, hall=self.hall, addr=self.link.addr, disk=self.mem.disk)
+        for co in (self.prober.run(), self.chain.confirm(), self._mend(), self.duty.run()):
+            self.nest.spawn(co)
+
+    async def call(self, name, kind, body, us):
+        """Calls another core (or this one) by name."""
+        if name == self.name:
+            return await self.link.handlers[kind](None, body)
+        return await self.reach.call(name, kind, body, us)
+
+    def turn(self):
+        """The one function that changes this core's state."""
+        at = self.chain.view and self.name in self.chain.view["chain"] and self.chain.view["ids"].get(self.name) == self.mem.disk
+        want = "outside" if self.chain.view is None else "chained" if at else "joining"
+        if want != self.state:
+            {"outside": self.part, "joining": self.knock, "chained": self.enchain}[want]()
+            if want == "chained":
+                emit(self.log, 304 if self.chain.view["n"] > 1 else 102, view=self.chain.view["n"])
+
+    async def _told(self, ch, b):
+        m = self.mem
+        return {"name": self.name, "disk": m.disk, "fresh": m.fresh, "view": self.chain.view or None,
+                "done": m.done, "held": m.realm.seq, "commit": self.chain.commit}
+
+    async def _learn(self, ch, b):
+        self.chain.adopt(b["view"])
+
+    async def _mend(self):
+        while True:
+            await self.clock.sleep(_MEND_US + self.rng.randrange(50_000))
+            await asyncio.gather(*[self._info(a) for a in self.seeds])
+            try:
+                await self._consider()
+            except Fault as e:
+                v = e.more.get("value")
+                if self.chain.view is None and v:
+                    await self._finish(v)
+
+    async def _info(self, addr):
+        try:
+            if addr == self.link.addr:
+                r = await self._told(None, {})
+            else:
+                r = await self.link.call(addr, "view.ask", {"name": self.name}, 500_000)
+        except Fault:
+            r = None
+            for n, p in list(self.roster.peers.items()):
+                if p.addr == addr and p.state == "alive":
+                    try:
+                        r = await self.reach.call(n, "view.ask", {"name": self.name}, 500_000)
+                    except Fault:
+                        pass
+        self._infos[addr] = (self.clock.now(), r)
+        if r and r["view"]:
+            self.chain.adopt(r["view"])
+
+    async def _finish(self, v):
+        try:
+            self._spread(await self._ask.change(v["ids"], lambda x: x or v))
+        except Fault:
+            pass
+
+    def _spread(self, view):
+        self.chain.adopt(view)
+        for n in view["ids"]:
+            if n != self.name:
+                self.nest.spawn(self._send_view(n, view))
+
+    async def _send_view(self, n, view):
+        try:
+            await self.call(n, "view.learn", {"view": view}, 500_000)
+        except Fault:
+            pass
+
+    async def _consider(self):
+        infos = {r["name"]: r for _, r in self._infos.values() if r}
+        v = self.chain.view
+        now = self.clock.now()
+        if v is None:
+            if self.mem.vote["value"]:
+                return await self._finish(self.mem.vote["value"])
+            if len(infos) < len(self.seeds) or not all(r["fresh"] and not r["view"] for r in infos.values()):
+                self._alone = now
+                return
+            if min(infos) != self.name and now - self._alone < 2_000_000:
+                return
+            ids = {n: r["disk"] for n, r in sorted(infos.items())}
+            new = {"n": 1, "chain": sorted(ids), "ids": ids, "cause": "first view", "by": self.name}
+            emit(self.log, 302, n=1, cause="first view")
+            self._spread(await self._ask.change(ids, lambda x: x or new))
+            return
+        newest = self.mem.vote["value"]
+        if newest and newest["n"] > v["n"] and self.name in newest["ids"]:
+            return await self._finish(newest)
+        await self._mend_view(v, infos)
+
+    def _there(self, n):
+        return n == self.name or self.roster.state(n) in ("alive", "suspect")
+
+    async def _mend_view(self, v, infos):
+        keep = [n for n in v["chain"] if self._there(n) and (n not in infos or infos[n]["disk"] == v["ids"][n])]
+        if not keep or keep[0] != self.name or not self.chain.complete:
+            return
+        join = [n for n in sorted(infos) if n not in keep and self._there(n) and n in v["ids"]]
+        chain = keep + join
+        ids = {**v["ids"], **{n: infos[n]["disk"] for n in join}}
+        if chain == v["chain"] and ids == v["ids"]:
+            return
+        out = [n for n in v["chain"] if n not in keep]
+        cause = "; ".join(filter(None, ["lost " + ",".join(out) if out else "", "joined " + ",".join(join) if join else ""]))
+        new = {"n": v["n"] + 1, "chain": chain, "ids": ids, "cause": cause, "by": self.name}
+        emit(self.log, 302, n=new["n"], cause=cause)
+        self._spread(await self._ask.change(v["ids"], lambda x: new if x is None or x["n"] == v["n"] else x))
+
+    async def _edge(self, ch, b):
+        rec = {"t": "edge", "name": b["edge"], "inc": b["inc"], "state": b["state"], "hall": b["hall"],
+               "addr": b["addr"], "http": b["http"], "by": b["edge"]}
+        try:
+            return {"seq": (await self.enter(rec, False))["seq"]}
+        except Duplicate:
+            return {"seq": 0}
+
+    async def enter(self, rec, force=True):
+        """Enters a record at the head, wherever that is; with `force`, returns once it is in force."""
+        v = self.chain.view
+        if v is None:
+            raise NotReady("no view yet")
+        if v["chain"][0] == self.name:
+            return await self._enter(None, {"rec": rec, "force": force})
+        return await self.reach.call(v["chain"][0], "chain.enter", {"rec": rec, "force": force}, 20_000_000, again=False)
+
+    async def _enter(self, ch, b):
+        seq = await self.chain.enter(b["rec"])
+        us = 0
+        if b["force"]:
+            us = await self.desk.in_force(seq)
+        return {"seq": seq, "forced": b["force"], "doc": {"in_force_us": us}}
+
+    async def _read(self, ch, b):
+        return {"doc": self.chain.read()}
+
+    async def realm(self):
+        """The control state as the tail answers it."""
+        v = self.chain.view
+        if v is None:
+            raise NotReady("no view yet")
+        if v["chain"][-1] == self.name:
+            return self.chain.read()
+        return (await self.reach.call(v["chain"][-1], "chain.read", {"what": None}, 2_000_000))["doc"]
+
+    async def apply(self, text, by="", retire=False):
+        """Checks and applies a manifest."""
+        m = read(text)
+        r = await self.enter({"t": "manifest", "text": text, "by": by, "retire": retire})
+        return {"version": m.version, "change": r["seq"], **r["doc"]}
+
+    async def hall_to(self, hall, state, by=""):
+        """Empties or restores a hall."""
+        r = await self.enter({"t": "hall", "hall": hall, "state": state, "by": by})
+        return {"hall": hall, "state": state, "change": r["seq"], **r["doc"]}
+
+    def announce(self, doc):
+        """Takes a member's announcement after checking it."""
+        if not isinstance(doc, dict):
+            raise Malformed("announcement must be an object")
+        for k, t in _FACTS.items():
+            if type(doc.get(k)) is not t:
+                raise Malformed(f"announcement field {k} must be {t.__name__}")
+        if doc["role"] not in ("primary", "replica") or doc["log"] < 0 or doc["cap"] < 1:
+            raise Malformed("announcement role, log or cap out of range")
+        self.duty.announce(doc)
+
+    def belief(self):
+        """What this node believes."""
+        r = self.chain.realm
+        return {"name": self.name, "role": "core", "state": self.state, "seq": r.seq, "commit": self.chain.commit,
+                "manifest": r.doc["manifest"]["version"] if r.doc["manifest"] else 0,
+                "digest": r.doc["manifest"]["digest"] if r.doc["manifest"] else "",
+                "view": self.chain.view, "epochs": {g: {k: e[k] for k in ("n", "phase", "primary", "hold", "safe", "gates", "open", "settled", "shares")}
+                                                    for g, e in sorted(r.doc["epochs"].items())},
+                "halls": r.doc["halls"], "edges": {n: [e["inc"], e["state"]] for n, e in sorted(r.doc["edges"].items())},
+                "kith": {row[0]: row[5] for row in self.roster.full()}}
+
+    async def _belief(self, ch, b):
+        return {"doc": self.belief()}
+
+    def status(self):
+        """The belief and what the duty is waiting for."""
+        now = self.clock.now()
+        return {**self.belief(), "ruling": self.chain.ruling, "active": self.chain.active, "head": self.chain.head,
+                "waiting": dict(self.duty.why) if self.chain.head else {}, "garbage": getattr(self.link, "garbage", 0),
+                "members": {m: {**h["doc"], "age_us": now - h["at"]} for m, h in sorted(self.duty.heard.items())}}
+
+    @property
+    def ready(self):
+        """Ready once chained, complete and confirmed."""
+        return self.chain.ruling
--- /dev/null
+++ b/src/petrelhaven/helm/desk.py
@@ -0,0 +1,131 @@
+"""The lease desk: which edges may send, what they have acknowledged, and when a change is in force."""
+import asyncio
+
+from ..creed.event import emit
+from ..creed.fault import Fault, Late
+from .chain import CONFIRM_US, DRIFT
+
+__all__ = ["Desk", "LEASE_US", "LAPSE_US"]
+
+LEASE_US = 1_500_000
+LAPSE_US = int((LEASE_US + CONFIRM_US) * DRIFT)
+
+
+class Desk:
+    """Grants leases under the newest held change and counts acknowledgements."""
+
+    def __init__(self, clock, nest, chain, call, log=None):
+        self.clock, self.nest, self.chain, self._call, self.log = clock, nest, chain, call, log
+        self.live = {}
+        self.acked = {}
+        self.floor = clock.now() + LAPSE_US
+        self._hold = {}
+        chain.on_view.append(self._viewed)
+        chain.on_commit.append(self._wake)
+        self._news = asyncio.Event()
+
+    def _viewed(self):
+        self.floor = max(self.floor, self.clock.now() + LAPSE_US)
+
+    def _wake(self):
+        e, self._news = self._news, asyncio.Event()
+        e.set()
+
+    async def lease(self, ch, b):
+        """Renews an edge's lease, or says why not."""
+        c = self.chain
+        e = c.realm.doc["edges"].get(b["edge"])
+        if e and e["inc"] == b["inc"]:
+            self.acked[b["edge"]] = max(self.acked.get(b["edge"], 0), b["acked"])
+            self._wake()
+        ok = bool(c.ruling and e and e["inc"] == b["inc"] and e["state"] != "gone")
+        need = c.realm.seq
+        if ok:
+            self.live[b["edge"]] = self.clock.now() + int(LEASE_US * DRIFT)
+        return {"ok": ok, "us": LEASE_US, "need": need}
+
+    async def hold(self, ch, b):
+        """Takes an edge's held connection and pushes numbered changes down it."""
+        if not self.chain.complete:
+            return {"ok": False, "note": "not in the chain"}
+        old = self._hold.get(b["edge"])
+        if old:
+            old.cancel()
+        self._hold[b["edge"]] = self.nest.spawn(self._push(ch, b["edge"], b["applied"]))
+        return {"ok": True, "note": ""}
+
+    async def _push(self, ch, edge, at):
+        c = self.chain
+        while not ch.gone.done():
+            news = self._news
+            if not c.complete:
+                ch.close()
+                return
+            if c.commit > at or at < 0:
+                body = {"frame": None, "recs": [], "commit": c.commit}
+                rs = c.mem.since(at) if at >= 0 else None
+                if rs is None or at == 0:
+                    if c.commit != c.realm.seq:
+                        await self.clock.sleep(20_000)
+                        continue
+                    body["frame"] = c.realm.frame()
+                else:
+                    body["recs"] = [[s, r] for s, _, r in rs if s <= c.commit][:200]
+                try:
+                    r = await ch.call("edge.push", body, 1_000_000)
+                except Fault:
+                    ch.close()
+                    return
+                at = r["applied"]
+                self.acked[edge] = max(self.acked.get(edge, 0), r["acked"])
+                self._wake()
+                continue
+            t = asyncio.ensure_future(news.wait())
+            await asyncio.wait([t, ch.gone], return_when=asyncio.FIRST_COMPLETED)
+            t.cancel()
+
+    async def force(self, ch, b):
+        """What this core knows of who has acknowledged `seq`."""
+        now = self.clock.now()
+        return {"acked": dict(self.acked), "live": {e: t - now for e, t in self.live.items() if t > now},
+                "floor": max(self.floor - now, 0), "commit": self.chain.commit}
+
+    async def in_force(self, seq, grace=0, horizon=15_000_000):
+        """Waits until every edge acknowledged `seq` or its lease has certainly lapsed; returns who lapsed."""
+        t0 = self.clock.now()
+        sure = t0 + LAPSE_US + int(grace * DRIFT)
+        while True:
+            v = self.chain.view
+            news = self._news
+            rs = await asyncio.gather(*[self._ask(n, seq) for n in v["chain"]])
+            if self.chain.view is v and self._held(rs, seq, sure):
+                emit(self.log, 306, seq=seq, us=self.clock.now() - t0)
+                return self.clock.now() - t0
+            if self.clock.now() - t0 > horizon:
+                raise Late("not in force yet; it stays committed")
+            try:
+                await self.clock.limit(news.wait(), 40_000)
+            except Late:
+                pass
+
+    def _held(self, rs, seq, sure):
+        if self.clock.now() >= sure and all(r is not None for r in rs):
+            return not self._lagging(rs, seq)
+        if any(r is None for r in rs):
+            return self.clock.now() >= sure + LAPSE_US and not self._lagging([r for r in rs if r], seq)
+        return not self._lagging(rs, seq) and all(r["floor"] == 0 for r in rs)
+
+    @staticmethod
+    def _lagging(rs, seq):
+        acked, live = {}, set()
+        for r in rs:
+            live.update(r["live"])
+            for e, s in r["acked"].items():
+                acked[e] = max(acked.get(e, 0), s)
+        return sorted(e for e in live if acked.get(e, 0) < seq)
+
+    async def _ask(self, name, seq):
+        try:
+            return await self._call(name, "chain.force", {"seq": seq}, 500_000)
+        except Fault:
+            return None
--- /dev/null
+++ b/src/petrelhaven/helm/face.py
@@ -0,0 +1,98 @@
+"""The operators' and members' face of a core, and the core's call to the platform."""
+import asyncio
+
+import aiohttp
+from aiohttp import web
+
+from ..creed.face import body_of
+from ..creed.fault import Invalid, Malformed, NoRoute, NotReady, Unreached, rebuild
+
+__all__ = ["CoreFace", "Platform"]
+
+
+class CoreFace:
+    """Routes of the operators' and members' face."""
+
+    def __init__(self, core, face):
+        self._c = core
+        for v, p, f in (("POST", "/announce", self._announce), ("POST", "/manifest", self._apply), ("GET", "/manifest", self._show),
+                        ("POST", "/halls/{hall}/{verb}", self._hall), ("GET", "/status", self._status), ("GET", "/why", self._why),
+                        ("GET", "/belief", self._belief), ("GET", "/ready", self._ready), ("GET", "/realm", self._realm)):
+            face.on(v, p, f)
+
+    async def _announce(self, req):
+        self._c.announce(await body_of(req))
+        return {"ok": True}
+
+    async def _apply(self, req):
+        return await self._c.apply(await req.text(), by=req.query.get("by", ""), retire=req.query.get("retire") == "true")
+
+    async def _show(self, req):
+        d = await self._c.realm()
+        m = d["manifest"]
+        if "version" in req.query:
+            m = next((x for x in d["old"] + [m] if x and str(x["version"]) == req.query["version"]), None)
+        if m is None:
+            raise NoRoute("no such manifest")
+        return web.Response(body=m["text"].encode(), content_type="application/json")
+
+    async def _hall(self, req):
+        verb = req.match_info["verb"]
+        if verb not in ("evacuate", "restore"):
+            raise Malformed("evacuate or restore")
+        return await self._c.hall_to(req.match_info["hall"], "emptied" if verb == "evacuate" else "open", req.query.get("by", ""))
+
+    async def _status(self, req):
+        return self._c.status()
+
+    async def _realm(self, req):
+        return await self._c.realm()
+
+    async def _why(self, req):
+        d = await self._c.realm()
+        g = req.query.get("group", "")
+        if g not in d["past"]:
+            raise NoRoute(f"no group {g}")
+        past = d["past"][g]
+        n = req.query.get("n")
+        if n is not None and not n.isdigit():
+            raise Malformed("n must be a whole number")
+        i = next((i for i, e in enumerate(past) if str(e["n"]) == n), None) if n else len(past) - 1
+        if i is None:
+            raise NoRoute(f"epoch {n} of {g} is not kept")
+        return {"epoch": past[i], "replaced": past[i - 1] if i else None,
+                "waiting": self._c.duty.why.get(g) if self._c.chain.head else None, "kept": [e["n"] for e in past]}
+
+    async def _belief(self, req):
+        return self._c.belief()
+
+    async def _ready(self, req):
+        if not self._c.ready:
+            raise NotReady("not ruling yet")
+        return {"ready": True}
+
+
+class Platform:
+    """The wire to the platform."""
+
+    def __init__(self, addr):
+        self._addr = addr
+        self._http = None
+
+    async def promote(self, group, member, epoch, by):
+        """Asks the platform to make `member` the primary of `group`, fenced by `epoch`."""
+        if self._http is None:
+            self._http = aiohttp.ClientSession()
+        try:
+            async with self._http.post(f"http://{self._addr}/promote", json={"group": group, "member": member, "epoch": epoch, "by": by}) as r:
+                d = await r.json()
+        except (aiohttp.ClientError, OSError, ValueError, asyncio.TimeoutError):
+            raise Unreached("platform") from None
+        if r.status != 200:
+            raise rebuild(d)
+        return d
+
+    async def close(self):
+        """Closes the wire."""
+        if self._http:
+            await self._http.close()
--- /dev/null
+++ b/src/petrelhaven/helm/manifest.py
@@ -0,0 +1,181 @@
+"""The operator's manifest: one whole document, read and checked, every fault named by its path."""
+import dataclasses
+import json
+import re
+import typing
+
+from serde import SerdeError, field, serde
+from serde.json import from_dict
+
+from ..creed.bound import Whole
+from ..creed.fault import Invalid
+
+__all__ = ["Bounds", "Group", "Manifest", "Route", "read"]
+
+_NAME = re.compile(r"[a-z][a-z0-9-]{0,31}")
+_B = {
+    "fetch_us": Whole(5_000, 5_000_000), "join_us": Whole(10_000, 10_000_000), "wait_us": Whole(10_000, 10_000_000),
+    "statement_us": Whole(50_000, 60_000_000), "commit_us": Whole(50_000, 60_000_000),
+    "browse_us": Whole(100_000, 60_000_000), "margin_us": Whole(0, 59_000_000), "grace_us": Whole(0, 3_000_000),
+    "lost_us": Whole(300_000, 10_000_000), "stall_us": Whole(200_000, 10_000_000), "warm_us": Whole(0, 120_000_000),
+    "idle_txn_us": Whole(100_000, 600_000_000), "slots": Whole(1, 100_000), "queue": Whole(1, 1000),
+    "lanes": Whole(1, 64), "sessions": Whole(1, 1_000_000),
+}
+
+
+@serde(deny_unknown_fields=True)
+@dataclasses.dataclass(slots=True)
+class Bounds:
+    """Bounds and horizons of the data plane, all with defaults of ours."""
+
+    fetch_us: int = 150_000
+    join_us: int = 400_000
+    wait_us: int = 300_000
+    statement_us: int = 2_000_000
+    commit_us: int = 1_500_000
+    browse_us: int = 1_500_000
+    margin_us: int = 300_000
+    grace_us: int = 1_000_000
+    lost_us: int = 1_200_000
+    stall_us: int = 1_500_000
+    warm_us: int = 3_000_000
+    idle_txn_us: int = 10_000_000
+    slots: int = 512
+    queue: int = 8
+    lanes: int = 1
+    sessions: int = 5000
+
+
+@serde(deny_unknown_fields=True)
+@dataclasses.dataclass(slots=True)
+class Group:
+    """One database group."""
+
+    name: str
+    members: int = 3
+    cap: int = 40
+    least: int = 1
+
+
+@serde(deny_unknown_fields=True)
+@dataclasses.dataclass(slots=True)
+class Route:
+    """What a visitor names: a group and the kind of its reads."""
+
+    name: str
+    group: str
+    reads: str = "strong"
+
+
+@serde(deny_unknown_fields=True)
+@dataclasses.dataclass(slots=True)
+class Manifest:
+    """The whole manifest."""
+
+    name: str
+    version: int
+    halls: list[str]
+    groups: list[Group]
+    routes: list[Route]
+    bounds: Bounds = field(default_factory=Bounds)
+
+
+def _walk(tp, v, path, out):
+    if dataclasses.is_dataclass(tp):
+        if not isinstance(v, dict):
+            out.append((path or "$", "must be an object"))
+            return
+        hints = typing.get_type_hints(tp)
+        known = {f.name: f for f in dataclasses.fields(tp)}
+        for k in v:
+            if k not in known:
+                out.append((f"{path}.{k}".lstrip("."), "unknown field"))
+        for k, f in known.items():
+            at = f"{path}.{k}".lstrip(".")
+            if k in v:
+                _walk(hints[k], v[k], at, out)
+            elif f.default is dataclasses.MISSING and f.default_factory is dataclasses.MISSING:
+                out.append((at, "missing"))
+    elif typing.get_origin(tp) is list:
+        if not isinstance(v, list):
+            out.append((path, "must be a list"))
+            return
+        for i, x in enumerate(v):
+            _walk(typing.get_args(tp)[0], x, f"{path}[{i}]", out)
+    elif type(v) is not tp:
+        out.append((path, f"must be {'a whole number' if tp is int else 'a string'}"))
+
+
+def _names(xs, path, out, key=lambda x: x):
+    seen = set()
+    for i, x in enumerate(xs):
+        n, at = key(x), f"{path}[{i}]"
+        if not _NAME.fullmatch(n):
+            out.append((at, "must be a name of lower-case letters, digits and hyphens"))
+        if n in seen:
+            out.append((at, f"duplicate name {n}"))
+        seen.add(n)
+    if not xs:
+        out.append((path, "must not be empty"))
+    return seen
+
+
+def _meaning(m, out):
+    _names(m.halls, "halls", out)
+    gs = _names(m.groups, "groups", out, lambda g: g.name)
+    _names(m.routes, "routes", out, lambda r: r.name)
+    if not 1 <= m.version < 1 << 53:
+        out.append(("version", "must be from 1 to 2^53"))
+    if not _NAME.fullmatch(m.name):
+        out.append(("name", "must be a name of lower-case letters, digits and hyphens"))
+    for i, g in enumerate(m.groups):
+        for k, lo, hi in (("members", 1, 9), ("cap", 1, 10_000), ("least", 0, 8)):
+            w = Whole(lo, hi).fault(getattr(g, k))
+            if w:
+                out.append((f"groups[{i}].{k}", w))
+        if g.least >= g.members:
+            out.append((f"groups[{i}].least", "must be below members"))
+    for i, r in enumerate(m.routes):
+        if r.group not in gs:
+            out.append((f"routes[{i}].group", f"no group {r.group}"))
+        if r.reads not in ("strong", "browsing"):
+            out.append((f"routes[{i}].reads", "must be strong or browsing"))
+    for k, w in _B.items():
+        f = w.fault(getattr(m.bounds, k))
+        if f:
+            out.append((f"bounds.{k}", f))
+    b = m.bounds
+    if b.margin_us >= b.browse_us:
+        out.append(("bounds.margin_us", "must be below browse_us"))
+    if b.fetch_us > b.join_us:
+        out.append(("bounds.fetch_us", "must not pass join_us"))
+    if b.join_us + b.wait_us > b.statement_us:
+        out.append(("bounds.statement_us", "must hold join_us and wait_us"))
+
+
+def _once(pairs):
+    d = {}
+    for k, v in pairs:
+        if k in d:
+            raise ValueError(f"field {k} twice")
+        d[k] = v
+    return d
+
+
+def read(text):
+    """The Manifest in `text`, or Invalid with every fault by its path."""
+    try:
+        doc = json.loads(text, object_pairs_hook=_once)
+    except (ValueError, RecursionError) as e:
+        raise Invalid("manifest is not JSON", more={"faults": [["$", str(e)]]}) from None
+    out = []
+    _walk(Manifest, doc, "", out)
+    if not out:
+        try:
+            m = from_dict(Manifest, doc)
+            _meaning(m, out)
+        except SerdeError as e:
+            out.append(("$", str(e)))
+    if out:
+        raise Invalid("manifest declined", more={"faults": [list(x) for x in out]})
+    return m
--- /dev/null
+++ b/src/petrelhaven/helm/vote.py
@@ -0,0 +1,69 @@
+"""One agreed register: the view. A majority of the configured cores decides it; nobody leads and no log is kept."""
+import asyncio
+
+from ..creed.fault import Fault, Racing
+
+__all__ = ["Voter", "Proposer"]
+
+
+class Voter:
+    """The voting half. It never votes under a disk identity that the others do not know."""
+
+    def __init__(self, mem):
+        self._mem = mem
+
+    def _fits(self, ids):
+        v = self._mem.vote["value"]
+        return ids.get(self._mem.name) == self._mem.disk and (v is None or v["ids"] == ids)
+
+    async def prepare(self, ch, b):
+        """Answers a prepare."""
+        o = self._mem.vote
+        ok = self._fits(b["ids"]) and (b["num"], b["who"]) > (o["num"], o["who"])
+        if ok:
+            self._mem.put_vote(num=b["num"], who=b["who"])
+        return {"ok": ok, "num": o["anum"], "who": o["awho"], "value": o["value"], "seen": max(o["num"], o["anum"])}
+
+    async def accept(self, ch, b):
+        """Answers an accept."""
+        o = self._mem.vote
+        ok = self._fits(b["ids"]) and (b["num"], b["who"]) >= (o["num"], o["who"])
+        if ok:
+            self._mem.put_vote(num=b["num"], who=b["who"], anum=b["num"], awho=b["who"], value=b["value"])
+        return {"ok": ok, "seen": max(o["num"], o["anum"])}
+
+
+class Proposer:
+    """The asking half."""
+
+    def __init__(self, mem, call):
+        self._mem, self._call = mem, call
+        self._seen = 0
+
+    async def change(self, ids, fn):
+        """Decides `fn(newest view)`; returns the decided view, or Racing."""
+        need = len(ids) // 2 + 1
+        num = self._seen = max(self._seen, self._mem.vote["num"]) + 1
+        me = self._mem.name
+        got = await self._round(ids, "vote.prepare", {"num": num, "who": me, "ids": ids})
+        ok = [r for r in got if r["ok"]]
+        best = max(got, key=lambda r: (r["num"], r["who"]), default=None)
+        if len(ok) < need:
+            v = best["value"] if best else None
+            raise Racing("no majority promised", more={"value": v})
+        best = max(ok, key=lambda r: (r["num"], r["who"]))
+        new = fn(best["value"])
+        got = await self._round(ids, "vote.accept", {"num": num, "who": me, "ids": ids, "value": new})
+        if sum(r["ok"] for r in got) < need:
+            raise Racing("no majority accepted")
+        return new
+
+    async def _round(self, ids, kind, body):
+        async def one(n):
+            try:
+                return await self._call(n, kind, body, 600_000)
+            except Fault:
+                return None
+        rs = [r for r in await asyncio.gather(*[one(n) for n in sorted(ids)]) if r]
+        self._seen = max([self._seen] + [r["seen"] for r in rs])
+        return rs
--- /dev/null
+++ b/src/petrelhaven/kith/roster.py
@@ -0,0 +1,97 @@
+"""The roster of peers that one node keeps, merged from news."""
+from ..creed.event import emit
+from .peer import Peer, rank
+
+__all__ = ["Roster"]
+
+
+class Roster:
+    """Merges news; tells of changes through `on_turn(peer, old_state)`."""
+
+    def __init__(self, clock, me, log=None, suspect_us=900_000, spread=6):
+        self.clock, self.log = clock, log
+        self.name, self.role, self.hall, self.addr, self.inc = me
+        self.peers = {}
+        self.on_turn = []
+        self.suspect_us = suspect_us
+        self.left = False
+        self._spread = spread
+        self._mine = 0
+
+    def me(self):
+        """This node's own row."""
+        return [self.name, self.role, self.hall, self.addr, self.inc, "gone" if self.left else "alive"]
+
+    def merge(self, rows):
+        """Takes rows of news."""
+        for n, role, hall, addr, inc, st in rows:
+            if n == self.name:
+                if not self.left and st != "alive" and inc >= self.inc:
+                    self.inc = inc + 1
+                    self._mine = 0
+                elif not self.left and inc > self.inc:
+                    self.inc = inc + 1
+                continue
+            p = self.peers.get(n)
+            if p is None:
+                p = self.peers[n] = Peer(n, role, hall, addr, inc, self.clock.now())
+                if st == "alive":
+                    emit(self.log, 201, peer=n, inc=inc)
+                    for f in self.on_turn:
+                        f(p, None)
+                else:
+                    self._turn(p, st, inc)
+            elif rank(st, inc) > rank(p.state, p.inc):
+                p.role, p.hall, p.addr = role, hall, addr
+                self._turn(p, st, inc)
+
+    def _turn(self, p, st, inc):
+        old = p.state
+        p.turn(st, inc, self.clock.now())
+        if old != st:
+            emit(self.log, {"alive": 204, "suspect": 202, "gone": 203}[st], peer=p.name, inc=inc)
+            for f in self.on_turn:
+                f(p, old)
+
+    def doubt(self, name):
+        """Suspects a peer that did not answer."""
+        p = self.peers.get(name)
+        if p and p.state == "alive":
+            self._turn(p, "suspect", p.inc)
+
+    def ripen(self):
+        """Turns suspicion that nobody denied into gone."""
+        now = self.clock.now()
+        for p in list(self.peers.values()):
+            if p.state == "suspect" and now - p.since >= self.suspect_us:
+                self._turn(p, "gone", p.inc)
+
+    def news(self, most=6):
+        """Rows to piggyback: this node first, then the least spread."""
+        rows = [self.me()]
+        for p in sorted(self.peers.values(), key=lambda p: (p.spread, p.name))[:most]:
+            p.spread += 1
+            rows.append(p.news())
+        return rows
+
+    def full(self):
+        """Every row."""
+        return [self.me()] + [p.news() for _, p in sorted(self.peers.items())]
+
+    def living(self, role=None):
+        """Names of peers not gone, by role."""
+        return [n for n, p in sorted(self.peers.items()) if p.state != "gone" and role in (None, p.role)]
+
+    def state(self, name):
+        """alive, suspect, gone, or None for a stranger."""
+        if name == self.name:
+            return "alive"
+        p = self.peers.get(name)
+        return p.state if p else None
+
+    def addr_of(self, name):
+        """The link address of `name`."""
+        if name == self.name:
+            return self.addr
+        p = self.peers.get(name)
+        return p.addr if p else None
--- /dev/null
+++ b/src/petrelhaven/span/control.py
@@ -0,0 +1,163 @@
+"""An edge's tie to control: the held connection, the numbered changes, the lease."""
+import asyncio
+
+from ..creed.event import emit
+from ..creed.fault import Fault, Stale
+from ..helm.realm import Realm
+
+__all__ = ["Control"]
+
+_RENEW_US = 300_000
+
+
+class Control:
+    """Holds the realm as pushed; `sends` tells, right before a send, whether this edge may send."""
+
+    def __init__(self, clock, nest, link, rng, name, inc, seeds, me, log=None):
+        self.clock, self.nest, self.link, self.rng, self.log = clock, nest, link, rng, log
+        self.name, self.inc, self.seeds, self._me = name, inc, seeds, me
+        self.realm = Realm()
+        self.lease = 0
+        self._had = False
+        self._need = None
+        self._core = None
+        self._ch = None
+        self._state = "up"
+        self._calm = {}
+        self._nudge = asyncio.Event()
+        self.on_change = []
+        self.on_anew = []
+        self.joined = False
+        link.on("edge.push", self._push)
+
+    @property
+    def sends(self):
+        """True while the lease holds and no newer change is known to be missing."""
+        return self.clock.now() < self.lease
+
+    @property
+    def applied(self):
+        return self.realm.seq
+
+    @property
+    def acked(self):
+        """The newest change for which everything it stops has stopped."""
+        self._calm = {s: f for s, f in self._calm.items() if not f.done()}
+        return min(self._calm, default=self.realm.seq + 1) - 1
+
+    def hold_ack(self, seq, fut):
+        """Keeps change `seq` unacknowledged until `fut` is done."""
+        self._calm[seq] = fut
+        fut.add_done_callback(lambda _: self._nudge.set())
+
+    def start(self):
+        """Starts the tasks of the tie."""
+        self.nest.spawn(self._hold())
+        self.nest.spawn(self._renew())
+
+    async def _hold(self):
+        k = self.rng.randrange(len(self.seeds))
+        while True:
+            a = self.seeds[k % len(self.seeds)]
+            k += 1
+            try:
+                ch = await self.link.open(a)
+            except Fault:
+                await self.clock.sleep(60_000)
+                continue
+            try:
+                r = await ch.call("edge.hold", {"edge": self.name, "inc": self.inc, "applied": self.applied if self.joined else -1}, 800_000)
+                if r["ok"]:
+                    self._core, self._ch = a, ch
+                    self._nudge.set()
+                    await ch.gone
+                else:
+                    ch.close()
+            except Fault:
+                ch.close()
+            self._ch = None
+            await self.clock.sleep(50_000 + self.rng.randrange(50_000))
+
+    async def _push(self, ch, b):
+        if ch is not self._ch and self._ch is not None:
+            ch.close()
+            return {"applied": self.applied, "acked": self.acked}
+        recs = []
+        if b["frame"] is not None and (b["frame"]["seq"] > self.realm.seq or not self.joined):
+            self.realm = Realm(b["frame"])
+            self.joined = True
+            recs = None
+        for s, r in b["recs"]:
+            if s == self.realm.seq + 1:
+                self.realm.apply(s, r)
+                recs.append((s, r))
+        if recs is None or recs:
+            emit(self.log, 403, seq=self.realm.seq)
+            for f in self.on_change:
+                f(recs)
+        if self._need and self.realm.seq >= self._need[0]:
+            self._set(self._need[1])
+            self._need = None
+        return {"applied": self.applied, "acked": self.acked}
+
+    def _set(self, until):
+        if until > self.lease:
+            self.lease = until
+            if not self._had and self.sends:
+                self._had = True
+                emit(self.log, 401, core=self._core)
+
+    async def _renew(self):
+        while True:
+            ch = self._ch
+            if ch is not None and not ch.gone.done():
+                await self._ask(ch)
+            if self._had and not self.sends:
+                self._had = False
+                emit(self.log, 402)
+            self._nudge.clear()
+            try:
+                await self.clock.limit(self._nudge.wait(), _RENEW_US)
+            except Fault:
+                pass
+
+    async def _ask(self, ch):
+        t0 = self.clock.now()
+        try:
+            r = await ch.call("edge.lease", {"edge": self.name, "inc": self.inc, "applied": self.applied, "acked": self.acked}, 600_000)
+        except Fault:
+            ch.close()
+            return
+        if r["ok"]:
+            if self.realm.seq >= r["need"]:
+                self._set(t0 + r["us"])
+            else:
+                self._need = (r["need"], t0 + r["us"])
+        elif self.joined:
+            await self._enter(ch)
+
+    async def _enter(self, ch):
+        e = self.realm.doc["edges"].get(self.name)
+        if e and e["inc"] == self.inc and e["state"] != "gone":
+            if self.clock.now() - self.lease > 1_000_000:
+                ch.close()
+            return
+        if e and (e["inc"] > self.inc or e["inc"] == self.inc and e["state"] == "gone"):
+            emit(self.log, 404, inc=self.inc)
+            self.inc = e["inc"] + 1
+            for f in self.on_anew:
+                f()
+        try:
+            await self.say(self._state)
+        except Stale:
+            await self.clock.sleep(100_000)
+        except Fault:
+            await self.clock.sleep(200_000)
+
+    async def say(self, state):
+        """Tells control this edge's state: up, leaving or gone."""
+        self._state = state
+        ch = self._ch
+        if ch is None:
+            raise Stale("no core")
+        return await ch.call("edge.enter", {"edge": self.name, "inc": self.inc, "state": state, **self._me()}, 3_000_000)
--- /dev/null
+++ b/src/petrelhaven/span/face.py
@@ -0,0 +1,35 @@
+"""The visitors' and the platform's face of an edge."""
+from ..creed.face import body_of
+from ..creed.fault import NotReady
+
+__all__ = ["EdgeFace"]
+
+
+class EdgeFace:
+    """Routes of the visitors' face."""
+
+    def __init__(self, edge, face):
+        self._e = edge
+        for v, p, f in (("POST", "/sessions", self._open), ("POST", "/sessions/{sid}", self._say), ("DELETE", "/sessions/{sid}", self._close),
+                        ("GET", "/ready", self._ready), ("GET", "/status", self._status), ("GET", "/belief", self._belief)):
+            face.on(v, p, f)
+
+    async def _open(self, req):
+        return await self._e.open_session()
+
+    async def _say(self, req):
+        return await self._e.statement(req.match_info["sid"], await body_of(req))
+
+    async def _close(self, req):
+        return await self._e.close_session(req.match_info["sid"])
+
+    async def _ready(self, req):
+        if not self._e.ready:
+            raise NotReady(f"the edge is {self._e.state}")
+        return {"ready": True}
+
+    async def _status(self, req):
+        return self._e.status()
+
+    async def _belief(self, req):
+        return self._e.belief()
--- /dev/null
+++ b/src/petrelhaven/span/troop.py
@@ -0,0 +1,105 @@
+"""One database group as an edge sees it: its epoch, its clock, and a post for each member."""
+from ..creed.fault import Fault, Unreached
+from .clock import ReadClock
+from .pool import Pool
+from .tide import Tide
+
+__all__ = ["Post", "Troop"]
+
+
+class Post:
+    """One member: its address, connections, and what is known of its log."""
+
+    __slots__ = ("name", "addr", "hall", "boot", "pool", "tide", "stop_at", "writes")
+
+    def __init__(self, name, addr, hall, boot, pool, tide):
+        self.name, self.addr, self.hall, self.boot = name, addr, hall, boot
+        self.pool, self.tide = pool, tide
+        self.stop_at = None
+        self.writes = 0
+
+
+class Troop:
+    """Follows the epochs of one group."""
+
+    def __init__(self, name, clock, nest, order, wire, sends, bounds, vary=None):
+        self.name, self.clock, self.nest, self.wire, self.sends, self.bounds = name, clock, nest, wire, sends, bounds
+        self.epoch = None
+        self.posts = {}
+        self.reads = ReadClock(clock, nest, order, self._fetch, bounds, vary)
+        self.fetched = 0
+
+    @property
+    def key(self):
+        """(epoch, primary) while a primary serves, else None."""
+        e = self.epoch
+        return (e["n"], e["primary"]) if e and e["phase"] == "serve" else None
+
+    async def _fetch(self, key):
+        p = self.posts.get(key[1])
+        if p is None or not self.sends(p) or self.key != key:
+            raise Unreached("no primary to ask")
+        self.fetched += 1
+        r = await self.wire.status(p.addr, self.bounds().join_us)
+        if r["role"] != "primary" or r["term"] != self.epoch["term"]:
+            raise Unreached("not the primary of this epoch")
+        return r["log"]
+
+    def _ask(self, name):
+        async def ask():
+            p = self.posts[name]
+            if not self.sends(p):
+                raise Unreached("no lease")
+            r = await self.wire.status(p.addr, 250_000)
+            return r["log"], r["term"]
+        return ask
+
+    def _opener(self, name):
+        async def opened():
+            p = self.posts[name]
+            if not self.sends(p):
+                raise Unreached("no lease")
+            return await self.wire.open(p.addr, 600_000)
+        return opened
+
+    def turn(self, e, share, halls):
+        """Enters epoch `e`; returns the posts that must fall silent and by when."""
+        new = self.epoch is None or self.epoch["n"] != e["n"]
+        self.epoch = e
+        b = self.bounds()
+        for n, w in e["where"].items():
+            p = self.posts.get(n)
+            if p is not None and p.addr != w["addr"]:
+                p.pool.close()
+                p = None
+            if p is None:
+                p = self.posts[n] = Post(n, w["addr"], w["hall"], w["boot"], None, Tide(self.clock, self.nest, self._ask(n)))
+                p.pool = Pool(self.clock, self.nest, self._opener(n))
+            elif p.boot != w["boot"]:
+                p.boot = w["boot"]
+                p.pool.renew()
+            p.pool.warm_us = b.warm_us
+            p.tide.turn(e["term"])
+        for n in [n for n in self.posts if n not in e["where"]]:
+            self.posts.pop(n).pool.close()
+        out = []
+        now = self.clock.now()
+        for n, p in sorted(self.posts.items()):
+            stays = n in e["gates"] or n == e["primary"]
+            if halls(p.hall) != "open" or not stays:
+                if p.stop_at is None:
+                    p.stop_at = now + (2_500_000 if stays else b.grace_us)
+                    out.append(p)
+            else:
+                p.stop_at = None
+                p.pool.closed = False
+            p.pool.resize(share(n))
+        if new:
+            self.reads.turn(self.key)
+        return out
+
+    def close(self):
+        """The group left the manifest."""
+        for p in self.posts.values():
+            p.pool.close()
+        self.reads.turn(None)
--- /dev/null
+++ b/src/petrelhaven/span/wire.py
@@ -0,0 +1,82 @@
+"""The wire to members: HTTP/1.1 JSON with the verbs STATUS, READY and AFTER, and LAGGING among the results."""
+import asyncio
+import json
+
+import aiohttp
+
+from ..creed.fault import Late, MemberFault, Unreached, Unsent
+
+__all__ = ["Wire", "raise_first"]
+
+
+def raise_first(rs):
+    """Raises the typed fault of the batch's last step, if it has one; what came before it was run."""
+    if rs and "fault" in rs[-1]:
+        raise MemberFault(rs[-1]["fault"], more=rs[-1])
+    return rs
+
+
+class _Conn:
+    __slots__ = ("tag", "lost", "member", "_w", "_http", "_id", "_addr")
+
+    def __init__(self, w, addr, http, num):
+        self._w, self._addr, self._http, self._id = w, addr, http, num
+        self.tag, self.lost = None, False
+
+    async def run(self, ops, us):
+        """Runs a batch on this connection and returns the results, one a step."""
+        try:
+            return raise_first((await self._w.post(self._http, self._addr, "/run", {"conn": self._id, "ops": ops}, us))["results"])
+        except (Late, Unreached, Unsent):
+            self.lost = True
+            raise
+
+    def close(self):
+        """Closes the connection."""
+        self.lost = True
+        self._w.nest.spawn(self._http.close())
+
+
+class Wire:
+    """Opens connections and asks STATUS."""
+
+    def __init__(self, clock, nest):
+        self.clock, self.nest = clock, nest
+        self._http = None
+
+    async def post(self, http, addr, path, doc, us):
+        """One exchange; Unsent if nothing left, Unreached or Late if the outcome is not known."""
+        try:
+            async with http.post(f"http://{addr}{path}", data=json.dumps(doc), timeout=aiohttp.ClientTimeout(total=us / 1e6),
+                                 headers={"Content-Type": "application/json"}) as r:
+                d = await r.json()
+                if r.status != 200:
+                    raise MemberFault(d.get("fault", "?"), more=d)
+                return d
+        except aiohttp.ClientConnectorError:
+            raise Unsent(addr) from None
+        except (asyncio.TimeoutError, TimeoutError):
+            raise Late(addr) from None
+        except (aiohttp.ClientError, OSError, ValueError):
+            raise Unreached(addr) from None
+
+    async def open(self, addr, us=1_000_000):
+        """A new connection, one TCP connection of its own."""
+        http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=1, keepalive_timeout=3600))
+        try:
+            d = await self.post(http, addr, "/open", {}, us)
+        except BaseException:
+            await http.close()
+            raise
+        return _Conn(self, addr, http, d["conn"])
+
+    async def status(self, addr, us):
+        """STATUS over the shared connections to the member."""
+        if self._http is None:
+            self._http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit_per_host=4))
+        return await self.post(self._http, addr, "/status", {}, us)
+
+    async def close(self):
+        """Closes the shared connections."""
+        if self._http:
+            await self._http.close()
--- /dev/null
+++ b/src/petrelhaven/tenet.py
@@ -0,0 +1,137 @@
+"""tenet: the operator's command line."""
+import argparse
+import asyncio
+import json
+import sys
+
+from .creed.fault import Fault, Late, Unreached, Unsent
+from .creed.http import fetch
+
+__all__ = ["main"]
+
+
+def _parser():
+    p = argparse.ArgumentParser(prog="tenet", description="Drives a petrelhaven fleet.",
+                                epilog="Exit codes: 0 done, 1 declined, 2 wrong call, 3 nobody answered, 4 the outcome is not known (read back with show).")
+    p.add_argument("--core", required=True, metavar="IP:PORT,...", help="HTTP addresses of cores, tried in order")
+    p.add_argument("--by", default="", help="who asks, kept with the change")
+    sub = p.add_subparsers(dest="verb", required=True)
+    a = sub.add_parser("apply", help="apply a whole manifest; returns once it is in force")
+    a.add_argument("file", help="the manifest (JSON), - for standard input")
+    a.add_argument("--retire", action="store_true", help="allow served groups to be left out")
+    s = sub.add_parser("show", help="read the newest acknowledged manifest back, byte for byte")
+    s.add_argument("--version", type=int, help="an older version")
+    for v, h in (("evacuate", "empty a hall"), ("restore", "take a hall back")):
+        x = sub.add_parser(v, help=h)
+        x.add_argument("hall")
+    t = sub.add_parser("status", help="what the cores believe, or one node")
+    t.add_argument("--node", metavar="IP:PORT", help="ask this node instead")
+    w = sub.add_parser("why", help="explain an epoch: what was seen, by whom, what was decided and what it replaced")
+    w.add_argument("group")
+    w.add_argument("--epoch", type=int)
+    return p
+
+
+def _fall(e):
+    print(f"tenet: declined: {e.code}: {e.note}", file=sys.stderr)
+    for at, w in e.more.get("faults", []):
+        print(f"  {at}: {w}", file=sys.stderr)
+    if e.back:
+        print(f"  come back in {e.back / 1e6:g} s", file=sys.stderr)
+    return 1
+
+
+async def _any(cores, change, *a, **kw):
+    last = None
+    for c in cores:
+        try:
+            return await fetch(c, *a, **kw)
+        except Unsent as e:
+            last = e
+        except (Late, Unreached) as e:
+            if change:
+                raise Late("the outcome is not known; read back with show") from None
+            last = e
+        except Fault as e:
+            if e.code not in ("not-ready", "not-head"):
+                raise
+            last = e
+    raise last
+
+
+async def _run(a, out):
+    cs = a.core.split(",")
+    by = f"?by={a.by}" if a.by else "?"
+    if a.verb == "apply":
+        text = sys.stdin.read() if a.file == "-" else open(a.file, encoding="utf-8").read()
+        r = await _any(cs, True, "POST", f"/manifest{by}&retire={'true' if a.retire else 'false'}", data=text.encode())
+        out(f"version {r['version']} is in force (change {r['change']}, {r['in_force_us'] / 1e6:.3f} s)")
+    elif a.verb == "show":
+        q = f"?version={a.version}" if a.version is not None else ""
+        sys.stdout.buffer.write(await _any(cs, False, "GET", f"/manifest{q}", raw=True))
+    elif a.verb in ("evacuate", "restore"):
+        r = await _any(cs, True, "POST", f"/halls/{a.hall}/{a.verb}{by}")
+        out(f"hall {r['hall']} is {r['state']} (change {r['change']}, {r['in_force_us'] / 1e6:.3f} s)")
+    elif a.verb == "status":
+        if a.node:
+            out(json.dumps(await fetch(a.node, "GET", "/status"), indent=1))
+            return
+        for c in cs:
+            try:
+                _status(await fetch(c, "GET", "/status"), out)
+            except Unsent:
+                out(f"{c}: nobody answers")
+    else:
+        q = f"&n={a.epoch}" if a.epoch is not None else ""
+        _why(await _any(cs, False, "GET", f"/why?group={a.group}{q}"), out)
+
+
+def _status(s, out):
+    v = s["view"]
+    out(f"{s['name']}: {s['state']}{', head' if s['head'] else ''}{', ruling' if s['ruling'] else ''}; change {s['seq']} (committed {s['commit']}), manifest {s['manifest']}"
+        + (f"; view {v['n']}: {' > '.join(v['chain'])}" if v else ""))
+    if s["head"]:
+        for g, e in s["epochs"].items():
+            out(f"  {g}: epoch {e['n']} {e['phase']}, primary {e['primary']}, in sync {','.join(e['safe']) or '-'}, gates {','.join(e['gates']) or '-'}"
+                + ("" if e["open"] else ", WRITES DECLINED: too few in-sync replicas") + f" ({s['waiting'].get(g, '')})")
+        out("  edges: " + (", ".join(f"{n} {x[1]}" for n, x in s["edges"].items()) or "-"))
+        out("  halls: " + (", ".join(f"{h} {x}" for h, x in s["halls"].items()) or "all open"))
+        for m, d in s["members"].items():
+            out(f"  {m}: {d['role']} in {d['hall']}, log {d['log']}{', draining' if d['draining'] else ''}{'' if d['warm'] else ', warming up'}, heard {d['age_us'] / 1e6:.2f} s ago")
+
+
+def _why(d, out):
+    e, was = d["epoch"], d["replaced"]
+    out(f"epoch {e['n']} ({e['phase']}, primary {e['primary']}), decided by {e.get('by')} in view {e.get('view')} as change {e['seq']}")
+    out(f"cause: {e['cause']}")
+    out("seen:")
+    for m, x in e["evidence"].items():
+        out(f"  {m}: {x['role']} in {x['hall']}, log {x['log']}, heard {x['age'] / 1e6:.2f} s before"
+            + (f" by {','.join(x['seen_by'])}" if x["seen_by"] else ", lately by nobody")
+            + (", draining" if x["draining"] else "") + (", log stalled" if x["stalled"] else ""))
+    out(f"decided: in sync {','.join(e['safe']) or '-'}; to be waited for {','.join(e['hold']) or '-'}; gates {','.join(e['gates']) or '-'}")
+    out(f"replaced: epoch {was['n']} ({was['phase']}, primary {was['primary']}, in sync {','.join(was['safe']) or '-'})" if was else "replaced: nothing")
+    if d["waiting"]:
+        out(f"now: {d['waiting']}")
+
+
+def main(argv=None):
+    """Runs one command."""
+    a = _parser().parse_args(argv)
+    try:
+        asyncio.run(_run(a, print))
+    except Late as e:
+        print(f"tenet: {e.note}", file=sys.stderr)
+        sys.exit(4)
+    except Unreached as e:
+        print(f"tenet: nobody answers: {e.note}", file=sys.stderr)
+        sys.exit(3)
+    except Fault as e:
+        sys.exit(_fall(e))
+    except OSError as e:
+        print(f"tenet: {e}", file=sys.stderr)
+        sys.exit(2)
+
+
+if __name__ == "__main__":
+    main()
