--- /dev/null
+++ b/src/petrelhaven/drill/storm.py
@@ -0,0 +1,382 @@
+"""Seeded schedules of faults against a simulated fleet; a violation is shrunk to few faults."""
+import asyncio
+import json
+import random
+
+from ..creed.fault import Fault
+from ..rift import differences
+from .warp import WarpLoop
+from .world import World, manifest
+
+__all__ = ["KINDS", "play", "run", "schedule", "shrink"]
+
+KINDS = ["edge_kill", "edge_freeze", "edge_drain", "core_kill", "core_freeze", "core_disk", "core_torn", "core_all", "member_kill", "member_store",
+         "member_dark", "member_stall", "member_drain", "unanswered", "cut_two", "cut_one", "isolate", "vanish", "platform", "operators",
+         "hall", "noise"]
+_EDGE = {"edge_kill", "edge_freeze", "edge_drain", "vanish", "isolate"}
+_STORE = {"member_store", "vanish"}
+
+
+def schedule(seed, count=6, kinds=None, span=25.0):
+    """Rows of (at second, kind, pick): what will happen."""
+    r = random.Random(seed * 7919 + 17)
+    out, t = [], 1.0
+    calm = {}
+    for _ in range(count):
+        t += r.uniform(0.2, 2 * span / count)
+        k = r.choice(kinds or KINDS)
+        for group, gap in ((_EDGE, 9.0), (_STORE, 12.0), ({"core_disk", "core_torn", "core_all", "vanish", "core_kill", "core_freeze"}, 7.0)):
+            if k in group:
+                t = max(t, calm.get(id(group) if False else min(group), 0) + gap)
+                calm[min(group)] = t
+        out.append((round(t, 3), k, r.randrange(1 << 30)))
+    return out
+
+
+class _Storm:
+    """Brings the faults of one schedule about."""
+
+    def __init__(self, w):
+        self.w = w
+        self.version = 1
+        self.lost_store = set()
+        self.tasks = []
+        self.acked = []
+
+    def go(self, kind, pick):
+        """Starts one fault."""
+        self.tasks.append(self.w.loop.create_task(getattr(self, "_" + kind)(random.Random(pick))))
+
+    async def _edge_kill(self, r):
+        b = r.choice(self.w.edges)
+        b.kill()
+        await asyncio.sleep(r.uniform(0.1, 5))
+        if not b.up:
+            self.w.boot_edge(b)
+
+    async def _edge_freeze(self, r):
+        r.choice(self.w.edges).freeze(int(r.uniform(0.2, 7) * 1e6))
+
+    async def _edge_drain(self, r):
+        b = r.choice(self.w.edges)
+        if b.node is None:
+            return
+        life = b.life
+        t = b.nest.spawn(b.node.drain())
+        try:
+            await asyncio.wait_for(t, 20)
+        except (asyncio.TimeoutError, asyncio.CancelledError):
+            pass
+        if b.life == life:
+            b.kill()
+        await asyncio.sleep(0.5)
+        if not b.up:
+            self.w.boot_edge(b)
+
+    async def _core_kill(self, r):
+        b = r.choice(self.w.cores)
+        b.kill()
+        await asyncio.sleep(r.uniform(0.1, 5))
+        if not b.up:
+            self.w.boot_core(b)
+
+    async def _core_all(self, r):
+        for b in self.w.cores:
+            b.kill()
+        await asyncio.sleep(r.uniform(0.1, 2))
+        for b in r.sample(self.w.cores, 3):
+            if not b.up:
+                self.w.boot_core(b)
+            await asyncio.sleep(r.uniform(0, 0.5))
+
+    async def _core_freeze(self, r):
+        r.choice(self.w.cores).freeze(int(r.uniform(0.2, 5) * 1e6))
+
+    async def _core_disk(self, r):
+        b = r.choice(self.w.cores)
+        b.kill()
+        b.disk.lose()
+        await asyncio.sleep(r.uniform(0.1, 4))
+        if not b.up:
+            self.w.boot_core(b)
+
+    async def _core_torn(self, r):
+        b = r.choice(self.w.cores)
+        b.disk.tear = True
+        await asyncio.sleep(r.uniform(3, 6))
+        b.disk.tear = False
+        if not b.up:
+            self.w.boot_core(b)
+
+    def _member(self, r):
+        return r.choice(sorted(self.w.members))
+
+    async def _member_kill(self, r):
+        n = self._member(r)
+        b = self.w.members[n]
+        if not b.up:
+            return
+        keep = b.node
+        b.kill()
+        await asyncio.sleep(r.uniform(0.2, 6))
+        if not b.up:
+            self.w.boot_member(n, keep)
+
+    async def _member_store(self, r):
+        n = self._member(r)
+        b = self.w.members[n]
+        if not b.up or n[:2] in self.lost_store:
+            return
+        self.lost_store.add(n[:2])
+        b.kill()
+        await asyncio.sleep(r.uniform(0.2, 6))
+        if not b.up:
+            self.w.boot_member(n)
+
+    async def _member_dark(self, r):
+        b = self.w.members[self._member(r)]
+        if b.node:
+            m = b.node
+            m.dark = True
+            await asyncio.sleep(r.uniform(0.3, 5))
+            m.dark = False
+
+    async def _member_stall(self, r):
+        b = self.w.members[self._member(r)]
+        if b.node:
+            m = b.node
+            m.stall = True
+            await asyncio.sleep(r.uniform(0.3, 6))
+            m.stall = False
+
+    async def _member_drain(self, r):
+        n = self._member(r)
+        b = self.w.members[n]
+        if not b.node:
+            return
+        m = b.node
+        m.draining = True
+        t0 = self.w.loop.time()
+        life = b.life
+        await asyncio.sleep(7.5)
+        if b.life == life and m.draining and m.last_statement:
+            late = (m.last_statement - (b.clock.now() - int((self.w.loop.time() - t0) * 1e6))) / 1e6
+            if late > 7.0:
+                self.w.net.findings.append((self.w.loop.time(), "statement to a leaving member", n, late))
+        await asyncio.sleep(1)
+        m.draining = False
+
+    async def _unanswered(self, r):
+        g = r.choice(sorted({n[:2] for n in self.w.members}))
+        for n, b in self.w.members.items():
+            if n.startswith(g) and b.node and b.node.role == "primary":
+                b.node.unanswered = r.randrange(1, 4)
+
+    def _in(self, hall):
+        return [b.name for b in self.w.net.boxes.values() if b.hall == hall]
+
+    async def _cut_two(self, r):
+        a, b = r.sample(self.w.z["halls"], 2)
+        self.w.net.cut(self._in(a), self._in(b), int(r.uniform(0.5, 8) * 1e6))
+
+    async def _cut_one(self, r):
+        a, b = r.sample(self.w.z["halls"], 2)
+        self.w.net.cut(self._in(a), self._in(b), int(r.uniform(0.5, 8) * 1e6), both=False)
+
+    async def _isolate(self, r):
+        a = r.choice(self.w.z["halls"])
+        rest = [n for h in self.w.z["halls"] if h != a for n in self._in(h)] + ["platform"]
+        self.w.net.cut(self._in(a), rest, int(r.uniform(1, 9) * 1e6))
+
+    async def _vanish(self, r):
+        a = r.choice(self.w.z["halls"])
+        bs = [b for b in self.w.net.boxes.values() if b.hall == a and b.up]
+        nodes = {b.name: b.node for b in bs}
+        for b in bs:
+            self.w.net.silent.add(b.name)
+            b.kill(silent=True)
+        await asyncio.sleep(r.uniform(6, 14))
+        for b in bs:
+            self.w.net.silent.discard(b.name)
+            if b.up:
+                continue
+            if b in self.w.cores:
+                self.w.boot_core(b)
+            elif b in self.w.edges:
+                self.w.boot_edge(b)
+            else:
+                self.w.boot_member(b.name, nodes[b.name])
+
+    async def _platform(self, r):
+        p = self.w.plat.node
+        x = r.random()
+        if x < 0.4:
+            p.decline = True
+        elif x < 0.8:
+            p.slow_us = int(r.uniform(0.5, 3) * 1e6)
+        else:
+            self.w.net.cut(["platform"], [n for n in self.w.net.boxes if n != "platform"], 4_000_000)
+        await asyncio.sleep(r.uniform(1, 5))
+        p.decline, p.slow_us = False, 0
+
+    async def _operators(self, r):
+        v = self.version
+        self.version += 2
+
+        async def one(n, by):
+            try:
+                x = await self.w.apply(manifest(self.w.size, n, **self.w.bounds), by)
+                if "version" in x:
+                    self.acked.append((self.w.loop.time(), n))
+                    self._in_force(n)
+            except Fault as e:
+                if e.status not in (409, 503, 504):
+                    self.w.net.findings.append((self.w.loop.time(), "operator", n, e.code))
+        await asyncio.gather(one(v + 2, r.randrange(3)), one(v + 1, r.randrange(3)), one(v, r.randrange(3)))
+        try:
+            await self.w.apply("{\"name\": 3}", 1)
+            self.w.net.findings.append((self.w.loop.time(), "invalid manifest taken", "", ""))
+        except Fault as e:
+            if e.status not in (422, 503, 504):
+                raise
+
+    def _in_force(self, n):
+        for b in self.w.edges:
+            e = b.node
+            if e is None or b.frozen or not e.control.sends:
+                continue
+            d = e.control.realm.doc["manifest"]
+            if (d["version"] if d else 0) < n:
+                self.w.net.findings.append((self.w.loop.time(), "acknowledged manifest not in force", b.name, n))
+
+    async def _hall(self, r):
+        h = r.choice(self.w.z["halls"])
+        x = await self.w.hall(h, "emptied", r.randrange(3))
+        if "change" in x:
+            t0 = self.w.loop.time()
+            await asyncio.sleep(5.0)
+            for n, b in self.w.members.items():
+                if b.hall == h and b.node:
+                    b.node.last_statement = 0
+            await asyncio.sleep(r.uniform(0.5, 4))
+            for n, b in self.w.members.items():
+                if b.hall == h and b.node and b.node.last_statement:
+                    self.w.net.findings.append((self.w.loop.time(), "statement to an emptied hall", n, self.w.loop.time() - t0))
+        await self.w.hall(h, "open", r.randrange(3))
+
+    async def _noise(self, r):
+        self.w.net.loss, self.w.net.double = r.uniform(0, 0.2), 0.1
+        await asyncio.sleep(r.uniform(1, 5))
+        self.w.net.loss = self.w.net.double = 0.0
+
+
+async def play(w, rows, visitors=12, settle=12.0):
+    """Starts the world, brings the faults about under load, and returns what was violated."""
+    await w.start()
+    s = _Storm(w)
+    w.visit(visitors, pause=0.12)
+    await asyncio.sleep(0.5)
+    t0 = w.loop.time()
+    for at, kind, pick in rows:
+        await asyncio.sleep(max(0, t0 + at - w.loop.time()))
+        s.go(kind, pick)
+    await asyncio.gather(*s.tasks)
+    end = w.loop.time()
+    while any(w.net.cuts.values()) or any(b.frozen for b in w.net.boxes.values()):
+        if w.loop.time() > end + 30:
+            raise AssertionError("cuts never heal")
+        await asyncio.sleep(0.1)
+    end = w.loop.time()
+    bad = await _back(w, settle)
+    try:
+        await w.calm()
+    except AssertionError as e:
+        bad.append(("visitors", str(e)))
+    await asyncio.sleep(1)
+    return bad + w.verdict() + _agree(w, s)
+
+
+async def _back(w, secs):
+    """Service must be back within `secs` of the last fault's end: a write and a strong read in each group."""
+    end = w.loop.time() + secs
+    from .visitor import Visitor
+    v = Visitor(w, 9000, random.Random(1))
+    sid = None
+    for g in range(w.z["groups"]):
+        n = 0
+        while True:
+            n += 1
+            try:
+                if sid is None:
+                    sid = (await v._call(lambda e: e.open_session()))["session"]
+                r = await v._call(lambda e: e.statement(sid, {"route": f"g{g + 1}", "verb": "put", "key": "back", "value": n, "try": g * 1000 + n}))
+                if r["outcome"] == "kept":
+                    r = await v._call(lambda e: e.statement(sid, {"route": f"g{g + 1}", "verb": "get", "key": "back"}))
+                    if r["value"] >= n:
+                        break
+            except Fault:
+                pass
+            if w.loop.time() > end:
+                return [("service not back", f"g{g + 1}", secs, w.head_epochs().get(f"g{g + 1}", {}).get("phase"),
+                         [c.node.duty.why for c in w.cores if c.node and c.node.chain.head])]
+            await asyncio.sleep(0.1)
+    return []
+
+
+def _agree(w, s):
+    out = []
+    ns = [b.node for b in w.cores + w.edges if b.node]
+    for n in ns[1:]:
+        d = [x for x in differences(ns[0].belief(), n.belief()) if x[0] != "view" and not x[0].startswith("kith")]
+        if d:
+            out.append(("beliefs differ", ns[0].name, n.name, d[:3]))
+    top = max([v for _, v in s.acked], default=1)
+    have = ns[0].belief()["manifest"]
+    if have < top:
+        out.append(("acknowledged manifest lost", top, have))
+    return out
+
+
+def run(seed, size="small", rows=None, visitors=12, count=6, kinds=None, **bounds):
+    """One seed from nothing: (violations, world)."""
+    loop = WarpLoop()
+    asyncio.set_event_loop(loop)
+    box = {}
+
+    async def go():
+        w = box["w"] = World(seed, size, **bounds)
+        try:
+            return await play(w, rows if rows is not None else schedule(seed, count, kinds), visitors)
+        except AssertionError as e:
+            return [("stuck", str(e))] + w.net.findings
+    try:
+        bad = loop.run_until_complete(go())
+        return bad, box["w"]
+    finally:
+        for t in asyncio.all_tasks(loop):
+            t.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+        asyncio.set_event_loop(None)
+
+
+def shrink(seed, size="small", rows=None, tries=40, **kw):
+    """The fewest faults of a schedule that still violate."""
+    rows = list(rows if rows is not None else schedule(seed))
+    again = True
+    while again and len(rows) > 1:
+        again = False
+        for i in range(len(rows)):
+            tries -= 1
+            if tries < 0:
+                return rows
+            less = rows[:i] + rows[i + 1:]
+            if run(seed, size, less, **kw)[0]:
+                rows, again = less, True
+                break
+    return rows
+
+
+def told(bad):
+    """A violation as one line."""
+    return json.dumps(bad, default=str)
--- a/src/petrelhaven/helm/desk.py
+++ b/src/petrelhaven/helm/desk.py
@@ -81,8 +81,10 @@
                 self._wake()
                 continue
             t = asyncio.ensure_future(news.wait())
-            await asyncio.wait([t, ch.gone], return_when=asyncio.FIRST_COMPLETED)
-            t.cancel()
+            try:
+                await asyncio.wait([t, ch.gone], return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                t.cancel()
 
     async def force(self, ch, b):
         """What this core knows of who has acknowledged `seq`."""
