--- a/src/petrelhaven/creed/link.py
+++ b/src/petrelhaven/creed/link.py
@@ -7,7 +7,7 @@
 from .event import emit
 from .fault import Fault, Late, Malformed, Unreached, Unsent, Unspoken, Unversed, rebuild
 
-__all__ = ["Channel", "Link"]
+__all__ = ["Channel", "Link", "held_call"]
 
 _MAGIC = 0x7E7A
 _MOST = 4 << 20
@@ -78,6 +78,19 @@
         self.lose()
 
 
+async def held_call(c, kind, body, us):
+    """A call over a shared connection; one that stays mute twice is closed and opened anew."""
+    try:
+        r = await c.call(kind, body, us)
+        c.note["mute"] = 0
+        return r
+    except Late:
+        c.note["mute"] = c.note.get("mute", 0) + 1
+        if c.note["mute"] >= 2:
+            c.close()
+        raise
+
+
 class _Udp(asyncio.DatagramProtocol):
     def __init__(self, link):
         self._link = link
@@ -164,7 +177,7 @@
                     raise Unsent(addr) from None
                 raise
             self._out[addr] = c
-        return await c.call(kind, body, us)
+        return await held_call(c, kind, body, us)
 
     def _wrap(self, r, w):
         c = Channel(self, lambda b: w.write(struct.pack(">HI", _MAGIC, len(b)) + b), w.close)
--- a/src/petrelhaven/drill/net.py
+++ b/src/petrelhaven/drill/net.py
@@ -5,7 +5,7 @@
 
 from ..creed.contract import TELL, pack, unpack
 from ..creed.fault import Fault, Late, Malformed, Unreached, Unsent
-from ..creed.link import Channel
+from ..creed.link import Channel, held_call
 from ..creed.tick import Clock, Nest
 
 __all__ = ["Box", "Net", "SimDisk", "SimLink"]
@@ -295,7 +295,7 @@
                 t.add_done_callback(lambda _: self._opening.pop(addr, None))
             c = await asyncio.shield(t)
             self._out[addr] = c
-        return await c.call(kind, body, us)
+        return await held_call(c, kind, body, us)
 
 
 class Net:
--- a/src/petrelhaven/drill/storm.py
+++ b/src/petrelhaven/drill/storm.py
@@ -42,6 +42,7 @@
         self.lost_store = set()
         self.tasks = []
         self.acked = []
+        self.emptying = False
 
     def go(self, kind, pick):
         """Starts one fault."""
@@ -250,6 +251,9 @@
                 self.w.net.findings.append((self.w.loop.time(), "acknowledged manifest not in force", b.name, n))
 
     async def _hall(self, r):
+        if self.emptying:
+            return
+        self.emptying = True
         h = r.choice(self.w.z["halls"])
         x = await self.w.hall(h, "emptied", r.randrange(3))
         if "change" in x:
@@ -263,6 +267,7 @@
                 if b.hall == h and b.node and b.node.last_statement:
                     self.w.net.findings.append((self.w.loop.time(), "statement to an emptied hall", n, self.w.loop.time() - t0))
         await self.w.hall(h, "open", r.randrange(3))
+        self.emptying = False
 
     async def _noise(self, r):
         self.w.net.loss, self.w.net.double = r.uniform(0, 0.2), 0.1
@@ -317,7 +322,7 @@
             except Fault:
                 pass
             if w.loop.time() > end:
-                return [("service not back", f"g{g + 1}", secs, w.head_epochs().get(f"g{g + 1}", {}).get("phase"),
+                return [("service not back", v.last[-6:], f"g{g + 1}", secs, w.head_epochs().get(f"g{g + 1}", {}).get("phase"),
                          [c.node.duty.why for c in w.cores if c.node and c.node.chain.head])]
             await asyncio.sleep(0.1)
     return []
--- a/src/petrelhaven/drill/visitor.py
+++ b/src/petrelhaven/drill/visitor.py
@@ -19,6 +19,7 @@
         self.want = {}
         self.stop = self.done = False
         self.gaps = []
+        self.last = []
         self.count = {"ok": 0, "declined": 0, "unknown": 0}
 
     def _now(self):
@@ -32,6 +33,8 @@
             self.at = b
             return r
         except Fault as e:
+            self.last.append((round(self.w.loop.time(), 3), getattr(b, "name", ""), e.code, e.note))
+            del self.last[:-20]
             if not isinstance(e, (Late, Unreached)) and e.status in (503, 504) and e.code != "moving" and self.rng.random() < 0.7:
                 self.at = b
             else:
@@ -121,7 +124,7 @@
         ks = [f"b{self.num}-{self.n}-{i}" for i in (1, 2)]
         out = "not kept"
         try:
-            x = (await self._say({"route": g, "verb": "begin"}))["txn"]
+            x = (await self._say({"route": g, "verb": "begin"})).get("txn")
             for k in ks:
                 r = await self._call(lambda e, k=k: e.statement(self.sid, {"verb": "add", "key": k, "value": 1, "txn": x}))
             if self.rng.random() < 0.1:
--- a/src/petrelhaven/drill/world.py
+++ b/src/petrelhaven/drill/world.py
@@ -81,7 +81,21 @@
         """A new connection."""
         b = self._find(addr)
         owner = f"{self.box.name}/{self.box.life}"
-        return _Conn(self, b, await self.trip(b, lambda m: m.open(owner), us))
+        made = []
+
+        def opened(m):
+            made.append(m.open(owner))
+            if made[0] is None:
+                m.conns.pop(made[1], None)
+            return made[-1]
+        try:
+            return _Conn(self, b, await self.trip(b, opened, us))
+        except BaseException:
+            if made:
+                self.shut(b, made[0])
+            else:
+                made.append(None)
+            raise
 
     def shut(self, b, num):
         """Closes at the member too."""
@@ -122,10 +136,13 @@
         return 1.0 + self.rng.uniform(-0.01, 0.01)
 
     def _dead(self, box, silent):
-        if box in self.edges and not silent:
-            for m in self.members.values():
-                if m.node:
-                    m.node.lose(f"{box.name}/{box.life - 1}")
+        if box in self.edges:
+            self.loop.call_later(5 if silent else 0.01, self._forget, f"{box.name}/{box.life - 1}")
+
+    def _forget(self, owner):
+        for m in self.members.values():
+            if m.node:
+                m.node.lose(owner)
 
     def boot_core(self, b):
         """Powers a core on."""
--- a/src/petrelhaven/helm/duty.py
+++ b/src/petrelhaven/helm/duty.py
@@ -3,11 +3,13 @@
 
 from ..creed.event import emit
 from ..creed.fault import Fault
+from .desk import LAPSE_US, LEASE_US
 from .plan import Sight, after, step
 
 __all__ = ["Duty"]
 
 _TURN_US = 80_000
+_REKEEP_US = LAPSE_US + 2_500_000
 
 
 class Duty:
@@ -26,6 +28,7 @@
         self._tracks = {}
         self._odd = {}
         self._catch = {}
+        self._let_go, self._born = {}, {}
         self._began = None
         self.why = {}
 
@@ -111,13 +114,17 @@
         for n, e in sorted(self.chain.realm.doc["edges"].items()):
             if e["state"] == "gone" or ("edge", n) in self._busy:
                 continue
-            quiet = max(self.desk.floor - now, 0) == 0 and seen.get(n, -1 << 60)
-            if quiet is False or now - self._began < 2_500_000:
+            born = self._born.setdefault((n, e["inc"]), now)
+            if self.desk.floor > now or now - self._began < 2_500_000:
                 continue
+            quiet = max(seen.get(n, -1 << 60), born + 2 * LEASE_US - now)
             st = self.roster.state(n)
             p = self.roster.peers.get(n)
             lost = st == "gone" and p.inc <= e["inc"] + 1_000_000 and quiet < 600_000
+            if any(h != e["hall"] and now - t < _REKEEP_US for h, t in self._let_go.items()):
+                continue
             if lost or quiet < -2_500_000:
+                self._let_go[e["hall"]] = now
                 emit(self.log, 308, edge=n, inc=e["inc"], kith=st, lease_us=quiet)
                 self._do(("edge", n), self._gone(n, e["inc"], st))
 
--- a/src/petrelhaven/span/pool.py
+++ b/src/petrelhaven/span/pool.py
@@ -6,6 +6,8 @@
 
 __all__ = ["Pool"]
 
+_FULL_US = 500_000
+
 
 class Pool:
     """Hands out connections; a bounded queue waits for one."""
@@ -21,6 +23,7 @@
         self._wait = collections.deque()
         self._calm = []
         self.closed = False
+        self._full = None
 
     @property
     def total(self):
@@ -34,7 +37,8 @@
 
     @property
     def limit(self):
-        return min(self.share, max(1, int(self.share * self.ramp()))) if self.share else 0
+        n = min(self.share, max(1, int(self.share * self.ramp()))) if self.share else 0
+        return min(n, max(1, self._full)) if self._full is not None else n
 
     def take(self, tag):
         """A future of a connection, the one last used for `tag` if it is idle."""
@@ -79,13 +83,25 @@
             self.busy.add(c)
             f.set_result(c)
 
+    def _ease(self):
+        self._full = None
+        self._pump()
+
     async def _fresh(self, f):
         try:
             c = await self._open()
         except Fault as e:
             self._opening -= 1
+            full = e.note == "FULL"
+            if full and self._full is None:
+                self.clock.later(_FULL_US, self._ease)
+            if full:
+                self._full = self.total
             if not f.done():
-                f.set_exception(e)
+                if full and self.total:
+                    self._wait.appendleft((None, f))
+                else:
+                    f.set_exception(e)
             self._pump()
             return
         except BaseException:
--- a/src/petrelhaven/span/slab.py
+++ b/src/petrelhaven/span/slab.py
@@ -75,6 +75,9 @@
         except Exception as x:
             self._end(i, None, x)
         else:
+            if f is None:
+                s.cont.close()
+                return self._end(i, None, Busy("this node ends"))
             f = asyncio.ensure_future(f)
             s.wait = f
             f.add_done_callback(lambda f: self._woken(i, g, f))
