--- a/src/petrelhaven/creed/tick.py
+++ b/src/petrelhaven/creed/tick.py
@@ -1,5 +1,6 @@
 """Time and tasks: whole microseconds of monotonic time, ticks and horizons, a nest of tasks."""
 import asyncio
+import os
 import time
 
 from .event import emit
@@ -69,7 +70,10 @@
     def _end(self, t):
         self._own.pop(t, None)
         if not t.cancelled() and t.exception() is not None and not isinstance(t.exception(), Fault):
-            emit(self._log, 903, what=repr(t.exception()))
+            tb = t.exception().__traceback__
+            while tb.tb_next:
+                tb = tb.tb_next
+            emit(self._log, 903, what=repr(t.exception()), at=f"{os.path.basename(tb.tb_frame.f_code.co_filename)}:{tb.tb_lineno}")
 
     async def close(self):
         """Cancels every task and waits for their end."""
--- a/src/petrelhaven/drill/storm.py
+++ b/src/petrelhaven/drill/storm.py
@@ -14,7 +14,8 @@
          "member_dark", "member_stall", "member_drain", "unanswered", "cut_two", "cut_one", "isolate", "vanish", "platform", "operators",
          "hall", "noise"]
 _EDGE = {"edge_kill", "edge_freeze", "edge_drain", "vanish", "isolate"}
-_STORE = {"member_store", "vanish"}
+_APART = ((_EDGE, 9.0), ({"member_store", "vanish"}, 12.0),
+          ({"core_disk", "core_torn", "core_all", "vanish", "core_kill", "core_freeze"}, 7.0))
 
 
 def schedule(seed, count=6, kinds=None, span=25.0):
@@ -25,10 +26,9 @@
     for _ in range(count):
         t += r.uniform(0.2, 2 * span / count)
         k = r.choice(kinds or KINDS)
-        for group, gap in ((_EDGE, 9.0), (_STORE, 12.0), ({"core_disk", "core_torn", "core_all", "vanish", "core_kill", "core_freeze"}, 7.0)):
-            if k in group:
-                t = max(t, calm.get(id(group) if False else min(group), 0) + gap)
-                calm[min(group)] = t
+        mine = [(i, gap) for i, (group, gap) in enumerate(_APART) if k in group]
+        t = max([t] + [calm.get(i, -99) + gap for i, gap in mine])
+        calm.update({i: t for i, _ in mine})
         out.append((round(t, 3), k, r.randrange(1 << 30)))
     return out
 
--- a/src/petrelhaven/drill/world.py
+++ b/src/petrelhaven/drill/world.py
@@ -198,15 +198,17 @@
 
     async def _pull(self, b):
         m = b.node
-        while True:
+        while b.node is m:
             src = self.members.get(m.source) if m.role == "replica" and m.source else None
             if src is None or src is b or m.stall or m.dark:
                 await b.clock.sleep(20_000)
                 continue
 
-            async def there():
-                if src.node.dark:
+            async def there(src=src):
+                if src.node is not None and src.node.dark:
                     await src.clock.sleep(3_600_000_000)
+                if src.node is None:
+                    raise Unreached("off")
                 try:
                     return json.loads(json.dumps(src.node.feed(m.log, m.last_term())))
                 except _Stop:
@@ -215,7 +217,7 @@
                 d = await self.net.trip(b, src, there, 500_000)
                 if d["entries"] or d["term"] != m.term:
                     await b.clock.sleep(self.lag_us)
-                    if m.role == "replica" and not m.stall and m.source == src.name:
+                    if m.role == "replica" and not m.stall and src is not None and m.source == src.name:
                         m.absorb(d)
                 else:
                     await b.clock.sleep(5_000)
--- a/src/petrelhaven/span/edge.py
+++ b/src/petrelhaven/span/edge.py
@@ -258,6 +258,8 @@
         return {"role": "none", "epoch": self.keeper.fence.get(sid, 0)}
 
     async def _find(self, sid):
+        if not self.control.sends:
+            raise Moving("this edge does not know the fleet yet")
         es = [n for n, e in sorted(self.control.realm.doc["edges"].items()) if e["state"] != "gone" and n != self.name]
 
         async def ask(n):
@@ -288,7 +290,7 @@
                     raise Moving("the session's home can't be reached") from None
             except Fault:
                 self._at.pop(sid, None)
-                if d["verb"] in WRITES or d["verb"] in ("commit", "exec"):
+                if d["verb"] == "commit" or (d["verb"] in WRITES or d["verb"] == "exec") and "txn" not in d:
                     return {"outcome": "unknown", "retry_after_us": 500_000}
                 raise
         if r["res"].get("not_here"):
