--- a/src/petrelhaven/drill/storm.py
+++ b/src/petrelhaven/drill/storm.py
@@ -8,7 +8,7 @@
 from .warp import WarpLoop
 from .world import World, manifest
 
-__all__ = ["KINDS", "play", "run", "schedule", "shrink"]
+__all__ = ["KINDS", "back", "inside", "play", "run", "schedule", "shrink", "told"]
 
 KINDS = ["edge_kill", "edge_freeze", "edge_drain", "core_kill", "core_freeze", "core_disk", "core_torn", "core_all", "member_kill", "member_store",
          "member_dark", "member_stall", "member_drain", "unanswered", "cut_two", "cut_one", "isolate", "vanish", "platform", "operators",
@@ -292,7 +292,7 @@
             raise AssertionError("cuts never heal")
         await asyncio.sleep(0.1)
     end = w.loop.time()
-    bad = await _back(w, settle)
+    bad = await back(w, settle)
     try:
         await w.calm()
     except AssertionError as e:
@@ -301,7 +301,7 @@
     return bad + w.verdict() + _agree(w, s)
 
 
-async def _back(w, secs):
+async def back(w, secs):
     """Service must be back within `secs` of the last fault's end: a write and a strong read in each group."""
     end = w.loop.time() + secs
     from .visitor import Visitor
@@ -342,21 +342,17 @@
     return out
 
 
-def run(seed, size="small", rows=None, visitors=12, count=6, kinds=None, **bounds):
-    """One seed from nothing: (violations, world)."""
+def inside(fn, seed, size="small", **bounds):
+    """Runs `await fn(world)` in virtual time from nothing; returns (its answer, world)."""
     loop = WarpLoop()
     asyncio.set_event_loop(loop)
     box = {}
 
     async def go():
-        w = box["w"] = World(seed, size, **bounds)
-        try:
-            return await play(w, rows if rows is not None else schedule(seed, count, kinds), visitors)
-        except AssertionError as e:
-            return [("stuck", str(e))] + w.net.findings
+        box["w"] = World(seed, size, **bounds)
+        return await fn(box["w"])
     try:
-        bad = loop.run_until_complete(go())
-        return bad, box["w"]
+        return loop.run_until_complete(go()), box["w"]
     finally:
         for t in asyncio.all_tasks(loop):
             t.cancel()
@@ -365,6 +361,16 @@
         asyncio.set_event_loop(None)
 
 
+def run(seed, size="small", rows=None, visitors=12, count=6, kinds=None, **bounds):
+    """One seeded storm: (violations, world)."""
+    async def go(w):
+        try:
+            return await play(w, rows if rows is not None else schedule(seed, count, kinds), visitors)
+        except AssertionError as e:
+            return [("stuck", str(e))] + w.net.findings
+    return inside(go, seed, size, **bounds)
+
+
 def shrink(seed, size="small", rows=None, tries=40, **kw):
     """The fewest faults of a schedule that still violate."""
     rows = list(rows if rows is not None else schedule(seed))
--- a/src/petrelhaven/feint/store.py
+++ b/src/petrelhaven/feint/store.py
@@ -41,7 +41,7 @@
         self.draining = False
         self.source = None
         self.fence = 0
-        self.flood = 0
+        self.flood = self.full = 0
         self.most_conns = 0
         self.last_statement = 0
         self.dark = self.stall = False
@@ -80,6 +80,7 @@
     def open(self, owner):
         """A connection for `owner`; a full member declines."""
         if len(self.conns) >= self.cap:
+            self.full += 1
             raise _Stop("FULL")
         self._num += 1
         n = f"{self.boot}.{self._num}"
--- a/src/petrelhaven/span/edge.py
+++ b/src/petrelhaven/span/edge.py
@@ -241,8 +241,11 @@
         us = self.bounds().statement_us
         try:
             return await self.slab.enter(self.flow.run(s, d, arr, self.clock.now() + us), us)
-        except Busy:
-            emit(self.log, 422, used=self.slab.used)
+        except Fault as f:
+            if isinstance(f, Busy):
+                emit(self.log, 422, used=self.slab.used)
+            if f.back is not None:
+                f.back = int(f.back * self.rng.uniform(0.75, 1.25))
             raise
 
     def moved(self, s):
--- a/src/petrelhaven/span/pool.py
+++ b/src/petrelhaven/span/pool.py
@@ -169,6 +169,11 @@
             if not f.done():
                 f.set_exception(Unsent("member left the plan"))
 
+    def reopen(self):
+        """The member is taken back: gradually, along the ramp."""
+        self.closed = False
+        self.born = self.clock.now()
+
     def renew(self):
         """The member restarted: its old connections are gone and the ramp begins again."""
         self.born = self.clock.now()
--- a/src/petrelhaven/span/troop.py
+++ b/src/petrelhaven/span/troop.py
@@ -91,8 +91,9 @@
                     p.stop_at = now + (2_500_000 if stays else b.grace_us)
                     out.append(p)
             else:
-                p.stop_at = None
-                p.pool.closed = False
+                if p.stop_at is not None:
+                    p.stop_at = None
+                    p.pool.reopen()
             p.pool.resize(share(n))
         if new:
             self.reads.turn(self.key)
