--- a/src/petrelhaven/creed/contract.py
+++ b/src/petrelhaven/creed/contract.py
@@ -60,8 +60,8 @@
 # edges among themselves
 _contract("span.where", "sid:string", "role:string epoch:long")
 _contract("span.deliver", "sid:string ask:doc", "res:doc")
-_contract("span.keep", "sid:string epoch:long ver:long home:string state:doc", "ok:boolean epoch:long")
-_contract("span.take", "sid:string epoch:long ver:long home:string state:doc", "ok:boolean epoch:long")
+_contract("span.keep", "sid:string to:string epoch:long ver:long home:string state:doc", "ok:boolean epoch:long")
+_contract("span.take", "sid:string to:string epoch:long ver:long home:string state:doc", "ok:boolean epoch:long")
 _contract("span.drop", "sid:string epoch:long")
 _contract("creed.relay", "to:string kind:string us:long body:doc", "body:doc")
 _contract("creed.belief", "who:string", "doc:doc")
--- a/src/petrelhaven/drill/net.py
+++ b/src/petrelhaven/drill/net.py
@@ -336,7 +336,10 @@
     async def trip(self, src, dst, fn, us):
         """Goes from `src` to `dst`, awaits `fn()` there and comes back; Late, Unsent or Unreached otherwise."""
         f = self.loop.create_future()
-        if not dst.up and dst.name not in self.silent:
+        if not dst.up and dst.name in self.silent:
+            await src.clock.sleep(min(us, 1_000_000))
+            raise Unsent(dst.name)
+        if not dst.up:
             await src.clock.sleep(int(self.delay(src, dst) * 2e6))
             raise Unsent(dst.name)
         go, back = _Pipe(self, src, dst), _Pipe(self, dst, src)
--- a/src/petrelhaven/drill/scene.py
+++ b/src/petrelhaven/drill/scene.py
@@ -56,8 +56,9 @@
         if w.loop.time() - t > 0.05 or f.back is None:
             bad.append(("given up, but held back", w.loop.time() - t))
     w.boot_member("g1m3", keep[1])
-    bad += await back(w, 12)
+    await asyncio.sleep(2)
     w.boot_member("g1m1", keep[0])
+    bad += await back(w, 12)
     w.members["g1m2"].node.stall = False
     await asyncio.sleep(3)
     return await _end(w, bad)
@@ -271,6 +272,8 @@
         if m.last_statement - t0 > 7_000_000:
             bad.append(("statement to a leaving member", n, m.last_statement - t0))
         w.seen["last_" + n] = m.last_statement - t0
+        m.draining = False
+        await asyncio.sleep(3)
     try:
         await e.statement(sid, {"verb": "put", "key": "k", "value": 1, "txn": x})
         bad.append(("a transaction moved to another connection",))
--- a/src/petrelhaven/drill/storm.py
+++ b/src/petrelhaven/drill/storm.py
@@ -298,6 +298,10 @@
     except AssertionError as e:
         bad.append(("visitors", str(e)))
     await asyncio.sleep(1)
+    for _ in range(50):
+        if not _agree(w, s):
+            break
+        await asyncio.sleep(0.1)
     return bad + w.verdict() + _agree(w, s)
 
 
--- a/src/petrelhaven/drill/visitor.py
+++ b/src/petrelhaven/drill/visitor.py
@@ -29,13 +29,13 @@
         es = self.w.edges
         b = es[self.rng.randrange(len(es))] if getattr(self, "at", None) is None else self.at
         try:
-            r = await self.w.ask(b, fn, 8_000_000)
+            r = await self.w.ask(b, fn, 5_000_000)
             self.at = b
             return r
         except Fault as e:
             self.last.append((round(self.w.loop.time(), 3), getattr(b, "name", ""), e.code, e.note))
             del self.last[:-20]
-            if not isinstance(e, (Late, Unreached)) and e.status in (503, 504) and e.code != "moving" and self.rng.random() < 0.7:
+            if not isinstance(e, (Late, Unreached)) and e.status in (503, 504) and e.code not in ("moving", "no-lease", "leaving", "not-ready") and self.rng.random() < 0.7:
                 self.at = b
             else:
                 self.at = None
--- a/src/petrelhaven/feint/platform.py
+++ b/src/petrelhaven/feint/platform.py
@@ -1,5 +1,7 @@
 """A stand-in platform: failover calls from one node at a time, fenced by epoch."""
-from ..creed.fault import Fenced, NotReady, Unreached
+import asyncio
+
+from ..creed.fault import Fault, Fenced, NotReady
 
 __all__ = ["PlatformLogic"]
 
@@ -34,16 +36,18 @@
             await self.clock.sleep(self.took_us)
             await self._tell(member, "promote", {"epoch": epoch})
             self.primary[group] = (member, epoch)
-            for n in self.members(group):
-                if n != member:
-                    try:
-                        await self._tell(n, "follow", {"source": member, "epoch": epoch})
-                    except Unreached:
-                        pass
+            await asyncio.wait([asyncio.ensure_future(self._follow(n, member, epoch)) for n in self.members(group) if n != member],
+                               timeout=0.1)
             return {"primary": member, "epoch": epoch}
         finally:
             self._by.pop(group, None)
 
+    async def _follow(self, member, source, epoch):
+        try:
+            await self._tell(member, "follow", {"source": source, "epoch": epoch})
+        except Fault:
+            pass
+
     async def tend(self):
         """Keeps telling members that came back whom to follow."""
         while True:
@@ -51,7 +55,4 @@
             for g, (p, n) in list(self.primary.items()):
                 for m in self.members(g):
                     if m != p:
-                        try:
-                            await self._tell(m, "follow", {"source": p, "epoch": n})
-                        except Unreached:
-                            pass
+                        await self._follow(m, p, n)
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -1,6 +1,4 @@
 """A core machine: roster, voter, chain, lease desk and the planning duty put together."""
-import asyncio
-
 from transitions import Machine
 
 from ..creed.event import emit
@@ -85,7 +83,8 @@
     async def _mend(self):
         while True:
             await self.clock.sleep(_MEND_US + self.rng.randrange(50_000))
-            await asyncio.gather(*[self._info(a) for a in self.seeds])
+            for a in self.seeds:
+                self.nest.spawn(self._info(a))
             try:
                 await self._consider()
             except Fault as e:
--- a/src/petrelhaven/helm/desk.py
+++ b/src/petrelhaven/helm/desk.py
@@ -111,20 +111,17 @@
                 pass
 
     def _held(self, rs, seq, sure):
-        if self.clock.now() >= sure and all(r is not None for r in rs):
-            return not self._lagging(rs, seq)
-        if any(r is None for r in rs):
-            return self.clock.now() >= sure + LAPSE_US and not self._lagging([r for r in rs if r], seq)
-        return not self._lagging(rs, seq) and all(r["floor"] == 0 for r in rs)
-
-    @staticmethod
-    def _lagging(rs, seq):
+        got = [r for r in rs if r is not None]
         acked, live = {}, set()
-        for r in rs:
+        for r in got:
             live.update(r["live"])
             for e, s in r["acked"].items():
                 acked[e] = max(acked.get(e, 0), s)
-        return sorted(e for e in live if acked.get(e, 0) < seq)
+        known = live | {n for n, e in self.chain.realm.doc["edges"].items() if e["state"] != "gone" or not e.get("lapsed")}
+        late = {e for e in known if acked.get(e, 0) < seq}
+        if len(got) == len(rs):
+            return not late or not late & live and (all(r["floor"] == 0 for r in rs) or self.clock.now() >= sure)
+        return self.clock.now() >= sure + LAPSE_US and not late & live
 
     async def _ask(self, name, seq):
         try:
--- a/src/petrelhaven/helm/duty.py
+++ b/src/petrelhaven/helm/duty.py
@@ -112,24 +112,32 @@
             for e, left in d["edges"].items():
                 seen[e] = max(seen.get(e, -1 << 60), left - (now - at))
         for n, e in sorted(self.chain.realm.doc["edges"].items()):
-            if e["state"] == "gone" or ("edge", n) in self._busy:
+            if ("edge", n) in self._busy:
+                continue
+            if e["state"] == "gone":
+                if not e.get("lapsed") and now - self._began > LAPSE_US:
+                    self._do(("edge", n), self._lapse(n, e["inc"]))
                 continue
             born = self._born.setdefault((n, e["inc"]), now)
-            if self.desk.floor > now or now - self._began < 2_500_000:
+            if any(h != e["hall"] and now - t < _REKEEP_US for h, t in self._let_go.items()) or now - self._began < 300_000:
                 continue
             quiet = max(seen.get(n, -1 << 60), born + 2 * LEASE_US - now)
             st = self.roster.state(n)
-            p = self.roster.peers.get(n)
-            lost = st == "gone" and p.inc <= e["inc"] + 1_000_000 and quiet < 600_000
-            if any(h != e["hall"] and now - t < _REKEEP_US for h, t in self._let_go.items()):
-                continue
-            if lost or quiet < -2_500_000:
+            lost = st == "gone" and seen.get(n, 0) < 600_000
+            mute = quiet < -2_500_000 and now - self._began > 2_500_000 and self.desk.floor <= now
+            if lost or mute:
                 self._let_go[e["hall"]] = now
                 emit(self.log, 308, edge=n, inc=e["inc"], kith=st, lease_us=quiet)
                 self._do(("edge", n), self._gone(n, e["inc"], st))
 
     async def _gone(self, n, inc, st):
-        await self.chain.enter({"t": "edge", "name": n, "inc": inc, "state": "gone", "cause": f"kith: {st}, no lease", "by": self.chain.me})
+        seq = await self.chain.enter({"t": "edge", "name": n, "inc": inc, "state": "gone", "cause": f"kith: {st}, no lease", "by": self.chain.me})
+        await self.desk.in_force(seq)
+        await self.chain.enter({"t": "lapse", "name": n, "inc": inc})
+
+    async def _lapse(self, n, inc):
+        await self.desk.in_force(self.chain.realm.seq)
+        await self.chain.enter({"t": "lapse", "name": n, "inc": inc})
 
     def _do(self, key, co):
         async def run():
--- a/src/petrelhaven/helm/realm.py
+++ b/src/petrelhaven/helm/realm.py
@@ -11,7 +11,7 @@
 
 
 class Realm:
-    """Checks and applies records: manifest, hall, edge, epoch, settle."""
+    """Checks and applies records: manifest, hall, edge, lapse, epoch, settle."""
 
     __slots__ = ("seq", "doc", "_read")
 
@@ -96,8 +96,17 @@
 
     def _apply_edge(self, r):
         e = self.doc["edges"].setdefault(r["name"], {})
+        e.pop("lapsed", None)
         e.update({k: r[k] for k in ("inc", "state", "hall", "addr", "http") if r.get(k) not in (None, "")})
 
+    def _check_lapse(self, r):
+        e = self.doc["edges"].get(r["name"])
+        if not e or e["inc"] != r["inc"] or e["state"] != "gone" or e.get("lapsed"):
+            raise Racing("edge moved on")
+
+    def _apply_lapse(self, r):
+        self.doc["edges"][r["name"]]["lapsed"] = True
+
     def _check_epoch(self, r):
         if not self.manifest or r["group"] not in {g.name for g in self.manifest.groups}:
             raise Stale(f"no group {r['group']}")
--- a/src/petrelhaven/helm/vote.py
+++ b/src/petrelhaven/helm/vote.py
@@ -59,11 +59,17 @@
         return new
 
     async def _round(self, ids, kind, body):
+        """Asks all; answers once a majority agreed, or all have spoken."""
         async def one(n):
             try:
                 return await self._call(n, kind, body, 600_000)
             except Fault:
                 return None
-        rs = [r for r in await asyncio.gather(*[one(n) for n in sorted(ids)]) if r]
+        ts = [asyncio.ensure_future(one(n)) for n in sorted(ids)]
+        while True:
+            rs = [t.result() for t in ts if t.done() and t.result()]
+            if sum(r["ok"] for r in rs) > len(ids) // 2 or all(t.done() for t in ts):
+                break
+            await asyncio.wait([t for t in ts if not t.done()], return_when=asyncio.FIRST_COMPLETED)
         self._seen = max([self._seen] + [r["seen"] for r in rs])
         return rs
--- a/src/petrelhaven/span/edge.py
+++ b/src/petrelhaven/span/edge.py
@@ -5,7 +5,7 @@
 from transitions import Machine
 
 from ..creed.event import emit
-from ..creed.fault import Busy, Fault, Late, Leaving, Malformed, Moving, NoSession, NotReady, Unsent, rebuild
+from ..creed.fault import Busy, Fault, Late, Leaving, Malformed, Moving, NoLease, NoSession, NotReady, Unsent, rebuild
 from ..creed.reach import Reach
 from ..helm.manifest import Bounds
 from ..kith.probe import Prober
@@ -261,8 +261,6 @@
         return {"role": "none", "epoch": self.keeper.fence.get(sid, 0)}
 
     async def _find(self, sid):
-        if not self.control.sends:
-            raise Moving("this edge does not know the fleet yet")
         es = [n for n, e in sorted(self.control.realm.doc["edges"].items()) if e["state"] != "gone" and n != self.name]
 
         async def ask(n):
@@ -279,6 +277,8 @@
         raise NoSession("no edge knows this session")
 
     async def _deliver(self, sid, d):
+        if not self.control.sends:
+            raise NoLease("this edge does not know the fleet now")
         n = self._at.get(sid)
         for again in (0, 1):
             if n is None:
@@ -329,7 +329,7 @@
                     break
                 try:
                     r = await self.reach.call(k.split("/")[0], "span.take", {
-                        "sid": s.sid, "epoch": s.epoch + 1, "ver": s.ver, "home": self.keeper.me, "state": s.doc()}, 800_000)
+                        "sid": s.sid, "to": k, "epoch": s.epoch + 1, "ver": s.ver, "home": self.keeper.me, "state": s.doc()}, 800_000)
                     if r["ok"]:
                         self.homes.pop(s.sid, None)
                         self.keeper.fence[s.sid] = s.epoch + 1
--- a/src/petrelhaven/span/keep.py
+++ b/src/petrelhaven/span/keep.py
@@ -1,6 +1,6 @@
 """Session keepers: copies held for other edges, and this edge's own sessions kept elsewhere."""
 from ..creed.event import emit
-from ..creed.fault import Deposed, Fault, Moving
+from ..creed.fault import Deposed, Fault, Moving, Unreached
 from ..helm.desk import LAPSE_US
 from .session import Session
 
@@ -53,7 +53,7 @@
             k = s.keeper
             try:
                 r = await self.reach.call(k.split("/")[0], "span.keep", {
-                    "sid": s.sid, "epoch": s.epoch, "ver": s.ver, "home": self.me, "state": s.doc()}, 700_000)
+                    "sid": s.sid, "to": k, "epoch": s.epoch, "ver": s.ver, "home": self.me, "state": s.doc()}, 700_000)
                 if not r["ok"]:
                     raise Deposed(f"session epoch {r['epoch']}")
                 return True
@@ -67,8 +67,13 @@
                     raise Moving("the session's keeper can't be reached") from None
                 await self.clock.sleep(30_000)
 
+    def _mine(self, b):
+        if b["to"] != self.me:
+            raise Unreached(f"{b['to']} is no more; this is {self.me}")
+
     async def hold(self, ch, b):
-        """Takes a copy, unless a later epoch is known."""
+        """Takes a copy meant for this incarnation, unless a later epoch is known."""
+        self._mine(b)
         sid = b["sid"]
         h = self.homes.get(sid)
         low = max(self.fence.get(sid, 0), h.epoch if h else 0)
@@ -83,6 +88,7 @@
 
     async def take(self, ch, b):
         """Becomes the home of a session that its home hands over."""
+        self._mine(b)
         h = self.homes.get(b["sid"])
         if h and h.epoch >= b["epoch"] or self.fence.get(b["sid"], 0) > b["epoch"]:
             return {"ok": h is not None and h.epoch == b["epoch"], "epoch": h.epoch if h else self.fence[b["sid"]]}
@@ -148,16 +154,16 @@
 
     def changed(self, recs):
         """Looks at who is gone: takes over what they had at home, finds new keepers for what they kept."""
-        mine = [r for _, r in recs or [] if r["t"] == "edge"]
+        mine = [r for _, r in recs or [] if r["t"] in ("edge", "lapse")]
         if recs is not None and not mine:
             return
         e = self.control.realm.doc["edges"].get(self.control.name)
         if e and (e["inc"] > self.control.inc or e["inc"] == self.control.inc and e["state"] == "gone"):
             self.clear()
             return
-        quick = {r["name"] for r in mine if r["state"] == "gone" and r.get("by") == r["name"]}
+        quick = {r["name"] for r in mine if r["t"] == "lapse" or r["state"] == "gone" and r.get("by") == r["name"]}
         for sid, k in sorted(self.kept.items()):
-            if not self.alive(k["home"]) and self._due.get(sid, 0) < self.clock.now():
+            if not self.alive(k["home"]) and (k["home"].split("/")[0] in quick or self._due.get(sid, 0) < self.clock.now()):
                 self._later(sid, 0 if k["home"].split("/")[0] in quick else LAPSE_US)
         es = self.control.realm.doc["edges"]
         for sid, s in sorted(self.homes.items()):
--- a/src/petrelhaven/span/slab.py
+++ b/src/petrelhaven/span/slab.py
@@ -21,20 +21,22 @@
         self._slots = [_Slot() for _ in range(slots)]
         self._free = list(range(slots - 1, -1, -1))
         self.shed = 0
+        self._limit = slots
 
     @property
     def used(self):
         return len(self._slots) - len(self._free)
 
     def resize(self, slots):
-        """Grows the slab; it never shrinks below what is there."""
+        """Sets how many slots may be taken; what is under way stays."""
+        self._limit = slots
         for i in range(len(self._slots), slots):
             self._slots.append(_Slot())
             self._free.append(i)
 
     def enter(self, cont, horizon_us):
         """Starts a continuation; the future returned has its result. Past the horizon Late is thrown into it."""
-        if not self._free:
+        if not self._free or self.used >= self._limit:
             self.shed += 1
             cont.close()
             raise Busy("every slot is taken")
