--- /dev/null
+++ b/tests/test_programs.py
@@ -0,0 +1,222 @@
+"""Whole programs over loopback: faces, bad input, operator tools, settings, kills."""
+import asyncio
+import json
+import os
+import signal
+import struct
+import subprocess
+import sys
+
+import pytest
+
+from petrelhaven.creed.contract import CALL, pack
+from petrelhaven.creed.fault import Fault
+from petrelhaven.creed.http import fetch
+from petrelhaven.drill.world import manifest
+
+
+async def code(addr, verb, path, **kw):
+    try:
+        return 200, await fetch(addr, verb, path, **kw)
+    except Fault as e:
+        return e.status, e.code
+
+
+async def tool(name, *argv, stdin=None):
+    p = await asyncio.create_subprocess_exec(sys.executable, "-m", f"petrelhaven.{name}", *argv, stdin=subprocess.PIPE,
+                                             stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+    o, e = await asyncio.wait_for(p.communicate(stdin), 40)
+    return p.returncode, o.decode(), e.decode()
+
+
+def test_bad_input_gets_typed_results_and_nothing_else_happens(fleet):
+    async def go(f):
+        e = f.procs["e1"].facts
+        s = (await fetch(e["http"], "POST", "/sessions"))["session"]
+        at = f"/sessions/{s}"
+        assert await code(e["http"], "POST", at, data=b"{nope") == (400, "malformed")
+        assert await code(e["http"], "POST", at, doc=[1]) == (400, "malformed")
+        assert await code(e["http"], "POST", at, doc={"verb": "drop", "route": "g1"}) == (400, "malformed")
+        assert await code(e["http"], "POST", at, doc={"verb": "put", "key": "k", "value": 1, "route": "g1"}) == (400, "malformed")
+        assert await code(e["http"], "POST", at, doc={"verb": "get", "key": "k", "route": "nowhere"}) == (404, "no-route")
+        assert await code(e["http"], "POST", at, doc={"verb": "commit", "try": 1}) == (409, "unordered")
+        assert await code(e["http"], "POST", at, doc={"verb": "get", "key": "k", "txn": 9}) == (409, "transaction-ended")
+        assert await code(e["http"], "POST", at, doc={"verb": "exec", "name": "x", "route": "g1"}) == (409, "unordered")
+        assert await code(e["http"], "POST", "/sessions/s-none", doc={"verb": "get", "key": "k", "route": "g1"}) == (404, "no-session")
+        assert await code(e["http"], "POST", at, data=b"x" * 400_000) == (413, "oversize")
+        assert (await code(e["http"], "GET", "/nowhere"))[0] == 404
+        assert await code(f.cores[0], "POST", "/announce", doc={"member": 1}) == (400, "malformed")
+        assert (await code(e["http"], "POST", at, doc={"verb": "put", "key": "k", "value": 1, "try": 1, "route": "g1"}))[1]["outcome"] == "kept"
+        again = (await code(e["http"], "POST", at, doc={"verb": "put", "key": "k", "value": 2, "try": 1, "route": "g1"}))[1]
+        assert again["outcome"] == "kept" and again["repeated"]
+        assert (await code(e["http"], "POST", at, doc={"verb": "get", "key": "k", "route": "g1"}))[1]["value"] == 1
+
+        async def poke(raw):
+            h, p = e["link"].split(":")
+            r, w = await asyncio.open_connection(h, int(p))
+            w.write(raw)
+            got = await asyncio.wait_for(r.read(4096), 5)
+            w.close()
+            return got
+        assert await poke(b"GET / HTTP/1.1\r\n\r\n") == b""
+        assert await poke(struct.pack(">HI", 0x7E7A, 1 << 30)) == b""
+        newer = bytearray(pack("creed.belief", CALL, 5, {"who": "x"}))
+        newer[0] = 4
+        assert b"version" in await poke(struct.pack(">HI", 0x7E7A, len(newer)) + bytes(newer))
+        log = open(os.path.join(f.dir, "e1.log")).read()
+        assert "E110" in log and "E111" in log
+        assert (await code(e["http"], "GET", "/ready"))[0] == 200
+    fleet(go)
+
+
+def test_operators_drive_it_by_tenet_and_compare_by_rift(fleet, tmp_path):
+    async def go(f):
+        cs = ",".join(f.cores)
+        p = tmp_path / "m.json"
+        p.write_text(manifest("small", 2) + "\n\n")
+        rc, out, err = await tool("tenet", "--core", cs, "apply", str(p))
+        assert rc == 0 and "version 2 is in force" in out
+        assert (await tool("tenet", "--core", cs, "show"))[1] == p.read_text()
+        assert (await tool("tenet", "--core", cs, "show", "--version", "1"))[1] == f.manifest
+        rc, _, err = await tool("tenet", "--core", cs, "apply", str(p))
+        assert rc == 1 and "duplicate" in err
+        p.write_text(manifest("small", 1))
+        rc, _, err = await tool("tenet", "--core", cs, "apply", str(p))
+        assert rc == 1 and "stale" in err
+        rc, _, err = await tool("tenet", "--core", cs, "apply", "-", stdin=b'{"name": "x", "colour": 1}')
+        assert rc == 1 and "colour: unknown field" in err and "groups: missing" in err
+        rc, out, _ = await tool("tenet", "--core", cs, "status")
+        assert rc == 0 and "head" in out and "g1: epoch" in out
+        rc, out, _ = await tool("rift", f.procs["e1"].facts["http"], f.cores[2])
+        assert rc == 0 and "agree: manifest 2" in out, out
+        rc, out, _ = await tool("tenet", "--core", cs, "evacuate", "a")
+        assert rc == 0 and "hall a is emptied" in out
+
+        async def moved():
+            s = await f.head()
+            return s and s["epochs"]["g1"]["phase"] == "serve" and s["epochs"]["g1"]["primary"] != "g1m1"
+        await f.until(moved, 10)
+        rc, out, _ = await tool("tenet", "--core", cs, "why", "g1")
+        assert rc == 0 and "hall emptied" in out + (await tool("tenet", "--core", cs, "why", "g1", "--epoch", "3"))[1] and "replaced: epoch" in out
+        assert (await tool("tenet", "--core", cs, "restore", "a"))[0] == 0
+        assert (await tool("tenet", "--core", cs, "restore", "a"))[0] == 1
+        f.procs["e2"].poke(signal.SIGSTOP)
+        p.write_text(manifest("small", 3))
+        assert (await tool("tenet", "--core", cs, "apply", str(p)))[0] == 0
+        f.procs["e2"].poke(signal.SIGCONT)
+        assert (await tool("rift", f.cores[0], "127.0.0.1:1"))[0] == 3
+        assert (await tool("tenet", "--core", "127.0.0.1:1", "show"))[0] == 3
+    fleet(go)
+
+
+def test_wrong_settings_stop_a_program_before_it_listens(tmp_path):
+    def run(prog, *argv):
+        p = subprocess.run([sys.executable, "-m", f"petrelhaven.{prog}", *argv], capture_output=True, text=True, timeout=30)
+        return p.returncode, p.stdout, p.stderr
+    s = tmp_path / "s.toml"
+    s.write_text('name = "e1"\nhall = "North!"\nseeds = ["127.0.0.1:1", "127.0.0.1:1"]\nhttp = "localhost:1"\ncolour = 3\n')
+    rc, out, err = run("verge", "--settings", str(s))
+    assert (rc, out) == (2, "") and all(w in err for w in ("hall:", "seeds:", "http:", "colour: unknown field"))
+    rc, out, err = run("crux", "--name", "c1", "--hall", "a", "--seeds", "127.0.0.1:99999")
+    assert (rc, out) == (2, "") and "data: missing" in err and "platform: missing" in err
+    rc, _, err = run("crux", "--nonsense")
+    assert rc == 2 and "usage" in err
+    for prog in ("crux", "verge", "tenet", "rift", "feint.main", "drill.main"):
+        rc, out, _ = run(prog, "--help")
+        assert rc == 0 and "usage" in out
+    full = ["--hall", "a", "--seeds", "-", "--data", str(tmp_path / "d"), "--platform", "127.0.0.1:9"]
+    p = subprocess.Popen([sys.executable, "-m", "petrelhaven.crux", "--name", "c1", *full], stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    assert p.stdout.readline().startswith("listening")
+    p.kill()
+    p.communicate()
+    rc, out, err = run("crux", "--name", "c2", *full)
+    assert (rc, out) == (3, "") and "belongs to c1" in err
+
+
+def test_sessions_outlive_kills_of_edge_primary_and_all_cores(fleet):
+    async def go(f):
+        f.visit(12, pause=0.05)
+
+        async def more():
+            n = sum(v.count["ok"] for v in f.visitors)
+            return lambda k: _reached(n + k)
+
+        async def _reached(n):
+            return sum(v.count["ok"] for v in f.visitors) >= n
+        await f.until(lambda: _reached(100), 20)
+        assert await f.procs["e1"].end(signal.SIGKILL) == -9
+        k = await more()
+        await f.until(lambda: k(200), 30)
+        await f.again("e1")
+        await f.procs["e1"].mark("ready")
+        p = (await f.head())["epochs"]["g1"]["primary"]
+        await f.procs[p].end(signal.SIGKILL)
+
+        async def elected():
+            s = await f.head()
+            return s and s["epochs"]["g1"]["phase"] == "serve" and s["epochs"]["g1"]["primary"] != p
+        await f.until(elected, 12)
+        k = await more()
+        await f.until(lambda: k(200), 30)
+        await f.again(p)
+        f.procs["e2"].poke(signal.SIGSTOP)
+
+        async def given_up():
+            s = await f.head()
+            return s and s["edges"]["e2"][1] == "gone"
+        await f.until(given_up, 12)
+        f.procs["e2"].poke(signal.SIGCONT)
+
+        async def back():
+            s = await f.head()
+            return s and s["edges"]["e2"][1] == "up"
+        await f.until(back, 12)
+        for c in ("c1", "c2", "c3"):
+            await f.procs[c].end(signal.SIGKILL)
+        for c in ("c3", "c1", "c2"):
+            await f.again(c)
+        await f.until(f.head, 15)
+        assert await fetch(f.cores[1], "GET", "/manifest", raw=True) == f.manifest.encode()
+        k = await more()
+        await f.until(lambda: k(100), 30)
+        await f.calm()
+        assert await f.verdict() == []
+    fleet(go)
+
+
+def test_sigterm_hands_sessions_over_and_ends_in_order(fleet):
+    async def go(f):
+        f.visit(9, pause=0.05)
+
+        async def reached():
+            return sum(v.count["ok"] for v in f.visitors) >= 80
+        await f.until(reached, 20)
+        assert await f.procs["e3"].end(signal.SIGTERM) == 0
+        log = open(os.path.join(f.dir, "e3.log")).read()
+        assert "E103" in log and "left_sessions=0 left_kept=0" in log
+        for v in f.visitors:
+            v.count["ok"] = 0
+        await f.until(reached, 20)
+        assert await f.procs["c2"].end(signal.SIGTERM) == 0
+        for v in f.visitors:
+            v.count["ok"] = 0
+        await f.until(reached, 20)
+        await f.calm()
+        assert await f.verdict() == []
+    fleet(go)
+
+
+@pytest.mark.parametrize("size", ["nordvik", "archivo"])
+def test_a_fleet_of_full_size_serves_the_briefs_load(fleet, size):
+    async def go(f):
+        f.visit(150, pause=0.8, idle=1.0)
+
+        async def reached():
+            return sum(v.count["ok"] for v in f.visitors) >= 1200
+        await f.until(reached, 40)
+        await f.calm()
+        assert await f.verdict() == []
+        assert sum(v.count["declined"] for v in f.visitors) == 0
+        homes = [json.loads(json.dumps(await fetch(e._p.facts["http"], "GET", "/status")))["sessions"] for e in f.edges]
+        assert sum(homes) == 150
+    fleet(go, size)
