--- a/src/petrelhaven/drill/main.py
+++ b/src/petrelhaven/drill/main.py
@@ -3,12 +3,17 @@
 import asyncio
 import collections
 import json
+import os
 import signal
 import sys
 import tempfile
 import time
+from concurrent.futures import ProcessPoolExecutor
 
 from .fleet import Fleet
+from .measure import MEASURES
+from .scene import SCENES
+from .storm import KINDS, inside, run, schedule, shrink, told
 
 __all__ = ["main"]
 
@@ -24,9 +29,56 @@
     f.add_argument("--faults", default="", help="comma list of crash (a primary), edge (kill -9), core (kill -9 of the head), freeze (an edge), drain (SIGTERM an edge)")
     f.add_argument("--hold", action="store_true", help="after the load, keep the fleet up until interrupted")
     f.add_argument("--dir", help="folder for data and logs (a new temporary one)")
+    w = sub.add_parser("sweep", help="many seeded storms in virtual time; prints each violating seed with a shrunk schedule")
+    w.add_argument("--seeds", default="0-100", metavar="A-B")
+    w.add_argument("--size", choices=("nordvik", "archivo", "small"), default="small")
+    w.add_argument("--faults", type=int, default=6, help="faults a storm")
+    w.add_argument("--kinds", default="", help="comma list of " + ", ".join(KINDS))
+    w.add_argument("--jobs", type=int, default=os.cpu_count())
+    c = sub.add_parser("scene", help="one fault brought about on purpose, in virtual time")
+    c.add_argument("name", choices=sorted(SCENES))
+    c.add_argument("--seed", type=int, default=1)
+    c.add_argument("--size", choices=("nordvik", "archivo", "small"), default="small")
+    c.add_argument("--log", action="store_true", help="print every node's events")
+    m = sub.add_parser("measure", help="one measurement, as ratios or counts")
+    m.add_argument("what", choices=sorted(MEASURES))
     return p
 
 
+def _storm(job):
+    seed, size, count, kinds = job
+    bad, w = run(seed, size, count=count, kinds=kinds or None)
+    rows = shrink(seed, size, schedule(seed, count, kinds or None)) if bad else None
+    return seed, [told(b) for b in bad], rows, sum(v.count["ok"] for v in w.visitors)
+
+
+def _sweep(a):
+    lo, hi = map(int, a.seeds.split("-"))
+    kinds = [k for k in a.kinds.split(",") if k]
+    n = said = 0
+    with ProcessPoolExecutor(a.jobs) as ex:
+        for seed, bad, rows, ok in ex.map(_storm, [(s, a.size, a.faults, kinds) for s in range(lo, hi)]):
+            said += ok
+            if bad:
+                n += 1
+                print(f"seed {seed}: {len(bad)} violations; shrunk schedule {json.dumps(rows)}")
+                for b in bad[:3]:
+                    print("  " + b[:400], flush=True)
+    print(f"{n} of {hi - lo} storms violated a rule; {said} statements answered")
+    return 1 if n else 0
+
+
+def _scene(a):
+    bad, w = inside(SCENES[a.name], a.seed, a.size)
+    for row in w.net.log if a.log else ():
+        print(*row)
+    print("seen: " + (", ".join(f"{k} {v}" for k, v in w.seen.items() if isinstance(k, str)) or "-"))
+    for b in bad:
+        print("VIOLATION " + told(b))
+    print(f"violations: {len(bad)}")
+    return 1 if bad else 0
+
+
 async def _faults(fl, names):
     for n in names:
         await fl.clock.sleep(2_500_000)
@@ -88,7 +140,9 @@
     """Runs one drill."""
     a = _parser().parse_args(argv)
     try:
-        sys.exit(asyncio.run(_fleet(a)))
+        if a.verb == "fleet":
+            sys.exit(asyncio.run(_fleet(a)))
+        sys.exit({"sweep": _sweep, "scene": _scene, "measure": lambda a: MEASURES[a.what]()}[a.verb](a))
     except KeyboardInterrupt:
         sys.exit(0)
 
--- /dev/null
+++ b/src/petrelhaven/drill/measure.py
@@ -0,0 +1,204 @@
+"""Measurements in virtual time: ratios within a run or counts, never bare wall time."""
+import asyncio
+import random
+import statistics
+
+from ..creed.fault import Fault
+from .net import Box
+from .storm import back, inside
+from .visitor import Visitor
+from .world import SIZES, manifest
+
+__all__ = ["MEASURES"]
+
+
+def _pct(xs, q):
+    xs = sorted(xs)
+    return xs[min(len(xs) - 1, int(len(xs) * q))] if xs else 0
+
+
+async def _reads(w, count, pause, secs):
+    await w.start()
+    await asyncio.sleep(3)
+    for e in w.edges:
+        for t in e.node.troops.values():
+            t.reads.count = dict.fromkeys(t.reads.count, 0)
+        e.node.waits.clear()
+    took = []
+    w.visit(count // 4, pause=pause, writes=1.0, browse=0.0, txns=0.0, values=0.0)
+
+    async def reader(i):
+        v = Visitor(w, 1000 + i, random.Random(i))
+        v.at = w.edges[i % len(w.edges)]
+        v.sid = (await v._call(lambda e: e.open_session()))["session"]
+        r = random.Random(i)
+        while not stop:
+            await asyncio.sleep(pause * (0.5 + r.random()))
+            g = f"g{r.randrange(w.z['groups']) + 1}"
+            t0 = w.loop.time()
+            try:
+                await v._call(lambda e: e.statement(v.sid, {"route": g, "verb": "get", "key": "v1"}))
+                took.append(w.loop.time() - t0)
+            except Fault:
+                pass
+    stop = False
+    ts = [asyncio.ensure_future(reader(i)) for i in range(count)]
+    await asyncio.sleep(secs)
+    stop = True
+    await asyncio.gather(*ts)
+    n = {}
+    for e in w.edges:
+        for t in e.node.troops.values():
+            for k, v in t.reads.count.items():
+                n[k] = n.get(k, 0) + v
+        for k, v in e.node.waits.items():
+            n[k] = n.get(k, 0) + v
+    return n, took
+
+
+def clock():
+    """Fetches a strong read and read latency: the clock against read-wait (one fetch a read), light and heavy load, lag 10 and 60 ms."""
+    print(f"{'load':>6} {'lag ms':>6} {'variant':>9} {'reads':>6} {'fetches/read':>12} {'LAGGING/read':>12} {'median ms':>9} {'p95 ms':>7}")
+    for load, count, pause in (("light", 24, 0.2), ("heavy", 240, 0.02)):
+        for lag in (10_000, 60_000):
+            row = {}
+            for name, vary in (("clock", None), ("read-wait", "read-wait")):
+                n, took = inside(lambda w: _reads(w, count, pause, 6), 1, "small", lag_us=lag, vary=vary, lanes=64 if vary else 1)[0]
+                row[name] = n["fetches"] / n["reads"]
+                print(f"{load:>6} {lag // 1000:>6} {name:>9} {n['reads']:>6} {n['fetches'] / n['reads']:>12.3f} {n.get('lagging', 0) / n['reads']:>12.3f}"
+                      f" {1000 * _pct(took, 0.5):>9.1f} {1000 * _pct(took, 0.95):>7.1f}")
+            print(f"{load:>6} {lag // 1000:>6} ratio of fetches, clock to read-wait: {row['clock'] / row['read-wait']:.3f}")
+    return 0
+
+
+async def _writes(w):
+    await w.start()
+    e = w.edges[0].node
+    sid = (await e.open_session())["session"]
+    took = []
+    for i in range(150):
+        t0 = w.loop.time()
+        r = await e.statement(sid, {"route": "g1", "verb": "put", "key": "k", "value": i, "try": i + 1})
+        if r["outcome"] == "kept":
+            took.append(w.loop.time() - t0)
+        await asyncio.sleep(0.05)
+    return took
+
+
+def commit():
+    """What waiting for every in-sync replica costs a write: latency with and without it, by lag."""
+    from ..span.edge import Edge
+    real = Edge.held
+
+    async def at_once(self, t, primary, term, pos):
+        return True
+    print(f"{'lag ms':>6} {'median, waiting':>16} {'median, not':>12} {'ratio':>6} {'difference ms':>13}")
+    for lag in (10_000, 60_000):
+        a = inside(_writes, 1, "small", lag_us=lag)[0]
+        Edge.held = at_once
+        try:
+            b = inside(_writes, 1, "small", lag_us=lag)[0]
+        finally:
+            Edge.held = real
+        x, y = statistics.median(a), statistics.median(b)
+        print(f"{lag // 1000:>6} {1000 * x:>13.1f} ms {1000 * y:>9.1f} ms {x / y:>6.2f} {1000 * (x - y):>13.1f}")
+    return 0
+
+
+async def _gap(w, fault):
+    await w.start()
+    w.visit(12, pause=0.05)
+    await asyncio.sleep(1)
+    t = w.loop.time()
+    await fault(w)
+    await back(w, 15)
+    return w.loop.time() - t
+
+
+async def _crash(w):
+    w.members["g1m1"].kill()
+
+
+async def _drain(w):
+    w.members["g1m1"].node.draining = True
+    await w.until(lambda: w.head_epochs()["g1"]["phase"] == "halt", 5, "halted")
+
+
+async def _region(w):
+    for b in w.net.boxes.values():
+        if b.hall == w.z["halls"][0]:
+            w.net.silent.add(b.name)
+            b.kill(silent=True)
+
+
+def failover():
+    """The failover gap: from the fault to the next kept write and a strong read of it in every group."""
+    print(f"{'size':>8} {'fault':>14} {'median s':>9} {'longest s':>9} {'platform s':>10} {'runs':>5}")
+    for size in ("nordvik", "archivo"):
+        for name, f in (("primary killed", _crash), ("planned swap", _drain), ("hall lost", _region)):
+            xs = [inside(lambda w: _gap(w, f), s, size)[0] for s in range(1, 9)]
+            print(f"{size:>8} {name:>14} {statistics.median(xs):>9.2f} {max(xs):>9.2f} {SIZES[size]['took_us'] / 1e6:>10.2f} {len(xs):>5}")
+    return 0
+
+
+async def _force(w, cut):
+    await w.start()
+    w.visit(6, pause=0.2)
+    xs = []
+    for v in range(2, 8):
+        if cut:
+            w.net.cut([w.edges[0].name], [c.name for c in w.cores], 3_000_000)
+        t = w.loop.time()
+        await w.apply(manifest(w.size, v))
+        xs.append(w.loop.time() - t)
+        await asyncio.sleep(4 if cut else 0.2)
+    return xs
+
+
+def force():
+    """Time from an operator's call to a manifest in force everywhere (its acknowledgement), as edges grow."""
+    print(f"{'edges':>5} {'all reached, median s':>22} {'one edge cut off, median s':>27} {'longest s':>9}")
+    real = dict(SIZES["small"])
+    try:
+        for n in (3, 6, 12, 24):
+            SIZES["small"] = {**real, "edges": n}
+            a = inside(lambda w: _force(w, False), 1)[0]
+            b = inside(lambda w: _force(w, True), 1)[0]
+            print(f"{n:>5} {statistics.median(a):>22.3f} {statistics.median(b):>27.3f} {max(a + b):>9.3f}")
+    finally:
+        SIZES["small"] = real
+    return 0
+
+
+async def _detect(w, us, loss):
+    from ..kith.probe import Prober
+    from ..kith.roster import Roster
+    boxes = [Box(w.net, f"n{i}", w.z["halls"][i % 3]) for i in range(9)]
+    for i, b in enumerate(boxes):
+        b.boot()
+        b.node = Roster(b.clock, (b.name, "edge", b.hall, b.link.addr, 1), b.log, suspect_us=us)
+        b.nest.spawn(Prober(b.clock, b.link, b.nest, random.Random(i), b.node, [f"sim:n{j}" for j in range(3)]).run())
+    await asyncio.sleep(3)
+    w.net.loss = loss
+    await asyncio.sleep(60)
+    false = sum("E203" in x[2] for x in w.net.log)
+    t = w.loop.time()
+    boxes[4].kill(silent=True)
+    seen = []
+    while w.loop.time() < t + 15 and len(seen) < 8:
+        seen = [x[0] - t for x in w.net.log if "E203" in x[2] and "peer=n4 " in x[2] and x[0] > t]
+        await asyncio.sleep(0.02)
+    return false, _pct(seen, 0.5), max(seen, default=0)
+
+
+def detect():
+    """Detection time against false removals, by the time suspicion is given and by datagram loss (9 nodes, 60 s)."""
+    print(f"{'suspicion s':>11} {'loss':>5} {'false removals':>14} {'median detection s':>18} {'slowest node s':>14}")
+    for us in (300_000, 900_000, 2_000_000):
+        for loss in (0.0, 0.1, 0.25):
+            f, m, x = inside(lambda w: _detect(w, us, loss), 1)[0]
+            print(f"{us / 1e6:>11.1f} {loss:>5.2f} {f:>14} {m:>18.2f} {x:>14.2f}")
+    return 0
+
+
+MEASURES = {f.__name__: f for f in (clock, commit, failover, force, detect)}
