--- a/src/petrelhaven/drill/storm.py
+++ b/src/petrelhaven/drill/storm.py
@@ -5,7 +5,7 @@
 
 from ..creed.fault import Fault
 from ..rift import differences
-from .warp import WarpLoop
+from .warp import WarpLoop, end_all
 from .world import World, manifest
 
 __all__ = ["KINDS", "back", "inside", "play", "run", "schedule", "shrink", "told"]
@@ -358,9 +358,7 @@
     try:
         return loop.run_until_complete(go()), box["w"]
     finally:
-        for t in asyncio.all_tasks(loop):
-            t.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
+        end_all(loop)
         loop.close()
         asyncio.set_event_loop(None)
 
--- a/src/petrelhaven/drill/warp.py
+++ b/src/petrelhaven/drill/warp.py
@@ -2,7 +2,7 @@
 import asyncio
 import selectors
 
-__all__ = ["WarpLoop"]
+__all__ = ["WarpLoop", "end_all"]
 
 
 class _Warp(selectors.SelectSelector):
@@ -28,3 +28,14 @@
 
     def time(self):
         return self._warp.now
+
+
+def end_all(loop):
+    """Cancels every task of a loop until none is left."""
+    for _ in range(20):
+        ts = asyncio.all_tasks(loop)
+        if not ts:
+            return
+        for t in ts:
+            t.cancel()
+        loop.run_until_complete(asyncio.gather(*ts, return_exceptions=True))
--- a/src/petrelhaven/span/flow.py
+++ b/src/petrelhaven/span/flow.py
@@ -215,6 +215,16 @@
             post = e.pick(t, pos, bad)
             if post is None:
                 break
+            if post.tide.busy and post.tide.log < pos:
+                e.waits["tide"] += 1
+                try:
+                    yield e.nest.spawn(e.clock.limit(post.tide.reach(pos), b.wait_us // 2))
+                except Late:
+                    e.waits["stalled"] += 1
+                    bad.add(post.name)
+                    continue
+                if key != t.key:
+                    continue
             try:
                 return (yield from self._try(post, s, ops, end, [{"v": "after", "pos": pos, "term": t.epoch["term"]}], pos, pin))
             except MemberFault as f:
--- a/src/petrelhaven/span/tide.py
+++ b/src/petrelhaven/span/tide.py
@@ -16,6 +16,11 @@
         self._on = False
         self.asked = 0
 
+    @property
+    def busy(self):
+        """Whether somebody waits already, so that a new position is about to be known."""
+        return self._on
+
     def turn(self, term):
         """Positions of a former term say nothing any more."""
         if term != self.term:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,7 @@
 import pytest
 
 from petrelhaven.drill.fleet import Fleet
-from petrelhaven.drill.warp import WarpLoop
+from petrelhaven.drill.warp import WarpLoop, end_all
 
 
 @pytest.fixture
@@ -12,8 +12,7 @@
     loop = WarpLoop()
     asyncio.set_event_loop(loop)
     yield loop.run_until_complete
-    for t in asyncio.all_tasks(loop):
-        t.cancel()
+    end_all(loop)
     loop.close()
     asyncio.set_event_loop(None)
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -10,7 +10,7 @@
 
 from petrelhaven.creed.fault import Unreached
 from petrelhaven.creed.tick import Clock, Nest
-from petrelhaven.drill.warp import WarpLoop
+from petrelhaven.drill.warp import WarpLoop, end_all
 from petrelhaven.span.clock import Order, ReadClock
 
 BOUNDS = SimpleNamespace(fetch_us=50_000, join_us=200_000, lanes=1)
@@ -27,9 +27,7 @@
     try:
         return loop.run_until_complete(co)
     finally:
-        for t in asyncio.all_tasks(loop):
-            t.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
+        end_all(loop)
         loop.close()
         asyncio.set_event_loop(None)
 
