--- a/src/petrelhaven/creed/daemon.py
+++ b/src/petrelhaven/creed/daemon.py
@@ -27,10 +27,14 @@
 
     def main(self, argv=None):
         """The program; returns the exit code."""
+        bad = []
         try:
             self.set = load(self.prog, self.doc, self.core, argv)
-        except SettingsFault as e:
-            print(f"{self.prog}: settings declined: {e}", file=sys.stderr)
+        except* SettingsFault as g:
+            bad = g.exceptions
+        if bad:
+            for e in bad:
+                print(f"{self.prog}: settings declined: {e}", file=sys.stderr)
             return 2
         self.log = logger(self.set.name, self.set.level)
         try:
--- a/src/petrelhaven/creed/settings.py
+++ b/src/petrelhaven/creed/settings.py
@@ -66,7 +66,7 @@
 
 
 def load(prog, doc, core, argv=None):
-    """The checked Settings; SettingsFault names every field that is wrong."""
+    """The checked Settings; otherwise a group of SettingsFaults, one a field."""
     a = vars(parser(prog, doc, core).parse_args(argv))
     d = dict(_STD)
     f = a.pop("settings")
@@ -76,7 +76,7 @@
             with open(f, "rb") as h:
                 d.update(tomllib.load(h))
         except (OSError, tomllib.TOMLDecodeError) as e:
-            raise SettingsFault(f"settings: {e}") from None
+            raise ExceptionGroup("settings declined", [SettingsFault(f"settings: {e}")]) from None
     d.update({k: v for k, v in a.items() if v is not None})
     if isinstance(d.get("seeds"), str):
         d["seeds"] = d["seeds"].split(",")
@@ -98,7 +98,7 @@
         except ValueError as e:
             bad.append(str(e))
     if bad:
-        raise SettingsFault("; ".join(bad))
+        raise ExceptionGroup("settings declined", [SettingsFault(b) for b in bad])
     return s
 
 
--- a/src/petrelhaven/helm/face.py
+++ b/src/petrelhaven/helm/face.py
@@ -5,7 +5,8 @@
 from aiohttp import web
 
 from ..creed.face import body_of
-from ..creed.fault import Invalid, Malformed, NoRoute, NotReady, Unreached, rebuild
+from ..creed.fault import Malformed, NoRoute, NotReady, Unreached, rebuild
+from .herald import Herald
 
 __all__ = ["CoreFace", "Platform"]
 
@@ -15,9 +16,10 @@
 
     def __init__(self, core, face):
         self._c = core
+        self._herald = Herald(core.chain)
         for v, p, f in (("POST", "/announce", self._announce), ("POST", "/manifest", self._apply), ("GET", "/manifest", self._show),
                         ("POST", "/halls/{hall}/{verb}", self._hall), ("GET", "/status", self._status), ("GET", "/why", self._why),
-                        ("GET", "/belief", self._belief), ("GET", "/ready", self._ready), ("GET", "/realm", self._realm)):
+                        ("GET", "/belief", self._belief), ("GET", "/ready", self._ready), ("GET", "/realm", self._realm), ("GET", "/events", self._events)):
             face.on(v, p, f)
 
     async def _announce(self, req):
@@ -48,6 +50,12 @@
     async def _realm(self, req):
         return await self._c.realm()
 
+    async def _events(self, req):
+        n = req.query.get("after", "0")
+        if not n.isdigit():
+            raise Malformed("after must be a whole number")
+        return web.json_response(self._herald.since(int(n)), content_type="application/cloudevents-batch+json")
+
     async def _why(self, req):
         d = await self._c.realm()
         g = req.query.get("group", "")
--- a/src/petrelhaven/tenet.py
+++ b/src/petrelhaven/tenet.py
@@ -42,21 +42,19 @@
 
 
 async def _any(cores, change, *a, **kw):
-    last = None
+    seen = []
     for c in cores:
         try:
             return await fetch(c, *a, **kw)
-        except Unsent as e:
-            last = e
         except (Late, Unreached) as e:
-            if change:
+            if change and not isinstance(e, Unsent):
                 raise Late("the outcome is not known; read back with show") from None
-            last = e
+            seen.append(e)
         except Fault as e:
             if e.code not in ("not-ready", "not-head"):
                 raise
-            last = e
-    raise last
+            seen.append(e)
+    raise ExceptionGroup("no core serves", seen)
 
 
 async def _run(a, out):
@@ -120,6 +118,10 @@
     a = _parser().parse_args(argv)
     try:
         asyncio.run(_run(a, print))
+    except ExceptionGroup as g:
+        for e in g.exceptions:
+            print(f"tenet: {e.code}: {e.note}", file=sys.stderr)
+        sys.exit(3)
     except Late as e:
         print(f"tenet: {e.note}", file=sys.stderr)
         sys.exit(4)
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -98,6 +98,10 @@
         await f.until(moved, 10)
         rc, out, _ = await tool("tenet", "--core", cs, "why", "g1")
         assert rc == 0 and "hall emptied" in out + (await tool("tenet", "--core", cs, "why", "g1", "--epoch", "3"))[1] and "replaced: epoch" in out
+        evs = await fetch(f.cores[1], "GET", "/events?after=0")
+        assert [int(e["id"]) for e in evs] == list(range(1, len(evs) + 1))
+        assert {"petrelhaven.manifest", "petrelhaven.hall", "petrelhaven.epoch", "petrelhaven.edge"} <= {e["type"] for e in evs}
+        assert all(e["specversion"] == "1.0" and e["source"] for e in evs)
         assert (await tool("tenet", "--core", cs, "restore", "a"))[0] == 0
         assert (await tool("tenet", "--core", cs, "restore", "a"))[0] == 1
         f.procs["e2"].poke(signal.SIGSTOP)
