--- a/src/petrelhaven/creed/event.py
+++ b/src/petrelhaven/creed/event.py
@@ -58,7 +58,7 @@
     return logbook.Logger(name)
 
 
-def emit(log, number, **fields):
+def emit(log, number, /, **fields):
     """Writes event `number` with its fields."""
     if log is None:
         return
--- a/src/petrelhaven/drill/scene.py
+++ b/src/petrelhaven/drill/scene.py
@@ -179,7 +179,7 @@
         for b in reversed(w.cores):
             w.boot_core(b)
         await asyncio.sleep(6)
-    bad = []
+    bad = [("group halted though its members were well", x) for x in w.net.log if "E321" in x[2]]
     try:
         d = await w.ask(w.cores[0], lambda n: n.realm())
         if d["manifest"]["text"] != text:
--- a/src/petrelhaven/feint/member.py
+++ b/src/petrelhaven/feint/member.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from ..creed.daemon import say
+from ..creed.event import emit, logger
 from ..creed.face import Face, body_of
 from ..creed.fault import Fault
 from ..creed.tick import Clock, Nest
@@ -21,7 +22,8 @@
 
     def __init__(self, a):
         self.a = a
-        self.clock, self.nest = Clock(), Nest()
+        self.log = logger(a.name)
+        self.clock, self.nest = Clock(), Nest(self.log)
         self.s = Store(self.clock, a.name, a.group, a.hall, a.role, a.cap, random.SystemRandom(), a.warm_us)
         if a.hot:
             self.s.born -= a.warm_us
@@ -84,6 +86,7 @@
             f.on(v, p, h)
         self.addr = await f.start()
         self.http = aiohttp.ClientSession()
+        emit(self.log, 901, role=self.s.role, log=self.s.log, http=self.addr)
         say(f"started name={self.a.name} http={self.addr}")
         if self.a.cores == "-":
             self.cores = (await asyncio.get_running_loop().run_in_executor(None, input)).split(",")
@@ -184,6 +187,7 @@
 
     async def _switch(self, req):
         b = await body_of(req)
+        emit(self.log, 902, **b)
         for k in ("dark", "stall", "draining"):
             if k in b:
                 setattr(self.s, k, bool(b[k]))
--- a/src/petrelhaven/helm/duty.py
+++ b/src/petrelhaven/helm/duty.py
@@ -162,6 +162,9 @@
         if e and key in self._forced and not e["settled"] and e["phase"] == "serve":
             self._do(g.name, c.enter({"t": "settle", "group": g.name, "n": n}))
             return
+        if e and now - self._began < m.bounds.lost_us and any(x not in mine for x in e["where"]):
+            self.why[g.name] = "members are being heard again"
+            return
         s = self._sight(g, m, e, mine, now)
         verb, arg = step(s)
         if self.why.get(g.name) != arg and verb == "wait":
--- a/src/petrelhaven/span/flow.py
+++ b/src/petrelhaven/span/flow.py
@@ -156,8 +156,9 @@
             if f.note not in _NOTHING:
                 raise MemberSaid(f.note, more={k: v for k, v in f.more.items() if k != "fault"}) from None
             raise
-        except (Late, Unreached):
+        except (Late, Unreached) as f:
             conn.lost = True
+            emit(e.log, 421, member=post.name, fault=f.code)
             raise
         conn.tag = tag
         e.sent += 1
--- a/src/petrelhaven/span/troop.py
+++ b/src/petrelhaven/span/troop.py
@@ -47,8 +47,8 @@
 
     def _ask(self, name):
         async def ask():
-            p = self.posts[name]
-            if not self.sends(p):
+            p = self.posts.get(name)
+            if p is None or not self.sends(p):
                 raise Unreached("no lease")
             r = await self.wire.status(p.addr, 250_000)
             return r["log"], r["term"]
@@ -56,8 +56,8 @@
 
     def _opener(self, name):
         async def opened():
-            p = self.posts[name]
-            if not self.sends(p):
+            p = self.posts.get(name)
+            if p is None or not self.sends(p):
                 raise Unreached("no lease")
             return await self.wire.open(p.addr, 600_000)
         return opened
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,35 @@
+"""The docs say what the code has."""
+import re
+from pathlib import Path
+
+from petrelhaven.creed.event import EVENTS
+from petrelhaven.drill.measure import MEASURES
+from petrelhaven.drill.scene import SCENES
+from petrelhaven.helm.manifest import Bounds
+
+DOCS = Path(__file__).parent.parent / "docs"
+
+
+def test_every_event_is_in_the_catalogue_with_what_to_do():
+    rows = dict(re.findall(r"^\| E(\d+) \| (.*) \|$", (DOCS / "events.md").read_text(), re.M))
+    assert rows == {str(n): " | ".join(e) for n, e in EVENTS.items()}
+
+
+def test_every_event_is_written_somewhere():
+    src = "".join(p.read_text() for p in (DOCS.parent / "src").rglob("*.py") if p.name != "event.py")
+    assert [n for n in EVENTS if not re.search(rf"\b{n}\b", src)] == []
+
+
+def test_every_bound_scene_and_measurement_is_documented():
+    text = (DOCS / "settings.md").read_text()
+    assert [b for b in Bounds.__dataclass_fields__ if f"`{b}`" not in text] == []
+    text = (DOCS / "proof.md").read_text()
+    assert [s for s in SCENES if f"`{s}`" not in text] == []
+    text = (DOCS / "measurements.md").read_text()
+    assert [m for m in MEASURES if f"`drill measure {m}`" not in text] == []
+
+
+def test_links_between_pages_lead_somewhere():
+    for p in [DOCS.parent / "README.md", *DOCS.rglob("*.md")]:
+        for to in re.findall(r"\]\(([^)#:]+)\)", p.read_text()):
+            assert (p.parent / to).exists(), (p, to)
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -15,6 +15,8 @@
 FOUND = {
     "a hall is emptied, then the primary's store is lost while the next replica catches up":
         (299, "small", [[4.845, "member_drain", 280209603], [12.928, "hall", 999602071], [13.4, "member_store", 966454656]]),
+    "all cores are killed and a member at once, while others have not been heard again":
+        (705, "small", [[7.642, "unanswered", 320317860], [14.301, "core_all", 131344703], [14.617, "member_kill", 341379453]]),
 }
 
 
