--- a/src/petrelhaven/drill/fleet.py
+++ b/src/petrelhaven/drill/fleet.py
@@ -96,11 +96,11 @@
 class Fleet:
     """Starts, drives and ends a fleet."""
 
-    def __init__(self, folder, size="small", seed=1, lag_us=None, **bounds):
+    def __init__(self, folder, size="small", seed=1, lag_us=None, cuts=False, **bounds):
         os.makedirs(folder, exist_ok=True)
         self.dir, self.size, self.z = folder, size, SIZES[size]
         self.lag_us = self.z["lag_us"] if lag_us is None else lag_us
-        self.bounds = bounds
+        self.bounds, self.cuts = bounds, cuts
         self.rng = random.Random(seed)
         self.procs = {}
         self.hist, self.visitors = [], []
@@ -111,6 +111,19 @@
         p = self.procs[name] = Proc(name, argv, self.dir)
         return p
 
+    def _program(self, name):
+        return ("petrelhaven.drill.cut", name) if self.cuts else (f"petrelhaven.{name}",)
+
+    async def cut(self, names, others):
+        """Cuts the links between two sets of daemons; with none in `others`, heals those of `names`."""
+        for a, b in ((names, others), (others, names)):
+            line = "cut " + ",".join(self.procs[n].facts["link"] for n in b) if b else "heal"
+            for n in a:
+                self.procs[n].marks.pop(line.split()[0].replace("heal", "healed"), None)
+                self.procs[n].tell(line)
+        for n in [*names, *others]:
+            await self.procs[n].mark("cut" if others else "healed", 5)
+
     async def start(self):
         """Starts everything; returns once every edge is ready."""
         self.loop = asyncio.get_running_loop()
@@ -118,7 +131,7 @@
         hs = self.z["halls"]
         plat = await self._proc("platform", "petrelhaven.feint.main", "platform", "--took-us", str(self.z["took_us"])).start()
         await plat.mark("started")
-        cores = [self._proc(f"c{i + 1}", "petrelhaven.crux", "--name", f"c{i + 1}", "--hall", hs[i], "--data", os.path.join(self.dir, f"c{i + 1}"),
+        cores = [self._proc(f"c{i + 1}", *self._program("crux"), "--name", f"c{i + 1}", "--hall", hs[i], "--data", os.path.join(self.dir, f"c{i + 1}"),
                             "--platform", plat.facts["http"], "--seeds", "-") for i in range(3)]
         await asyncio.gather(*[c.start() for c in cores])
         self.seeds = [(await c.mark("listening"))["link"] for c in cores]
@@ -139,7 +152,7 @@
             self.procs[n].tell(",".join(self.cores))
         self.edges = []
         for i in range(self.z["edges"]):
-            p = self._proc(f"e{i + 1}", "petrelhaven.verge", "--name", f"e{i + 1}", "--hall", hs[i % 3], "--seeds", ",".join(self.seeds))
+            p = self._proc(f"e{i + 1}", *self._program("verge"), "--name", f"e{i + 1}", "--hall", hs[i % 3], "--seeds", ",".join(self.seeds))
             self.edges.append(_Edge(self, p))
             await p.start()
         await asyncio.gather(*[c.mark("ready") for c in cores])
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -188,6 +188,86 @@
     fleet(go)
 
 
+async def _served(f, secs):
+    """A session, a kept write and a strong read of it in every group."""
+    from petrelhaven.drill.visitor import Visitor
+    import random
+    v = Visitor(f, 900, random.Random(4))
+    t = f.now()
+    g = n = 0
+    while g < f.z["groups"]:
+        assert f.now() - t < secs, v.last[-4:]
+        n += 1
+        try:
+            if v.sid is None:
+                v.sid = (await v._call(lambda e: e.open_session()))["session"]
+            d = {"route": f"g{g + 1}", "verb": "put", "key": "back", "value": n, "try": n}
+            if (await v._call(lambda e: e.statement(v.sid, d)))["outcome"] == "kept":
+                assert (await v._call(lambda e: e.statement(v.sid, {"route": f"g{g + 1}", "verb": "get", "key": "back"})))["value"] >= n
+                g += 1
+        except Fault:
+            await f.clock.sleep(50_000)
+    return f.now() - t
+
+
+def test_a_lost_hall_of_a_full_fleet_is_made_good_within_12_seconds(fleet):
+    async def go(f):
+        f.visit(40, pause=0.2)
+
+        async def reached():
+            return sum(v.count["ok"] for v in f.visitors) >= 300
+        await f.until(reached, 20)
+        lost = ["c1", "e1", "e4", "g1m1", "g2m3", "g3m2"]
+        await asyncio.gather(*[f.procs[n].end(signal.SIGKILL) for n in lost])
+        took = await _served(f, 12)
+        print(f"service back after {took:.1f} s")
+        for v in f.visitors:
+            v.count["ok"] = 0
+        await f.until(reached, 20)
+        for n in lost:
+            await f.again(n)
+
+        async def whole():
+            s = await f.head()
+            return s and len(s["view"]["chain"]) == 3 and all(len(e["safe"]) == 2 for e in s["epochs"].values())
+        await f.until(whole, 30)
+        await f.calm()
+        assert await f.verdict() == []
+    fleet(go, "nordvik")
+
+
+def test_a_hall_whose_links_are_cut_sends_nothing_and_comes_back(fleet):
+    async def go(f):
+        f.visit(12, pause=0.1)
+        here, there = ["c1", "e1"], ["c2", "c3", "e2", "e3"]
+        await f.cut(here, there)
+
+        async def given_up():
+            s = await f.head()
+            return s and s["name"] != "c1" and s["view"]["n"] == 2 and s["edges"]["e1"][1] == "gone"
+        await f.until(given_up, 12)
+        e1 = f.procs["e1"].facts["http"]
+
+        async def mute():
+            return (await fetch(e1, "GET", "/status"))["lease_us"] == 0
+        await f.until(mute, 5)
+        sent = (await fetch(e1, "GET", "/status"))["sent"]
+        await _served(f, 12)
+        assert (await fetch(e1, "GET", "/status"))["sent"] == sent
+        assert (await code(e1, "GET", "/ready"))[0] == 503
+        rc, out, _ = await tool("rift", e1, f.cores[1])
+        assert rc == 1 and "edges.e1" in out
+        await f.cut(here + there, [])
+
+        async def whole():
+            s = await f.head()
+            return s and len(s["view"]["chain"]) == 3 and s["edges"]["e1"][1] == "up"
+        await f.until(whole, 20)
+        await f.calm()
+        assert await f.verdict() == []
+    fleet(go, cuts=True)
+
+
 def test_sigterm_hands_sessions_over_and_ends_in_order(fleet):
     async def go(f):
         f.visit(9, pause=0.05)
