--- a/src/petrelhaven/creed/link.py
+++ b/src/petrelhaven/creed/link.py
@@ -7,7 +7,7 @@
 from .event import emit
 from .fault import Fault, Late, Malformed, Unreached, Unsent, Unspoken, Unversed, rebuild
 
-__all__ = ["Channel", "Link", "held_call"]
+__all__ = ["Channel", "Held", "Link"]
 
 _MAGIC = 0x7E7A
 _MOST = 4 << 20
@@ -78,7 +78,7 @@
         self.lose()
 
 
-async def held_call(c, kind, body, us):
+async def _held_call(c, kind, body, us):
     """A call over a shared connection; one that stays mute twice is closed and opened anew."""
     try:
         r = await c.call(kind, body, us)
@@ -99,16 +99,42 @@
         self._link.heard(data)
 
 
-class Link:
+class Held:
+    """Calls by address over one shared connection each; `open` is the link's own."""
+
+    def __init__(self):
+        self._out = {}
+        self._opening = {}
+
+    async def call(self, addr, kind, body, us):
+        """Calls over the shared connection to `addr`."""
+        c = self._out.get(addr)
+        if c is None or c.gone.done():
+            t = self._opening.get(addr)
+            if t is None:
+                t = self._opening[addr] = self.nest.spawn(self.open(addr))
+                if t is None:
+                    raise Unsent(addr)
+                t.add_done_callback(lambda _: self._opening.pop(addr, None))
+            try:
+                c = await asyncio.shield(t)
+            except asyncio.CancelledError:
+                if t.cancelled():
+                    raise Unsent(addr) from None
+                raise
+            self._out[addr] = c
+        return await _held_call(c, kind, body, us)
+
+
+class Link(Held):
     """All links of one node over real sockets."""
 
     def __init__(self, clock, nest, log=None, host="127.0.0.1", port=0):
+        super().__init__()
         self.clock, self.nest, self.log = clock, nest, log
         self.handlers = {}
         self.garbage = 0
         self._host, self._port = host, port
-        self._out = {}
-        self._opening = {}
         self._srv = self._udp = None
         self.addr = None
 
@@ -160,25 +186,6 @@
             raise Unsent(addr) from None
         return self._wrap(r, w)
 
-    async def call(self, addr, kind, body, us):
-        """Calls over the shared connection to `addr`."""
-        c = self._out.get(addr)
-        if c is None or c.gone.done():
-            t = self._opening.get(addr)
-            if t is None:
-                t = self._opening[addr] = self.nest.spawn(self.open(addr))
-                if t is None:
-                    raise Unsent(addr)
-                t.add_done_callback(lambda _: self._opening.pop(addr, None))
-            try:
-                c = await asyncio.shield(t)
-            except asyncio.CancelledError:
-                if t.cancelled():
-                    raise Unsent(addr) from None
-                raise
-            self._out[addr] = c
-        return await held_call(c, kind, body, us)
-
     def _wrap(self, r, w):
         c = Channel(self, lambda b: w.write(struct.pack(">HI", _MAGIC, len(b)) + b), w.close)
         self.nest.spawn(self._pump(c, r, w))
--- a/src/petrelhaven/drill/net.py
+++ b/src/petrelhaven/drill/net.py
@@ -5,7 +5,7 @@
 
 from ..creed.contract import TELL, pack, unpack
 from ..creed.fault import Fault, Late, Malformed, Unreached, Unsent
-from ..creed.link import Channel, held_call
+from ..creed.link import Channel, Held
 from ..creed.tick import Clock, Nest
 
 __all__ = ["Box", "Net", "SimDisk", "SimLink"]
@@ -231,17 +231,16 @@
                 self.net.loop.call_later(20, lambda ch=ch: ch.lose())
 
 
-class SimLink:
+class SimLink(Held):
     """The links of a simulated machine; the same surface as the real ones."""
 
     def __init__(self, box):
+        super().__init__()
         self._box = box
         self.clock, self.nest, self.log = box.clock, box.nest, box.log
         self.handlers = {}
         self.garbage = 0
         self.addr = f"sim:{box.name}"
-        self._out = {}
-        self._opening = {}
 
     def on(self, kind, fn):
         """Answers calls of `kind`."""
@@ -283,20 +282,6 @@
                 raise Unsent(addr)
         return _End(net, self._box, to).ca
 
-    async def call(self, addr, kind, body, us):
-        """Calls over the shared connection."""
-        c = self._out.get(addr)
-        if c is None or c.gone.done():
-            t = self._opening.get(addr)
-            if t is None:
-                t = self._opening[addr] = self.nest.spawn(self.open(addr))
-                if t is None:
-                    raise Unsent(addr)
-                t.add_done_callback(lambda _: self._opening.pop(addr, None))
-            c = await asyncio.shield(t)
-            self._out[addr] = c
-        return await held_call(c, kind, body, us)
-
 
 class Net:
     """All machines and the ways between them."""
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -228,14 +228,8 @@
 
     def belief(self):
         """What this node believes."""
-        r = self.chain.realm
-        return {"name": self.name, "role": "core", "state": self.state, "seq": r.seq, "commit": self.chain.commit,
-                "manifest": r.doc["manifest"]["version"] if r.doc["manifest"] else 0,
-                "digest": r.doc["manifest"]["digest"] if r.doc["manifest"] else "",
-                "view": self.chain.view, "epochs": {g: {k: e[k] for k in ("n", "phase", "primary", "hold", "safe", "gates", "open", "settled", "shares")}
-                                                    for g, e in sorted(r.doc["epochs"].items())},
-                "halls": r.doc["halls"], "edges": {n: [e["inc"], e["state"]] for n, e in sorted(r.doc["edges"].items())},
-                "kith": {row[0]: row[5] for row in self.roster.full()}}
+        return {**self.chain.realm.belief(), "name": self.name, "role": "core", "state": self.state, "commit": self.chain.commit,
+                "view": self.chain.view, "kith": {row[0]: row[5] for row in self.roster.full()}}
 
     async def _belief(self, ch, b):
         return {"doc": self.belief()}
--- a/src/petrelhaven/helm/duty.py
+++ b/src/petrelhaven/helm/duty.py
@@ -158,6 +158,7 @@
         n = e["n"] if e else 0
         key = (g.name, n)
         if e and key not in self._forced and key not in self._forcing:
+            self._prune(g.name, n)
             self._forcing[key] = self.nest.spawn(self._force(key, e, c.realm.seq))
         if e and key in self._forced and not e["settled"] and e["phase"] == "serve":
             self._do(g.name, c.enter({"t": "settle", "group": g.name, "n": n}))
@@ -177,6 +178,11 @@
             self._targets[key] = arg
             self._do(g.name, self._promote(g, m, key, arg))
 
+    def _prune(self, g, n):
+        for d in (self._forced, self._catch, self._targets):
+            for k in [k for k in d if k[0] == g and k[1] < n]:
+                del d[k]
+
     def _sight(self, g, m, e, mine, now):
         key = (g.name, e["n"] if e else 0)
         d = self.chain.realm.doc
--- a/src/petrelhaven/helm/realm.py
+++ b/src/petrelhaven/helm/realm.py
@@ -152,6 +152,14 @@
         n = e["shares"].get(edge, {}).get(member, 0)
         return n if e["settled"] else min(n, e["before"].get(edge, {}).get(member, 0))
 
+    def belief(self):
+        """What `rift` compares of this state."""
+        d, m = self.doc, self.doc["manifest"]
+        keys = ("n", "phase", "primary", "hold", "safe", "gates", "open", "settled", "shares")
+        return {"seq": self.seq, "manifest": m["version"] if m else 0, "digest": m["digest"] if m else "", "halls": d["halls"],
+                "epochs": {g: {k: e[k] for k in keys} for g, e in sorted(d["epochs"].items())},
+                "edges": {n: [e["inc"], e["state"]] for n, e in sorted(d["edges"].items())}}
+
     def hall(self, h):
         """The state of a hall."""
         return self.doc["halls"].get(h, "open")
--- a/src/petrelhaven/span/edge.py
+++ b/src/petrelhaven/span/edge.py
@@ -387,12 +387,7 @@
     def belief(self):
         """What this node believes."""
         r = self.control.realm
-        return {"name": self.name, "role": "edge", "state": self.state, "seq": r.seq, "commit": r.seq,
-                "manifest": r.doc["manifest"]["version"] if r.doc["manifest"] else 0,
-                "digest": r.doc["manifest"]["digest"] if r.doc["manifest"] else "", "view": None,
-                "epochs": {g: {k: e[k] for k in ("n", "phase", "primary", "hold", "safe", "gates", "open", "settled", "shares")}
-                           for g, e in sorted(r.doc["epochs"].items())},
-                "halls": r.doc["halls"], "edges": {n: [e["inc"], e["state"]] for n, e in sorted(r.doc["edges"].items())},
+        return {**r.belief(), "name": self.name, "role": "edge", "state": self.state, "commit": r.seq, "view": None,
                 "kith": {row[0]: row[5] for row in self.roster.full()}}
 
     async def _belief(self, ch, b):
--- a/src/petrelhaven/span/keep.py
+++ b/src/petrelhaven/span/keep.py
@@ -6,6 +6,8 @@
 
 __all__ = ["Keeper"]
 
+_FENCES = 20_000
+
 
 class Keeper:
     """Both halves of keeping: the copies here, and the copies of what is at home here."""
@@ -101,6 +103,8 @@
         self.homes[sid] = s
         self.kept.pop(sid, None)
         self.fence[sid] = epoch
+        if len(self.fence) > _FENCES:
+            self.fence.pop(next(iter(self.fence)))
         self.nest.spawn(self._rekeep(s))
 
     async def _rekeep(self, s):
