--- a/src/petrelhaven/creed/daemon.py
+++ b/src/petrelhaven/creed/daemon.py
@@ -58,7 +58,7 @@
         h, p = self.set.link.rsplit(":", 1)
         self.link = Link(self.clock, self.nest, self.log, h, int(p))
         h, p = self.set.http.rsplit(":", 1)
-        self.face = Face(h, int(p))
+        self.face = Face(h, int(p), log=self.log)
         self.prepare()
         await self.link.start()
         node = None
--- a/src/petrelhaven/creed/face.py
+++ b/src/petrelhaven/creed/face.py
@@ -3,7 +3,8 @@
 
 from aiohttp import web
 
-from .fault import Fault, Late, Malformed, Oversize
+from .event import emit
+from .fault import Fault, Malformed, Oversize
 
 __all__ = ["Face", "body_of"]
 
@@ -19,7 +20,8 @@
 class Face:
     """Serves handlers that return documents or raise typed faults."""
 
-    def __init__(self, host="127.0.0.1", port=0, most=256 << 10):
+    def __init__(self, host="127.0.0.1", port=0, most=256 << 10, log=None):
+        self._log = log
         self._app = web.Application(client_max_size=most, middlewares=[self._guard])
         self._host, self._port = host, port
         self._run = None
@@ -40,6 +42,11 @@
             return self.fault(Oversize("the request is too large"))
         except web.HTTPException as e:
             return web.json_response({"fault": "http", "note": e.reason}, status=e.status)
+        except UnicodeDecodeError:
+            return self.fault(Malformed("the body is not UTF-8"))
+        except Exception as e:
+            emit(self._log, 112, path=req.path, what=repr(e))
+            return self.fault(Fault(type(e).__name__))
 
     @staticmethod
     def fault(e):
--- a/src/petrelhaven/creed/reach.py
+++ b/src/petrelhaven/creed/reach.py
@@ -54,7 +54,7 @@
             except (Late, Unreached):
                 if not again:
                     raise
-        raise Unsent(name) if again or not via else Unreached(name)
+        raise Unsent(name)
 
     async def _relayed(self, ch, b):
         return {"body": await self.link.call(b["to"], b["kind"], b["body"], b["us"])}
--- a/src/petrelhaven/drill/scene.py
+++ b/src/petrelhaven/drill/scene.py
@@ -31,6 +31,33 @@
     return await _end(w, bad)
 
 
+def _tally(w, names):
+    return sum(w.members[n].node.statements for n in names if w.members[n].node)
+
+
+async def herd(w):
+    """A primary is lost under heavy load: those who waited don't fall on the new one all at once."""
+    await _load(w, 90, 3.0, pause=0.1)
+    steady = _tally(w, w.members)
+    await asyncio.sleep(2)
+    steady = (_tally(w, w.members) - steady) / 20
+    fetches = sum(e.node.troops["g1"].reads.count["fetches"] for e in w.edges)
+    w.members["g1m1"].kill()
+    await w.until(lambda: w.head_epochs()["g1"]["primary"] != "g1m1", 8, "another primary")
+    fetches = sum(e.node.troops["g1"].reads.count["fetches"] for e in w.edges) - fetches
+    peak, last = 0, _tally(w, w.members)
+    for _ in range(30):
+        await asyncio.sleep(0.1)
+        now = _tally(w, w.members)
+        peak, last = max(peak, now - last), now
+    w.seen["peak_ratio"] = round(peak / steady, 2)
+    w.seen["fetches_while_away"] = fetches
+    bad = [("herd after an epoch change", peak / steady)] if peak > 3 * steady else []
+    if fetches > 40 * len(w.edges):
+        bad.append(("herd of fetches", fetches))
+    return await _end(w, bad)
+
+
 async def stale_only(w):
     """Only a replica that missed commits is left: the group waits, says why, and declines writes at once."""
     await _load(w)
@@ -299,8 +326,8 @@
 
 
 async def emptied(w):
-    """A hall is emptied and taken back."""
-    await _load(w, 18)
+    """A hall is emptied and taken back, gradually."""
+    await _load(w, 40, writes=0.1)
     h = w.z["halls"][0]
     await w.hall(h, "emptied")
     t = w.loop.time()
@@ -317,7 +344,21 @@
     if held:
         bad.append(("sessions left in an emptied hall", held))
     await w.hall(h, "open")
-    await asyncio.sleep(8)
+    names = [n for n, b in w.members.items() if b.hall == h]
+    for i in range(80):
+        await asyncio.sleep(0.1)
+        if any(m.last_statement != k for m, k in zip(ms, marks)):
+            break
+    first = _tally(w, names)
+    await asyncio.sleep(1)
+    first = _tally(w, names) - first
+    await asyncio.sleep(4)
+    later = _tally(w, names)
+    await asyncio.sleep(1)
+    later = _tally(w, names) - later
+    w.seen["first_second"], w.seen["sixth_second"] = first, later
+    if first > 0.8 * later:
+        bad.append(("hall taken back at once", first, later))
     if any(m.last_statement == k for m, k in zip(ms, marks)):
         bad.append(("hall not taken back",))
     return await _end(w, bad)
@@ -402,5 +443,5 @@
     return await _end(w, bad)
 
 
-SCENES = {f.__name__: f for f in (primary_lost, stale_only, old_primary_cut, region_lost, region_cut, rolling, racing, disks, cold_member,
+SCENES = {f.__name__: f for f in (primary_lost, herd, stale_only, old_primary_cut, region_lost, region_cut, rolling, racing, disks, cold_member,
                                   shares, clock_alone, browsing_alone, frozen_edge, killed_edge, unanswered, leaving, emptied, overload, halves, frozen_duty, platform_away)}
--- a/src/petrelhaven/feint/store.py
+++ b/src/petrelhaven/feint/store.py
@@ -43,7 +43,7 @@
         self.fence = 0
         self.flood = self.full = 0
         self.most_conns = 0
-        self.last_statement = 0
+        self.last_statement = self.statements = 0
         self.dark = self.stall = False
         self.unanswered = 0
         self.on_commit = []
@@ -113,6 +113,7 @@
                 out.append({"fault": "BADSTATEMENT", "note": type(e).__name__})
                 break
         self.last_statement = now
+        self.statements += 1
         if self.unanswered and any("pos" in r for r in out):
             self.unanswered -= 1
             raise Unanswered
--- a/src/petrelhaven/tenet.py
+++ b/src/petrelhaven/tenet.py
@@ -130,7 +130,7 @@
         sys.exit(3)
     except Fault as e:
         sys.exit(_fall(e))
-    except OSError as e:
+    except (OSError, UnicodeDecodeError) as e:
         print(f"tenet: {e}", file=sys.stderr)
         sys.exit(2)
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -103,6 +103,10 @@
     mp.setattr(pool.Pool, "ramp", lambda self: 1.0)
 
 
+def no_ramp(mp):
+    mp.setattr(pool.Pool, "ramp", lambda self: 1.0)
+
+
 def nothing_synced(mp):
     mp.setattr(memory.Memory, "_keep", lambda self, doc: None if doc["t"] == "rec" else self._ring.append(doc, self._whole))
 
--- a/tests/test_never.py
+++ b/tests/test_never.py
@@ -24,6 +24,7 @@
     ("killed_edge", "no_reset", "session value lost or mixed"),
     ("leaving", "leaving_ignored", "statement to a leaving member"),
     ("emptied", "halls_ignored", "statement to an emptied hall"),
+    ("emptied", "no_ramp", "hall taken back at once"),
     ("racing", "acked_at_once", "acknowledged manifest not in force"),
     ("racing", "no_lease", "acknowledged manifest not in force"),
     ("disks", "nothing_synced", "acknowledged manifest lost"),
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -63,6 +63,8 @@
         newer = bytearray(pack("creed.belief", CALL, 5, {"who": "x"}))
         newer[0] = 4
         assert b"version" in await poke(struct.pack(">HI", 0x7E7A, len(newer)) + bytes(newer))
+        assert await code(e["http"], "POST", at, data=b"\xff\xfe") == (400, "malformed")
+        assert await code(f.cores[0], "POST", "/manifest", data=b"\xff\xfe") == (400, "malformed")
         log = open(os.path.join(f.dir, "e1.log")).read()
         assert "E110" in log and "E111" in log
         assert (await code(e["http"], "GET", "/ready"))[0] == 200
@@ -132,6 +134,16 @@
     p = subprocess.Popen([sys.executable, "-m", "petrelhaven.crux", "--name", "c1", *full], stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
     assert p.stdout.readline().startswith("listening")
     p.kill()
+    p.wait()
+    s.write_text('name = "e9"\nhall = "a"\nseeds = ["127.0.0.1:1"]\n')
+    q = subprocess.Popen([sys.executable, "-m", "petrelhaven.verge", "--settings", str(s)], stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    http = q.stdout.readline().split("http=")[1].strip()
+    s.write_text("nonsense")
+    got = asyncio.run(fetch(http, "GET", "/belief"))
+    assert got["name"] == "e9" and q.poll() is None
+    q.terminate()
+    assert q.wait(20) == 0
+    q.communicate()
     p.communicate()
     rc, out, err = run("crux", "--name", "c2", *full)
     assert (rc, out) == (3, "") and "belongs to c1" in err
