--- a/src/petrelhaven/creed/fault.py
+++ b/src/petrelhaven/creed/fault.py
@@ -70,6 +70,10 @@
     code, status = "unordered", 409
 
 
+class Superseded(Fault):
+    code, status = "superseded", 409
+
+
 class Ended(Fault):
     code, status = "transaction-ended", 409
 
--- a/src/petrelhaven/creed/link.py
+++ b/src/petrelhaven/creed/link.py
@@ -119,7 +119,7 @@
             try:
                 c = await asyncio.shield(t)
             except asyncio.CancelledError:
-                if t.cancelled():
+                if t.cancelled() and not asyncio.current_task().cancelling():
                     raise Unsent(addr) from None
                 raise
             self._out[addr] = c
--- a/src/petrelhaven/drill/measure.py
+++ b/src/petrelhaven/drill/measure.py
@@ -71,6 +71,16 @@
     return 0
 
 
+def lanes():
+    """Fetches a read and latency by the number of fetches that may be in flight at once (replicas trail by 10 ms)."""
+    print(f"{'load':>6} {'lanes':>5} {'reads':>6} {'fetches/read':>12} {'median ms':>9} {'p95 ms':>7}")
+    for load, count, pause in (("light", 24, 0.2), ("heavy", 240, 0.02)):
+        for k in (1, 2, 3, 64):
+            n, took = inside(lambda w: _reads(w, count, pause, 6), 1, "small", lag_us=10_000, lanes=k)[0]
+            print(f"{load:>6} {k:>5} {n['reads']:>6} {n['fetches'] / n['reads']:>12.3f} {1000 * _pct(took, 0.5):>9.1f} {1000 * _pct(took, 0.95):>7.1f}")
+    return 0
+
+
 async def _writes(w):
     await w.start()
     e = w.edges[0].node
@@ -201,4 +211,4 @@
     return 0
 
 
-MEASURES = {f.__name__: f for f in (clock, commit, failover, force, detect)}
+MEASURES = {f.__name__: f for f in (clock, lanes, commit, failover, force, detect)}
--- a/src/petrelhaven/drill/visitor.py
+++ b/src/petrelhaven/drill/visitor.py
@@ -14,7 +14,7 @@
         self.pause, self.mix = pause, (writes, browse, txns, values)
         self.idle, self.pin = idle, pin
         self.sid = None
-        self.n = 0
+        self.n = self.k = 0
         self.vals = {}
         self.want = {}
         self.stop = self.done = False
@@ -46,6 +46,8 @@
 
     async def _say(self, d, tries=60):
         """Says a statement until it has an outcome; a declined one is said again, an unknown one is asked after."""
+        self.k += 1
+        d = {**d, "say": self.k}
         for _ in range(tries):
             try:
                 r = await self._call(lambda e: e.statement(self.sid, d))
--- a/src/petrelhaven/drill/warp.py
+++ b/src/petrelhaven/drill/warp.py
@@ -38,4 +38,4 @@
             return
         for t in ts:
             t.cancel()
-        loop.run_until_complete(asyncio.gather(*ts, return_exceptions=True))
+        loop.run_until_complete(asyncio.wait(ts, timeout=1))
--- a/src/petrelhaven/helm/chain.py
+++ b/src/petrelhaven/helm/chain.py
@@ -2,12 +2,13 @@
 import asyncio
 
 from ..creed.event import emit
-from ..creed.fault import Deposed, Fault, NotHead, NotReady
+from ..creed.fault import Deposed, Fault, Late, NotHead, NotReady
 
 __all__ = ["Chain", "CONFIRM_US", "DRIFT"]
 
 CONFIRM_US = 500_000
 DRIFT = 1.05
+_AWAIT_US = 150_000
 
 
 class Chain:
@@ -184,7 +185,7 @@
                 r = await self._call(to, "chain.append", body, 1_500_000)
                 held, mark = r["held"], r["mark"]
                 if body["done"]:
-                    fed = held
+                    fed = held if r["commit"] >= held else None
                     self._committed(min(r["commit"], self.realm.seq))
             except Deposed:
                 await self.clock.sleep(100_000)
@@ -194,7 +195,7 @@
                 await self.clock.sleep(60_000)
 
     async def append(self, ch, b):
-        """Takes records from the predecessor; answers once all successors hold them."""
+        """Takes records from the predecessor; answers once all successors hold them, or soon with what is committed."""
         v = self.view
         if v is None or v["n"] != b["view"] or not self._at():
             raise Deposed(f"view {v['n'] if v else 0}")
@@ -210,5 +211,8 @@
             seq = self.realm.seq
             self._settle()
             if not self.tail and b["done"]:
-                await self.clock.limit(self.until(seq), 1_400_000)
+                try:
+                    await self.clock.limit(self.until(seq), _AWAIT_US)
+                except Late:
+                    pass
         return {"held": self.realm.seq, "mark": self.mem.mark, "commit": self.commit}
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -160,7 +160,7 @@
         join = [n for n in sorted(infos) if n not in keep and self._there(n) and n in v["ids"]]
         chain = keep + join
         ids = {**v["ids"], **{n: infos[n]["disk"] for n in join}}
-        if chain == v["chain"] and ids == v["ids"]:
+        if chain == v["chain"] and ids == v["ids"] or len(chain) <= len(v["ids"]) // 2:
             return
         out = [n for n in v["chain"] if n not in keep]
         cause = "; ".join(filter(None, ["lost " + ",".join(out) if out else "", "joined " + ",".join(join) if join else ""]))
--- a/src/petrelhaven/helm/duty.py
+++ b/src/petrelhaven/helm/duty.py
@@ -123,7 +123,8 @@
                 continue
             quiet = max(seen.get(n, -1 << 60), born + 2 * LEASE_US - now)
             st = self.roster.state(n)
-            lost = st == "gone" and seen.get(n, 0) < 600_000
+            p = self.roster.peers.get(n)
+            lost = st == "gone" and p.inc >= e["inc"] and seen.get(n, 0) < 600_000
             mute = quiet < -2_500_000 and now - self._began > 2_500_000 and self.desk.floor <= now
             if lost or mute:
                 self._let_go[e["hall"]] = now
--- a/src/petrelhaven/helm/manifest.py
+++ b/src/petrelhaven/helm/manifest.py
@@ -42,7 +42,7 @@
     idle_txn_us: int = 10_000_000
     slots: int = 512
     queue: int = 8
-    lanes: int = 1
+    lanes: int = 2
     sessions: int = 5000
 
 
--- a/src/petrelhaven/kith/peer.py
+++ b/src/petrelhaven/kith/peer.py
@@ -24,7 +24,7 @@
 
     def __init__(self, name, role, hall, addr, inc, now):
         self.name, self.role, self.hall, self.addr, self.inc = name, role, hall, addr, inc
-        self.since, self.spread, self.heard = now, 0, now
+        self.since, self.spread, self.heard = now, 0, -1 << 60
         self._machine.add_model(self)
 
     def turn(self, state, inc, now):
--- a/src/petrelhaven/kith/probe.py
+++ b/src/petrelhaven/kith/probe.py
@@ -75,17 +75,21 @@
             self._wait.pop(n, None)
 
     def _probed(self, b):
-        self.roster.merge(b["news"])
+        self._spoke(b)
         self.link.tell(b["src"], "kith.ack", {"nonce": b["nonce"], "src": self.link.addr, "news": self.roster.news()})
 
+    def _spoke(self, b):
+        self.roster.heard(b["src"])
+        self.roster.merge(b["news"], b["src"])
+
     def _acked(self, b):
-        self.roster.merge(b["news"])
+        self._spoke(b)
         f = self._wait.get(b["nonce"])
         if f is not None and not f.done():
             f.set_result(None)
 
     def _asked(self, b):
-        self.roster.merge(b["news"])
+        self._spoke(b)
         self.nest.spawn(self._aid(b))
 
     async def _aid(self, b):
--- a/src/petrelhaven/kith/roster.py
+++ b/src/petrelhaven/kith/roster.py
@@ -22,8 +22,14 @@
         """This node's own row."""
         return [self.name, self.role, self.hall, self.addr, self.inc, "gone" if self.left else "alive"]
 
-    def merge(self, rows):
-        """Takes rows of news."""
+    def heard(self, addr):
+        """A peer spoke to this node itself."""
+        for p in self.peers.values():
+            if p.addr == addr:
+                p.heard = self.clock.now()
+
+    def merge(self, rows, src=None):
+        """Takes rows of news from `src`. That a peer is gone is only suspected while it speaks to this node itself."""
         for n, role, hall, addr, inc, st in rows:
             if n == self.name:
                 if not self.left and st != "alive" and inc >= self.inc:
@@ -42,6 +48,10 @@
                 else:
                     self._turn(p, st, inc)
             elif rank(st, inc) > rank(p.state, p.inc):
+                if st == "gone" and addr != src and inc == p.inc and self.clock.now() - p.heard < self.suspect_us:
+                    if p.state == "alive":
+                        self._turn(p, "suspect", inc)
+                    continue
                 p.role, p.hall, p.addr = role, hall, addr
                 self._turn(p, st, inc)
 
--- a/src/petrelhaven/span/control.py
+++ b/src/petrelhaven/span/control.py
@@ -2,7 +2,7 @@
 import asyncio
 
 from ..creed.event import emit
-from ..creed.fault import Fault, Stale
+from ..creed.fault import Fault, Stale, Unsent
 from ..helm.realm import Realm
 
 __all__ = ["Control"]
@@ -172,5 +172,5 @@
         self._state = state
         ch = self._ch
         if ch is None:
-            raise Stale("no core")
+            raise Unsent("no core")
         return await ch.call("edge.enter", {"edge": self.name, "inc": self.inc, "state": state, **self._me()}, 3_000_000)
--- a/src/petrelhaven/span/edge.py
+++ b/src/petrelhaven/span/edge.py
@@ -358,15 +358,21 @@
                 return
             await asyncio.gather(*[self._hand(s) for s in ss[:40]])
 
+    async def _say(self, state, us):
+        """Tells control until it has heard, or `us` have passed."""
+        end = self.clock.now() + us
+        while self.clock.now() < end:
+            try:
+                return await self.clock.limit(self.control.say(state), min(3_000_000, end - self.clock.now()))
+            except Fault:
+                await self.clock.sleep(100_000)
+
     async def drain(self, us=9_000_000):
-        """Leaves: tells control, hands every session over, waits until nothing is kept here."""
+        """Leaves: tells control, hands every session over, waits until nothing is kept here and control has heard."""
         emit(self.log, 103, sessions=len(self.homes), kept=len(self.keeper.kept))
         self.leave()
         end = self.clock.now() + us
-        try:
-            await self.clock.limit(self.control.say("leaving"), 2_000_000)
-        except Fault:
-            pass
+        self.nest.spawn(self._say("leaving", us))
         while self.clock.now() < end and (self.homes or self.keeper.kept):
             if self.homes:
                 await self._hand_all()
@@ -374,10 +380,7 @@
         for t in self.troops.values():
             t.close()
         self.control.lease = 0
-        try:
-            await self.clock.limit(self.control.say("gone"), 2_000_000)
-        except Fault:
-            pass
+        await self._say("gone", 3_000_000)
         self.roster.left = True
         for n in self.roster.living()[:4]:
             self.link.tell(self.roster.addr_of(n), "kith.ack", {"nonce": 0, "src": self.link.addr, "news": [self.roster.me()]})
--- a/src/petrelhaven/span/flow.py
+++ b/src/petrelhaven/span/flow.py
@@ -1,7 +1,7 @@
 """The way of a statement: continuations that the slab resumes."""
 from ..creed.event import emit
 from ..creed.fault import (Busy, Ended, Fault, Halted, Late, Malformed, MemberFault, MemberSaid, NoLease,
-                           NoRoute, Unordered, Unreached, Unsent)
+                           NoRoute, Superseded, Unordered, Unreached, Unsent)
 from .session import Txn
 
 __all__ = ["Flow", "READS", "WRITES"]
@@ -46,6 +46,7 @@
             yield lk
             if s.state != "home":
                 raise e.moved(s)
+            self._in_turn(s, d)
             if s.txn is not None and s.txn.conn.lost:
                 e.end_txn(s)
             if "txn" in d and (s.txn is None or d["txn"] != s.txn.num):
@@ -81,6 +82,17 @@
             else:
                 lk.cancel()
 
+    @staticmethod
+    def _in_turn(s, d):
+        k = d.get("say")
+        if k is None:
+            return
+        if type(k) is not int or not 0 < k < 1 << 53:
+            raise Malformed("say must be a rising whole number")
+        if k < s.said:
+            raise Superseded("a later statement of this session was served already", more={"said": s.said})
+        s.said = k
+
     def _troop(self, d):
         r = self.e.routes.get(d.get("route"))
         if r is None:
--- a/src/petrelhaven/span/session.py
+++ b/src/petrelhaven/span/session.py
@@ -22,7 +22,7 @@
     """Whole state of a session; `doc` is what the keeper holds."""
 
     __slots__ = ("sid", "epoch", "ver", "keeper", "values", "prepared", "tries", "floor", "txn", "txns", "queue",
-                 "busy", "mark", "release", "state", "__dict__")
+                 "busy", "mark", "release", "said", "state", "__dict__")
     _machine = Machine(model=None, states=["home", "moving", "moved", "closed"], initial="home", auto_transitions=False, transitions=[
         {"trigger": "move", "source": "home", "dest": "moving"},
         {"trigger": "stay", "source": "moving", "dest": "home"},
@@ -35,12 +35,13 @@
         self.txn, self.txns = None, 0
         self.queue, self.busy, self.mark = [], False, 0
         self.release = None
+        self.said = 0
         self._machine.add_model(self)
 
     def doc(self):
         """The state that outlives the home edge."""
         return {"values": self.values, "prepared": self.prepared, "tries": {str(k): v for k, v in self.tries.items()},
-                "floor": self.floor, "txns": self.txns, "keeper": self.keeper, "release": self.release}
+                "floor": self.floor, "txns": self.txns, "keeper": self.keeper, "release": self.release, "said": self.said}
 
     @classmethod
     def revive(cls, sid, epoch, ver, d):
@@ -48,7 +49,7 @@
         s = cls(sid, epoch)
         s.ver, s.values, s.prepared = ver, d["values"], d["prepared"]
         s.tries = {int(k): v for k, v in d["tries"].items()}
-        s.floor, s.txns = d["floor"], d["txns"] + 1_000_000
+        s.floor, s.txns, s.said = d["floor"], d["txns"] + 1_000_000, d["said"]
         s.mark = 1
         return s
 
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -1,7 +1,10 @@
 """A fixed small set of storms; the same seed gives the same history. Sweeps of many seeds run by `drill sweep`."""
+import asyncio
+
 import pytest
 
-from petrelhaven.drill.storm import run
+from petrelhaven.creed.fault import Superseded
+from petrelhaven.drill.storm import inside, run
 
 
 @pytest.mark.parametrize("seed,size", [(0, "small"), (2, "small"), (5, "small"), (19, "small"), (22, "small"), (23, "small"), (31, "small"),
@@ -15,6 +18,12 @@
 FOUND = {
     "a hall is emptied, then the primary's store is lost while the next replica catches up":
         (299, "small", [[4.845, "member_drain", 280209603], [12.928, "hall", 999602071], [13.4, "member_store", 966454656]]),
+    "a healed cut's stale news shrinks the chain to one core, whose disk is then lost":
+        (4044, "nordvik", [[7.718, "unanswered", 147598230], [23.958, "core_disk", 1056068320], [30.705, "isolate", 795539749], [33.63, "core_disk", 1041936734]]),
+    "an edge leaves while the head is down, then its sessions' home is killed":
+        (6095, "small", [[21.074, "core_kill", 988703225], [26.425, "edge_drain", 431466681], [35.425, "edge_kill", 659433952]]),
+    "an edge leaves while the head is frozen":
+        (4039, "nordvik", [[25.626, "core_freeze", 803082715], [27.759, "edge_drain", 607248395], [36.759, "edge_kill", 1002744698]]),
     "all cores are killed and a member at once, while others have not been heard again":
         (705, "small", [[7.642, "unanswered", 320317860], [14.301, "core_all", 131344703], [14.617, "member_kill", 341379453]]),
 }
@@ -26,6 +35,46 @@
     assert run(seed, size, rows)[0] == []
 
 
+def test_a_statement_stuck_on_its_way_never_overtakes_a_later_one():
+    async def go(w):
+        await w.start()
+        e = w.edges[0].node
+        sid = (await e.open_session())["session"]
+        for k, v in ((1, "old"), (2, "new")):
+            await e.statement(sid, {"verb": "set", "name": "who", "value": v, "say": k})
+        with pytest.raises(Superseded):
+            await w.edges[1].node.statement(sid, {"verb": "set", "name": "who", "value": "old", "say": 1})
+        w.edges[0].kill()
+        await w.until(lambda: any(sid in b.node.homes for b in w.edges[1:]), 8, "takeover")
+        await asyncio.sleep(0.5)
+        with pytest.raises(Superseded):
+            await w.edges[1].node.statement(sid, {"verb": "set", "name": "who", "value": "old", "say": 1})
+        return (await w.edges[1].node.statement(sid, {"verb": "show", "name": "who", "route": "g1", "say": 3}))["value"]
+    assert inside(go, 4)[0] == "new"
+
+
+def test_an_edge_that_leaves_while_no_core_answers_is_not_trusted_with_copies():
+    async def go(w):
+        await w.start()
+        w.visit(9, pause=0.1)
+        await asyncio.sleep(1)
+        b = w.edges[1]
+        w.net.cut([b.name], [c.name for c in w.cores], 1_200_000)
+        t = b.nest.spawn(b.node.drain())
+        await asyncio.sleep(4)
+        assert t.done()
+        b.kill()
+        w.edges[2].kill()
+        await asyncio.sleep(6)
+        w.boot_edge(b)
+        w.boot_edge(w.edges[2])
+        await asyncio.sleep(2)
+        await w.calm()
+        await asyncio.sleep(1)
+        return w.verdict()
+    assert inside(go, 3)[0] == []
+
+
 def test_the_same_seed_gives_the_same_history():
     a, b = run(7)[1], run(7)[1]
     assert a.hist == b.hist and a.net.log == b.net.log
