--- a/src/petrelhaven/drill/scene.py
+++ b/src/petrelhaven/drill/scene.py
@@ -216,6 +216,45 @@
     return await _end(w, bad + await back(w, 12))
 
 
+async def mending(w):
+    """Head, middle and tail are lost one by one, then two in turn; each change acknowledged meanwhile stays."""
+    await _load(w, 6, pause=0.2)
+    bad, v = [], 1
+
+    async def change():
+        nonlocal v
+        v += 1
+        await w.apply(manifest(w.size, v), by=v)
+
+    async def whole():
+        await w.until(lambda: all(c.node and c.node.ready for c in w.cores), 15, "chain whole again")
+        for c in w.cores:
+            if c.node.mem.realm.doc["manifest"]["version"] != v:
+                bad.append(("a core slid back", c.name, v))
+    for place in (0, 1, 2):
+        names = next(c.node for c in w.cores if c.node.ready).chain.view["chain"]
+        b = w.net.boxes[names[place]]
+        b.kill()
+        await asyncio.sleep(3)
+        await change()
+        w.boot_core(b)
+        await whole()
+    a, b = w.cores[0], w.cores[1]
+    a.kill()
+    await asyncio.sleep(3)
+    await change()
+    b.kill()
+    await asyncio.sleep(2)
+    if any(e.node.control.sends for e in w.edges):
+        bad.append(("an edge sends without a majority of cores",))
+    w.boot_core(b)
+    await asyncio.sleep(3)
+    await change()
+    w.boot_core(a)
+    await whole()
+    return await _end(w, bad + await back(w, 12))
+
+
 async def cold_member(w):
     """A replica restarts under heavy load: it is not flooded before it is warm."""
     await _load(w, 80, pause=0.03, writes=0.02, txns=0.0, values=0.0)
@@ -443,5 +482,5 @@
     return await _end(w, bad)
 
 
-SCENES = {f.__name__: f for f in (primary_lost, herd, stale_only, old_primary_cut, region_lost, region_cut, rolling, racing, disks, cold_member,
+SCENES = {f.__name__: f for f in (primary_lost, herd, stale_only, old_primary_cut, region_lost, region_cut, rolling, racing, disks, mending, cold_member,
                                   shares, clock_alone, browsing_alone, frozen_edge, killed_edge, unanswered, leaving, emptied, overload, halves, frozen_duty, platform_away)}
--- a/src/petrelhaven/feint/member.py
+++ b/src/petrelhaven/feint/member.py
@@ -188,6 +188,8 @@
     async def _switch(self, req):
         b = await body_of(req)
         emit(self.log, 902, **b)
+        if b.get("crash"):
+            os._exit(9)
         for k in ("dark", "stall", "draining"):
             if k in b:
                 setattr(self.s, k, bool(b[k]))
