--- a/src/petrelhaven/drill/main.py
+++ b/src/petrelhaven/drill/main.py
@@ -12,7 +12,7 @@
 
 from .fleet import Fleet
 from .measure import MEASURES
-from .scene import SCENES
+from .scene import NEEDS, SCENES, SIZE
 from .storm import KINDS, inside, run, schedule, shrink, told
 
 __all__ = ["main"]
@@ -38,7 +38,7 @@
     c = sub.add_parser("scene", help="one fault brought about on purpose, in virtual time")
     c.add_argument("name", choices=sorted(SCENES))
     c.add_argument("--seed", type=int, default=1)
-    c.add_argument("--size", choices=("nordvik", "archivo", "small"), default="small")
+    c.add_argument("--size", choices=("nordvik", "archivo", "small"), help="the scene's own, if left out")
     c.add_argument("--log", action="store_true", help="print every node's events")
     m = sub.add_parser("measure", help="one measurement, as ratios or counts")
     m.add_argument("what", choices=sorted(MEASURES))
@@ -69,7 +69,7 @@
 
 
 def _scene(a):
-    bad, w = inside(SCENES[a.name], a.seed, a.size)
+    bad, w = inside(SCENES[a.name], a.seed, a.size or SIZE.get(a.name, "small"), **NEEDS.get(a.name, {}))
     for row in w.net.log if a.log else ():
         print(*row)
     print("seen: " + (", ".join(f"{k} {v}" for k, v in w.seen.items() if isinstance(k, str)) or "-"))
--- a/src/petrelhaven/drill/scene.py
+++ b/src/petrelhaven/drill/scene.py
@@ -5,7 +5,7 @@
 from .storm import back
 from .world import manifest
 
-__all__ = ["SCENES"]
+__all__ = ["NEEDS", "SCENES", "SIZE"]
 
 
 async def _load(w, n=12, secs=1.0, **kw):
@@ -484,3 +484,5 @@
 
 SCENES = {f.__name__: f for f in (primary_lost, herd, stale_only, old_primary_cut, region_lost, region_cut, rolling, racing, disks, mending, cold_member,
                                   shares, clock_alone, browsing_alone, frozen_edge, killed_edge, unanswered, leaving, emptied, overload, halves, frozen_duty, platform_away)}
+NEEDS = {"overload": {"slots": 20}, "primary_lost": {"lag_us": 250_000}, "clock_alone": {"lag_us": 60_000}, "browsing_alone": {"stall_us": 10_000_000}}
+SIZE = {"region_lost": "nordvik", "region_cut": "nordvik"}
--- a/tests/test_never.py
+++ b/tests/test_never.py
@@ -2,11 +2,9 @@
 import mutants
 import pytest
 
-from petrelhaven.drill.scene import SCENES
+from petrelhaven.drill.scene import NEEDS, SCENES, SIZE
 from petrelhaven.drill.storm import inside
 
-BOUNDS = {"overload": {"slots": 20}, "primary_lost": {"lag_us": 250_000}, "clock_alone": {"lag_us": 60_000}, "browsing_alone": {"stall_us": 10_000_000}}
-SIZE = {"region_lost": "nordvik", "region_cut": "nordvik"}
 BASE = {"clock_alone": ["no_hold"], "browsing_alone": ["no_hold"]}
 
 GUARDS = [
@@ -37,7 +35,7 @@
     try:
         for m in [*BASE.get(name, []), *without]:
             getattr(mutants, m)(mp)
-        return inside(SCENES[name], seed, SIZE.get(name, "small"), **BOUNDS.get(name, {}))
+        return inside(SCENES[name], seed, SIZE.get(name, "small"), **NEEDS.get(name, {}))
     finally:
         mp.undo()
 
