--- a/src/petrelhaven/span/keep.py
+++ b/src/petrelhaven/span/keep.py
@@ -46,6 +46,8 @@
         s.ver += 1
         end = self.clock.now() + 1_500_000
         while True:
+            if self.homes.get(s.sid) is not s:
+                raise Moving("the session is no longer at home here")
             if s.keeper is None or not self.alive(s.keeper):
                 was, s.keeper = s.keeper, self.elect(s)
                 if was:
