One lapse path, one switch for dark and stalled members; unused imports out

Read once more, no behaviour changed: giving an edge up ended in a copy of the lapse step, two storm faults differed in one word, five modules imported names they no longer use. Left as they are: the fault classes and test scaffolds that share only their shape.

--- a/src/petrelhaven/creed/reach.py
+++ b/src/petrelhaven/creed/reach.py
@@ -1,5 +1,5 @@
 """Calls by name: straight where the link holds, else through a third node that sees both."""
-from .fault import Fault, Late, Unreached, Unsent
+from .fault import Late, Unreached, Unsent
 
 __all__ = ["Reach"]
 
--- a/src/petrelhaven/drill/storm.py
+++ b/src/petrelhaven/drill/storm.py
@@ -134,21 +134,18 @@
         if not b.up:
             self.w.boot_member(n)
 
+    async def _switch(self, r, name, most):
+        m = self.w.members[self._member(r)].node
+        if m:
+            setattr(m, name, True)
+            await asyncio.sleep(r.uniform(0.3, most))
+            setattr(m, name, False)
+
     async def _member_dark(self, r):
-        b = self.w.members[self._member(r)]
-        if b.node:
-            m = b.node
-            m.dark = True
-            await asyncio.sleep(r.uniform(0.3, 5))
-            m.dark = False
+        await self._switch(r, "dark", 5)
 
     async def _member_stall(self, r):
-        b = self.w.members[self._member(r)]
-        if b.node:
-            m = b.node
-            m.stall = True
-            await asyncio.sleep(r.uniform(0.3, 6))
-            m.stall = False
+        await self._switch(r, "stall", 6)
 
     async def _member_drain(self, r):
         n = self._member(r)
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -2,7 +2,7 @@
 from transitions import Machine
 
 from ..creed.event import emit
-from ..creed.fault import Duplicate, Fault, Late, Malformed, NotHead, NotReady, Unsent
+from ..creed.fault import Duplicate, Fault, Malformed, NotReady
 from ..creed.reach import Reach
 from ..kith.probe import Prober
 from ..kith.roster import Roster
--- a/src/petrelhaven/helm/duty.py
+++ b/src/petrelhaven/helm/duty.py
@@ -1,6 +1,4 @@
 """The planning duty: done by the head alone, fenced by the epoch's number and the view."""
-import asyncio
-
 from ..creed.event import emit
 from ..creed.fault import Fault
 from .desk import LAPSE_US, LEASE_US
@@ -116,7 +114,7 @@
                 continue
             if e["state"] == "gone":
                 if not e.get("lapsed") and now - self._began > LAPSE_US:
-                    self._do(("edge", n), self._lapse(n, e["inc"]))
+                    self._do(("edge", n), self._lapse(n, e["inc"], self.chain.realm.seq))
                 continue
             born = self._born.setdefault((n, e["inc"]), now)
             if any(h != e["hall"] and now - t < _REKEEP_US for h, t in self._let_go.items()) or now - self._began < 300_000:
@@ -133,11 +131,10 @@
 
     async def _gone(self, n, inc, st):
         seq = await self.chain.enter({"t": "edge", "name": n, "inc": inc, "state": "gone", "cause": f"kith: {st}, no lease", "by": self.chain.me})
-        await self.desk.in_force(seq)
-        await self.chain.enter({"t": "lapse", "name": n, "inc": inc})
+        await self._lapse(n, inc, seq)
 
-    async def _lapse(self, n, inc):
-        await self.desk.in_force(self.chain.realm.seq)
+    async def _lapse(self, n, inc, seq):
+        await self.desk.in_force(seq)
         await self.chain.enter({"t": "lapse", "name": n, "inc": inc})
 
     def _do(self, key, co):
--- a/src/petrelhaven/span/edge.py
+++ b/src/petrelhaven/span/edge.py
@@ -5,7 +5,7 @@
 from transitions import Machine
 
 from ..creed.event import emit
-from ..creed.fault import Busy, Fault, Late, Leaving, Malformed, Moving, NoLease, NoSession, NotReady, Unsent, rebuild
+from ..creed.fault import Busy, Fault, Late, Malformed, Moving, NoLease, NoSession, NotReady, Unsent, rebuild
 from ..creed.reach import Reach
 from ..helm.manifest import Bounds
 from ..kith.probe import Prober
--- a/src/petrelhaven/span/troop.py
+++ b/src/petrelhaven/span/troop.py
@@ -1,5 +1,5 @@
 """One database group as an edge sees it: its epoch, its clock, and a post for each member."""
-from ..creed.fault import Fault, Unreached
+from ..creed.fault import Unreached
 from .clock import ReadClock
 from .pool import Pool
 from .tide import Tide
