Settings files change underneath us: checked whole, taken live or shown as waiting

Cause: settings were read once; a change on disk did nothing and nobody was told. Ruled out: a signal to reload (needs a hand on each machine). Before: a change was seen at the next restart only.

--- a/src/petrelhaven/creed/daemon.py
+++ b/src/petrelhaven/creed/daemon.py
@@ -3,12 +3,13 @@
 import signal
 import sys
 
-from .event import emit, logger
+from .event import emit, logger, turn_level
 from .face import Face
 from .fault import Misplaced
 from .link import Link
-from .settings import SettingsFault, load, seeds_from_stdin
+from .settings import SettingsFault, load, parser, seeds_from_stdin
 from .tick import Clock, Nest
+from .watch import Watch
 
 __all__ = ["Daemon", "say"]
 
@@ -29,6 +30,7 @@
         """The program; returns the exit code."""
         bad = []
         try:
+            argv = sys.argv[1:] if argv is None else argv
             self.set = load(self.prog, self.doc, self.core, argv)
         except* SettingsFault as g:
             bad = g.exceptions
@@ -36,8 +38,13 @@
             for e in bad:
                 print(f"{self.prog}: settings declined: {e}", file=sys.stderr)
             return 2
+        self._argv = argv
         self.log = logger(self.set.name, self.set.level)
         try:
+            if "--check" in argv:
+                self.check()
+                say(f"settings of {self.set.name} are good")
+                return 0
             return asyncio.run(self._run())
         except SettingsFault as e:
             emit(self.log, 105, note=str(e))
@@ -71,7 +78,9 @@
             node = self._make(self)
             await self.face.start()
             node.http = self.face.addr
+            self._node = node
             node.start()
+            self._mind(node)
             say(f"started name={self.set.name} link={self.link.addr} http={self.face.addr}")
             tell = self.nest.spawn(self._tell(node))
             await stop.wait()
@@ -86,6 +95,24 @@
     def prepare(self):
         """Checks what must be checked before listening."""
 
+    def check(self):
+        """Checks, for `--check`, what `prepare` would; changes nothing."""
+
+    def _mind(self, node):
+        path = parser(self.prog, self.doc, self.core).parse_args(self._argv).settings
+        if path:
+            w = Watch(self.clock, path, self.prog, self.doc, self.core, self._argv, self.set, self._turned, self.log)
+            node.settings = w.status
+            self.nest.spawn(w.run())
+
+    def _turned(self, field, v):
+        if field == "level":
+            turn_level(self.log, v)
+        elif field == "seeds" and v != "-":
+            self.seeds[:] = v
+        elif field == "platform":
+            self._node.duty.platform.turn(v)
+
     async def _tell(self, node):
         was = False
         while True:
--- a/src/petrelhaven/creed/event.py
+++ b/src/petrelhaven/creed/event.py
@@ -3,7 +3,7 @@
 
 import logbook
 
-__all__ = ["EVENTS", "emit", "logger"]
+__all__ = ["EVENTS", "emit", "logger", "turn_level"]
 
 EVENTS = {
     101: ("info", "node started", "none"),
@@ -11,6 +11,9 @@
     103: ("info", "node leaving", "none; it hands over and exits"),
     104: ("info", "node ended", "none"),
     105: ("error", "settings declined", "mend the field named"),
+    106: ("error", "settings change declined; the running settings stay", "mend the field named in the file"),
+    107: ("info", "settings change taken live", "none"),
+    108: ("warning", "settings change waits for a restart", "restart the node when it suits"),
     110: ("warning", "garbage on an internal port", "find who speaks to the port; the connection was closed"),
     111: ("warning", "internal message of another version", "finish the roll-out"),
     112: ("warning", "internal handler fault", "report with the fields"),
@@ -27,11 +30,14 @@
     307: ("warning", "change declined", "the operator was told why"),
     308: ("warning", "edge declared gone", "look at the machine if nobody restarted it"),
     309: ("info", "core state loaded from disk", "none"),
+    310: ("error", "chain formed anew at the operator's word", "read the disk-loss page"),
+    311: ("warning", "no frame from an edge while forming anew", "none; another node's may be as new"),
     320: ("info", "epoch", "read `tenet why`"),
     321: ("warning", "group halted", "read `tenet why`; writes are declined until a primary is elected"),
     322: ("warning", "no safe candidate", "bring a member of the in-sync set back"),
     323: ("warning", "platform declined or unreachable", "look at the platform; it is asked again"),
     324: ("info", "primary promoted", "none"),
+    325: ("warning", "promotion seen at the member before the platform answered", "look at the platform"),
     401: ("info", "lease held", "none"),
     402: ("warning", "lease lapsed; nothing is sent", "look at the links to the cores"),
     403: ("info", "change applied", "none"),
@@ -39,6 +45,7 @@
     410: ("info", "session taken over", "none"),
     411: ("info", "session handed over", "none"),
     412: ("warning", "session keeper changed", "none"),
+    413: ("warning", "session keeping put off", "none; it is tried again"),
     420: ("warning", "statement outcome unknown", "none; the visitor was told"),
     421: ("warning", "member connection lost", "look at the member if it recurs"),
     422: ("warning", "overload shed", "add edges or lower the load"),
@@ -52,10 +59,15 @@
 
 def logger(name, level="info"):
     """A log of numbered events on standard error for the node `name`."""
-    h = logbook.StreamHandler(sys.stderr, level=level.upper(), bubble=False,
+    h = logbook.StreamHandler(sys.stderr, level="DEBUG", bubble=False,
                               format_string="{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.channel} {record.message}")
     h.push_application()
-    return logbook.Logger(name)
+    return logbook.Logger(name, logbook.lookup_level(level.upper()))
+
+
+def turn_level(log, level):
+    """Sets the least level of a running log."""
+    log.level = logbook.lookup_level(level.upper())
 
 
 def emit(log, number, /, **fields):
--- a/src/petrelhaven/creed/link.py
+++ b/src/petrelhaven/creed/link.py
@@ -176,6 +176,9 @@
         except Fault as e:
             self.garbage += 1
             emit(self.log, 111 if isinstance(e, Unversed) else 110, fault=e.code, note=e.note)
+        except (TypeError, ValueError, KeyError, AttributeError) as e:
+            self.garbage += 1
+            emit(self.log, 110, fault="malformed", note=f"{k}: {type(e).__name__}")
 
     async def open(self, addr):
         """A new held connection to `addr`."""
--- a/src/petrelhaven/creed/settings.py
+++ b/src/petrelhaven/creed/settings.py
@@ -6,7 +6,7 @@
 
 from .bound import Word
 
-__all__ = ["Settings", "SettingsFault", "load"]
+__all__ = ["LIVE", "Settings", "SettingsFault", "load", "parser"]
 
 _ADDR = re.compile(r"(\d{1,3}\.){3}\d{1,3}:\d{1,5}")
 _NAME = re.compile(r"[a-z][a-z0-9-]{0,31}")
@@ -46,13 +46,15 @@
         self._seeds = v
 
 
+LIVE = ("level", "platform", "seeds")
 _STD = {"link": "127.0.0.1:0", "http": "127.0.0.1:0", "level": "info"}
 
 
 def parser(prog, doc, core):
     """The flags of a daemon."""
     p = argparse.ArgumentParser(prog=prog, description=doc, epilog="Exit codes: 0 left in order, 2 settings declined, 3 the data folder belongs to another node.")
-    p.add_argument("--settings", metavar="FILE", help="settings file (TOML); flags override it")
+    p.add_argument("--settings", metavar="FILE", help="settings file (TOML); flags override it; changes of level, platform and seeds are taken live")
+    p.add_argument("--check", action="store_true", help="check the settings and the data folder, change nothing, start nothing")
     p.add_argument("--name", help="this node's name")
     p.add_argument("--hall", help="the hall it stands in")
     p.add_argument("--link", metavar="IP:PORT", help="address for the system's own processes (port 0 picks one)")
@@ -70,12 +72,13 @@
     a = vars(parser(prog, doc, core).parse_args(argv))
     d = dict(_STD)
     f = a.pop("settings")
+    a.pop("check")
     bad = []
     if f:
         try:
             with open(f, "rb") as h:
                 d.update(tomllib.load(h))
-        except (OSError, tomllib.TOMLDecodeError) as e:
+        except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as e:
             raise ExceptionGroup("settings declined", [SettingsFault(f"settings: {e}")]) from None
     d.update({k: v for k, v in a.items() if v is not None})
     if isinstance(d.get("seeds"), str):
--- a/src/petrelhaven/creed/tick.py
+++ b/src/petrelhaven/creed/tick.py
@@ -43,7 +43,9 @@
             raise Late("horizon passed")
         finally:
             h.cancel()
-            if not keep and not f.done():
+            if f.done():
+                f.cancelled() or f.exception()
+            elif not keep:
                 f.cancel()
 
 
--- a/src/petrelhaven/crux.py
+++ b/src/petrelhaven/crux.py
@@ -1,32 +1,28 @@
 """crux: the core daemon."""
+import os
 import random
 import sys
-import time
 
 from .creed.daemon import Daemon
 from .creed.disk import Folder
-from .creed.event import emit
+from .creed.fault import Misplaced
 from .helm.core import Core
 from .helm.face import CoreFace, Platform
 from .helm.memory import Memory
+from .helm.relic import Relic
 
 __all__ = ["main"]
 
 
 def _make(d):
     s = d.set
-    core = Core(s.name, s.hall, d.seeds, d.clock, d.nest, d.link, Folder(s.data), random.SystemRandom(), Platform(s.platform),
-                time.time_ns() // 1_000_000, d.log)
+    core = Core(s.name, s.hall, d.seeds, d.clock, d.nest, d.link, Folder(s.data), random.SystemRandom(), Platform(s.platform), d.log)
     CoreFace(core, d.face)
     return core
 
 
 async def _leave(core):
-    emit(core.log, 103, name=core.name)
-    core.roster.left = True
-    for n in core.roster.living():
-        core.link.tell(core.roster.addr_of(n), "kith.ack", {"nonce": 0, "src": core.link.addr, "news": [core.roster.me()]})
-    emit(core.log, 104, name=core.name)
+    await core.drain()
 
 
 class _Crux(Daemon):
@@ -36,6 +32,13 @@
         Memory(f, self.set.name, random.SystemRandom(), self.log)
         f.close()
 
+    def check(self):
+        """Looks into the data folder, if there is one, without writing."""
+        if os.path.isdir(self.set.data):
+            relic = Relic(self.set.data)
+            if relic.name not in (None, self.set.name):
+                raise Misplaced(f"the data folder belongs to {relic.name}, not {self.set.name}")
+
 
 def main(argv=None):
     """Runs a core until it is told to stop."""
--- a/src/petrelhaven/verge.py
+++ b/src/petrelhaven/verge.py
@@ -1,7 +1,6 @@
 """verge: the edge daemon."""
 import random
 import sys
-import time
 
 from .creed.daemon import Daemon
 from .span.edge import Edge
@@ -13,7 +12,7 @@
 
 def _make(d):
     s = d.set
-    e = Edge(s.name, s.hall, d.seeds, d.clock, d.nest, d.link, random.SystemRandom(), Wire(d.clock, d.nest), time.time_ns() // 1_000_000, log=d.log)
+    e = Edge(s.name, s.hall, d.seeds, d.clock, d.nest, d.link, random.SystemRandom(), Wire(d.clock, d.nest), log=d.log)
     EdgeFace(e, d.face)
     return e
 
