Two disks lost: read what is left unconfirmed, form the chain anew by one command

Cause: with two disks lost control stayed away and the docs held a hand recipe that began all numbers anew. It is declined while a majority is left or a named core answers with its old disk. Ruled out: letting a lone core vote. Before: service away for good. Announcements and platform answers are checked field by field.

--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -1,4 +1,6 @@
 """A core machine: roster, voter, chain, lease desk and the planning duty put together."""
+import re
+
 from transitions import Machine
 
 from ..creed.event import emit
@@ -11,11 +13,14 @@
 from .duty import Duty
 from .manifest import read
 from .memory import Memory
+from .reform import Reform
 from .vote import Proposer, Voter
 
 __all__ = ["Core"]
 
 _MEND_US = 250_000
+_NAME = re.compile(r"[a-z][a-z0-9-]{0,31}")
+_ADDR = re.compile(r"[A-Za-z0-9.-]{1,64}:[A-Za-z0-9-]{1,32}")
 _FACTS = {"member": str, "group": str, "hall": str, "addr": str, "role": str, "log": int, "cap": int,
           "draining": bool, "boot": str, "store": str, "warm": bool, "term": int}
 
@@ -25,11 +30,11 @@
 
     states = ["outside", "joining", "chained"]
 
-    def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, inc, log=None):
+    def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, log=None):
         self.name, self.hall, self.seeds = name, hall, seeds
         self.clock, self.nest, self.link, self.rng, self.log = clock, nest, link, rng, log
         self.mem = Memory(disk, name, rng, log)
-        self.roster = Roster(clock, (name, "core", hall, link.addr, inc), log)
+        self.roster = Roster(clock, (name, "core", hall, link.addr, 0), log)
         self.reach = Reach(clock, link, self.roster, rng)
         self.prober = Prober(clock, link, nest, rng, self.roster, seeds)
         self.chain = Chain(clock, nest, self.mem, self.call, log)
@@ -38,6 +43,7 @@
         self.voter = Voter(self.mem)
         self._ask = Proposer(self.mem, self.call)
         self._infos = {}
+        self.settings = dict
         self._alone = clock.now()
         Machine(self, states=self.states, initial="outside", auto_transitions=False, transitions=[
             {"trigger": "knock", "source": "*", "dest": "joining"},
@@ -112,11 +118,12 @@
 
     async def _finish(self, v):
         try:
-            self._spread(await self._ask.change(v["ids"], lambda x: x or v))
+            self.spread(await self._ask.change(v["ids"], lambda x: x or v))
         except Fault:
             pass
 
-    def _spread(self, view):
+    def spread(self, view):
+        """Adopts a decided view and tells the other cores of it."""
         self.chain.adopt(view)
         for n in view["ids"]:
             if n != self.name:
@@ -129,7 +136,7 @@
             pass
 
     async def _consider(self):
-        infos = {r["name"]: r for _, r in self._infos.values() if r}
+        infos = {r["name"]: r for a, (_, r) in self._infos.items() if r and a in self.seeds}
         v = self.chain.view
         now = self.clock.now()
         if v is None:
@@ -143,7 +150,7 @@
             ids = {n: r["disk"] for n, r in sorted(infos.items())}
             new = {"n": 1, "chain": sorted(ids), "ids": ids, "cause": "first view", "by": self.name}
             emit(self.log, 302, n=1, cause="first view")
-            self._spread(await self._ask.change(ids, lambda x: x or new))
+            self.spread(await self._ask.change(ids, lambda x: x or new))
             return
         newest = self.mem.vote["value"]
         if newest and newest["n"] > v["n"] and self.name in newest["ids"]:
@@ -166,10 +173,10 @@
         cause = "; ".join(filter(None, ["lost " + ",".join(out) if out else "", "joined " + ",".join(join) if join else ""]))
         new = {"n": v["n"] + 1, "chain": chain, "ids": ids, "cause": cause, "by": self.name}
         emit(self.log, 302, n=new["n"], cause=cause)
-        self._spread(await self._ask.change(v["ids"], lambda x: new if x is None or x["n"] == v["n"] else x))
+        self.spread(await self._ask.change(v["ids"], lambda x: new if x is None or x["n"] == v["n"] else x))
 
     async def _edge(self, ch, b):
-        rec = {"t": "edge", "name": b["edge"], "inc": b["inc"], "state": b["state"], "hall": b["hall"],
+        rec = {"t": "edge", "name": b["edge"], "inc": b["inc"], "state": b["state"], "boot": b["boot"], "hall": b["hall"],
                "addr": b["addr"], "http": b["http"], "by": b["edge"]}
         try:
             return {"seq": (await self.enter(rec, False))["seq"]}
@@ -215,6 +222,28 @@
         r = await self.enter({"t": "hall", "hall": hall, "state": state, "by": by})
         return {"hall": hall, "state": state, "change": r["seq"], **r["doc"]}
 
+    async def reform(self, lost, by=""):
+        """Forms the chain anew without the disks of `lost`, at the operator's word."""
+        return await Reform(self, self.log).run(lost, by)
+
+    def unconfirmed(self):
+        """The control state as this core alone holds it: no majority says that it is the newest."""
+        return self.chain.realm.doc
+
+    async def drain(self, us=3_000_000):
+        """Leaves: says so, goes on until the others have put this core out of the view, or cannot."""
+        emit(self.log, 103, name=self.name)
+        end = self.clock.now() + us
+        self.roster.left = True
+        while self.clock.now() < end:
+            for n in self.roster.living():
+                self.link.tell(self.roster.addr_of(n), "kith.ack", {"nonce": 0, "src": self.link.addr, "news": [self.roster.me()]})
+            v = self.chain.view
+            if v is None or self.name not in v["chain"] or len(v["chain"]) <= len(v["ids"]) // 2 + 1:
+                break
+            await self.clock.sleep(100_000)
+        emit(self.log, 104, name=self.name)
+
     def announce(self, doc):
         """Takes a member's announcement after checking it."""
         if not isinstance(doc, dict):
@@ -222,8 +251,21 @@
         for k, t in _FACTS.items():
             if type(doc.get(k)) is not t:
                 raise Malformed(f"announcement field {k} must be {t.__name__}")
-        if doc["role"] not in ("primary", "replica") or doc["log"] < 0 or doc["cap"] < 1:
-            raise Malformed("announcement role, log or cap out of range")
+        if type(doc.get("beat", 0)) is not int:
+            raise Malformed("announcement field beat must be int")
+        for k in ("member", "group", "hall"):
+            if not _NAME.fullmatch(doc[k]):
+                raise Malformed(f"announcement field {k} must be a name")
+        if not _ADDR.fullmatch(doc["addr"]):
+            raise Malformed("announcement field addr must be an address")
+        if doc["role"] not in ("primary", "replica"):
+            raise Malformed("announcement field role must be primary or replica")
+        for k, lo, hi in (("log", 0, 1 << 53), ("term", 0, 1 << 53), ("cap", 1, 10_000), ("beat", 0, 1 << 53)):
+            if not lo <= doc.get(k, lo) <= hi:
+                raise Malformed(f"announcement field {k} must be from {lo} to {hi}")
+        old = self.duty.heard.get(doc["member"])
+        if old and old["doc"]["group"] != doc["group"] and self.clock.now() - old["at"] < 5_000_000:
+            raise Malformed(f"announcement field group must stay {old['doc']['group']} for {doc['member']}")
         self.duty.announce(doc)
 
     def belief(self):
@@ -237,7 +279,7 @@
     def status(self):
         """The belief and what the duty is waiting for."""
         now = self.clock.now()
-        return {**self.belief(), "ruling": self.chain.ruling, "active": self.chain.active, "head": self.chain.head,
+        return {**self.belief(), "settings": self.settings(), "ruling": self.chain.ruling, "active": self.chain.active, "head": self.chain.head,
                 "waiting": dict(self.duty.why) if self.chain.head else {}, "garbage": getattr(self.link, "garbage", 0),
                 "members": {m: {**h["doc"], "age_us": now - h["at"]} for m, h in sorted(self.duty.heard.items())}}
 
--- a/src/petrelhaven/helm/face.py
+++ b/src/petrelhaven/helm/face.py
@@ -18,7 +18,7 @@
         self._c = core
         self._herald = Herald(core.chain)
         for v, p, f in (("POST", "/announce", self._announce), ("POST", "/manifest", self._apply), ("GET", "/manifest", self._show),
-                        ("POST", "/halls/{hall}/{verb}", self._hall), ("GET", "/status", self._status), ("GET", "/why", self._why),
+                        ("POST", "/halls/{hall}/{verb}", self._hall), ("POST", "/reform", self._reform), ("GET", "/status", self._status), ("GET", "/why", self._why),
                         ("GET", "/belief", self._belief), ("GET", "/ready", self._ready), ("GET", "/realm", self._realm), ("GET", "/events", self._events)):
             face.on(v, p, f)
 
@@ -30,13 +30,21 @@
         return await self._c.apply(await req.text(), by=req.query.get("by", ""), retire=req.query.get("retire") == "true")
 
     async def _show(self, req):
-        d = await self._c.realm()
+        sure = req.query.get("unconfirmed") != "true"
+        d = await self._c.realm() if sure else self._c.unconfirmed()
         m = d["manifest"]
         if "version" in req.query:
             m = next((x for x in d["old"] + [m] if x and str(x["version"]) == req.query["version"]), None)
         if m is None:
             raise NoRoute("no such manifest")
-        return web.Response(body=m["text"].encode(), content_type="application/json")
+        return web.Response(body=m["text"].encode(), content_type="application/json", headers={"Confirmed-By-Majority": "yes" if sure else "no"})
+
+    async def _reform(self, req):
+        d = await body_of(req)
+        lost = d.get("lost") if isinstance(d, dict) else None
+        if not isinstance(lost, list) or not all(isinstance(x, str) for x in lost):
+            raise Malformed("lost must be a list of names of cores")
+        return await self._c.reform(lost, req.query.get("by", ""))
 
     async def _hall(self, req):
         verb = req.match_info["verb"]
@@ -87,6 +95,10 @@
         self._addr = addr
         self._http = None
 
+    def turn(self, addr):
+        """The platform stands at another address now."""
+        self._addr = addr
+
     async def promote(self, group, member, epoch, by):
         """Asks the platform to make `member` the primary of `group`, fenced by `epoch`."""
         if self._http is None:
@@ -96,6 +108,8 @@
                 d = await r.json()
         except (aiohttp.ClientError, OSError, ValueError, asyncio.TimeoutError):
             raise Unreached("platform") from None
+        if not isinstance(d, dict):
+            raise Malformed("platform answer must be an object")
         if r.status != 200:
             raise rebuild(d)
         return d
--- a/src/petrelhaven/helm/memory.py
+++ b/src/petrelhaven/helm/memory.py
@@ -12,8 +12,8 @@
 class Memory:
     """Every change is synced to the ring before the call returns."""
 
-    def __init__(self, disk, name, rng, log=None):
-        self.name, self.log = name, log
+    def __init__(self, disk, name, rng, log=None, keep=False):
+        self.name, self.log, self._any = name, log, keep
         self._rng = rng
         self._ring = Ring(disk)
         self.damaged = False
@@ -60,7 +60,9 @@
         for d in docs:
             t = d["t"]
             if t == "frame":
-                if d["name"] != self.name:
+                if self._any:
+                    self.name = d["name"]
+                elif d["name"] != self.name:
                     raise Misplaced(f"the data folder belongs to {d['name']}, not {self.name}")
                 self.disk, self.vote, self.done, self.mark = d["disk"], d["vote"], d["done"], d["mark"]
                 self.realm, self.recs = Realm(d["realm"]), []
--- /dev/null
+++ b/src/petrelhaven/helm/reform.py
@@ -0,0 +1,86 @@
+"""Forming the chain anew after a majority of the cores lost their disks: at the operator's word only."""
+import asyncio
+import copy
+
+from ..creed.event import emit
+from ..creed.fault import Fault, Malformed, NotReady, Racing
+
+__all__ = ["Reform"]
+
+_GAP_SEQ = 1_000_000
+_GAP = 1_000
+
+
+class Reform:
+    """Takes the newest control state that any living node holds and puts every number above all handed out before."""
+
+    def __init__(self, core, log=None):
+        self._c, self.log = core, log
+
+    async def run(self, lost, by=""):
+        """Forms the chain without the disks of the cores in `lost`; returns what was formed."""
+        c = self._c
+        v = c.chain.view or c.mem.vote["value"]
+        if v is None:
+            raise NotReady("this core knows no view to form anew")
+        ids = v["ids"]
+        odd = [n for n in lost if n not in ids]
+        if odd or not lost or c.name in lost or len(set(lost)) != len(lost):
+            raise Malformed("lost: must name other cores of the view, each once", more={"faults": [["lost", f"no core {n}"] for n in odd]})
+        if len(ids) - len(lost) > len(ids) // 2:
+            raise Racing("a majority of the disks is left; the chain mends itself", more={"ids": sorted(ids)})
+        infos = {}
+        for n in sorted(ids):
+            if n != c.name:
+                infos[n] = await self._info(n)
+        for n in lost:
+            if infos[n] is None:
+                raise NotReady(f"{n} does not answer; start it over an empty folder first")
+            if infos[n]["disk"] == ids[n]:
+                raise Racing(f"{n} answers with the disk that the view names; it is not lost")
+        frame, src = await self._newest(infos)
+        n = max([v["n"]] + [i["view"]["n"] for i in infos.values() if i and i["view"]]) + _GAP
+        frame = self._above(frame)
+        new = {n2: infos[n2]["disk"] if n2 in lost else d for n2, d in ids.items()}
+        chain = [c.name] + [x for x in sorted(ids) if x != c.name and infos[x]]
+        view = {"n": n, "chain": chain, "ids": new, "cause": "formed anew without " + ",".join(lost), "by": by or c.name}
+        emit(self.log, 310, n=n, seq=frame["seq"], src=src, lost=",".join(lost), by=by)
+        c.mem.reset(frame, n)
+        c.spread(view)
+        return {"view": n, "chain": chain, "change": frame["seq"], "from": src,
+                "manifest": frame["manifest"]["version"] if frame["manifest"] else 0}
+
+    async def _info(self, n):
+        for _ in range(5):
+            try:
+                return await self._c.call(n, "view.ask", {"name": self._c.name}, 800_000)
+            except Fault:
+                await self._c.clock.sleep(100_000)
+        return None
+
+    async def _newest(self, infos):
+        c = self._c
+        edges = c.roster.living("edge")
+        got = await asyncio.gather(*[self._frame(n) for n in edges])
+        best, src = c.chain.realm.frame(), c.name
+        for n, f in zip(edges, got):
+            if f and f["seq"] > best["seq"]:
+                best, src = f, n
+        return best, src
+
+    async def _frame(self, n):
+        try:
+            return (await self._c.reach.call(n, "edge.frame", {"name": self._c.name}, 1_500_000))["frame"]
+        except Fault as e:
+            emit(self.log, 311, node=n, fault=e.code)
+            return None
+
+    @staticmethod
+    def _above(frame):
+        f = copy.deepcopy(frame)
+        f["seq"] += _GAP_SEQ
+        for g, e in f["epochs"].items():
+            e["n"] += _GAP
+            e["cause"] = f"control was formed anew; before: {e['cause']}"
+            f["past"].setdefault(g, []).append({**f["past"][g][-1], "n": e["n"], "cause": e["cause"], "seq": f["seq"]})
+        return f
--- a/src/petrelhaven/tenet.py
+++ b/src/petrelhaven/tenet.py
@@ -4,8 +4,10 @@
 import json
 import sys
 
-from .creed.fault import Fault, Late, Unreached, Unsent
+from .creed.fault import Fault, Late, Malformed, NoRoute, Unreached, Unsent
 from .creed.http import fetch
+from .helm.manifest import read
+from .helm.relic import Relic
 
 __all__ = ["main"]
 
@@ -13,7 +15,7 @@
 def _parser():
     p = argparse.ArgumentParser(prog="tenet", description="Drives a petrelhaven fleet.",
                                 epilog="Exit codes: 0 done, 1 declined, 2 wrong call, 3 nobody answered, 4 the outcome is not known (read back with show).")
-    p.add_argument("--core", required=True, metavar="IP:PORT,...", help="HTTP addresses of cores, tried in order")
+    p.add_argument("--core", default="", metavar="IP:PORT,...", help="HTTP addresses of cores, tried in order")
     p.add_argument("--by", default="", help="who asks, kept with the change")
     sub = p.add_subparsers(dest="verb", required=True)
     a = sub.add_parser("apply", help="apply a whole manifest; returns once it is in force")
@@ -21,6 +23,13 @@
     a.add_argument("--retire", action="store_true", help="allow served groups to be left out")
     s = sub.add_parser("show", help="read the newest acknowledged manifest back, byte for byte")
     s.add_argument("--version", type=int, help="an older version")
+    s.add_argument("--unconfirmed", action="store_true", help="what one core alone holds, when no majority is left to confirm it")
+    k = sub.add_parser("check", help="check a manifest without a fleet; names every fault by path, changes nothing")
+    k.add_argument("file", help="the manifest (JSON), - for standard input")
+    g = sub.add_parser("salvage", help="read the manifest out of a core's data folder without changing it; no majority confirms it")
+    g.add_argument("folder")
+    r = sub.add_parser("reform", help="form the chain anew after a majority of the cores lost their disks; asks the first --core")
+    r.add_argument("--lost", required=True, metavar="NAME,...", help="the cores whose disks are lost for good; they must run over empty folders")
     for v, h in (("evacuate", "empty a hall"), ("restore", "take a hall back")):
         x = sub.add_parser(v, help=h)
         x.add_argument("hall")
@@ -57,19 +66,47 @@
     raise ExceptionGroup("no core serves", seen)
 
 
+def _text(file):
+    if file == "-":
+        return sys.stdin.read()
+    with open(file, encoding="utf-8") as h:
+        return h.read()
+
+
+_UNSURE = "tenet: NOT confirmed by a majority of the cores; a newer one may have been acknowledged"
+
+
 async def _run(a, out):
+    if a.verb == "check":
+        m = read(_text(a.file))
+        out(f"manifest {m.name} version {m.version} is good: {len(m.groups)} groups, {len(m.routes)} routes, {len(m.halls)} halls")
+        return
+    if a.verb == "salvage":
+        r = Relic(a.folder)
+        if r.realm.doc["manifest"] is None:
+            raise NoRoute(f"{a.folder} holds no manifest")
+        print(f"{_UNSURE} (folder of {r.name}, change {r.realm.seq})", file=sys.stderr)
+        sys.stdout.write(r.realm.doc["manifest"]["text"])
+        return
+    if not a.core:
+        raise Malformed("--core: missing")
     cs = a.core.split(",")
     by = f"?by={a.by}" if a.by else "?"
     if a.verb == "apply":
-        text = sys.stdin.read() if a.file == "-" else open(a.file, encoding="utf-8").read()
+        text = _text(a.file)
         r = await _any(cs, True, "POST", f"/manifest{by}&retire={'true' if a.retire else 'false'}", data=text.encode())
         out(f"version {r['version']} is in force (change {r['change']}, {r['in_force_us'] / 1e6:.3f} s)")
     elif a.verb == "show":
-        q = f"?version={a.version}" if a.version is not None else ""
+        q = f"?unconfirmed={'true' if a.unconfirmed else 'false'}" + (f"&version={a.version}" if a.version is not None else "")
+        if a.unconfirmed:
+            print(_UNSURE, file=sys.stderr)
         sys.stdout.buffer.write(await _any(cs, False, "GET", f"/manifest{q}", raw=True))
     elif a.verb in ("evacuate", "restore"):
         r = await _any(cs, True, "POST", f"/halls/{a.hall}/{a.verb}{by}")
         out(f"hall {r['hall']} is {r['state']} (change {r['change']}, {r['in_force_us'] / 1e6:.3f} s)")
+    elif a.verb == "reform":
+        r = await _any(cs[:1], True, "POST", f"/reform{by}", doc={"lost": a.lost.split(",")})
+        out(f"view {r['view']}: {' > '.join(r['chain'])}; change {r['change']}, manifest {r['manifest']}, state taken from {r['from']}")
     elif a.verb == "status":
         if a.node:
             out(json.dumps(await fetch(a.node, "GET", "/status"), indent=1))
@@ -86,6 +123,9 @@
 
 def _status(s, out):
     v = s["view"]
+    for k, x in (("waiting", s["settings"].get("waiting")), ("declined", s["settings"].get("declined"))):
+        if x:
+            out(f"{s['name']}: settings {k}: {'; '.join(x)}")
     out(f"{s['name']}: {s['state']}{', head' if s['head'] else ''}{', ruling' if s['ruling'] else ''}; change {s['seq']} (committed {s['commit']}), manifest {s['manifest']}"
         + (f"; view {v['n']}: {' > '.join(v['chain'])}" if v else ""))
     if s["head"]:
