--- a/src/petrelhaven/feint/main.py
+++ b/src/petrelhaven/feint/main.py
@@ -9,9 +9,11 @@
 from ..creed.daemon import say
 from ..creed.face import Face, body_of
 from ..creed.fault import Fenced, Unreached
+from ..creed.http import fetch
 from ..creed.tick import Clock, Nest
 from .member import Member
 from .platform import PlatformLogic
+from .usher import Usher
 
 __all__ = ["main"]
 
@@ -71,11 +73,27 @@
         b = await body_of(req)
         logic.decline = bool(b.get("decline", logic.decline))
         logic.slow_us = int(b.get("slow_us", logic.slow_us))
+        logic.unanswered = int(b.get("unanswered", logic.unanswered))
         return {"ok": True}
 
     async def calls(req):
         return {"calls": logic.calls}
-    for v, path, fn in (("POST", "/members", register), ("POST", "/promote", promote), ("POST", "/feint", switch), ("GET", "/calls", calls)):
+    edges = []
+
+    async def enroll(req):
+        edges[:] = (await body_of(req))["edges"]
+        return {"ok": True}
+
+    async def ready(addr):
+        await fetch(addr, "GET", "/ready", us=500_000, http=http)
+        return True
+    usher = Usher(clock, nest, lambda: edges, ready, None, None)
+    nest.spawn(usher.run())
+
+    async def route(req):
+        return {"edge": usher.pick()}
+    for v, path, fn in (("POST", "/members", register), ("POST", "/promote", promote), ("POST", "/feint", switch), ("GET", "/calls", calls),
+                        ("POST", "/edges", enroll), ("GET", "/route", route)):
         face.on(v, path, fn)
     say(f"started name=platform http={await face.start()}")
     await logic.tend()
--- a/src/petrelhaven/feint/platform.py
+++ b/src/petrelhaven/feint/platform.py
@@ -17,9 +17,17 @@
         self.calls = []
         self.decline = False
         self.slow_us = 0
+        self.unanswered = 0
 
     async def promote(self, group, member, epoch, by):
-        """Makes `member` the primary of `group`."""
+        """Makes `member` the primary of `group`; with `unanswered`, it takes effect and nobody is told."""
+        r = await self._promote(group, member, epoch, by)
+        if self.unanswered:
+            self.unanswered -= 1
+            await self.clock.sleep(3_600_000_000)
+        return r
+
+    async def _promote(self, group, member, epoch, by):
         if self.decline:
             raise NotReady("the platform declines for now")
         if self.slow_us:
