--- a/src/petrelhaven/drill/cut.py
+++ b/src/petrelhaven/drill/cut.py
@@ -1,21 +1,28 @@
-"""Runs a shipped daemon with links that can be cut: `cut ADDR,…` and `heal` on its standard input."""
+"""Runs a shipped daemon with ways that can be cut and take their time.
+
+Lines on its standard input: `cut ADDR,…` and `heal` for the ways of its links, `far MICROSECONDS ADDR,…` for how long
+one way to those addresses takes, links and members alike.
+"""
 import asyncio
 import sys
 import threading
 
+from .. import crux, verge
 from ..creed import daemon
 from ..creed.fault import Unsent
 from ..creed.link import Link
+from ..span.wire import Wire
 
 __all__ = ["main"]
 
+_CUT, _FAR = set(), {}
+
 
 class _CutLink(Link):
-    """A link whose ways to some addresses swallow everything, in both directions."""
+    """A link whose ways to some addresses swallow everything, and to others take a while, in both directions."""
 
     def __init__(self, *a, **kw):
         super().__init__(*a, **kw)
-        self._cut = set()
         self._ear = None
 
     def _listen(self):
@@ -26,35 +33,72 @@
 
     def _hear(self, loop):
         for line in sys.stdin:
-            verb, _, rest = line.strip().partition(" ")
-            loop.call_soon_threadsafe(self._turn, set(rest.split(",")) if verb == "cut" else set())
+            loop.call_soon_threadsafe(self._turn, *line.split())
+
+    def _turn(self, verb, *rest):
+        if verb == "far":
+            _FAR.update(dict.fromkeys(rest[1].split(","), int(rest[0])))
+        else:
+            _CUT.clear()
+            _CUT.update(rest[0].split(",") if rest else ())
+        daemon.say(f"{ {'cut': 'cut', 'heal': 'healed', 'far': 'far'}[verb]} from={self.addr}")
+
+    async def start(self):
+        """Listens, to standard input too once the seeds are read."""
+        a = await super().start()
+        if "-" not in sys.argv:
+            self._listen()
+        return a
 
-    def _turn(self, addrs):
-        self._cut = addrs
-        daemon.say(f"{'cut' if addrs else 'healed'} from={self.addr}")
+    def _way(self, addr, fn):
+        last = 0
+
+        def go(raw):
+            nonlocal last
+            if addr in _CUT:
+                return
+            us = _FAR.get(addr, 0)
+            if not us and last <= self.clock.now():
+                fn(raw)
+                return
+            last = max(last + 1, self.clock.now() + us)
+            self.clock.later(last - self.clock.now(), lambda: fn(raw))
+        return go
 
     async def open(self, addr):
         """A channel that falls silent while its way is cut."""
         self._listen()
-        if addr in self._cut:
+        if addr in _CUT:
             await self.clock.sleep(1_000_000)
             raise Unsent(addr)
         c = await super().open(addr)
-        send, feed = c._send, c.feed
-        c._send = lambda raw: None if addr in self._cut else send(raw)
-        c.feed = lambda raw: None if addr in self._cut else feed(raw)
+        c._send, c.feed = self._way(addr, c._send), self._way(addr, c.feed)
         return c
 
     def tell(self, addr, kind, body):
         """One telling, swallowed while the way is cut."""
-        if addr not in self._cut:
-            super().tell(addr, kind, body)
+        if addr not in _CUT:
+            self.clock.later(_FAR.get(addr, 0), lambda: super(_CutLink, self).tell(addr, kind, body))
+
+
+class _FarWire(Wire):
+    """A wire to members that stand in other halls."""
+
+    async def post(self, http, addr, path, doc, us):
+        """One exchange, later by the way there and back."""
+        d = _FAR.get(addr, 0)
+        if d:
+            await self.clock.sleep(d)
+        r = await super().post(http, addr, path, doc, us)
+        if d:
+            await self.clock.sleep(d)
+        return r
 
 
 def main():
     """`python -m petrelhaven.drill.cut crux|verge FLAGS`."""
-    from .. import crux, verge
     daemon.Link = _CutLink
+    verge.Wire = _FarWire
     {"crux": crux, "verge": verge}[sys.argv[1]].main(sys.argv[2:])
 
 
--- a/src/petrelhaven/drill/fleet.py
+++ b/src/petrelhaven/drill/fleet.py
@@ -11,11 +11,25 @@
 from ..creed.fault import Fault
 from ..creed.http import fetch
 from ..creed.tick import Clock, Nest
+from ..feint.usher import Usher
 from .check import check
 from .visitor import Visitor
 from .world import SIZES, manifest
 
-__all__ = ["Fleet", "Proc"]
+__all__ = ["Fleet", "Proc", "until"]
+
+
+async def until(fn, secs):
+    """Asks until `fn` answers truly; returns the answer."""
+    clock = Clock()
+
+    async def go():
+        while True:
+            r = await fn()
+            if r:
+                return r
+            await clock.sleep(50_000)
+    return await asyncio.wait_for(go(), secs)
 
 
 class Proc:
@@ -72,6 +86,15 @@
         if self.p.returncode is None:
             os.kill(self.p.pid, s)
 
+    def burnt(self):
+        """Processor seconds used so far."""
+        try:
+            with open(f"/proc/{self.p.pid}/stat", encoding="ascii") as h:
+                row = h.read().rsplit(")", 1)[1].split()
+            return (int(row[11]) + int(row[12])) / os.sysconf("SC_CLK_TCK")
+        except (OSError, IndexError):
+            return 0.0
+
     async def end(self, s=signal.SIGTERM, secs=20):
         """Signals and waits for the exit code."""
         self.poke(s)
@@ -105,6 +128,7 @@
         self.procs = {}
         self.hist, self.visitors = [], []
         self.nest, self.clock = Nest(), Clock()
+        self._burnt = {}
         self.loop = None
 
     def _proc(self, name, *argv):
@@ -160,6 +184,45 @@
         await self.apply(self.manifest)
         await asyncio.gather(*[e._p.mark("ready") for e in self.edges])
         await self.until(self._settled, 20)
+        self.usher = Usher(self.clock, self.nest, lambda: [e._p.name for e in self.edges], self._is_ready, self._warned, self._taken)
+        self.nest.spawn(self.usher.run())
+
+    async def apart(self):
+        """Makes ways between halls as long as the deployment's; the fleet must have been started with `cuts`."""
+        us = self.z["apart_us"] // 2
+        for n, p in self.procs.items():
+            if n[0] in "ce":
+                far = [q.facts[k] for m, q in self.procs.items() if m != "platform" and self.hall_of(m) != self.hall_of(n)
+                       for k in (("link",) if m[0] in "ce" else ("http",))]
+                p.marks.pop("far", None)
+                p.tell(f"far {us} {','.join(far)}")
+                await p.mark("far", 5)
+
+    def hall_of(self, name):
+        """The hall a process stands in."""
+        argv = self.procs[name].argv
+        return argv[argv.index("--hall") + 1]
+
+    async def _is_ready(self, name):
+        p = self.procs[name]
+        await fetch(p.facts["http"], "GET", "/ready", http=self.http, us=500_000)
+        return True
+
+    async def _warned(self, name):
+        p = self.procs[name]
+        p.poke(signal.SIGTERM)
+        await p.p.wait()
+
+    async def _taken(self, name):
+        await self.procs[name].end(signal.SIGKILL)
+
+    def route(self):
+        """The edge that the platform sends the next new connection to, or None."""
+        try:
+            n = self.usher.pick()
+        except Fault:
+            return None
+        return next(e for e in self.edges if e._p.name == n)
 
     async def _settled(self):
         s = await self.head()
@@ -177,13 +240,7 @@
 
     async def until(self, fn, secs):
         """Asks until `fn` answers truly; returns the answer."""
-        async def go():
-            while True:
-                r = await fn()
-                if r:
-                    return r
-                await self.clock.sleep(50_000)
-        return await asyncio.wait_for(go(), secs)
+        return await until(fn, secs)
 
     async def apply(self, text):
         """Applies a manifest through whichever core answers."""
@@ -212,6 +269,26 @@
         p.argv = argv
         return await p.start()
 
+    def burnt(self):
+        """Processor seconds by program, of processes that are up and of those that ended."""
+        out = dict(self._burnt)
+        for n, p in self.procs.items():
+            if p.p and p.p.returncode is None:
+                k = self._kind(n)
+                out[k] = out.get(k, 0) + p.burnt()
+        return out
+
+    @staticmethod
+    def _kind(n):
+        return {"c": "crux", "e": "verge", "g": "feint member"}.get(n[0], "feint platform")
+
+    async def stop(self, name, s=signal.SIGKILL):
+        """Ends a process, its processor time counted."""
+        p = self.procs[name]
+        k = self._kind(name)
+        self._burnt[k] = self._burnt.get(k, 0) + p.burnt()
+        return await p.end(s)
+
     async def ask(self, edge, fn, us):
         """A visitor's exchange with an edge."""
         return await asyncio.wait_for(fn(edge), us / 1e6 + 1)
--- a/src/petrelhaven/drill/main.py
+++ b/src/petrelhaven/drill/main.py
@@ -13,6 +13,8 @@
 from .fleet import Fleet
 from .measure import MEASURES
 from .scene import NEEDS, SCENES, SIZE
+from .soak import KINDS as SOAKS
+from .soak import play
 from .storm import KINDS, inside, run, schedule, shrink, told
 
 __all__ = ["main"]
@@ -29,6 +31,12 @@
     f.add_argument("--faults", default="", help="comma list of crash (a primary), edge (kill -9), core (kill -9 of the head), freeze (an edge), drain (SIGTERM an edge)")
     f.add_argument("--hold", action="store_true", help="after the load, keep the fleet up until interrupted")
     f.add_argument("--dir", help="folder for data and logs (a new temporary one)")
+    k = sub.add_parser("soak", help="a deployment at full size as processes: the brief's load, a seeded schedule of faults, a checked history")
+    k.add_argument("--size", choices=("nordvik", "archivo", "small"), default="nordvik")
+    k.add_argument("--seed", type=int, default=1)
+    k.add_argument("--seconds", type=float, default=120)
+    k.add_argument("--kinds", default="", help="comma list of " + ", ".join(SOAKS))
+    k.add_argument("--dir", help="folder for data and logs (a new temporary one)")
     w = sub.add_parser("sweep", help="many seeded storms in virtual time; prints each violating seed with a shrunk schedule")
     w.add_argument("--seeds", default="0-100", metavar="A-B")
     w.add_argument("--size", choices=("nordvik", "archivo", "small"), default="small")
@@ -142,6 +150,8 @@
     try:
         if a.verb == "fleet":
             sys.exit(asyncio.run(_fleet(a)))
+        if a.verb == "soak":
+            play(a)
         sys.exit({"sweep": _sweep, "scene": _scene, "measure": lambda a: MEASURES[a.what]()}[a.verb](a))
     except KeyboardInterrupt:
         sys.exit(0)
--- a/src/petrelhaven/drill/storm.py
+++ b/src/petrelhaven/drill/storm.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import random
+import traceback
 
 from ..creed.fault import Fault
 from ..rift import differences
@@ -13,22 +14,15 @@
 KINDS = ["edge_kill", "edge_freeze", "edge_drain", "core_kill", "core_freeze", "core_disk", "core_torn", "core_all", "member_kill", "member_store",
          "member_dark", "member_stall", "member_drain", "unanswered", "cut_two", "cut_one", "isolate", "vanish", "platform", "operators",
          "hall", "noise"]
-_EDGE = {"edge_kill", "edge_freeze", "edge_drain", "vanish", "isolate"}
-_APART = ((_EDGE, 9.0), ({"member_store", "vanish"}, 12.0),
-          ({"core_disk", "core_torn", "core_all", "vanish", "core_kill", "core_freeze"}, 7.0))
 
 
 def schedule(seed, count=6, kinds=None, span=25.0):
     """Rows of (at second, kind, pick): what will happen."""
     r = random.Random(seed * 7919 + 17)
     out, t = [], 1.0
-    calm = {}
     for _ in range(count):
         t += r.uniform(0.2, 2 * span / count)
         k = r.choice(kinds or KINDS)
-        mine = [(i, gap) for i, (group, gap) in enumerate(_APART) if k in group]
-        t = max([t] + [calm.get(i, -99) + gap for i, gap in mine])
-        calm.update({i: t for i, _ in mine})
         out.append((round(t, 3), k, r.randrange(1 << 30)))
     return out
 
@@ -43,6 +37,33 @@
         self.tasks = []
         self.acked = []
         self.emptying = False
+        self.hit = {}
+        self.skipped = 0
+
+    def _whole(self):
+        """No way is cut, every edge serves and every session has all the keepers it may have."""
+        if any(self.w.net.cuts.values()):
+            return False
+        up = [b for b in self.w.edges if b.up and not b.frozen and b.node.ready]
+        return len(up) == len(self.w.edges) and all(
+            s.sure and len(s.keepers) >= 2 and all(b.node.control.lives(k) for k in s.keepers) for b in up for s in b.node.homes.values())
+
+    def _may(self, *halls):
+        """A third hall's edges are hit only once the fleet is whole again: three may be all who hold a session."""
+        now = self.w.loop.time()
+        if self._whole():
+            self.hit = {h: t for h, t in self.hit.items() if now - t < 0.5}
+        if len({*self.hit, *halls}) > 2:
+            self.skipped += 1
+            return False
+        self.hit.update({h: now for h in halls})
+        return True
+
+    def _disk_may_go(self, b):
+        """A disk is lost only while the newest view counts on every other core's disk: of two lost, no majority is left."""
+        vs = [c.node.chain.view for c in self.w.cores if c.node and c.node.chain.view]
+        v = max(vs, key=lambda v: v["n"], default=None)
+        return v is not None and all(c.node and v["ids"].get(c.name) == c.node.mem.disk for c in self.w.cores if c is not b)
 
     def go(self, kind, pick):
         """Starts one fault."""
@@ -50,17 +71,21 @@
 
     async def _edge_kill(self, r):
         b = r.choice(self.w.edges)
+        if not self._may(b.hall):
+            return
         b.kill()
         await asyncio.sleep(r.uniform(0.1, 5))
         if not b.up:
             self.w.boot_edge(b)
 
     async def _edge_freeze(self, r):
-        r.choice(self.w.edges).freeze(int(r.uniform(0.2, 7) * 1e6))
+        b = r.choice(self.w.edges)
+        if self._may(b.hall):
+            b.freeze(int(r.uniform(0.2, 7) * 1e6))
 
     async def _edge_drain(self, r):
         b = r.choice(self.w.edges)
-        if b.node is None:
+        if b.node is None or not self._may(b.hall):
             return
         life = b.life
         t = b.nest.spawn(b.node.drain())
@@ -95,6 +120,8 @@
 
     async def _core_disk(self, r):
         b = r.choice(self.w.cores)
+        if not self._disk_may_go(b):
+            return
         b.kill()
         b.disk.lose()
         await asyncio.sleep(r.uniform(0.1, 4))
@@ -183,11 +210,15 @@
 
     async def _isolate(self, r):
         a = r.choice(self.w.z["halls"])
+        if not self._may(a):
+            return
         rest = [n for h in self.w.z["halls"] if h != a for n in self._in(h)] + ["platform"]
         self.w.net.cut(self._in(a), rest, int(r.uniform(1, 9) * 1e6))
 
     async def _vanish(self, r):
         a = r.choice(self.w.z["halls"])
+        if not self._may(a):
+            return
         bs = [b for b in self.w.net.boxes.values() if b.hall == a and b.up]
         nodes = {b.name: b.node for b in bs}
         for b in bs:
@@ -365,6 +396,8 @@
             return await play(w, rows if rows is not None else schedule(seed, count, kinds), visitors)
         except AssertionError as e:
             return [("stuck", str(e))] + w.net.findings
+        except Exception as e:
+            return [("code", repr(e), traceback.format_exc()[-600:])] + w.net.findings
     return inside(go, seed, size, **bounds)
 
 
--- a/src/petrelhaven/drill/visitor.py
+++ b/src/petrelhaven/drill/visitor.py
@@ -71,6 +71,7 @@
         """The visitor's life."""
         try:
             while self.sid is None and not self.stop:
+                self.at = self.w.route()
                 try:
                     self.sid = (await self._call(lambda e: e.open_session()))["session"]
                 except Fault:
--- a/src/petrelhaven/drill/world.py
+++ b/src/petrelhaven/drill/world.py
@@ -6,6 +6,7 @@
 from ..creed.fault import Fault, MemberFault, Unreached, Unsent
 from ..feint.platform import PlatformLogic
 from ..feint.store import Store, Unanswered, _Stop
+from ..feint.usher import Usher
 from ..helm.core import Core
 from ..span.edge import Edge
 from ..span.wire import raise_first
@@ -119,7 +120,6 @@
         self.lag_us = self.z["lag_us"] if lag_us is None else lag_us
         self.vary, self.bounds = vary, bounds
         self.hist, self.visitors = [], []
-        self.incs = 0
         hs = self.z["halls"]
         self.cores = [Box(self.net, f"c{i + 1}", hs[i], self._rate()) for i in range(3)]
         self.edges = [Box(self.net, f"e{i + 1}", hs[i % 3], self._rate()) for i in range(self.z["edges"])]
@@ -147,17 +147,15 @@
     def boot_core(self, b):
         """Powers a core on."""
         b.boot()
-        self.incs += 1
         b.node = Core(b.name, b.hall, self.seeds, b.clock, b.nest, b.link, b.disk, random.Random(self.rng.random()),
-                      _SimPlatform(self, b), self.incs, b.log)
+                      _SimPlatform(self, b), b.log)
         b.node.start()
 
     def boot_edge(self, b):
         """Powers an edge on."""
         b.boot()
-        self.incs += 1
         b.node = Edge(b.name, b.hall, self.seeds, b.clock, b.nest, b.link, random.Random(self.rng.random()), SimWire(self.net, b),
-                      self.incs, f"sim:{b.name}", b.log, self.vary)
+                      f"sim:{b.name}", b.log, self.vary)
         b.node.start()
 
     def boot_member(self, n, keep=None):
@@ -241,6 +239,8 @@
         self.plat.nest.spawn(self.plat.node.tend())
         self.out.boot()
         self.out.node = True
+        self.usher = Usher(self.plat.clock, self.plat.nest, lambda: [b.name for b in self.edges], self._ready, self._warn, self._take)
+        self.plat.nest.spawn(self.usher.run())
         for b in self.cores:
             self.boot_core(b)
         for n in self.members:
@@ -254,6 +254,31 @@
                                      for e in self.head_epochs().values()) and len(self.head_epochs()) == self.z["groups"], 15, "epochs settled")
         self.loop.create_task(self._watch())
 
+    async def _ready(self, name):
+        b = self.net.boxes[name]
+
+        async def there():
+            if b.node is None:
+                raise Unsent(name)
+            return b.node.ready
+        return await self.net.trip(self.plat, b, there, 500_000)
+
+    async def _warn(self, name):
+        b = self.net.boxes[name]
+        if b.node is not None:
+            t = b.nest.spawn(b.node.drain())
+            await asyncio.wait([t])
+
+    async def _take(self, name):
+        self.net.boxes[name].kill()
+
+    def route(self):
+        """The edge that the platform sends the next new connection to, or None."""
+        try:
+            return self.net.boxes[self.usher.pick()]
+        except Fault:
+            return None
+
     def head_epochs(self):
         """Epochs as the core with the newest state holds them."""
         cs = [c.node for c in self.cores if c.node]
