--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import struct
 import subprocess
@@ -12,9 +13,13 @@
 from petrelhaven.creed.contract import CALL, pack
 from petrelhaven.creed.fault import Fault
 from petrelhaven.creed.http import fetch
+from petrelhaven.drill.fleet import until
 from petrelhaven.drill.world import manifest
 
 
+pytestmark = pytest.mark.xdist_group("programs")
+
+
 async def code(addr, verb, path, **kw):
     try:
         return 200, await fetch(addr, verb, path, **kw)
@@ -61,7 +66,7 @@
         assert await poke(b"GET / HTTP/1.1\r\n\r\n") == b""
         assert await poke(struct.pack(">HI", 0x7E7A, 1 << 30)) == b""
         newer = bytearray(pack("creed.belief", CALL, 5, {"who": "x"}))
-        newer[0] = 4
+        newer[0] = 6
         assert b"version" in await poke(struct.pack(">HI", 0x7E7A, len(newer)) + bytes(newer))
         assert await code(e["http"], "POST", at, data=b"\xff\xfe") == (400, "malformed")
         assert await code(f.cores[0], "POST", "/manifest", data=b"\xff\xfe") == (400, "malformed")
@@ -149,6 +154,103 @@
     assert (rc, out) == (3, "") and "belongs to c1" in err
 
 
+def test_a_settings_file_changes_underneath_a_running_daemon(tmp_path):
+    s = tmp_path / "s.toml"
+    good = 'name = "%s"\nhall = "a"\nseeds = ["127.0.0.1:1", "127.0.0.1:2"]\n'
+    core = good % "c1" + f'data = "{tmp_path}/d"\nplatform = "127.0.0.1:9"\n'
+
+    def put(text):
+        s.write_text(text)
+
+    async def start(prog, text):
+        put(text)
+        p = await asyncio.create_subprocess_exec(sys.executable, "-m", f"petrelhaven.{prog}", "--settings", str(s),
+                                                 stdout=subprocess.PIPE, stderr=open(tmp_path / "log", "ab"))
+        return p, (await p.stdout.readline()).decode().split("http=")[1].strip()
+
+    async def told(http, waiting, declined):
+        async def seen():
+            x = (await fetch(http, "GET", "/status"))["settings"]
+            return x["waiting"] == waiting and bool(x["declined"]) == bool(declined) and all(w in "".join(x["declined"]) for w in declined)
+        await until(seen, 10)
+
+    async def go(prog, text, new, field):
+        p, http = await start(prog, text)
+        put(text.replace('hall = "a"', 'hall = "b"') + 'level = "error"\n')
+        await told(http, ["hall"], [])
+        for bad, why in (("", ["name: missing"]), (text[:30], ["settings:"]), (text + "colour = 3\n", ["colour: unknown field"]), ("\xff" * 9, ["settings:"])):
+            put(bad)
+            await told(http, ["hall"], why)
+            assert (await fetch(http, "GET", "/belief"))["name"] == text.split('"')[1]
+        s.unlink()
+        await told(http, ["hall"], ["settings:"])
+        put(text + 'level = "info"\n')
+        await told(http, [], [])
+        put(new)
+        await told(http, [], [])
+
+        async def live():
+            return f"E107 settings change taken live fields={field}" in (tmp_path / "log").read_text()
+        await until(live, 10)
+        assert "E106" in (tmp_path / "log").read_text()
+        put("nonsense")
+        p.terminate()
+        assert await p.wait() == 0
+        q = await asyncio.create_subprocess_exec(sys.executable, "-m", f"petrelhaven.{prog}", "--settings", str(s), stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        o, e = await q.communicate()
+        assert (q.returncode, o) == (2, b"") and b"settings:" in e
+        put(text)
+        assert (await tool(prog, "--settings", str(s), "--check"))[:2] == (0, f"settings of {text.split(chr(34))[1]} are good\n")
+        put(text + "colour = 3\n")
+        assert (await tool(prog, "--settings", str(s), "--check"))[0] == 2
+    asyncio.run(go("verge", good % "e9", good.replace(":2", ":3") % "e9", "seeds"))
+    asyncio.run(go("crux", core, core.replace(":9", ":8"), "platform"))
+    put(core.replace("c1", "c2"))
+    rc, out, err = asyncio.run(tool("crux", "--settings", str(s), "--check"))
+    assert (rc, out) == (3, "") and "belongs to c1" in err
+
+
+def test_two_lost_disks_are_made_good_at_the_operators_word(fleet, tmp_path):
+    async def go(f):
+        f.visit(9, pause=0.1)
+        left = f.cores[2]
+        m = tmp_path / "m.json"
+        m.write_text(manifest("small", 2))
+        assert (await tool("tenet", "check", str(m)))[0] == 0
+        assert (await tool("tenet", "--core", ",".join(f.cores), "apply", str(m)))[0] == 0
+        was = (await f.head())["seq"]
+        for n in ("c1", "c2"):
+            await f.procs[n].end(signal.SIGKILL)
+            shutil.rmtree(os.path.join(f.dir, n))
+        rc, out, err = await tool("tenet", "--core", left, "show", "--unconfirmed")
+        assert rc == 0 and out == m.read_text() and "NOT confirmed" in err
+        rc, out, err = await tool("tenet", "salvage", os.path.join(f.dir, "c3"))
+        assert rc == 0 and out == m.read_text() and "NOT confirmed" in err
+        assert (await tool("tenet", "--core", left, "show"))[0] != 0
+        rc, _, err = await tool("tenet", "--core", left, "reform", "--lost", "c1,c2")
+        assert rc in (1, 3) and "not-ready" in err
+        for n in ("c1", "c2"):
+            await f.again(n)
+        rc, _, err = await tool("tenet", "--core", left, "reform", "--lost", "c1,c9")
+        assert rc == 1 and "no core c9" in err
+        rc, out, err = await tool("tenet", "--core", left, "--by", "op", "reform", "--lost", "c1,c2")
+        assert rc == 0 and "manifest 2" in out, err
+        await _served(f, 12)
+        s = await f.until(f.head, 10)
+        assert s["seq"] > was + 900_000 and s["manifest"] == 2 and s["epochs"]["g1"]["n"] > 1000
+        p = s["epochs"]["g1"]["primary"]
+        await f.procs[p].end(signal.SIGKILL)
+
+        async def elected():
+            s = await f.head()
+            return s and s["epochs"]["g1"]["phase"] == "serve" and s["epochs"]["g1"]["primary"] != p
+        await f.until(elected, 12)
+        await _served(f, 12)
+        await f.calm()
+        assert await f.verdict() == []
+    fleet(go)
+
+
 def test_sessions_outlive_kills_of_edge_primary_and_all_cores(fleet):
     async def go(f):
         f.visit(12, pause=0.05)
