A view accepted by one voter alone no longer keeps the cores from ever agreeing again

A voter compared ballots with the identities of the value it had accepted, so the proposer fitted only the new ones, the other only the old ones, the new core only the new ones: no majority under either, for good. Ruled out: the cut itself (healed 8 s before), the chain, kith (all alive). Change: ballots run under the identities of the newest view known to be decided, remembered on disk; an accepted view is finished under them. Why no two views can come of it: a proposal after view n runs under n's identities, and under the older ones view n can only be decided again.

--- a/src/petrelhaven/helm/chain.py
+++ b/src/petrelhaven/helm/chain.py
@@ -68,8 +68,8 @@
         if view is None or self.view and view["n"] <= self.view["n"]:
             return
         self.view = view
-        if not self.mem.vote["value"] or self.mem.vote["value"]["n"] < view["n"]:
-            self.mem.put_vote(value=view)
+        newer = not self.mem.vote["value"] or self.mem.vote["value"]["n"] < view["n"]
+        self.mem.put_vote(ids=view["ids"], **({"value": view} if newer else {}))
         self.confirmed = 0
         self.active_at = self.clock.now() + int(CONFIRM_US * DRIFT)
         emit(self.log, 301, n=view["n"], chain=",".join(view["chain"]), cause=view["cause"])
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -118,7 +118,7 @@
 
     async def _finish(self, v):
         try:
-            self.spread(await self._ask.change(v["ids"], lambda x: x or v))
+            self.spread(await self._ask.change(self.mem.vote["ids"] or v["ids"], lambda x: x or v))
         except Fault:
             pass
 
--- a/src/petrelhaven/helm/memory.py
+++ b/src/petrelhaven/helm/memory.py
@@ -33,7 +33,7 @@
 
     def _clear(self):
         self.disk = "%016x" % self._rng.getrandbits(64)
-        self.vote = {"num": 0, "who": "", "anum": 0, "awho": "", "value": None}
+        self.vote = {"num": 0, "who": "", "anum": 0, "awho": "", "value": None, "ids": None}
         self.done = 0
         self.realm, self.recs, self.mark = Realm(), [], 0
 
@@ -64,10 +64,11 @@
                     self.name = d["name"]
                 elif d["name"] != self.name:
                     raise Misplaced(f"the data folder belongs to {d['name']}, not {self.name}")
-                self.disk, self.vote, self.done, self.mark = d["disk"], d["vote"], d["done"], d["mark"]
+                self.disk, self.done, self.mark = d["disk"], d["done"], d["mark"]
+                self.vote = {"ids": None, **d["vote"]}
                 self.realm, self.recs = Realm(d["realm"]), []
             elif t == "vote":
-                self.vote = d["vote"]
+                self.vote = {"ids": None, **d["vote"]}
             elif t == "done":
                 self.done = d["n"]
             elif t == "rec":
--- a/src/petrelhaven/helm/vote.py
+++ b/src/petrelhaven/helm/vote.py
@@ -7,14 +7,19 @@
 
 
 class Voter:
-    """The voting half. It never votes under a disk identity that the others do not know."""
+    """The voting half. It never votes under a disk identity that the others do not know.
+
+    Ballots run under the identities of the newest view known to be decided; those of a view that was only accepted count
+    once it is decided, or two voters that accepted different ones could wait for each other for good.
+    """
 
     def __init__(self, mem):
         self._mem = mem
 
     def _fits(self, ids):
-        v = self._mem.vote["value"]
-        return ids.get(self._mem.name) == self._mem.disk and (v is None or v["ids"] == ids)
+        o = self._mem.vote
+        own = o["ids"] or (o["value"]["ids"] if o["value"] else None)
+        return ids.get(self._mem.name) == self._mem.disk and own in (None, ids)
 
     async def prepare(self, ch, b):
         """Answers a prepare."""
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -28,6 +28,9 @@
         (7056, "small", [[14.55, "member_drain", 505412164], [19.123, "member_drain", 818928627], [20.827, "member_store", 276134730]]),
     "an edge given up amid a keep goes on under its next incarnation, then its keeper is lost":
         (7037, "small", [[3.856, "edge_freeze", 714307650], [12.856, "isolate", 238817706], [14.843, "core_kill", 439203680], [30.51, "vanish", 850419360]]),
+    "a core rejoins over an empty disk while one-way cuts keep the new view from all but its proposer":
+        (240, "small", [[4.199, "cut_one", 103319223], [5.037, "core_disk", 355933410], [7.918, "edge_freeze", 636442351],
+                        [24.224, "hall", 847642849]]),
     "all cores are killed and a member at once, while others have not been heard again":
         (705, "small", [[7.642, "unanswered", 320317860], [14.301, "core_all", 131344703], [14.617, "member_kill", 341379453]]),
 }
--- a/tests/test_vote.py
+++ b/tests/test_vote.py
@@ -71,6 +71,30 @@
     assert any(len(outcome(s, False)) == 1 for s in range(40))
 
 
+def test_a_view_that_one_voter_alone_accepted_is_finished_under_the_identities_that_were_decided():
+    t = Trio(7)
+    ids = t.ids
+    one = {"n": 1, "ids": ids, "chain": ["a", "b", "c"]}
+
+    async def deaf(n, kind, body, us):
+        if kind == "vote.accept" and n != "a":
+            raise Unsent(n)
+        return await t.caller(lossy=False)(n, kind, body, us)
+
+    async def go():
+        assert await Proposer(t.mems["a"], t.caller(lossy=False)).change(ids, lambda x: one) == one
+        for n in "abc":
+            t.mems[n].put_vote(ids=ids)
+        t.mems["c"].wipe()
+        two = {"n": 2, "ids": t.ids, "chain": ["a", "b", "c"]}
+        with pytest.raises(Fault):
+            await Proposer(t.mems["a"], deaf).change(ids, lambda x: two)
+        assert t.mems["a"].vote["value"] == two and t.mems["b"].vote["value"] == one
+        for who in "ab":
+            assert (await Proposer(t.mems[who], t.caller(lossy=False)).change(ids, lambda x: x))["n"] == 2
+    asyncio.run(go())
+
+
 def test_a_core_that_lost_its_disk_does_not_vote_until_it_is_admitted():
     t = Trio(5)
     ids = t.ids
