--- a/src/petrelhaven/drill/storm.py
+++ b/src/petrelhaven/drill/storm.py
@@ -346,7 +346,7 @@
             marks = {n: b.clock.now() for n, b in self.w.members.items()}
             await asyncio.sleep(r.uniform(0.5, 4))
             for n, b in self.w.members.items():
-                if b.hall == h and b.node and b.node.last_statement > marks[n]:
+                if b.hall == h and b.node and n in marks and b.node.last_statement > marks[n]:
                     self.w.net.findings.append(
                         (self.w.loop.time(), "statement to an emptied hall", n, self.w.loop.time() - t0)
                     )
