Every scene is seen to catch a violation: planted ones for the frozen head and the mended chain

Cause: no single guard taken out broke these two rules, so nothing showed that the scenes would notice. Planted: a promotion asked twice, a change handed over stale.

--- a/src/petrelhaven/creed/watch.py
+++ b/src/petrelhaven/creed/watch.py
@@ -49,12 +49,12 @@
             k for k in ("name", "hall", "link", "http", "data", *LIVE) if getattr(new, k, None) != getattr(old, k, None)
         ]
         live = [k for k in diff if k in LIVE]
+        if live:
+            emit(self.log, 107, fields=",".join(live))
         for k in live:
             setattr(old, k, getattr(new, k))
             self._turn(k, getattr(new, k))
         self.waiting = [k for k in diff if k not in LIVE]
-        if live:
-            emit(self.log, 107, fields=",".join(live))
         if self.waiting:
             emit(self.log, 108, fields=",".join(self.waiting))
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -225,6 +225,25 @@
     mp.setattr(usher.Usher, "_look", look)
 
 
+def promotes_twice(mp):
+    real = duty.Duty._asked
+
+    async def asked(self, g, target, key):
+        await real(self, g, target, key)
+        return await real(self, g, target, key)
+    mp.setattr(duty.Duty, "_asked", asked)
+
+
+def handed_over_stale(mp):
+    real = memory.Memory.put_rec
+
+    def put_rec(self, seq, view, rec):
+        if rec["t"] == "manifest" and view > self.done and self.realm.doc["manifest"]:
+            rec = {**rec, "text": self.realm.doc["manifest"]["text"]}
+        real(self, seq, view, rec)
+    mp.setattr(memory.Memory, "put_rec", put_rec)
+
+
 def slow_suspicion(mp):
     real = roster.Roster.__init__
     mp.setattr(
--- a/tests/test_never.py
+++ b/tests/test_never.py
@@ -34,6 +34,8 @@
     ("rolling", "nothing_handed+nothing_kept", "session closed"),
     ("halves", "no_second_opinion+no_denial", "given up though a third sees it"),
     ("platform_away", "asked_once", "service not back"),
+    ("frozen_duty", "promotes_twice", "one epoch promoted twice"),
+    ("mending", "handed_over_stale", "slid back"),
     ("platform_mute", "only_the_answer", "waited for an answer"),
     ("replaced", "leaving_ignored", "not replaced"),
     ("idle", "nothing_kept", "session closed"),
