Sessions that ended or moved are let go by their state machine

Cause: every session stayed in the machine's list of models for the life of the edge: 22 instead of 1 after 21 sessions (test failed first). Ruled out: copies and promises (counted in the same test, none left).

--- a/src/petrelhaven/span/keep.py
+++ b/src/petrelhaven/span/keep.py
@@ -99,6 +99,7 @@
             self.homes.pop(s.sid)
         if s.state in ("home", "moving"):
             s.part()
+            s.forget()
 
     async def settle(self, s):
         """Makes a session usable: all its keepers hold it, and those it was taken from have let go."""
@@ -183,6 +184,7 @@
         self.homes.pop(s.sid, None)
         if s.state in ("home", "moving"):
             s.end()
+            s.forget()
 
     async def _drop(self, k, s):
         try:
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -5,6 +5,7 @@
 
 from petrelhaven.creed.fault import NoSession, Superseded
 from petrelhaven.drill.storm import inside, run
+from petrelhaven.span.session import Session
 
 
 @pytest.mark.parametrize(
@@ -180,3 +181,18 @@
             await a.node.statement(sid, {"verb": "show", "name": "who", "route": "g1"})
         return w.net.findings
     assert inside(go, 4)[0] == []
+
+
+def test_sessions_that_ended_or_moved_leave_nothing_behind():
+    async def go(w):
+        await w.start()
+        was = len(Session._machine.models)
+        for i in range(20):
+            e = w.edges[i % 3].node
+            await e.close_session((await e.open_session())["session"])
+        sid = (await w.edges[0].node.open_session())["session"]
+        await w.edges[0].node.move._hand(w.edges[0].node.homes[sid])
+        await asyncio.sleep(3)
+        left = [len(x) for e in w.edges for x in (e.node.homes, e.node.vault.lent)]
+        return len(Session._machine.models) - was, sum(left), sum(len(e.node.vault.kept) for e in w.edges)
+    assert inside(go, 6)[0] == (1, 1, 2)
