--- a/src/petrelhaven/drill/main.py
+++ b/src/petrelhaven/drill/main.py
@@ -77,10 +77,13 @@
 def _sweep(a):
     lo, hi = map(int, a.seeds.split("-"))
     kinds = [k for k in a.kinds.split(",") if k]
-    n = said = 0
+    n = said = done = 0
     with ProcessPoolExecutor(a.jobs) as ex:
         for seed, bad, rows, ok in ex.map(_storm, [(s, a.size, a.faults, kinds) for s in range(lo, hi)]):
             said += ok
+            done += 1
+            if done % 20 == 0:
+                print(f"{done} storms played, {n} violated a rule so far", flush=True)
             if bad:
                 n += 1
                 print(f"seed {seed}: {len(bad)} violations; shrunk schedule {json.dumps(rows)}")
