--- a/src/petrelhaven/creed/contract.py
+++ b/src/petrelhaven/creed/contract.py
@@ -60,6 +60,12 @@
 _contract("edge.push", "frame:doc recs:doc commit:long", "applied:long acked:long")
 _contract("edge.lease", "edge:string inc:long boot:string applied:long acked:long", "ok:boolean us:long need:long")
 _contract("edge.enter", "edge:string inc:long state:string boot:string hall:string addr:string http:string", "seq:long")
+# an edge's tie, cores among themselves about members
+_contract(
+    "tie.pulse", "name:string seq:long cores:long doubts:doc", "ok:boolean seq:long view:long cores:doc"
+)
+_contract("warden.doubt", "group:string member:string how:string")
+_contract("warden.look", "member:string addr:string group:string", "how:string")
 # edges among themselves
 _contract("span.deliver", "sid:string ask:doc", "res:doc")
 _contract("span.keep", "sid:string to:string epoch:long ver:long home:string state:doc", "ok:boolean epoch:long")
--- /dev/null
+++ b/src/petrelhaven/creed/light.py
@@ -0,0 +1,206 @@
+"""A light HTTP/1.1 face and call over h11, for machines where each megabyte is paid for."""
+import asyncio
+import json
+
+import h11
+
+from .event import emit
+from .fault import Fault, Late, Malformed, Oversize, Unreached, Unsent
+
+__all__ = ["LightFace", "light_call"]
+
+_IDLE_S = 60
+
+
+class _Request:
+    __slots__ = ("verb", "path", "body")
+
+    def __init__(self, verb, path, body):
+        self.verb, self.path, self.body = verb, path, body
+
+    def doc(self):
+        """The body's JSON document."""
+        try:
+            return json.loads(self.body)
+        except (ValueError, RecursionError):
+            raise Malformed("the body is not JSON") from None
+
+
+class _Talk(asyncio.Protocol):
+    def __init__(self, face):
+        self._face = face
+        self._h = h11.Connection(h11.SERVER)
+        self._tr = self._task = self._tick = None
+        self._req, self._body, self._size = None, [], 0
+
+    def connection_made(self, tr):
+        self._tr = tr
+        self._face.talks.add(self)
+        self._wind()
+
+    def connection_lost(self, e):
+        self._face.talks.discard(self)
+        self._tick.cancel()
+
+    def _wind(self):
+        if self._tick:
+            self._tick.cancel()
+        self._tick = asyncio.get_running_loop().call_later(_IDLE_S, self._tr.close)
+
+    def data_received(self, data):
+        self._h.receive_data(data)
+        self._wind()
+        self._turn()
+
+    def eof_received(self):
+        self._h.receive_data(b"")
+        self._turn()
+
+    def _turn(self):
+        while True:
+            try:
+                e = self._h.next_event()
+            except h11.RemoteProtocolError:
+                if self._h.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    self._say(400, b"{}", close=True)
+                self._tr.close()
+                return
+            if e is h11.NEED_DATA or e is h11.PAUSED:
+                return
+            t = type(e)
+            if t is h11.Request:
+                self._req, self._body, self._size = e, [], 0
+            elif t is h11.Data:
+                self._size += len(e.data)
+                if self._size > self._face.most:
+                    self._say(413, json.dumps(Oversize("the request is too large").doc()).encode(), close=True)
+                    self._tr.close()
+                    return
+                self._body.append(bytes(e.data))
+            elif t is h11.EndOfMessage:
+                q = _Request(self._req.method.decode(), self._req.target.decode("latin-1"), b"".join(self._body))
+                self._task = asyncio.ensure_future(self._serve(q))
+                return
+            else:
+                self._tr.close()
+                return
+
+    async def _serve(self, q):
+        st, body, head = await self._face.answer(q)
+        if self._tr.is_closing():
+            return
+        self._say(st, body, head)
+        if self._h.our_state is h11.MUST_CLOSE:
+            self._tr.close()
+            return
+        try:
+            self._h.start_next_cycle()
+        except h11.LocalProtocolError:
+            self._tr.close()
+            return
+        self._turn()
+
+    def _say(self, st, body, head=(), close=False):
+        hs = [("Content-Length", str(len(body))), ("Content-Type", "application/json"), *head]
+        if close:
+            hs.append(("Connection", "close"))
+        out = self._h.send(h11.Response(status_code=st, headers=hs))
+        out += self._h.send(h11.Data(data=body))
+        self._tr.write(out + self._h.send(h11.EndOfMessage()))
+
+    def close(self):
+        """Ends the connection."""
+        self._tr.close()
+
+
+class LightFace:
+    """Serves handlers by verb and path; one that ends in `/` takes the rest of the path as its argument."""
+
+    def __init__(self, host, port, most=512 << 10, log=None):
+        self._host, self._port, self.most, self._log = host, port, most, log
+        self._on, self._under = {}, {}
+        self._srv = None
+        self.talks = set()
+        self.addr = None
+
+    def on(self, verb, path, fn):
+        """Serves `verb path` with `fn(request)` or, below a path that ends in `/`, `fn(request, rest)`."""
+        (self._under if path.endswith("/") else self._on)[verb, path] = fn
+
+    async def answer(self, q):
+        """(status, body, headers) of one request."""
+        try:
+            path = q.path.split("?", 1)[0]
+            fn = self._on.get((q.verb, path))
+            if fn is not None:
+                r = await fn(q)
+            else:
+                at, _, rest = path.rpartition("/")
+                fn = self._under.get((q.verb, at + "/"))
+                if fn is None or not rest:
+                    return 404, b'{"fault":"http","note":"Not Found"}', ()
+                r = await fn(q, rest)
+            if isinstance(r, tuple):
+                return r
+            return 200, r if isinstance(r, bytes) else json.dumps(r, separators=(",", ":")).encode(), ()
+        except Fault as e:
+            back = (("Retry-After", str(-(-e.back // 1_000_000))),) if e.back is not None else ()
+            return e.status, json.dumps(e.doc()).encode(), back
+        except Exception as e:
+            emit(self._log, 112, path=q.path[:60], what=repr(e))
+            return 500, json.dumps(Fault(type(e).__name__).doc()).encode(), ()
+
+    async def start(self):
+        """Listens; returns the address."""
+        loop = asyncio.get_running_loop()
+        self._srv = await loop.create_server(lambda: _Talk(self), self._host, self._port, backlog=512)
+        self.addr = "%s:%d" % self._srv.sockets[0].getsockname()[:2]
+        return self.addr
+
+    async def close(self):
+        """Stops serving."""
+        if self._srv:
+            self._srv.close()
+        for t in list(self.talks):
+            t.close()
+
+
+async def light_call(clock, addr, verb, path, doc=None, heads=(), us=2_000_000):
+    """(status, document) of one HTTP exchange; Unsent if nothing left, Late or Unreached if its outcome is unknown."""
+    h, p = addr.rsplit(":", 1)
+    try:
+        r, w = await clock.limit(asyncio.open_connection(h, int(p)), min(us, 1_000_000))
+    except (OSError, Late):
+        raise Unsent(addr) from None
+    try:
+        return await clock.limit(_exchange(r, w, addr, verb, path, doc, heads), us)
+    except (OSError, h11.RemoteProtocolError, ValueError):
+        raise Unreached(addr) from None
+    finally:
+        w.close()
+
+
+async def _exchange(r, w, addr, verb, path, doc, heads):
+    c = h11.Connection(h11.CLIENT)
+    body = json.dumps(doc).encode() if doc is not None else b""
+    hs = [("Host", addr), ("Content-Length", str(len(body))), ("Content-Type", "application/json"),
+          ("Connection", "close"), *heads]
+    w.write(c.send(h11.Request(method=verb, target=path, headers=hs)) + (c.send(h11.Data(data=body)) if body else b"")
+            + c.send(h11.EndOfMessage()))
+    got, st = [], 0
+    while True:
+        e = c.next_event()
+        if e is h11.NEED_DATA:
+            c.receive_data(await r.read(65536))
+        elif type(e) is h11.Response:
+            st = e.status_code
+        elif type(e) is h11.Data:
+            got.append(bytes(e.data))
+        elif type(e) is h11.EndOfMessage:
+            raw = b"".join(got)
+            try:
+                return st, json.loads(raw) if raw else None
+            except ValueError:
+                return st, None
+        elif type(e) is h11.ConnectionClosed:
+            raise Unreached(addr)
--- a/src/petrelhaven/helm/chain.py
+++ b/src/petrelhaven/helm/chain.py
@@ -14,7 +14,8 @@
 class Chain:
     """One core's place in the chain of its view."""
 
-    def __init__(self, clock, nest, mem, call, log=None):
+    def __init__(self, clock, nest, mem, call, log=None, confirm_us=CONFIRM_US, ask_us=120_000):
+        self.confirm_us, self.ask_us = confirm_us, ask_us
         self.clock, self.nest, self.mem, self._call, self.log = clock, nest, mem, call, log
         self.view = None
         self.active_at = 0
@@ -71,7 +72,7 @@
         newer = not self.mem.vote["value"] or self.mem.vote["value"]["n"] < view["n"]
         self.mem.put_vote(ids=view["ids"], **({"value": view} if newer else {}))
         self.confirmed = 0
-        self.active_at = self.clock.now() + int(CONFIRM_US * DRIFT)
+        self.active_at = self.clock.now() + int(self.confirm_us * DRIFT)
         emit(self.log, 301, n=view["n"], chain=",".join(view["chain"]), cause=view["cause"])
         if self._feeder:
             self._feeder.cancel()
@@ -114,7 +115,7 @@
                     if n != self.me:
                         self.nest.spawn(self._ask(n, v["n"], now))
                 self._count(v)
-            await self.clock.sleep(120_000)
+            await self.clock.sleep(self.ask_us)
 
     async def _ask(self, name, n, at):
         try:
@@ -131,7 +132,7 @@
         ts = sorted((self._sent.get(n, 0) for n in v["ids"]), reverse=True)
         t = ts[len(v["ids"]) // 2]
         if t and self.mem.vote["value"] and self.mem.vote["value"]["n"] <= v["n"]:
-            self.confirmed = max(self.confirmed, t + CONFIRM_US)
+            self.confirmed = max(self.confirmed, t + self.confirm_us)
 
     async def confirmed_by(self, ch, b):
         """Answers another core's view.confirm: no, once a newer view was accepted here."""
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -11,7 +11,6 @@
 from ..kith.roster import Roster
 from .chain import Chain
 from .desk import Desk
-from .duty import Duty
 from .manifest import read
 from .memory import Memory
 from .reform import Reform
@@ -19,7 +18,6 @@
 
 __all__ = ["Core"]
 
-_MEND_US = 250_000
 _ADDR = re.compile(r"[A-Za-z0-9.-]{1,64}:[A-Za-z0-9-]{1,32}")
 _FACTS = {"member": str, "group": str, "hall": str, "addr": str, "role": str, "log": int, "cap": int,
           "draining": bool, "boot": str, "store": str, "warm": bool, "term": int}
@@ -29,17 +27,19 @@
     """One core daemon's logic; clock, link and disk are given."""
 
     states = ["outside", "joining", "chained"]
+    state_of = None
+    mend_us, confirm_us, ask_us, probe_us = 250_000, 500_000, 120_000, 200_000
 
     def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, log=None):
         self.name, self.hall, self.seeds = name, hall, seeds
         self.clock, self.nest, self.link, self.rng, self.log = clock, nest, link, rng, log
-        self.mem = Memory(disk, name, rng, log)
+        self.mem = Memory(disk, name, rng, log, state=self.state_of)
         self.roster = Roster(clock, (name, "core", hall, link.addr, 0), log)
         self.reach = Reach(clock, link, self.roster, rng)
-        self.prober = Prober(clock, link, nest, rng, self.roster, seeds)
-        self.chain = Chain(clock, nest, self.mem, self.call, log)
+        self.prober = Prober(clock, link, nest, rng, self.roster, seeds, self.probe_us)
+        self.chain = Chain(clock, nest, self.mem, self.call, log, self.confirm_us, self.ask_us)
         self.desk = Desk(clock, nest, self.chain, self.call, log)
-        self.duty = Duty(clock, nest, self.chain, self.desk, self.roster, self.call, platform, log)
+        self.duty = self.make_duty(platform)
         self.voter = Voter(self.mem)
         self._ask = Proposer(self.mem, self.call)
         self._infos = {}
@@ -59,15 +59,23 @@
             "chain.enter": self._enter,
             "chain.read": self._read,
             "chain.force": self.desk.force,
-            "duty.heard": self.duty.told,
             "edge.hold": self.desk.hold,
-            "edge.lease": self.desk.lease,
-            "edge.enter": self._edge,
             "creed.belief": self._belief,
+            **self.handlers(),
         }.items():
             link.on(k, f)
         self.chain.on_view.append(self.turn)
 
+    def make_duty(self, platform):
+        """The duty that this core does while it is the head."""
+        from .duty import Duty
+
+        return Duty(self.clock, self.nest, self.chain, self.desk, self.roster, self.call, platform, self.log)
+
+    def handlers(self):
+        """What this core answers beside the chain's own calls."""
+        return {"duty.heard": self.duty.told, "edge.lease": self.desk.lease, "edge.enter": self._edge}
+
     def start(self):
         """Starts the core's tasks."""
         emit(self.log, 101, name=self.name, hall=self.hall, addr=self.link.addr, disk=self.mem.disk)
@@ -103,7 +111,7 @@
 
     async def _mend(self):
         while True:
-            await self.clock.sleep(_MEND_US + self.rng.randrange(50_000))
+            await self.clock.sleep(self.pace() + self.rng.randrange(50_000))
             for a in self.seeds:
                 self.nest.spawn(self._info(a))
             try:
@@ -113,6 +121,10 @@
                 if self.chain.view is None and v:
                     await self._finish(v)
 
+    def pace(self):
+        """Microseconds between two looks at the other cores."""
+        return self.mend_us
+
     async def _info(self, addr):
         try:
             if addr == self.link.addr:
--- /dev/null
+++ b/src/petrelhaven/helm/ledger.py
@@ -0,0 +1,115 @@
+"""Control state where sessions live with their connection: manifest, halls, members, offices."""
+import copy
+import hashlib
+import json
+
+from ..creed.fault import Duplicate, Invalid, Racing, Stale
+
+__all__ = ["Ledger"]
+
+
+class Ledger:
+    """Checks and applies numbered records. `reader` turns a manifest's text into what `manifest` answers."""
+
+    __slots__ = ("seq", "doc", "_manifest")
+    reader = staticmethod(json.loads)
+
+    def __init__(self, doc=None):
+        self.doc = doc or {"seq": 0, "manifest": None, "halls": {}, "members": {}, "offices": {}}
+        self.seq = self.doc["seq"]
+        self._manifest = None
+
+    @property
+    def manifest(self):
+        """The manifest in force, or None."""
+        if self._manifest is None and self.doc["manifest"]:
+            self._manifest = self.reader(self.doc["manifest"]["text"])
+        return self._manifest
+
+    def frame(self):
+        """A deep copy of the whole state."""
+        return copy.deepcopy(self.doc)
+
+    def check(self, r):
+        """Raises a typed fault if `r` must be declined now."""
+        getattr(self, "_check_" + r["t"])(r)
+
+    def apply(self, seq, r):
+        """Applies a numbered record."""
+        assert seq == self.seq + 1, (seq, self.seq)
+        getattr(self, "_apply_" + r["t"])(r)
+        self.seq = self.doc["seq"] = seq
+
+    def hall(self, h):
+        """The state of a hall."""
+        return self.doc["halls"].get(h, "open")
+
+    def group(self, g):
+        """Members of group `g` that are not gone, by name."""
+        return {n: m for n, m in sorted(self.doc["members"].items()) if m["group"] == g and m["state"] != "gone"}
+
+    def _check_manifest(self, r):
+        now = self.doc["manifest"]
+        if not now:
+            return
+        if r["version"] == now["version"]:
+            if hashlib.sha256(r["text"].encode()).hexdigest() == now["digest"]:
+                raise Duplicate(f"version {r['version']} is in force already", more={"version": r["version"]})
+            raise Stale(f"version {r['version']} is taken by another manifest", more={"version": now["version"]})
+        if r["version"] < now["version"]:
+            raise Stale(f"version {now['version']} is in force", more={"version": now["version"]})
+
+    def _apply_manifest(self, r):
+        self.doc["manifest"] = {"version": r["version"], "text": r["text"], "by": r.get("by", ""),
+                                "digest": hashlib.sha256(r["text"].encode()).hexdigest()}
+        self._manifest = None
+
+    def _check_hall(self, r):
+        if r["state"] not in ("open", "emptied"):
+            raise Invalid("hall state", more={"faults": [["state", "must be open or emptied"]]})
+        if self.hall(r["hall"]) == r["state"]:
+            raise Duplicate(f"hall {r['hall']} is {r['state']} already")
+
+    def _apply_hall(self, r):
+        self.doc["halls"][r["hall"]] = r["state"]
+
+    def _check_member(self, r):
+        m = self.doc["members"].get(r["name"])
+        if r["state"] == "gone" and (m is None or m["state"] == "gone"):
+            raise Duplicate(f"member {r['name']} is gone")
+        if m and {k: m[k] for k in m if k != "count"} == {k: v for k, v in r.items() if k not in ("t", "count", "name")}:
+            raise Duplicate(f"member {r['name']} is {r['state']}")
+
+    def _apply_member(self, r):
+        ms = self.doc["members"]
+        for n, m in list(ms.items()):
+            if m["state"] == "gone" and len(ms) > 64 or n != r["name"] and m["addr"] == r["addr"]:
+                if r["state"] != "gone" or m["state"] == "gone":
+                    del ms[n]
+        if r["state"] == "gone":
+            m = ms.get(r["name"])
+            if m:
+                m["state"] = "gone"
+            return
+        ms[r["name"]] = {k: v for k, v in r.items() if k not in ("t", "name")}
+
+    def _check_office(self, r):
+        o = self.doc["offices"].get(r["group"])
+        if r["n"] != (o["n"] if o else 0) + 1:
+            raise Racing(f"office {r['n']} does not follow {o['n'] if o else 0}")
+
+    def _apply_office(self, r):
+        self.doc["offices"][r["group"]] = {**{k: v for k, v in r.items() if k not in ("t", "group")}}
+
+    def belief(self):
+        """What `rift` compares of this state."""
+        d, m = self.doc, self.doc["manifest"]
+        return {
+            "seq": self.seq,
+            "manifest": m["version"] if m else 0,
+            "digest": m["digest"] if m else "",
+            "halls": d["halls"],
+            "epochs": d["offices"],
+            "members": {n: [x["group"], x["state"], x["role"]] for n, x in sorted(d["members"].items())},
+            "edges": {},
+        }
--- a/src/petrelhaven/helm/manifest.py
+++ b/src/petrelhaven/helm/manifest.py
@@ -17,7 +17,7 @@
     "browse_us": Whole(100_000, 60_000_000), "margin_us": Whole(0, 59_000_000), "grace_us": Whole(0, 3_000_000),
     "lost_us": Whole(300_000, 10_000_000), "stall_us": Whole(200_000, 10_000_000), "warm_us": Whole(0, 120_000_000),
     "idle_txn_us": Whole(100_000, 600_000_000), "slots": Whole(1, 100_000), "queue": Whole(1, 1000),
-    "lanes": Whole(1, 64), "sessions": Whole(1, 1_000_000), "keepers": Whole(1, 3),
+    "lanes": Whole(1, 64), "sessions": Whole(1, 1_000_000), "keepers": Whole(0, 3),
 }
 
 
@@ -54,6 +54,7 @@
     members: int = 3
     cap: int = 40
     least: int = 1
+    sync: int = 0
 
 
 @serde(deny_unknown_fields=True)
@@ -64,6 +65,12 @@
     name: str
     group: str
     reads: str = "strong"
+    host: str = ""
+    prefix: str = ""
+    timeout_us: int = 2_000_000
+    aim_us: int = 500_000
+    stale_us: int = 1_500_000
+    rank: int = 1
 
 
 @serde(deny_unknown_fields=True)
@@ -77,6 +84,7 @@
     groups: list[Group]
     routes: list[Route]
     bounds: Bounds = field(default_factory=Bounds)
+    origin: str = ""
 
 
 def _walk(tp, v, path, out):
@@ -128,17 +136,27 @@
     if not NAME.fullmatch(m.name):
         out.append(("name", "must be a name of lower-case letters, digits and hyphens"))
     for i, g in enumerate(m.groups):
-        for k, lo, hi in (("members", 1, 9), ("cap", 1, 10_000), ("least", 0, 8)):
+        for k, lo, hi in (("members", 1, 9), ("cap", 1, 10_000), ("least", 0, 8), ("sync", 0, 8)):
             w = Whole(lo, hi).fault(getattr(g, k))
             if w:
                 out.append((f"groups[{i}].{k}", w))
         if g.least >= g.members:
             out.append((f"groups[{i}].least", "must be below members"))
+    hosts = {}
     for i, r in enumerate(m.routes):
         if r.group not in gs:
             out.append((f"routes[{i}].group", f"no group {r.group}"))
         if r.reads not in ("strong", "browsing"):
             out.append((f"routes[{i}].reads", "must be strong or browsing"))
+        for k, lo, hi in (("timeout_us", 1, 1 << 40), ("aim_us", 0, 1 << 40), ("stale_us", 0, 1 << 40),
+                          ("rank", -(1 << 31), 1 << 31)):
+            w = Whole(lo, hi).fault(getattr(r, k))
+            if w:
+                out.append((f"routes[{i}].{k}", w))
+        at = (r.host, r.prefix)
+        if r.host and at in hosts:
+            out.append((f"routes[{i}].host", f"host {r.host} with this prefix stands in routes[{hosts[at]}] already"))
+        hosts.setdefault(at, i)
     for k, w in _B.items():
         f = w.fault(getattr(m.bounds, k))
         if f:
--- a/src/petrelhaven/helm/memory.py
+++ b/src/petrelhaven/helm/memory.py
@@ -1,7 +1,6 @@
 """What a core remembers across a restart: its identity, its vote, its place in the chain, the control state."""
 from ..creed.event import emit
 from ..creed.fault import Damaged, Misplaced
-from .realm import Realm
 from .ring import Ring
 
 __all__ = ["Memory"]
@@ -9,12 +8,19 @@
 _TAIL = 400
 
 
+def _realm():
+    from .realm import Realm
+
+    return Realm
+
+
 class Memory:
     """Every change is synced to the ring before the call returns."""
 
-    def __init__(self, disk, name, rng, log=None, keep=False):
+    def __init__(self, disk, name, rng, log=None, keep=False, state=None):
         self.name, self.log, self._any = name, log, keep
         self._rng = rng
+        self._state = state or _realm()
         self._ring = Ring(disk)
         self.damaged = False
         try:
@@ -35,7 +41,7 @@
         self.disk = "%016x" % self._rng.getrandbits(64)
         self.vote = {"num": 0, "who": "", "anum": 0, "awho": "", "value": None, "ids": None}
         self.done = 0
-        self.realm, self.recs, self.mark = Realm(), [], 0
+        self.realm, self.recs, self.mark = self._state(), [], 0
 
     def wipe(self):
         """Forgets everything; the core goes on as an empty one with another disk identity."""
@@ -66,7 +72,7 @@
                     raise Misplaced(f"the data folder belongs to {d['name']}, not {self.name}")
                 self.disk, self.done, self.mark = d["disk"], d["done"], d["mark"]
                 self.vote = {"ids": None, **d["vote"]}
-                self.realm, self.recs = Realm(d["realm"]), []
+                self.realm, self.recs = self._state(d["realm"]), []
             elif t == "vote":
                 self.vote = {"ids": None, **d["vote"]}
             elif t == "done":
@@ -74,7 +80,7 @@
             elif t == "rec":
                 self._take(d["seq"], d["view"], d["rec"])
             elif t == "reset":
-                self.realm, self.recs, self.mark = Realm(d["realm"]), [], d["mark"]
+                self.realm, self.recs, self.mark = self._state(d["realm"]), [], d["mark"]
 
     def _take(self, seq, view, rec):
         self.realm.apply(seq, rec)
@@ -101,7 +107,7 @@
 
     def reset(self, realm, mark):
         """Replaces the control state by another core's frame."""
-        self.realm, self.recs, self.mark = Realm(realm), [], mark
+        self.realm, self.recs, self.mark = self._state(realm), [], mark
         self._keep({"t": "reset", "realm": realm, "mark": mark})
 
     def since(self, seq, mark=None):
--- /dev/null
+++ b/src/petrelhaven/helm/seat.py
@@ -0,0 +1,150 @@
+"""A core machine of the path where sessions live with their connection: ledger, warden, edges' ties."""
+from ..creed.bound import NAME
+from ..creed.fault import Duplicate, Fault, Malformed, NotReady, Stale
+from .core import _ADDR, Core
+from .ledger import Ledger
+from .manifest import read
+from .warden import Warden
+
+__all__ = ["Seat"]
+
+_FACTS = {"member": str, "group": str, "hall": str, "addr": str, "role": str, "state": str, "slots": int, "count": int}
+_HEARD_US = 900_000
+_LATE_US = 3_000_000
+_TIED_US = 3_500_000
+
+
+class Seat(Core):
+    """One core daemon's logic; `wire` opens connections to members, `platform` moves offices."""
+
+    state_of = Ledger
+    mend_us, confirm_us, ask_us, probe_us = 300_000, 1_000_000, 330_000, 300_000
+
+    def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, wire, beat_us, log=None):
+        self.wire, self.beat_us = wire, beat_us
+        self.heard, self.tied = {}, {}
+        super().__init__(name, hall, seeds, clock, nest, link, disk, rng, platform, log)
+
+    def make_duty(self, platform):
+        """The warden of all offices."""
+        return Warden(self, platform)
+
+    def handlers(self):
+        """What edges and other cores ask."""
+        return {"edge.hold": self._hold, "tie.pulse": self._pulse, "warden.doubt": self._doubted,
+                "warden.look": self.duty.looked}
+
+    def pace(self):
+        """Looks at the others often while there is something to mend, seldom while all is whole."""
+        v = self.chain.view
+        whole = v is not None and len(v["chain"]) == len(v["ids"]) and self.chain.active
+        return 2_000_000 if whole else self.mend_us
+
+    async def _hold(self, ch, b):
+        if not self.chain.active:
+            return {"ok": False, "note": "not confirmed by a majority"}
+        return await self.desk.hold(ch, b)
+
+    async def _pulse(self, ch, b):
+        now = self.clock.now()
+        self.tied[b["name"]] = now
+        for n in [n for n, at in self.tied.items() if now - at > _TIED_US]:
+            del self.tied[n]
+        for d in b["doubts"]:
+            self.nest.spawn(self.doubt(*d))
+        v = self.chain.view
+        cores = []
+        if v and b["cores"] != v["n"]:
+            for n in sorted(v["ids"]):
+                a = self.roster.addr_of(n)
+                if a:
+                    cores.append([n, self.hall if n == self.name else self.roster.peers[n].hall, a])
+        return {"ok": bool(self.chain.active), "seq": self.chain.commit, "view": v["n"] if v else 0, "cores": cores}
+
+    async def doubt(self, group, member, how):
+        """An edge or a core doubts a primary: the head is told."""
+        v = self.chain.view
+        if v is None:
+            return
+        b = {"group": group, "member": member, "how": how}
+        try:
+            await self.call(v["chain"][0], "warden.doubt", b, 800_000)
+        except Fault:
+            pass
+
+    async def _doubted(self, ch, b):
+        self.duty.doubt(b["group"], b["member"], b["how"])
+
+    async def _enter(self, ch, b):
+        try:
+            return await super()._enter(ch, b)
+        except (Duplicate, Stale):
+            seq = self.chain.realm.seq
+            await self.clock.limit(self.chain.until(seq), 5_000_000)
+            if not self.chain.active:
+                raise NotReady("not the active head any more") from None
+            raise
+
+    async def apply(self, text, by="", retire=False):
+        """Checks and applies a manifest; returns once it is on every disk of the view."""
+        m = read(text)
+        r = await self.enter({"t": "manifest", "text": text, "version": m.version, "by": by}, False)
+        return {"version": m.version, "change": r["seq"]}
+
+    async def hall_to(self, hall, state, by=""):
+        """Empties or restores a hall."""
+        r = await self.enter({"t": "hall", "hall": hall, "state": state, "by": by}, False)
+        return {"hall": hall, "state": state, "change": r["seq"]}
+
+    async def announce(self, doc):
+        """Takes a member's announcement; what it changes is on the chain before this returns."""
+        for k, t in _FACTS.items():
+            if type(doc.get(k)) is not t:
+                raise Malformed(f"announcement field {k} must be {t.__name__}")
+        for k, ok in (("addr", _ADDR.fullmatch(doc["addr"])), ("group", NAME.fullmatch(doc["group"])),
+                      ("role", doc["role"] in ("primary", "replica")), ("member", 0 < len(doc["member"]) <= 128),
+                      ("state", doc["state"] in ("ready", "draining")), ("count", 0 <= doc["count"] < 1 << 53)):
+            if not ok:
+                raise Malformed(f"announcement field {k} is not valid")
+        now = self.clock.now()
+        n = doc["member"]
+        at, count = self.heard.get(n, (-1 << 60, -1))
+        if doc["count"] < count and now - at < _LATE_US:
+            return
+        self.heard[n] = (now, doc["count"])
+        m = self.chain.realm.doc["members"].get(n)
+        rec = {"t": "member", "name": n, **{k: doc[k] for k in _FACTS if k != "member"}}
+        if m and all(m.get(k) == rec[k] for k in ("group", "hall", "addr", "role", "state", "slots")):
+            if not self.chain.ruling:
+                raise NotReady("not confirmed by a majority")
+            return
+        await self._heard(rec)
+
+    async def depart(self, member):
+        """A member says that it ends."""
+        m = self.chain.realm.doc["members"].get(member)
+        self.heard.pop(member, None)
+        if m is not None and m["state"] != "gone":
+            await self._heard({"t": "member", "name": member, "state": "gone", "addr": m["addr"]})
+
+    async def _heard(self, rec):
+        try:
+            await self.clock.limit(self.enter(rec, False), _HEARD_US)
+        except Duplicate:
+            pass
+
+    def core_near(self, hall):
+        """The link address of the core in `hall`, if one is in the view and alive."""
+        v = self.chain.view
+        for n in v["chain"] if v else ():
+            p = self.roster.peers.get(n)
+            if n == self.name and hall == self.hall:
+                return self.link.addr
+            if p is not None and p.hall == hall and p.state == "alive":
+                return p.addr
+        return None
+
+    def status(self):
+        """The belief and what the duty is waiting for."""
+        return {**self.belief(), "ruling": self.chain.ruling, "active": self.chain.active, "head": self.chain.head,
+                "waiting": dict(self.duty.why), "tied": sorted(self.tied), "garbage": self.link.garbage}
--- /dev/null
+++ b/src/petrelhaven/span/band.py
@@ -0,0 +1,201 @@
+"""One database group as an edge sees it where sessions live with their connection: office, members, read clock."""
+import asyncio
+
+from ..creed.fault import Fault, Gone, Late, Unreached, Unsent
+from .clock import ReadClock
+from .stock import Stock
+from .tide import Tide
+
+__all__ = ["Band", "Berth"]
+
+_DOWN_US = 250_000
+_DOWN_MOST_US = 2_000_000
+_OPEN_US = 450_000
+_QUIET_US = 350_000
+
+
+class Berth:
+    """One member: its connections, how it does, and what is known of its log."""
+
+    __slots__ = ("name", "addr", "hall", "state", "slots", "rank", "stock", "tide", "shared", "down", "bad", "out",
+                 "heard", "stop_at")
+
+    def __init__(self, name, m, rank):
+        self.name, self.addr, self.hall, self.state, self.slots = name, m["addr"], m["hall"], m["state"], m["slots"]
+        self.rank = rank
+        self.stock = self.tide = self.shared = None
+        self.down, self.bad, self.out, self.heard = 0, 0, 0, 0
+        self.stop_at = None
+
+
+class Band:
+    """Follows the office and the members of one group."""
+
+    def __init__(self, name, gate):
+        self.name, self.g = name, gate
+        self.clock, self.nest = gate.clock, gate.nest
+        self.berths, self.office = {}, None
+        self.cap, self.visits = 40, 0
+        self.reads = ReadClock(self.clock, self.nest, gate.order, self._fetch, gate.bounds)
+        self._turned = None
+        self._tokens = 10.0
+
+    @property
+    def key(self):
+        """(office, primary) while a primary serves, else None."""
+        o = self.office
+        return (o["n"], o["primary"]) if o and o["phase"] != "move" else None
+
+    @property
+    def primary(self):
+        """The berth of the primary that serves, or None."""
+        return self.berths.get(self.office["primary"]) if self.key else None
+
+    def turn(self, ledger, fresh):
+        """Takes the office, the members and the halls as the ledger has them."""
+        now = self.clock.now()
+        ms = ledger.group(self.name)
+        for n, m in ms.items():
+            b = self.berths.get(n)
+            if b is not None and b.addr != m["addr"]:
+                b.stock.close()
+                b = None
+            if b is None:
+                b = self.berths[n] = Berth(n, m, self.g.near(m["hall"]))
+                b.stock = Stock(self.nest, self._opener(b), 1, lambda: self.visits + 1)
+                b.tide = Tide(self.clock, self.nest, self._asker(b), gap_us=12_000)
+                b.tide.log = (0, 0)
+            b.state = m["state"]
+            b.stock.most = max(2, self.cap // 3)
+            leaves = b.state == "draining", ledger.hall(b.hall) != "open"
+            if any(leaves):
+                if b.stop_at is None:
+                    us = min(self.g.drain_us if leaves[0] else 1 << 60, self.g.empty_us if leaves[1] else 1 << 60)
+                    b.stop_at = now + (0 if fresh else us)
+            else:
+                b.stop_at = None
+        for n in [n for n in self.berths if n not in ms]:
+            b = self.berths.pop(n)
+            b.stock.close()
+            if b.shared is not None:
+                b.shared.close()
+        o = ledger.doc["offices"].get(self.name)
+        if o != self.office:
+            self.office = o
+            self.reads.turn(self.key)
+            p = self.primary
+            if p is not None and o["phase"] == "serve":
+                p.down = p.bad = 0
+            f, self._turned = self._turned, None
+            if f is not None:
+                f.set_result(None)
+
+    def turned(self):
+        """A future that is done at the next change of the office."""
+        if self._turned is None:
+            self._turned = asyncio.get_running_loop().create_future()
+        return self._turned
+
+    def serves(self, b):
+        """Whether statements that begin anew may go to the primary `b` now."""
+        return b.stop_at is None or self.clock.now() < b.stop_at
+
+    def pick(self, pos, bad, exclude_primary=False):
+        """The member for a read: well, near, not full; one known to hold `pos` first."""
+        now = self.clock.now()
+        p = self.office["primary"] if self.office else None
+        best = None
+        for n, b in self.berths.items():
+            if n in bad or b.stop_at is not None and (n != p or now >= b.stop_at):
+                continue
+            k = (b.down > now, b.out >= max(2, b.slots - 1), b.rank, n == p and b.rank > 0, b.out, n)
+            if best is None or k < best[0]:
+                best = (k, b)
+        return best[1] if best else None
+
+    def spend(self):
+        """Whether a second try is within the budget of this group."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def earn(self):
+        """A request came: a tenth of a second try is earned."""
+        self._tokens = min(20.0, self._tokens + 0.1)
+
+    def fine(self, b):
+        """Member `b` has answered."""
+        b.heard = self.clock.now()
+        b.bad = b.down = 0
+
+    def missed(self, b, how):
+        """Member `b` did not answer; a primary that is silent or refuses is doubted."""
+        now = self.clock.now()
+        if how != "mute" or now - b.heard > _QUIET_US:
+            b.bad = min(b.bad + 1, 4)
+            b.down = now + min(_DOWN_US << (b.bad - 1), _DOWN_MOST_US)
+            if self.office and self.office["primary"] == b.name and self.office["phase"] != "move":
+                self.g.tie.doubt(self.name, b.name, how)
+
+    def _opener(self, b):
+        async def opened():
+            try:
+                c = await self.g.wire.open(b.addr, self.name, b.name, _OPEN_US)
+            except Gone:
+                b.down = self.clock.now() + 5_000_000
+                raise
+            except Unsent as e:
+                self.missed(b, "mute" if e.note == "mute" else "refused")
+                raise
+            except (Late, Unreached):
+                self.missed(b, "mute")
+                raise
+            self.fine(b)
+            return c
+        return opened
+
+    async def _status(self, b):
+        if b.shared is None or b.shared.lost:
+            b.shared = await self._opener(b)()
+        try:
+            r = await self.clock.limit(b.shared.own("status"), self.g.bounds().join_us)
+        except (Late, Unreached):
+            b.shared.close()
+            self.missed(b, "mute")
+            raise
+        self.fine(b)
+        return r
+
+    def _asker(self, b):
+        async def ask():
+            r = await self._status(b)
+            return r["at"], 0
+        return ask
+
+    async def _fetch(self, key):
+        b = self.berths.get(key[1])
+        if b is None or self.key != key:
+            raise Unreached("no primary to ask")
+        r = await self._status(b)
+        if r["role"] != "primary":
+            self.g.tie.doubt(self.name, b.name, "replica")
+            raise Unreached("not the primary")
+        return r["pos"]
+
+    def close(self):
+        """The group left the manifest."""
+        for b in self.berths.values():
+            b.stock.close()
+            if b.shared is not None:
+                b.shared.close()
+        self.reads.turn(None)
+
+    async def settle(self, conn, b):
+        """Rolls a connection back and keeps it, if that works within the bound."""
+        try:
+            r = await self.clock.limit(conn.plain("rollback"), 500_000)
+            ok = r.state == "I"
+        except Fault:
+            ok = False
+        b.stock.give(conn) if ok else b.stock.drop(conn)
--- /dev/null
+++ b/src/petrelhaven/span/gate.py
@@ -0,0 +1,195 @@
+"""An edge whose sessions live with their connection: tie, bands, sessions and the ways of their statements."""
+import collections
+import types
+
+from transitions import Machine
+
+from ..creed.event import emit
+from ..creed.fault import Busy, Late, NoRoute
+from .ask import Reply
+from .band import Band
+from .clock import Order
+from .passage import Passage
+from .slab import Slab
+from .visit import Trade, Visit
+
+__all__ = ["Gate"]
+
+_TIED_US = 4_000_000
+_SLACK_US = 30_000
+
+
+class Gate:
+    """One edge daemon's logic; clock, link, tie and wire are given. `near(hall)` ranks halls."""
+
+    states = ["starting", "serving", "leaving", "left"]
+
+    def __init__(self, name, hall, clock, nest, rng, tie, wire, near, drain_us, empty_us, log=None):
+        self.name, self.hall, self.clock, self.nest, self.rng, self.log = name, hall, clock, nest, rng, log
+        self.tie, self.wire, self.near = tie, wire, near
+        self.drain_us, self.empty_us = drain_us, empty_us
+        self.order, self.slab = Order(), Slab(clock, 1024)
+        self.routes, self.bands, self.visits = {}, {}, set()
+        self._bounds = types.SimpleNamespace(fetch_us=250_000, join_us=1_000_000, lanes=2, idle_txn_us=3_000_000)
+        self.count = collections.Counter()
+        self.passage = Passage(self)
+        Machine(self, states=self.states, initial="starting", auto_transitions=False, transitions=[
+            {"trigger": "serve", "source": "starting", "dest": "serving"},
+            {"trigger": "leave", "source": ["starting", "serving"], "dest": "leaving"},
+            {"trigger": "finish", "source": "leaving", "dest": "left"}])
+        tie.on_change.append(self._changed)
+
+    def start(self):
+        """Starts the edge's tasks."""
+        emit(self.log, 101, name=self.name, hall=self.hall)
+        self.tie.start()
+
+    def bounds(self):
+        """The bounds in force."""
+        return self._bounds
+
+    @property
+    def ready(self):
+        """Whether new connections should come here."""
+        return self.state == "serving"
+
+    def _changed(self, recs, fresh):
+        d = self.tie.ledger
+        m = d.manifest
+        if m is None:
+            return
+        kinds = {r["t"] for r in recs}
+        if fresh or "manifest" in kinds:
+            self._manifest(m)
+        for b in self.bands.values():
+            b.turn(d, fresh)
+        if self.state == "starting":
+            self.serve()
+            emit(self.log, 102, name=self.name)
+
+    def _manifest(self, m):
+        self.routes = {r["host"]: types.SimpleNamespace(**r) for r in m["routes"]}
+        gs = {g["name"]: g for g in m["groups"]}
+        for n in [n for n in self.bands if n not in gs]:
+            self.bands.pop(n).close()
+        for n, g in gs.items():
+            b = self.bands.get(n)
+            if b is None:
+                b = self.bands[n] = Band(n, self)
+            b.cap = g["cap"]
+        self._bounds.idle_txn_us = m["bounds"]["idle_txn_us"]
+        emit(self.log, 403, seq=self.tie.ledger.seq, version=m["version"])
+
+    def route(self, host):
+        """The route and band of a host, or NoRoute."""
+        r = self.routes.get(host)
+        b = self.bands.get(r.group) if r is not None else None
+        if b is None:
+            raise NoRoute(f"no database {host[:60]}")
+        return r, b
+
+    def open(self, host):
+        """A new session, or NoRoute."""
+        _, b = self.route(host)
+        v = Visit(host)
+        self.visits.add(v)
+        b.visits += 1
+        self.count["visits"] += 1
+        return v
+
+    def close(self, v):
+        """The visitor's connection has ended."""
+        if v not in self.visits:
+            return
+        self.visits.discard(v)
+        r = self.routes.get(v.host)
+        if r is not None and r.group in self.bands:
+            self.bands[r.group].visits -= 1
+        if not v.busy:
+            self.passage.part(v)
+        v.close()
+
+    async def serve_one(self, v, a):
+        """The reply to one statement."""
+        v.busy = True
+        try:
+            r = self._at_once(v, a)
+            if r is None:
+                r = await self._slabbed(v, a)
+        finally:
+            v.busy = False
+            v.since = self.clock.now()
+        if v.state == "ended":
+            self.passage.part(v)
+        elif v.trade is not None:
+            self.passage.watch(v, v.trade)
+        return r
+
+    def _at_once(self, v, a):
+        """What needs no member."""
+        k = a.verb
+        if k == "rollback":
+            if v.state != "idle":
+                self.passage.part(v, clean=True)
+                v.settle()
+            return Reply()
+        if v.state == "failed":
+            if k == "commit":
+                self.passage.part(v, clean=True)
+                v.settle()
+                return Reply(code="aborted", text="the transaction had failed; nothing of it is kept")
+            return Reply(code="malformed", text="the transaction has failed; end it", state="E")
+        if k == "set":
+            v.values[a.name] = a.data
+            if v.trade is not None:
+                v.trade.sets = True
+        elif k == "prepare":
+            v.prepared[a.name] = a.shape
+        elif k == "forget":
+            v.prepared.pop(a.name, None)
+        elif k == "begin":
+            if v.trade is not None:
+                return Reply(code="malformed", text="a transaction is open", state=v.mark)
+            v.begin()
+            v.trade = Trade(not a.writes, self.order.next(), self.clock.now(), self.routes.get(v.host))
+        elif k == "execute" and a.name not in v.prepared:
+            if v.trade is not None:
+                v.fail()
+            return Reply(code="unprepared", text="no such prepared name", state=v.mark)
+        elif k == "commit" and v.trade is None:
+            return Reply(code="malformed", text="no transaction is open")
+        else:
+            return None
+        return Reply(state=v.mark)
+
+    async def _slabbed(self, v, a):
+        x = v.trade
+        r = x.route if x is not None else self.routes.get(v.host)
+        b = self.bands.get(r.group) if r is not None else None
+        if b is None:
+            return Reply(code="unknown", text="no such database any more", state=v.mark)
+        self.count["asked"] += 1
+        b.earn()
+        us = r.timeout_us - _SLACK_US
+        try:
+            return await self.slab.enter(self.passage.run(v, a, r, b, self.clock.now() + us), us + 2_000_000)
+        except Busy as e:
+            if x is not None:
+                v.fail()
+            return Reply(code="busy", text=self.back(e.back), state=v.mark)
+        except Late:
+            if x is not None:
+                v.fail()
+            return Reply(code="timeout", text="the statement ran out of time", state=v.mark)
+
+    def back(self, us):
+        """When to come back, in words, spread so that not all come at once."""
+        self.count["shed"] += 1
+        return f"not run; come back in {int(us * self.rng.uniform(0.75, 1.25)) // 1000} ms"
+
+    def status(self):
+        """What this edge believes and counts."""
+        return {**self.tie.ledger.belief(), "name": self.name, "state": self.state, "ready": self.ready,
+                "visits": len(self.visits), "slots_used": self.slab.used, "count": dict(self.count),
+                "clocks": {g: dict(b.reads.count) for g, b in sorted(self.bands.items())},
+                "stocks": {g: {n: b.stock.total for n, b in sorted(x.berths.items())} for g, x in self.bands.items()}}
--- /dev/null
+++ b/src/petrelhaven/span/passage.py
@@ -0,0 +1,460 @@
+"""The ways of statements of held sessions: reads by the clock, writes once, transactions on a connection of their own."""
+import asyncio
+
+from ..creed.event import emit
+from ..creed.fault import Busy, Fault, Gone, Late, MemberFault, Unreached, Unsent
+from .ask import Reply
+
+__all__ = ["Passage"]
+
+_TAKE_US = 600_000
+_BACK_US = 250_000
+_NOT_RUN = ("busy", "lagging", "readonly", "unprepared", "misdirected", "crowded")
+
+
+class _Try:
+    """One sending of one statement; `sent` once its bytes may have left."""
+
+    __slots__ = ("sent", "berth")
+
+    def __init__(self, berth):
+        self.sent, self.berth = False, berth
+
+
+class Passage:
+    """Runs statements as continuations; each ends with a Reply."""
+
+    def __init__(self, gate):
+        self.g = gate
+        self.clock, self.nest = gate.clock, gate.nest
+
+    def run(self, v, a, r, b, end):
+        """The continuation of one statement of visit `v`."""
+        if v.trade is not None:
+            return (yield from self._inside(v, a, r, b, end))
+        if a.writes:
+            return (yield from self._write(v, a, r, b, end))
+        return (yield from self._read(v, a, r, b, end))
+
+    def part(self, v, clean=False):
+        """Ends a visit's transaction at its member, if it has one there."""
+        x, v.trade = v.trade, None
+        if x is None or x.conn is None:
+            return
+        c, x.conn = x.conn, None
+        if c.lost:
+            x.berth.stock.drop(c)
+            return
+        if x.sets:
+            c.odd = True
+        self.nest.spawn(x.band.settle(c, x.berth))
+
+    def watch(self, v, x):
+        """Ends a transaction that rests too long: at its member at once, to its visitor at its next statement."""
+        us = self.g.bounds().idle_txn_us
+
+        def look():
+            if v.trade is not x or v.busy or v.state != "trading":
+                return
+            left = v.since + us - self.clock.now()
+            if left > 0:
+                self.clock.later(left, look)
+            elif x.conn is not None:
+                c, x.conn = x.conn, None
+                x.over = True
+                c.odd = c.odd or x.sets
+                emit(self.g.log, 424, member=x.berth.name)
+                self.nest.spawn(x.band.settle(c, x.berth))
+        if x.conn is not None:
+            self.clock.later(us, look)
+
+    def _either(self, fs, us):
+        """A future that is done once one of `fs` is, or after `us`."""
+        out = asyncio.get_running_loop().create_future()
+
+        def fire(*_):
+            if not out.done():
+                out.set_result(None)
+        h = self.clock.later(us, fire)
+        for f in fs:
+            if f.done():
+                fire()
+            else:
+                f.add_done_callback(fire)
+        out.add_done_callback(lambda _: h.cancel())
+        return out
+
+    async def _take(self, t, visit, us):
+        f = t.berth.stock.take(visit)
+        try:
+            return await self.clock.limit(f, us, keep=True)
+        except BaseException:
+            t.berth.stock.quit(f)
+            raise
+
+    async def _outfit(self, c, v, a, more=()):
+        """Makes the connection fit; the replies to `more` (verb, args) come last."""
+        pre, alias = c.outfit(v, a)
+        if pre or more:
+            fs = [c.plain(k, *args) for k, args in [*pre, *more]]
+            rs = [await self.clock.limit(f, _TAKE_US, keep=True) for f in fs]
+            if any(not r.ok for r in rs[:len(pre)]):
+                c.odd = True
+                raise MemberFault("outfit")
+            return alias, rs[len(pre):]
+        return alias, ()
+
+    async def _once(self, t, v, a, after, us):
+        """One statement at one member: takes a connection, makes it fit, sends, gives it back."""
+        b = t.berth
+        c = await self._take(t, v, min(us, _TAKE_US))
+        ok = False
+        try:
+            alias, _ = await self._outfit(c, v, a)
+            t.sent = True
+            b.out += 1
+            try:
+                r = await self.clock.limit(c.ask(a, after, alias), us)
+            finally:
+                b.out -= 1
+            ok = r.state == "I"
+            if r.code == "unprepared":
+                c.odd = True
+            return r
+        finally:
+            b.stock.give(c) if ok else b.stock.drop(c)
+
+    def _noted(self, band, t, f):
+        """What the end of a sending says of its member; its Reply, or None."""
+        if f.cancelled():
+            return None
+        e = f.exception()
+        if e is None:
+            band.fine(t.berth)
+            return f.result()
+        if isinstance(e, (Late, Unreached)) and not isinstance(e, (Unsent, Gone)):
+            band.missed(t.berth, "mute" if isinstance(e, Late) else "reset")
+        return None
+
+    def _read(self, v, a, r, b, end):
+        g = self.g
+        browse = r.reads == "browsing"
+        arr = g.order.next()
+        since = self.clock.now() - int(r.stale_us * 0.8) if browse else None
+        hedge = max(60_000, int(r.aim_us * 0.4))
+        bad, runs, key, pos, pause = set(), [], None, None, 10_000
+        while True:
+            left = end - self.clock.now()
+            if left <= 0:
+                return self._given_up(b)
+            if not runs:
+                if key is None or key != b.key:
+                    key = b.key
+                    gate = b.reads.gate(arr, since)
+                    yield self._either([gate], left)
+                    if not gate.done() or gate.result() is None:
+                        gate.cancel()
+                        if b.key is None or self.clock.now() < end:
+                            key = None
+                            continue
+                        return self._given_up(b)
+                    pos = gate.result()
+                    key = b.key
+                if (yield from self._tide(b, pos, bad, end)):
+                    continue
+            post = b.pick(pos, bad)
+            if post is None:
+                bad.clear()
+                if not runs:
+                    yield self._either([], pause)
+                    pause = min(pause * 2, 80_000)
+                    continue
+            else:
+                t = _Try(post)
+                runs.append((t, self.nest.spawn(self._once(t, v, a, pos, max(left, 1000)))))
+            wait = min(hedge if len(runs) == 1 else left, left)
+            yield self._either([f for _, f in runs], wait)
+            done = [(t, f) for t, f in runs if f.done()]
+            runs = [(t, f) for t, f in runs if not f.done()]
+            if not done:
+                if len(runs) > 1 or not b.spend():
+                    yield self._either([f for _, f in runs], max(end - self.clock.now(), 0))
+                    if not any(f.done() for _, f in runs):
+                        return self._given_up(b, ran=True)
+                    done = [(t, f) for t, f in runs if f.done()]
+                    runs = [(t, f) for t, f in runs if not f.done()]
+                else:
+                    t = runs[0][0]
+                    b.missed(t.berth, "mute")
+                    bad.add(t.berth.name)
+                    g.count["hedged"] += 1
+                    continue
+            for t, f in done:
+                x = self._noted(b, t, f)
+                if x is not None and x.ok:
+                    return x
+                if x is None:
+                    bad.add(t.berth.name)
+                elif x.code == "lagging":
+                    g.count["lagging"] += 1
+                    t.berth.tide.log = x.pos or (0, 0)
+                    if not runs and not (yield from self._lagged(b, t.berth, pos, end)):
+                        bad.add(t.berth.name)
+                elif x.code in ("busy", "crowded", "failed"):
+                    g.count[x.code] += 1
+                    bad.add(t.berth.name)
+                    if x.code == "failed" and not b.spend():
+                        return x
+                elif x.code in ("misdirected", "readonly", "unprepared"):
+                    bad.add(t.berth.name)
+                else:
+                    return x
+
+    def _tide(self, b, pos, bad, end):
+        """Joins a wait for the log of the member that would be taken, if one is on; true to look again."""
+        post = b.pick(pos, bad)
+        if post is None or post.tide.log >= pos or not post.tide.busy:
+            return False
+        if not (yield from self._lagged(b, post, pos, end)):
+            bad.add(post.name)
+        return True
+
+    def _lagged(self, b, post, pos, end):
+        """Waits for a replica's log within the bound; whether it came to hold `pos`."""
+        f = post.tide.reach(pos)
+        yield self._either([f], max(0, min(250_000, end - self.clock.now())))
+        if f.done():
+            return True
+        f.cancel()
+        self.g.count["stalled"] += 1
+        return False
+
+    def _given_up(self, b, ran=False):
+        if ran:
+            return Reply(code="timeout", text="no answer in time")
+        return Reply(code="busy", text=self.g.back(_BACK_US))
+
+    def _write(self, v, a, r, b, end):
+        g = self.g
+        pause = 15_000
+        while True:
+            left = end - self.clock.now()
+            if left <= 0:
+                return self._given_up(b)
+            p = b.primary
+            if p is None or not b.serves(p):
+                yield self._either([b.turned()], min(left, 500_000))
+                continue
+            t = _Try(p)
+            f = self.nest.spawn(self._once(t, v, a, None, left))
+            try:
+                yield self._either([f], left)
+            except Late:
+                pass
+            if not f.done():
+                if not t.sent:
+                    f.cancel()
+                    return self._given_up(b)
+                g.count["unsure"] += 1
+                b.missed(p, "mute")
+                return Reply(code="unsure", text="no answer came; the write may be kept or not")
+            x = self._noted(b, t, f)
+            if x is None:
+                if t.sent:
+                    g.count["unsure"] += 1
+                    emit(g.log, 420, member=p.name)
+                    return Reply(code="unsure", text="the answer was lost; the write may be kept or not")
+                yield self._either([b.turned()], min(left, pause))
+                pause = min(pause * 2, 200_000)
+            elif x.code in ("readonly", "misdirected"):
+                g.tie.doubt(b.name, p.name, "replica")
+                yield self._either([b.turned()], min(left, 200_000))
+            elif x.code in ("busy", "crowded"):
+                g.count[x.code] += 1
+                yield self._either([], min(left, pause))
+                pause = min(pause * 2, 120_000)
+            elif x.code == "unprepared":
+                continue
+            else:
+                return x
+
+    def _inside(self, v, a, r, b, end):
+        x = v.trade
+        g = self.g
+        if x.conn is None:
+            if x.over:
+                return self._abort(v, a, "the transaction had ended")
+            x.band = b
+            why = yield from self._start(v, x, r, b, end)
+            if why is not None:
+                return self._abort(v, a, why)
+        pause = 10_000
+        while True:
+            c = x.conn
+            us = end - self.clock.now()
+            if us <= 0:
+                return self._abort(v, a, g.back(_BACK_US))
+            if a.verb != "commit":
+                us = min(us, max(100_000, r.aim_us * 6 // 10))
+            f = self.nest.spawn(self._pinned(c, v, a))
+            try:
+                yield self._either([f], us)
+            except Late:
+                pass
+            rep = f.result() if f.done() and not f.cancelled() and f.exception() is None else None
+            if rep is None:
+                if not f.done():
+                    f.cancel()
+                    x.band.missed(x.berth, "mute")
+                else:
+                    x.band.missed(x.berth, "reset")
+                return self._torn(v, a, x)
+            x.band.fine(x.berth)
+            if rep.ok:
+                if a.verb == "commit":
+                    v.trade = None
+                    v.settle()
+                    x.conn = None
+                    x.berth.stock.give(c) if rep.state == "I" else x.berth.stock.drop(c)
+                    rep.state = "I"
+                elif a.writes:
+                    x.wrote = True
+                return rep
+            if rep.code in ("busy", "unprepared") and rep.state == "T" and end - self.clock.now() > pause:
+                if rep.code == "unprepared":
+                    c.shapes.clear()
+                g.count[rep.code] += 1
+                yield self._either([], pause)
+                pause *= 2
+                continue
+            if rep.code == "readonly":
+                g.tie.doubt(b.name, x.berth.name, "replica")
+            return self._failed(v, a, x, rep)
+
+    async def _pinned(self, c, v, a):
+        alias, _ = await self._outfit(c, v, a)
+        return await c.ask(a, None, alias)
+
+    def _failed(self, v, a, x, rep):
+        """The member said no: the transaction has failed, or ended with its commit."""
+        if a.verb == "commit":
+            self.part(v)
+            v.settle()
+        else:
+            v.fail()
+        rep.state = v.mark
+        return rep
+
+    def _abort(self, v, a, why):
+        """Nothing was committed and nothing will be."""
+        self.part(v)
+        if a.verb == "commit":
+            v.settle()
+        else:
+            v.fail()
+        return Reply(code="aborted", text=why, state=v.mark)
+
+    def _torn(self, v, a, x):
+        """The connection of a transaction is lost or mute; it is closed, so its member rolls back what is not committed."""
+        c, x.conn = x.conn, None
+        x.berth.stock.drop(c)
+        wrote = x.wrote
+        v.trade = None
+        if a.verb == "commit":
+            v.settle()
+            if wrote:
+                self.g.count["unsure"] += 1
+                emit(self.g.log, 420, member=x.berth.name)
+                return Reply(code="unsure", text="the answer to the commit was lost")
+        else:
+            v.fail()
+        self.g.count["torn"] += 1
+        return Reply(code="aborted", text="the member's answer was lost; nothing of this is kept", state=v.mark)
+
+    def _start(self, v, x, r, b, end):
+        """Begins the transaction at a member; why not, or None."""
+        g = self.g
+        pos, key, bad, pause = None, None, set(), 15_000
+        browse = r.reads == "browsing"
+        since = x.us - int(r.stale_us * 0.8) if browse else None
+        while True:
+            left = end - self.clock.now()
+            if left <= 0:
+                return g.back(_BACK_US)
+            if x.reads:
+                if key is None or key != b.key:
+                    gate = b.reads.gate(x.arr, since)
+                    yield self._either([gate], left)
+                    if not gate.done() or gate.result() is None:
+                        gate.cancel()
+                        continue
+                    pos, key = gate.result(), b.key
+                if (yield from self._tide(b, pos, bad, end)):
+                    continue
+                p = b.pick(pos, bad)
+                if p is None:
+                    bad.clear()
+                    yield self._either([], min(left, pause))
+                    pause = min(pause * 2, 120_000)
+                    continue
+            else:
+                p = b.primary
+                if p is None or not b.serves(p):
+                    yield self._either([b.turned()], min(left, 500_000))
+                    continue
+            t = _Try(p)
+            f = self.nest.spawn(self._begun(t, v, x, pos, min(left, 600_000)))
+            try:
+                yield self._either([f], left)
+            except Late:
+                pass
+            if not f.done():
+                f.cancel()
+                b.missed(p, "mute")
+                return g.back(_BACK_US)
+            e = f.exception() if not f.cancelled() else Busy()
+            if e is not None:
+                if not isinstance(e, Fault):
+                    raise e
+                if isinstance(e, (Late, Unreached)) and not isinstance(e, (Unsent, Gone)):
+                    b.missed(p, "mute" if isinstance(e, Late) else "reset")
+                bad.add(p.name)
+                yield self._either([b.turned()], min(left, pause))
+                pause = min(pause * 2, 200_000)
+                continue
+            rep = f.result()
+            b.fine(p)
+            if rep.ok:
+                return None
+            if rep.code == "lagging":
+                g.count["lagging"] += 1
+                p.tide.log = rep.pos or (0, 0)
+                if not (yield from self._lagged(b, p, pos, end)):
+                    bad.add(p.name)
+            elif rep.code in ("readonly", "misdirected"):
+                g.tie.doubt(b.name, p.name, "replica")
+                yield self._either([b.turned()], min(left, 200_000))
+            elif rep.code in ("busy", "crowded", "failed"):
+                g.count[rep.code] += 1
+                if x.reads:
+                    bad.add(p.name)
+                yield self._either([], min(left, pause))
+                pause = min(pause * 2, 120_000)
+            else:
+                return f"{rep.code} {rep.text}"
+
+    async def _begun(self, t, v, x, pos, us):
+        """BEGIN at one member; on success its connection is the transaction's."""
+        b = t.berth
+        c = await self._take(t, v, min(us, _TAKE_US))
+        r = None
+        try:
+            _, rs = await self.clock.limit(
+                self._outfit(c, v, None, [("begin", ("reads" if x.reads else "writes", pos if x.reads else None))]), us)
+            r = rs[0]
+            if r.ok and r.state == "T" and v.trade is x:
+                x.conn, x.berth = c, b
+            return r
+        finally:
+            if x.conn is not c:
+                b.stock.give(c) if r is not None and r.state == "I" else b.stock.drop(c)
--- /dev/null
+++ b/src/petrelhaven/span/stock.py
@@ -0,0 +1,128 @@
+"""The connections of one edge to one member, handed to the session whose values and shapes they have, if any."""
+import asyncio
+import collections
+
+from ..creed.fault import Busy, Fault, Unsent
+
+__all__ = ["Stock"]
+
+
+class Stock:
+    """Hands out connections; `most` bounds how many are held, `want()` how many are worth opening."""
+
+    def __init__(self, nest, opener, most, want):
+        self.nest, self._open, self.most, self._want = nest, opener, most, want
+        self.idle, self.busy = [], set()
+        self._opening = 0
+        self._wait = collections.deque()
+        self.closed = False
+
+    @property
+    def total(self):
+        return len(self.idle) + len(self.busy) + self._opening
+
+    def take(self, visit):
+        """A future of a connection."""
+        f = asyncio.get_running_loop().create_future()
+        if self.closed:
+            f.set_exception(Unsent("member left the plan"))
+            return f
+        c, cost = self._best(visit)
+        if c is not None and (cost < 2 or self.total >= min(self.most, self._want())):
+            self.idle.remove(c)
+            self.busy.add(c)
+            f.set_result(c)
+        elif self.total < self.most:
+            self._opening += 1
+            self.nest.spawn(self._fresh(f))
+        elif len(self._wait) >= 4 * self.most:
+            f.set_exception(Busy("too many wait for a connection"))
+        else:
+            self._wait.append(f)
+        return f
+
+    def _best(self, visit):
+        best, cost = None, 9
+        for c in reversed(self.idle):
+            k = 0 if c.owner is visit else c.cost(visit)
+            if k < cost:
+                best, cost = c, k
+                if not k:
+                    break
+        return best, cost
+
+    async def _fresh(self, f):
+        try:
+            c = await self._open()
+        except Fault as e:
+            self._opening -= 1
+            if not f.done():
+                f.set_exception(e)
+            return
+        except BaseException:
+            self._opening -= 1
+            raise
+        self._opening -= 1
+        c.on_lost = self._lost
+        if self.closed:
+            c.close()
+            if not f.done():
+                f.set_exception(Unsent("member left the plan"))
+        elif f.done():
+            self.idle.append(c)
+            self._next()
+        else:
+            self.busy.add(c)
+            f.set_result(c)
+
+    def _lost(self, c):
+        if c in self.idle:
+            self.idle.remove(c)
+        self.busy.discard(c)
+        self._next()
+
+    def _next(self):
+        while self._wait and not self._wait[0].done() and (self.idle or self.total < self.most):
+            f = self._wait.popleft()
+            if self.idle:
+                c = self.idle.pop()
+                self.busy.add(c)
+                f.set_result(c)
+            else:
+                self._opening += 1
+                self.nest.spawn(self._fresh(f))
+        while self._wait and self._wait[0].done():
+            self._wait.popleft()
+
+    def give(self, c):
+        """Takes a connection back."""
+        self.busy.discard(c)
+        if c.lost or self.closed:
+            c.close()
+        else:
+            self.idle.append(c)
+        self._next()
+
+    def drop(self, c):
+        """Closes a connection whose state is not known."""
+        self.busy.discard(c)
+        c.close()
+        self._next()
+
+    def quit(self, f):
+        """Gives back whatever `f` brought or will bring."""
+        if f.done() and not f.cancelled() and f.exception() is None:
+            self.give(f.result())
+        else:
+            f.cancel()
+
+    def close(self):
+        """Closes idle connections at once, busy ones when they come back, and declines all waits."""
+        self.closed = True
+        for c in self.idle:
+            c.close()
+        self.idle.clear()
+        w, self._wait = self._wait, collections.deque()
+        for f in w:
+            if not f.done():
+                f.set_exception(Unsent("member left the plan"))
--- /dev/null
+++ b/src/petrelhaven/span/strand.py
@@ -0,0 +1,48 @@
+"""A connection to a member that remembers whose values and which shapes it has."""
+
+__all__ = ["Strand"]
+
+_SHAPES = 64
+
+
+class Strand:
+    """Base of a wire's connection. A wire adds `ask`, `own`, `plain` and `close`; replies come in the order asked.
+
+    `ask(ask, after, alias)` gives a future of a Reply, `own(verb, *args)` one of a status row, `plain(verb, *args)` one
+    of a Reply to a statement of the system's own; a lost connection fails them with Unreached.
+    """
+
+    def __init__(self):
+        self.values, self.shapes, self.owner = {}, {}, None
+        self.lost = self.odd = False
+        self.on_lost = None
+
+    def cost(self, visit):
+        """0 fits as it is, 1 fits but for shapes, 2 lacks values, 3 has values of others."""
+        if self.odd:
+            return 3
+        v = visit.values
+        if self.values == v:
+            return 0 if all(s in self.shapes for s in visit.prepared.values()) else 1
+        return 2 if self.values.keys() <= v.keys() else 3
+
+    def outfit(self, visit, ask=None):
+        """What must be said before `ask` of `visit`: a list of (verb, args), and the prepared name to use."""
+        out = []
+        if self.odd or not self.values.keys() <= visit.values.keys() or len(self.shapes) > _SHAPES:
+            out.append(("reset", ()))
+            self.values, self.shapes, self.odd = {}, {}, False
+        for k, v in visit.values.items():
+            if self.values.get(k) != v:
+                out.append(("set", (k, v)))
+        alias = None
+        if ask is not None and ask.verb == "execute":
+            s = visit.prepared[ask.name]
+            alias = self.shapes.get(s)
+            if alias is None:
+                alias = f"p{len(self.shapes) + 1}"
+                self.shapes[s] = alias
+                out.append(("prepare", (alias, s)))
+        self.values = dict(visit.values)
+        self.owner = visit
+        return out, alias
--- /dev/null
+++ b/src/petrelhaven/span/tie.py
@@ -0,0 +1,132 @@
+"""An edge's tie to the core without leases: a held connection, numbered changes, a pulse, doubts told at once."""
+import asyncio
+
+from ..creed.event import emit
+from ..creed.fault import Fault
+from ..helm.ledger import Ledger
+
+__all__ = ["Tie"]
+
+_PULSE_US = 1_000_000
+_BAD_US = 1_500_000
+_DOUBT_US = 250_000
+
+
+class Tie:
+    """Holds the ledger as pushed. `near(hall)` ranks halls; the nearest core that rules is held."""
+
+    def __init__(self, clock, nest, link, rng, name, seeds, near, log=None):
+        self.clock, self.nest, self.link, self.rng, self.log = clock, nest, link, rng, log
+        self.name, self.seeds, self._near = name, seeds, near
+        self.ledger = Ledger()
+        self.joined = False
+        self.view = 0
+        self.cores = {}
+        self.on_change = []
+        self.pulsed = -1 << 60
+        self._bad, self._asked = {}, {}
+        self._ch = self._core = None
+        link.on("edge.push", self._push)
+
+    def start(self):
+        """Starts the task of the tie."""
+        self.nest.spawn(self._run())
+
+    def tied(self, us):
+        """Whether a core that rules has answered within `us`."""
+        return self.clock.now() - self.pulsed < us
+
+    def _choose(self):
+        now = self.clock.now()
+        known = dict(self.cores)
+        for a in self.seeds:
+            known.setdefault(a, 9)
+        good = [a for a in known if self._bad.get(a, 0) <= now]
+        if not good:
+            return None
+        best = min(known[a] for a in good)
+        return self.rng.choice([a for a in sorted(good) if known[a] == best])
+
+    async def _run(self):
+        while True:
+            a = self._choose()
+            if a is None:
+                await self.clock.sleep(100_000)
+                continue
+            try:
+                ch = await self.link.open(a)
+            except Fault:
+                self._bad[a] = self.clock.now() + _BAD_US
+                continue
+            try:
+                await self._hold(a, ch)
+            except Fault:
+                pass
+            finally:
+                self._ch = None
+                ch.close()
+            self._bad[a] = max(self._bad.get(a, 0), self.clock.now() + 300_000)
+
+    async def _hold(self, a, ch):
+        at = self.ledger.seq if self.joined else -1
+        r = await ch.call("edge.hold", {"edge": self.name, "inc": 0, "applied": at}, 800_000)
+        if not r["ok"]:
+            self._bad[a] = self.clock.now() + 500_000
+            return
+        self._ch, self._core = ch, a
+        emit(self.log, 401, core=a)
+        mute = 0
+        while not ch.gone.done():
+            try:
+                ok = await self._pulse([])
+                mute = 0 if ok else mute + 1
+            except Fault:
+                mute += 1
+            if mute >= 2:
+                emit(self.log, 402, core=a)
+                self._bad[a] = self.clock.now() + _BAD_US
+                return
+            mine = self.cores.get(a, 9)
+            if any(r < mine and self._bad.get(b, 0) <= self.clock.now() for b, r in self.cores.items()):
+                return
+            await asyncio.wait([ch.gone], timeout=(_PULSE_US if not mute else 200_000) / 1e6)
+
+    async def _pulse(self, doubts):
+        ch = self._ch
+        if ch is None:
+            return False
+        t0 = self.clock.now()
+        r = await ch.call("tie.pulse", {"name": self.name, "seq": self.ledger.seq, "cores": self.view,
+                                        "doubts": doubts}, 600_000)
+        if r["cores"]:
+            self.view = r["view"]
+            self.cores = {a: self._near(h) for _, h, a in r["cores"]}
+        if r["ok"]:
+            self.pulsed = t0
+        return r["ok"]
+
+    def doubt(self, group, member, how):
+        """Tells the core that a primary seems lost; said again at most every quarter of a second."""
+        now = self.clock.now()
+        if self._asked.get(group, 0) > now or self._ch is None:
+            return
+        self._asked[group] = now + _DOUBT_US
+        emit(self.log, 423, group=group, member=member, how=how)
+        self.nest.spawn(self._pulse([[group, member, how]]))
+
+    async def _push(self, ch, b):
+        if ch is not self._ch and self._ch is not None:
+            ch.close()
+            return {"applied": self.ledger.seq, "acked": self.ledger.seq}
+        recs, fresh = [], False
+        if b["frame"] is not None and (b["frame"]["seq"] > self.ledger.seq or not self.joined):
+            self.ledger = Ledger(b["frame"])
+            self.joined = fresh = True
+        for s, r in b["recs"]:
+            if s == self.ledger.seq + 1:
+                self.ledger.apply(s, r)
+                recs.append(r)
+        if fresh or recs:
+            for f in self.on_change:
+                f(recs, fresh)
+        return {"applied": self.ledger.seq, "acked": self.ledger.seq}
