--- /dev/null
+++ b/tests/estate/beats.py
@@ -0,0 +1,76 @@
+import asyncio
+import json
+
+from .caller import Caller
+from .signal import Signal
+
+__all__ = ["Beats"]
+
+
+class Beats:
+    """A member's calls to the system: its beats, at changes at once, and its sign-off."""
+
+    def __init__(self, member, nodes, beat_ms):
+        self._member, self._nodes, self._beat_ms = member, nodes, beat_ms
+        self._caller = Caller()
+        self._soon = asyncio.Event()
+        self._seq, self._turn, self._target = 0, 0, None
+        self._acknowledged, self._changed = None, Signal()
+
+    def soon(self):
+        """Has the next beat sent at once."""
+        self._soon.set()
+
+    async def acknowledged(self, state):
+        """Beats at once and waits until `state` is acknowledged."""
+        self.soon()
+        await self._changed.wait_for(lambda: self._acknowledged == state)
+
+    async def run(self):
+        """Beats until it is cancelled."""
+        while True:
+            self._soon.clear()
+            if self._nodes:
+                await self._member.lit.wait()
+                await self._beat()
+            try:
+                await asyncio.wait_for(self._soon.wait(), self._beat_ms / 1000)
+            except TimeoutError:
+                pass
+
+    async def deregister(self):
+        """Signs off."""
+        for _ in self._nodes:
+            if await self._send("Deregister") is not None:
+                return
+
+    async def close(self):
+        """Closes its connections."""
+        await self._caller.close()
+
+    async def _beat(self):
+        for _ in range(len(self._nodes) + 1):
+            state = self._member.state
+            answer = await self._send("Heartbeat")
+            if answer is not None:
+                self._target = answer.get("BeatTarget") or self._target
+                self._acknowledged = state
+                self._changed.fire()
+                return
+
+    async def _send(self, verb):
+        m, g = self._member, self._member.group
+        self._seq += 1
+        body = {"Service": g.service, "Address": m.address, "Zone": m.zone, "Revision": m.revision,
+                "Capacity": g.slots, "State": m.state, "WarmupLeftMs": 0, "DbRole": m.role, "CallSeq": self._seq}
+        node = self._target or self._nodes[self._turn % len(self._nodes)]
+        status, got = await self._caller.call(node, "POST", f"/v1/Members.{verb}/{m.id}", body)
+        if 200 <= status < 300 and len(got) <= 4096:
+            try:
+                answer = json.loads(got) if got else {}
+                return answer if isinstance(answer, dict) else {}
+            except ValueError:
+                return {}
+        self._target = None
+        self._turn += 1
+        return None
--- /dev/null
+++ b/tests/estate/process.py
@@ -0,0 +1,71 @@
+import asyncio
+import contextlib
+import signal
+
+__all__ = ["Process"]
+
+
+class Process:
+    """One real process; it is started again a short while after it ends, until it is switched off.
+
+    `write_settings(first)` is called before each start. `own_ends` lists the exit codes of ends that nobody asked for.
+    """
+
+    def __init__(self, argv, cwd, env, log, write_settings, pause=0.5):
+        self._argv, self._cwd, self._env, self._log, self._write = argv, cwd, env, log, write_settings
+        self._pause = pause
+        self._child, self._keeper, self._told = None, None, False
+        self.starts, self.own_ends = 0, []
+
+    @property
+    def pid(self):
+        """Its process id, or None while it doesn't run."""
+        return self._child.pid if self._child and self._child.returncode is None else None
+
+    async def on(self):
+        """Starts it, and keeps it running."""
+        await self._spawn()
+        self._keeper = asyncio.ensure_future(self._keep())
+
+    async def off(self):
+        """Kills it and leaves it off."""
+        if self._keeper:
+            self._keeper.cancel()
+            await asyncio.wait([self._keeper])
+            self._keeper = None
+        self.send(signal.SIGKILL)
+        if self._child:
+            await self._child.wait()
+
+    def send(self, number):
+        """Sends it a signal."""
+        if self.pid:
+            self._told = self._told or number in (signal.SIGKILL, signal.SIGTERM)
+            with contextlib.suppress(ProcessLookupError):
+                self._child.send_signal(number)
+
+    async def terminate(self, grace):
+        """Sends SIGTERM, and SIGKILL after `grace` seconds; returns its exit code."""
+        child = self._child
+        self.send(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(child.wait(), grace)
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+        return await child.wait()
+
+    async def _spawn(self):
+        self._write(self.starts == 0)
+        self.starts += 1
+        self._told = False
+        with open(self._log, "ab") as out:
+            self._child = await asyncio.create_subprocess_exec(
+                *self._argv, cwd=self._cwd, env=self._env, stdin=asyncio.subprocess.DEVNULL, stdout=out, stderr=out)
+
+    async def _keep(self):
+        while True:
+            code = await self._child.wait()
+            if not self._told:
+                self.own_ends.append(code)
+            await asyncio.sleep(self._pause)
+            await self._spawn()
