--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,8 @@
 from petrelhaven.drill.fleet import Fleet
 from petrelhaven.drill.warp import WarpLoop, end_all
 
+pytest_plugins = ["known_red"]
+
 
 @pytest.fixture
 def warp():
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,104 @@
+"""KNOWN-RED.txt: a listed test may fail; one that passes, is skipped or is not found fails the run."""
+from pathlib import Path
+
+import pytest
+
+import known_red
+
+pytest_plugins = ["pytester"]
+
+TESTS = """
+import pytest
+
+def test_passes():
+    pass
+
+def test_fails():
+    assert 0
+
+@pytest.mark.xdist_group("g")
+@pytest.mark.parametrize("x", ["a b"])
+def test_grouped(x):
+    assert 0
+
+@pytest.fixture
+def broken():
+    assert 0
+
+def test_setup_fails(broken):
+    pass
+
+@pytest.mark.skip
+def test_skipped():
+    pass
+
+@pytest.mark.xfail
+def test_own_mark():
+    pass
+"""
+RED = ["test_fails", "test_grouped[a b]", "test_setup_fails"]
+
+
+@pytest.fixture(params=["", "-n 2 --dist loadgroup"], ids=["alone", "xdist"])
+def run(pytester, request):
+    """Runs the tests above with these lines of the list; returns what pytest said."""
+    def go(*lines, args=()):
+        (pytester.path / "tests").mkdir()
+        for name, text in (
+            ("pytest.ini", f"[pytest]\ntestpaths = tests\naddopts = -q {request.param}\n"),
+            ("KNOWN-RED.txt", "".join(x + "\n" for x in lines)),
+            ("tests/conftest.py", 'pytest_plugins = ["known_red"]\n'),
+            ("tests/known_red.py", Path(known_red.__file__).read_text()),
+            ("tests/test_it.py", TESTS),
+        ):
+            (pytester.path / name).write_text(text)
+        return pytester.runpytest_subprocess(*args, timeout=60)
+    return go
+
+
+def line(name, sep="  "):
+    return sep.join([f"tests/test_it.py::{name}", "a cause", "issue 7"])
+
+
+def test_listed_tests_that_fail_are_printed_and_do_not_fail_the_run(run):
+    r = run(line("test_fails"), "", line("test_grouped[a b]", "\t"), line("test_setup_fails", " \t "))
+    assert r.ret == 0
+    r.assert_outcomes(passed=1, xfailed=3, skipped=1, xpassed=1)
+    for name in RED:
+        assert f"tests/test_it.py::{name}  fails as listed: a cause (issue 7)" in r.outlines
+
+
+def test_a_failing_test_that_is_not_listed_fails_the_run(run):
+    r = run(line("test_fails"), line("test_setup_fails"))
+    assert r.ret == 1
+    r.assert_outcomes(passed=1, xfailed=2, skipped=1, xpassed=1, failed=1)
+
+
+@pytest.mark.parametrize(
+    "name,said",
+    [
+        ("test_passes", "does not fail as listed"),
+        ("test_own_mark", "does not fail as listed"),
+        ("test_skipped", "skipped, so not known to fail"),
+        ("test_gone", "not found"),
+        ("test_grouped", "not found"),
+    ],
+)
+def test_a_listed_test_that_does_not_fail_or_is_not_found_fails_the_run(run, name, said):
+    r = run(*map(line, [*RED, name]))
+    assert r.ret == 1
+    assert r.parseoutcomes()["failed"] == 1
+    assert any(x.startswith(f"tests/test_it.py::{name}  {said}") for x in r.outlines)
+
+
+def test_a_narrowed_run_asks_only_for_the_listed_tests_it_runs(run):
+    r = run(*map(line, [*RED, "test_gone"]), args=["-k", "test_fails"])
+    assert r.ret == 0
+    r.assert_outcomes(xfailed=1)
+
+
+@pytest.mark.parametrize("lines", [["tests/test_it.py::test_fails  a cause"], [line("test_fails")] * 2])
+def test_a_line_that_is_not_whole_or_repeated_stops_the_run(run, lines):
+    r = run(*lines)
+    assert r.ret == pytest.ExitCode.USAGE_ERROR
+    assert any(f"KNOWN-RED.txt:{len(lines)}:" in x for x in r.errlines)
