Reads carry their fetch to the primary under a lease; statements keep their clients' numbers

Now a strong read that would need a fetch of its own is one: it goes to the primary in office under the edge's lease, stamped before it is sent, and later reads pair with it; writes and statements of plain transactions give pairs too, since only a primary in office answers them. The warden asks the platform only once every edge has acknowledged the move or its lease has lapsed. Ruled out: gathering fetches (2 reads a second an edge and group leave nothing to gather).

--- a/src/petrelhaven/creed/contract.py
+++ b/src/petrelhaven/creed/contract.py
@@ -62,7 +62,7 @@
 _contract("edge.enter", "edge:string inc:long state:string boot:string hall:string addr:string http:string", "seq:long")
 # an edge's tie, cores among themselves about members
 _contract(
-    "tie.pulse", "name:string seq:long cores:long doubts:doc", "ok:boolean seq:long view:long edges:long cores:doc"
+    "tie.pulse", "name:string seq:long cores:long doubts:doc", "ok:boolean us:long need:long view:long edges:long cores:doc"
 )
 _contract("warden.doubt", "group:string member:string how:string")
 _contract("warden.look", "member:string addr:string group:string", "how:string")
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -38,7 +38,7 @@
         self.reach = Reach(clock, link, self.roster, rng)
         self.prober = Prober(clock, link, nest, rng, self.roster, seeds, self.probe_us)
         self.chain = Chain(clock, nest, self.mem, self.call, log, self.confirm_us, self.ask_us)
-        self.desk = Desk(clock, nest, self.chain, self.call, log)
+        self.desk = self.make_desk()
         self.duty = self.make_duty(platform)
         self.voter = Voter(self.mem)
         self._ask = Proposer(self.mem, self.call)
@@ -66,6 +66,10 @@
             link.on(k, f)
         self.chain.on_view.append(self.turn)
 
+    def make_desk(self):
+        """The desk that lends leases to edges."""
+        return Desk(self.clock, self.nest, self.chain, self.call, self.log)
+
     def make_duty(self, platform):
         """The duty that this core does while it is the head."""
         from .duty import Duty
--- a/src/petrelhaven/helm/desk.py
+++ b/src/petrelhaven/helm/desk.py
@@ -5,7 +5,7 @@
 from ..creed.fault import Fault, Late
 from .chain import CONFIRM_US, DRIFT
 
-__all__ = ["Desk", "LEASE_US", "LAPSE_US"]
+__all__ = ["Desk", "LEASE_US", "LAPSE_US", "TiedDesk"]
 
 LEASE_US = 1_500_000
 LAPSE_US = int((LEASE_US + CONFIRM_US) * DRIFT)
@@ -14,18 +14,19 @@
 class Desk:
     """Grants leases under the newest held change and counts acknowledgements."""
 
-    def __init__(self, clock, nest, chain, call, log=None):
+    def __init__(self, clock, nest, chain, call, log=None, lapse_us=LAPSE_US):
         self.clock, self.nest, self.chain, self._call, self.log = clock, nest, chain, call, log
+        self._lapse = lapse_us
         self.live = {}
         self.acked = {}
-        self.floor = clock.now() + LAPSE_US
+        self.floor = clock.now() + lapse_us
         self._hold = {}
         chain.on_view.append(self._viewed)
         chain.on_commit.append(self._wake)
         self._news = asyncio.Event()
 
     def _viewed(self):
-        self.floor = max(self.floor, self.clock.now() + LAPSE_US)
+        self.floor = max(self.floor, self.clock.now() + self._lapse)
 
     def _wake(self):
         e, self._news = self._news, asyncio.Event()
@@ -96,7 +97,7 @@
     async def in_force(self, seq, grace=0, horizon=15_000_000):
         """Waits until every edge acknowledged `seq` or its lease has certainly lapsed; returns who lapsed."""
         t0 = self.clock.now()
-        sure = t0 + LAPSE_US + int(grace * DRIFT)
+        sure = t0 + self._lapse + int(grace * DRIFT)
         while True:
             v = self.chain.view
             news = self._news
@@ -124,10 +125,31 @@
         late = {e for e in known if acked.get(e, 0) < seq}
         if len(got) == len(rs):
             return not late or not late & live and (all(r["floor"] == 0 for r in rs) or self.clock.now() >= sure)
-        return self.clock.now() >= sure + LAPSE_US and not late & live
+        return self.clock.now() >= sure + self._lapse and not late & live
 
     async def _ask(self, name, seq):
         try:
             return await self._call(name, "chain.force", {"seq": seq}, 500_000)
         except Fault:
             return None
+
+
+class TiedDesk(Desk):
+    """The desk of ties: edges stand in no record, so those that a lost core may have lent to are waited for by time."""
+
+    def lend(self, edge, us):
+        """Notes that `edge` may hold a lease for `us` from now."""
+        self.live[edge] = self.clock.now() + int(us * DRIFT)
+
+    def _held(self, rs, seq, sure):
+        got = [r for r in rs if r is not None]
+        acked = {}
+        for r in got:
+            for e, s in r["acked"].items():
+                acked[e] = max(acked.get(e, 0), s)
+        if any(acked.get(e, 0) < seq for r in got for e in r["live"]):
+            return False
+        now = self.clock.now()
+        if len(got) < len(rs):
+            return now >= sure + self._lapse
+        return all(r["floor"] == 0 for r in got) or now >= sure
--- a/src/petrelhaven/helm/seat.py
+++ b/src/petrelhaven/helm/seat.py
@@ -1,12 +1,16 @@
 """A core machine of the path where sessions live with their connection: ledger, warden, edges' ties."""
 from ..creed.bound import NAME
 from ..creed.fault import Duplicate, Fault, Malformed, NotReady, Stale
+from .chain import DRIFT
 from .core import _ADDR, Core
+from .desk import TiedDesk
 from .ledger import Ledger
 from .manifest import read
 from .warden import Warden
 
-__all__ = ["Seat"]
+__all__ = ["LENT_US", "Seat"]
+
+LENT_US = 900_000
 
 _FACTS = {"member": str, "group": str, "hall": str, "addr": str, "role": str, "state": str, "slots": int, "count": int}
 _HEARD_US = 900_000
@@ -18,7 +22,7 @@
     """One core daemon's logic; `wire` opens connections to members, `platform` moves offices."""
 
     state_of = Ledger
-    mend_us, confirm_us, ask_us, probe_us = 300_000, 1_000_000, 330_000, 300_000
+    mend_us, confirm_us, ask_us, probe_us = 300_000, 800_000, 300_000, 300_000
 
     def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, wire, beat_us, log=None):
         self.wire, self.beat_us = wire, beat_us
@@ -26,13 +30,17 @@
         super().__init__(name, hall, seeds, clock, nest, link, disk, rng, platform, log)
         self.chain.tied = lambda: len(self.tied)
 
+    def make_desk(self):
+        """The desk of the edges' ties."""
+        return TiedDesk(self.clock, self.nest, self.chain, self.call, self.log, int((LENT_US + self.confirm_us) * DRIFT))
+
     def make_duty(self, platform):
         """The warden of all offices."""
         return Warden(self, platform)
 
     def handlers(self):
         """What edges and other cores ask."""
-        return {"edge.hold": self._hold, "tie.pulse": self._pulse, "warden.doubt": self._doubted,
+        return {"edge.hold": self._hold, "chain.force": self.desk.force, "tie.pulse": self._pulse, "warden.doubt": self._doubted,
                 "warden.look": self.duty.looked}
 
     def pace(self):
@@ -60,7 +68,10 @@
                 a = self.roster.addr_of(n)
                 if a:
                     cores.append([n, self.hall if n == self.name else self.roster.peers[n].hall, a])
-        return {"ok": bool(self.chain.active), "seq": self.chain.commit, "view": v["n"] if v else 0,
+        ok = self.chain.active
+        if ok:
+            self.desk.lend(b["name"], LENT_US)
+        return {"ok": ok, "us": LENT_US, "need": self.chain.realm.seq, "view": v["n"] if v else 0,
                 "edges": len(self.tied) + sum(n for at, n in self.chain.tied_at.values() if now - at < _TIED_US),
                 "cores": cores}
 
--- a/src/petrelhaven/helm/warden.py
+++ b/src/petrelhaven/helm/warden.py
@@ -59,6 +59,7 @@
                 continue
             if self._began is None:
                 self._began = self.clock.now()
+                self._resume = {g: set(c.realm.group(g)) - {o["primary"]} for g, o in self._doc["offices"].items()}
             for g in c.realm.manifest["groups"]:
                 if g["name"] not in self._busy:
                     self._group(g["name"])
@@ -310,6 +311,7 @@
         return False
 
     async def _promote(self, g, heir, wards, old, seq):
+        await self.c.desk.in_force(seq)
         if not (self.c.chain.active and self.c.chain.head):
             raise NotHead("not the active head any more")
         emit(self.log, 326, group=g, heir=heir.name, pos=heir.row["pos"], fence=seq)
--- a/src/petrelhaven/span/band.py
+++ b/src/petrelhaven/span/band.py
@@ -18,7 +18,7 @@
     """One member: its connections, how it does, and what is known of its log."""
 
     __slots__ = ("name", "addr", "hall", "state", "slots", "rank", "stock", "tide", "shared", "down", "bad", "out",
-                 "heard", "stop_at")
+                 "heard", "stop_at", "lags", "lag_till", "slow")
 
     def __init__(self, name, m, rank):
         self.name, self.addr, self.hall, self.state, self.slots = name, m["addr"], m["hall"], m["state"], m["slots"]
@@ -26,6 +26,7 @@
         self.stock = self.tide = self.shared = None
         self.down, self.bad, self.out, self.heard = 0, 0, 0, 0
         self.stop_at = None
+        self.lags, self.lag_till, self.slow = 0, 0, 0
 
 
 class Band:
@@ -63,7 +64,7 @@
             if b is None:
                 b = self.berths[n] = Berth(n, m, self.g.near(m["hall"]))
                 b.stock = Stock(self.clock, self.nest, self._opener(b), 1, lambda: self.visits + 2)
-                b.tide = Tide(self.clock, self.nest, self._asker(b), gap_us=12_000)
+                b.tide = Tide(self.clock, self.nest, None)
                 b.tide.log = (0, 0)
             b.state = m["state"]
             b.stock.most = max(1, (self.cap - 4) // max(self.g.tie.edges, 3) - 1)
@@ -108,7 +109,7 @@
         for n, b in self.berths.items():
             if n in bad or b.stop_at is not None and (n != p or now >= b.stop_at):
                 continue
-            k = (b.down > now, b.out >= max(2, b.slots - 1), b.rank, n == p and b.rank > 0, b.out, n)
+            k = (b.down > now, b.slow > now and b.tide.log < pos, b.out >= max(2, b.slots - 1), b.rank, n == p and b.rank > 0, b.out, n)
             if best is None or k < best[0]:
                 best = (k, b)
         return best[1] if best else None
@@ -124,10 +125,20 @@
         """A request came: a tenth of a second try is earned."""
         self._tokens = min(20.0, self._tokens + 0.1)
 
-    def fine(self, b):
-        """Member `b` has answered."""
+    def fine(self, b, pos=None):
+        """Member `b` has answered, its log at `pos`."""
         b.heard = self.clock.now()
         b.bad = b.down = 0
+        if pos is not None and pos > b.tide.log:
+            b.tide.note(pos, 0)
+
+    @property
+    def sure(self):
+        """The primary that is in office under this edge's lease, or None; asked right before a send."""
+        o = self.office
+        if o is None or o["phase"] != "serve" or not self.g.tie.holds:
+            return None
+        return self.berths.get(o["primary"])
 
     def missed(self, b, how):
         """Member `b` did not answer; a primary that is silent or refuses is doubted."""
@@ -167,12 +178,6 @@
         self.fine(b)
         return r
 
-    def _asker(self, b):
-        async def ask():
-            r = await self._status(b)
-            return r["at"], 0
-        return ask
-
     async def _fetch(self, key):
         b = self.berths.get(key[1])
         if b is None or self.key != key:
@@ -191,10 +196,10 @@
                 b.shared.close()
         self.reads.turn(None)
 
-    async def settle(self, conn, b):
-        """Rolls a connection back and keeps it, if that works within the bound."""
+    async def settle(self, conn, b, num):
+        """Rolls a connection back at its visitor's word and keeps it, if that works within the bound."""
         try:
-            r = await self.clock.limit(conn.plain("rollback"), 500_000)
+            r = await self.clock.limit(conn.plain("rollback", (), num), 500_000)
             ok = r.state == "I"
         except Fault:
             ok = False
--- a/src/petrelhaven/span/clock.py
+++ b/src/petrelhaven/span/clock.py
@@ -65,6 +65,7 @@
             "stuck": 0,
             "gaveup": 0,
             "voided": 0,
+            "carried": 0,
         }
 
     def turn(self, key):
@@ -116,6 +117,46 @@
         self._queue.append(r)
         self._pump()
 
+    def carrier(self, arr, since=None):
+        """A flight that the caller's own statement to the primary is to be, or None if a pair or a flight will do.
+
+        The caller stamps nothing: the flight started here. It must call `landed` or `failed` with it.
+        """
+        p = self.pair
+        r = _Read(arr, since, 0, None)
+        if self.key is None or p is not None and self._fits(p.start, p.us, r):
+            return None
+        if any(not f.stuck and self._fits(f.start, f.us, r) for f in self._flights):
+            return None
+        f = _Flight(self.key, self.order.next(), self.clock.now(), [])
+        self.count["reads"] += 1
+        self.count["carried"] += 1
+        self._flights.append(f)
+        f.tick = self.clock.later(self.bounds().fetch_us, lambda: self._stick(f))
+        return f
+
+    def landed(self, f, pos):
+        """A carrier's statement was answered by the primary, whose log is at `pos`."""
+        f.tick.cancel()
+        if f in self._flights:
+            self._flights.remove(f)
+            self._bad = 0
+            self._took(f, pos)
+
+    def failed(self, f):
+        """A carrier's statement brought no position; whoever joined it fetches anew."""
+        f.tick.cancel()
+        if f in self._flights:
+            self._flights.remove(f)
+            self._queue += f.reads
+            self._pump()
+
+    def noted(self, key, start, us, pos):
+        """A statement that only a primary in office answers, sent at `start`, came back with the log at `pos`."""
+        if key == self.key and key is not None and (self.pair is None or start > self.pair.start):
+            self.pair = Pair(pos, start, us)
+            self._serve_queue()
+
     def _pump(self):
         if self.key is None or self._again is not None:
             return
@@ -157,11 +198,17 @@
                 self._again = self.clock.later(10_000 << self._bad, self._retry)
             return
         self._bad = 0
+        self._took(f, pos)
+
+    def _took(self, f, pos):
         if self.pair is None or f.start > self.pair.start:
             self.pair = Pair(pos, f.start, f.us)
         for r in f.reads:
             if not r.out.done():
                 r.out.set_result(pos)
+        self._serve_queue()
+
+    def _serve_queue(self):
         left = []
         for r in self._queue:
             if not r.out.done() and self._fits(self.pair.start, self.pair.us, r):
--- a/src/petrelhaven/span/gate.py
+++ b/src/petrelhaven/span/gate.py
@@ -131,28 +131,30 @@
         k = a.verb
         if k == "rollback":
             if v.state != "idle":
-                self.passage.part(v, clean=True)
+                self.passage.part(v, a.num)
                 v.settle()
             return Reply()
         if v.state == "failed":
             if k == "commit":
-                self.passage.part(v, clean=True)
+                self.passage.part(v)
                 v.settle()
                 return Reply(code="aborted", text="the transaction had failed; nothing of it is kept")
             return Reply(code="malformed", text="the transaction has failed; end it", state="E")
         if k == "set":
             v.values[a.name] = a.data
+            v.nums[a.name] = a.num
             if v.trade is not None:
                 v.trade.sets = True
         elif k == "prepare":
             v.prepared[a.name] = a.shape
+            v.nums["", a.name] = a.num
         elif k == "forget":
             v.prepared.pop(a.name, None)
         elif k == "begin":
             if v.trade is not None:
                 return Reply(code="malformed", text="a transaction is open", state=v.mark)
             v.begin()
-            v.trade = Trade(not a.writes, self.order.next(), self.clock.now(), self.routes.get(v.host))
+            v.trade = Trade(a.num, not a.writes, self.order.next(), self.clock.now(), self.routes.get(v.host))
         elif k == "execute" and a.name not in v.prepared:
             if v.trade is not None:
                 v.fail()
--- a/src/petrelhaven/span/passage.py
+++ b/src/petrelhaven/span/passage.py
@@ -9,16 +9,19 @@
 
 _TAKE_US = 600_000
 _BACK_US = 250_000
-_NOT_RUN = ("busy", "lagging", "readonly", "unprepared", "misdirected", "crowded")
+_ELSEWHERE = ("busy", "crowded", "failed", "misdirected", "readonly", "unprepared")
+_LAGS = 5
+_SLOW_US = 1_000_000
 
 
 class _Try:
-    """One sending of one statement; `sent` once its bytes may have left."""
+    """One sending of one statement; `sent` once its bytes may have left, `flight` the fetch that it carries."""
 
-    __slots__ = ("sent", "berth")
+    __slots__ = ("sent", "berth", "flight", "start", "us", "key")
 
-    def __init__(self, berth):
-        self.sent, self.berth = False, berth
+    def __init__(self, berth, key=None, flight=None):
+        self.sent, self.berth, self.key, self.flight = False, berth, key, flight
+        self.start = self.us = 0
 
 
 class Passage:
@@ -36,18 +39,18 @@
             return (yield from self._write(v, a, r, b, end))
         return (yield from self._read(v, a, r, b, end))
 
-    def part(self, v, clean=False):
-        """Ends a visit's transaction at its member, if it has one there."""
+    def part(self, v, num=None):
+        """Ends a visit's transaction at its member, if it has one there: by its ROLLBACK `num`, else with the connection."""
         x, v.trade = v.trade, None
         if x is None or x.conn is None:
             return
         c, x.conn = x.conn, None
-        if c.lost:
+        if c.lost or num is None:
             x.berth.stock.drop(c)
             return
         if x.sets:
             c.odd = True
-        self.nest.spawn(x.band.settle(c, x.berth))
+        self.nest.spawn(x.band.settle(c, x.berth, num))
 
     def watch(self, v, x):
         """Ends a transaction that rests too long: at its member at once, to its visitor at its next statement."""
@@ -62,9 +65,8 @@
             elif x.conn is not None:
                 c, x.conn = x.conn, None
                 x.over = True
-                c.odd = c.odd or x.sets
                 emit(self.g.log, 424, member=x.berth.name)
-                self.nest.spawn(x.band.settle(c, x.berth))
+                x.berth.stock.drop(c)
         if x.conn is not None:
             self.clock.later(us, look)
 
@@ -96,7 +98,7 @@
         """Makes the connection fit; the replies to `more` (verb, args) come last."""
         pre, alias = c.outfit(v, a)
         if pre or more:
-            fs = [c.plain(k, *args) for k, args in [*pre, *more]]
+            fs = [c.plain(k, args, num) for k, args, num in [*pre, *more]]
             rs = [await self.clock.limit(f, _TAKE_US, keep=True) for f in fs]
             if any(not r.ok for r in rs[:len(pre)]):
                 c.odd = True
@@ -104,14 +106,23 @@
             return alias, rs[len(pre):]
         return alias, ()
 
-    async def _once(self, t, v, a, after, us):
-        """One statement at one member: takes a connection, makes it fit, sends, gives it back."""
+    async def _once(self, t, v, a, band, after, us):
+        """One statement at one member: takes a connection, makes it fit, sends, gives it back.
+
+        A read that is not behind a position goes only to the primary that is in office under a lease; its reply is a
+        fetch of its own.
+        """
         b = t.berth
-        c = await self._take(t, v, min(us, _TAKE_US))
+        c = r = None
         ok = False
         try:
+            c = await self._take(t, v, min(us, _TAKE_US))
             alias, _ = await self._outfit(c, v, a)
+            if t.flight is not None and band.sure is not b:
+                ok = True
+                raise Unsent("lease")
             t.sent = True
+            t.start, t.us = self.g.order.next(), self.clock.now()
             b.out += 1
             try:
                 r = await self.clock.limit(c.ask(a, after, alias), us)
@@ -122,7 +133,13 @@
                 c.odd = True
             return r
         finally:
-            b.stock.give(c) if ok else b.stock.drop(c)
+            if t.flight is not None:
+                if r is not None and r.ok and r.pos:
+                    band.reads.landed(t.flight, r.pos)
+                else:
+                    band.reads.failed(t.flight)
+            if c is not None:
+                b.stock.give(c) if ok else b.stock.drop(c)
 
     def _noted(self, band, t, f):
         """What the end of a sending says of its member; its Reply, or None."""
@@ -130,104 +147,117 @@
             return None
         e = f.exception()
         if e is None:
-            band.fine(t.berth)
-            return f.result()
+            r = f.result()
+            band.fine(t.berth, r.pos)
+            return r
         if isinstance(e, (Late, Unreached)) and not isinstance(e, (Unsent, Gone)):
             band.missed(t.berth, "mute" if isinstance(e, Late) else "reset")
         return None
 
+    def _carried(self, b, arr, since, bad):
+        """The try of a read that is to be its own fetch at the primary, or None."""
+        p = b.sure
+        if p is None or p.name in bad or p.down > self.clock.now() or not b.serves(p):
+            return None
+        f = b.reads.carrier(arr, since)
+        return _Try(p, b.key, f) if f is not None else None
+
+    def _gated(self, b, arr, since, left, runs=()):
+        """The position that a read must find, or None if time ran out or a run ended first."""
+        gate = b.reads.gate(arr, since)
+        yield self._either([gate, *runs], left)
+        if gate.done() and gate.result() is not None:
+            return gate.result()
+        gate.cancel()
+        return None
+
     def _read(self, v, a, r, b, end):
         g = self.g
-        browse = r.reads == "browsing"
         arr = g.order.next()
-        since = self.clock.now() - int(r.stale_us * 0.8) if browse else None
+        since = self.clock.now() - int(r.stale_us * 0.8) if r.reads == "browsing" else None
         hedge = max(60_000, int(r.aim_us * 0.4))
         bad, runs, key, pos, pause = set(), [], None, None, 10_000
         while True:
             left = end - self.clock.now()
             if left <= 0:
-                return self._given_up(b)
-            if not runs:
-                if key is None or key != b.key:
-                    key = b.key
-                    gate = b.reads.gate(arr, since)
-                    yield self._either([gate], left)
-                    if not gate.done() or gate.result() is None:
-                        gate.cancel()
-                        if b.key is None or self.clock.now() < end:
-                            key = None
-                            continue
-                        return self._given_up(b)
-                    pos = gate.result()
-                    key = b.key
-                if (yield from self._tide(b, pos, bad, end)):
+                return self._given_up(b, bool(runs))
+            if key != b.key:
+                key, pos = b.key, None
+            t = None
+            if pos is None:
+                t = self._carried(b, arr, since, bad) if not runs else None
+                if t is None:
+                    pos = yield from self._gated(b, arr, since, left, [f for _, f in runs])
+                    if key != b.key:
+                        continue
+            if t is None and pos is not None:
+                p = b.pick(pos, bad)
+                if p is not None and not runs and p.lag_till > self.clock.now() and p.tide.log < pos:
+                    g.count["joined_log"] += 1
+                    if not (yield from self._lagged(b, p, pos, end)):
+                        bad.add(p.name)
                     continue
-            post = b.pick(pos, bad)
-            if post is None:
+                t = _Try(p, key) if p is not None else None
+            if t is not None:
+                us = max(end - self.clock.now(), 1000)
+                runs.append((t, self.nest.spawn(self._once(t, v, a, b, None if t.flight else pos, us))))
+            elif not runs:
                 bad.clear()
-                if not runs:
-                    yield self._either([], pause)
-                    pause = min(pause * 2, 80_000)
-                    continue
-            else:
-                t = _Try(post)
-                runs.append((t, self.nest.spawn(self._once(t, v, a, pos, max(left, 1000)))))
-            wait = min(hedge if len(runs) == 1 else left, left)
-            yield self._either([f for _, f in runs], wait)
-            done = [(t, f) for t, f in runs if f.done()]
-            runs = [(t, f) for t, f in runs if not f.done()]
-            if not done:
-                if len(runs) > 1 or not b.spend():
-                    yield self._either([f for _, f in runs], max(end - self.clock.now(), 0))
-                    if not any(f.done() for _, f in runs):
-                        return self._given_up(b, ran=True)
-                    done = [(t, f) for t, f in runs if f.done()]
-                    runs = [(t, f) for t, f in runs if not f.done()]
-                else:
-                    t = runs[0][0]
-                    b.missed(t.berth, "mute")
-                    bad.add(t.berth.name)
+                yield self._either([], pause)
+                pause = min(pause * 2, 80_000)
+                continue
+            last = len(runs) > 1 or t is None
+            yield self._either([f for _, f in runs], min(left if last else hedge, left))
+            if not last and not runs[0][1].done():
+                p = runs[0][0].berth
+                if b.spend():
+                    b.missed(p, "mute")
+                    bad.add(p.name)
                     g.count["hedged"] += 1
                     continue
+                yield self._either([runs[0][1]], end - self.clock.now())
+            done = [x for x in runs if x[1].done()]
+            runs = [x for x in runs if not x[1].done()]
             for t, f in done:
                 x = self._noted(b, t, f)
                 if x is not None and x.ok:
                     return x
                 if x is None:
                     bad.add(t.berth.name)
+                    yield self._either([], min(pause, left))
+                    pause = min(pause * 2, 80_000)
                 elif x.code == "lagging":
                     g.count["lagging"] += 1
-                    t.berth.tide.log = x.pos or (0, 0)
-                    if not runs and not (yield from self._lagged(b, t.berth, pos, end)):
+                    if pos is not None and not runs and not (yield from self._lagged(b, t.berth, pos, end, x)):
                         bad.add(t.berth.name)
-                elif x.code in ("busy", "crowded", "failed"):
+                elif x.code in _ELSEWHERE:
                     g.count[x.code] += 1
                     bad.add(t.berth.name)
                     if x.code == "failed" and not b.spend():
                         return x
-                elif x.code in ("misdirected", "readonly", "unprepared"):
-                    bad.add(t.berth.name)
                 else:
                     return x
 
-    def _tide(self, b, pos, bad, end):
-        """Joins a wait for the log of the member that would be taken, if one is on; true to look again."""
-        post = b.pick(pos, bad)
-        if post is None or post.tide.log >= pos or not post.tide.busy:
-            return False
-        if not (yield from self._lagged(b, post, pos, end)):
-            bad.add(post.name)
-        return True
-
-    def _lagged(self, b, post, pos, end):
-        """Waits for a replica's log within the bound; whether it came to hold `pos`."""
-        f = post.tide.reach(pos)
-        yield self._either([f], max(0, min(250_000, end - self.clock.now())))
-        if f.done():
-            return True
+    def _lagged(self, b, p, pos, end, reply=None):
+        """Waits for a replica's log: who was told LAGGING asks again soon, others join that wait. False gives it up."""
+        now = self.clock.now()
+        if reply is not None:
+            p.lags += 1
+            if p.lags > _LAGS:
+                p.lags, p.lag_till = 0, 0
+                p.slow = now + _SLOW_US
+                self.g.count["stalled"] += 1
+                return False
+            us = 12_000 << min(p.lags - 1, 3)
+            p.lag_till = now + us
+        else:
+            us = 60_000
+        f = p.tide.wait(pos)
+        yield self._either([f], max(0, min(us, end - now)))
         f.cancel()
-        self.g.count["stalled"] += 1
-        return False
+        if f.done() and not f.cancelled():
+            p.lags = 0
+        return True
 
     def _given_up(self, b, ran=False):
         if ran:
@@ -245,8 +275,8 @@
             if p is None or not b.serves(p):
                 yield self._either([b.turned()], min(left, 500_000))
                 continue
-            t = _Try(p)
-            f = self.nest.spawn(self._once(t, v, a, None, left))
+            t = _Try(p, b.key)
+            f = self.nest.spawn(self._once(t, v, a, b, None, left))
             try:
                 yield self._either([f], left)
             except Late:
@@ -276,6 +306,8 @@
             elif x.code == "unprepared":
                 continue
             else:
+                if x.ok and x.pos:
+                    b.reads.noted(t.key, t.start, t.us, x.pos)
                 return x
 
     def _inside(self, v, a, r, b, end):
@@ -296,6 +328,7 @@
                 return self._abort(v, a, g.back(_BACK_US))
             if a.verb != "commit":
                 us = min(us, max(100_000, r.aim_us * 6 // 10))
+            key, start, at = x.band.key, g.order.next(), self.clock.now()
             f = self.nest.spawn(self._pinned(c, v, a))
             try:
                 yield self._either([f], us)
@@ -309,8 +342,11 @@
                 else:
                     x.band.missed(x.berth, "reset")
                 return self._torn(v, a, x)
-            x.band.fine(x.berth)
+            x.band.fine(x.berth, rep.pos)
             if rep.ok:
+                if not x.reads and rep.pos and key is not None and key[1] == x.berth.name and (
+                        a.verb != "commit" or x.wrote):
+                    x.band.reads.noted(key, start, at, rep.pos)
                 if a.verb == "commit":
                     v.trade = None
                     v.settle()
@@ -375,35 +411,39 @@
         """Begins the transaction at a member; why not, or None."""
         g = self.g
         pos, key, bad, pause = None, None, set(), 15_000
-        browse = r.reads == "browsing"
-        since = x.us - int(r.stale_us * 0.8) if browse else None
+        since = x.us - int(r.stale_us * 0.8) if r.reads == "browsing" else None
         while True:
             left = end - self.clock.now()
             if left <= 0:
                 return g.back(_BACK_US)
+            if key != b.key:
+                key, pos = b.key, None
             if x.reads:
-                if key is None or key != b.key:
-                    gate = b.reads.gate(x.arr, since)
-                    yield self._either([gate], left)
-                    if not gate.done() or gate.result() is None:
-                        gate.cancel()
+                t = self._carried(b, x.arr, since, bad) if pos is None else None
+                if t is None and pos is None:
+                    pos = yield from self._gated(b, x.arr, since, left)
+                    if pos is None or key != b.key:
                         continue
-                    pos, key = gate.result(), b.key
-                if (yield from self._tide(b, pos, bad, end)):
-                    continue
-                p = b.pick(pos, bad)
-                if p is None:
-                    bad.clear()
-                    yield self._either([], min(left, pause))
-                    pause = min(pause * 2, 120_000)
-                    continue
+                if t is None:
+                    p = b.pick(pos, bad)
+                    if p is None:
+                        bad.clear()
+                        yield self._either([], min(left, pause))
+                        pause = min(pause * 2, 120_000)
+                        continue
+                    if p.lag_till > self.clock.now() and p.tide.log < pos:
+                        if not (yield from self._lagged(b, p, pos, end)):
+                            bad.add(p.name)
+                        continue
+                    t = _Try(p, key)
+                p = t.berth
             else:
                 p = b.primary
                 if p is None or not b.serves(p):
                     yield self._either([b.turned()], min(left, 500_000))
                     continue
-            t = _Try(p)
-            f = self.nest.spawn(self._begun(t, v, x, pos, min(left, 600_000)))
+                t = _Try(p, key)
+            f = self.nest.spawn(self._begun(t, v, x, b, None if t.flight else pos, min(left, 600_000)))
             try:
                 yield self._either([f], left)
             except Late:
@@ -423,13 +463,14 @@
                 pause = min(pause * 2, 200_000)
                 continue
             rep = f.result()
-            b.fine(p)
+            b.fine(p, rep.pos)
             if rep.ok:
+                if not x.reads and rep.pos:
+                    b.reads.noted(t.key, t.start, t.us, rep.pos)
                 return None
-            if rep.code == "lagging":
+            if rep.code == "lagging" and pos is not None:
                 g.count["lagging"] += 1
-                p.tide.log = rep.pos or (0, 0)
-                if not (yield from self._lagged(b, p, pos, end)):
+                if not (yield from self._lagged(b, p, pos, end, rep)):
                     bad.add(p.name)
             elif rep.code in ("readonly", "misdirected"):
                 g.tie.doubt(b.name, p.name, "replica")
@@ -443,18 +484,26 @@
             else:
                 return f"{rep.code} {rep.text}"
 
-    async def _begun(self, t, v, x, pos, us):
+    async def _begun(self, t, v, x, band, pos, us):
         """BEGIN at one member; on success its connection is the transaction's."""
         b = t.berth
-        c = await self._take(t, v, min(us, _TAKE_US))
-        r = None
+        c = r = None
         try:
+            c = await self._take(t, v, min(us, _TAKE_US))
+            if t.flight is not None and band.sure is not b:
+                raise Unsent("lease")
+            t.start, t.us = self.g.order.next(), self.clock.now()
             _, rs = await self.clock.limit(
-                self._outfit(c, v, None, [("begin", ("reads" if x.reads else "writes", pos if x.reads else None))]), us)
+                self._outfit(c, v, None, [("begin", ("reads" if x.reads else "writes", pos), x.num)]), us)
             r = rs[0]
             if r.ok and r.state == "T" and v.trade is x:
                 x.conn, x.berth = c, b
             return r
         finally:
-            if x.conn is not c:
+            if t.flight is not None:
+                if r is not None and r.ok and r.pos:
+                    band.reads.landed(t.flight, r.pos)
+                else:
+                    band.reads.failed(t.flight)
+            if c is not None and x.conn is not c:
                 b.stock.give(c) if r is not None and r.state == "I" else b.stock.drop(c)
--- a/src/petrelhaven/span/stock.py
+++ b/src/petrelhaven/span/stock.py
@@ -36,6 +36,10 @@
             return f
         c, cost = self._best(visit)
         most = self.limit
+        if cost == 3 and self.total >= min(most, self._want()):
+            old = self.idle.pop(0)
+            old.close()
+            c = None
         if c is not None and (cost < 2 or self.total >= min(most, self._want())):
             self.idle.remove(c)
             self.busy.add(c)
--- a/src/petrelhaven/span/strand.py
+++ b/src/petrelhaven/span/strand.py
@@ -8,8 +8,8 @@
 class Strand:
     """Base of a wire's connection. A wire adds `ask`, `own`, `plain` and `close`; replies come in the order asked.
 
-    `ask(ask, after, alias)` gives a future of a Reply, `own(verb, *args)` one of a status row, `plain(verb, *args)` one
-    of a Reply to a statement of the system's own; a lost connection fails them with Unreached.
+    `ask(ask, after, alias)` gives a future of a Reply, `own(verb, *args)` one of a status row, `plain(verb, args,
+    number)` one of a Reply to a statement said again under its visitor's number, or `-` of the system's own; a lost connection fails them with Unreached.
     """
 
     def __init__(self):
@@ -27,14 +27,14 @@
         return 2 if self.values.keys() <= v.keys() else 3
 
     def outfit(self, visit, ask=None):
-        """What must be said before `ask` of `visit`: a list of (verb, args), and the prepared name to use."""
+        """What must be said before `ask` of `visit`: a list of (verb, args, number), and the prepared name to use."""
         out = []
         if self.odd or not self.values.keys() <= visit.values.keys() or len(self.shapes) > _SHAPES:
-            out.append(("reset", ()))
+            out.append(("reset", (), "-"))
             self.values, self.shapes, self.odd = {}, {}, False
         for k, v in visit.values.items():
             if self.values.get(k) != v:
-                out.append(("set", (k, v)))
+                out.append(("set", (k, v), visit.nums[k]))
         alias = None
         if ask is not None and ask.verb == "execute":
             s = visit.prepared[ask.name]
@@ -42,7 +42,7 @@
             if alias is None:
                 alias = f"p{len(self.shapes) + 1}"
                 self.shapes[s] = alias
-                out.append(("prepare", (alias, s)))
+                out.append(("prepare", (alias, s), visit.nums["", ask.name]))
         self.values = dict(visit.values)
         self.owner = visit
         return out, alias
--- a/src/petrelhaven/span/tide.py
+++ b/src/petrelhaven/span/tide.py
@@ -40,6 +40,16 @@
             else:
                 self._wait.append((pos, f))
 
+    def wait(self, pos):
+        """A future that is done once somebody else's statement shows that the log holds `pos`; nothing is asked."""
+        f = asyncio.get_running_loop().create_future()
+        if self.log >= pos:
+            f.set_result(self.log)
+        else:
+            self._wait = [(p, x) for p, x in self._wait if not x.done()]
+            self._wait.append((pos, f))
+        return f
+
     def reach(self, pos):
         """A future that is done once the member's log holds `pos`."""
         f = asyncio.get_running_loop().create_future()
--- a/src/petrelhaven/span/tie.py
+++ b/src/petrelhaven/span/tie.py
@@ -7,7 +7,7 @@
 
 __all__ = ["Tie"]
 
-_PULSE_US = 1_000_000
+_PULSE_US = 350_000
 _BAD_US = 1_500_000
 _DOUBT_US = 250_000
 
@@ -24,7 +24,8 @@
         self.cores = {}
         self.edges = 0
         self.on_change = []
-        self.pulsed = -1 << 60
+        self.lease = 0
+        self._need = None
         self._bad, self._asked = {}, {}
         self._ch = self._core = None
         link.on("edge.push", self._push)
@@ -33,9 +34,10 @@
         """Starts the task of the tie."""
         self.nest.spawn(self._run())
 
-    def tied(self, us):
-        """Whether a core that rules has answered within `us`."""
-        return self.clock.now() - self.pulsed < us
+    @property
+    def holds(self):
+        """Whether this edge holds a lease: what it has applied is the newest in force, asked right before a send."""
+        return self.clock.now() < self.lease
 
     def _choose(self):
         now = self.clock.now()
@@ -107,7 +109,10 @@
             self.view = r["view"]
             self.cores = {a: self._near(h) for _, h, a in r["cores"]}
         if r["ok"]:
-            self.pulsed = t0
+            if self.ledger.seq >= r["need"]:
+                self.lease = max(self.lease, t0 + r["us"])
+            else:
+                self._need = (r["need"], t0 + r["us"])
         return r["ok"]
 
     def doubt(self, group, member, how):
@@ -134,4 +139,7 @@
         if fresh or recs:
             for f in self.on_change:
                 f(recs, fresh)
+        if self._need and self.ledger.seq >= self._need[0]:
+            self.lease = max(self.lease, self._need[1])
+            self._need = None
         return {"applied": self.ledger.seq, "acked": self.ledger.seq}
--- a/src/petrelhaven/span/visit.py
+++ b/src/petrelhaven/span/visit.py
@@ -7,9 +7,10 @@
 class Trade:
     """An open transaction; it gets its member connection with its first statement."""
 
-    __slots__ = ("reads", "arr", "us", "since", "band", "berth", "conn", "wrote", "route", "sets", "over")
+    __slots__ = ("reads", "arr", "us", "since", "band", "berth", "conn", "wrote", "route", "sets", "over", "num")
 
-    def __init__(self, reads, arr, us, route):
+    def __init__(self, num, reads, arr, us, route):
+        self.num = num
         self.reads, self.arr, self.us, self.since, self.route = reads, arr, us, us, route
         self.band = self.berth = self.conn = None
         self.wrote = self.sets = self.over = False
@@ -18,7 +19,7 @@
 class Visit:
     """One session. States: idle (I), trading (T), failed (E), ended."""
 
-    __slots__ = ("host", "values", "prepared", "trade", "busy", "since", "band", "state", "__dict__")
+    __slots__ = ("host", "values", "prepared", "nums", "trade", "busy", "since", "band", "state", "__dict__")
     _machine = Machine(
         model=None,
         states=["idle", "trading", "failed", "ended"],
@@ -37,7 +38,7 @@
 
     def __init__(self, host):
         self.host = host
-        self.values, self.prepared = {}, {}
+        self.values, self.prepared, self.nums = {}, {}, {}
         self.trade, self.busy, self.since, self.band = None, False, 0, None
         self._machine.add_model(self)
 
