--- a/tests/estate/member.py
+++ b/tests/estate/member.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import secrets
+import socket
 
 from .beats import Beats
 from .member_session import MemberSession
@@ -14,8 +15,8 @@
 class Member:
     """A database member at its own address, with switches for its faults.
 
-    `dark` takes connections and says nothing, since loopback can't lose packets; those connections are reset when the
-    light is back. `deaf` receives nothing. `refuse` answers BUSY. `failing` counts statements that will run and fail,
+    `dark` says nothing, connects to it hang, and the connections of that time are reset when it is back without running
+    what they hold. `deaf` receives nothing. `refuse` answers BUSY. `failing` counts statements that will run and fail,
     `losing` counts successes that will not be told; `lost_how` is `silent` or `cut`.
     """
 
@@ -32,7 +33,7 @@
         self._busy_until = 0.0
         self._slots, self._waiting, self._busy = asyncio.Semaphore(group.slots), 0, 0
         self._numbers = 0
-        self._server = None
+        self._server, self._shut = None, []
         self._sessions, self._tasks = {}, []
         self._beats = Beats(self, nodes, beat_ms)
 
@@ -50,7 +51,7 @@
         """Starts, or comes back with its log after a crash."""
         host, port = self.address.rsplit(":", 1)
         self.held = 0
-        self._server = await asyncio.start_server(self._accept, host, int(port), limit=MESSAGE_BYTES)
+        await self._listen(host=host, port=int(port))
         self.running = True
         self.follow()
         self._tasks = [asyncio.ensure_future(x) for x in (self.group.feed(self), self._beats.run())]
@@ -66,11 +67,18 @@
         """Says nothing more, and resets nothing."""
         self.dark = True
         self.lit.clear()
+        listener = self._server.sockets[0].dup()
+        self._server.close()
+        listener.listen(0)
+        self._shut = [listener, *(socket.socket() for _ in range(2))]
+        for filler in self._shut[1:]:
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
         self.history.trouble(f"{self.id} went dark", machines=False)
 
-    def go_light(self):
-        """Is back; the connections of the dark time are reset without running what they hold."""
-        self.dark = False
+    async def go_light(self):
+        """Is back."""
+        await self._open_again()
         self._drop()
         self.lit.set()
         self.follow()
@@ -208,7 +216,19 @@
         self.history.runs.append(run)
         return run
 
+    async def _listen(self, **where):
+        self._server = await asyncio.start_server(self._accept, limit=MESSAGE_BYTES, **where)
+
+    async def _open_again(self):
+        for s in self._shut[1:]:
+            s.close()
+        await self._listen(sock=self._shut[0])
+        self._shut, self.dark = [], False
+
     async def _stop(self):
+        if self.dark:
+            await self._open_again()
+            self.lit.set()
         self.running = False
         for task in self._tasks:
             task.cancel()
--- a/tests/estate/scene.py
+++ b/tests/estate/scene.py
@@ -53,7 +53,6 @@
             await asyncio.gather(*(m.start() for g in self.groups.values() for m in g.members.values()))
             await self.fleet.start()
             self.router.start()
-            await until(lambda: self.router.ready(), 30)
             order = await self.configure()
             if order.acked_at is None:
                 raise RuntimeError(f"the first configuration was answered with {order.status}")
--- a/tests/test_estate.py
+++ b/tests/test_estate.py
@@ -252,7 +252,8 @@
             await s.ask("x", "PUT a one", 0.1)
         with pytest.raises(TimeoutError):
             await Session.open(p.address, "svc", "me", seconds=0.1)
-        p.go_light()
+        await p.go_light()
+        assert (await dial(p)).position == "1.0"
         await s.ended()
         assert not g.entries
     run(go)
