Lost regions and dark primaries: mended sooner, reads proved by the replicas meanwhile

Now: news of a peer wakes the mending; looks go straight; an edge is patient with a core that answers; a read whose fetch fails at the primary asks all other members, whose highest log holds every acknowledged commit (SyncReplicas 1); a move that waits for a member is told to edges, which refuse at once. Ruled out: the platform's promote (300 ms) and the chain (a commit in 60 ms).

--- a/src/petrelhaven/creed/event.py
+++ b/src/petrelhaven/creed/event.py
@@ -39,6 +39,8 @@
     324: ("info", "primary promoted", "none"),
     325: ("warning", "promotion seen at the member before the platform answered", "look at the platform"),
     326: ("info", "heir chosen; the platform is asked", "none"),
+    327: ("info", "primary looked at after a doubt", "none; `seen` is what each core of the chain saw"),
+    328: ("warning", "move of an office waits", "read `note`: a member that is not heard, or an heir that catches up"),
     401: ("info", "lease held", "none"),
     402: ("warning", "lease lapsed; nothing is sent", "look at the links to the cores"),
     403: ("info", "change applied", "none"),
--- a/src/petrelhaven/helm/chain.py
+++ b/src/petrelhaven/helm/chain.py
@@ -28,6 +28,8 @@
         self._feeder = None
         self.on_commit = []
         self.tied = int
+        self.sparing = False
+        self._turns = 0
         self.tied_at = {}
         self.on_view = []
 
@@ -113,9 +115,12 @@
             if v:
                 now = self.clock.now()
                 self._sent[self.me] = now
-                for n in v["ids"]:
-                    if n != self.me:
-                        self.nest.spawn(self._ask(n, v["n"], now))
+                others = [n for n in v["ids"] if n != self.me]
+                if self.sparing and self.clock.now() < self.confirmed - self.confirm_us // 2:
+                    self._turns += 1
+                    others = [others[(self._turns + i) % len(others)] for i in range(len(v["ids"]) // 2)]
+                for n in others:
+                    self.nest.spawn(self._ask(n, v["n"], now))
                 self._count(v)
             await self.clock.sleep(self.ask_us)
 
@@ -159,7 +164,8 @@
             if self.view["n"] != n and not self.head:
                 raise NotReady("the view changed; read back to see the outcome")
             await self.clock.sleep(30_000)
-        emit(self.log, 305, seq=seq, kind=rec["t"])
+        more = {k: rec[k] for k in ("name", "group", "hall", "state", "role") if rec.get(k)} if rec["t"] == "member" else {}
+        emit(self.log, 305, seq=seq, kind=rec["t"], **more)
         return seq
 
     def read(self):
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -28,13 +28,13 @@
 
     states = ["outside", "joining", "chained"]
     state_of = None
-    mend_us, confirm_us, ask_us, probe_us = 250_000, 500_000, 120_000, 200_000
+    mend_us, confirm_us, ask_us, probe_us, suspect_us = 250_000, 500_000, 120_000, 200_000, 900_000
 
     def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, log=None):
         self.name, self.hall, self.seeds = name, hall, seeds
         self.clock, self.nest, self.link, self.rng, self.log = clock, nest, link, rng, log
         self.mem = Memory(disk, name, rng, log, state=self.state_of)
-        self.roster = Roster(clock, (name, "core", hall, link.addr, 0), log)
+        self.roster = Roster(clock, (name, "core", hall, link.addr, 0), log, self.suspect_us)
         self.reach = Reach(clock, link, self.roster, rng)
         self.prober = Prober(clock, link, nest, rng, self.roster, seeds, self.probe_us)
         self.chain = Chain(clock, nest, self.mem, self.call, log, self.confirm_us, self.ask_us)
@@ -115,7 +115,7 @@
 
     async def _mend(self):
         while True:
-            await self.clock.sleep(self.pace() + self.rng.randrange(50_000))
+            await self.rest()
             for a in self.seeds:
                 self.nest.spawn(self._info(a))
             try:
@@ -125,9 +125,9 @@
                 if self.chain.view is None and v:
                     await self._finish(v)
 
-    def pace(self):
-        """Microseconds between two looks at the other cores."""
-        return self.mend_us
+    async def rest(self):
+        """Waits between two looks at the other cores."""
+        await self.clock.sleep(self.mend_us + self.rng.randrange(50_000))
 
     async def _info(self, addr):
         try:
--- a/src/petrelhaven/helm/seat.py
+++ b/src/petrelhaven/helm/seat.py
@@ -1,6 +1,8 @@
 """A core machine of the path where sessions live with their connection: ledger, warden, edges' ties."""
+import asyncio
+
 from ..creed.bound import NAME
-from ..creed.fault import Duplicate, Fault, Malformed, NotReady, Stale
+from ..creed.fault import Duplicate, Fault, Late, Malformed, NotReady, Stale
 from .chain import DRIFT
 from .core import _ADDR, Core
 from .desk import TiedDesk
@@ -10,7 +12,7 @@
 
 __all__ = ["LENT_US", "Seat"]
 
-LENT_US = 900_000
+LENT_US = 700_000
 
 _FACTS = {"member": str, "group": str, "hall": str, "addr": str, "role": str, "state": str, "slots": int, "count": int}
 _HEARD_US = 900_000
@@ -22,13 +24,19 @@
     """One core daemon's logic; `wire` opens connections to members, `platform` moves offices."""
 
     state_of = Ledger
-    mend_us, confirm_us, ask_us, probe_us = 300_000, 800_000, 300_000, 300_000
+    mend_us, confirm_us, ask_us, probe_us = 300_000, 600_000, 200_000, 200_000
+    suspect_us = 500_000
 
     def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, wire, beat_us, log=None):
         self.wire, self.beat_us = wire, beat_us
         self.heard, self.tied = {}, {}
         super().__init__(name, hall, seeds, clock, nest, link, disk, rng, platform, log)
+        self.chain.sparing = True
+        self.roster.quiet = 12
+        self.prober.join_us = 6_000_000
         self.chain.tied = lambda: len(self.tied)
+        self._news = asyncio.Event()
+        self.roster.on_turn.append(lambda *_: self._news.set())
 
     def make_desk(self):
         """The desk of the edges' ties."""
@@ -43,11 +51,17 @@
         return {"edge.hold": self._hold, "chain.force": self.desk.force, "tie.pulse": self._pulse, "warden.doubt": self._doubted,
                 "warden.look": self.duty.looked}
 
-    def pace(self):
+    async def rest(self):
         """Looks at the others often while there is something to mend, seldom while all is whole."""
         v = self.chain.view
-        whole = v is not None and len(v["chain"]) == len(v["ids"]) and self.chain.active
-        return 2_000_000 if whole else self.mend_us
+        whole = (v is not None and len(v["chain"]) == len(v["ids"]) and self.chain.active
+                 and all(self.roster.state(n) == "alive" for n in v["ids"]))
+        us = 2_000_000 if whole else self.mend_us
+        self._news.clear()
+        try:
+            await self.clock.limit(self._news.wait(), us + self.rng.randrange(50_000))
+        except Late:
+            pass
 
     async def _hold(self, ch, b):
         if not self.chain.active:
--- a/src/petrelhaven/helm/warden.py
+++ b/src/petrelhaven/helm/warden.py
@@ -11,15 +11,16 @@
 _CALM_US = 600_000
 _ASK_US = 600_000
 _PLAN_US = 9_000_000
+_STUCK_US = 900_000
 
 
 class _Ward:
     """One member during a move: its connection and its last row."""
 
-    __slots__ = ("name", "m", "conn", "row")
+    __slots__ = ("name", "m", "conn", "row", "odd")
 
     def __init__(self, name, m):
-        self.name, self.m, self.conn, self.row = name, m, None, None
+        self.name, self.m, self.conn, self.row, self.odd = name, m, None, None, ""
 
 
 class Warden:
@@ -73,6 +74,7 @@
                 k = ("beat", g)
                 if self._calm.get(k, 0) <= now:
                     self._calm[k] = now + us
+                    del self.c.heard[o["primary"]]
                     self.nest.spawn(self.c.doubt(g, o["primary"], "no beats"))
 
     def _do(self, g, fn, *a):
@@ -117,10 +119,11 @@
         return [n for n, m in r.group(g).items()
                 if n != primary and m["state"] == "ready" and r.hall(m["hall"]) == "open"]
 
-    async def _office(self, g, phase, primary, term, cause):
+    async def _office(self, g, phase, primary, term, cause, stuck=False):
         o = self._doc["offices"].get(g)
         seq = await self.c.chain.enter({"t": "office", "group": g, "n": (o["n"] if o else 0) + 1, "phase": phase,
-                                        "primary": primary, "term": term, "cause": cause, "by": self.c.name})
+                                        "primary": primary, "term": term, "cause": cause, "by": self.c.name,
+                                        "stuck": stuck})
         emit(self.log, 320 if phase == "serve" else 321, group=g, phase=phase, primary=primary, term=term, cause=cause)
         return seq
 
@@ -162,34 +165,32 @@
     async def _looks(self, name, m):
         """What the cores of the view that answer see, each for itself."""
         c = self.c
-        ids = c.chain.view["ids"]
+        v = c.chain.view
 
         async def one(n):
             if n == c.name:
                 return await self.look(name, m)
             try:
                 b = {"member": name, "addr": m["addr"], "group": m["group"]}
-                return (await c.call(n, "warden.look", b, _LOOK_US + 500_000))["how"]
+                return (await c.reach.call(n, "warden.look", b, _LOOK_US + 200_000, again=False))["how"]
             except Fault:
                 return None
-        got = await asyncio.gather(*[one(n) for n in sorted(ids)])
-        return [x for x in got if x], len(ids)
+        got = await asyncio.gather(*[one(n) for n in v["chain"]])
+        return [x for x in got if x], len(v["ids"])
 
     async def _doubted(self, g, p, how):
         o = self._doc["offices"][g]
-        for i in range(2):
-            got, of = await self._looks(o["primary"], p)
-            up = [x for x in got if x.startswith("up")]
-            if up:
-                if "up:replica" in up:
-                    await self._find(g)
-                self._calm[g] = self.clock.now() + _CALM_US
-                return
-            if len(got) <= of // 2:
-                self.why[g] = "too few cores to tell whether the primary is dark"
-                return
-            if all(x == "refused" for x in got):
-                break
+        got, of = await self._looks(o["primary"], p)
+        emit(self.log, 327, group=g, primary=o["primary"], doubt=how, seen=",".join(got))
+        up = [x for x in got if x.startswith("up")]
+        if up:
+            if "up:replica" in up:
+                await self._find(g)
+            self._calm[g] = self.clock.now() + _CALM_US
+            return
+        if len(got) <= of // 2:
+            self.why[g] = "too few cores to tell whether the primary is dark"
+            return
         await self._move(g, False, f"{how}; seen {','.join(got)}")
 
     async def _find(self, g):
@@ -218,6 +219,7 @@
         seq = await self._office(g, "swap" if planned else "move", old, o["term"], cause)
         wards = {}
         end = self.clock.now() + (_PLAN_US if planned else 1 << 60)
+        late = self.clock.now() + _STUCK_US
         try:
             while self.c.chain.active and self.c.chain.head:
                 ms = self.c.chain.realm.group(g)
@@ -229,6 +231,9 @@
                 done = await self._step(g, planned, old, wards, seq)
                 if done:
                     return
+                if not planned and late is not None and self.clock.now() > late and g in self.why:
+                    late = None
+                    seq = await self._office(g, "move", old, o["term"], self.why[g], stuck=True)
                 p = ms.get(old)
                 if planned and p is None:
                     planned, end = False, 1 << 62
@@ -240,6 +245,12 @@
             for w in wards.values():
                 w.conn and w.conn.close()
 
+    def _waits(self, g, note):
+        if self.why.get(g) != note:
+            emit(self.log, 328, group=g, note=note)
+        self.why[g] = note
+        return False
+
     async def _step(self, g, planned, old, wards, seq):
         """One attempt; true once the office has settled."""
         p = wards.get(old)
@@ -256,27 +267,23 @@
             await self._settle(g, lead, wards, old)
             return True
         if any(r is None for r in rows) or not reps:
-            self.why[g] = "not heard: " + ",".join(w.name for w, r in zip(reps, rows) if r is None)
-            return False
+            return self._waits(g, "not heard: " + ", ".join(f"{w.name} {w.odd}" for w, r in zip(reps, rows) if r is None))
         term = max([r["term"] for r in rows] + ([row["term"]] if row else [])) + 1
         ok = set(self._heirs(g, old))
         if planned and row and row["role"] == "primary":
             heirs = [w for w in reps if w.name in ok and not w.row["held"]] or [w for w in reps if w.name in ok]
             if not heirs:
-                self.why[g] = "no heir for a planned move"
-                return False
+                return self._waits(g, "no heir for a planned move")
             heir = max(heirs, key=lambda w: (w.row["pos"], w.name))
             if heir.row["held"] and not await self._own(heir, "resume"):
                 return False
             rest = await asyncio.gather(*[self._own(w, "pause", term) for w in reps if w is not heir])
             if not all(rest) or not await self._caught_up(p, heir):
-                self.why[g] = f"{heir.name} catches up with {old}"
-                return False
+                return self._waits(g, f"{heir.name} catches up with {old}")
         else:
             rest = await asyncio.gather(*[self._own(w, "pause", term) for w in reps])
             if not all(rest):
-                self.why[g] = "a replica could not be paused"
-                return False
+                return self._waits(g, "a replica could not be paused")
             best = max(w.row["pos"] for w in reps)
             heirs = [w for w in reps if w.row["pos"] == best]
             heir = min(heirs, key=lambda w: (w.name not in ok, w.m["hall"] != self.c.hall, w.name))
@@ -285,7 +292,8 @@
     async def _row(self, w):
         try:
             return await self._ask(w, "status")
-        except Fault:
+        except Fault as e:
+            w.odd = f"{e.code} {e.note}"
             return None
 
     async def _own(self, w, verb, *args):
--- a/src/petrelhaven/kith/probe.py
+++ b/src/petrelhaven/kith/probe.py
@@ -13,6 +13,7 @@
         self.clock, self.link, self.nest, self.rng = clock, link, nest, rng
         self.roster, self.seeds = roster, seeds
         self.period_us, self.wait_us, self.aides = period_us, wait_us, aides
+        self.join_us = 2_000_000
         self._wait = {}
         self._round = []
         self._nonce = 0
@@ -51,7 +52,7 @@
                     self.roster.merge(r["news"])
                 except Fault:
                     pass
-            await self.clock.sleep(2_000_000 if self.roster.peers else 200_000)
+            await self.clock.sleep(self.join_us if self.roster.peers else 200_000)
 
     def _next(self):
         while self._round:
--- a/src/petrelhaven/kith/roster.py
+++ b/src/petrelhaven/kith/roster.py
@@ -34,6 +34,7 @@
         self.left = False
         self._spread = spread
         self._mine = 0
+        self.quiet = 0
 
     def me(self):
         """This node's own row."""
@@ -94,7 +95,13 @@
                 self._turn(p, "gone", p.inc)
 
     def news(self, most=6):
-        """Rows to piggyback: this node first, then the least spread."""
+        """Rows to piggyback: this node first, then the least spread; with `quiet`, only what is not well known yet."""
+        if self.quiet:
+            self._mine += 1
+            ps = [p for _, p in sorted(self.peers.items()) if p.spread < self.quiet or p.state == "suspect"][:most]
+            for p in ps:
+                p.spread += 1
+            return ([self.me()] if self._mine < self.quiet or self.left else []) + [p.news() for p in ps]
         rows = [self.me()]
         for p in sorted(self.peers.values(), key=lambda p: (p.spread, p.name))[:most]:
             p.spread += 1
--- a/src/petrelhaven/span/band.py
+++ b/src/petrelhaven/span/band.py
@@ -36,7 +36,7 @@
         self.name, self.g = name, gate
         self.clock, self.nest = gate.clock, gate.nest
         self.berths, self.office = {}, None
-        self.cap, self.visits = 40, 0
+        self.cap, self.sync, self.visits = 40, 0, 0
         self.reads = ReadClock(self.clock, self.nest, gate.order, self._fetch, gate.bounds)
         self._turned = None
         self._tokens = 10.0
@@ -179,15 +179,44 @@
         return r
 
     async def _fetch(self, key):
+        """The primary's position; where it does not answer, what all others together prove.
+
+        A commit is acknowledged once a replica has it (`sync`), so the highest log of all members but one holds every
+        acknowledged commit, whoever of them leads.
+        """
         b = self.berths.get(key[1])
-        if b is None or self.key != key:
+        if self.key != key:
             raise Unreached("no primary to ask")
-        r = await self._status(b)
+        if b is None or b.down > self.clock.now():
+            return await self._fetch_others(key[1])
+        try:
+            r = await self._status(b)
+        except Fault:
+            return await self._fetch_others(key[1])
         if r["role"] != "primary":
             self.g.tie.doubt(self.name, b.name, "replica")
             raise Unreached("not the primary")
         return r["pos"]
 
+    async def _fetch_others(self, name):
+        bs = [b for n, b in self.berths.items() if n != name]
+        if not self.sync or len(bs) < self.sync + 1 or len(self.berths) > len(bs) + 1:
+            raise Unreached("no primary to ask")
+        rs = await asyncio.gather(*[self._status(b) for b in bs], return_exceptions=True)
+        bad = next((r for r in rs if isinstance(r, BaseException)), None)
+        if bad is not None:
+            raise bad if isinstance(bad, Fault) else Unreached("not all others answered")
+        for b, r in zip(bs, rs):
+            if r["pos"] > b.tide.log:
+                b.tide.note(r["pos"], 0)
+        self.g.count["fetched_others"] += 1
+        return max(r["pos"] for r in rs)
+
+    def dark(self):
+        """Microseconds since the primary last answered here, if it fails now."""
+        b = self.berths.get(self.office["primary"]) if self.office else None
+        return self.clock.now() - b.heard if b is not None and b.bad and b.heard else 0
+
     def close(self):
         """The group left the manifest."""
         for b in self.berths.values():
--- a/src/petrelhaven/span/gate.py
+++ b/src/petrelhaven/span/gate.py
@@ -76,7 +76,7 @@
             b = self.bands.get(n)
             if b is None:
                 b = self.bands[n] = Band(n, self)
-            b.cap = g["cap"]
+            b.cap, b.sync = g["cap"], g["sync"]
         self._bounds.idle_txn_us = m["bounds"]["idle_txn_us"]
         emit(self.log, 403, seq=self.tie.ledger.seq, version=m["version"])
 
@@ -177,7 +177,7 @@
         t0 = self.clock.now()
         p = await self._run(v, a, r, b, x, t0 + us, us)
         if p.code is not None:
-            emit(self.log, 425, group=b.name, verb=a.verb, code=p.code, us=self.clock.now() - t0, note=p.text,
+            emit(self.log, 425, group=b.name, verb=a.verb, code=p.code, us=self.clock.now() - t0, note=p.text, visit=id(v) & 0xFFFFFF,
                  stocks=",".join(f"{n[-4:]}:{z.stock.plight()}" for n, z in b.berths.items()), visits=b.visits)
         return p
 
--- a/src/petrelhaven/span/passage.py
+++ b/src/petrelhaven/span/passage.py
@@ -11,6 +11,7 @@
 _BACK_US = 250_000
 _ELSEWHERE = ("busy", "crowded", "failed", "misdirected", "readonly", "unprepared")
 _LAGS = 5
+_DARK_US = 4_000_000
 _SLOW_US = 1_000_000
 
 
@@ -259,6 +260,10 @@
             p.lags = 0
         return True
 
+    def _hopeless(self, b, r, end):
+        """Whether a primary has been dark for so long that waiting for it is not worth the visitor's time."""
+        return (b.dark() > _DARK_US or b.office is not None and b.office.get("stuck")) and self.clock.now() > end - r.timeout_us + r.aim_us // 5
+
     def _given_up(self, b, ran=False):
         if ran:
             return Reply(code="timeout", text="no answer in time")
@@ -272,8 +277,10 @@
             if left <= 0:
                 return self._given_up(b)
             p = b.primary
-            if p is None or not b.serves(p):
-                yield self._either([b.turned()], min(left, 500_000))
+            if p is None or not b.serves(p) or p.down > self.clock.now():
+                if self._hopeless(b, r, end):
+                    return self._given_up(b)
+                yield self._either([b.turned()], min(left, 100_000))
                 continue
             t = _Try(p, b.key)
             f = self.nest.spawn(self._once(t, v, a, b, None, left))
@@ -439,8 +446,10 @@
                 p = t.berth
             else:
                 p = b.primary
-                if p is None or not b.serves(p):
-                    yield self._either([b.turned()], min(left, 500_000))
+                if p is None or not b.serves(p) or p.down > self.clock.now():
+                    if self._hopeless(b, r, end):
+                        return g.back(_BACK_US)
+                    yield self._either([b.turned()], min(left, 100_000))
                     continue
                 t = _Try(p, key)
             f = self.nest.spawn(self._begun(t, v, x, b, None if t.flight else pos, min(left, 600_000)))
--- a/src/petrelhaven/span/tie.py
+++ b/src/petrelhaven/span/tie.py
@@ -7,8 +7,9 @@
 
 __all__ = ["Tie"]
 
-_PULSE_US = 350_000
+_PULSE_US = 250_000
 _BAD_US = 1_500_000
+_PATIENT_US = 3_000_000
 _DOUBT_US = 250_000
 
 
@@ -78,14 +79,15 @@
             return
         self._ch, self._core = ch, a
         emit(self.log, 401, core=a)
-        mute = 0
+        mute, good = 0, self.clock.now()
         while not ch.gone.done():
             try:
                 ok = await self._pulse([])
-                mute = 0 if ok else mute + 1
+                mute = 0
+                good = self.clock.now() if ok else good
             except Fault:
                 mute += 1
-            if mute >= 2:
+            if mute >= 2 or self.clock.now() - good > _PATIENT_US:
                 emit(self.log, 402, core=a)
                 self._bad[a] = self.clock.now() + _BAD_US
                 return
@@ -100,7 +102,7 @@
             return False
         t0 = self.clock.now()
         r = await ch.call("tie.pulse", {"name": self.name, "seq": self.ledger.seq, "cores": self.view,
-                                        "doubts": doubts}, 600_000)
+                                        "doubts": doubts}, 450_000)
         if r["edges"] != self.edges:
             self.edges = r["edges"]
             for f in self.on_change:
