--- a/tests/test_estate_system.py
+++ b/tests/test_estate_system.py
@@ -62,6 +62,18 @@
     day(faults, seconds=10, least=0.8)
 
 
+def test_a_primary_goes_dark(day):
+    def faults(s):
+        old = s.primary()
+
+        async def strike():
+            old.go_dark()
+            await led_by_another(s, old)
+            await old.go_light()
+        return [(2, strike)]
+    day(faults, seconds=10, least=0.7)
+
+
 def test_a_replica_crashes(day):
     def faults(s):
         r = s.replica()
