--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -144,9 +144,13 @@
                     except Fault:
                         pass
         self._infos[addr] = (self.clock.now(), r)
+        self.informed()
         if r and r["view"]:
             self.chain.adopt(r["view"])
 
+    def informed(self):
+        """Another core has told of itself."""
+
     async def _finish(self, v):
         try:
             self.spread(await self._ask.change(self.mem.vote["ids"] or v["ids"], lambda x: x or v))
--- a/src/petrelhaven/helm/seat.py
+++ b/src/petrelhaven/helm/seat.py
@@ -17,6 +17,7 @@
 _FACTS = {"member": str, "group": str, "hall": str, "addr": str, "role": str, "state": str, "slots": int, "count": int}
 _HEARD_US = 900_000
 _LATE_US = 3_000_000
+_YOUNG_US = 1_500_000
 _TIED_US = 3_500_000
 
 
@@ -29,6 +30,7 @@
 
     def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, wire, beat_us, log=None):
         self.wire, self.beat_us = wire, beat_us
+        self._born = clock.now()
         self.heard, self.tied = {}, {}
         super().__init__(name, hall, seeds, clock, nest, link, disk, rng, platform, log)
         self.chain.sparing = True
@@ -56,13 +58,27 @@
         v = self.chain.view
         whole = (v is not None and len(v["chain"]) == len(v["ids"]) and self.chain.active
                  and all(self.roster.state(n) == "alive" for n in v["ids"]))
-        us = 2_000_000 if whole else self.mend_us
+        us = 2_000_000 if whole else self.mend_us if v is not None else self.mend_us // 4
         self._news.clear()
         try:
             await self.clock.limit(self._news.wait(), us + self.rng.randrange(50_000))
         except Late:
             pass
 
+    def _there(self, n):
+        """A core that this one has not met since its start may be starting too."""
+        young = self.clock.now() - self._born < _YOUNG_US
+        return super()._there(n) or young and self.roster.state(n) is None
+
+    def informed(self):
+        """Once every other core of the view has told that it rules no older one, none can, and nothing is waited for."""
+        v = self.chain.view
+        if v is None or self.chain.active_at <= self.clock.now():
+            return
+        ns = {r["name"]: r["view"]["n"] if r["view"] else v["n"] for _, r in self._infos.values() if r}
+        if all(ns.get(n, -1) >= v["n"] for n in v["ids"] if n != self.name):
+            self.chain.active_at = self.clock.now()
+
     async def _hold(self, ch, b):
         if not self.chain.active:
             return {"ok": False, "note": "not confirmed by a majority"}
--- a/src/petrelhaven/helm/warden.py
+++ b/src/petrelhaven/helm/warden.py
@@ -12,6 +12,7 @@
 _ASK_US = 600_000
 _PLAN_US = 9_000_000
 _STUCK_US = 900_000
+_SOON_US = 60_000
 
 
 class _Ward:
@@ -255,13 +256,12 @@
         """One attempt; true once the office has settled."""
         p = wards.get(old)
         reps = [w for n, w in wards.items() if n != old]
-        row = None
-        if p is not None:
-            row = await self._row(p)
-            if row and row["role"] == "primary" and not planned:
-                await self._back(g, old, wards, "the primary answers again")
-                return True
+        look = self.nest.spawn(self._row(p)) if p is not None else None
         rows = await asyncio.gather(*[self._row(w) for w in reps])
+        row = await self._soon(look, planned) if look is not None else None
+        if row and row["role"] == "primary" and not planned:
+            await self._back(g, old, wards, "the primary answers again")
+            return True
         lead = next((w for w, r in zip(reps, rows) if r and r["role"] == "primary"), None)
         if lead is not None:
             await self._settle(g, lead, wards, old)
@@ -296,6 +296,13 @@
             w.odd = f"{e.code} {e.note}"
             return None
 
+    async def _soon(self, look, planned):
+        """The old primary's row; one that is taken for dark is not waited for."""
+        try:
+            return await self.clock.limit(look, _ASK_US if planned else _SOON_US)
+        except Late:
+            return None
+
     async def _own(self, w, verb, *args):
         try:
             r = await self._ask(w, verb, *args)
--- a/src/petrelhaven/span/tie.py
+++ b/src/petrelhaven/span/tie.py
@@ -58,9 +58,9 @@
                 await self.clock.sleep(100_000)
                 continue
             try:
-                ch = await self.link.open(a)
+                ch = await self.clock.limit(self.link.open(a), 1_000_000 if self.joined else 250_000)
             except Fault:
-                self._bad[a] = self.clock.now() + _BAD_US
+                self._bad[a] = self.clock.now() + (_BAD_US if self.joined else 250_000)
                 continue
             try:
                 await self._hold(a, ch)
@@ -69,13 +69,13 @@
             finally:
                 self._ch = None
                 ch.close()
-            self._bad[a] = max(self._bad.get(a, 0), self.clock.now() + 300_000)
+            self._bad[a] = max(self._bad.get(a, 0), self.clock.now() + 100_000)
 
     async def _hold(self, a, ch):
         at = self.ledger.seq if self.joined else -1
         r = await ch.call("edge.hold", {"edge": self.name, "inc": 0, "applied": at}, 800_000)
         if not r["ok"]:
-            self._bad[a] = self.clock.now() + 500_000
+            self._bad[a] = self.clock.now() + 150_000
             return
         self._ch, self._core = ch, a
         emit(self.log, 401, core=a)
