--- a/src/petrelhaven/span/gate.py
+++ b/src/petrelhaven/span/gate.py
@@ -1,4 +1,5 @@
 """An edge whose sessions live with their connection: tie, bands, sessions and the ways of their statements."""
+import asyncio
 import collections
 import types
 
@@ -37,6 +38,7 @@
             {"trigger": "serve", "source": "starting", "dest": "serving"},
             {"trigger": "leave", "source": ["starting", "serving"], "dest": "leaving"},
             {"trigger": "finish", "source": "leaving", "dest": "left"}])
+        self._opened = None
         tie.on_change.append(self._changed)
 
     def start(self):
@@ -53,6 +55,16 @@
         """Whether new connections should come here."""
         return self.state == "serving"
 
+    async def opened(self, us):
+        """Waits until this edge knows a manifest; Busy with when to come back if that takes longer than `us`."""
+        if self.state == "starting":
+            if self._opened is None:
+                self._opened = asyncio.get_running_loop().create_future()
+            try:
+                await self.clock.limit(asyncio.shield(self._opened), us)
+            except Late:
+                raise Busy("this edge knows no manifest yet") from None
+
     def _changed(self, recs, fresh):
         d = self.tie.ledger
         m = d.manifest
@@ -65,6 +77,8 @@
             b.turn(d, fresh)
         if self.state == "starting":
             self.serve()
+            if self._opened is not None:
+                self._opened.set_result(None)
             emit(self.log, 102, name=self.name)
 
     def _manifest(self, m):
