--- a/src/petrelhaven/creed/light.py
+++ b/src/petrelhaven/creed/light.py
@@ -55,6 +55,7 @@
     def eof_received(self):
         self._h.receive_data(b"")
         self._turn()
+        return self._task is not None
 
     def _turn(self):
         while True:
@@ -82,7 +83,8 @@
                 self._task = asyncio.ensure_future(self._serve(q))
                 return
             else:
-                self._tr.close()
+                if self._task is None:
+                    self._tr.close()
                 return
 
     async def _serve(self, q):
@@ -93,6 +95,7 @@
         if self._h.our_state is h11.MUST_CLOSE:
             self._tr.close()
             return
+        self._req = self._task = None
         try:
             self._h.start_next_cycle()
         except h11.LocalProtocolError:
@@ -105,7 +108,8 @@
         if close:
             hs.append(("Connection", "close"))
         out = self._h.send(h11.Response(status_code=st, headers=hs))
-        out += self._h.send(h11.Data(data=body))
+        if self._req is None or self._req.method != b"HEAD":
+            out += self._h.send(h11.Data(data=body))
         self._tr.write(out + self._h.send(h11.EndOfMessage()))
 
     def close(self):
@@ -200,7 +204,7 @@
             raw = b"".join(got)
             try:
                 return st, json.loads(raw) if raw else None
-            except ValueError:
+            except (ValueError, RecursionError):
                 return st, None
         elif type(e) is h11.ConnectionClosed:
             raise Unreached(addr)
--- /dev/null
+++ b/tests/test_light.py
@@ -0,0 +1,386 @@
+"""The light HTTP face and call: whatever comes gets one typed answer or a close, and a call has a typed outcome."""
+import asyncio
+import json
+import socket
+
+import h11
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from petrelhaven.creed.fault import Fault, Late, NotReady, Stale, Unreached, Unsent
+from petrelhaven.creed.light import LightFace, light_call
+from petrelhaven.creed.tick import Clock
+from petrelhaven.drill.warp import WarpLoop, end_all
+
+DRAWN = settings(max_examples=120, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
+MOST = 1000
+
+
+class Called:
+    """A face whose handlers note what they were called with."""
+
+    def __init__(self):
+        self.calls, self.held = [], None
+        self.face = LightFace("127.0.0.1", 0, most=MOST)
+
+        async def echo(q):
+            self.calls.append(("echo", q.body))
+            return q.body
+
+        async def below(q, rest):
+            self.calls.append(("below", rest))
+            return {"rest": rest}
+
+        async def doc(q):
+            return q.doc()
+
+        async def held(q):
+            await self.held
+            return {}
+
+        async def odd(q):
+            raise {"/stale": Stale("old", more={"n": 1}), "/busy": NotReady("soon"), "/fault": ValueError("x"),
+                   "/deep": RecursionError()}[q.path]
+
+        async def shaped(q):
+            return 204, b"", (("X-More", "1"),)
+
+        async def unshaped(q):
+            return {"x": object()}
+        for verb, path, fn in (("POST", "/echo", echo), ("GET", "/echo", echo), ("GET", "/below/", below),
+                               ("POST", "/doc", doc), ("GET", "/held", held), ("GET", "/shaped", shaped),
+                               ("GET", "/unshaped", unshaped), *(("GET", f"/{x}", odd) for x in ("stale", "busy", "fault", "deep"))):
+            self.face.on(verb, path, fn)
+
+
+class Transport:
+    def __init__(self):
+        self.out, self.closed, self.proto = b"", False, None
+
+    def write(self, data):
+        assert not self.closed
+        self.out += data
+
+    def is_closing(self):
+        return self.closed
+
+    def close(self):
+        if not self.closed:
+            self.closed = True
+            asyncio.get_running_loop().call_soon(self.proto.connection_lost, None)
+
+
+class Server:
+    """What a face's listening socket would be: makes the protocol of a connection."""
+
+    def __init__(self, called):
+        self.called = called
+
+    async def open(self):
+        loop = asyncio.get_running_loop()
+        made = []
+
+        async def create_server(factory, *_, **__):
+            made.append(factory)
+            s = type("S", (), {"sockets": [self], "close": lambda _: None})()
+            return s
+        loop.create_server, self.getsockname = create_server, lambda: ("127.0.0.1", 1)
+        await self.called.face.start()
+        tr = Transport()
+        tr.proto = made[0]()
+        tr.proto.connection_made(tr)
+        return tr.proto, tr
+
+
+def talk(fn):
+    """What `fn(called, protocol, transport)` returns in virtual time."""
+    loop = WarpLoop()
+    asyncio.set_event_loop(loop)
+    loose = []
+    loop.set_exception_handler(lambda _, c: loose.append(c))
+
+    async def go():
+        c = Called()
+        p, tr = await Server(c).open()
+        return await fn(c, p, tr)
+    try:
+        got = loop.run_until_complete(go())
+    finally:
+        end_all(loop)
+        loop.close()
+        asyncio.set_event_loop(None)
+    assert not loose, loose
+    return got
+
+
+def answers(out, verbs=("GET",)):
+    """(status, headers, body) of each answer."""
+    c, got = h11.Connection(h11.CLIENT), []
+    if not out:
+        return got
+    c.receive_data(out)
+    for v in [*verbs, *["GET"] * 20]:
+        c.send(h11.Request(method=v, target="/", headers=[("Host", "x")]))
+        c.send(h11.EndOfMessage())
+        body = b""
+        while True:
+            e = c.next_event()
+            if e is h11.NEED_DATA or type(e) is h11.ConnectionClosed:
+                assert c.trailing_data[0] == b""
+                return got
+            if type(e) is h11.Response:
+                head = e
+            elif type(e) is h11.Data:
+                body += bytes(e.data)
+            elif type(e) is h11.EndOfMessage:
+                break
+        got.append((head.status_code, {k.decode(): x.decode() for k, x in head.headers}, body))
+        if c.our_state is not h11.DONE or c.their_state is not h11.DONE:
+            return got
+        c.start_next_cycle()
+    return got
+
+
+def get(path, verb="GET", body=b"", heads=""):
+    return f"{verb} {path} HTTP/1.1\r\nHost: x\r\n{heads}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def one(raw, verb="GET"):
+    async def go(c, p, tr):
+        p.data_received(raw)
+        await asyncio.sleep(1)
+        return answers(tr.out, (verb,)), tr.closed, c.calls
+    return talk(go)
+
+
+@pytest.mark.parametrize(("path", "status", "fault"), [
+    ("/none", 404, "http"), ("/", 404, "http"), ("/below/", 404, "http"), ("/below", 404, "http"), ("/echo/x", 404, "http"),
+    ("/below/a/b", 404, "http"), ("//", 404, "http"), ("*", 404, "http"), ("http://x/echo", 404, "http"),
+    ("/stale", 409, "stale"), ("/busy", 503, "not-ready"), ("/fault", 500, "fault"), ("/deep", 500, "fault"),
+    ("/unshaped", 500, "fault")])
+def test_a_request_that_is_not_served_has_a_typed_answer(path, status, fault):
+    got, closed, calls = one(get(path))
+    assert len(got) == 1 and got[0][0] == status and json.loads(got[0][2])["fault"] == fault and not closed and not calls
+    assert (got[0][1].get("retry-after") is not None) == (fault == "not-ready")
+
+
+def test_what_is_served():
+    assert one(get("/echo?x=1", "POST", b"abc"))[0][0][2] == b"abc"
+    assert one(get("/below/i-7?x"))[0][0][2] == b'{"rest":"i-7"}'
+    got = one(get("/shaped"))[0][0]
+    assert got[0] == 204 and got[1]["x-more"] == "1"
+    assert one(get("/echo", "PUT"))[0][0][0] == 404
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"\xff", b"[" * 900, b"{} x"])
+def test_a_body_that_is_no_json_is_malformed(body):
+    got, closed, _ = one(get("/doc", "POST", body))
+    assert got[0][0] == 400 and json.loads(got[0][2])["fault"] == "malformed" and not closed
+
+
+def test_a_head_request_has_no_body_and_the_connection_goes_on():
+    async def go(c, p, tr):
+        p.data_received(get("/none", "HEAD") + get("/below/a") + b"nonsense\r\n\r\n")
+        await asyncio.sleep(1)
+        got = answers(tr.out, ("HEAD", "GET"))
+        assert [x[0] for x in got] == [404, 200, 400] and got[0][2] == b"" and tr.closed
+    talk(go)
+
+
+@pytest.mark.parametrize("raw", [
+    b"\r\n\r\nnope\r\n\r\n", b"GET\r\n\r\n", b"GET / HTTP/1.1\r\n\r\n", b"GET / HTTP/x\r\nHost: x\r\n\r\n",
+    b"GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: x\r\n\r\n",
+    b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+    b"GET /a b HTTP/1.1\r\nHost: x\r\n\r\n", b"GET /\xff HTTP/1.1\r\nHost: x\r\n\r\n",
+    b"GET / HTTP/1.1\r\nHost: x\r\nA" + b"a" * 70_000, b"GET /" + b"a" * 70_000,
+    b"POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"CONNECT db me\r\n\r\n", b"\x16\x03\x01\r\n\r\n"])
+def test_a_request_that_is_none_is_told_once_and_the_connection_closed(raw):
+    got, closed, calls = one(raw)
+    assert [x[0] for x in got] == [400] and closed and not calls
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_body_over_the_bound_is_declined_and_no_handler_called(chunked):
+    body = b"x" * (MOST + 1)
+    raw = get("/echo", "POST", body) if not chunked else (
+        b"POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body))
+    got, closed, calls = one(raw)
+    assert [x[0] for x in got] == [413] and json.loads(got[0][2])["fault"] == "oversize" and closed and not calls
+    got, closed, calls = one(get("/echo", "POST", b"x" * MOST))
+    assert got[0][0] == 200 and len(got[0][2]) == MOST and not closed
+
+
+PARTS = st.lists(st.sampled_from([get("/echo", "POST", b"abc"), get("/below/a"), get("/none"), get("/busy"), get("/shaped"),
+                                  b"POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nq\r\n0\r\n\r\n"]),
+                 min_size=1, max_size=6)
+
+
+@DRAWN
+@given(PARTS, st.randoms(use_true_random=False), st.integers(1, 60))
+def test_requests_in_a_row_are_answered_in_order_in_whatever_pieces(parts, rng, most):
+    async def go(c, p, tr):
+        raw = b"".join(parts)
+        while raw:
+            n = rng.randint(1, most)
+            p.data_received(raw[:n])
+            raw = raw[n:]
+            if rng.random() < 0.1:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(1)
+        assert not tr.closed
+        return [(a, c) for a, _, c in answers(tr.out)]
+    assert talk(go) == [(a, c) for x in parts for a, _, c in one(x)[0]]
+
+
+@DRAWN
+@given(st.binary(max_size=60), st.integers(0, 80))
+def test_junk_gets_one_400_or_silence(junk, at):
+    good = get("/echo", "POST", b"abc")
+    for raw in (junk, junk + b"\r\n\r\n", good[:at] + junk + good[at:]):
+        got, closed, calls = one(raw)
+        assert [x[0] for x in got][1:] in ([], [400]) and (closed or len(got) <= 1)
+        assert [x[0] for x in got][:1] in ([], [400], [200], [404], [413])
+
+
+def test_a_caller_that_says_no_more_is_answered_and_then_closed():
+    async def go(c, p, tr):
+        c.held = asyncio.get_running_loop().create_future()
+        p.data_received(get("/held"))
+        assert p.eof_received()
+        await asyncio.sleep(1)
+        assert tr.out == b"" and not tr.closed
+        c.held.set_result(None)
+        await asyncio.sleep(1)
+        assert [x[0] for x in answers(tr.out)] == [200] and tr.closed and not c.face.talks
+    talk(go)
+
+
+def test_a_caller_that_stops_inside_a_request_or_between_them_is_closed():
+    async def go(c, p, tr):
+        p.data_received(get("/echo", "POST", b"abc")[:-1])
+        assert not p.eof_received()
+        await asyncio.sleep(1)
+        assert [x[0] for x in answers(tr.out)] == [400] and tr.closed and not c.calls
+    talk(go)
+
+    async def idle(c, p, tr):
+        assert not p.eof_received()
+        assert tr.out == b"" and tr.closed
+    talk(idle)
+
+
+def test_requests_in_a_row_before_the_end_are_all_answered():
+    async def go(c, p, tr):
+        p.data_received(get("/below/a") * 3)
+        assert p.eof_received()
+        await asyncio.sleep(1)
+        assert [x[0] for x in answers(tr.out)] == [200] * 3 and tr.closed
+    talk(go)
+
+
+def test_a_caller_that_went_away_gets_nothing_and_leaves_nothing():
+    async def go(c, p, tr):
+        c.held = asyncio.get_running_loop().create_future()
+        p.data_received(get("/held"))
+        await asyncio.sleep(0.1)
+        tr.close()
+        c.held.set_result(None)
+        await asyncio.sleep(1)
+        assert tr.out == b"" and not c.face.talks
+    talk(go)
+
+
+def test_an_idle_connection_is_closed_and_a_used_one_is_not():
+    async def go(c, p, tr):
+        for _ in range(4):
+            await asyncio.sleep(50)
+            p.data_received(get("/below/a"))
+        assert not tr.closed
+        await asyncio.sleep(61)
+        assert tr.closed and len(answers(tr.out)) == 4
+    talk(go)
+
+
+@pytest.mark.parametrize("raw", [get("/below/a", heads="Connection: close\r\n"), b"GET /below/a HTTP/1.0\r\n\r\n"])
+def test_a_connection_is_closed_after_the_answer_if_its_caller_says_so(raw):
+    got, closed, _ = one(raw)
+    assert [x[0] for x in got] == [200] and closed
+
+
+# Calls
+
+
+def call(script, us=2_000_000, doc=None, heads=()):
+    """The outcome of a call to a peer that answers with the parts of `script` (None: mute), and what the peer got."""
+    async def go():
+        ends, got = [], []
+
+        async def peer(r, w):
+            ends.append(w)
+            got.append(await r.readuntil(b"\r\n\r\n"))
+            for part in script or ():
+                w.write(part)
+                await w.drain()
+            if script is not None:
+                w.close()
+        s = await asyncio.start_server(peer, "127.0.0.1", 0)
+        try:
+            a = "127.0.0.1:%d" % s.sockets[0].getsockname()[1]
+            return await light_call(Clock(), a, "POST", "/p", doc, heads, us), got
+        finally:
+            for e in [s, *ends]:
+                e.close()
+    return asyncio.run(go())
+
+
+@pytest.mark.parametrize(("script", "want"), [
+    ([b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"], (200, {})),
+    ([b"HTTP/1.1 20", b"0 OK\r\nContent-Le", b"ngth: 7\r\n\r\n{\"a\"", b":1}"], (200, {"a": 1})),
+    ([b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n[]\r\n0\r\n\r\n"], (200, [])),
+    ([b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"], (409, None)),
+    ([b"HTTP/1.1 200 OK\r\n\r\n{}"], (200, {})), ([b"HTTP/1.1 500 x\r\nContent-Length: 1\r\n\r\n{"], (500, None)),
+    ([b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n" + b"[" * 90_000], (200, None)),
+    ([b"HTTP/1.1 204 x\r\n\r\n"], (204, None))])
+def test_an_answer_is_its_status_and_document(script, want):
+    assert call(script)[0] == want
+
+
+@pytest.mark.parametrize("script", [
+    [], [b"HTTP/1.1 200 OK\r\n"], [b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}"], [b"nonsense\r\n\r\n"],
+    [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"], [b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"],
+    [b"READY I -\r\n"], [b"HTTP/1.1 100 Continue\r\n\r\n"]])
+def test_a_broken_answer_leaves_the_outcome_unknown(script):
+    with pytest.raises(Unreached) as e:
+        call(script)
+    assert type(e.value) is Unreached
+
+
+def test_a_mute_peer_is_late_and_a_dead_port_unsent():
+    with pytest.raises(Late):
+        call(None, us=50_000)
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        with pytest.raises(Unsent):
+            asyncio.run(light_call(Clock(), "127.0.0.1:%d" % s.getsockname()[1], "GET", "/"))
+
+
+def test_a_call_says_its_document_and_heads_whole():
+    got = call([b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"], doc={"é": 1}, heads=[("X-Fence-Token", "7")])[1][0]
+    lines = got.decode().lower().split("\r\n")
+    assert lines[0] == "post /p http/1.1" and "x-fence-token: 7" in lines and "connection: close" in lines
+    assert f"content-length: {len(json.dumps({'é': 1}))}" in lines
+
+
+def test_a_face_and_a_call_meet():
+    async def go():
+        c = Called()
+        a = await c.face.start()
+        assert await light_call(Clock(), a, "POST", "/doc", {"x": [1]}) == (200, {"x": [1]})
+        st_, d = await light_call(Clock(), a, "GET", "/busy")
+        assert st_ == 503 and d["fault"] == "not-ready" and isinstance(d["retry_after_us"], int)
+        await c.face.close()
+        with pytest.raises(Unsent):
+            await light_call(Clock(), a, "GET", "/busy")
+    asyncio.run(go())
+    assert issubclass(Unsent, Fault)
