--- /dev/null
+++ b/tests/test_stock.py
@@ -0,0 +1,238 @@
+"""The connections to one member: never more than may be held, and whoever waits is served or told."""
+import asyncio
+
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from petrelhaven.creed.fault import Busy, Fault, Unsent
+from petrelhaven.creed.tick import Clock, Nest
+from petrelhaven.drill.warp import WarpLoop, end_all
+from petrelhaven.span.stock import Stock
+from petrelhaven.span.strand import Strand
+
+DRAWN = settings(max_examples=300, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
+
+
+class LoopClock(Clock):
+    def now(self):
+        return int(asyncio.get_running_loop().time() * 1e6)
+
+
+class Visitor:
+    def __init__(self, values=None):
+        self.values, self.prepared, self.nums = dict(values or {}), {}, {}
+
+
+class Conn(Strand):
+    def __init__(self, member):
+        super().__init__()
+        self.m = member
+        member.live.add(self)
+
+    def close(self):
+        if self.lost:
+            return
+        self.lost = True
+        self.m.live.discard(self)
+        if self.on_lost is not None:
+            self.on_lost(self)
+
+
+class Member:
+    """Opens connections as it is told: `plan` has (seconds, None or a fault) for each, the last for all others."""
+
+    def __init__(self, plan=((0.01, None),)):
+        self.live, self.plan, self.asked, self.opening = set(), list(plan), 0, 0
+
+    async def open(self):
+        s, fault = self.plan.pop(0) if len(self.plan) > 1 else self.plan[0]
+        self.asked += 1
+        self.opening += 1
+        try:
+            await asyncio.sleep(s)
+        finally:
+            self.opening -= 1
+        if fault is not None:
+            raise fault("told to")
+        return Conn(self)
+
+
+def virtual(fn, member, most=2, want=9):
+    loop = WarpLoop()
+    asyncio.set_event_loop(loop)
+
+    async def go():
+        return await fn(Stock(LoopClock(), Nest(), member.open, most, lambda: want))
+    try:
+        return loop.run_until_complete(go())
+    finally:
+        end_all(loop)
+        loop.close()
+        asyncio.set_event_loop(None)
+
+
+def held(f):
+    """The connection that `f` brought, if it did and is not lost."""
+    return f.result() if f.done() and not f.cancelled() and f.exception() is None else None
+
+
+OUTCOME = st.tuples(st.sampled_from([0.0, 0.01, 0.4]), st.none())
+ACTION = st.sampled_from(["take"] * 4 + ["give"] * 3 + ["drop", "lose", "tick", "tick", "rest"])
+
+
+@DRAWN
+@given(st.lists(st.tuples(ACTION, st.integers(0, 9)), max_size=50), st.lists(OUTCOME, max_size=8), st.integers(1, 4),
+       st.integers(1, 6))
+def test_never_more_than_may_be_held_and_everyone_is_served_or_told(actions, plan, most, want):
+    async def go(s):
+        waits, out = [], []
+        for what, i in actions:
+            if what == "take":
+                waits.append(s.take(visitors[i % 3]))
+            elif what in ("tick", "rest"):
+                await asyncio.sleep(0.01 if what == "tick" else 3)
+            elif what == "quit":
+                if waits:
+                    s.quit(waits.pop(i % len(waits)))
+            elif out:
+                c = out.pop(i % len(out))
+                c.close() if what == "lose" else getattr(s, what)(c)
+            for f in [f for f in waits if f.done()]:
+                waits.remove(f)
+                c = held(f)
+                if c is not None:
+                    assert c in s.busy or c.lost
+                    out.append(c)
+                else:
+                    assert isinstance(f.exception(), Fault)
+            assert s.total <= most and len(member.live) + member.opening <= most
+            assert len(set(map(id, out))) == len(out)
+            await asyncio.sleep(0)
+            if not member.opening and any(not f.done() for f in waits):
+                assert not s.idle and s.total >= s.limit, "who waits is not woken"
+        for _ in range(200):
+            await asyncio.sleep(1)
+            for f in [f for f in waits if f.done()]:
+                waits.remove(f)
+                if held(f) is not None:
+                    out.append(held(f))
+            while out:
+                s.give(out.pop())
+        assert not waits and not s.busy and s.total == len(s.idle) == len(member.live)
+    member = Member([*plan, (0.01, None)])
+    visitors = [Visitor(), Visitor({"a": "1"}), Visitor({"a": "2", "b": "1"})]
+    virtual(go, member, most, want)
+
+
+def test_a_connection_fits_whom_it_was_given_to_before():
+    async def go(s):
+        a, b = Visitor({"n": "1"}), Visitor({"n": "2"})
+        ca, cb = await s.take(a), await s.take(b)
+        for v, c in ((a, ca), (b, cb)):
+            c.values, c.owner = dict(v.values), v
+            s.give(c)
+        assert await s.take(a) is ca and await s.take(b) is cb
+    virtual(go, Member())
+
+
+def test_who_waits_is_served_in_order():
+    async def go(s):
+        v = Visitor()
+        c = await s.take(v)
+        fs = [s.take(v) for _ in range(3)]
+        for f in fs:
+            assert not f.done()
+            s.give(c)
+            assert f.done() and f.result() is c
+    virtual(go, Member(), most=1)
+
+
+def test_more_waiters_than_four_a_connection_are_told_at_once():
+    async def go(s):
+        v = Visitor()
+        await s.take(v)
+        fs = [s.take(v) for _ in range(6)]
+        assert [isinstance(f.exception(), Busy) if f.done() else None for f in fs] == [None] * 4 + [True] * 2
+    virtual(go, Member(), most=1)
+
+
+def test_a_lost_connection_makes_room():
+    async def go(s):
+        v = Visitor()
+        c = await s.take(v)
+        f = s.take(v)
+        c.close()
+        assert await f is not c and s.total == 1
+        s.give(f.result())
+        s.give(c)
+        assert s.idle == [f.result()]
+    virtual(go, Member(), most=1)
+
+
+def test_what_is_quit_comes_back():
+    async def go(s):
+        v = Visitor()
+        f = s.take(v)
+        s.quit(f)
+        assert f.cancelled() and s.total == 1
+        await asyncio.sleep(1)
+        assert len(s.idle) == 1 and not s.busy
+        f = s.take(v)
+        s.quit(f)
+        assert len(s.idle) == 1 and not s.busy
+    virtual(go, Member(), most=1)
+
+
+def test_a_full_member_is_not_pressed_for_a_while():
+    async def go(s):
+        v = Visitor()
+        a, b = s.take(v), s.take(v)
+        await asyncio.sleep(0.1)
+        assert held(a) and not b.done() and s.limit == 1
+        fs = [s.take(v) for _ in range(3)]
+        s.give(held(a))
+        assert held(b) is held(a)
+        await asyncio.sleep(1)
+        assert member.asked == 2 and not any(f.done() for f in fs)
+        await asyncio.sleep(1.2)
+        assert member.asked == 5 and s.limit == 4 and all(held(f) for f in fs)
+    member = Member([(0.01, None), (0.02, Busy), (0.01, None)])
+    virtual(go, member, most=4)
+
+
+def test_where_nothing_is_open_a_full_member_is_told_at_once():
+    async def go(s):
+        with pytest.raises(Busy):
+            await s.take(Visitor())
+        assert s.total == 0 and s.limit == 1
+    virtual(go, Member([(0.01, Busy)]))
+
+
+def test_the_end_declines_who_waits_and_closes_what_comes_back():
+    async def go(s):
+        v = Visitor()
+        a, b, c = s.take(v), s.take(v), s.take(v)
+        await asyncio.sleep(0.1)
+        s.give(held(a))
+        d = held(c)
+        e = s.take(v)
+        s.close()
+        assert isinstance(e.exception(), Unsent) and isinstance(s.take(v).exception(), Unsent)
+        assert held(b) in s.busy and not held(b).lost
+        s.give(held(b))
+        s.give(d)
+        assert not member.live and s.total == 0
+    member = Member()
+    virtual(go, member)
+
+
+def test_what_opens_after_the_end_is_closed():
+    async def go(s):
+        f = s.take(Visitor())
+        s.close()
+        with pytest.raises(Unsent):
+            await f
+        assert not member.live and s.total == 0
+    member = Member()
+    virtual(go, member)
