--- a/src/petrelhaven/helm/chain.py
+++ b/src/petrelhaven/helm/chain.py
@@ -18,7 +18,7 @@
         self.confirm_us, self.ask_us = confirm_us, ask_us
         self.clock, self.nest, self.mem, self._call, self.log = clock, nest, mem, call, log
         self.view = None
-        self.active_at = 0
+        self.active_at = self.adopted = 0
         self.commit = 0
         self.confirmed = 0
         self._sent = {}
@@ -76,6 +76,7 @@
         newer = not self.mem.vote["value"] or self.mem.vote["value"]["n"] < view["n"]
         self.mem.put_vote(ids=view["ids"], **({"value": view} if newer else {}))
         self.confirmed = 0
+        self.adopted = self.clock.now()
         self.active_at = self.clock.now() + int(self.confirm_us * DRIFT)
         emit(self.log, 301, n=view["n"], chain=",".join(view["chain"]), cause=view["cause"])
         if self._feeder:
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -130,6 +130,7 @@
         await self.clock.sleep(self.mend_us + self.rng.randrange(50_000))
 
     async def _info(self, addr):
+        at = self.clock.now()
         try:
             if addr == self.link.addr:
                 r = await self._told(None, {})
@@ -143,7 +144,7 @@
                         r = await self.reach.call(n, "view.ask", {"name": self.name}, 500_000)
                     except Fault:
                         pass
-        self._infos[addr] = (self.clock.now(), r)
+        self._infos[addr] = (at, r)
         self.informed()
         if r and r["view"]:
             self.chain.adopt(r["view"])
--- a/src/petrelhaven/helm/ledger.py
+++ b/src/petrelhaven/helm/ledger.py
@@ -7,6 +7,9 @@
 
 __all__ = ["Ledger"]
 
+_GONE = 64
+_KEEP = 16
+
 
 class Ledger:
     """Checks and applies numbered records. `reader` turns a manifest's text into what `manifest` answers."""
@@ -15,7 +18,8 @@
     reader = staticmethod(json.loads)
 
     def __init__(self, doc=None):
-        self.doc = doc or {"seq": 0, "manifest": None, "halls": {}, "members": {}, "offices": {}}
+        self.doc = doc or {"seq": 0, "manifest": None, "halls": {}, "members": {}, "offices": {},
+                           "sizes": {}, "past": {}}
         self.seq = self.doc["seq"]
         self._manifest = None
 
@@ -75,23 +79,29 @@
 
     def _check_member(self, r):
         m = self.doc["members"].get(r["name"])
+        if m and m["state"] != "ready" and r["state"] == "ready" and r["count"] <= m["count"]:
+            raise Stale(f"member {r['name']} is {m['state']}; this was said before", more={"count": m["count"]})
         if r["state"] == "gone" and (m is None or m["state"] == "gone"):
             raise Duplicate(f"member {r['name']} is gone")
-        if m and {k: m[k] for k in m if k != "count"} == {k: v for k, v in r.items() if k not in ("t", "count", "name")}:
+        now = {k: v for k, v in r.items() if k not in ("t", "count", "name")}
+        if m and {k: m[k] for k in m if k != "count"} == now:
             raise Duplicate(f"member {r['name']} is {r['state']}")
 
     def _apply_member(self, r):
         ms = self.doc["members"]
-        for n, m in list(ms.items()):
-            if m["state"] == "gone" and len(ms) > 64 or n != r["name"] and m["addr"] == r["addr"]:
-                if r["state"] != "gone" or m["state"] == "gone":
-                    del ms[n]
         if r["state"] == "gone":
-            m = ms.get(r["name"])
-            if m:
-                m["state"] = "gone"
+            ms[r["name"]]["state"] = "gone"
             return
+        for n, m in ms.items():
+            if n != r["name"] and m["addr"] == r["addr"]:
+                m["state"] = "gone"
+        ms.pop(r["name"], None)
         ms[r["name"]] = {k: v for k, v in r.items() if k not in ("t", "name")}
+        gone = [n for n, m in ms.items() if m["state"] == "gone"]
+        for n in gone[:max(0, len(gone) - _GONE)]:
+            del ms[n]
+        g = r["group"]
+        self.doc["sizes"][g] = max(self.doc["sizes"].get(g, 0), len(self.group(g)))
 
     def _check_office(self, r):
         o = self.doc["offices"].get(r["group"])
@@ -99,7 +109,10 @@
             raise Racing(f"office {r['n']} does not follow {o['n'] if o else 0}")
 
     def _apply_office(self, r):
-        self.doc["offices"][r["group"]] = {**{k: v for k, v in r.items() if k not in ("t", "group")}}
+        o = self.doc["offices"][r["group"]] = {k: v for k, v in r.items() if k not in ("t", "group")}
+        past = self.doc["past"].setdefault(r["group"], [])
+        past.append({**o, "seq": self.seq + 1})
+        del past[:-_KEEP]
 
     def belief(self):
         """What `rift` compares of this state."""
--- a/src/petrelhaven/helm/seat.py
+++ b/src/petrelhaven/helm/seat.py
@@ -39,6 +39,7 @@
         self.chain.tied = lambda: len(self.tied)
         self._news = asyncio.Event()
         self.roster.on_turn.append(lambda *_: self._news.set())
+        self.chain.on_view.append(self._news.set)
 
     def make_desk(self):
         """The desk of the edges' ties."""
@@ -75,7 +76,8 @@
         v = self.chain.view
         if v is None or self.chain.active_at <= self.clock.now():
             return
-        ns = {r["name"]: r["view"]["n"] if r["view"] else v["n"] for _, r in self._infos.values() if r}
+        ns = {r["name"]: r["view"]["n"] if r["view"] else v["n"]
+              for at, r in self._infos.values() if r and at >= self.chain.adopted}
         if all(ns.get(n, -1) >= v["n"] for n in v["ids"] if n != self.name):
             self.chain.active_at = self.clock.now()
 
@@ -174,7 +176,7 @@
     async def _heard(self, rec):
         try:
             await self.clock.limit(self.enter(rec, False), _HEARD_US)
-        except Duplicate:
+        except (Duplicate, Stale):
             pass
 
     def core_near(self, hall):
--- a/src/petrelhaven/helm/warden.py
+++ b/src/petrelhaven/helm/warden.py
@@ -18,10 +18,11 @@
 class _Ward:
     """One member during a move: its connection and its last row."""
 
-    __slots__ = ("name", "m", "conn", "row", "odd")
+    __slots__ = ("name", "m", "conn", "row", "odd", "look")
 
     def __init__(self, name, m):
         self.name, self.m, self.conn, self.row, self.odd = name, m, None, None, ""
+        self.look = None
 
 
 class Warden:
@@ -33,7 +34,7 @@
         self.why = {}
         self._busy = {}
         self._doubts = {}
-        self._calm = {}
+        self._calm, self._asked = {}, {}
         self._resume = {}
         self._began = None
 
@@ -136,7 +137,7 @@
             w.row = await self.clock.limit(w.conn.own(verb, *args), _ASK_US)
             return w.row
         except Fault:
-            if w.conn is not None and not isinstance(w.conn, bool):
+            if w.conn is not None:
                 w.conn.close()
             w.conn = None
             raise
@@ -217,6 +218,8 @@
         """Moves the office: to the heir that provably has every acknowledged commit, or not at all."""
         o = self._doc["offices"][g]
         old = o["primary"]
+        self.why.pop(g, None)
+        self._asked[g] = o["phase"] != "serve"
         seq = await self._office(g, "swap" if planned else "move", old, o["term"], cause)
         wards = {}
         end = self.clock.now() + (_PLAN_US if planned else 1 << 60)
@@ -256,9 +259,10 @@
         """One attempt; true once the office has settled."""
         p = wards.get(old)
         reps = [w for n, w in wards.items() if n != old]
-        look = self.nest.spawn(self._row(p)) if p is not None else None
+        if p is not None and (p.look is None or p.look.done()):
+            p.look = self.nest.spawn(self._row(p))
         rows = await asyncio.gather(*[self._row(w) for w in reps])
-        row = await self._soon(look, planned) if look is not None else None
+        row = await self._soon(p.look, planned) if p is not None else None
         if row and row["role"] == "primary" and not planned:
             await self._back(g, old, wards, "the primary answers again")
             return True
@@ -266,6 +270,8 @@
         if lead is not None:
             await self._settle(g, lead, wards, old)
             return True
+        if len(reps) < self._doc["sizes"].get(g, 1) - 1:
+            return self._waits(g, "a member has left and none has come for it yet")
         if any(r is None for r in rows) or not reps:
             return self._waits(g, "not heard: " + ", ".join(f"{w.name} {w.odd}" for w, r in zip(reps, rows) if r is None))
         term = max([r["term"] for r in rows] + ([row["term"]] if row else [])) + 1
@@ -277,16 +283,23 @@
             heir = max(heirs, key=lambda w: (w.row["pos"], w.name))
             if heir.row["held"] and not await self._own(heir, "resume"):
                 return False
-            rest = await asyncio.gather(*[self._own(w, "pause", term) for w in reps if w is not heir])
+            still = [w for w in reps if w is not heir]
+            rest = await asyncio.gather(*[self._own(w, "pause", term) for w in still])
             if not all(rest) or not await self._caught_up(p, heir):
                 return self._waits(g, f"{heir.name} catches up with {old}")
         else:
-            rest = await asyncio.gather(*[self._own(w, "pause", term) for w in reps])
+            still = reps
+            rest = await asyncio.gather(*[self._own(w, "pause", term) for w in still])
             if not all(rest):
                 return self._waits(g, "a replica could not be paused")
             best = max(w.row["pos"] for w in reps)
             heirs = [w for w in reps if w.row["pos"] == best]
             heir = min(heirs, key=lambda w: (w.name not in ok, w.m["hall"] != self.c.hall, w.name))
+        await self.c.desk.in_force(seq)
+        again = await asyncio.gather(*[self._row(w) for w in still])
+        if any(r is None or r["held"] < term or r["role"] == "primary" for r in again) or (
+                set(self.c.chain.realm.group(g)) - {old} != {w.name for w in reps}):
+            return self._waits(g, "what was paused is not any more")
         return await self._promote(g, heir, wards, old, seq)
 
     async def _row(self, w):
@@ -299,7 +312,7 @@
     async def _soon(self, look, planned):
         """The old primary's row; one that is taken for dark is not waited for."""
         try:
-            return await self.clock.limit(look, _ASK_US if planned else _SOON_US)
+            return await self.clock.limit(look, _ASK_US if planned else _SOON_US, keep=True)
         except Late:
             return None
 
@@ -326,9 +339,9 @@
         return False
 
     async def _promote(self, g, heir, wards, old, seq):
-        await self.c.desk.in_force(seq)
         if not (self.c.chain.active and self.c.chain.head):
             raise NotHead("not the active head any more")
+        self._asked[g] = True
         emit(self.log, 326, group=g, heir=heir.name, pos=heir.row["pos"], fence=seq)
         wait = 300_000
         try:
@@ -361,6 +374,11 @@
         await self._resumed(g, wards)
 
     async def _back(self, g, old, wards, cause):
+        if self._asked.get(g):
+            o = self._doc["offices"][g]
+            seq = await self._office(g, o["phase"], old, o["term"], "calls that may be under way are fenced off")
+            await self.platform.promote(g, old, seq, self.c.name)
+            self._asked[g] = False
         await self._office(g, "serve", old, self._doc["offices"][g]["term"], cause)
         self.why.pop(g, None)
         self._calm[g] = self.clock.now() + _CALM_US
--- a/src/petrelhaven/span/band.py
+++ b/src/petrelhaven/span/band.py
@@ -36,7 +36,7 @@
         self.name, self.g = name, gate
         self.clock, self.nest = gate.clock, gate.nest
         self.berths, self.office = {}, None
-        self.cap, self.sync, self.visits = 40, 0, 0
+        self.cap, self.sync, self.size, self.visits = 40, 0, 0, 0
         self.reads = ReadClock(self.clock, self.nest, gate.order, self._fetch, gate.bounds)
         self._turned = None
         self._tokens = 10.0
@@ -47,6 +47,12 @@
         o = self.office
         return (o["n"], o["primary"]) if o and o["phase"] != "move" else None
 
+    @property
+    def reading(self):
+        """What the read clock's pairs belong to: (office, primary), also while the office moves."""
+        o = self.office
+        return (o["n"], o["primary"]) if o else None
+
     @property
     def primary(self):
         """The berth of the primary that serves, or None."""
@@ -56,6 +62,7 @@
         """Takes the office, the members and the halls as the ledger has them."""
         now = self.clock.now()
         ms = ledger.group(self.name)
+        self.size = ledger.doc["sizes"].get(self.name, 0)
         for n, m in ms.items():
             b = self.berths.get(n)
             if b is not None and b.addr != m["addr"]:
@@ -83,7 +90,7 @@
         o = ledger.doc["offices"].get(self.name)
         if o != self.office:
             self.office = o
-            self.reads.turn(self.key)
+            self.reads.turn(self.reading)
             p = self.primary
             if p is not None and o["phase"] == "serve":
                 p.down = p.bad = 0
@@ -185,7 +192,7 @@
         acknowledged commit, whoever of them leads.
         """
         b = self.berths.get(key[1])
-        if self.key != key:
+        if self.reading != key:
             raise Unreached("no primary to ask")
         if b is None or b.down > self.clock.now():
             return await self._fetch_others(key[1])
@@ -200,7 +207,7 @@
 
     async def _fetch_others(self, name):
         bs = [b for n, b in self.berths.items() if n != name]
-        if not self.sync or len(bs) < self.sync + 1 or len(self.berths) > len(bs) + 1:
+        if not self.sync or len(bs) < max(self.sync + 1, self.size - 1) or not self.g.tie.holds:
             raise Unreached("no primary to ask")
         rs = await asyncio.gather(*[self._status(b) for b in bs], return_exceptions=True)
         bad = next((r for r in rs if isinstance(r, BaseException)), None)
--- a/src/petrelhaven/span/gate.py
+++ b/src/petrelhaven/span/gate.py
@@ -82,7 +82,7 @@
             emit(self.log, 102, name=self.name)
 
     def _manifest(self, m):
-        self.routes = {r["host"]: types.SimpleNamespace(**r) for r in m["routes"]}
+        self.routes = {r["host"]: types.SimpleNamespace(**r) for r in reversed(m["routes"])}
         gs = {g["name"]: g for g in m["groups"]}
         for n in [n for n in self.bands if n not in gs]:
             self.bands.pop(n).close()
--- a/src/petrelhaven/span/passage.py
+++ b/src/petrelhaven/span/passage.py
@@ -161,7 +161,7 @@
         if p is None or p.name in bad or p.down > self.clock.now() or not b.serves(p):
             return None
         f = b.reads.carrier(arr, since)
-        return _Try(p, b.key, f) if f is not None else None
+        return _Try(p, b.reading, f) if f is not None else None
 
     def _gated(self, b, arr, since, left, runs=()):
         """The position that a read must find, or None if time ran out or a run ended first."""
@@ -182,14 +182,14 @@
             left = end - self.clock.now()
             if left <= 0:
                 return self._given_up(b, bool(runs))
-            if key != b.key:
-                key, pos = b.key, None
+            if key != b.reading:
+                key, pos = b.reading, None
             t = None
             if pos is None:
                 t = self._carried(b, arr, since, bad) if not runs else None
                 if t is None:
                     pos = yield from self._gated(b, arr, since, left, [f for _, f in runs])
-                    if key != b.key:
+                    if key != b.reading:
                         continue
             if t is None and pos is not None:
                 p = b.pick(pos, bad)
@@ -282,7 +282,7 @@
                     return self._given_up(b)
                 yield self._either([b.turned()], min(left, 100_000))
                 continue
-            t = _Try(p, b.key)
+            t = _Try(p, b.reading)
             f = self.nest.spawn(self._once(t, v, a, b, None, left))
             try:
                 yield self._either([f], left)
@@ -335,7 +335,7 @@
                 return self._abort(v, a, g.back(_BACK_US))
             if a.verb != "commit":
                 us = min(us, max(100_000, r.aim_us * 6 // 10))
-            key, start, at = x.band.key, g.order.next(), self.clock.now()
+            key, start, at = x.band.reading, g.order.next(), self.clock.now()
             f = self.nest.spawn(self._pinned(c, v, a))
             try:
                 yield self._either([f], us)
@@ -423,13 +423,13 @@
             left = end - self.clock.now()
             if left <= 0:
                 return g.back(_BACK_US)
-            if key != b.key:
-                key, pos = b.key, None
+            if key != b.reading:
+                key, pos = b.reading, None
             if x.reads:
                 t = self._carried(b, x.arr, since, bad) if pos is None else None
                 if t is None and pos is None:
                     pos = yield from self._gated(b, x.arr, since, left)
-                    if pos is None or key != b.key:
+                    if pos is None or key != b.reading:
                         continue
                 if t is None:
                     p = b.pick(pos, bad)
--- a/src/petrelhaven/span/stock.py
+++ b/src/petrelhaven/span/stock.py
@@ -36,11 +36,11 @@
             return f
         c, cost = self._best(visit)
         most = self.limit
-        if cost == 3 and self.total >= min(most, self._want()):
-            old = self.idle.pop(0)
-            old.close()
-            c = None
-        if c is not None and (cost < 2 or self.total >= min(most, self._want())):
+        full = self.total >= min(most, self._want())
+        if cost == 3 and full:
+            self.idle.pop(0).close()
+            c = c if self.total >= most and c in self.idle else None
+        if c is not None and (cost < 2 or full):
             self.idle.remove(c)
             self.busy.add(c)
             f.set_result(c)
--- a/src/petrelhaven/span/tie.py
+++ b/src/petrelhaven/span/tie.py
@@ -1,4 +1,4 @@
-"""An edge's tie to the core without leases: a held connection, numbered changes, a pulse, doubts told at once."""
+"""An edge's tie to the core: a held connection, numbered changes, a pulse that brings a lease, doubts told at once."""
 import asyncio
 
 from ..creed.event import emit
--- /dev/null
+++ b/tests/test_band_proof.py
@@ -0,0 +1,74 @@
+"""What all other members prove of a position while the primary does not answer."""
+import collections
+import types
+
+import pytest
+
+from petrelhaven.creed.fault import Unreached
+from petrelhaven.creed.tick import Clock, Nest
+from petrelhaven.helm.ledger import Ledger
+from petrelhaven.span.band import Band
+from petrelhaven.span.clock import Order
+
+LOGS = {"m1": (1, 9), "m2": (1, 135), "m3": (1, 137)}
+
+
+class _Conn:
+    lost = False
+
+    def __init__(self, name):
+        self._name = name
+
+    async def _row(self):
+        return {"role": "replica", "term": 1, "pos": LOGS[self._name], "held": 0}
+
+    def own(self, verb):
+        return self._row()
+
+    def close(self):
+        self.lost = True
+
+
+class _Wire:
+    async def open(self, addr, group, member, us):
+        return _Conn(member)
+
+
+def _band(names, size, holds):
+    tie = types.SimpleNamespace(holds=holds, edges=3, doubt=lambda *_: None)
+    gate = types.SimpleNamespace(
+        clock=Clock(), nest=Nest(), order=Order(), tie=tie, wire=_Wire(), near=lambda h: 0, drain_us=0, empty_us=0,
+        count=collections.Counter(),
+        bounds=lambda: types.SimpleNamespace(fetch_us=150_000, join_us=400_000, lanes=2))
+    led = Ledger()
+    for i, n in enumerate(["p", *names]):
+        led.apply(i + 1, {"t": "member", "name": n, "group": "g", "hall": "a", "addr": f"10.0.0.{i}:1", "role": "replica",
+                          "state": "ready", "slots": 5, "count": 1})
+    led.doc["sizes"]["g"] = size
+    led.apply(led.seq + 1, {"t": "office", "group": "g", "n": 1, "phase": "serve", "primary": "p", "term": 1, "cause": ""})
+    b = Band("g", gate)
+    b.sync = 1
+    b.turn(led, True)
+    return b
+
+
+def test_all_others_under_a_lease_prove_their_highest_log(warp):
+    async def go():
+        assert await _band(["m1", "m2", "m3"], 4, True)._fetch_others("p") == (1, 137)
+    warp(go())
+
+
+def test_an_edge_without_a_lease_may_not_know_all_members_and_proves_nothing(warp):
+    async def go():
+        with pytest.raises(Unreached):
+            await _band(["m1", "m2"], 3, False)._fetch_others("p")
+    warp(go())
+
+
+def test_fewer_others_than_the_group_ever_had_prove_nothing(warp):
+    async def go():
+        with pytest.raises(Unreached):
+            await _band(["m1", "m2"], 4, True)._fetch_others("p")
+        with pytest.raises(Unreached):
+            await _band(["m1"], 2, True)._fetch_others("p")
+    warp(go())
