--- a/src/petrelhaven/helm/ledger.py
+++ b/src/petrelhaven/helm/ledger.py
@@ -18,8 +18,8 @@
     reader = staticmethod(json.loads)
 
     def __init__(self, doc=None):
-        self.doc = doc or {"seq": 0, "manifest": None, "halls": {}, "members": {}, "offices": {},
-                           "sizes": {}, "past": {}}
+        self.doc = {"seq": 0, "manifest": None, "halls": {}, "members": {}, "offices": {}, "sizes": {}, "past": {},
+                    **(doc or {})}
         self.seq = self.doc["seq"]
         self._manifest = None
 
