--- /dev/null
+++ b/tests/test_warden.py
@@ -0,0 +1,533 @@
+"""The duty that moves offices, over a group that goes on committing: what is acknowledged is never left behind."""
+import asyncio
+import random
+import types
+
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from petrelhaven.creed.fault import Fenced, Unreached, Unsent
+from petrelhaven.creed.tick import Clock, Nest
+from petrelhaven.drill.warp import WarpLoop, end_all
+from petrelhaven.helm.ledger import Ledger
+from petrelhaven.helm.warden import Warden
+
+DRAWN = settings(max_examples=60, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
+BEAT_US = 1_200_000
+
+
+class LoopClock(Clock):
+    def now(self):
+        return int(asyncio.get_running_loop().time() * 1e6)
+
+
+class Member:
+    """`seen`: the core reaches it. `runs`: it works at all. `follows`: it receives the log, unless it is paused."""
+
+    def __init__(self, name, role):
+        self.name, self.role, self.term, self.pos, self.held = name, role, 1, (1, 5), 0
+        self.seen = self.runs = self.follows = True
+
+    def row(self):
+        return {"role": self.role, "term": self.term, "pos": self.pos, "held": self.held, "lag_ms": "0", "busy": 0,
+                "conns": 1}
+
+
+class Conn:
+    def __init__(self, estate, m):
+        self.e, self.m, self.lost = estate, m, False
+
+    def own(self, verb, *args):
+        e, m = self.e, self.m
+        f = asyncio.get_running_loop().create_future()
+
+        def answer():
+            if f.done() or not (m.seen and m.runs):
+                return
+            if verb == "pause" and args[0] > max(m.term, m.held) and m.role == "replica":
+                m.held = args[0]
+            if verb == "resume":
+                m.held = 0
+            if verb != "status":
+                e.trace.append((verb, m.name, *args))
+            f.set_result(m.row())
+        asyncio.get_running_loop().call_later(0.002, answer)
+        return f
+
+    def close(self):
+        self.lost = True
+
+
+class Estate:
+    """A group that commits with one acknowledgement, its platform, and the core that the warden is part of."""
+
+    def __init__(self, names=("p", "r1", "r2"), halls=None):
+        self.clock, self.nest, self.log = LoopClock(), Nest(), None
+        self.members = {n: Member(n, "primary" if n == "p" else "replica") for n in names}
+        self.trace, self.acked, self.fence, self.calls = [], (1, 5), 0, []
+        self.rng, self.barrier, self.promote_as = random.Random(1), 0.0, []
+        self.wire = self.platform = self.reach = self.desk = self
+        self.name, self.hall, self.beat_us, self.heard = "c1", "a", BEAT_US, {}
+        self.others = {"c2": "same", "c3": "same"}
+        led = Ledger()
+        self.chain = types.SimpleNamespace(realm=led, head=True, active=True, enter=self.enter,
+                                           view={"chain": ["c1", "c2", "c3"], "ids": ["c1", "c2", "c3"]})
+        self.put({"t": "manifest", "version": 1, "text": '{"groups":[{"name":"g"}]}'})
+        for i, n in enumerate(names):
+            self.put({"t": "member", "name": n, "group": "g", "hall": (halls or {}).get(n, "a"), "addr": f"1.1.1.1:{i}",
+                      "role": self.members[n].role, "state": "ready", "slots": 5, "count": 1})
+        self.warden = Warden(self, self)
+
+    def put(self, r):
+        led = self.chain.realm
+        led.check(r)
+        led.apply(led.seq + 1, r)
+        return led.seq
+
+    async def enter(self, r):
+        await asyncio.sleep(0.005)
+        seq = self.put(r)
+        self.trace.append((r["phase"], r["primary"], seq, r["stuck"]))
+        return seq
+
+    def member(self, n, state):
+        m = self.chain.realm.doc["members"][n]
+        self.put({"t": "member", "name": n, **{**m, "state": state, "count": m["count"] + 1}})
+
+    async def in_force(self, seq):
+        await asyncio.sleep(self.barrier)
+        self.trace.append(("in force", seq))
+
+    async def open(self, addr, group, name, us):
+        m = self.members[name]
+        if not m.seen:
+            await asyncio.sleep(us / 1e6)
+            raise Unsent("mute")
+        if not m.runs:
+            raise Unsent("refused")
+        return Conn(self, m)
+
+    async def call(self, core, kind, body, us, again=True):
+        """What another core sees: the same as this one, or what a test sets."""
+        how = self.others[core]
+        if how is None:
+            raise Unreached("cut off")
+        return {"how": await self.warden.look(body["member"], body) if how == "same" else how}
+
+    async def doubt(self, group, member, how):
+        self.warden.doubt(group, member, how)
+
+    async def promote(self, group, name, fence, holder):
+        """The platform: fenced, slow to act, and sometimes without an answer."""
+        self.trace.append(("promote", name, fence))
+        self.calls.append(name)
+        how = self.promote_as.pop(0) if self.promote_as else "fine"
+        if how == "unsent":
+            raise Unsent("down")
+        if fence < self.fence or not self.members[name].runs or how == "fenced":
+            raise Fenced("409")
+        self.fence = fence
+        asyncio.get_running_loop().call_later(0.2, self.lead, name, fence)
+        if how == "unanswered":
+            raise Unreached("cut")
+
+    def lead(self, name, fence):
+        m = self.members[name]
+        if fence < self.fence or not m.runs or m.role == "primary":
+            return
+        assert m.pos >= self.acked, f"{name} at {m.pos} leads; acknowledged is {self.acked}"
+        term = max(x.term for x in self.members.values()) + 1
+        for x in self.members.values():
+            x.role, x.held, x.pos = "replica", 0, min(x.pos, m.pos)
+            if x.runs:
+                x.term = term
+        m.role, m.term = "primary", term
+        self.trace.append(("leads", name))
+
+    def tick(self):
+        """The primary commits, and whoever follows receives, each as it can."""
+        p = next((m for m in self.members.values() if m.role == "primary" and m.runs), None)
+        if p is None:
+            return
+        p.pos = (p.term, p.pos[1] + 1)
+        for m in self.members.values():
+            if m is not p and m.runs and m.follows and not m.held and self.rng.random() < 0.5:
+                m.pos = p.pos
+                self.acked = max(self.acked, p.pos)
+
+    def announce(self):
+        """Members tell a change of their role at once."""
+        for n, m in self.chain.realm.group("g").items():
+            if self.members[n].runs and self.members[n].role != m["role"]:
+                self.put({"t": "member", "name": n, **{**m, "role": self.members[n].role, "count": m["count"] + 1}})
+
+    async def work(self):
+        while True:
+            await asyncio.sleep(0.01)
+            self.tick()
+            self.announce()
+
+    async def start(self):
+        """The group in office and at work."""
+        self.nest.spawn(self.warden.run())
+        self.nest.spawn(self.work())
+        await self.until(lambda: self.office and self.office["phase"] == "serve")
+
+    async def until(self, ok, s=20):
+        end = self.clock.now() + s * 1_000_000
+        while not ok():
+            assert self.clock.now() < end, (self.trace[-12:], self.warden.why, self.office)
+            await asyncio.sleep(0.01)
+
+    @property
+    def office(self):
+        return self.chain.realm.doc["offices"].get("g")
+
+    @property
+    def settled(self):
+        o = self.office
+        return (o["phase"] == "serve" and self.members[o["primary"]].role == "primary"
+                and not any(m.held for m in self.members.values()))
+
+    def dark(self, n, seen=False, runs=True):
+        m = self.members[n]
+        m.seen, m.runs = seen, runs
+
+    def at(self, *words):
+        """Where in the trace the first entry that starts so stands."""
+        return next(i for i, x in enumerate(self.trace) if x[:len(words)] == words)
+
+
+def virtual(fn, *a, **kw):
+    loop = WarpLoop()
+    asyncio.set_event_loop(loop)
+    odd = []
+    loop.set_exception_handler(lambda _, c: odd.append(c))
+
+    async def go():
+        e = Estate(*a, **kw)
+        await e.start()
+        await fn(e)
+    try:
+        loop.run_until_complete(go())
+    finally:
+        end_all(loop)
+        loop.close()
+        asyncio.set_event_loop(None)
+    assert not odd, odd
+
+
+def test_a_dark_primary_is_replaced_step_by_step():
+    async def go(e):
+        e.barrier = 0.3
+        e.trace.clear()
+        e.dark("p", runs=False)
+        e.warden.doubt("g", "p", "refused")
+        await e.until(lambda: e.calls and e.settled)
+        moved = next(x[2] for x in e.trace if x[0] == "move")
+        heir = e.calls[0]
+        assert e.at("move", "p") < min(e.at("pause", "r1"), e.at("pause", "r2"))
+        assert max(e.at("pause", "r1"), e.at("pause", "r2")) < e.at("in force", moved) < e.at("promote", heir, moved)
+        assert e.at("promote") < e.at("leads", heir) < e.at("serve", heir)
+        other = ({"r1", "r2"} - {heir}).pop()
+        await e.until(lambda: ("resume", other) in e.trace[e.at("serve", heir):], 1)
+        assert len(e.calls) == 1 and e.office["term"] == 2 and not e.warden.why
+        e.dark("p", True, True)
+        await e.until(lambda: "g" not in e.warden._resume)
+        await asyncio.sleep(5)
+        assert e.office["primary"] == heir and len(e.calls) == 1
+    virtual(go)
+
+
+@pytest.mark.parametrize("ahead", ["r1", "r2"])
+def test_the_highest_of_all_replicas_is_elected(ahead):
+    async def go(e):
+        e.members[({"r1", "r2"} - {ahead}).pop()].follows = False
+        await asyncio.sleep(1)
+        e.dark("p")
+        e.warden.doubt("g", "p", "mute")
+        await e.until(lambda: e.calls and e.settled)
+        assert e.calls == [ahead]
+    virtual(go, halls={"r1": "b", "r2": "a"})
+
+
+@pytest.mark.parametrize("how", [(False, True), (True, False), (False, False)])
+@pytest.mark.parametrize("away", ["r1", "r2"])
+def test_while_one_replica_is_not_heard_nobody_is_promoted_and_the_edges_are_told(away, how):
+    async def go(e):
+        e.dark("p", runs=False)
+        e.dark(away, *how)
+        e.warden.doubt("g", "p", "mute")
+        await e.until(lambda: e.office["phase"] == "move", 2)
+        await asyncio.sleep(30)
+        assert e.calls == [] and e.office["phase"] == "move" and e.office["stuck"] and away in e.warden.why["g"]
+        assert sum(x[0] == "move" and x[3] for x in e.trace) == 1
+        e.dark(away, True, True)
+        await e.until(lambda: e.calls and e.settled)
+        assert not e.office["stuck"]
+    virtual(go)
+
+
+def test_a_member_that_left_without_a_successor_is_waited_for():
+    async def go(e):
+        e.members["r2"].follows = False
+        await asyncio.sleep(0.5)
+        e.put({"t": "member", "name": "r1", "state": "gone", "addr": "1.1.1.1:1"})
+        e.dark("p", runs=False)
+        e.warden.doubt("g", "p", "refused")
+        await asyncio.sleep(10)
+        assert e.calls == [] and e.office["stuck"]
+        new = e.members["r1n"] = Member("r1n", "replica")
+        new.pos = e.members["r1"].pos
+        e.put({"t": "member", "name": "r1n", "group": "g", "hall": "a", "addr": "1.1.1.1:1", "role": "replica",
+               "state": "ready", "slots": 5, "count": 1})
+        await e.until(lambda: e.calls and e.settled)
+        assert e.calls == ["r1n"]
+    virtual(go)
+
+
+def test_a_replica_whose_pause_is_lost_before_the_call_is_paused_anew():
+    async def go(e):
+        e.barrier = 1.0
+        e.dark("p")
+        e.warden.doubt("g", "p", "mute")
+        await e.until(lambda: all(e.members[n].held for n in ("r1", "r2")))
+        await asyncio.sleep(0.2)
+        e.members["r2"].held = 0
+        await e.until(lambda: e.calls and e.settled)
+        assert sum(x[:2] == ("pause", "r2") for x in e.trace) >= 2
+    virtual(go)
+
+
+def test_a_primary_that_answers_again_stays():
+    async def go(e):
+        e.dark("p")
+        e.dark("r1")
+        e.warden.doubt("g", "p", "mute")
+        await e.until(lambda: e.office["phase"] == "move")
+        await asyncio.sleep(2)
+        e.dark("p", True)
+        await e.until(lambda: e.office["phase"] == "serve")
+        assert e.office["primary"] == "p" and e.calls == []
+        e.dark("r1", True)
+        await e.until(lambda: e.settled)
+    virtual(go)
+
+
+@pytest.mark.parametrize("others", [{"c2": "up:primary", "c3": "same"}, {"c2": "up:busy", "c3": None},
+                                    {"c2": None, "c3": None}])
+def test_a_primary_that_a_core_reaches_or_that_too_few_cores_miss_is_left_alone(others):
+    async def go(e):
+        e.others = others
+        e.dark("p")
+        for _ in range(10):
+            e.warden.doubt("g", "p", "mute")
+            await asyncio.sleep(1)
+        assert e.office["phase"] == "serve" and e.calls == [] and not any(m.held for m in e.members.values())
+        e.others = {"c2": "mute", "c3": "mute"}
+        e.warden.doubt("g", "p", "mute")
+        await e.until(lambda: e.calls and e.office["primary"] != "p")
+    virtual(go)
+
+
+def test_a_doubt_of_somebody_who_is_not_in_office_is_none():
+    async def go(e):
+        e.dark("r1")
+        e.warden.doubt("g", "r1", "mute")
+        e.warden.doubt("h", "p", "mute")
+        await asyncio.sleep(3)
+        assert e.office["phase"] == "serve" and e.trace == e.trace[:1]
+    virtual(go)
+
+
+def test_missing_beats_are_a_doubt():
+    async def go(e):
+        e.dark("p", runs=False)
+        e.heard["p"] = (e.clock.now(), 1)
+        await asyncio.sleep(2.3)
+        assert e.office["phase"] == "serve"
+        await e.until(lambda: e.calls and e.settled, 3)
+    virtual(go)
+
+
+@pytest.mark.parametrize("leave", [lambda e: e.member("p", "draining"),
+                                   lambda e: e.put({"t": "hall", "hall": "b", "state": "emptied", "by": "op"})])
+def test_a_planned_move_waits_until_the_heir_has_what_the_primary_had(leave):
+    async def go(e):
+        e.trace.clear()
+        for n in ("r1", "r2"):
+            e.members[n].follows = n == "r2"
+        await asyncio.sleep(0.5)
+        e.members["r2"].follows = False
+        e.tick()
+        leave(e)
+        await asyncio.sleep(3)
+        assert e.calls == [] and e.office["phase"] == "swap" and e.members["p"].role == "primary"
+        assert "catches up" in e.warden.why["g"]
+        e.members["r2"].follows = True
+        await e.until(lambda: e.calls and e.settled)
+        assert e.calls == ["r2"] and e.office["primary"] == "r2"
+        seq = next(x[2] for x in e.trace if x[0] == "swap")
+        assert e.at("pause", "r1") < e.at("in force", seq) < e.at("promote", "r2", seq) < e.at("serve", "r2")
+        assert ("pause", "r2") not in [x[:2] for x in e.trace]
+    virtual(go, halls={"p": "b"})
+
+
+def test_a_planned_move_without_a_heir_in_time_is_taken_back():
+    async def go(e):
+        for n in ("r1", "r2"):
+            e.members[n].follows = False
+        await asyncio.sleep(0.1)
+        e.member("p", "draining")
+        await e.until(lambda: ("serve", "p") in [x[:2] for x in e.trace[1:]], 15)
+        await e.until(lambda: not any(m.held for m in e.members.values()))
+        assert e.calls == []
+        for n in ("r1", "r2"):
+            e.members[n].follows = True
+        await e.until(lambda: e.calls and e.settled)
+    virtual(go)
+
+
+def test_a_planned_move_goes_only_to_a_member_that_stays():
+    async def go(e):
+        for n in ("r1", "r2"):
+            e.member(n, "draining")
+        e.member("p", "draining")
+        await asyncio.sleep(5)
+        assert e.calls == [] and e.office["phase"] == "serve" and e.warden.why["g"] == "no heir for a planned move"
+        e.member("r2", "ready")
+        await e.until(lambda: e.calls and e.settled)
+        assert e.calls == ["r2"]
+    virtual(go)
+
+
+def test_a_primary_that_ends_amid_its_planned_move_is_replaced_all_the_same():
+    async def go(e):
+        for n in ("r1", "r2"):
+            e.members[n].follows = False
+        await asyncio.sleep(0.1)
+        e.member("p", "draining")
+        await e.until(lambda: e.office["phase"] == "swap")
+        await asyncio.sleep(0.5)
+        e.dark("p", runs=False)
+        await e.until(lambda: e.calls and e.settled)
+    virtual(go)
+
+
+@pytest.mark.parametrize("lost", ["head", "active"])
+def test_a_core_that_lost_its_say_at_the_barrier_calls_nobody(lost):
+    async def go(e):
+        e.barrier = 1.0
+        e.dark("p", runs=False)
+        e.warden.doubt("g", "p", "refused")
+        await e.until(lambda: all(e.members[n].held for n in ("r1", "r2")))
+        setattr(e.chain, lost, False)
+        await asyncio.sleep(10)
+        assert e.calls == [] and e.office["phase"] == "move"
+        setattr(e.chain, lost, True)
+        await e.until(lambda: e.calls and e.settled)
+    virtual(go)
+
+
+@pytest.mark.parametrize("how", ["unsent", "fenced", "unanswered"])
+def test_whatever_the_platform_answers_the_office_follows_what_the_members_say(how):
+    async def go(e):
+        e.promote_as = [how] * (1 if how == "unanswered" else 3)
+        e.dark("p", runs=False)
+        e.warden.doubt("g", "p", "refused")
+        await e.until(lambda: e.calls and e.settled)
+        assert len(e.calls) == (1 if how == "unanswered" else 4)
+        assert e.members[e.office["primary"]].role == "primary"
+    virtual(go)
+
+
+def test_a_primary_that_answers_after_a_call_is_fenced_in_before_it_serves_again():
+    async def go(e):
+        e.promote_as = ["unsent"] * 99
+        e.dark("p")
+        e.warden.doubt("g", "p", "mute")
+        await e.until(lambda: e.calls)
+        e.promote_as = []
+        e.dark("p", True)
+        await e.until(lambda: e.office["phase"] == "serve")
+        fences = [x[2] for x in e.trace if x[0] == "promote"]
+        assert e.office["primary"] == e.calls[-1] and fences == sorted(fences)
+        if e.office["primary"] == "p":
+            assert e.at("promote", "p") < len(e.trace) - 1 - [x[:2] for x in e.trace[::-1]].index(("serve", "p"))
+        await e.until(lambda: e.settled)
+    virtual(go)
+
+
+def test_a_new_head_has_paused_replicas_receive_again():
+    async def go(e):
+        e.chain.head = False
+        await asyncio.sleep(1)
+        e.members["r1"].held = 7
+        await asyncio.sleep(5)
+        assert e.members["r1"].held == 7
+        e.chain.head = True
+        await e.until(lambda: not e.members["r1"].held)
+        e.members["r2"].seen = False
+        e.chain.head = False
+        await asyncio.sleep(1)
+        e.members["r2"].held = 7
+        e.chain.head = True
+        await asyncio.sleep(5)
+        e.members["r2"].seen = True
+        await e.until(lambda: not e.members["r2"].held)
+    virtual(go)
+
+
+def test_a_member_found_in_office_is_followed():
+    async def go(e):
+        e.lead("r1", 99) if e.members["r1"].pos >= e.acked else e.lead("r2", 99)
+        new = next(n for n, m in e.members.items() if m.role == "primary")
+        e.warden.doubt("g", "p", "replica")
+        await e.until(lambda: e.office["primary"] == new and e.office["phase"] == "serve")
+        assert e.calls == []
+    virtual(go)
+
+
+EVENT = st.tuples(
+    st.sampled_from(["unseen", "unseen", "dead", "back", "back", "lag", "follow", "restart", "drain", "ready", "empty",
+                     "open", "doubt", "doubt", "slow barrier", "quick barrier", "head lost", "head back", "platform"]),
+    st.sampled_from(["p", "r1", "r2"]), st.sampled_from([0.0, 0.05, 0.2, 0.7, 2.0]))
+
+
+@DRAWN
+@given(st.lists(EVENT, min_size=4, max_size=25), st.randoms(use_true_random=False))
+def test_whatever_happens_a_member_that_leads_has_all_that_was_acknowledged(events, rng):
+    async def go(e):
+        e.rng = rng
+        for what, n, s in events:
+            m = e.members[n]
+            if what in ("unseen", "dead", "back"):
+                e.dark(n, what == "back" or what == "dead", what != "dead")
+            elif what in ("lag", "follow"):
+                m.follows = what == "follow"
+            elif what == "restart":
+                m.held = 0
+            elif what in ("drain", "ready"):
+                state = "draining" if what == "drain" else "ready"
+                if e.chain.realm.doc["members"][n]["state"] != state:
+                    e.member(n, state)
+            elif what in ("empty", "open"):
+                state = "emptied" if what == "empty" else "open"
+                if e.chain.realm.hall("b") != state:
+                    e.put({"t": "hall", "hall": "b", "state": state, "by": "op"})
+            elif what == "doubt":
+                e.warden.doubt("g", e.office["primary"], "mute")
+            elif "barrier" in what:
+                e.barrier = 1.5 if what == "slow barrier" else 0.0
+            elif "head" in what:
+                e.chain.head = what == "head back"
+            else:
+                e.promote_as = [rng.choice(["unsent", "fenced", "unanswered"]) for _ in range(2)]
+            await asyncio.sleep(s)
+        e.chain.head, e.barrier, e.promote_as = True, 0.0, []
+        for n, m in e.members.items():
+            m.seen = m.runs = m.follows = True
+        e.warden.doubt("g", e.office["primary"], "mute")
+        await e.until(lambda: e.settled and "g" not in e.warden._resume, 60)
+    virtual(go, halls={"p": "b", "r2": "b"})
