--- /dev/null
+++ b/src/petrelhaven/drill/held/faults.py
@@ -0,0 +1,257 @@
+"""The faults and the planned work of a storm."""
+import asyncio
+import random
+
+__all__ = ["KINDS", "PLANNED", "Faults"]
+
+PLANNED = ["release_primary", "release_replica", "evacuate", "manifests", "primary_crash", "replica_lag", "edge_leave",
+           "member_busy", "lost_answers"]
+KINDS = [
+    "edge_kill", "edge_freeze", "edge_leave", "core_kill", "core_freeze", "core_disk", "core_torn", "core_all",
+    "isolate", "bridge", "cut_one", "primary_cut", "primary_crash", "primary_crash", "primary_dark", "replica_crash",
+    "replica_dark", "replica_deaf", "replica_lag", "release_primary", "release_replica", "evacuate", "manifests",
+    "platform", "platform_mute", "lost_answers", "member_busy", "vanish",
+]
+
+
+class Faults:
+    """Brings the faults of one schedule about."""
+
+    def __init__(self, fleet):
+        self.f = fleet
+        self.tasks = []
+        self._emptying = self._wiping = False
+        self._next = 2
+
+    def go(self, kind, pick):
+        """Starts one fault."""
+        self.tasks.append(self.f.loop.create_task(getattr(self, "_" + kind)(random.Random(pick))))
+
+    async def _rest(self, r, lo, hi, *names):
+        s = r.uniform(lo, hi)
+        now = self.f.loop.time()
+        self.f.history.trouble(now, now + s, *names)
+        await asyncio.sleep(s)
+
+    async def _edge_kill(self, r):
+        b = r.choice(self.f.edges)
+        b.kill()
+        await self._rest(r, 0.1, 4, b.name)
+        b.up or self.f.boot_edge(b)
+
+    async def _edge_freeze(self, r):
+        b, s = r.choice(self.f.edges), r.uniform(0.2, 6)
+        b.freeze(int(s * 1e6))
+        await self._rest(r, s, s, b.name)
+
+    async def _edge_leave(self, r):
+        b = r.choice(self.f.edges)
+        if not b.up or b.node.state not in ("starting", "serving"):
+            return
+        life = b.life
+        b.node.leave()
+        await self._rest(r, 1, 3, b.name)
+        if b.life == life:
+            b.kill()
+        await self._rest(r, 0.3, 1, b.name)
+        b.up or self.f.boot_edge(b)
+
+    async def _core_kill(self, r):
+        b = r.choice(self.f.cores)
+        b.kill()
+        await self._rest(r, 0.1, 5, "core")
+        b.up or self.f.boot_core(b)
+
+    async def _core_all(self, r):
+        for b in self.f.cores:
+            b.kill()
+        await self._rest(r, 0.1, 2, "core")
+        for b in r.sample(self.f.cores, 3):
+            b.up or self.f.boot_core(b)
+            await self._rest(r, 0, 0.5, "core")
+
+    async def _core_freeze(self, r):
+        s = r.uniform(0.2, 5)
+        r.choice(self.f.cores).freeze(int(s * 1e6))
+        await self._rest(r, s, s, "core")
+
+    def _disk_may_go(self, b):
+        vs = [c.node.chain.view for c in self.f.cores if c.node and c.node.chain.view]
+        v = max(vs, key=lambda v: v["n"], default=None)
+        return v is not None and all(
+            c.node and v["ids"].get(c.name) == c.node.mem.disk for c in self.f.cores if c is not b)
+
+    async def _core_disk(self, r):
+        b = r.choice(self.f.cores)
+        if self._wiping or not self._disk_may_go(b):
+            return
+        self._wiping = True
+        b.kill()
+        b.disk.lose()
+        await self._rest(r, 0.1, 4, "core")
+        b.up or self.f.boot_core(b)
+        self._wiping = False
+
+    async def _core_torn(self, r):
+        b = r.choice(self.f.cores)
+        b.disk.tear = True
+        await self._rest(r, 3, 6, "core")
+        b.disk.tear = False
+        b.up or self.f.boot_core(b)
+
+    def _in(self, hall):
+        return [b.name for b in self.f.net.boxes.values() if b.hall == hall]
+
+    async def _isolate(self, r):
+        a = r.choice("abc")
+        rest = [n for h in "abc" if h != a for n in self._in(h)] + (["platform"] if r.random() < 0.7 else [])
+        self.f.cut(self._in(a), rest, int(r.uniform(1, 8) * 1e6), r.random() < 0.8)
+
+    async def _bridge(self, r):
+        a, b = r.sample("abc", 2)
+        self.f.cut(self._in(a), self._in(b), int(r.uniform(0.5, 8) * 1e6))
+
+    async def _cut_one(self, r):
+        a, b = r.sample("abc", 2)
+        self.f.cut(self._in(a), self._in(b), int(r.uniform(0.5, 8) * 1e6), both=False)
+
+    def _group(self, r):
+        return self.f.groups[r.choice(sorted(self.f.groups))]
+
+    def _replica(self, r):
+        g = self._group(r)
+        return r.choice([m for m in g.members if m is not g.leader])
+
+    async def _primary_cut(self, r):
+        """Cut from the cores alone: edges still reach it."""
+        m = self._group(r).leader
+        self.f.cut([m.box.name], [c.name for c in self.f.cores], int(r.uniform(1, 7) * 1e6))
+
+    async def _crash(self, r, m):
+        if m.running:
+            m.stop()
+            await self._rest(r, 0.2, 6, m.box.name)
+            if not m.box.up:
+                self.f.boot_member(m.box, m)
+
+    async def _primary_crash(self, r):
+        await self._crash(r, self._group(r).leader)
+
+    async def _replica_crash(self, r):
+        await self._crash(r, self._replica(r))
+
+    async def _dark(self, r, m):
+        if m.running and not m.dark:
+            m.dark = True
+            await self._rest(r, 0.3, 6, m.box.name)
+            m.go_light()
+
+    async def _primary_dark(self, r):
+        await self._dark(r, self._group(r).leader)
+
+    async def _replica_dark(self, r):
+        await self._dark(r, self._replica(r))
+
+    async def _replica_deaf(self, r):
+        m = self._replica(r)
+        m.deaf = True
+        await asyncio.sleep(r.uniform(0.3, 6))
+        m.deaf = False
+
+    async def _replica_lag(self, r):
+        m = self._replica(r)
+        m.lag_us = int(r.uniform(0.2, 5) * 1e6)
+        await asyncio.sleep(r.uniform(1, 8))
+        m.lag_us = m.group.lag_us
+
+    async def _release(self, r, m):
+        if not m.running or m.state != "ready" or any(x.state != "ready" for x in m.group.members):
+            return
+        m.state = "draining"
+        m.beat_now.set()
+        for _ in range(50):
+            if "draining" in m.beats.acknowledged:
+                break
+            await asyncio.sleep(0.1)
+        now = self.f.loop.time()
+        if "draining" in m.beats.acknowledged and self.f.history.in_touch("", now, 5.0):
+            self.f.history.drained[m.name] = now
+        await asyncio.sleep(r.uniform(5.3, 7))
+        if m.running and not m.dark:
+            await m.beats.tell(lambda n: n.depart(m.name))
+        if m.running:
+            m.stop()
+        await asyncio.sleep(r.uniform(0.3, 2))
+        if not m.box.up:
+            self.f.replace_member(m)
+
+    async def _release_primary(self, r):
+        await self._release(r, self._group(r).leader)
+
+    async def _release_replica(self, r):
+        await self._release(r, self._replica(r))
+
+    async def _member_busy(self, r):
+        m = r.choice(self._group(r).members)
+        if r.random() < 0.5:
+            m.failing = r.randrange(1, 6)
+        else:
+            m.busy = True
+        await asyncio.sleep(r.uniform(0.2, 2))
+        m.busy, m.failing = False, 0
+
+    async def _lost_answers(self, r):
+        m = r.choice(self._group(r).members)
+        m.lost_how, m.losing = r.choice(["silent", "cut"]), r.randrange(1, 5)
+        await asyncio.sleep(r.uniform(1, 3))
+        m.losing = 0
+
+    async def _evacuate(self, r):
+        if self._emptying:
+            return
+        self._emptying = True
+        h = r.choice("abc")
+        await self.f.hall(h, "emptied", r.randrange(3))
+        await asyncio.sleep(r.uniform(3, 9))
+        await self.f.hall(h, "open", r.randrange(3))
+        self._emptying = False
+
+    async def _manifests(self, r):
+        v = self._next
+        self._next += 2
+        us = r.choice([1_500_000, 2_000_000, 2_500_000])
+        order = [v, v + 1, v, v + 1]
+        r.shuffle(order)
+        await asyncio.gather(*[self.f.apply(n, r.randrange(3), timeout_us=us + n) for n in order])
+
+    async def _platform(self, r):
+        p = self.f.platform.node
+        if r.random() < 0.5:
+            p.down = True
+        else:
+            p.slow_us = int(r.uniform(0.3, 2) * 1e6)
+        await asyncio.sleep(r.uniform(1, 5))
+        p.down, p.slow_us = False, 0
+
+    async def _platform_mute(self, r):
+        p = self.f.platform.node
+        p.unanswered = r.randrange(1, 3)
+        await asyncio.sleep(r.uniform(2, 8))
+        p.unanswered = 0
+
+    async def _vanish(self, r):
+        """A hall loses power without a word."""
+        a = r.choice("abc")
+        bs = [b for b in self.f.net.boxes.values() if b.hall == a and b.up]
+        members = {b: b.node for b in bs if b in self.f.members}
+        for b in bs:
+            self.f.net.silent.add(b.name)
+            members[b].stop(True) if b in members else b.kill(silent=True)
+        await self._rest(r, 2, 8, "core", *[b.name for b in bs])
+        for b in bs:
+            self.f.net.silent.discard(b.name)
+            if not b.up:
+                if b in members:
+                    self.f.boot_member(b, members[b])
+                else:
+                    (self.f.boot_core if b in self.f.cores else self.f.boot_edge)(b)
--- /dev/null
+++ b/src/petrelhaven/drill/held/fleet.py
@@ -0,0 +1,257 @@
+"""A whole fleet of the path where sessions live with their connection, in virtual time."""
+import asyncio
+import json
+import random
+
+from ...creed.fault import Fault, Unsent
+from ...helm.seat import Seat
+from ...span.gate import Gate
+from ...span.tie import Tie
+from ..net import Box, Net
+from .beats import Beats
+from .caller import FailoverCaller
+from .client import Client
+from .failover import FailoverService
+from .group import DatabaseGroup
+from .history import History
+from .judge import judge
+from .member import DatabaseMember
+from .wire import SimulatedWire
+
+__all__ = ["HeldFleet"]
+
+_HALLS = ("a", "b", "c")
+_BOUND_US = 3_500_000
+_APPLY_S = 5.0
+
+
+class HeldFleet:
+    """Three cores, some edges, groups of three members, a platform and clients; `history` keeps what they saw."""
+
+    stale_us = 1_500_000
+    beat_us = 1_200_000
+
+    def __init__(self, seed, edges=4, groups=1, lag_us=30_000, cap=40):
+        self.rng = random.Random(seed)
+        self.loop = asyncio.get_running_loop()
+        self.net = Net(self.loop, self.rng, 8_000)
+        self.history = History()
+        self.clients = []
+        self.cores = [Box(self.net, f"c{i + 1}", h, self._rate()) for i, h in enumerate(_HALLS)]
+        self.edges = [Box(self.net, f"e{i + 1}", _HALLS[i % 3], self._rate()) for i in range(edges)]
+        self.groups = {f"g{i + 1}": DatabaseGroup(f"g{i + 1}", self.net, self.history, 1, lag_us, cap)
+                       for i in range(groups)}
+        self.members = []
+        for i, g in enumerate(self.groups):
+            self.members += [Box(self.net, f"{g}-{j + 1}", _HALLS[(i + j) % 3]) for j in range(3)]
+        self.platform, self.out = Box(self.net, "platform", "out"), Box(self.net, "clients", "out")
+        self.seeds = [f"sim:{c.name}" for c in self.cores]
+        self.version, self.taken = 0, []
+        self.halls_taken = {}
+        self._seen = {}
+        self._lives = {}
+
+    def _rate(self):
+        return 1.0 + self.rng.uniform(-0.01, 0.01)
+
+    def manifest(self, version, timeout_us=2_000_000):
+        """The text of a manifest."""
+        routes = []
+        for g in self.groups:
+            for host, reads, us in ((g, "strong", 0), (g + "-browse", "browsing", self.stale_us)):
+                routes.append({"name": host, "group": g, "host": host, "prefix": "/", "reads": reads,
+                               "timeout_us": timeout_us, "aim_us": 400_000, "stale_us": us})
+        return json.dumps({"name": "fleet", "version": version, "halls": list(_HALLS),
+                           "groups": [{"name": g, "cap": x.cap, "sync": x.sync} for g, x in self.groups.items()],
+                           "routes": routes, "bounds": {"keepers": 0, "idle_txn_us": 3_000_000}})
+
+    def boot_core(self, b):
+        """Powers a core on."""
+        b.boot()
+        try:
+            b.node = Seat(b.name, b.hall, self.seeds, b.clock, b.nest, b.link, b.disk, random.Random(self.rng.random()),
+                          FailoverCaller(self.net, b, self.platform), SimulatedWire(self.net, b), self.beat_us, b.log)
+        except asyncio.CancelledError:
+            if b.up:
+                raise
+            return
+        b.node.start()
+
+    def boot_edge(self, b):
+        """Powers an edge on."""
+        b.boot()
+        rng = random.Random(self.rng.random())
+
+        def near(hall):
+            return 0 if hall == b.hall else 1
+        tie = Tie(b.clock, b.nest, b.link, rng, b.name, list(self.seeds), near, b.log)
+        b.node = Gate(b.name, b.hall, b.clock, b.nest, rng, tie, SimulatedWire(self.net, b), near, _BOUND_US, _BOUND_US,
+                      b.log)
+        b.node.start()
+
+    def boot_member(self, b, member=None):
+        """Powers a member on: `member` over the log that it had, or a new one."""
+        b.boot()
+        g = self.groups[b.name.split("-")[0]]
+        if member is None:
+            n = self._lives[b.name] = self._lives.get(b.name, 0) + 1
+            member = DatabaseMember(g, f"{b.name}.{n}", b)
+            g.members = [m for m in g.members if m.box is not b] + [member]
+        b.node = member
+        member.start()
+        member.beats = Beats(self.net, member, self.cores, self.beat_us)
+        b.nest.spawn(member.beats.run())
+        return member
+
+    def replace_member(self, old):
+        """A new member at the address of one that has ended, with its log; it leads if nobody else was promoted."""
+        g, b = old.group, old.box
+        m = self.boot_member(b)
+        m.take_log(old)
+        if g.leader is old:
+            g.leader = m
+        m.follow()
+        m.beat_now.set()
+        return m
+
+    async def start(self):
+        """Powers everything on and applies the first manifest."""
+        self.platform.boot()
+        self.platform.node = FailoverService(self.platform, self.groups)
+        self.out.boot()
+        self.out.node = True
+        for b in self.cores:
+            self.boot_core(b)
+        for b in self.members:
+            m = self.boot_member(b)
+            if m.group.leader is None:
+                m.group.leader = m
+        for g in self.groups.values():
+            g.tick()
+        for b in self.edges:
+            self.boot_edge(b)
+        await self.until(lambda: any(c.node.ready for c in self.cores), 15, "cores ready")
+        await self.apply(1)
+        await self.until(lambda: all(e.node.ready for e in self.edges), 15, "edges ready")
+        await self.until(lambda: all(b.key and len(b.berths) == 3 for e in self.edges for b in e.node.bands.values()),
+                         15, "offices held")
+        self.loop.create_task(self._watch())
+
+    async def until(self, fn, secs, what):
+        """Waits in virtual time for a condition."""
+        end = self.loop.time() + secs
+        while not fn():
+            if self.loop.time() > end:
+                raise AssertionError(f"not within {secs} s: {what}")
+            await asyncio.sleep(0.02)
+
+    async def _order(self, fn, by):
+        """An operator's order, sent again until it is answered clearly; its answer, or the fault that is one."""
+        for i in range(60):
+            c = self.cores[(by + i) % 3]
+
+            async def there(c=c):
+                if c.node is None:
+                    raise Unsent(c.name)
+                return await fn(c.node)
+            try:
+                return await self.net.trip(self.out, c, there, 4_500_000, fresh=True)
+            except Fault as e:
+                if e.status in (409, 422) and e.code != "racing":
+                    return e
+                await asyncio.sleep(0.3)
+        return None
+
+    async def apply(self, version, by=0, **kw):
+        """Applies a manifest; every clear answer but 422 acknowledges it."""
+        r = await self._order(lambda n: n.apply(self.manifest(version, **kw)), by)
+        if r is not None:
+            self.taken.append((self.loop.time(), version))
+        return r
+
+    async def hall(self, hall, state, by=0):
+        """Empties or restores a hall."""
+        sent = self.loop.time()
+        self.halls_taken.pop(hall, None)
+        if state == "open":
+            self.history.evacuations = [(h, t, sent if h == hall and u is None else u)
+                                        for h, t, u in self.history.evacuations]
+        r = await self._order(lambda n: n.hall_to(hall, state), by)
+        if r is not None:
+            self.halls_taken[hall] = state
+            if state == "emptied":
+                self.history.evacuations.append((hall, self.loop.time(), None))
+        return r
+
+    def cut(self, a, b, us, both=True):
+        """Cuts ways for a while."""
+        self.net.cut(a, b, us, both)
+        now = self.loop.time()
+        cores = {c.name for c in self.cores}
+        for x in a:
+            for y in b:
+                if x in cores and y in cores:
+                    self.history.trouble(now, now + us / 1e6, "core")
+                else:
+                    self.history.trouble(now, now + us / 1e6, x, y)
+
+    def find(self, kind, value):
+        """A finding of the run that no statement shows."""
+        self.net.findings.append((round(self.loop.time(), 3), kind, value))
+
+    async def _watch(self):
+        while True:
+            now = self.loop.time()
+            due = max((v for t, v in self.taken if t < now - _APPLY_S), default=0)
+            for b in self.cores + self.edges:
+                if b.node is None:
+                    continue
+                d = (b.node.mem.realm if b in self.cores else b.node.tie.ledger).doc
+                v = d["manifest"]["version"] if d["manifest"] else 0
+                k = b.name, b.life
+                if v < self._seen.get(k, 0):
+                    self.find("manifest went back", f"{b.name} {v}")
+                self._seen[k] = max(v, self._seen.get(k, 0))
+                if b in self.edges and v < due and self.history.in_touch(b.name, now, _APPLY_S):
+                    self.find("acknowledged manifest not in force", f"{b.name} {v} {due}")
+            await asyncio.sleep(0.1)
+
+    def visit(self, count, **kw):
+        """Starts clients, every third of them on a browsing route."""
+        for _ in range(count):
+            i = len(self.clients)
+            c = Client(self, i, random.Random(self.rng.random()), browsing=i % 3 == 2, **kw)
+            self.clients.append(c)
+            self.out.nest.spawn(c.run())
+
+    async def calm(self):
+        """Stops the clients."""
+        for c in self.clients:
+            c.stop = True
+        await self.until(lambda: all(c.done for c in self.clients), 60, "clients end")
+
+    async def kept(self):
+        """Acknowledged control state that no core gives back any more."""
+        d = None
+        for i in range(60):
+            c = self.cores[i % 3]
+
+            async def there(c=c):
+                if c.node is None:
+                    raise Unsent(c.name)
+                return json.loads(json.dumps(await c.node.realm()))
+            try:
+                d = await self.net.trip(self.out, c, there, 2_500_000, fresh=True)
+                break
+            except Fault:
+                await asyncio.sleep(0.3)
+        if d is None:
+            return [("LOST", "the control state can't be read back")]
+        v, top = d["manifest"]["version"], max(v for _, v in self.taken)
+        out = [("LOST", f"the acknowledged manifest {top}, read back is {v}")] if v < top else []
+        return out + [("LOST", f"hall {h} was acknowledged as {s}") for h, s in sorted(self.halls_taken.items())
+                      if d["halls"].get(h, "open") != s]
+
+    def verdict(self):
+        """Everything that must never happen and did."""
+        return list(self.net.findings) + judge(self.history)
--- /dev/null
+++ b/src/petrelhaven/drill/held/front.py
@@ -0,0 +1,118 @@
+"""A client's simulated connection to an edge, and the edge's end of it."""
+import asyncio
+import collections
+
+from ...creed.fault import Fault, NoRoute, Unreached, Unsent
+from ...span.ask import Reply
+from ..net import _Pipe
+
+__all__ = ["Front"]
+
+
+class Front:
+    """Statements are served one after the other, like those of a real connection."""
+
+    def __init__(self, net, client, edge):
+        self.net, self.client, self.edge, self.gate = net, client, edge, edge.node
+        self._there, self._back = _Pipe(net, client, edge), _Pipe(net, edge, client)
+        self.lost = False
+        self._wait = collections.deque()
+        self._visit, self._gone, self._on = None, False, False
+        self._asked = collections.deque()
+        self._key = next(net.num)
+        client.pipes[self._key] = edge.pipes[self._key] = self
+
+    @classmethod
+    async def open(cls, net, client, edge, host, us):
+        """A session at `edge`; Unsent or Late otherwise."""
+        if not edge.up or edge.node is None or net.is_cut(client.name, edge.name):
+            raise Unsent(edge.name)
+        c = cls(net, client, edge)
+        try:
+            r = await client.clock.limit(c.ask(host), us)
+        except Fault:
+            c.close()
+            raise
+        if not r.ok:
+            c.close()
+            raise Unsent(r.code)
+        return c
+
+    def ask(self, a):
+        """A future of the Reply to a statement (or to a host's name)."""
+        f = asyncio.get_running_loop().create_future()
+        if self.lost:
+            f.set_exception(Unreached("connection lost"))
+            return f
+        self._wait.append(f)
+        self._there.send(lambda: self._take(a))
+        return f
+
+    def close(self):
+        """The client leaves."""
+        if not self.lost:
+            self._lose()
+            self._forget()
+            self._there.send(lambda: self.edge.clock.later(0, self._end))
+
+    def cut(self, silent):
+        """One of the machines is gone."""
+        self._forget()
+        if not self.edge.up:
+            if not silent:
+                self._back.send(self._lose)
+            else:
+                self.net.loop.call_later(5, self._lose)
+
+    def _forget(self):
+        self.client.pipes.pop(self._key, None)
+        self.edge.pipes.pop(self._key, None)
+
+    def _lose(self):
+        self.lost = True
+        w, self._wait = self._wait, collections.deque()
+        for f in w:
+            if not f.done():
+                f.set_exception(Unreached("connection lost"))
+                f.exception()
+
+    def _end(self):
+        self._gone = True
+        if self._visit is not None:
+            self.gate.close(self._visit)
+
+    def _take(self, a):
+        if self._visit is None:
+            try:
+                if not self.gate.ready:
+                    return self._say(Reply(code="busy"))
+                self._visit = self.gate.open(a)
+                return self._say(Reply())
+            except NoRoute:
+                return self._say(Reply(code="unknown"))
+        self._asked.append(a)
+        if not self._on:
+            self._on = True
+            self.edge.nest.spawn(self._serve())
+
+    def _say(self, r):
+        self._back.send(lambda: self._hear(r))
+
+    def _hear(self, r):
+        if not self.lost and self._wait:
+            f = self._wait.popleft()
+            f.done() or f.set_result(r)
+
+    async def _serve(self):
+        try:
+            while self._asked:
+                a = self._asked.popleft()
+                if a.verb == "execute" and a.name in self._visit.prepared:
+                    a.shape = self._visit.prepared[a.name]
+                    a.writes = a.shape.startswith("put")
+                r = await self.gate.serve_one(self._visit, a)
+                if self._gone:
+                    return
+                self._say(r)
+        finally:
+            self._on = False
--- /dev/null
+++ b/src/petrelhaven/drill/held/history.py
@@ -0,0 +1,23 @@
+"""Everything that clients, members and operators of a simulated fleet saw."""
+
+__all__ = ["History"]
+
+
+class History:
+    """Lists of what happened, in seconds of virtual time."""
+
+    __slots__ = ("attempts", "runs", "entries", "drained", "evacuations", "troubles")
+
+    def __init__(self):
+        self.attempts, self.runs, self.entries = [], [], []
+        self.drained = {}
+        self.evacuations = []
+        self.troubles = []
+
+    def trouble(self, at, until, *names):
+        """Machines (or `core` as a whole) were in trouble from `at` until `until`."""
+        self.troubles.append((at, until, frozenset(names)))
+
+    def in_touch(self, name, at, contact):
+        """Whether machine `name` and the core had no trouble in the `contact` seconds before `at`."""
+        return not any(t <= at and u >= at - contact and (name in ns or "core" in ns) for t, u, ns in self.troubles)
--- /dev/null
+++ b/src/petrelhaven/drill/held/strand.py
@@ -0,0 +1,76 @@
+"""A node's end of a simulated connection to a member."""
+import asyncio
+import collections
+
+from ...creed.fault import Busy, MemberFault, Unreached
+from ...span.strand import Strand
+from .line import Line
+from .order import Order
+
+__all__ = ["SimulatedStrand"]
+
+
+class SimulatedStrand(Strand):
+    """Speaks the members' statements over a simulated line; replies come in the order asked."""
+
+    def __init__(self, net, node, member):
+        super().__init__()
+        self._wait = collections.deque()
+        self._line = Line(net, node, member, self)
+
+    def _say(self, order, kind):
+        f = asyncio.get_running_loop().create_future()
+        if self.lost:
+            f.set_exception(Unreached("connection lost"))
+            return f
+        self._wait.append((f, kind))
+        self._line.say(order)
+        return f
+
+    def connect(self, group, member):
+        """Introduces this connection."""
+        return self._say(Order("-", "connect", (group, member)), "connect")
+
+    def ask(self, a, after=None, alias=None):
+        """A future of the Reply to a client's statement."""
+        args, text = ((), a.text) if alias is None else ((alias,), a.data)
+        return self._say(Order(a.num, a.verb, args, text, after), "ask")
+
+    def plain(self, verb, args=(), num="-"):
+        """A future of the Reply to a statement said again under its client's number, or of the system's own."""
+        return self._say(Order(num, verb, args), "plain")
+
+    def own(self, verb, *args):
+        """A future of the status row that a statement of the system's own brings."""
+        return self._say(Order("-", verb, args), "row")
+
+    def hear(self, r):
+        """A reply arrived."""
+        if self.lost:
+            return
+        if not self._wait:
+            return self.close()
+        f, kind = self._wait.popleft()
+        if not f.done():
+            if kind != "row":
+                f.set_result(r)
+            elif not r.ok:
+                f.set_exception(Busy("busy") if r.code == "busy" else MemberFault(r.code))
+            else:
+                f.set_result(r.rows[0])
+        if kind == "connect" and not r.ok:
+            self.close()
+
+    def close(self):
+        """Closes the connection; whatever waits on it fails."""
+        if self.lost:
+            return
+        self.lost = True
+        self._line.hang_up()
+        w, self._wait = self._wait, collections.deque()
+        for f, _ in w:
+            if not f.done():
+                f.set_exception(Unreached("connection lost"))
+                f.exception()
+        if self.on_lost is not None:
+            self.on_lost(self)
