--- a/src/petrelhaven/drill/held/connection.py
+++ b/src/petrelhaven/drill/held/connection.py
@@ -41,7 +41,7 @@
         self.ended = True
         self._orders.clear()
         self.transaction, self._writes = None, []
-        self.member.connections.discard(self)
+        self.member.connections.pop(self, None)
 
     def reset(self):
         """Ends it and says so to the far side."""
@@ -112,10 +112,10 @@
             if not writes:
                 rows = self._read(words[0])
             elif self.transaction is not None:
-                self._writes.append((o.num, *words))
+                self._writes.append((o.num, words[0], " ".join(words[1:])))
             entry = None
             if writes and self.transaction is None and m.failing <= 0:
-                entry = m.group.append(m, [(o.num, *words)])
+                entry = m.group.append(m, [(o.num, words[0], " ".join(words[1:]))])
             r = m.note(self, o, kind, o.text, shape, rows, self.transaction)
             if m.failing > 0:
                 m.failing -= 1
--- a/src/petrelhaven/drill/held/failover.py
+++ b/src/petrelhaven/drill/held/failover.py
@@ -11,6 +11,7 @@
         self.box, self.groups, self.took_us = box, groups, took_us
         self.slow_us, self.unanswered, self.down = 0, 0, False
         self.calls = 0
+        self.on_call = []
         self._fences = {}
 
     async def promote(self, group, member, fence, holder):
@@ -27,6 +28,8 @@
         m = g.find(member)
         if m is None or not m.running:
             raise Fenced("not running")
+        for f in self.on_call:
+            f(m)
         if g.leader is not m:
             self.box.clock.later(self.took_us, lambda: g.lead(m))
         if self.unanswered > 0:
--- a/src/petrelhaven/drill/held/faults.py
+++ b/src/petrelhaven/drill/held/faults.py
@@ -5,12 +5,13 @@
 __all__ = ["KINDS", "PLANNED", "Faults"]
 
 PLANNED = ["release_primary", "release_replica", "evacuate", "manifests", "primary_crash", "replica_lag", "edge_leave",
-           "member_busy", "lost_answers"]
+           "member_busy", "lost_answers", "deaf_heir"]
 KINDS = [
     "edge_kill", "edge_freeze", "edge_leave", "core_kill", "core_freeze", "core_disk", "core_torn", "core_all",
     "isolate", "bridge", "cut_one", "primary_cut", "primary_crash", "primary_crash", "primary_dark", "replica_crash",
     "replica_dark", "replica_deaf", "replica_lag", "release_primary", "release_replica", "evacuate", "manifests",
-    "platform", "platform_mute", "lost_answers", "member_busy", "vanish",
+    "platform", "platform_mute", "lost_answers", "member_busy", "vanish", "isolate_primary",
+    "deaf_heir", "replica_blink", "edge_cut",
 ]
 
 
@@ -134,6 +135,37 @@
             if not m.box.up:
                 self.f.boot_member(m.box, m)
 
+    async def _isolate_primary(self, r):
+        """Its hall, with the edges and the core there, is cut from the rest."""
+        a = self._group(r).leader.box.hall
+        rest = [n for h in "abc" if h != a for n in self._in(h)] + ["platform"]
+        self.f.cut(self._in(a), rest, int(r.uniform(2, 6) * 1e6))
+
+    async def _deaf_heir(self, r):
+        """Whoever is named to take over receives nothing more from that moment until it leads."""
+        p, us = self.f.platform.node, self.f.platform.node.took_us
+
+        def deaf(m):
+            m.deaf = True
+            self.f.loop.call_later(us / 1e6, lambda: setattr(m, "deaf", False))
+        p.on_call.append(deaf)
+        await asyncio.sleep(12)
+        p.on_call.remove(deaf)
+
+    async def _replica_blink(self, r):
+        """A replica restarts within a moment, so that it is not paused any more."""
+        m = self._replica(r)
+        if m.running:
+            m.stop()
+            await self._rest(r, 0.02, 0.3, m.box.name)
+            if not m.box.up:
+                self.f.boot_member(m.box, m)
+
+    async def _edge_cut(self, r):
+        """An edge is cut from the cores alone: it still reaches the members, and clients it."""
+        b = r.choice(self.f.edges)
+        self.f.cut([b.name], [c.name for c in self.f.cores], int(r.uniform(0.5, 6) * 1e6))
+
     async def _primary_crash(self, r):
         await self._crash(r, self._group(r).leader)
 
--- a/src/petrelhaven/drill/held/fleet.py
+++ b/src/petrelhaven/drill/held/fleet.py
@@ -31,9 +31,11 @@
     stale_us = 1_500_000
     beat_us = 1_200_000
 
-    def __init__(self, seed, edges=4, groups=1, lag_us=30_000, cap=40):
+    def __init__(self, seed, edges=4, groups=1, lag_us=30_000, cap=None, took_us=None):
         self.rng = random.Random(seed)
         self.loop = asyncio.get_running_loop()
+        cap = cap or self.rng.choice((10, 20, 40))
+        self.took_us = took_us or self.rng.choice((50_000, 300_000, 800_000))
         self.net = Net(self.loop, self.rng, 8_000)
         self.history = History()
         self.clients = []
@@ -117,7 +119,7 @@
     async def start(self):
         """Powers everything on and applies the first manifest."""
         self.platform.boot()
-        self.platform.node = FailoverService(self.platform, self.groups)
+        self.platform.node = FailoverService(self.platform, self.groups, self.took_us)
         self.out.boot()
         self.out.node = True
         for b in self.cores:
@@ -204,7 +206,7 @@
             now = self.loop.time()
             due = max((v for t, v in self.taken if t < now - _APPLY_S), default=0)
             for b in self.cores + self.edges:
-                if b.node is None:
+                if b.node is None or b in self.cores and b.node.chain.commit < b.node.mem.realm.seq:
                     continue
                 d = (b.node.mem.realm if b in self.cores else b.node.tie.ledger).doc
                 v = d["manifest"]["version"] if d["manifest"] else 0
--- a/src/petrelhaven/drill/held/member.py
+++ b/src/petrelhaven/drill/held/member.py
@@ -23,7 +23,7 @@
         self.failing = self.losing = 0
         self.lost_how = "silent"
         self.lag_us = group.lag_us
-        self.connections = set()
+        self.connections = {}
         self.beat_now = asyncio.Event()
         self.count = 0
         self._seen, self._applied = [], 0
@@ -45,14 +45,14 @@
         """Starts, or comes back with its log after a crash."""
         self.held, self.running, self.dark = 0, True, False
         self._slots, self._waiting, self._working = asyncio.Semaphore(self.slots), 0, 0
-        self.connections = set()
+        self.connections = {}
         self.follow()
 
     def stop(self, silent=False):
         """Power off."""
         self.running = self.dark = False
         self.box.kill(silent)
-        self.connections = set()
+        self.connections = {}
 
     def go_light(self):
         """Is back from the dark; the connections of that time are reset without running what they hold."""
@@ -129,7 +129,7 @@
         """A new connection, before it has introduced itself."""
         self._numbers += 1
         c = MemberConnection(self, line, self._numbers)
-        self.connections.add(c)
+        self.connections[c] = None
         return c
 
     async def admit(self, group, name):
--- /dev/null
+++ b/tests/test_held_storm.py
@@ -0,0 +1,271 @@
+"""Storms against the path where sessions live with their connection; each rule is seen broken once its guard is out."""
+import asyncio
+
+import pytest
+
+from petrelhaven.creed.fault import Fault, Unreached
+from petrelhaven.drill.held.storm import inside, run, schedule, shrink
+from petrelhaven.drill.held.strand import SimulatedStrand
+from petrelhaven.helm import chain, desk, memory, warden
+from petrelhaven.span import band, clock, passage, strand, tie
+from petrelhaven.span.ask import Reply
+
+
+@pytest.mark.parametrize("seed", [1, 4, 7, 12, 15, 33, 60, 87, 112])
+def test_a_storm_breaks_no_rule(seed):
+    bad, f = run(seed, cap=40)
+    assert bad == []
+    assert sum(c.served for c in f.clients) > 100
+
+
+def test_a_calm_fleet_serves_every_operation():
+    async def go(f):
+        await f.start()
+        f.visit(9)
+        await asyncio.sleep(10)
+        await f.calm()
+        return f.verdict()
+    bad, f = inside(go, 5)
+    assert bad == [] and not any(c.given_up for c in f.clients)
+    assert {"write", "read", "execute", "commit"} <= {s.verb for t in f.history.attempts for s in t.statements}
+
+
+def test_the_same_seed_gives_the_same_history():
+    a, b = run(3)[1], run(3)[1]
+    assert [(r.at, r.num, r.stamp) for r in a.history.runs] == [(r.at, r.num, r.stamp) for r in b.history.runs]
+    assert [x for x in a.net.log if "E425" not in x[2]] == [x for x in b.net.log if "E425" not in x[2]]
+
+
+def no_pause(mp):
+    own, row = warden.Warden._own, warden.Warden._row
+
+    async def own_(self, w, verb, *args):
+        return verb == "pause" or await own(self, w, verb, *args)
+
+    async def row_(self, w):
+        r = await row(self, w)
+        return r and {**r, "held": 1 << 30}
+    mp.setattr(warden.Warden, "_own", own_)
+    mp.setattr(warden.Warden, "_row", row_)
+
+
+def lowest_heir(mp):
+    real = warden.Warden._promote
+
+    async def promote(self, g, heir, wards, old, seq):
+        ws = [w for n, w in wards.items() if n != old and w.row]
+        return await real(self, g, min(ws, key=lambda w: w.row["pos"]), wards, old, seq)
+    mp.setattr(warden.Warden, "_promote", promote)
+
+
+def no_barrier(mp):
+    async def in_force(self, seq, grace=0, horizon=0):
+        return 0
+    mp.setattr(desk.TiedDesk, "in_force", in_force)
+
+
+def no_lease(mp):
+    mp.setattr(tie.Tie, "holds", property(lambda self: True))
+
+
+def no_after(mp):
+    ask, plain = SimulatedStrand.ask, SimulatedStrand.plain
+    mp.setattr(SimulatedStrand, "ask", lambda self, a, after=None, alias=None: ask(self, a, None, alias))
+    mp.setattr(SimulatedStrand, "plain", lambda self, verb, args=(), num="-": plain(
+        self, verb, (args[0], None) if verb == "begin" else args, num))
+
+
+def any_pair_fits(mp):
+    mp.setattr(clock.ReadClock, "_fits", staticmethod(lambda start, us, r: True))
+
+
+def browsing_any_age(mp):
+    mp.setattr(clock.ReadClock, "_fits", staticmethod(lambda start, us, r: start > r.arr or r.since is not None))
+
+
+def one_of_the_others(mp):
+    async def fetch_others(self, name):
+        for b in [b for n, b in sorted(self.berths.items()) if n != name]:
+            try:
+                return (await self._status(b))["pos"]
+            except Fault:
+                pass
+        raise Unreached("none")
+    mp.setattr(band.Band, "_fetch_others", fetch_others)
+
+
+def sent_again(mp):
+    class Forgetful(passage._Try):
+        __slots__ = ()
+        sent = property(lambda self: False, lambda self, v: None)
+    mp.setattr(passage, "_Try", Forgetful)
+
+
+def lost_commit_is_aborted(mp):
+    real = passage.Passage._torn
+
+    def torn(self, v, a, x):
+        r = real(self, v, a, x)
+        return Reply(code="aborted", state=r.state) if r.code == "unsure" else r
+    mp.setattr(passage.Passage, "_torn", torn)
+
+
+def lost_write_is_busy(mp):
+    real = passage.Passage._write
+
+    def write(self, *a):
+        r = yield from real(self, *a)
+        return Reply(code="busy") if r.code == "unsure" else r
+    mp.setattr(passage.Passage, "_write", write)
+
+
+def _without(mp, verbs):
+    real = strand.Strand.outfit
+
+    def outfit(self, visit, ask=None):
+        out, alias = real(self, visit, ask)
+        return [x for x in out if x[0] not in verbs], alias
+    mp.setattr(strand.Strand, "outfit", outfit)
+
+
+def no_outfit(mp):
+    _without(mp, ("reset", "set"))
+
+
+def no_reset(mp):
+    _without(mp, ("reset",))
+
+
+def one_shape_for_all(mp):
+    real = strand.Strand.outfit
+
+    def outfit(self, visit, ask=None):
+        out, alias = real(self, visit, ask)
+        return out, alias and "p1"
+    mp.setattr(strand.Strand, "outfit", outfit)
+
+
+def another_connection(mp):
+    real = passage.Passage._pinned
+
+    async def pinned(self, c, v, a):
+        idle = v.trade.berth.stock.idle
+        return await real(self, idle[0] if idle and a.verb != "commit" else c, v, a)
+    mp.setattr(passage.Passage, "_pinned", pinned)
+
+
+def rolled_forward(mp):
+    async def settle(self, conn, b, num):
+        await conn.plain("commit", (), num)
+        b.stock.drop(conn)
+    mp.setattr(band.Band, "settle", settle)
+
+
+def rows_of_another(mp):
+    real, last = passage.Passage._once, {}
+
+    async def once(self, *a):
+        r = await real(self, *a)
+        if r.ok and r.rows:
+            last[0], r.rows = r.rows, last.get(0, r.rows)
+        return r
+    mp.setattr(passage.Passage, "_once", once)
+
+
+def stops_ignored(mp):
+    real = band.Band.turn
+
+    def turn(self, ledger, fresh):
+        real(self, ledger, fresh)
+        for b in self.berths.values():
+            b.stop_at = None
+    mp.setattr(band.Band, "turn", turn)
+
+
+def acked_by_the_head(mp):
+    async def until(self, seq):
+        return
+    mp.setattr(chain.Chain, "until", until)
+
+
+def nothing_synced(mp):
+    mp.setattr(memory.Memory, "_keep",
+               lambda self, doc: None if doc["t"] == "rec" else self._ring.append(doc, self._whole))
+
+
+def older_frames_too(mp):
+    mp.setattr(tie.Tie, "joined", property(lambda self: False, lambda self, v: None), raising=False)
+
+
+async def lone_head(f):
+    """The head is cut off and told a manifest."""
+    await f.start()
+    f.visit(3)
+    a = [b.name for b in f.net.boxes.values() if b.hall == "a"]
+    f.cut(a, [b.name for b in f.net.boxes.values() if b.hall in ("b", "c")], 4_000_000)
+    await asyncio.sleep(0.1)
+    await f.apply(2, 0)
+    await asyncio.sleep(12)
+    await f.calm()
+    return await f.kept() + f.verdict()
+
+
+GUARDS = [
+    ("LOST", no_pause, [(1.0, "deaf_heir", 1), (1.5, "release_primary", 2)], {}),
+    ("LOST", lowest_heir, ["primary_crash", "replica_deaf", "replica_deaf"], {}),
+    ("STALE", no_barrier, [(1.0, "edge_cut", 1), (1.01, "release_primary", 1)],
+     {"clients": 15, "took_us": 20_000, "lag_us": 400_000}),
+    ("STALE", no_lease, ["isolate"], {"took_us": 20_000}),
+    ("STALE", no_after, ["replica_lag"], {}),
+    ("STALE", any_pair_fits, ["replica_lag"], {}),
+    ("STALE", browsing_any_age, ["replica_lag"], {}),
+    ("STALE", one_of_the_others, ["primary_dark", "replica_deaf", "primary_crash"], {}),
+    ("TWICE", sent_again, ["lost_answers"], {}),
+    ("REFUSED", sent_again, ["lost_answers"], {}),
+    ("REFUSED", lost_commit_is_aborted, ["lost_answers"], {}),
+    ("REFUSED", lost_write_is_busy, ["lost_answers"], {}),
+    ("PINNED", no_outfit, ["edge_kill"], {}),
+    ("PINNED", no_reset, ["edge_kill"], {"cap": 10, "clients": 15}),
+    ("PINNED", one_shape_for_all, ["edge_kill"], {}),
+    ("PINNED", another_connection, ["edge_kill"], {}),
+    ("UNASKED", rolled_forward, ["edge_kill"], {}),
+    ("MIXED", rows_of_another, ["edge_kill"], {}),
+    ("DRAIN", stops_ignored, ["release_replica"], {}),
+    ("EVAC", stops_ignored, ["evacuate"], {}),
+    ("the acknowledged manifest", acked_by_the_head, lone_head, {}),
+    ("acknowledged manifest not in force", nothing_synced, ["core_all", "manifests"], {}),
+    ("manifest went back", (nothing_synced, older_frames_too), ["core_all", "manifests"], {}),
+]
+
+
+def play(seed, how, kw):
+    if callable(how):
+        return inside(how, seed, **kw)[0]
+    if isinstance(how[0], str):
+        return run(seed, kinds=how, **kw)[0]
+    return run(seed, how, **kw)[0]
+
+
+@pytest.mark.parametrize("rule,guard,how,kw", GUARDS)
+def test_without_its_guard_the_rule_is_seen_broken(rule, guard, how, kw):
+    seen = []
+    for seed in range(8):
+        with pytest.MonkeyPatch.context() as mp:
+            for g in guard if isinstance(guard, tuple) else (guard,):
+                g(mp)
+            seen += play(seed, how, kw)
+        if any(rule in str(b) for b in seen):
+            return
+    pytest.fail(str([str(b)[:200] for b in seen[:5]]))
+
+
+@pytest.mark.parametrize("how,kw", [(h, k) for _, _, h, k in GUARDS if not isinstance(h, list) or k.get("took_us")
+                                    or not isinstance(h[0], str)])
+def test_with_the_guard_in_the_same_play_breaks_no_rule(how, kw):
+    assert play(0, how, kw) == []
+
+
+def test_a_violation_is_shrunk_to_the_fault_that_brings_it(monkeypatch):
+    stops_ignored(monkeypatch)
+    rows = schedule(1, 4, ["replica_lag", "edge_kill"]) + [(30.0, "release_replica", 1)]
+    assert [k for _, k, _ in shrink(0, rows)] == ["release_replica"]
