Cores beyond the seeds count; large manifests go thin; waiters and doubts are not lost

Now the head takes in one core at a time, up to twice the losses to be borne and one, and lets a dead one go only while a newcomer waits; messages over 1 KB are deflated, a manifest that a later one replaces in the same push is passed over, and a core keeps at most 2 MB of texts of past records.

--- a/src/petrelhaven/creed/contract.py
+++ b/src/petrelhaven/creed/contract.py
@@ -1,6 +1,7 @@
 """What the system's own processes say to each other: one avro contract a kind of message."""
 import io
 import json
+import zlib
 
 import fastavro
 
@@ -8,7 +9,9 @@
 
 __all__ = ["VERSION", "KINDS", "pack", "unpack"]
 
-VERSION = 2
+VERSION = 3
+_SMALL = 1_024
+_MOST = 16 << 20
 _PLAIN = {"long", "string", "boolean", "int", "bytes"}
 
 
@@ -80,7 +83,7 @@
 
 _HEAD = fastavro.parse_schema({"type": "record", "name": "head", "fields": [
     {"name": "v", "type": "int"}, {"name": "id", "type": "long"}, {"name": "flow", "type": "int"},
-    {"name": "kind", "type": "string"}, {"name": "body", "type": "bytes"}]})
+    {"name": "kind", "type": "string"}, {"name": "thin", "type": "boolean"}, {"name": "body", "type": "bytes"}]})
 _FAULT = _schema("fault_res", "doc:doc")
 CALL, RESULT, FAULT, TELL = 0, 1, 2, 3
 
@@ -103,11 +106,23 @@
             body[d] = json.dumps(body[d], separators=(",", ":"))
     b = io.BytesIO()
     fastavro.schemaless_writer(b, sch, body)
+    raw = b.getvalue()
+    thin = len(raw) > _SMALL
+    if thin:
+        raw = zlib.compress(raw, 1)
     o = io.BytesIO()
-    fastavro.schemaless_writer(o, _HEAD, {"v": VERSION, "id": num, "flow": flow, "kind": kind, "body": b.getvalue()})
+    fastavro.schemaless_writer(o, _HEAD, {"v": VERSION, "id": num, "flow": flow, "kind": kind, "thin": thin, "body": raw})
     return o.getvalue()
 
 
+def _thick(raw):
+    d = zlib.decompressobj()
+    out = d.decompress(raw, _MOST)
+    if d.unconsumed_tail or not d.eof:
+        raise ValueError("length")
+    return out
+
+
 def unpack(raw):
     """(kind, flow, number, body) of one message; Malformed, Unversed or Unspoken by type."""
     try:
@@ -118,7 +133,7 @@
         raise Unversed(f"message version {h['v']}", more={"id": h["id"], "flow": h["flow"], "kind": h["kind"][:40]})
     sch, docs = _pick(h["kind"], h["flow"])
     try:
-        body = fastavro.schemaless_reader(io.BytesIO(h["body"]), sch)
+        body = fastavro.schemaless_reader(io.BytesIO(_thick(h["body"]) if h["thin"] else h["body"]), sch)
         for d in docs:
             body[d] = json.loads(body[d])
     except Exception as e:
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -45,6 +45,7 @@
         self._infos = {}
         self.settings = dict
         self._alone = clock.now()
+        self.founds = True
         Machine(self, states=self.states, initial="outside", auto_transitions=False, transitions=[
             {"trigger": "knock", "source": "*", "dest": "joining"},
             {"trigger": "enchain", "source": "*", "dest": "chained"},
@@ -116,7 +117,7 @@
     async def _mend(self):
         while True:
             await self.rest()
-            for a in self.seeds:
+            for a in self.others():
                 self.nest.spawn(self._info(a))
             try:
                 await self._consider()
@@ -125,6 +126,14 @@
                 if self.chain.view is None and v:
                     await self._finish(v)
 
+    def others(self):
+        """Addresses of the cores to look at."""
+        return self.seeds
+
+    def news(self):
+        """What the cores looked at told last, by name."""
+        return {r["name"]: r for a, (_, r) in self._infos.items() if r and a in self.seeds}
+
     async def rest(self):
         """Waits between two looks at the other cores."""
         await self.clock.sleep(self.mend_us + self.rng.randrange(50_000))
@@ -172,13 +181,13 @@
             pass
 
     async def _consider(self):
-        infos = {r["name"]: r for a, (_, r) in self._infos.items() if r and a in self.seeds}
+        infos = self.news()
         v = self.chain.view
         now = self.clock.now()
         if v is None:
             if self.mem.vote["value"]:
                 return await self._finish(self.mem.vote["value"])
-            if len(infos) < len(self.seeds) or not all(r["fresh"] and not r["view"] for r in infos.values()):
+            if not self.founds or len(infos) < len(self.seeds) or not all(r["fresh"] and not r["view"] for r in infos.values()):
                 self._alone = now
                 return
             if min(infos) != self.name and now - self._alone < 2_000_000:
@@ -203,12 +212,21 @@
         join = [n for n in sorted(infos) if n not in keep and self._there(n) and n in v["ids"]]
         chain = keep + join
         ids = {**v["ids"], **{n: infos[n]["disk"] for n in join}}
-        if chain == v["chain"] and ids == v["ids"] or len(chain) <= len(v["ids"]) // 2:
+        if chain == v["chain"] and ids == v["ids"]:
+            return await self.recast(v, infos)
+        if len(chain) <= len(v["ids"]) // 2:
             return
         out = [n for n in v["chain"] if n not in keep]
         cause = "; ".join(
             filter(None, ["lost " + ",".join(out) if out else "", "joined " + ",".join(join) if join else ""])
         )
+        await self.propose(v, chain, ids, cause)
+
+    async def recast(self, v, infos):
+        """Takes in or lets go of cores once the chain is whole as far as it can be."""
+
+    async def propose(self, v, chain, ids, cause):
+        """Has a majority of the view's cores decide the next view."""
         new = {"n": v["n"] + 1, "chain": chain, "ids": ids, "cause": cause, "by": self.name}
         emit(self.log, 302, n=new["n"], cause=cause)
         self.spread(await self._ask.change(v["ids"], lambda x: new if x is None or x["n"] == v["n"] else x))
--- a/src/petrelhaven/helm/desk.py
+++ b/src/petrelhaven/helm/desk.py
@@ -72,7 +72,7 @@
                         continue
                     body["frame"] = c.realm.frame()
                 else:
-                    body["recs"] = [[s, r] for s, _, r in rs if s <= c.commit][:200]
+                    body["recs"] = self.slim([[s, r] for s, _, r in rs if s <= c.commit][:200])
                 try:
                     r = await ch.call("edge.push", body, 1_000_000)
                 except Fault:
@@ -88,6 +88,10 @@
             finally:
                 t.cancel()
 
+    def slim(self, rows):
+        """What of the records is worth sending."""
+        return rows
+
     async def force(self, ch, b):
         """What this core knows of who has acknowledged `seq`."""
         now = self.clock.now()
@@ -137,6 +141,11 @@
 class TiedDesk(Desk):
     """The desk of ties: edges stand in no record, so those that a lost core may have lent to are waited for by time."""
 
+    def slim(self, rows):
+        """A manifest that a later one in the same push replaces is passed over."""
+        last = max((s for s, r in rows if r["t"] == "manifest"), default=0)
+        return [[s, {"t": "pass"} if r["t"] == "manifest" and s < last else r] for s, r in rows]
+
     def lend(self, edge, us):
         """Notes that `edge` may hold a lease for `us` from now."""
         self.live[edge] = self.clock.now() + int(us * DRIFT)
--- a/src/petrelhaven/helm/ledger.py
+++ b/src/petrelhaven/helm/ledger.py
@@ -68,6 +68,9 @@
                                 "digest": hashlib.sha256(r["text"].encode()).hexdigest()}
         self._manifest = None
 
+    def _apply_pass(self, r):
+        """A manifest was replaced before this node heard of it."""
+
     def _check_hall(self, r):
         if r["state"] not in ("open", "emptied"):
             raise Invalid("hall state", more={"faults": [["state", "must be open or emptied"]]})
--- a/src/petrelhaven/helm/memory.py
+++ b/src/petrelhaven/helm/memory.py
@@ -6,6 +6,7 @@
 __all__ = ["Memory"]
 
 _TAIL = 400
+_TEXTS = 2 << 20
 
 
 def _realm():
@@ -41,7 +42,7 @@
         self.disk = "%016x" % self._rng.getrandbits(64)
         self.vote = {"num": 0, "who": "", "anum": 0, "awho": "", "value": None, "ids": None}
         self.done = 0
-        self.realm, self.recs, self.mark = self._state(), [], 0
+        self.realm, self.recs, self.mark, self._bytes = self._state(), [], 0, 0
 
     def wipe(self):
         """Forgets everything; the core goes on as an empty one with another disk identity."""
@@ -72,7 +73,7 @@
                     raise Misplaced(f"the data folder belongs to {d['name']}, not {self.name}")
                 self.disk, self.done, self.mark = d["disk"], d["done"], d["mark"]
                 self.vote = {"ids": None, **d["vote"]}
-                self.realm, self.recs = self._state(d["realm"]), []
+                self.realm, self.recs, self._bytes = self._state(d["realm"]), [], 0
             elif t == "vote":
                 self.vote = {"ids": None, **d["vote"]}
             elif t == "done":
@@ -80,14 +81,21 @@
             elif t == "rec":
                 self._take(d["seq"], d["view"], d["rec"])
             elif t == "reset":
-                self.realm, self.recs, self.mark = self._state(d["realm"]), [], d["mark"]
+                self.realm, self.recs, self.mark, self._bytes = self._state(d["realm"]), [], d["mark"], 0
 
     def _take(self, seq, view, rec):
         self.realm.apply(seq, rec)
         self.recs.append([seq, view, rec])
         self.mark = view
+        self._bytes += len(rec.get("text", ""))
         if len(self.recs) > 2 * _TAIL:
-            del self.recs[:-_TAIL]
+            self._trim(len(self.recs) - _TAIL)
+        while self._bytes > _TEXTS and len(self.recs) > 2:
+            self._trim(len(self.recs) // 2)
+
+    def _trim(self, n):
+        self._bytes -= sum(len(r.get("text", "")) for _, _, r in self.recs[:n])
+        del self.recs[:n]
 
     def put_vote(self, **kw):
         """Remembers a promise or an accepted view."""
@@ -107,7 +115,7 @@
 
     def reset(self, realm, mark):
         """Replaces the control state by another core's frame."""
-        self.realm, self.recs, self.mark = self._state(realm), [], mark
+        self.realm, self.recs, self.mark, self._bytes = self._state(realm), [], mark, 0
         self._keep({"t": "reset", "realm": realm, "mark": mark})
 
     def since(self, seq, mark=None):
--- a/src/petrelhaven/helm/seat.py
+++ b/src/petrelhaven/helm/seat.py
@@ -18,6 +18,8 @@
 _HEARD_US = 900_000
 _LATE_US = 3_000_000
 _YOUNG_US = 1_500_000
+_TOLD_US = 3_000_000
+_DEAD_US = 2_500_000
 _TIED_US = 3_500_000
 
 
@@ -28,11 +30,14 @@
     mend_us, confirm_us, ask_us, probe_us = 300_000, 600_000, 200_000, 200_000
     suspect_us = 500_000
 
-    def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, wire, beat_us, log=None):
-        self.wire, self.beat_us = wire, beat_us
+    def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, wire, beat_us, log=None, founds=True,
+                 losses=1):
+        self.wire, self.beat_us, self._most = wire, beat_us, 2 * losses + 1
+        self._gone_at = {}
         self._born = clock.now()
         self.heard, self.tied = {}, {}
         super().__init__(name, hall, seeds, clock, nest, link, disk, rng, platform, log)
+        self.founds = founds and link.addr in seeds
         self.chain.sparing = True
         self.roster.quiet = 12
         self.prober.join_us = 6_000_000
@@ -81,6 +86,39 @@
         if all(ns.get(n, -1) >= v["n"] for n in v["ids"] if n != self.name):
             self.chain.active_at = self.clock.now()
 
+    def others(self):
+        """The seeds, and every core that is known by now."""
+        ps = self.roster.peers.values()
+        return sorted({*self.seeds, *(p.addr for p in ps if p.role == "core" and p.state != "gone")})
+
+    def news(self):
+        """What cores told within the last while."""
+        now = self.clock.now()
+        return {r["name"]: r for at, r in self._infos.values() if r and now - at < _TOLD_US}
+
+    async def recast(self, v, infos):
+        """One change of the cores that count at a time: a newcomer is taken in; while none may be, a dead one is let go.
+
+        Any majority before such a change meets any majority after it. How many count follows from what may be lost.
+        """
+        now = self.clock.now()
+        for n in v["ids"]:
+            if self.roster.state(n) in ("alive", "suspect") or n == self.name:
+                self._gone_at.pop(n, None)
+            else:
+                self._gone_at.setdefault(n, now)
+        new = [n for n in sorted(infos) if n not in v["ids"] and self.roster.state(n) == "alive"]
+        if not new or not self.chain.active:
+            return
+        ids = dict(v["ids"])
+        if len(ids) < self._most:
+            ids[new[0]] = infos[new[0]]["disk"]
+            return await self.propose(v, v["chain"] + new[:1], ids, f"took in {new[0]}")
+        dead = [n for n in ids if n not in v["chain"] and now - self._gone_at.get(n, now) > _DEAD_US]
+        if dead and len(v["chain"]) > (len(ids) - 1) // 2:
+            del ids[dead[0]]
+            await self.propose(v, v["chain"], ids, f"let go of {dead[0]}, which {new[0]} is to replace")
+
     async def _hold(self, ch, b):
         if not self.chain.active:
             return {"ok": False, "note": "not confirmed by a majority"}
--- a/src/petrelhaven/helm/warden.py
+++ b/src/petrelhaven/helm/warden.py
@@ -34,7 +34,7 @@
         self.why = {}
         self._busy = {}
         self._doubts = {}
-        self._calm, self._asked = {}, {}
+        self._calm, self._asked, self._well = {}, {}, {}
         self._resume = {}
         self._began = None
 
@@ -45,7 +45,7 @@
     def doubt(self, group, member, how):
         """Takes a doubt about a primary."""
         o = self._doc["offices"].get(group)
-        if o and o["primary"] == member and self._calm.get(group, 0) <= self.clock.now():
+        if o and o["primary"] == member:
             self._doubts.setdefault(group, how)
 
     async def run(self):
@@ -106,7 +106,7 @@
             return self._do(g, self._adopt, other)
         if p is None:
             return self._do(g, self._move, False, "the primary has left")
-        if g in self._doubts:
+        if g in self._doubts and self._calm.get(g, 0) <= self.clock.now():
             return self._do(g, self._doubted, p, self._doubts.pop(g))
         if p["state"] == "draining" or self.c.chain.realm.hall(p["hall"]) != "open":
             if self._heirs(g, o["primary"]):
@@ -188,7 +188,10 @@
         if up:
             if "up:replica" in up:
                 await self._find(g)
-            self._calm[g] = self.clock.now() + _CALM_US
+            at, n = self._well.get(g, (0, 0))
+            n = min(n + 1, 2) if self.clock.now() - at < 4_000_000 else 0
+            self._well[g] = (self.clock.now(), n)
+            self._calm[g] = self.clock.now() + (_CALM_US << n)
             return
         if len(got) <= of // 2:
             self.why[g] = "too few cores to tell whether the primary is dark"
--- a/src/petrelhaven/span/band.py
+++ b/src/petrelhaven/span/band.py
@@ -177,7 +177,7 @@
         if b.shared is None or b.shared.lost:
             b.shared = await self._opener(b)()
         try:
-            r = await self.clock.limit(b.shared.own("status"), self.g.bounds().join_us)
+            r = await self.clock.limit(b.shared.own("status"), self.g.bounds().join_us // 2)
         except (Late, Unreached):
             b.shared.close()
             self.missed(b, "mute")
--- a/src/petrelhaven/span/clock.py
+++ b/src/petrelhaven/span/clock.py
@@ -206,6 +206,9 @@
         for r in f.reads:
             if not r.out.done():
                 r.out.set_result(pos)
+        for r in [r for x in self._flights for r in x.reads]:
+            if not r.out.done() and self._fits(f.start, f.us, r):
+                r.out.set_result(pos)
         self._serve_queue()
 
     def _serve_queue(self):
--- a/src/petrelhaven/span/passage.py
+++ b/src/petrelhaven/span/passage.py
@@ -58,7 +58,7 @@
         us = self.g.bounds().idle_txn_us
 
         def look():
-            if v.trade is not x or v.busy or v.state != "trading":
+            if v.trade is not x or v.busy or v.state not in ("trading", "failed"):
                 return
             left = v.since + us - self.clock.now()
             if left > 0:
--- a/src/petrelhaven/span/stock.py
+++ b/src/petrelhaven/span/stock.py
@@ -87,6 +87,7 @@
                     return
             if not f.done():
                 f.set_exception(e)
+            self._next()
             return
         except BaseException:
             self._opening -= 1
@@ -111,8 +112,10 @@
         self._next()
 
     def _next(self):
-        while self._wait and not self._wait[0].done() and (self.idle or self.total < self.limit):
+        while self._wait and (self._wait[0].done() or self.idle or self.total < self.limit):
             f = self._wait.popleft()
+            if f.done():
+                continue
             if self.idle:
                 c = self.idle.pop()
                 self.busy.add(c)
@@ -120,13 +123,11 @@
             else:
                 self._opening += 1
                 self.nest.spawn(self._fresh(f))
-        while self._wait and self._wait[0].done():
-            self._wait.popleft()
 
     def give(self, c):
         """Takes a connection back."""
         self.busy.discard(c)
-        if c.lost or self.closed:
+        if c.lost or self.closed or self.total >= self.most:
             c.close()
         else:
             self.idle.append(c)
