--- /dev/null
+++ b/src/petrelhaven/drill/hollow.py
@@ -0,0 +1,125 @@
+"""A control plane of its own size: real links over loopback, three seats and many hollow edges that only hold ties."""
+import asyncio
+import json
+import random
+import shutil
+import tempfile
+import time
+
+from ..creed import link as linking
+from ..creed.disk import Folder
+from ..creed.tick import Clock, Nest
+from ..helm.seat import Seat
+from ..span.tie import Tie
+
+__all__ = ["hollow"]
+
+_GROUPS = 40
+
+
+class _Count:
+    """Messages and bytes that the links of one side sent."""
+
+    __slots__ = ("n", "size")
+
+    def __init__(self):
+        self.n = self.size = 0
+
+    def add(self, raw):
+        """One message more."""
+        self.n += 1
+        self.size += len(raw) + 6
+
+
+class _Link(linking.Link):
+    def __init__(self, clock, nest, count):
+        super().__init__(clock, nest)
+        self._count = count
+
+    def _wrap(self, r, w):
+        c = super()._wrap(r, w)
+        send = c._send
+
+        def sent(b):
+            self._count.add(b)
+            send(b)
+        c._send = sent
+        return c
+
+    def tell(self, addr, kind, body):
+        self._count.n += 1
+        self._count.size += len(linking.pack(kind, linking.TELL, 0, body))
+        super().tell(addr, kind, body)
+
+
+def _manifest(version, routes):
+    return json.dumps({
+        "name": "hollow", "version": version, "halls": ["a", "b", "c"],
+        "groups": [{"name": f"g{i}", "sync": 1} for i in range(_GROUPS)],
+        "routes": [{"name": f"r{i}", "group": f"g{i % _GROUPS}", "host": f"host{i}",
+                    "timeout_us": 1_000_000 + (version if i == 0 else 0)} for i in range(routes)]})
+
+
+async def _until(ok, s=60):
+    end = time.monotonic() + s
+    while not ok():
+        if time.monotonic() > end:
+            raise TimeoutError
+        await asyncio.sleep(0.002)
+
+
+async def _run(edges, routes, secs):
+    clock, nest = Clock(), Nest()
+    tmp = tempfile.mkdtemp()
+    cores, ties = _Count(), _Count()
+    seats, links = [], []
+    try:
+        ls = [_Link(clock, nest, cores) for _ in range(3)]
+        for x in ls:
+            await x.start()
+        seeds = [x.addr for x in ls]
+        for i, x in enumerate(ls):
+            s = Seat(f"core-{i}", "abc"[i], list(seeds), clock, nest, x, Folder(f"{tmp}/{i}"), random.Random(i), None,
+                     None, 1_200_000)
+            seats.append(s)
+            s.start()
+        await _until(lambda: all(s.chain.active for s in seats))
+        await seats[0].apply(_manifest(1, routes))
+        held = []
+        for i in range(edges):
+            x = _Link(clock, nest, ties)
+            links.append(x)
+            t = Tie(clock, nest, x, random.Random(i), f"edge-{i}", list(seeds),
+                    lambda h, i=i: 0 if h == "abc"[i % 3] else 2)
+            held.append(t)
+            t.start()
+        await _until(lambda: all(t.holds for t in held))
+        await asyncio.sleep(2)
+        a = (time.process_time(), cores.n, cores.size, ties.n, ties.size, time.monotonic())
+        await asyncio.sleep(secs)
+        b = (time.process_time(), cores.n, cores.size, ties.n, ties.size, time.monotonic())
+        calm = [(y - x) / (b[5] - a[5]) for x, y in zip(a, b)][:5]
+        acks, alls, size = [], [], cores.size
+        for v in range(2, 7):
+            t0 = time.monotonic()
+            await seats[v % 3].apply(_manifest(v, routes))
+            acks.append(time.monotonic() - t0)
+            await _until(lambda v=v: all(t.ledger.doc["manifest"]["version"] >= v for t in held))
+            alls.append(time.monotonic() - t0)
+        return calm, sorted(acks)[2], sorted(alls)[2], (cores.size - size) / 5
+    finally:
+        for x in [*links, *(s.link for s in seats)]:
+            await x.close()
+        await nest.close()
+        shutil.rmtree(tmp, ignore_errors=True)
+
+
+def hollow():
+    """What control costs at several sizes of fleet and of manifest; processor time is of this whole process."""
+    print(f"{'edges':>6} {'routes':>6} {'msgs/s a core':>13} {'KB/s a core':>11} {'msgs/s an edge':>14} {'KB/s an edge':>12} "
+          f"{'cpu % of a core':>15} {'acknowledged ms':>15} {'everywhere ms':>13} {'KB a change':>11}")
+    for edges, routes in ((6, 10), (86, 10), (300, 10), (600, 10), (86, 100), (86, 1000)):
+        c, ack, every, size = asyncio.run(_run(edges, routes, 10))
+        print(f"{edges:>6} {routes:>6} {c[1] / 3:>13.1f} {c[2] / 3000:>11.2f} {c[3] / edges:>14.2f} {c[4] / edges / 1000:>12.3f} "
+              f"{c[0] * 100:>15.1f} {ack * 1000:>15.1f} {every * 1000:>13.1f} {size / 1000:>11.1f}", flush=True)
+    return 0
--- a/src/petrelhaven/drill/measure.py
+++ b/src/petrelhaven/drill/measure.py
@@ -4,6 +4,7 @@
 import statistics
 
 from ..creed.fault import Fault
+from .hollow import hollow
 from .net import Box
 from .storm import back, inside
 from .visitor import Visitor
@@ -246,4 +247,4 @@
     return 0
 
 
-MEASURES = {f.__name__: f for f in (clock, lanes, commit, keep, failover, force, detect)}
+MEASURES = {f.__name__: f for f in (clock, lanes, commit, keep, failover, force, detect, hollow)}
