The product's own face for seats and gates; tenet, rift and reform on that path; the boot file followed without a signal

Cause: on the users' platform nothing served Seat.status() and Gate.status(), `tenet` and `rift` had nobody to speak to, two lost core disks were a matter for a restore by hand, and a boot file that changed waited for a signal.

A port that is taken is E109 and costs nothing else. - reform: a core without a majority holds no edge, so ledgers are asked of edges as they come for a tie (helm/muster). - platform/reload: the file's content every 2 s, checked whole. Found by its drawn test and mended: a file cut at a line's end reads well and would have put the platform's address at its default; fields that stood there must still stand.

Ruled out: aiohttp on these machines (memory); frames by roster (edges stand in none there); filling blanks in the ledger (its `manifest` is what was applied).

--- a/src/petrelhaven/creed/event.py
+++ b/src/petrelhaven/creed/event.py
@@ -14,6 +14,7 @@
     106: ("error", "settings change declined; the running settings stay", "mend the field named in the file"),
     107: ("info", "settings change taken live", "none"),
     108: ("warning", "settings change waits for a restart", "restart the node when it suits"),
+    109: ("warning", "the product's own face can't listen", "find who has the port; the node serves without that face"),
     110: ("warning", "garbage on an internal port", "find who speaks to the port; the connection was closed"),
     111: ("warning", "internal message of another version", "finish the roll-out"),
     112: ("warning", "internal handler fault", "report with the fields"),
--- a/src/petrelhaven/creed/light.py
+++ b/src/petrelhaven/creed/light.py
@@ -18,6 +18,20 @@
     def __init__(self, verb, path, body):
         self.verb, self.path, self.body = verb, path, body
 
+    @property
+    def query(self):
+        """What the path says after its `?`, by name; of a name said twice, the last."""
+        from urllib.parse import parse_qsl
+
+        return dict(parse_qsl(self.path.partition("?")[2], keep_blank_values=True))
+
+    def text(self):
+        """The body as text."""
+        try:
+            return self.body.decode()
+        except UnicodeDecodeError:
+            raise Malformed("the body is not UTF-8") from None
+
     def doc(self):
         """The body's JSON document."""
         try:
@@ -104,7 +118,9 @@
         self._turn()
 
     def _say(self, st, body, head=(), close=False):
-        hs = [("Content-Length", str(len(body))), ("Content-Type", "application/json"), *head]
+        hs = [("Content-Length", str(len(body))), *head]
+        if not any(k == "Content-Type" for k, _ in head):
+            hs.append(("Content-Type", "application/json"))
         if close:
             hs.append(("Connection", "close"))
         out = self._h.send(h11.Response(status_code=st, headers=hs))
@@ -118,18 +134,19 @@
 
 
 class LightFace:
-    """Serves handlers by verb and path; one that ends in `/` takes the rest of the path as its argument."""
+    """Serves handlers by verb and path; one that ends in `/` takes the rest of the path as its argument, and one with
+    `{}` for its last segment but one takes that."""
 
     def __init__(self, host, port, most=512 << 10, log=None):
         self._host, self._port, self.most, self._log = host, port, most, log
-        self._on, self._under = {}, {}
+        self._on, self._under, self._amid = {}, {}, {}
         self._srv = None
         self.talks = set()
         self.addr = None
 
     def on(self, verb, path, fn):
-        """Serves `verb path` with `fn(request)` or, below a path that ends in `/`, `fn(request, rest)`."""
-        (self._under if path.endswith("/") else self._on)[verb, path] = fn
+        """Serves `verb path` with `fn(request)`, or with `fn(request, part)` where the path leaves a part open."""
+        (self._under if path.endswith("/") else self._amid if "/{}/" in path else self._on)[verb, path] = fn
 
     async def answer(self, q):
         """(status, body, headers) of one request."""
@@ -141,6 +158,9 @@
             else:
                 at, _, rest = path.rpartition("/")
                 fn = self._under.get((q.verb, at + "/"))
+                if fn is None:
+                    up, _, mid = at.rpartition("/")
+                    fn, rest = self._amid.get((q.verb, f"{up}/{{}}/{rest}")), mid
                 if fn is None or not rest:
                     return 404, b'{"fault":"http","note":"Not Found"}', ()
                 r = await fn(q, rest)
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -1,4 +1,5 @@
 """A core machine: roster, voter, chain, lease desk and the planning duty put together."""
+import asyncio
 import re
 
 from transitions import Machine
@@ -293,6 +294,16 @@
         """Forms the chain anew without the disks of `lost`, at the operator's word."""
         return await Reform(self, self.log).run(lost, by)
 
+    async def frames(self):
+        """The control state that each living edge holds, by its name."""
+        async def frame(n):
+            try:
+                return n, (await self.reach.call(n, "edge.frame", {"name": self.name}, 1_500_000))["frame"]
+            except Fault as e:
+                emit(self.log, 311, node=n, fault=e.code)
+                return n, None
+        return {n: f for n, f in await asyncio.gather(*[frame(n) for n in self.roster.living("edge")]) if f}
+
     def unconfirmed(self):
         """The control state as this core alone holds it: no majority says that it is the newest."""
         return self.chain.realm.doc
--- a/src/petrelhaven/helm/herald.py
+++ b/src/petrelhaven/helm/herald.py
@@ -24,11 +24,13 @@
 
     def _event(self, seq, view, rec):
         m = self._chain.realm.manifest
-        subject = rec.get("group") or rec.get("hall") or rec.get("name") or "manifest"
+        name = m.get("name") if isinstance(m, dict) else m and m.name
+        keys = ("name",) if rec["t"] == "member" else ("group", "hall", "name")
+        subject = next((rec[k] for k in keys if rec.get(k)), "manifest")
         return CloudEvent(
             {
                 "id": str(seq),
-                "source": f"/petrelhaven/{m.name if m else 'fleet'}",
+                "source": f"/petrelhaven/{name or 'fleet'}",
                 "type": f"petrelhaven.{rec['t']}",
                 "specversion": "1.0",
                 "subject": subject,
--- a/src/petrelhaven/helm/ledger.py
+++ b/src/petrelhaven/helm/ledger.py
@@ -62,6 +62,12 @@
             raise Stale(f"version {r['version']} is taken by another manifest", more={"version": now["version"]})
         if r["version"] < now["version"]:
             raise Stale(f"version {now['version']} is in force", more={"version": now["version"]})
+        if r.get("retire") is False:
+            gone = {g["name"] for g in self.manifest["groups"]} - {g["name"] for g in json.loads(r["text"])["groups"]}
+            live = sorted(gone & set(self.doc["offices"]))
+            if live:
+                raise Invalid("manifest declined", more={"faults": [
+                    ["groups", f"group {g} is served; retire it with retire=true"] for g in live]})
 
     def _apply_manifest(self, r):
         self.doc["manifest"] = {"version": r["version"], "text": r["text"], "by": r.get("by", ""),
--- a/src/petrelhaven/helm/reform.py
+++ b/src/petrelhaven/helm/reform.py
@@ -1,6 +1,4 @@
 """Forming the chain anew after a majority of the cores lost their disks: at the operator's word only."""
-import asyncio
-
 from ..creed.event import emit
 from ..creed.fault import Fault, Malformed, NotReady, Racing
 
@@ -68,25 +66,17 @@
 
     async def _newest(self):
         c = self._c
-        edges = c.roster.living("edge")
-        got = await asyncio.gather(*[self._frame(n) for n in edges])
         best, src = c.chain.realm.frame(), c.name
-        for n, f in zip(edges, got):
-            if f and f["seq"] > best["seq"]:
+        for n, f in sorted((await c.frames()).items()):
+            if f["seq"] > best["seq"]:
                 best, src = f, n
         return best, src
 
-    async def _frame(self, n):
-        try:
-            return (await self._c.reach.call(n, "edge.frame", {"name": self._c.name}, 1_500_000))["frame"]
-        except Fault as e:
-            emit(self.log, 311, node=n, fault=e.code)
-            return None
-
     @staticmethod
     def _above(f):
         f["seq"] += _GAP_SEQ
-        for g, e in f["epochs"].items():
+        for g, e in f["offices" if "offices" in f else "epochs"].items():
             e["n"] += _GAP
             e["cause"] = f"control was formed anew; before: {e['cause']}"
-            f["past"].setdefault(g, []).append({**f["past"][g][-1], "n": e["n"], "cause": e["cause"], "seq": f["seq"]})
+            past = f["past"].setdefault(g, [])
+            past.append({**(past[-1] if past else e), "n": e["n"], "cause": e["cause"], "seq": f["seq"]})
--- a/src/petrelhaven/helm/relic.py
+++ b/src/petrelhaven/helm/relic.py
@@ -2,7 +2,9 @@
 import os
 
 from ..creed.fault import Damaged
+from .ledger import Ledger
 from .memory import Memory
+from .realm import Realm
 
 __all__ = ["Relic"]
 
@@ -29,12 +31,16 @@
     """Name, disk identity and control state of a folder; `name` is None for an empty one."""
 
     def __init__(self, path):
-        m = Memory(_Still(path), "", _NoChance(), keep=True)
+        m = Memory(_Still(path), "", _NoChance(), keep=True, state=_state)
         if m.damaged:
             raise Damaged(f"{path}: the ring is damaged")
         self.name, self.disk, self.realm = m.name or None, m.disk, m.realm
 
 
+def _state(doc=None):
+    return Ledger(doc) if doc and "offices" in doc else Realm(doc)
+
+
 class _NoChance:
     @staticmethod
     def getrandbits(n):
--- a/src/petrelhaven/helm/seat.py
+++ b/src/petrelhaven/helm/seat.py
@@ -8,6 +8,7 @@
 from .desk import TiedDesk
 from .ledger import Ledger
 from .manifest import read
+from .muster import Muster
 from .warden import Warden
 
 __all__ = ["LENT_US", "Seat"]
@@ -36,6 +37,7 @@
         self._gone_at = {}
         self._born = clock.now()
         self.heard, self.tied = {}, {}
+        self.muster = Muster(clock, nest, log)
         super().__init__(name, hall, seeds, clock, nest, link, disk, rng, platform, log)
         self.founds = founds and link.addr in seeds
         self.chain.sparing = True
@@ -119,14 +121,21 @@
             del ids[dead[0]]
             await self.propose(v, v["chain"], ids, f"let go of {dead[0]}, which {new[0]} is to replace")
 
+    async def frames(self):
+        """The ledgers that living edges hold, by their names; edges are met as they come round."""
+        return await self.muster.gather()
+
     async def _hold(self, ch, b):
         if not self.chain.active:
+            await self.muster.meet(ch, b["edge"])
             return {"ok": False, "note": "not confirmed by a majority"}
         return await self.desk.hold(ch, b)
 
     async def _pulse(self, ch, b):
         now = self.clock.now()
         self.tied[b["name"]] = now
+        if self.muster.on:
+            self.nest.spawn(self.muster.meet(ch, b["name"]))
         for n in [n for n, at in self.tied.items() if now - at > _TIED_US]:
             del self.tied[n]
         for d in b["doubts"]:
@@ -169,10 +178,11 @@
                 raise NotReady("not the active head any more") from None
             raise
 
-    async def apply(self, text, by="", retire=False):
+    async def apply(self, text, by="", retire=True):
         """Checks and applies a manifest; returns once it is on every disk of the view."""
         m = read(text)
-        r = await self.enter({"t": "manifest", "text": text, "version": m.version, "by": by}, False)
+        rec = {"t": "manifest", "text": text, "version": m.version, "by": by}
+        r = await self.enter(rec if retire else {**rec, "retire": False}, False)
         return {"version": m.version, "change": r["seq"]}
 
     async def hall_to(self, hall, state, by=""):
--- /dev/null
+++ b/src/petrelhaven/helm/seatface.py
@@ -0,0 +1,127 @@
+"""The operators' face of a seat: the same calls as `helm/face` serves, over HTTP that costs little memory."""
+import json
+from urllib.parse import unquote
+
+from ..creed.fault import Invalid, Malformed, NoRoute, NotReady
+from .ledgerface import manifest_of, number, why_of
+
+__all__ = ["SeatFace"]
+
+_BY = 120
+
+
+class SeatFace:
+    """Routes of the operators' face; with `announced` members are heard here too."""
+
+    def __init__(self, seat, face, settings=dict, announced=False):
+        self._c, self._settings = seat, settings
+        self._herald = None
+        for v, p, f in (
+            ("POST", "/manifest", self._apply),
+            ("GET", "/manifest", self._show),
+            ("POST", "/halls/{}/evacuate", self._evacuate),
+            ("POST", "/halls/{}/restore", self._restore),
+            ("POST", "/reform", self._reform),
+            ("GET", "/status", self._status),
+            ("GET", "/why", self._why),
+            ("GET", "/belief", self._belief),
+            ("GET", "/ready", self._ready),
+            ("GET", "/realm", self._realm),
+            ("GET", "/events", self._events),
+            *([("POST", "/announce", self._announce)] if announced else []),
+        ):
+            face.on(v, p, f)
+
+    @staticmethod
+    def _by(q):
+        return q.query.get("by", "")[:_BY]
+
+    async def _forced(self, r):
+        return {**r, "in_force_us": await self._c.desk.in_force(r["change"])}
+
+    async def _apply(self, q):
+        text = q.text()
+        return await self._forced(await self._c.apply(text, by=self._by(q), retire=q.query.get("retire") == "true"))
+
+    async def _show(self, q):
+        sure = q.query.get("unconfirmed") != "true"
+        d = await self._c.realm() if sure else self._c.unconfirmed()
+        m = d["manifest"]
+        if "version" in q.query:
+            m = self._version(number(q.query, "version"), m, sure)
+        if m is None:
+            raise NoRoute("no such manifest")
+        return manifest_of(m["text"], sure)
+
+    def _version(self, n, now, sure):
+        """The manifest of version `n`: the one in force, or an older one while its record is kept here."""
+        if now and now["version"] == n:
+            return now
+        c = self._c.chain
+        return next((r for seq, _, r in reversed(c.mem.recs)
+                     if r["t"] == "manifest" and r["version"] == n and (seq <= c.commit or not sure)), None)
+
+    async def _hall(self, q, hall, state):
+        hall = unquote(hall)
+        m = self._c.chain.realm.manifest
+        halls = m["halls"] if m else ()
+        if hall not in halls:
+            raise Invalid(f"no hall {hall[:60]}", more={"faults": [["hall", f"no hall {hall[:60]}"]]})
+        if state == "emptied" and not any(h != hall and self._c.chain.realm.hall(h) == "open" for h in halls):
+            raise Invalid("last open hall", more={"faults": [["hall", "the last open hall can't be emptied"]]})
+        return await self._forced(await self._c.hall_to(hall, state, self._by(q)))
+
+    async def _evacuate(self, q, hall):
+        return await self._hall(q, hall, "emptied")
+
+    async def _restore(self, q, hall):
+        return await self._hall(q, hall, "open")
+
+    async def _reform(self, q):
+        d = q.doc()
+        lost = d.get("lost") if isinstance(d, dict) else None
+        if not isinstance(lost, list) or not all(isinstance(x, str) for x in lost):
+            raise Malformed("lost must be a list of names of cores")
+        return await self._c.reform(lost, self._by(q))
+
+    async def _status(self, q):
+        c = self._c
+        now = c.clock.now()
+        return {**c.status(), "settings": self._settings(),
+                "heard_us": {n: now - at for n, (at, _) in sorted(c.heard.items())}}
+
+    async def _why(self, q):
+        g = q.query.get("group", "")
+        return why_of(await self._c.realm(), q.query, self._c.duty.why.get(g) if self._c.chain.head else None)
+
+    async def _belief(self, q):
+        return self._c.belief()
+
+    async def _ready(self, q):
+        if not self._c.ready:
+            raise NotReady("not ruling yet")
+        return {"ready": True}
+
+    async def _realm(self, q):
+        return await self._c.realm()
+
+    async def _events(self, q):
+        n = number(q.query, "after", 0)
+        if self._herald is None:
+            from .herald import Herald
+
+            self._herald = Herald(self._c.chain)
+        body = json.dumps(self._herald.since(n)).encode()
+        return 200, body, (("Content-Type", "application/cloudevents-batch+json"),)
+
+    async def _announce(self, q):
+        d = q.doc()
+        if not isinstance(d, dict):
+            raise Malformed("announcement must be an object")
+        if type(d.get("draining")) is not bool:
+            raise Malformed("announcement field draining must be bool")
+        if type(d.get("cap")) is not int or not 1 <= d["cap"] <= 10_000:
+            raise Malformed("announcement field cap must be from 1 to 10000")
+        await self._c.announce({**{k: d.get(k) for k in ("member", "group", "hall", "addr", "role")}, "slots": d["cap"],
+                                "state": "draining" if d["draining"] else "ready", "count": d.get("beat", 0)})
+        return {"ok": True}
--- a/src/petrelhaven/rift.py
+++ b/src/petrelhaven/rift.py
@@ -20,8 +20,9 @@
 def differences(a, b):
     """Rows of (path, belief of a, belief of b)."""
     out = []
-    for k in ("manifest", "digest", "halls", "edges", "epochs", "kith", "seq"):
-        _walk(a.get(k), b.get(k), k, out)
+    for k in ("manifest", "digest", "halls", "edges", "epochs", "members", "kith", "seq"):
+        if k in a and k in b:
+            _walk(a[k], b[k], k, out)
     if a.get("view") and b.get("view"):
         _walk(a["view"], b["view"], "view", out)
     return out
--- a/src/petrelhaven/span/gate.py
+++ b/src/petrelhaven/span/gate.py
@@ -7,6 +7,7 @@
 
 from ..creed.event import emit
 from ..creed.fault import Busy, Late, NoRoute
+from ..helm.blanks import fill
 from .ask import Reply
 from .band import Band
 from .clock import Order
@@ -82,6 +83,7 @@
             emit(self.log, 102, name=self.name)
 
     def _manifest(self, m):
+        m = fill(m)
         self.routes = {r["host"]: types.SimpleNamespace(**r) for r in reversed(m["routes"])}
         gs = {g["name"]: g for g in m["groups"]}
         for n in [n for n in self.bands if n not in gs]:
--- a/src/petrelhaven/span/tie.py
+++ b/src/petrelhaven/span/tie.py
@@ -30,6 +30,7 @@
         self._bad, self._asked = {}, {}
         self._ch = self._core = None
         link.on("edge.push", self._push)
+        link.on("edge.frame", self._frame)
 
     def start(self):
         """Starts the task of the tie."""
@@ -126,6 +127,9 @@
         emit(self.log, 423, group=group, member=member, how=how)
         self.nest.spawn(self._pulse([[group, member, how]]))
 
+    async def _frame(self, ch, b):
+        return {"frame": self.ledger.frame() if self.joined else None}
+
     async def _push(self, ch, b):
         if ch is not self._ch and self._ch is not None:
             ch.close()
--- a/src/petrelhaven/tenet.py
+++ b/src/petrelhaven/tenet.py
@@ -154,7 +154,9 @@
         f"change {s['seq']} (committed {s['commit']}), manifest {s['manifest']}"
         + (f"; view {v['n']}: {' > '.join(v['chain'])}" if v else "")
     )
-    if s["head"]:
+    if "tied" in s:
+        _held(s, out)
+    elif s["head"]:
         for g, e in s["epochs"].items():
             out(
                 f"  {g}: epoch {e['n']} {e['phase']}, primary {e['primary']}, in sync "
@@ -172,8 +174,39 @@
             )
 
 
+def _held(s, out):
+    """The rest of a core's status where sessions live with their connection."""
+    out("  edges tied here: " + (", ".join(s["tied"]) or "-"))
+    if not s["head"]:
+        return
+    for g, o in s["epochs"].items():
+        why = s["waiting"].get(g)
+        out(f"  {g}: office {o['n']} {o['phase']}, primary {o['primary']} in term {o['term']}"
+            + (f" ({why})" if why else ""))
+    out("  halls: " + (", ".join(f"{h} {x}" for h, x in s["halls"].items()) or "all open"))
+    for m, (g, state, role) in s["members"].items():
+        if state != "gone":
+            at = s["heard_us"].get(m)
+            out(f"  {m}: {role} of {g}, {state}" + (f", heard here {at / 1e6:.2f} s ago" if at is not None else ""))
+
+
+def _office(o):
+    return f"office {o['n']} ({o['phase']}, primary {o['primary']} in term {o['term']})"
+
+
+def _why_held(d, out):
+    o = d["epoch"]
+    out(f"{_office(o)}, decided by {o['by']} as change {o.get('seq', '?')}")
+    out(f"cause: {o['cause']}")
+    out(f"replaced: {_office(d['replaced'])}" if d["replaced"] else "replaced: nothing that is kept")
+    if d["waiting"]:
+        out(f"now: {d['waiting']}")
+
+
 def _why(d, out):
     e, was = d["epoch"], d["replaced"]
+    if "evidence" not in e:
+        return _why_held(d, out)
     out(
         f"epoch {e['n']} ({e['phase']}, primary {e['primary']}), decided by {e.get('by')} in view "
         f"{e.get('view')} as change {e['seq']}"
--- /dev/null
+++ b/tests/test_boot_watch.py
@@ -0,0 +1,288 @@
+"""The platform's settings file changes underneath running programs, with no signal: taken live, or declined whole."""
+import asyncio
+import os
+import socket
+import sys
+from pathlib import Path
+
+import pytest
+from estate.fleet import Fleet
+from estate.history import History
+from estate.scene import Scene
+from estate.until import until
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from petrelhaven.creed.fault import Fault
+from petrelhaven.creed.http import fetch
+from petrelhaven.creed.tick import Clock
+from petrelhaven.drill.fleet import until as soon
+from petrelhaven.drill.warp import WarpLoop, end_all
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / "platform"))
+
+from boot import load  # noqa: E402
+from reload import Reload  # noqa: E402
+
+pytestmark = pytest.mark.xdist_group("faces")
+BOUNDS = {"ContactMs": 3000, "DrainMs": 3000, "GraceS": 4, "RecoveryS": 8}
+DRAWN = settings(max_examples=60, phases=[Phase.generate], deadline=None, derandomize=True, database=None,
+                 suppress_health_check=[HealthCheck.function_scoped_fixture])
+EDGE = """
+NodeName = "edge-1"
+Serves = ["edge"]
+IpAddr = "10.1.0.42"
+Zone = "a"
+PortRange = [7580, 7595]
+SeedNodes = ["10.1.0.45:8180", "10.2.0.41:8180"]
+Bootstrap = true
+[BindAddrs]
+Front = "10.1.0.42:8182"
+Ready = "10.1.0.42:8181"
+[Bounds]
+GraceS = 6
+[CloudApi]
+Address = "10.200.0.62:8186"
+"""
+OTHER = EDGE.replace("10.2.0.41", "10.3.0.41")
+
+
+class LoopClock(Clock):
+    def now(self):
+        return int(asyncio.get_running_loop().time() * 1e6)
+
+
+class Log:
+    def __init__(self):
+        self.lines = []
+
+    def log(self, level, line):
+        self.lines.append(line)
+
+
+class Watched:
+    """A boot file and the program's view of it, in virtual time; `at(text)` writes it and lets two looks pass."""
+
+    def __init__(self, path):
+        self.path = path
+        self.put(EDGE)
+        self.log, self.taken, self.boot = Log(), [], load(str(path))
+        live = {"seeds": "seeds", "cloud": "platform"}
+        self.reload = Reload(LoopClock(), self.boot, "edge", live, self.taken.append, self.log)
+
+    def put(self, text):
+        if text is None:
+            self.path.unlink(missing_ok=True)
+        else:
+            self.path.write_bytes(text if isinstance(text, bytes) else text.encode())
+
+    async def at(self, text):
+        self.put(text)
+        await LoopClock().sleep(4_400_000)
+        return len(self.taken), self.reload.declined, self.reload.waiting
+
+    def told(self):
+        lines, self.log.lines = self.log.lines, []
+        return [line[:4] for line in lines]
+
+
+def watched(path, fn):
+    loop = WarpLoop()
+    asyncio.set_event_loop(loop)
+
+    async def go():
+        w = Watched(path)
+        t = asyncio.ensure_future(w.reload.run())
+        try:
+            return await fn(w)
+        finally:
+            t.cancel()
+    try:
+        return loop.run_until_complete(go())
+    finally:
+        end_all(loop)
+        loop.close()
+        asyncio.set_event_loop(None)
+
+
+def test_seeds_and_the_platforms_address_are_taken_without_a_signal(tmp_path):
+    async def go(w):
+        assert await w.at(EDGE) == (0, [], []) and w.told() == []
+        assert await w.at(OTHER) == (1, [], []) and w.taken[0].seeds == ["10.1.0.45:7580", "10.3.0.41:7580"]
+        assert w.log.lines[0].endswith("fields=seeds") and w.told() == ["E107"]
+        assert await w.at(OTHER.replace("10.200.0.62", "10.200.0.63")) == (2, [], [])
+        assert w.taken[1].cloud == "10.200.0.63:8186" and w.log.lines[0].endswith("fields=platform")
+        w.told()
+        assert await w.at(OTHER.replace("10.200.0.62", "10.200.0.63") + "# words\n") == (2, [], [])
+        assert w.log.lines[0].endswith("fields=none")
+        w.reload.again()
+        assert w.told() == ["E107", "E107"] and len(w.taken) == 2
+    watched(tmp_path / "b.toml", go)
+
+
+@pytest.mark.parametrize("bad", [
+    b"", None, EDGE[:40], EDGE[:EDGE.index("[CloudApi]")], EDGE[:EDGE.index("[Bounds]") - 20], b"\xff\xfe", "nonsense",
+    EDGE.replace("10.1.0.45:8180", "x"), EDGE.replace('["edge"]', '["control"]'), EDGE.replace("Zone", "Zona"), EDGE.replace("SeedNodes", "SeedNodez")])
+def test_a_torn_or_wrong_file_is_declined_and_the_running_settings_stay(tmp_path, bad):
+    async def go(w):
+        n, declined, _ = await w.at(bad)
+        assert n == 0 and declined and w.told() == ["E106"]
+        assert (await w.at(bad))[1] == declined and w.told() == []
+        w.reload.again()
+        assert w.told() == ["E106"] and w.taken == []
+        assert w.reload.status() == {"file": str(w.path), "waiting": [], "declined": declined}
+        assert await w.at(EDGE) == (0, [], []) and w.told() == ["E107"]
+        assert (await w.at(OTHER))[:2] == (1, [])
+    watched(tmp_path / "b.toml", go)
+
+
+def test_what_a_running_program_can_not_take_waits_for_its_restart(tmp_path):
+    async def go(w):
+        other = OTHER.replace('Zone = "a"', 'Zone = "b"').replace("GraceS = 6", "GraceS = 9").replace("7580", "7570")
+        assert await w.at(other) == (1, [], ["Zone", "PortRange", "Bounds.GraceS"]) and w.told() == ["E107", "E108"]
+        assert await w.at(other + "\n") == (1, [], ["Zone", "PortRange", "Bounds.GraceS"]) and w.told() == ["E107"]
+        assert await w.at(EDGE) == (2, [], [])
+    watched(tmp_path / "b.toml", go)
+
+
+def test_a_file_that_is_still_being_written_is_let_settle(tmp_path):
+    async def go(w):
+        await LoopClock().sleep(1_990_000)
+        w.put(OTHER[:50])
+        await LoopClock().sleep(50_000)
+        w.put(OTHER)
+        await LoopClock().sleep(2_200_000)
+        assert len(w.taken) == 1 and w.told() == ["E107"]
+    watched(tmp_path / "b.toml", go)
+
+
+@DRAWN
+@given(st.lists(st.one_of(st.integers(0, len(OTHER)).map(lambda i: OTHER[:i]), st.binary(max_size=30), st.just(OTHER),
+                          st.just(EDGE), st.none()), max_size=5))
+def test_whatever_is_drawn_only_whole_files_are_taken(tmp_path, files):
+    async def go(w):
+        for f in files:
+            n = len(w.taken)
+            got, declined, _ = await w.at(f)
+            whole = not declined
+            assert got == n or whole
+        assert await w.at(EDGE + "\n") == (len(w.taken), [], [])
+        assert w.taken == [] or w.taken[-1].seeds == w.boot.seeds
+        assert {x.cloud for x in w.taken} <= {w.boot.cloud}
+    watched(tmp_path / "b.toml", go)
+
+
+@pytest.fixture
+def built(tmp_path):
+    """A checkout as its build leaves it, made of links to this one."""
+    root = tmp_path / "root"
+    (root / "target/app").mkdir(parents=True)
+    for name in ("deploy", "platform", "src"):
+        (root / name).symlink_to(ROOT / name)
+    (root / "target/app/petrelhaven").symlink_to(ROOT / "src/petrelhaven")
+    return root
+
+
+async def status(m):
+    try:
+        return await fetch(f"{m.ip}:7581", "GET", "/status", us=2_000_000)
+    except Fault:
+        return None
+
+
+def test_programs_take_a_changed_file_and_decline_a_torn_one_without_a_signal(built, tmp_path):
+    async def go():
+        async with Scene(built, tmp_path / "run", bounds=BOUNDS, services=1) as s:
+            edge = next(m for n, m in s.fleet.machines.items() if n.startswith("edge"))
+            cores = [m for n, m in s.fleet.machines.items() if n.startswith("core")]
+
+            def put(m, text):
+                (s.fleet.folder / m.name / f"{next(iter(m.processes))}.toml").write_text(text)
+
+            def text(m):
+                return s.fleet.settings(m, next(iter(m.processes)), False)
+
+            async def declined(m, yes):
+                d = await status(m)
+                return d and bool(d["settings"]["declined"]) is yes
+            for m in (edge, cores[0]):
+                put(m, text(m)[:60])
+                await soon(lambda m=m: declined(m, True), 10)
+                put(m, text(m))
+                await soon(lambda m=m: declined(m, False), 10)
+            assert (await status(edge))["ready"] and (await status(edge))["joined"]
+            # the platform moves to another address: the cores learn it from the file alone
+            here = s.cloud.address
+            await s.cloud.close()
+            there = f"{here.rsplit(':', 1)[0]}:8187"
+            s.cloud.address = there
+            await s.cloud.start()
+            for m in cores:
+                put(m, text(m).replace(here, there))
+            logs = [s.fleet.folder / m.name / "crux.log" for m in cores]
+            await until(lambda: all("fields=platform" in p.read_text() for p in logs), 10)
+            old = s.primary()
+            await old.crash()
+            await until(lambda: s.primary() not in (None, old), 20)
+            assert s.fleet.own_ends() == {} and all(p.starts == 1 for m in [edge, *cores] for p in m.processes.values())
+    asyncio.run(go())
+
+
+def test_an_edge_whose_seeds_were_wrong_comes_in_once_the_file_is_right(built, tmp_path):
+    async def go():
+        net = 20 + os.getpid() % 200
+        f = Fleet(built, tmp_path / "run", History(), {"a": "r1"}, edges=1, cores=1, net=net, bounds=BOUNDS)
+        edge, core = f.machines["edge-a-1"], f.machines["core-a-1"]
+        right, file = f.settings, f.folder / "edge-a-1" / "verge.toml"
+
+        def wrong(machine, role, first):
+            t = right(machine, role, first)
+            return t.replace(f"{core.ip}:8180", "127.0.0.1:9") if machine is edge else t
+        f.settings = wrong
+        try:
+            await f.start()
+
+            async def up():
+                d = await status(edge)
+                return d and d["joined"] is False
+
+            async def ruling():
+                d = await status(core)
+                return d and d["active"]
+
+            async def joined():
+                return (await status(edge))["joined"]
+            await soon(up, 10)
+            await soon(ruling, 10)
+            assert not await joined()
+            file.write_text(right(edge, "verge", False))
+            await soon(joined, 10)
+            assert not f.own_ends()
+        finally:
+            await f.close()
+    asyncio.run(go())
+
+
+def test_a_port_that_is_taken_costs_the_face_and_nothing_else(built, tmp_path):
+    async def go():
+        f = Fleet(built, tmp_path / "run", History(), {"a": "r1"}, edges=1, cores=1, net=20 + os.getpid() % 200,
+                  bounds=BOUNDS)
+        core, log = f.machines["core-a-1"], f.folder / "core-a-1" / "crux.log"
+        with socket.socket() as taken:
+            taken.bind((core.ip, 7581))
+            taken.listen()
+            try:
+                await f.start()
+                await until(lambda: log.exists() and "E109" in log.read_text(), 10)
+
+                async def ready():
+                    try:
+                        return await fetch(f"{core.ip}:8180", "GET", "/v1/readiness", us=1_000_000) == {}
+                    except Fault:
+                        return False
+                await soon(ready, 10)
+                assert not f.own_ends()
+            finally:
+                await f.close()
+    asyncio.run(go())
