--- a/src/petrelhaven/creed/daemon.py
+++ b/src/petrelhaven/creed/daemon.py
@@ -65,7 +65,7 @@
         h, p = self.set.link.rsplit(":", 1)
         self.link = Link(self.clock, self.nest, self.log, h, int(p))
         h, p = self.set.http.rsplit(":", 1)
-        self.face = Face(h, int(p), log=self.log)
+        self.face = self.make_face(h, int(p))
         self.prepare()
         await self.link.start()
         node = None
@@ -92,6 +92,10 @@
             await self.nest.close()
         return 0
 
+    def make_face(self, host, port):
+        """The face that the node's routes are put on."""
+        return Face(host, port, log=self.log)
+
     def prepare(self):
         """Checks what must be checked before listening."""
 
--- a/src/petrelhaven/creed/settings.py
+++ b/src/petrelhaven/creed/settings.py
@@ -18,7 +18,7 @@
 class Settings:
     """A daemon's place: its addresses, its hall, three seed addresses."""
 
-    __slots__ = ("_name", "_hall", "_link", "_http", "_seeds", "_data", "_platform", "_level", "file", "check")
+    __slots__ = ("_name", "_hall", "_link", "_http", "_seeds", "_data", "_platform", "_level", "_path", "file", "check")
     name = Word(NAME, "a name of lower-case letters, digits and hyphens")
     hall = Word(NAME, "a name of lower-case letters, digits and hyphens")
     link = Word(_ADDR, "an address like 127.0.0.1:7000")
@@ -26,6 +26,7 @@
     platform = Word(_ADDR, "an address like 127.0.0.1:8000")
     level = Word(re.compile("debug|info|warning|error"), "debug, info, warning or error")
     data = Word(re.compile(r"[^\0]+"), "a folder")
+    path = Word(re.compile("held|kept"), "held or kept")
 
     @property
     def seeds(self):
@@ -77,6 +78,8 @@
     if core:
         p.add_argument("--data", metavar="DIR", help="data folder")
         p.add_argument("--platform", metavar="IP:PORT", help="address of the platform")
+        p.add_argument("--path", metavar="held|kept",
+                       help="held: sessions live with their connection; kept: edges keep them for each other (kept)")
     return p
 
 
@@ -98,7 +101,9 @@
         d["seeds"] = d["seeds"].split(",")
     s = Settings()
     s.file, s.check = f, check
-    need = ["name", "hall", "link", "http", "seeds", "level"] + (["data", "platform"] if core else [])
+    if core:
+        d.setdefault("path", "kept")
+    need = ["name", "hall", "link", "http", "seeds", "level"] + (["data", "platform", "path"] if core else [])
     for k in d:
         if k not in need:
             bad.append(f"{k}: unknown field")
--- a/src/petrelhaven/creed/watch.py
+++ b/src/petrelhaven/creed/watch.py
@@ -44,9 +44,8 @@
             return
         self.declined = []
         old = self._now
-        diff = [
-            k for k in ("name", "hall", "link", "http", "data", *LIVE) if getattr(new, k, None) != getattr(old, k, None)
-        ]
+        fields = ("name", "hall", "link", "http", "data", "path", *LIVE)
+        diff = [k for k in fields if getattr(new, k, None) != getattr(old, k, None)]
         live = [k for k in diff if k in LIVE]
         if live:
             emit(self.log, 107, fields=",".join(live))
--- a/src/petrelhaven/crux.py
+++ b/src/petrelhaven/crux.py
@@ -5,17 +5,36 @@
 
 from .creed.daemon import Daemon
 from .creed.disk import Folder
-from .creed.fault import Misplaced
+from .creed.fault import Damaged, Misplaced
+from .creed.light import LightFace
 from .helm.core import Core
 from .helm.face import CoreFace, Platform
+from .helm.ledger import Ledger
+from .helm.memberwire import MemberWire
 from .helm.memory import Memory
 from .helm.relic import Relic
+from .helm.seat import Seat
+from .helm.seatface import SeatFace
+from .span.wire import Wire
 
 __all__ = ["main"]
 
 
+_BEAT_US = 1_200_000
+
+
+def _make_held(d):
+    s = d.set
+    seat = Seat(s.name, s.hall, d.seeds, d.clock, d.nest, d.link, Folder(s.data), random.SystemRandom(),
+                Platform(s.platform), MemberWire(d.clock, Wire(d.clock, d.nest)), _BEAT_US, d.log)
+    SeatFace(seat, d.face, lambda: seat.settings(), announced=True)
+    return seat
+
+
 def _make(d):
     s = d.set
+    if s.path == "held":
+        return _make_held(d)
     core = Core(
         s.name,
         s.hall,
@@ -37,10 +56,18 @@
 
 
 class _Crux(Daemon):
+    def make_face(self, host, port):
+        """The face of the path that this core runs."""
+        return LightFace(host, port, log=self.log) if self.set.path == "held" else super().make_face(host, port)
+
     def prepare(self):
-        """Looks into the data folder before listening; another node's folder is declined."""
+        """Looks into the data folder before listening; another node's folder, or another path's, is declined."""
+        try:
+            self.check()
+        except Damaged:
+            pass    # the core comes back as an empty one
         f = Folder(self.set.data)
-        Memory(f, self.set.name, random.SystemRandom(), self.log)
+        Memory(f, self.set.name, random.SystemRandom(), self.log, state=Ledger if self.set.path == "held" else None)
         f.close()
 
     def check(self):
@@ -49,6 +76,9 @@
             relic = Relic(self.set.data)
             if relic.name not in (None, self.set.name):
                 raise Misplaced(f"the data folder belongs to {relic.name}, not {self.set.name}")
+            path = "held" if isinstance(relic.realm, Ledger) else "kept"
+            if relic.name and path != self.set.path:
+                raise Misplaced(f"the data folder holds control state of the path {path}, not {self.set.path}")
 
 
 def main(argv=None):
