--- a/src/petrelhaven/creed/contract.py
+++ b/src/petrelhaven/creed/contract.py
@@ -65,7 +65,9 @@
 _contract("edge.enter", "edge:string inc:long state:string boot:string hall:string addr:string http:string", "seq:long")
 # an edge's tie, cores among themselves about members
 _contract(
-    "tie.pulse", "name:string seq:long cores:long doubts:doc", "ok:boolean us:long need:long view:long edges:long cores:doc"
+    "tie.pulse",
+    "name:string seq:long cores:long doubts:doc",
+    "ok:boolean us:long need:long view:long edges:long cores:doc",
 )
 _contract("warden.doubt", "group:string member:string how:string")
 _contract("warden.look", "member:string addr:string group:string", "how:string")
@@ -111,7 +113,8 @@
     if thin:
         raw = zlib.compress(raw, 1)
     o = io.BytesIO()
-    fastavro.schemaless_writer(o, _HEAD, {"v": VERSION, "id": num, "flow": flow, "kind": kind, "thin": thin, "body": raw})
+    head = {"v": VERSION, "id": num, "flow": flow, "kind": kind, "thin": thin, "body": raw}
+    fastavro.schemaless_writer(o, _HEAD, head)
     return o.getvalue()
 
 
--- a/src/petrelhaven/drill/hollow.py
+++ b/src/petrelhaven/drill/hollow.py
@@ -116,10 +116,12 @@
 
 def hollow():
     """What control costs at several sizes of fleet and of manifest; processor time is of this whole process."""
-    print(f"{'edges':>6} {'routes':>6} {'msgs/s a core':>13} {'KB/s a core':>11} {'msgs/s an edge':>14} {'KB/s an edge':>12} "
-          f"{'cpu % of a core':>15} {'acknowledged ms':>15} {'everywhere ms':>13} {'KB a change':>11}")
+    heads = ("edges", "routes", "msgs/s a core", "KB/s a core", "msgs/s an edge", "KB/s an edge", "cpu % of a core",
+             "acknowledged ms", "everywhere ms", "KB a change")
+    print(" ".join(heads))
     for edges, routes in ((6, 10), (86, 10), (300, 10), (600, 10), (86, 100), (86, 1000)):
         c, ack, every, size = asyncio.run(_run(edges, routes, 10))
-        print(f"{edges:>6} {routes:>6} {c[1] / 3:>13.1f} {c[2] / 3000:>11.2f} {c[3] / edges:>14.2f} {c[4] / edges / 1000:>12.3f} "
-              f"{c[0] * 100:>15.1f} {ack * 1000:>15.1f} {every * 1000:>13.1f} {size / 1000:>11.1f}", flush=True)
+        row = (c[1] / 3, c[2] / 3000, c[3] / edges, c[4] / edges / 1000, c[0] * 100, ack * 1000, every * 1000, size / 1000)
+        print(" ".join([f"{edges:>{len(heads[0])}}", f"{routes:>{len(heads[1])}}"]
+                       + [f"{x:>{len(h)}.3f}" for x, h in zip(row, heads[2:])]), flush=True)
     return 0
--- a/src/petrelhaven/helm/chain.py
+++ b/src/petrelhaven/helm/chain.py
@@ -165,7 +165,8 @@
             if self.view["n"] != n and not self.head:
                 raise NotReady("the view changed; read back to see the outcome")
             await self.clock.sleep(30_000)
-        more = {k: rec[k] for k in ("name", "group", "hall", "state", "role") if rec.get(k)} if rec["t"] == "member" else {}
+        what = ("name", "group", "hall", "state", "role") if rec["t"] == "member" else ()
+        more = {k: rec[k] for k in what if rec.get(k)}
         emit(self.log, 305, seq=seq, kind=rec["t"], **more)
         return seq
 
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -188,7 +188,8 @@
         if v is None:
             if self.mem.vote["value"]:
                 return await self._finish(self.mem.vote["value"])
-            if not self.founds or len(infos) < len(self.seeds) or not all(r["fresh"] and not r["view"] for r in infos.values()):
+            blank = all(r["fresh"] and not r["view"] for r in infos.values())
+            if not self.founds or len(infos) < len(self.seeds) or not blank:
                 self._alone = now
                 return
             if min(infos) != self.name and now - self._alone < 2_000_000:
--- a/src/petrelhaven/helm/seat.py
+++ b/src/petrelhaven/helm/seat.py
@@ -50,7 +50,8 @@
 
     def make_desk(self):
         """The desk of the edges' ties."""
-        return TiedDesk(self.clock, self.nest, self.chain, self.call, self.log, int((LENT_US + self.confirm_us) * DRIFT))
+        lapse = int((LENT_US + self.confirm_us) * DRIFT)
+        return TiedDesk(self.clock, self.nest, self.chain, self.call, self.log, lapse)
 
     def make_duty(self, platform):
         """The warden of all offices."""
@@ -58,7 +59,8 @@
 
     def handlers(self):
         """What edges and other cores ask."""
-        return {"edge.hold": self._hold, "chain.force": self.desk.force, "tie.pulse": self._pulse, "warden.doubt": self._doubted,
+        return {"edge.hold": self._hold, "chain.force": self.desk.force, "tie.pulse": self._pulse,
+                "warden.doubt": self._doubted,
                 "warden.look": self.duty.looked}
 
     async def rest(self):
@@ -79,7 +81,7 @@
         return super()._there(n) or young and self.roster.state(n) is None
 
     def informed(self):
-        """Once every other core of the view has told that it rules no older one, none can, and nothing is waited for."""
+        """Once every other core of the view has told that it rules no older one, nothing is waited for."""
         v = self.chain.view
         if v is None or self.chain.active_at <= self.clock.now():
             return
@@ -99,7 +101,7 @@
         return {r["name"]: r for at, r in self._infos.values() if r and now - at < _TOLD_US}
 
     async def recast(self, v, infos):
-        """One change of the cores that count at a time: a newcomer is taken in; while none may be, a dead one is let go.
+        """One change of the cores that count at a time: takes a newcomer in; while it may not, lets a dead one go.
 
         Any majority before such a change meets any majority after it. How many count follows from what may be lost.
         """
--- a/src/petrelhaven/helm/warden.py
+++ b/src/petrelhaven/helm/warden.py
@@ -276,7 +276,8 @@
         if len(reps) < self._doc["sizes"].get(g, 1) - 1:
             return self._waits(g, "a member has left and none has come for it yet")
         if any(r is None for r in rows) or not reps:
-            return self._waits(g, "not heard: " + ", ".join(f"{w.name} {w.odd}" for w, r in zip(reps, rows) if r is None))
+            odd = [f"{w.name} {w.odd}" for w, r in zip(reps, rows) if r is None]
+            return self._waits(g, "not heard: " + ", ".join(odd))
         term = max([r["term"] for r in rows] + ([row["term"]] if row else [])) + 1
         ok = set(self._heirs(g, old))
         if planned and row and row["role"] == "primary":
--- a/src/petrelhaven/span/ask.py
+++ b/src/petrelhaven/span/ask.py
@@ -4,7 +4,7 @@
 
 
 class Ask:
-    """One statement. `verb`: begin, commit, rollback, read, write, set, prepare, execute, forget. `text` is as it came."""
+    """One statement: begin, commit, rollback, read, write, set, prepare, execute or forget. `text` is as it came."""
 
     __slots__ = ("num", "verb", "name", "writes", "shape", "text", "data")
 
--- a/src/petrelhaven/span/band.py
+++ b/src/petrelhaven/span/band.py
@@ -116,7 +116,8 @@
         for n, b in self.berths.items():
             if n in bad or b.stop_at is not None and (n != p or now >= b.stop_at):
                 continue
-            k = (b.down > now, b.slow > now and b.tide.log < pos, b.out >= max(2, b.slots - 1), b.rank, n == p and b.rank > 0, b.out, n)
+            lags = b.slow > now and b.tide.log < pos
+            k = (b.down > now, lags, b.out >= max(2, b.slots - 1), b.rank, n == p and b.rank > 0, b.out, n)
             if best is None or k < best[0]:
                 best = (k, b)
         return best[1] if best else None
--- a/src/petrelhaven/span/gate.py
+++ b/src/petrelhaven/span/gate.py
@@ -193,7 +193,8 @@
         t0 = self.clock.now()
         p = await self._run(v, a, r, b, x, t0 + us, us)
         if p.code is not None:
-            emit(self.log, 425, group=b.name, verb=a.verb, code=p.code, us=self.clock.now() - t0, note=p.text, visit=id(v) & 0xFFFFFF,
+            emit(self.log, 425, group=b.name, verb=a.verb, code=p.code, us=self.clock.now() - t0,
+                 note=p.text, visit=id(v) & 0xFFFFFF,
                  stocks=",".join(f"{n[-4:]}:{z.stock.plight()}" for n, z in b.berths.items()), visits=b.visits)
         return p
 
--- a/src/petrelhaven/span/passage.py
+++ b/src/petrelhaven/span/passage.py
@@ -1,4 +1,4 @@
-"""The ways of statements of held sessions: reads by the clock, writes once, transactions on a connection of their own."""
+"""The ways of statements of held sessions: reads by the clock, writes once, transactions on their own connection."""
 import asyncio
 
 from ..creed.event import emit
@@ -41,7 +41,7 @@
         return (yield from self._read(v, a, r, b, end))
 
     def part(self, v, num=None):
-        """Ends a visit's transaction at its member, if it has one there: by its ROLLBACK `num`, else with the connection."""
+        """Ends a visit's transaction at its member: by its ROLLBACK `num`, else with the connection."""
         x, v.trade = v.trade, None
         if x is None or x.conn is None:
             return
@@ -262,7 +262,8 @@
 
     def _hopeless(self, b, r, end):
         """Whether a primary has been dark for so long that waiting for it is not worth the visitor's time."""
-        return (b.dark() > _DARK_US or b.office is not None and b.office.get("stuck")) and self.clock.now() > end - r.timeout_us + r.aim_us // 5
+        stuck = b.dark() > _DARK_US or b.office is not None and b.office.get("stuck")
+        return stuck and self.clock.now() > end - r.timeout_us + r.aim_us // 5
 
     def _given_up(self, b, ran=False):
         if ran:
@@ -398,7 +399,7 @@
         return Reply(code="aborted", text=why, state=v.mark)
 
     def _torn(self, v, a, x):
-        """The connection of a transaction is lost or mute; it is closed, so its member rolls back what is not committed."""
+        """The connection of a transaction is lost or mute; closed, so its member rolls back what is not committed."""
         c, x.conn = x.conn, None
         x.berth.stock.drop(c)
         wrote = x.wrote
--- a/src/petrelhaven/span/strand.py
+++ b/src/petrelhaven/span/strand.py
@@ -9,7 +9,8 @@
     """Base of a wire's connection. A wire adds `ask`, `own`, `plain` and `close`; replies come in the order asked.
 
     `ask(ask, after, alias)` gives a future of a Reply, `own(verb, *args)` one of a status row, `plain(verb, args,
-    number)` one of a Reply to a statement said again under its visitor's number, or `-` of the system's own; a lost connection fails them with Unreached.
+    number)` one of a Reply to a statement said again under its visitor's number, or `-` of the system's own; a lost
+    connection fails them with Unreached.
     """
 
     def __init__(self):
