--- a/src/petrelhaven/drill/hollow.py
+++ b/src/petrelhaven/drill/hollow.py
@@ -121,7 +121,8 @@
     print(" ".join(heads))
     for edges, routes in ((6, 10), (86, 10), (300, 10), (600, 10), (86, 100), (86, 1000)):
         c, ack, every, size = asyncio.run(_run(edges, routes, 10))
-        row = (c[1] / 3, c[2] / 3000, c[3] / edges, c[4] / edges / 1000, c[0] * 100, ack * 1000, every * 1000, size / 1000)
+        row = (c[1] / 3, c[2] / 3000, c[3] / edges, c[4] / edges / 1000, c[0] * 100)
+        row += (ack * 1000, every * 1000, size / 1000)
         print(" ".join([f"{edges:>{len(heads[0])}}", f"{routes:>{len(heads[1])}}"]
                        + [f"{x:>{len(h)}.3f}" for x, h in zip(row, heads[2:])]), flush=True)
     return 0
