--- a/tests/test_boot_watch.py
+++ b/tests/test_boot_watch.py
@@ -123,7 +123,8 @@
 
 @pytest.mark.parametrize("bad", [
     b"", None, EDGE[:40], EDGE[:EDGE.index("[CloudApi]")], EDGE[:EDGE.index("[Bounds]") - 20], b"\xff\xfe", "nonsense",
-    EDGE.replace("10.1.0.45:8180", "x"), EDGE.replace('["edge"]', '["control"]'), EDGE.replace("Zone", "Zona"), EDGE.replace("SeedNodes", "SeedNodez")])
+    EDGE.replace("10.1.0.45:8180", "x"), EDGE.replace('["edge"]', '["control"]'), EDGE.replace("Zone", "Zona"),
+    EDGE.replace("SeedNodes", "SeedNodez")])
 def test_a_torn_or_wrong_file_is_declined_and_the_running_settings_stay(tmp_path, bad):
     async def go(w):
         n, declined, _ = await w.at(bad)
