--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -11,7 +11,7 @@
 import pytest
 
 from petrelhaven.creed.contract import CALL, VERSION, pack
-from petrelhaven.creed.fault import Fault
+from petrelhaven.creed.fault import Fault, NotReady
 from petrelhaven.creed.http import fetch
 from petrelhaven.drill.fleet import until
 from petrelhaven.drill.soak import Soak
@@ -352,7 +352,13 @@
         for c in ("c3", "c1", "c2"):
             await f.again(c)
         await f.until(f.head, 15)
-        assert await fetch(f.cores[1], "GET", "/manifest", raw=True) == f.manifest.encode()
+
+        async def shown():
+            try:
+                return await fetch(f.cores[1], "GET", "/manifest", raw=True)
+            except NotReady:
+                return None     # the head is back; the tail, which answers, may be a moment later
+        assert await f.until(shown, 5) == f.manifest.encode()
         k = await more()
         await f.until(lambda: k(100), 30)
         await f.calm()
