A read that is answered takes back its other try

Cause (storms of the held path, docs/incidents/hedged-read-sent-late.md): the losing try of a hedged read went on waiting for a connection and was sent later, fitted out with what the session had become. Ruled out: the connections' bookkeeping, transactions.

--- a/src/petrelhaven/span/gate.py
+++ b/src/petrelhaven/span/gate.py
@@ -128,6 +128,8 @@
 
     async def serve_one(self, v, a):
         """The reply to one statement."""
+        if v.state == "ended":
+            return Reply(code="aborted", text="the session has ended")
         v.busy = True
         try:
             r = self._at_once(v, a)
--- a/src/petrelhaven/span/passage.py
+++ b/src/petrelhaven/span/passage.py
@@ -173,11 +173,23 @@
         return None
 
     def _read(self, v, a, r, b, end):
+        runs = []
+        try:
+            return (yield from self._tried(v, a, r, b, end, runs))
+        finally:
+            for t, f in runs:
+                if not t.sent:
+                    f.cancel()
+                    if t.flight is not None:
+                        b.reads.failed(t.flight)
+
+    def _tried(self, v, a, r, b, end, runs):
+        """Tries of a read, two at once at the most; `runs` are those still under way, unsent ones end with the read."""
         g = self.g
         arr = g.order.next()
         since = self.clock.now() - int(r.stale_us * 0.8) if r.reads == "browsing" else None
         hedge = max(60_000, int(r.aim_us * 0.4))
-        bad, runs, key, pos, pause = set(), [], None, None, 10_000
+        bad, key, pos, pause = set(), None, None, 10_000
         while True:
             left = end - self.clock.now()
             if left <= 0:
@@ -218,7 +230,7 @@
                     continue
                 yield self._either([runs[0][1]], end - self.clock.now())
             done = [x for x in runs if x[1].done()]
-            runs = [x for x in runs if not x[1].done()]
+            runs[:] = [x for x in runs if not x[1].done()]
             for t, f in done:
                 x = self._noted(b, t, f)
                 if x is not None and x.ok:
--- a/tests/test_held_storm.py
+++ b/tests/test_held_storm.py
@@ -271,3 +271,8 @@
     left = shrink(0, rows)
     assert len(left) < len(rows) and "release_replica" in [k for _, k, _ in left]
     assert "DRAIN" in {b[0] for b in run(0, left)[0]}
+
+
+@pytest.mark.parametrize("seed", [1, 52, 56])
+def test_a_read_whose_client_was_answered_is_not_sent_any_more(seed):
+    assert run(seed, kinds=["replica_lag", "member_busy"], cap=10, clients=18)[0] == []
