--- a/src/petrelhaven/creed/contract.py
+++ b/src/petrelhaven/creed/contract.py
@@ -69,6 +69,8 @@
     "name:string seq:long cores:long doubts:doc",
     "ok:boolean us:long need:long view:long edges:long cores:doc",
 )
+_contract("tie.wall", "name:string", "ok:boolean lo:long hi:long")
+_contract("wall.read", "name:string", "wall:long")
 _contract("warden.doubt", "group:string member:string how:string")
 _contract("warden.look", "member:string addr:string group:string", "how:string")
 # edges among themselves
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -6,7 +6,7 @@
 
 from ..creed.bound import NAME
 from ..creed.event import emit
-from ..creed.fault import Duplicate, Fault, Malformed, NotReady
+from ..creed.fault import Duplicate, Fault, Invalid, Malformed, NotReady
 from ..creed.reach import Reach
 from ..kith.probe import Prober
 from ..kith.roster import Roster
@@ -283,6 +283,9 @@
     async def apply(self, text, by="", retire=False):
         """Checks and applies a manifest."""
         m = read(text)
+        if m.embargoing or m.embargoes:
+            raise Invalid("manifest declined", more={"faults": [
+                ["embargoing", "embargoes are kept only where sessions live with their connection"]]})
         r = await self.enter({"t": "manifest", "text": text, "by": by, "retire": retire})
         return {"version": m.version, "change": r["seq"], **r["doc"]}
 
--- a/src/petrelhaven/helm/ledger.py
+++ b/src/petrelhaven/helm/ledger.py
@@ -56,6 +56,9 @@
         now = self.doc["manifest"]
         if not now:
             return
+        if "embargoes" in self.doc:
+            from .embargoes import check_manifest
+            check_manifest(self.doc, r)
         if r["version"] == now["version"]:
             if hashlib.sha256(r["text"].encode()).hexdigest() == now["digest"]:
                 raise Duplicate(f"version {r['version']} is in force already", more={"version": r["version"]})
@@ -71,7 +74,11 @@
 
     def _apply_manifest(self, r):
         self.doc["manifest"] = {"version": r["version"], "text": r["text"], "by": r.get("by", ""),
-                                "digest": hashlib.sha256(r["text"].encode()).hexdigest()}
+                                "digest": hashlib.sha256(r["text"].encode()).hexdigest(),
+                                **({"embargo": r["embargo"]} if "embargo" in r else {})}
+        if "embargo" in r or "embargo_since" in self.doc:
+            from .embargoes import apply_manifest
+            apply_manifest(self.doc, r, self.seq + 1)
         self._manifest = None
 
     def _apply_pass(self, r):
@@ -123,6 +130,14 @@
         past.append({**o, "seq": self.seq + 1})
         del past[:-_KEEP]
 
+    def _check_embargo(self, r):
+        from .embargoes import check
+        check(self.doc, r)
+
+    def _apply_embargo(self, r):
+        from .embargoes import apply
+        apply(self.doc, r, self.seq + 1)
+
     def belief(self):
         """What `rift` compares of this state."""
         d, m = self.doc, self.doc["manifest"]
--- a/src/petrelhaven/helm/manifest.py
+++ b/src/petrelhaven/helm/manifest.py
@@ -18,6 +18,7 @@
     "lost_us": Whole(300_000, 10_000_000), "stall_us": Whole(200_000, 10_000_000), "warm_us": Whole(0, 120_000_000),
     "idle_txn_us": Whole(100_000, 600_000_000), "slots": Whole(1, 100_000), "queue": Whole(1, 1000),
     "lanes": Whole(1, 64), "sessions": Whole(1, 1_000_000), "keepers": Whole(0, 3),
+    "wall_us": Whole(10_000, 60_000_000), "skew_us": Whole(1_000, 10_000_000), "spread_us": Whole(0, 600_000_000),
 }
 
 
@@ -43,6 +44,9 @@
     lanes: int = 2
     sessions: int = 5000
     keepers: int = 2
+    wall_us: int = 500_000
+    skew_us: int = 100_000
+    spread_us: int = 2_000_000
 
 
 @serde(deny_unknown_fields=True)
@@ -85,6 +89,8 @@
     routes: list[Route]
     bounds: Bounds = field(default_factory=Bounds)
     origin: str = ""
+    embargoing: list[str] = field(default_factory=list)
+    embargoes: list[dict] = field(default_factory=list)
 
 
 def _walk(tp, v, path, out):
@@ -109,6 +115,9 @@
             return
         for i, x in enumerate(v):
             _walk(typing.get_args(tp)[0], x, f"{path}[{i}]", out)
+    elif tp is dict:
+        if not isinstance(v, dict):
+            out.append((path, "must be an object"))
     elif type(v) is not tp:
         out.append((path, f"must be {'a whole number' if tp is int else 'a string'}"))
 
@@ -168,6 +177,9 @@
         out.append(("bounds.fetch_us", "must not pass join_us"))
     if b.join_us + b.wait_us > b.statement_us:
         out.append(("bounds.statement_us", "must hold join_us and wait_us"))
+    if m.embargoing or m.embargoes:
+        from .embargoes import faults
+        faults(m, out)
 
 
 def _once(pairs):
--- a/src/petrelhaven/helm/seat.py
+++ b/src/petrelhaven/helm/seat.py
@@ -32,7 +32,8 @@
     suspect_us = 500_000
 
     def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, wire, beat_us, log=None, founds=True,
-                 losses=1):
+                 losses=1, wall=None):
+        self._wall_clock, self._embargoes = wall, None
         self.wire, self.beat_us, self._most = wire, beat_us, 2 * losses + 1
         self._gone_at = {}
         self._born = clock.now()
@@ -47,6 +48,25 @@
         self._news = asyncio.Event()
         self.roster.on_turn.append(lambda *_: self._news.set())
         self.chain.on_view.append(self._news.set)
+        self.chain.on_commit.append(self._committed)
+
+    @property
+    def embargoes(self):
+        """The duty of embargoes, loaded when it is first needed."""
+        if self._embargoes is None:
+            from .embargo_duty import EmbargoDuty
+            self._embargoes = EmbargoDuty(self, self._wall_clock)
+        return self._embargoes
+
+    def _committed(self):
+        if "embargo" in (self.chain.realm.doc["manifest"] or ()):
+            self.embargoes.start()
+
+    async def _wall_read(self, ch, b):
+        return {"wall": self.embargoes.time.wall.now()}
+
+    async def _true_time(self, ch, b):
+        return self.embargoes.edge_time()
 
     def make_desk(self):
         """The desk of the edges' ties."""
@@ -60,8 +80,8 @@
     def handlers(self):
         """What edges and other cores ask."""
         return {"edge.hold": self._hold, "chain.force": self.desk.force, "tie.pulse": self._pulse,
-                "warden.doubt": self._doubted,
-                "warden.look": self.duty.looked}
+                "warden.doubt": self._doubted, "warden.look": self.duty.looked, "wall.read": self._wall_read,
+                "tie.wall": self._true_time}
 
     async def rest(self):
         """Looks at the others often while there is something to mend, seldom while all is whole."""
@@ -131,6 +151,7 @@
         if not self.chain.active:
             await self.muster.meet(ch, b["edge"])
             return {"ok": False, "note": "not confirmed by a majority"}
+        self.desk.acked.setdefault(b["edge"], 0)
         return await self.desk.hold(ch, b)
 
     async def _pulse(self, ch, b):
@@ -173,18 +194,21 @@
     async def _enter(self, ch, b):
         try:
             return await super()._enter(ch, b)
-        except (Duplicate, Stale):
+        except (Duplicate, Stale) as e:
             seq = self.chain.realm.seq
             await self.clock.limit(self.chain.until(seq), 5_000_000)
             if not self.chain.active:
                 raise NotReady("not the active head any more") from None
+            if b["force"] and isinstance(e, Duplicate):
+                await self.desk.in_force(seq)
             raise
 
     async def apply(self, text, by="", retire=True):
         """Checks and applies a manifest; returns once it is on every disk of the view."""
         m = read(text)
-        rec = {"t": "manifest", "text": text, "version": m.version, "by": by}
-        r = await self.enter(rec if retire else {**rec, "retire": False}, False)
+        return {"edge.hold": self._hold, "chain.force": self.desk.force, "tie.pulse": self._pulse,
+                "warden.doubt": self._doubted, "warden.look": self.duty.looked, "wall.read": self._wall_read,
+                "tie.wall": self._true_time}
         return {"version": m.version, "change": r["seq"]}
 
     async def hall_to(self, hall, state, by=""):
@@ -243,4 +267,5 @@
     def status(self):
         """The belief and what the duty is waiting for."""
         return {**self.belief(), "ruling": self.chain.ruling, "active": self.chain.active, "head": self.chain.head,
-                "waiting": dict(self.duty.why), "tied": sorted(self.tied), "garbage": self.link.garbage}
+                "waiting": dict(self.duty.why), "tied": sorted(self.tied), "garbage": self.link.garbage,
+                **({"time": self._embargoes.time.status()} if self._embargoes else {})}
--- /dev/null
+++ b/src/petrelhaven/helm/truetime.py
@@ -0,0 +1,96 @@
+"""A core's bounds on true time: the wall clocks of all cores, what a majority agrees on, monotonic time between."""
+from ..creed.event import emit
+from ..creed.fault import Fault
+from ..creed.wall import agreed
+from .chain import DRIFT
+
+__all__ = ["TrueTime", "widened"]
+
+_ASK_US = 500_000
+_CALL_US = 400_000
+_OLD_US = 3_000_000
+_DOUBT_US = 60_000_000
+
+
+def widened(lo, hi, us):
+    """An interval around true time after `us` of a monotonic clock that may run 5 % off."""
+    return lo + int(us / DRIFT), hi + int(us * DRIFT)
+
+
+class TrueTime:
+    """Asks the other cores for their readings while embargoes are on. `ids()` names all cores, `bounds()` is a dict."""
+
+    def __init__(self, clock, wall, name, ids, bounds, call, nest, log=None):
+        self.clock, self.wall, self.name, self._ids, self._bounds = clock, wall, name, ids, bounds
+        self._call, self.nest, self.log = call, nest, log
+        self._got = {}
+        self._was = None
+        self._doubted = 0
+        self._told = {}
+
+    async def run(self):
+        """Keeps readings of all cores."""
+        while True:
+            if self._bounds():
+                for n in self._ids():
+                    self.nest.spawn(self._ask(n))
+                self._watch()
+            await self.clock.sleep(_ASK_US)
+
+    async def _ask(self, n):
+        a = self.clock.now()
+        if n == self.name:
+            w = self.wall.now()
+        else:
+            try:
+                w = (await self._call(n, "wall.read", {"name": self.name}, _CALL_US))["wall"]
+            except Fault:
+                return
+        if a >= self._got.get(n, (0,))[0]:
+            self._got[n] = (a, self.clock.now(), w)
+
+    def _of(self, n, now, skew):
+        a, b, w = self._got[n]
+        return widened(w - skew, 0, now - b)[0], widened(0, w + skew, now - a)[1]
+
+    def interval(self):
+        """The (lowest, highest) moment that true time can be now, or None."""
+        m = self._bounds()
+        if not m:
+            return None
+        now = self.clock.now()
+        ids = self._ids()
+        mine = [self._of(n, now, m["skew_us"]) for n in ids if n in self._got and now - self._got[n][0] < _OLD_US]
+        got = agreed(mine, len(ids) // 2 + 1)
+        if got is None:
+            return None
+        if self._was is not None:
+            lo, hi = widened(*self._was[1], now - self._was[0])
+            if got[1] < lo or got[0] > hi:
+                self._doubted = now + _DOUBT_US
+                emit(self.log, 334, us=got[0] - lo)
+        self._was = (now, got)
+        if now < self._doubted or got[1] - got[0] > m["wall_us"]:
+            return None
+        return got
+
+    def _watch(self):
+        got = self.interval()
+        self._tell("time", got is not None, 333, 332)
+        if got is not None and self.name in self._got:
+            lo, hi = self._of(self.name, self.clock.now(), self._bounds()["skew_us"])
+            self._tell("own", lo <= got[1] and hi >= got[0], None, 331, core=self.name, us=lo - got[0])
+
+    def _tell(self, what, well, good, bad, **fields):
+        was = self._told.get(what, True if what == "own" else None)
+        self._told[what] = well
+        if was != well and (good if well else bad) is not None:
+            emit(self.log, good if well else bad, **fields)
+
+    def status(self):
+        """The interval and each core's reading against its middle."""
+        got, now = self.interval(), self.clock.now()
+        if got is None:
+            return {"interval": None, "off_us": {}}
+        mid = sum(got) // 2
+        return {"interval": got, "off_us": {n: w + now - b - mid for n, (_, b, w) in sorted(self._got.items())}}
--- a/src/petrelhaven/span/ask.py
+++ b/src/petrelhaven/span/ask.py
@@ -12,12 +12,18 @@
         self.num, self.verb, self.text, self.name = num, verb, text, name
         self.writes, self.shape, self.data = writes, shape, data
 
+    @property
+    def things(self):
+        """What a read asks for, in each way that a member may take its words."""
+        t = self.data if self.verb == "execute" else self.text.partition(" ")[2]
+        return {t, *t.split()}
+
 
 class Reply:
     """What is answered: rows and a stamp, or a code and a text; the state after it; the position of the member's log.
 
     Codes: busy, lagging, readonly, misdirected, crowded, failed, unprepared, timeout, malformed, aborted, unsure,
-    unknown (no such database), oversize.
+    unknown (no such database), oversize, withheld (not released yet).
     """
 
     __slots__ = ("rows", "stamp", "code", "text", "state", "pos")
--- a/src/petrelhaven/span/gate.py
+++ b/src/petrelhaven/span/gate.py
@@ -40,6 +40,7 @@
             {"trigger": "leave", "source": ["starting", "serving"], "dest": "leaving"},
             {"trigger": "finish", "source": "leaving", "dest": "left"}])
         self._opened = None
+        self.embargo = None
         tie.on_change.append(self._changed)
 
     def start(self):
@@ -71,6 +72,8 @@
         m = d.manifest
         if m is None:
             return
+        if self.embargo is not None or "embargo" in d.doc["manifest"]:
+            self._embargoed(d, recs, fresh)
         kinds = {r["t"] for r in recs}
         if fresh or "manifest" in kinds:
             self._manifest(m)
@@ -82,6 +85,13 @@
                 self._opened.set_result(None)
             emit(self.log, 102, name=self.name)
 
+    def _embargoed(self, d, recs, fresh):
+        if self.embargo is None:
+            from .embargo import EmbargoGate
+            self.embargo, fresh = EmbargoGate(self), True
+            self.tie.time = self.embargo.time
+        self.embargo.turn(d, recs, fresh)
+
     def _manifest(self, m):
         m = fill(m)
         self.routes = {r["host"]: types.SimpleNamespace(**r) for r in reversed(m["routes"])}
@@ -104,10 +114,10 @@
             raise NoRoute(f"no database {host[:60]}")
         return r, b
 
-    def open(self, host):
+    def open(self, host, visitor=""):
         """A new session, or NoRoute."""
         r, b = self.route(host)
-        v = Visit(host)
+        v = Visit(host, visitor)
         self.visits.add(v)
         if r.reads == "strong":
             v.band = b
@@ -187,11 +197,15 @@
         b = self.bands.get(r.group) if r is not None else None
         if b is None:
             return Reply(code="unknown", text="no such database any more", state=v.mark)
+        if self.embargo is not None and (p := self.embargo.refusal(v, a, b.name)) is not None:
+            return p
         self.count["asked"] += 1
         b.earn()
         us = r.timeout_us - _SLACK_US
         t0 = self.clock.now()
         p = await self._run(v, a, r, b, x, t0 + us, us)
+        if self.embargo is not None:
+            p = self.embargo.passed(v, a, b.name, p)
         if p.code is not None:
             emit(self.log, 425, group=b.name, verb=a.verb, code=p.code, us=self.clock.now() - t0,
                  note=p.text, visit=id(v) & 0xFFFFFF,
@@ -220,4 +234,5 @@
         return {**self.tie.ledger.belief(), "name": self.name, "state": self.state, "ready": self.ready,
                 "visits": len(self.visits), "slots_used": self.slab.used, "count": dict(self.count),
                 "clocks": {g: dict(b.reads.count) for g, b in sorted(self.bands.items())},
-                "stocks": {g: {n: b.stock.total for n, b in sorted(x.berths.items())} for g, x in self.bands.items()}}
+                "stocks": {g: {n: b.stock.total for n, b in sorted(x.berths.items())} for g, x in self.bands.items()},
+                **({"embargo": self.embargo.status()} if self.embargo is not None else {})}
--- a/src/petrelhaven/span/tie.py
+++ b/src/petrelhaven/span/tie.py
@@ -26,6 +26,7 @@
         self.edges = 0
         self.on_change = []
         self.lease = 0
+        self.time = None
         self._need = None
         self._bad, self._asked = {}, {}
         self._ch = self._core = None
@@ -84,6 +85,8 @@
         while not ch.gone.done():
             try:
                 ok = await self._pulse([])
+                if self.time is not None:
+                    self.nest.spawn(self.time.ask(ch))
                 mute = 0
                 good = self.clock.now() if ok else good
             except Fault:
--- a/src/petrelhaven/span/visit.py
+++ b/src/petrelhaven/span/visit.py
@@ -19,7 +19,7 @@
 class Visit:
     """One session. States: idle (I), trading (T), failed (E), ended."""
 
-    __slots__ = ("host", "values", "prepared", "nums", "trade", "busy", "since", "band", "state", "__dict__")
+    __slots__ = ("host", "values", "prepared", "nums", "trade", "busy", "since", "band", "state", "visitor", "__dict__")
     _machine = Machine(
         model=None,
         states=["idle", "trading", "failed", "ended"],
@@ -36,8 +36,8 @@
     )
     MARK = {"idle": "I", "trading": "T", "failed": "E", "ended": "I"}
 
-    def __init__(self, host):
-        self.host = host
+    def __init__(self, host, visitor=""):
+        self.host, self.visitor = host, visitor
         self.values, self.prepared, self.nums = {}, {}, {}
         self.trade, self.busy, self.since, self.band = None, False, 0, None
         self._machine.add_model(self)
--- /dev/null
+++ b/tests/test_embargoes.py
@@ -0,0 +1,287 @@
+"""Embargo rules: release times, what a manifest may say, records on the chain, and the table against a small model."""
+import datetime
+import json
+import os
+import re
+import subprocess
+import sys
+import zoneinfo
+from pathlib import Path
+
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from petrelhaven.creed.fault import Duplicate, Invalid, Oversize, Racing, Stale
+from petrelhaven.creed.wall import agreed
+from petrelhaven.drill.world import manifest
+from petrelhaven.helm.embargoes import Table, of_manifest, placed, rules_of, told
+from petrelhaven.helm.instant import instant, spoken
+from petrelhaven.helm.ledger import Ledger
+from petrelhaven.helm.manifest import read
+from petrelhaven.span.ask import Ask
+
+DRAWN = settings(max_examples=300, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
+HOUR = 3_600_000_000
+SRC = Path(__file__).parent.parent / "src"
+
+
+def us(*at):
+    return int(datetime.datetime(*at, tzinfo=datetime.UTC).timestamp()) * 1_000_000
+
+
+@pytest.mark.parametrize(("text", "zone", "want"), [
+    ("2026-03-01T09:00:00Z", "", us(2026, 3, 1, 9)),
+    ("2026-03-01T09:00:00+01:00", "", us(2026, 3, 1, 8)),
+    ("2026-03-01T09:00:00-00:00", "", us(2026, 3, 1, 9)),
+    ("2026-03-01T09:00:00.000001Z", "", us(2026, 3, 1, 9) + 1),
+    ("2026-03-01T09:00:00.5+05:30", "", us(2026, 3, 1, 3, 30) + 500_000),
+    ("2026-03-01T09:00:00", "Europe/Oslo", us(2026, 3, 1, 8)),
+    ("2026-07-01T09:00:00", "Europe/Oslo", us(2026, 7, 1, 7)),
+    ("2026-03-29T01:59:59", "Europe/Oslo", us(2026, 3, 29, 0, 59, 59)),
+    ("2026-03-29T03:00:00", "Europe/Oslo", us(2026, 3, 29, 1)),
+    ("2026-10-25T03:00:00", "Europe/Oslo", us(2026, 10, 25, 2)),
+    ("2026-10-25T02:30:00+02:00", "", us(2026, 10, 25, 0, 30)),
+    ("2026-10-25T02:30:00+01:00", "", us(2026, 10, 25, 1, 30)),
+    ("2026-03-01T00:00:00", "Pacific/Kiritimati", us(2026, 2, 28, 10)),
+    ("2026-02-28T23:00:00", "Pacific/Pago_Pago", us(2026, 3, 1, 10)),
+    ("2028-02-29T12:00:00", "Asia/Kathmandu", us(2028, 2, 29, 6, 15))])
+def test_a_release_time_is_one_moment(text, zone, want):
+    assert instant(text, zone) == want
+    assert instant(spoken(want)) == want
+
+
+@pytest.mark.parametrize(("text", "zone", "why"), [
+    ("2026-03-29T02:30:00", "Europe/Oslo", "does not exist"), ("2026-10-25T02:30:00", "Europe/Oslo", "comes twice"),
+    ("2026-03-01T09:00:00", "", "needs an offset"), ("2026-03-01T09:00:00Z", "Europe/Oslo", "leave the zone out"),
+    ("2026-03-01T09:00:00", "Europe/Atlantis", "not known"), ("2026-03-01T09:00:00", "../etc/passwd", "not known"),
+    ("2026-03-01T09:00:00", "Europe", "not known"), ("2026-02-29T09:00:00Z", "", "no moment"),
+    ("2026-03-01T24:00:01Z", "", "no moment"), ("2026-03-01T09:00:60Z", "", "no moment"),
+    ("2026-03-01", "", "must be an instant"), ("2026-03-01 09:00:00Z", "", "must be an instant"),
+    ("2026-03-01T09:00Z", "", "must be an instant"), ("2026-03-01T09:00:00.0000001Z", "", "must be an instant"),
+    ("tomorrow", "", "must be an instant"), ("", "", "must be an instant"), ("1969-01-01T00:00:00Z", "", "after 1970"),
+    ("0001-01-01T00:00:00+14:00", "", "calendar|1970"), ("٢٠٢٦-03-01T09:00:00Z", "", "must be|no moment")])
+def test_what_is_no_moment_or_two_is_declined(text, zone, why):
+    with pytest.raises(ValueError, match=why):
+        instant(text, zone)
+
+
+@DRAWN
+@given(st.datetimes(datetime.datetime(1971, 1, 2), datetime.datetime(2037, 1, 1)).map(lambda d: d.replace(microsecond=0)),
+       st.sampled_from(["Europe/Oslo", "America/New_York", "Australia/Lord_Howe", "Africa/Casablanca", "Asia/Tehran"]))
+def test_a_local_time_is_the_moment_at_which_clocks_there_show_it_once(at, zone):
+    z = zoneinfo.ZoneInfo(zone)
+    shows = {m for m in (at.replace(tzinfo=z, fold=f).astimezone(datetime.UTC) for f in (0, 1))
+             if m.astimezone(z).replace(tzinfo=None, fold=0) == at}
+    try:
+        got = instant(at.isoformat(), zone)
+    except ValueError:
+        assert len(shows) != 1
+    else:
+        assert [int(m.timestamp()) * 1_000_000 for m in shows] == [got]
+
+
+def rule(name="n", **kw):
+    return {"name": name, "group": "g1", "thing": "a", "until": "2026-03-01T09:00:00Z", **kw}
+
+
+def faults_of(**kw):
+    with pytest.raises(Invalid) as e:
+        read(json.dumps({**json.loads(manifest("small")), **kw}))
+    return {p for p, _ in e.value.more["faults"]}
+
+
+def test_a_manifests_embargoes_are_checked_by_path():
+    assert faults_of(embargoing=["g1", "nowhere"]) == {"embargoing[1]"}
+    assert faults_of(embargoing="g1") == {"embargoing"}
+    assert faults_of(embargoes=[3]) == {"embargoes[0]"}
+    assert faults_of(embargoes=[rule(), rule()]) == {"embargoes[1].name"}
+    assert faults_of(embargoes=[rule(colour="red"), {"name": "b"}]) == {
+        "embargoes[0].colour", "embargoes[1].group", "embargoes[1].until"}
+    assert faults_of(embargoes=[rule(group="x"), rule("B"), rule("c", prefix="p"), rule("d", thing=""),
+                                rule("e", until="soon"), rule("f", until="2026-03-29T02:30:00", zone="Europe/Oslo"),
+                                rule("g", early=[""]), rule("h", thing="x" * 513), rule("i", early=[1])]) == {
+        "embargoes[0].group", "embargoes[1].name", "embargoes[2].thing", "embargoes[3].thing", "embargoes[4].until",
+        "embargoes[5].until", "embargoes[6].early", "embargoes[7].thing", "embargoes[8].early[0]"}
+    assert faults_of(embargoing=["g1"], bounds={"wall_us": 200_000}) == {"bounds.wall_us"}
+    assert faults_of(bounds={"spread_us": -1}) == {"bounds.spread_us"}
+
+
+def test_a_manifest_without_embargoes_carries_nothing_and_one_with_them_the_moments():
+    assert of_manifest(read(manifest("small"))) == {}
+    one = rule(until="2026-03-01T09:00:00", zone="Asia/Tokyo")
+    m = read(json.dumps({**json.loads(manifest("small")), "embargoes": [one]}))
+    got = of_manifest(m)["embargo"]
+    assert got["scope"] == ["g1"] and got["rules"]["n"]["until"] == us(2026, 3, 1, 0)
+
+
+class Chain:
+    """A ledger, and what an operator says to it."""
+
+    def __init__(self, **kw):
+        self.led, self.version = Ledger(), 0
+        self.manifest(**kw)
+
+    def put(self, r):
+        r = json.loads(json.dumps(r))
+        self.led.check(r)
+        self.led.apply(self.led.seq + 1, r)
+
+    def manifest(self, **kw):
+        self.version += 1
+        m = read(json.dumps({**json.loads(manifest("small", self.version)), **kw}))
+        self.put({"t": "manifest", "text": "{}" + " " * self.version, "version": self.version, **of_manifest(m)})
+
+    def say(self, do, name="n", **kw):
+        self.put(placed({"do": do, "name": name, **kw}))
+
+    def add(self, name="n", **kw):
+        self.say("add", **rule(name, **kw), by="me")
+
+    def rules(self):
+        return {n: r["until"] for (_, n), r in rules_of(self.led.doc)}
+
+
+def test_a_record_is_added_moved_earlier_and_later_and_lifted():
+    c = Chain(embargoing=["g1"])
+    c.add()
+    assert c.rules() == {"n": us(2026, 3, 1, 9)}
+    with pytest.raises(Duplicate):
+        c.add()
+    with pytest.raises(Stale):
+        c.add(early=["me"])
+    c.say("move", until="2026-03-01T08:00:00Z", by="her")
+    c.say("move", until="2026-04-01T08:00:00", zone="Europe/Oslo", n=3)
+    assert c.rules() == {"n": us(2026, 4, 1, 6)}
+    with pytest.raises(Duplicate):
+        c.say("move", until="2026-04-01T06:00:00Z")
+    with pytest.raises(Racing):
+        c.say("move", until="2026-05-01T06:00:00Z", n=3)
+    with pytest.raises(Racing):
+        c.say("lift", n=9)
+    c.say("lift")
+    assert c.rules() == {}
+    with pytest.raises(Duplicate):
+        c.say("lift")
+    with pytest.raises(Stale):
+        c.say("move", until="2026-05-01T06:00:00Z")
+    t = told(c.led.doc)
+    assert [(p["do"], p["by"]) for p in t["past"]] == [("add", "me"), ("move", "her"), ("move", ""), ("lift", "")]
+
+
+@pytest.mark.parametrize(("d", "at"), [
+    (None, "$"), ({"do": "burn"}, "do"), ({"do": "lift"}, "name"), ({"do": "add", **rule(until="x")}, "until"),
+    ({"do": "add", **rule(colour=1)}, "colour"), ({"do": "add", **rule(thing=3)}, "thing"),
+    ({"do": "add", **rule(early="me")}, "early"), ({"do": "move", "name": "n", "until": 5}, "until"),
+    ({"do": "move", "name": "n", "until": "2026-03-01T09:00:00Z", "thing": "b"}, "thing"),
+    ({"do": "lift", "name": "n", "n": True}, "n"), ({"do": "add", **rule(gone=[1])}, "gone"),
+    ({"do": "add", **rule(), "by": 7}, "by"), ({"do": "add", **rule(prefix="p")}, "thing")])
+def test_a_call_that_is_wrong_is_declined_by_field(d, at):
+    with pytest.raises(Invalid) as e:
+        placed(d)
+    assert at in {p for p, _ in e.value.more["faults"]}
+
+
+def test_a_group_is_embargoed_before_a_record_is_placed_and_as_long_as_one_stands():
+    c = Chain()
+    assert "embargoes" not in c.led.doc and "embargo_since" not in c.led.doc
+    with pytest.raises(Invalid):
+        c.add()
+    c.manifest(embargoing=["g1"])
+    since = c.led.seq
+    c.add()
+    c.manifest(embargoing=["g1"], embargoes=[rule("m", prefix="x", thing="")])
+    assert c.led.doc["embargo_since"] == {"g1": since} and set(c.rules()) == {"m", "n"}
+    with pytest.raises(Invalid):
+        c.manifest()
+    c.version -= 1
+    c.say("lift")
+    c.manifest()
+    assert c.rules() == {} and c.led.doc["embargo_since"] == {}
+
+
+def test_records_have_a_bound_in_all():
+    c = Chain(embargoing=["g1"])
+    with pytest.raises(Oversize):
+        for i in range(6000):
+            c.led.doc.setdefault("embargoes", {})[f"x{i}"] = {"group": "g1", "thing": "y" * 500}
+        c.add()
+
+
+def test_a_frame_and_the_records_after_it_leave_the_same_rules():
+    c = Chain(embargoing=["g1"])
+    c.add("a")
+    other = Ledger(json.loads(json.dumps(c.led.frame())))
+    for r in (placed({"do": "move", "name": "a", "until": "2026-03-01T10:00:00Z"}), placed({"do": "add", **rule("b")})):
+        c.put(r)
+        other.apply(other.seq + 1, json.loads(json.dumps(r)))
+    assert other.doc == c.led.doc
+
+
+WORD = st.text("ab", max_size=5)
+RULE = st.fixed_dictionaries({"group": st.sampled_from("gh"), "kind": st.booleans(),
+                              "at": st.text("ab", min_size=1, max_size=4), "until": st.integers(1, 9), "early": st.lists(st.sampled_from("xyz"), max_size=2)})
+STEP = st.tuples(st.integers(0, 7), RULE | st.none())
+
+
+def as_rule(d):
+    return {"group": d["group"], "thing": "" if d["kind"] else d["at"], "prefix": d["at"] if d["kind"] else "",
+            "until": d["until"], "early": d["early"]}
+
+
+@DRAWN
+@given(st.lists(STEP, max_size=25), st.lists(WORD, min_size=1, max_size=3), st.sampled_from("xyzw"), st.integers(0, 9))
+def test_the_table_holds_back_what_a_walk_over_all_rules_holds_back(steps, things, visitor, now):
+    t, model = Table(), {}
+    for k, d in steps:
+        if d is None:
+            t.drop(k)
+            model.pop(k, None)
+        else:
+            model[k] = as_rule(d)
+            t.put(k, model[k])
+    assert len(t) == len(model)
+    for g in "gh":
+        for x in things:
+            want = {k for k, r in model.items()
+                    if r["group"] == g and (r["thing"] == x if r["thing"] else x.startswith(r["prefix"]))}
+            assert sorted(k for k, _ in t.covering(g, x)) == sorted(want)
+        holds = [r["until"] for r in model.values() if r["group"] == g and r["until"] > now and visitor not in r["early"]
+                 and any(r["thing"] == x if r["thing"] else x.startswith(r["prefix"]) for x in things)]
+        hit = t.held(g, things, visitor, now)
+        assert (hit[1]["until"] if hit else None) == max(holds, default=None)
+
+
+def test_each_way_that_a_member_may_take_a_readers_words_is_looked_up():
+    assert Ask("1", "read", "FETCH a").things == {"a"}
+    assert Ask("1", "read", "FETCH a  b ").things == {"a  b ", "a", "b"}
+    assert Ask("1", "execute", "EXECUTE q a b", name="q", data="a b").things == {"a b", "a", "b"}
+
+
+@DRAWN
+@given(st.integers(0, 1000), st.lists(st.tuples(st.integers(0, 40), st.integers(0, 40)), min_size=2, max_size=4),
+       st.lists(st.tuples(st.integers(-2000, 2000), st.integers(0, 80)), max_size=3))
+def test_what_a_majority_agrees_on_holds_true_time_whatever_the_others_say(true, good, bad):
+    bad = bad[:len(good) - 1]
+    n = len(good) + len(bad)
+    got = agreed([(true - a, true + b) for a, b in good] + [(x, x + w) for x, w in bad], n // 2 + 1)
+    assert got is not None and got[0] <= true <= got[1]
+
+
+def test_no_majority_agrees_on_nothing():
+    assert agreed([(0, 1), (5, 6), (9, 10)], 2) is None
+    assert agreed([(0, 10)], 2) is None and agreed([], 1) is None and agreed([(3, 2)], 1) is None
+
+
+def test_while_off_nothing_of_it_is_loaded():
+    code = ("import sys, petrelhaven.helm.seat, petrelhaven.span.gate, petrelhaven.span.tie\n"
+            "print([m for m in sys.modules if m.split('.')[0] in ('dateutil', 'sortedcontainers', 'zoneinfo')"
+            " or 'embargo' in m and not m.endswith('face') or m.endswith(('.wall', '.truetime', '.instant'))])")
+    out = subprocess.run([sys.executable, "-c", code], env={**os.environ, "PYTHONPATH": str(SRC)},
+                         capture_output=True, text=True)
+    assert out.stdout.strip() == "[]", out
+
+
+def test_the_wall_clock_is_read_in_one_place():
+    reads = re.compile(r"CLOCK_REALTIME|time\.time|datetime\.now|utcnow|localtime|gmtime")
+    assert [p.name for p in SRC.rglob("*.py") if reads.search(p.read_text())] == ["wall.py"]
