--- a/src/petrelhaven/helm/instant.py
+++ b/src/petrelhaven/helm/instant.py
@@ -1,15 +1,15 @@
 """Release times: what an operator says, as microseconds of UTC."""
-import datetime
 import re
 import zoneinfo
+from datetime import UTC, datetime, timedelta
 
 from dateutil import parser, tz
 
 __all__ = ["instant", "spoken"]
 
 _FORM = re.compile(r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d{1,6})?(Z|[+-]\d\d:\d\d)?", re.ASCII)
-_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
-_US = datetime.timedelta(microseconds=1)
+_EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
+_US = timedelta(microseconds=1)
 
 
 def instant(text, zone=""):
@@ -37,7 +37,7 @@
             raise ValueError(f"comes twice in {zone}: clocks are put back then; say it with an offset")
         at = at.replace(tzinfo=there)
     try:
-        us = (at.astimezone(datetime.UTC) - _EPOCH) // _US
+        us = (at.astimezone(UTC) - _EPOCH) // _US
     except OverflowError:
         raise ValueError("is outside the calendar") from None
     if not 0 < us < 1 << 53:
--- a/tests/test_embargoes.py
+++ b/tests/test_embargoes.py
@@ -67,7 +67,8 @@
 
 
 @DRAWN
-@given(st.datetimes(datetime.datetime(1971, 1, 2), datetime.datetime(2037, 1, 1)).map(lambda d: d.replace(microsecond=0)),
+@given(st.datetimes(datetime.datetime(1971, 1, 2), datetime.datetime(2037, 1, 1)).map(
+       lambda d: d.replace(microsecond=0)),
        st.sampled_from(["Europe/Oslo", "America/New_York", "Australia/Lord_Howe", "Africa/Casablanca", "Asia/Tehran"]))
 def test_a_local_time_is_the_moment_at_which_clocks_there_show_it_once(at, zone):
     z = zoneinfo.ZoneInfo(zone)
@@ -220,7 +221,8 @@
 
 WORD = st.text("ab", max_size=5)
 RULE = st.fixed_dictionaries({"group": st.sampled_from("gh"), "kind": st.booleans(),
-                              "at": st.text("ab", min_size=1, max_size=4), "until": st.integers(1, 9), "early": st.lists(st.sampled_from("xyz"), max_size=2)})
+                              "at": st.text("ab", min_size=1, max_size=4), "until": st.integers(1, 9),
+                              "early": st.lists(st.sampled_from("xyz"), max_size=2)})
 STEP = st.tuples(st.integers(0, 7), RULE | st.none())
 
 
@@ -229,6 +231,10 @@
             "until": d["until"], "early": d["early"]}
 
 
+def covers(r, group, thing):
+    return r["group"] == group and (r["thing"] == thing if r["thing"] else thing.startswith(r["prefix"]))
+
+
 @DRAWN
 @given(st.lists(STEP, max_size=25), st.lists(WORD, min_size=1, max_size=3), st.sampled_from("xyzw"), st.integers(0, 9))
 def test_the_table_holds_back_what_a_walk_over_all_rules_holds_back(steps, things, visitor, now):
@@ -243,11 +249,9 @@
     assert len(t) == len(model)
     for g in "gh":
         for x in things:
-            want = {k for k, r in model.items()
-                    if r["group"] == g and (r["thing"] == x if r["thing"] else x.startswith(r["prefix"]))}
-            assert sorted(k for k, _ in t.covering(g, x)) == sorted(want)
-        holds = [r["until"] for r in model.values() if r["group"] == g and r["until"] > now and visitor not in r["early"]
-                 and any(r["thing"] == x if r["thing"] else x.startswith(r["prefix"]) for x in things)]
+            assert sorted(k for k, _ in t.covering(g, x)) == sorted(k for k, r in model.items() if covers(r, g, x))
+        holds = [r["until"] for r in model.values()
+                 if r["until"] > now and visitor not in r["early"] and any(covers(r, g, x) for x in things)]
         hit = t.held(g, things, visitor, now)
         assert (hit[1]["until"] if hit else None) == max(holds, default=None)
 
