--- a/src/petrelhaven/tenet.py
+++ b/src/petrelhaven/tenet.py
@@ -4,6 +4,7 @@
 import json
 import sys
 
+from . import embargo_command
 from .creed.fault import Fault, Late, Malformed, NoRoute, Unreached, Unsent
 from .creed.http import fetch
 from .helm.manifest import read
@@ -53,6 +54,7 @@
     w = sub.add_parser("why", help="explain an epoch: what was seen, by whom, what was decided and what it replaced")
     w.add_argument("group")
     w.add_argument("--epoch", type=int)
+    embargo_command.arguments(sub)
     return p
 
 
@@ -72,7 +74,7 @@
             return await fetch(c, *a, **kw)
         except (Late, Unreached) as e:
             if change and not isinstance(e, Unsent):
-                raise Late("the outcome is not known; read back with show") from None
+                raise Late("the outcome is not known; read back with show or embargo list") from None
             seen.append(e)
         except Fault as e:
             if e.code not in ("not-ready", "not-head"):
@@ -130,6 +132,8 @@
             f"view {r['view']}: {' > '.join(r['chain'])}; change {r['change']}, manifest {r['manifest']}, "
             f"state taken from {r['from']}"
         )
+    elif a.verb == "embargo":
+        await embargo_command.run(a, lambda change, verb, path, doc: _any(cs, change, verb, path, doc=doc), out)
     elif a.verb == "status":
         if a.node:
             out(json.dumps(await fetch(a.node, "GET", "/status"), indent=1))
