--- a/src/petrelhaven/span/gate.py
+++ b/src/petrelhaven/span/gate.py
@@ -89,8 +89,10 @@
         if self.embargo is None:
             from .embargo import EmbargoGate
             self.embargo, fresh = EmbargoGate(self), True
-            self.tie.time = self.embargo.time
         self.embargo.turn(d, recs, fresh)
+        if not self.embargo.on:
+            self.embargo = None
+        self.tie.time = self.embargo and self.embargo.time
 
     def _manifest(self, m):
         m = fill(m)
--- a/tests/embargo_world.py
+++ b/tests/embargo_world.py
@@ -258,9 +258,10 @@
         self.version += 1
         self.more |= kw
         return json.dumps({
-            "name": "fleet", "version": self.version, "halls": list(HALLS), "groups": [{"name": "g", "cap": 40, "sync": 1}],
-            "routes": [{"name": "r0", "group": "g", "host": "db", "prefix": "", "reads": "strong", "timeout_us": 900_000,
-                        "aim_us": 300_000, "stale_us": 0, "rank": 1},
+            "name": "fleet", "version": self.version, "halls": list(HALLS),
+            "groups": [{"name": "g", "cap": 40, "sync": 1}],
+            "routes": [{"name": "r0", "group": "g", "host": "db", "prefix": "", "reads": "strong",
+                        "timeout_us": 900_000, "aim_us": 300_000, "stale_us": 0, "rank": 1},
                        {"name": "r1", "group": "g", "host": "old", "prefix": "", "reads": "browsing",
                         "timeout_us": 900_000, "aim_us": 300_000, "stale_us": 1_500_000, "rank": 1}],
             "bounds": {"keepers": 0, "idle_txn_us": 30_000_000}, **self.more})
--- a/tests/test_embargo_world.py
+++ b/tests/test_embargo_world.py
@@ -427,8 +427,8 @@
             if k == 0:
                 bad.off = r.choice((-5 * S, 5 * S, 0, r.randrange(-5 * S, 5 * S)))
             elif k == 1:
-                w.net.cut([r.choice(sorted(w.edges))], r.sample(sorted(w.cores), r.randint(1, 3)), r.randrange(S // 5, 4 * S),
-                          r.random() < 0.6)
+                w.net.cut([r.choice(sorted(w.edges))], r.sample(sorted(w.cores), r.randint(1, 3)),
+                          r.randrange(S // 5, 4 * S), r.random() < 0.6)
             elif k == 2:
                 n = r.choice(sorted(w.cores))
                 if all(c.up for c in w.cores.values()):
@@ -458,3 +458,19 @@
 @pytest.mark.parametrize("seed", range(24))
 def test_storms(seed):
     assert virtual(lambda w: storm(w, seed), seed) == []
+
+
+def test_switched_off_again_an_edge_is_as_if_it_had_never_heard_of_it():
+    async def go(w):
+        await w.embargo("add", "opening", w.true() + 60 * S)
+        with pytest.raises(Fault) as e:
+            await w.call(lambda s: s.apply(w.manifest(embargoing=[]), by="op"))
+        assert e.value.code == "invalid" and "lift" in str(e.value.more)
+        await w.embargo("lift", "opening")
+        m = w.manifest(embargoing=[])
+        await w.call(lambda s: s.apply(m, by="op"))
+        await w.until(lambda: all(e.node.embargo is None and e.node.tie.time is None for e in w.edges.values()), 5)
+        w.net.cut(["e1"], list(w.cores), 5 * S)
+        await asyncio.sleep(2)
+        assert (await w.read("e1", "opening")).ok and "embargo" not in w.edges["e1"].node.status()
+    virtual(go)
--- a/tests/test_embargoes.py
+++ b/tests/test_embargoes.py
@@ -59,7 +59,8 @@
     ("2026-03-01T24:00:01Z", "", "no moment"), ("2026-03-01T09:00:60Z", "", "no moment"),
     ("2026-03-01", "", "must be an instant"), ("2026-03-01 09:00:00Z", "", "must be an instant"),
     ("2026-03-01T09:00Z", "", "must be an instant"), ("2026-03-01T09:00:00.0000001Z", "", "must be an instant"),
-    ("tomorrow", "", "must be an instant"), ("", "", "must be an instant"), ("1969-01-01T00:00:00Z", "", "between 1970"), ("2999-01-01T00:00:00Z", "", "between 1970"),
+    ("tomorrow", "", "must be an instant"), ("", "", "must be an instant"),
+    ("1969-01-01T00:00:00Z", "", "between 1970"), ("2999-01-01T00:00:00Z", "", "between 1970"),
     ("0001-01-01T00:00:00+14:00", "", "between 1970"), ("٢٠٢٦-03-01T09:00:00Z", "", "must be|no moment")])
 def test_what_is_no_moment_or_two_is_declined(text, zone, why):
     with pytest.raises(ValueError, match=why):
