--- a/src/petrelhaven/drill/held/fleet.py
+++ b/src/petrelhaven/drill/held/fleet.py
@@ -67,12 +67,16 @@
                            "groups": [{"name": g, "cap": x.cap, "sync": x.sync} for g, x in self.groups.items()],
                            "routes": routes, "bounds": {"keepers": 0, "idle_txn_us": 3_000_000}})
 
+    def wall(self, b):
+        """The wall clock of a core; nothing asks for it while embargoes are off."""
+
     def boot_core(self, b):
         """Powers a core on."""
         b.boot()
         try:
             b.node = Seat(b.name, b.hall, self.seeds, b.clock, b.nest, b.link, b.disk, random.Random(self.rng.random()),
-                          FailoverCaller(self.net, b, self.platform), SimulatedWire(self.net, b), self.beat_us, b.log)
+                          FailoverCaller(self.net, b, self.platform), SimulatedWire(self.net, b), self.beat_us, b.log,
+                          wall=self.wall(b))
         except asyncio.CancelledError:
             if b.up:
                 raise
--- a/src/petrelhaven/drill/held/storm.py
+++ b/src/petrelhaven/drill/held/storm.py
@@ -58,14 +58,14 @@
     return []
 
 
-def inside(fn, seed, **kw):
+def inside(fn, seed, fleet=HeldFleet, **kw):
     """Runs `await fn(fleet)` in virtual time from nothing; returns (its answer, fleet)."""
     loop = WarpLoop()
     asyncio.set_event_loop(loop)
     box = {}
 
     async def go():
-        box["f"] = HeldFleet(seed, **kw)
+        box["f"] = fleet(seed, **kw)
         return await fn(box["f"])
     try:
         return loop.run_until_complete(go()), box["f"]
