--- a/src/petrelhaven/drill/held/embargo.py
+++ b/src/petrelhaven/drill/held/embargo.py
@@ -1,4 +1,4 @@
-"""Storms over a fleet with embargoes: records placed, put off and lifted while faults happen and one core's clock steps."""
+"""A fleet with embargoes: records placed, put off and lifted while faults happen and one core's clock steps."""
 import asyncio
 import json
 import random
@@ -75,9 +75,15 @@
         """The wall clock of a core."""
         return self.walls[b.name]
 
+    embargoed, spread_us = True, 2_000_000
+
     def manifest(self, version, **kw):
         """The text of a manifest that names every group as embargoed."""
-        return json.dumps({**json.loads(super().manifest(version, **kw)), "embargoing": sorted(self.groups)})
+        if not self.embargoed:
+            return super().manifest(version, **kw)
+        m = json.loads(super().manifest(version, **kw))
+        m["bounds"]["spread_us"] = self.spread_us
+        return json.dumps({**m, "embargoing": sorted(self.groups)})
 
     def boot_edge(self, b):
         """Powers an edge on, with the judge behind it."""
--- a/src/petrelhaven/drill/main.py
+++ b/src/petrelhaven/drill/main.py
@@ -12,6 +12,7 @@
 
 from .fleet import Fleet
 from .held import storm as held
+from .held.embargo import EmbargoedFleet
 from .measure import MEASURES
 from .scene import NEEDS, SCENES, SIZE
 from .soak import KINDS as SOAKS
@@ -55,10 +56,11 @@
     )
     w.add_argument("--seeds", default="0-100", metavar="A-B")
     w.add_argument("--size", choices=("nordvik", "archivo", "small"), default="small")
-    w.add_argument("--path", choices=("kept", "held"), default="kept",
-                   help="kept: sessions that edges keep for each other; held: sessions that live with their connection")
+    w.add_argument("--path", choices=("kept", "held", "embargoed"), default="kept",
+                   help="kept: sessions that edges keep for each other; held: sessions that live with their "
+                        "connection; embargoed: the same with records that must not be seen yet and a clock that steps")
     w.add_argument("--faults", type=int, default=6, help="faults a storm")
-    w.add_argument("--kinds", default="", help="comma list of " + ", ".join(KINDS) + "; with --path held, of "
+    w.add_argument("--kinds", default="", help="comma list of " + ", ".join(KINDS) + "; with the other paths, of "
                    + ", ".join(sorted(set(held.KINDS))))
     w.add_argument("--jobs", type=int, default=os.cpu_count())
     c = sub.add_parser("scene", help="one fault brought about on purpose, in virtual time")
@@ -78,19 +80,23 @@
     return seed, [told(b) for b in bad], rows, sum(v.count["ok"] for v in w.visitors)
 
 
-def _held_storm(job):
+def _held_storm(job, **kw):
     seed, _, count, kinds = job
-    bad, f = held.run(seed, count=count, kinds=kinds or None)
-    rows = held.shrink(seed, held.schedule(seed, count, kinds or None)) if bad else None
+    bad, f = held.run(seed, count=count, kinds=kinds or None, **kw)
+    rows = held.shrink(seed, held.schedule(seed, count, kinds or None), **kw) if bad else None
     return seed, [told(b) for b in bad], rows, sum(c.served for c in f.clients)
 
 
+def _embargoed_storm(job):
+    return _held_storm(job, fleet=EmbargoedFleet)
+
+
 def _sweep(a):
     lo, hi = map(int, a.seeds.split("-"))
     kinds = [k for k in a.kinds.split(",") if k]
     n = said = done = 0
     with ProcessPoolExecutor(a.jobs) as ex:
-        storm = _held_storm if a.path == "held" else _storm
+        storm = {"kept": _storm, "held": _held_storm, "embargoed": _embargoed_storm}[a.path]
         for seed, bad, rows, ok in ex.map(storm, [(s, a.size, a.faults, kinds) for s in range(lo, hi)]):
             said += ok
             done += 1
--- a/src/petrelhaven/drill/measure.py
+++ b/src/petrelhaven/drill/measure.py
@@ -4,6 +4,7 @@
 import statistics
 
 from ..creed.fault import Fault
+from .embargo_cost import embargo
 from .hollow import hollow
 from .net import Box
 from .storm import back, inside
@@ -247,4 +248,5 @@
     return 0
 
 
+MEASURES = {f.__name__: f for f in (clock, lanes, commit, keep, failover, force, detect, embargo)}
 MEASURES = {f.__name__: f for f in (clock, lanes, commit, keep, failover, force, detect, hollow)}
--- a/src/petrelhaven/span/embargo.py
+++ b/src/petrelhaven/span/embargo.py
@@ -108,7 +108,7 @@
         how, left, name = why
         self.count[how] += 1
         self._name(group, v, how, name)
-        ms = int((left or _BACK_US) + self.g.rng.uniform(0, self.spread_us if left else _BACK_US)) // 1000
+        ms = int((left or _BACK_US) + self.g.rng.uniform(0, self.spread_us if left else _BACK_US)) // 1000 + 1
         return Reply(code="withheld", text=f"withheld; come back in {min(ms, _MOST_MS)} ms", state=v.mark)
 
     def passed(self, v, a, group, reply):
--- /dev/null
+++ b/tests/test_embargo_storm.py
@@ -0,0 +1,19 @@
+"""Seeded storms over an embargoed fleet: crashes, cuts, restarts and a clock that steps; nothing is early."""
+import pytest
+from test_embargo_world import highest_time, own_clock
+
+from petrelhaven.drill.held import storm
+from petrelhaven.drill.held.embargo import EmbargoedFleet
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_edge_serves_a_record_before_its_moment_and_all_do_after_it(seed):
+    bad, f = storm.run(seed, fleet=EmbargoedFleet)
+    assert bad == [] and f.withheld > 50 and len(f.served) == len(f.edges) * len(f.records)
+
+
+@pytest.mark.parametrize("guard", [own_clock, highest_time])
+def test_without_its_guard_the_judge_finds_early_reads(monkeypatch, guard):
+    guard(monkeypatch)
+    bad = [b for seed in range(6) for b in storm.run(seed, fleet=EmbargoedFleet)[0]]
+    assert any(b[1] == "EMBARGO" for b in bad if len(b) > 2)
