--- a/src/petrelhaven/helm/embargo_duty.py
+++ b/src/petrelhaven/helm/embargo_duty.py
@@ -4,7 +4,7 @@
 from ..creed.event import emit
 from ..creed.fault import Duplicate, Fault, Invalid, NotReady
 from ..creed.wall import Wall
-from .embargoes import Table, placed, rules_of, told
+from .embargoes import Table, of_manifest, placed, rules_of, told
 from .truetime import TrueTime
 
 __all__ = ["EmbargoDuty"]
@@ -59,6 +59,16 @@
             raise NotReady("edges that may not know that embargoes are on: " + ", ".join(late)[:200]
                            + "; restart them, or name those that are gone for good", more={"edges": late})
 
+    async def apply(self, m, rec):
+        """Enters manifest `m`, which embargoes something; returns once it is in force and every edge is aware."""
+        try:
+            r = await self.s.enter({**rec, **of_manifest(m)}, True)
+        except Duplicate:
+            await self.aware()
+            raise
+        await self.aware()
+        return r
+
     async def _ask(self, name, seq):
         try:
             return await self.s.call(name, "chain.force", {"seq": seq}, _ASK_US)
--- a/src/petrelhaven/helm/seat.py
+++ b/src/petrelhaven/helm/seat.py
@@ -211,9 +211,11 @@
     async def apply(self, text, by="", retire=True):
         """Checks and applies a manifest; returns once it is on every disk of the view."""
         m = read(text)
-        return {"edge.hold": self._hold, "chain.force": self.desk.force, "tie.pulse": self._pulse,
-                "warden.doubt": self._doubted, "warden.look": self.duty.looked, "wall.read": self._wall_read,
-                "tie.wall": self._true_time}
+        rec = {"t": "manifest", "text": text, "version": m.version, "by": by, **({} if retire else {"retire": False})}
+        if m.embargoing or m.embargoes:
+            r = await self.embargoes.apply(m, rec)
+        else:
+            r = await self.enter(rec, False)
         return {"version": m.version, "change": r["seq"]}
 
     async def hall_to(self, hall, state, by=""):
--- a/src/petrelhaven/helm/seatface.py
+++ b/src/petrelhaven/helm/seatface.py
@@ -3,6 +3,7 @@
 from urllib.parse import unquote
 
 from ..creed.fault import Invalid, Malformed, NoRoute, NotReady
+from .embargo_face import serve
 from .ledgerface import manifest_of, number, why_of
 
 __all__ = ["SeatFace"]
@@ -16,6 +17,7 @@
     def __init__(self, seat, face, settings=dict, announced=False):
         self._c, self._settings = seat, settings
         self._herald = None
+        serve(face, seat)
         for v, p, f in (
             ("POST", "/manifest", self._apply),
             ("GET", "/manifest", self._show),
