--- a/tests/test_embargoes.py
+++ b/tests/test_embargoes.py
@@ -1,4 +1,5 @@
 """Embargo rules: release times, what a manifest may say, records on the chain, and the table against a small model."""
+import asyncio
 import datetime
 import json
 import os
@@ -12,17 +13,21 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from petrelhaven.creed.fault import Duplicate, Invalid, Oversize, Racing, Stale
-from petrelhaven.creed.wall import agreed
-from petrelhaven.drill.world import manifest
-from petrelhaven.helm.embargoes import Table, of_manifest, placed, rules_of, told
-from petrelhaven.helm.instant import instant, spoken
-from petrelhaven.helm.ledger import Ledger
-from petrelhaven.helm.manifest import read
-from petrelhaven.span.ask import Ask
+sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
+
+from petrelhaven.creed.fault import Duplicate, Invalid, Oversize, Racing, Stale  # noqa: E402
+from petrelhaven.creed.wall import agreed  # noqa: E402
+from petrelhaven.drill.world import manifest  # noqa: E402
+from petrelhaven.helm.core import Core  # noqa: E402
+from petrelhaven.helm.embargoes import Table, of_manifest, placed, rules_of, told  # noqa: E402
+from petrelhaven.helm.instant import instant, spoken  # noqa: E402
+from petrelhaven.helm.ledger import Ledger  # noqa: E402
+from petrelhaven.helm.manifest import read  # noqa: E402
+from petrelhaven.span.ask import Ask  # noqa: E402
+
+from forms import label, manifest_of  # noqa: E402
 
 DRAWN = settings(max_examples=300, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
-HOUR = 3_600_000_000
 SRC = Path(__file__).parent.parent / "src"
 
 
@@ -290,3 +295,37 @@
 def test_the_wall_clock_is_read_in_one_place():
     reads = re.compile(r"CLOCK_REALTIME|time\.time|datetime\.now|utcnow|localtime|gmtime")
     assert [p.name for p in SRC.rglob("*.py") if reads.search(p.read_text())] == ["wall.py"]
+
+
+def test_a_core_of_kept_sessions_takes_no_manifest_with_embargoes():
+    m = {**json.loads(manifest("small")), "embargoing": ["g1"]}
+    with pytest.raises(Invalid) as e:
+        asyncio.run(Core.apply(None, json.dumps(m)))
+    assert [p for p, _ in e.value.more["faults"]] == ["embargoing"]
+
+
+CONFIG = {"Revision": 1, "Services": [{"Name": "svc"}, {"Name": "Ärger"}],
+          "Routes": [{"Hostname": "db", "Service": "svc", "TimeoutMs": 800}]}
+ROW = {"Name": "n", "Service": "Ärger", "Prefix": "a-", "Until": "2026-03-01T09:00:00", "Zone": "Europe/Oslo"}
+
+
+def test_a_platforms_configuration_switches_embargoes_on_and_without_the_section_they_are_off():
+    assert "embargoes" not in json.loads(manifest_of(json.dumps(CONFIG).encode(), ["a"]))
+    section = {"Services": ["svc"], "ClockErrorMs": 50, "ClockWidthMs": 300, "SpreadMs": 0, "Rules": [ROW]}
+    m = read(manifest_of(json.dumps({**CONFIG, "Embargo": section}).encode(), ["a"]))
+    assert (m.bounds.skew_us, m.bounds.wall_us, m.bounds.spread_us) == (50_000, 300_000, 0)
+    got = of_manifest(m)["embargo"]
+    assert got["scope"] == sorted(["svc", label("Ärger")]) and got["rules"]["n"]["until"] == us(2026, 3, 1, 8)
+    assert of_manifest(read(manifest_of(json.dumps({**CONFIG, "Embargo": {}}).encode(), ["a"]))) == {}
+
+
+@pytest.mark.parametrize(("section", "at"), [
+    (3, "Embargo"), ({"Colour": 1}, "Embargo.Colour"), ({"Services": ["x"]}, "Embargo.Services[0]"),
+    ({"Rules": [1]}, "Embargo.Rules[0]"), ({"Rules": [{**ROW, "Service": "x"}]}, "Embargo.Rules[0].Service"),
+    ({"Rules": [{**ROW, "Thingy": "x"}]}, "Embargo.Rules[0].Thingy"), ({"Rules": [{**ROW, "Early": [1]}]},
+                                                                       "Embargo.Rules[0].Early"),
+    ({"Rules": [{**ROW, "Until": 5}]}, "Embargo.Rules[0].Until"), ({"SpreadMs": "x"}, "Embargo.SpreadMs")])
+def test_a_platforms_configuration_is_declined_by_field(section, at):
+    with pytest.raises(Invalid) as e:
+        manifest_of(json.dumps({**CONFIG, "Embargo": section}).encode(), ["a"])
+    assert [p for p, _ in e.value.more["faults"]] == [at]
