--- a/tests/test_seatface.py
+++ b/tests/test_seatface.py
@@ -3,8 +3,8 @@
 import contextlib
 import dataclasses
 import json
-import re
 import random
+import re
 import subprocess
 import sys
 from pathlib import Path
