--- a/src/petrelhaven/creed/contract.py
+++ b/src/petrelhaven/creed/contract.py
@@ -1,4 +1,5 @@
 """What the system's own processes say to each other: one avro contract a kind of message."""
+
 import io
 import json
 import zlib
@@ -45,13 +46,23 @@
 _contract("kith.ask", "nonce:long src:string to:string news:doc")
 _contract("kith.join", "src:string news:doc", "news:doc")
 # helm: votes, views, chain
-_contract("vote.prepare", "num:long who:string ids:doc", "ok:boolean num:long who:string value:doc seen:long")
+_contract(
+    "vote.prepare",
+    "num:long who:string ids:doc",
+    "ok:boolean num:long who:string value:doc seen:long",
+)
 _contract("vote.accept", "num:long who:string ids:doc value:doc", "ok:boolean seen:long")
-_contract("view.ask", "name:string", "name:string disk:string fresh:boolean view:doc done:long held:long commit:long")
+_contract(
+    "view.ask",
+    "name:string",
+    "name:string disk:string fresh:boolean view:doc done:long held:long commit:long",
+)
 _contract("view.learn", "view:doc")
 _contract("view.confirm", "name:string n:long tied:long", "ok:boolean view:doc")
 _contract(
-    "chain.append", "view:long prev:long mark:long recs:doc frame:doc done:boolean", "held:long mark:long commit:long"
+    "chain.append",
+    "view:long prev:long mark:long recs:doc frame:doc done:boolean",
+    "held:long mark:long commit:long",
 )
 _contract("chain.enter", "rec:doc force:boolean", "seq:long forced:boolean doc:doc")
 _contract("chain.read", "what:doc", "doc:doc")
@@ -61,8 +72,16 @@
 # control to edges
 _contract("edge.hold", "edge:string inc:long applied:long", "ok:boolean note:string")
 _contract("edge.push", "frame:doc recs:doc commit:long", "applied:long acked:long")
-_contract("edge.lease", "edge:string inc:long boot:string applied:long acked:long", "ok:boolean us:long need:long")
-_contract("edge.enter", "edge:string inc:long state:string boot:string hall:string addr:string http:string", "seq:long")
+_contract(
+    "edge.lease",
+    "edge:string inc:long boot:string applied:long acked:long",
+    "ok:boolean us:long need:long",
+)
+_contract(
+    "edge.enter",
+    "edge:string inc:long state:string boot:string hall:string addr:string http:string",
+    "seq:long",
+)
 # an edge's tie, cores among themselves about members
 _contract(
     "tie.pulse",
@@ -75,19 +94,40 @@
 _contract("warden.look", "member:string addr:string group:string", "how:string")
 # edges among themselves
 _contract("span.deliver", "sid:string ask:doc", "res:doc")
-_contract("span.keep", "sid:string to:string epoch:long ver:long home:string state:doc", "ok:boolean epoch:long")
-_contract("span.take", "sid:string to:string epoch:long ver:long home:string state:doc", "ok:boolean epoch:long")
+_contract(
+    "span.keep",
+    "sid:string to:string epoch:long ver:long home:string state:doc",
+    "ok:boolean epoch:long",
+)
+_contract(
+    "span.take",
+    "sid:string to:string epoch:long ver:long home:string state:doc",
+    "ok:boolean epoch:long",
+)
 _contract("span.drop", "sid:string epoch:long")
 _contract(
-    "span.cede", "sid:string to:string me:string epoch:long ver:long want:long got:strings", "ok:boolean epoch:long"
+    "span.cede",
+    "sid:string to:string me:string epoch:long ver:long want:long got:strings",
+    "ok:boolean epoch:long",
 )
 _contract("span.seen", "rows:strings", "rows:doc")
 _contract("creed.relay", "to:string kind:string us:long body:doc", "body:doc")
 _contract("creed.belief", "who:string", "doc:doc")
 
-_HEAD = fastavro.parse_schema({"type": "record", "name": "head", "fields": [
-    {"name": "v", "type": "int"}, {"name": "id", "type": "long"}, {"name": "flow", "type": "int"},
-    {"name": "kind", "type": "string"}, {"name": "thin", "type": "boolean"}, {"name": "body", "type": "bytes"}]})
+_HEAD = fastavro.parse_schema(
+    {
+        "type": "record",
+        "name": "head",
+        "fields": [
+            {"name": "v", "type": "int"},
+            {"name": "id", "type": "long"},
+            {"name": "flow", "type": "int"},
+            {"name": "kind", "type": "string"},
+            {"name": "thin", "type": "boolean"},
+            {"name": "body", "type": "bytes"},
+        ],
+    }
+)
 _FAULT = _schema("fault_res", "doc:doc")
 CALL, RESULT, FAULT, TELL = 0, 1, 2, 3
 
@@ -135,10 +175,15 @@
     except Exception as e:
         raise Malformed(f"head: {type(e).__name__}") from None
     if h["v"] != VERSION:
-        raise Unversed(f"message version {h['v']}", more={"id": h["id"], "flow": h["flow"], "kind": h["kind"][:40]})
+        raise Unversed(
+            f"message version {h['v']}",
+            more={"id": h["id"], "flow": h["flow"], "kind": h["kind"][:40]},
+        )
     sch, docs = _pick(h["kind"], h["flow"])
     try:
-        body = fastavro.schemaless_reader(io.BytesIO(_thick(h["body"]) if h["thin"] else h["body"]), sch)
+        body = fastavro.schemaless_reader(
+            io.BytesIO(_thick(h["body"]) if h["thin"] else h["body"]), sch
+        )
         for d in docs:
             body[d] = json.loads(body[d])
     except Exception as e:
--- a/src/petrelhaven/creed/daemon.py
+++ b/src/petrelhaven/creed/daemon.py
@@ -1,4 +1,5 @@
 """What the daemons share: listening, signals, readiness lines, exit codes."""
+
 import asyncio
 import functools
 import signal
--- a/src/petrelhaven/creed/disk.py
+++ b/src/petrelhaven/creed/disk.py
@@ -1,4 +1,5 @@
 """The small disk of a machine: preallocated files in one folder, synced at every write."""
+
 import os
 
 __all__ = ["Folder"]
@@ -15,7 +16,9 @@
     def _fd(self, name):
         fd = self._fds.get(name)
         if fd is None:
-            fd = self._fds[name] = os.open(os.path.join(self._path, name), os.O_RDWR | os.O_CREAT, 0o640)
+            fd = self._fds[name] = os.open(
+                os.path.join(self._path, name), os.O_RDWR | os.O_CREAT, 0o640
+            )
             d = os.open(self._path, os.O_RDONLY)
             os.fsync(d)
             os.close(d)
--- a/src/petrelhaven/creed/face.py
+++ b/src/petrelhaven/creed/face.py
@@ -1,4 +1,5 @@
 """The HTTP/1.1 JSON wire of an outside face, in one adapter."""
+
 import json
 
 from aiohttp import web
@@ -56,7 +57,9 @@
 
     async def start(self):
         """Listens; returns the address."""
-        self._run = web.AppRunner(self._app, access_log=None, handle_signals=False, shutdown_timeout=1)
+        self._run = web.AppRunner(
+            self._app, access_log=None, handle_signals=False, shutdown_timeout=1
+        )
         await self._run.setup()
         s = web.TCPSite(self._run, self._host, self._port)
         await s.start()
--- a/src/petrelhaven/creed/fault.py
+++ b/src/petrelhaven/creed/fault.py
@@ -156,9 +156,11 @@
 
 class MemberFault(Fault):
     """A member declined and ran nothing."""
+
     code, status, back = "member-declined", 503, 200_000
 
 
 class MemberSaid(Fault):
     """A member declined a statement for its content."""
+
     code, status = "statement", 422
--- a/src/petrelhaven/creed/http.py
+++ b/src/petrelhaven/creed/http.py
@@ -1,4 +1,5 @@
 """One HTTP exchange with a face, for the tools."""
+
 import asyncio
 
 import aiohttp
@@ -13,8 +14,13 @@
     own = http is None
     http = http or aiohttp.ClientSession()
     try:
-        async with http.request(verb, f"http://{addr}{path}", data=data, json=doc,
-                                timeout=aiohttp.ClientTimeout(total=us / 1e6, sock_connect=1)) as r:
+        async with http.request(
+            verb,
+            f"http://{addr}{path}",
+            data=data,
+            json=doc,
+            timeout=aiohttp.ClientTimeout(total=us / 1e6, sock_connect=1),
+        ) as r:
             if r.status == 200:
                 return await r.read() if raw else await r.json()
             f = rebuild(await r.json())
--- a/src/petrelhaven/creed/light.py
+++ b/src/petrelhaven/creed/light.py
@@ -1,4 +1,5 @@
 """A light HTTP/1.1 face and call over h11, for machines where each megabyte is paid for."""
+
 import asyncio
 import json
 
@@ -88,12 +89,20 @@
             elif t is h11.Data:
                 self._size += len(e.data)
                 if self._size > self._face.most:
-                    self._say(413, json.dumps(Oversize("the request is too large").doc()).encode(), close=True)
+                    self._say(
+                        413,
+                        json.dumps(Oversize("the request is too large").doc()).encode(),
+                        close=True,
+                    )
                     self._tr.close()
                     return
                 self._body.append(bytes(e.data))
             elif t is h11.EndOfMessage:
-                q = _Request(self._req.method.decode(), self._req.target.decode("latin-1"), b"".join(self._body))
+                q = _Request(
+                    self._req.method.decode(),
+                    self._req.target.decode("latin-1"),
+                    b"".join(self._body),
+                )
                 self._task = asyncio.ensure_future(self._serve(q))
                 return
             else:
@@ -146,7 +155,9 @@
 
     def on(self, verb, path, fn):
         """Serves `verb path` with `fn(request)`, or with `fn(request, part)` where the path leaves a part open."""
-        (self._under if path.endswith("/") else self._amid if "/{}/" in path else self._on)[verb, path] = fn
+        (self._under if path.endswith("/") else self._amid if "/{}/" in path else self._on)[
+            verb, path
+        ] = fn
 
     async def answer(self, q):
         """(status, body, headers) of one request."""
@@ -166,7 +177,11 @@
                 r = await fn(q, rest)
             if isinstance(r, tuple):
                 return r
-            return 200, r if isinstance(r, bytes) else json.dumps(r, separators=(",", ":")).encode(), ()
+            return (
+                200,
+                r if isinstance(r, bytes) else json.dumps(r, separators=(",", ":")).encode(),
+                (),
+            )
         except Fault as e:
             back = (("Retry-After", str(-(-e.back // 1_000_000))),) if e.back is not None else ()
             return e.status, json.dumps(e.doc()).encode(), back
@@ -177,7 +192,9 @@
     async def start(self):
         """Listens; returns the address."""
         loop = asyncio.get_running_loop()
-        self._srv = await loop.create_server(lambda: _Talk(self), self._host, self._port, backlog=512)
+        self._srv = await loop.create_server(
+            lambda: _Talk(self), self._host, self._port, backlog=512
+        )
         self.addr = "%s:%d" % self._srv.sockets[0].getsockname()[:2]
         return self.addr
 
@@ -207,10 +224,18 @@
 async def _exchange(r, w, addr, verb, path, doc, heads):
     c = h11.Connection(h11.CLIENT)
     body = json.dumps(doc).encode() if doc is not None else b""
-    hs = [("Host", addr), ("Content-Length", str(len(body))), ("Content-Type", "application/json"),
-          ("Connection", "close"), *heads]
-    w.write(c.send(h11.Request(method=verb, target=path, headers=hs)) + (c.send(h11.Data(data=body)) if body else b"")
-            + c.send(h11.EndOfMessage()))
+    hs = [
+        ("Host", addr),
+        ("Content-Length", str(len(body))),
+        ("Content-Type", "application/json"),
+        ("Connection", "close"),
+        *heads,
+    ]
+    w.write(
+        c.send(h11.Request(method=verb, target=path, headers=hs))
+        + (c.send(h11.Data(data=body)) if body else b"")
+        + c.send(h11.EndOfMessage())
+    )
     got, st = [], 0
     while True:
         e = c.next_event()
--- a/src/petrelhaven/creed/link.py
+++ b/src/petrelhaven/creed/link.py
@@ -1,4 +1,5 @@
 """Links between the system's own processes: calls over held TCP connections, tellings over UDP."""
+
 import asyncio
 import itertools
 import struct
@@ -61,7 +62,12 @@
         except Exception as e:
             emit(self._link.log, 112, kind=kind, what=repr(e))
             odd = isinstance(e, (TypeError, LookupError, ValueError, AttributeError))
-            raw = pack(kind, FAULT, n, {"doc": (Malformed if odd else Fault)(f"{kind}: {type(e).__name__}").doc()})
+            raw = pack(
+                kind,
+                FAULT,
+                n,
+                {"doc": (Malformed if odd else Fault)(f"{kind}: {type(e).__name__}").doc()},
+            )
         if not self.gone.done():
             self._send(raw)
 
@@ -150,7 +156,9 @@
             self._srv = await asyncio.start_server(self._accept, self._host, self._port)
             p = self._srv.sockets[0].getsockname()[1]
             try:
-                self._udp, _ = await loop.create_datagram_endpoint(lambda: _Udp(self), local_addr=(self._host, p))
+                self._udp, _ = await loop.create_datagram_endpoint(
+                    lambda: _Udp(self), local_addr=(self._host, p)
+                )
                 break
             except OSError:
                 self._srv.close()
--- a/src/petrelhaven/creed/own.py
+++ b/src/petrelhaven/creed/own.py
@@ -1,4 +1,5 @@
 """The product's own face beside another one of the machine's: served if it can be, and stopping nothing if it can't."""
+
 from .event import emit
 from .light import LightFace
 
--- a/src/petrelhaven/creed/reach.py
+++ b/src/petrelhaven/creed/reach.py
@@ -1,4 +1,5 @@
 """Calls by name: straight where the link holds, else through a third node that sees both."""
+
 from .fault import Late, Unreached, Unsent
 
 __all__ = ["Reach"]
@@ -37,17 +38,34 @@
         return await self._round(name, a, kind, body, end, again)
 
     async def _round(self, name, a, kind, body, end, again):
-        via = [n for n in self.roster.living() if n != name and self._bad.get(n, 0) <= self.clock.now()
-               and self.roster.state(n) == "alive"]
-        via.sort(key=lambda n: (self.roster.peers[n].hall in (self.roster.hall, self.roster.peers[name].hall
-                                if name in self.roster.peers else ""), self.rng.random()))
+        via = [
+            n
+            for n in self.roster.living()
+            if n != name
+            and self._bad.get(n, 0) <= self.clock.now()
+            and self.roster.state(n) == "alive"
+        ]
+        via.sort(
+            key=lambda n: (
+                self.roster.peers[n].hall
+                in (
+                    self.roster.hall,
+                    self.roster.peers[name].hall if name in self.roster.peers else "",
+                ),
+                self.rng.random(),
+            )
+        )
         for n in via[:2]:
             us = end - self.clock.now()
             if us <= 0:
                 break
             try:
-                r = await self.link.call(self.roster.addr_of(n), "creed.relay",
-                                         {"to": a, "kind": kind, "us": us // 2, "body": body}, us)
+                r = await self.link.call(
+                    self.roster.addr_of(n),
+                    "creed.relay",
+                    {"to": a, "kind": kind, "us": us // 2, "body": body},
+                    us,
+                )
                 return r["body"]
             except Unsent:
                 continue
--- a/src/petrelhaven/creed/settings.py
+++ b/src/petrelhaven/creed/settings.py
@@ -1,4 +1,5 @@
 """Checked settings of a daemon: from a file, overridden by flags; wrong ones stop the program before it listens."""
+
 import argparse
 import re
 import sys
@@ -18,7 +19,19 @@
 class Settings:
     """A daemon's place: its addresses, its hall, three seed addresses."""
 
-    __slots__ = ("_name", "_hall", "_link", "_http", "_seeds", "_data", "_platform", "_level", "_path", "file", "check")
+    __slots__ = (
+        "_name",
+        "_hall",
+        "_link",
+        "_http",
+        "_seeds",
+        "_data",
+        "_platform",
+        "_level",
+        "_path",
+        "file",
+        "check",
+    )
     name = Word(NAME, "a name of lower-case letters, digits and hyphens")
     hall = Word(NAME, "a name of lower-case letters, digits and hyphens")
     link = Word(_ADDR, "an address like 127.0.0.1:7000")
@@ -63,11 +76,17 @@
         help="settings file (TOML); flags override it; changes of level, platform and seeds are taken live",
     )
     p.add_argument(
-        "--check", action="store_true", help="check the settings and the data folder, change nothing, start nothing"
+        "--check",
+        action="store_true",
+        help="check the settings and the data folder, change nothing, start nothing",
     )
     p.add_argument("--name", help="this node's name")
     p.add_argument("--hall", help="the hall it stands in")
-    p.add_argument("--link", metavar="IP:PORT", help="address for the system's own processes (port 0 picks one)")
+    p.add_argument(
+        "--link",
+        metavar="IP:PORT",
+        help="address for the system's own processes (port 0 picks one)",
+    )
     p.add_argument("--http", metavar="IP:PORT", help="address for visitors, members and operators")
     p.add_argument(
         "--seeds",
@@ -78,8 +97,11 @@
     if core:
         p.add_argument("--data", metavar="DIR", help="data folder")
         p.add_argument("--platform", metavar="IP:PORT", help="address of the platform")
-        p.add_argument("--path", metavar="held|kept",
-                       help="held: sessions live with their connection; kept: edges keep them for each other (kept)")
+        p.add_argument(
+            "--path",
+            metavar="held|kept",
+            help="held: sessions live with their connection; kept: edges keep them for each other (kept)",
+        )
     return p
 
 
@@ -103,7 +125,9 @@
     s.file, s.check = f, check
     if core:
         d.setdefault("path", "kept")
-    need = ["name", "hall", "link", "http", "seeds", "level"] + (["data", "platform", "path"] if core else [])
+    need = ["name", "hall", "link", "http", "seeds", "level"] + (
+        ["data", "platform", "path"] if core else []
+    )
     for k in d:
         if k not in need:
             bad.append(f"{k}: unknown field")
--- a/src/petrelhaven/creed/tick.py
+++ b/src/petrelhaven/creed/tick.py
@@ -1,4 +1,5 @@
 """Time and tasks: whole microseconds of monotonic time, ticks and horizons, a nest of tasks."""
+
 import asyncio
 import os
 import time
--- a/src/petrelhaven/creed/wall.py
+++ b/src/petrelhaven/creed/wall.py
@@ -1,4 +1,5 @@
 """Times of day: a node's own reading, and the interval that most readings agree on."""
+
 import time
 
 __all__ = ["Wall", "agreed"]
@@ -19,7 +20,10 @@
 
     Marzullo's way: if `least` of them hold true time, the outcome does too.
     """
-    ends = sorted([(lo, -1) for lo, hi in intervals if lo <= hi] + [(hi, 1) for lo, hi in intervals if lo <= hi])
+    ends = sorted(
+        [(lo, -1) for lo, hi in intervals if lo <= hi]
+        + [(hi, 1) for lo, hi in intervals if lo <= hi]
+    )
     n, low, high = 0, None, None
     for at, kind in ends:
         if kind < 0:
--- a/src/petrelhaven/creed/watch.py
+++ b/src/petrelhaven/creed/watch.py
@@ -1,4 +1,5 @@
 """Watches a settings file: a change is checked whole, taken live as far as it can be, otherwise shown as waiting."""
+
 import hashlib
 
 from .event import emit
--- a/src/petrelhaven/crux.py
+++ b/src/petrelhaven/crux.py
@@ -1,4 +1,5 @@
 """crux: the core daemon."""
+
 import os
 import random
 import sys
@@ -25,8 +26,20 @@
 
 def _make_held(d):
     s = d.set
-    seat = Seat(s.name, s.hall, d.seeds, d.clock, d.nest, d.link, Folder(s.data), random.SystemRandom(),
-                Platform(s.platform), MemberWire(d.clock, Wire(d.clock, d.nest)), _BEAT_US, d.log)
+    seat = Seat(
+        s.name,
+        s.hall,
+        d.seeds,
+        d.clock,
+        d.nest,
+        d.link,
+        Folder(s.data),
+        random.SystemRandom(),
+        Platform(s.platform),
+        MemberWire(d.clock, Wire(d.clock, d.nest)),
+        _BEAT_US,
+        d.log,
+    )
     SeatFace(seat, d.face, lambda: seat.settings(), announced=True)
     return seat
 
@@ -58,16 +71,26 @@
 class _Crux(Daemon):
     def make_face(self, host, port):
         """The face of the path that this core runs."""
-        return LightFace(host, port, log=self.log) if self.set.path == "held" else super().make_face(host, port)
+        return (
+            LightFace(host, port, log=self.log)
+            if self.set.path == "held"
+            else super().make_face(host, port)
+        )
 
     def prepare(self):
         """Looks into the data folder before listening; another node's folder, or another path's, is declined."""
         try:
             self.check()
         except Damaged:
-            pass    # the core comes back as an empty one
+            pass  # the core comes back as an empty one
         f = Folder(self.set.data)
-        Memory(f, self.set.name, random.SystemRandom(), self.log, state=Ledger if self.set.path == "held" else None)
+        Memory(
+            f,
+            self.set.name,
+            random.SystemRandom(),
+            self.log,
+            state=Ledger if self.set.path == "held" else None,
+        )
         f.close()
 
     def check(self):
@@ -78,13 +101,21 @@
                 raise Misplaced(f"the data folder belongs to {relic.name}, not {self.set.name}")
             path = "held" if isinstance(relic.realm, Ledger) else "kept"
             if relic.name and path != self.set.path:
-                raise Misplaced(f"the data folder holds control state of the path {path}, not {self.set.path}")
+                raise Misplaced(
+                    f"the data folder holds control state of the path {path}, not {self.set.path}"
+                )
 
 
 def main(argv=None):
     """Runs a core until it is told to stop."""
     sys.exit(
-        _Crux("crux", "Core daemon: keeps the manifest, the epochs and the leases.", True, _make, _leave).main(argv)
+        _Crux(
+            "crux",
+            "Core daemon: keeps the manifest, the epochs and the leases.",
+            True,
+            _make,
+            _leave,
+        ).main(argv)
     )
 
 
--- a/src/petrelhaven/drill/check.py
+++ b/src/petrelhaven/drill/check.py
@@ -1,4 +1,5 @@
 """The history checker: what callers saw, held against what must never happen."""
+
 import bisect
 import collections
 
--- a/src/petrelhaven/drill/cut.py
+++ b/src/petrelhaven/drill/cut.py
@@ -42,7 +42,7 @@
         else:
             _CUT.clear()
             _CUT.update(rest[0].split(",") if rest else ())
-        daemon.say(f"{ {'cut': 'cut', 'heal': 'healed', 'far': 'far'}[verb]} from={self.addr}")
+        daemon.say(f"{ {'cut': 'cut', 'heal': 'healed', 'far': 'far'}[verb] } from={self.addr}")
 
     async def start(self):
         """Listens, to standard input too once the seeds are read."""
@@ -64,6 +64,7 @@
                 return
             last = max(last + 1, self.clock.now() + us)
             self.clock.later(last - self.clock.now(), lambda: fn(raw))
+
         return go
 
     async def open(self, addr):
@@ -79,7 +80,9 @@
     def tell(self, addr, kind, body):
         """One telling, swallowed while the way is cut."""
         if addr not in _CUT:
-            self.clock.later(_FAR.get(addr, 0), lambda: super(_CutLink, self).tell(addr, kind, body))
+            self.clock.later(
+                _FAR.get(addr, 0), lambda: super(_CutLink, self).tell(addr, kind, body)
+            )
 
 
 class _FarWire(Wire):
--- a/src/petrelhaven/drill/embargo_cost.py
+++ b/src/petrelhaven/drill/embargo_cost.py
@@ -1,4 +1,5 @@
 """What embargoes cost and how they end: a read by the number of rules, lateness, ten thousand readers at the moment."""
+
 import asyncio
 import collections
 import random
@@ -27,13 +28,22 @@
     for i in range(n):
         k = f"{r.getrandbits(40):010x}"
         half = i % 2
-        yield ("placed", f"x{i}"), {"group": group, "thing": "" if half else k, "prefix": k if half else "",
-                                    "until": (1 << 53) - 1, "early": []}
+        yield (
+            ("placed", f"x{i}"),
+            {
+                "group": group,
+                "thing": "" if half else k,
+                "prefix": k if half else "",
+                "until": (1 << 53) - 1,
+                "early": [],
+            },
+        )
 
 
 async def _cost(f, n):
     """Seconds of processor time of reads at one edge, and of the two looks alone, with `n` rules (None: off)."""
     from ..helm.embargoes import Table
+
     await _fleet(f, n is None)
     g, size = f.edges[0].node, 0
     if n is not None:
@@ -71,6 +81,7 @@
             if r.ok:
                 return out.append((f.true() - until) / 1000)
             await asyncio.sleep(0.001 if f.true() > until - 20_000 else 0.05)
+
     await asyncio.gather(*(reader(b) for b in f.edges))
     return out
 
@@ -100,6 +111,7 @@
             refused += at >= until and x.code == "withheld"
             back = x.text.split(" ")[-2]
             await asyncio.sleep(int(back) / 1000 if back.isdigit() else 0.25)
+
     await asyncio.gather(*(reader(i) for i in range(_CROWD)))
     done.sort()
     return max(came.values()), refused, codes["busy"], done
@@ -109,18 +121,29 @@
     """Cost of a read by the number of embargoes, lateness of a release, and ten thousand readers who wait for one."""
     from .held.embargo import EmbargoedFleet
     from .held.storm import inside
+
     print(f"{'rules':>8} {'read, to off':>12} {'looks, share of a read off':>27} {'table MB':>9}")
-    off = statistics.median(inside(lambda f: _cost(f, None), s, EmbargoedFleet, edges=1)[0][0] for s in (1, 2, 3, 4, 5))
+    off = statistics.median(
+        inside(lambda f: _cost(f, None), s, EmbargoedFleet, edges=1)[0][0] for s in (1, 2, 3, 4, 5)
+    )
     for n in (0, 1_000, 100_000):
-        rows = [inside(lambda f: _cost(f, n), s, EmbargoedFleet, edges=1)[0] for s in (1, 2, 3, 4, 5)]
+        rows = [
+            inside(lambda f: _cost(f, n), s, EmbargoedFleet, edges=1)[0] for s in (1, 2, 3, 4, 5)
+        ]
         whole, looks = (statistics.median(x[i] for x in rows) for i in (0, 1))
         print(f"{n:>8} {whole / off:>12.2f} {looks / off:>27.3f} {rows[0][2] / 1e6:>9.2f}")
     late = [x for s in range(1, 21) for x in inside(_late, s, EmbargoedFleet)[0]]
-    print(f"late, ms (20 seeds, 4 edges): earliest {min(late):.0f}, median {statistics.median(late):.0f}, "
-          f"longest {max(late):.0f}")
-    print(f"{'spread':>7} {'most in 0.1 s':>13} {'told again':>10} {'busy':>6} {'median s':>9} {'last s':>7}")
+    print(
+        f"late, ms (20 seeds, 4 edges): earliest {min(late):.0f}, median {statistics.median(late):.0f}, "
+        f"longest {max(late):.0f}"
+    )
+    print(
+        f"{'spread':>7} {'most in 0.1 s':>13} {'told again':>10} {'busy':>6} {'median s':>9} {'last s':>7}"
+    )
     for spread in (2_000_000, 0):
         most, again, busy, done = inside(lambda f: _crowd(f, spread), 1, EmbargoedFleet)[0]
-        print(f"{spread / 1e6:>5.0f} s {most:>13} {again:>10} {busy:>6} {statistics.median(done):>9.2f} "
-              f"{done[-1]:>7.2f}")
+        print(
+            f"{spread / 1e6:>5.0f} s {most:>13} {again:>10} {busy:>6} {statistics.median(done):>9.2f} "
+            f"{done[-1]:>7.2f}"
+        )
     return 0
--- a/src/petrelhaven/drill/fleet.py
+++ b/src/petrelhaven/drill/fleet.py
@@ -1,4 +1,5 @@
 """A local fleet of real processes over loopback: daemons, stand-in members and platform, visitors."""
+
 import asyncio
 import os
 import random
@@ -29,6 +30,7 @@
             if r:
                 return r
             await clock.sleep(50_000)
+
     return await asyncio.wait_for(go(), secs)
 
 
@@ -46,8 +48,14 @@
         """Starts the process."""
         self.marks, self.facts = {}, dict(self.facts)
         err = open(os.path.join(self._errs, self.name + ".log"), "ab")
-        self.p = await asyncio.create_subprocess_exec(sys.executable, "-m", *self.argv, stdin=asyncio.subprocess.PIPE,
-                                                      stdout=asyncio.subprocess.PIPE, stderr=err)
+        self.p = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            *self.argv,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=err,
+        )
         err.close()
         self._reader = asyncio.ensure_future(self._read(self.p))
         return self
@@ -68,12 +76,14 @@
 
     async def mark(self, w, secs=20):
         """Waits for a line of signal."""
+
         async def wait():
             while w not in self.marks:
                 if "ended" in self.marks and w != "ended":
                     raise RuntimeError(f"{self.name} ended before it was {w}")
                 self._news.clear()
                 await self._news.wait()
+
         await asyncio.wait_for(wait(), secs)
         return self.facts
 
@@ -109,11 +119,20 @@
 
     async def open_session(self):
         """POST /sessions."""
-        return await fetch(self._p.facts["http"], "POST", "/sessions", http=self._f.http, us=8_000_000)
+        return await fetch(
+            self._p.facts["http"], "POST", "/sessions", http=self._f.http, us=8_000_000
+        )
 
     async def statement(self, sid, d):
         """POST /sessions/{sid}."""
-        return await fetch(self._p.facts["http"], "POST", f"/sessions/{sid}", doc=d, http=self._f.http, us=8_000_000)
+        return await fetch(
+            self._p.facts["http"],
+            "POST",
+            f"/sessions/{sid}",
+            doc=d,
+            http=self._f.http,
+            us=8_000_000,
+        )
 
 
 class Fleet:
@@ -230,7 +249,12 @@
         await asyncio.gather(*[e._p.mark("ready") for e in self.edges])
         await self.until(self.settled, 20)
         self.usher = Usher(
-            self.clock, self.nest, lambda: [e._p.name for e in self.edges], self._is_ready, self._warned, self._taken
+            self.clock,
+            self.nest,
+            lambda: [e._p.name for e in self.edges],
+            self._is_ready,
+            self._warned,
+            self._taken,
         )
         self.nest.spawn(self.usher.run())
 
@@ -323,7 +347,9 @@
         """Applies a manifest through whichever core answers."""
         for i in range(40):
             try:
-                return await fetch(self.cores[i % 3], "POST", "/manifest", data=text.encode(), http=self.http)
+                return await fetch(
+                    self.cores[i % 3], "POST", "/manifest", data=text.encode(), http=self.http
+                )
             except Fault as e:
                 if e.status not in (503, 504):
                     raise
@@ -384,6 +410,7 @@
 
         async def done():
             return all(v.done for v in self.visitors)
+
         await self.until(done, 60)
 
     async def truth(self):
--- a/src/petrelhaven/drill/held/attempt.py
+++ b/src/petrelhaven/drill/held/attempt.py
@@ -11,13 +11,20 @@
     __slots__ = ("client", "group", "stale_us", "transaction", "statements")
 
     def __init__(self, client, group, stale_us, transaction):
-        self.client, self.group, self.stale_us, self.transaction = client, group, stale_us, transaction
+        self.client, self.group, self.stale_us, self.transaction = (
+            client,
+            group,
+            stale_us,
+            transaction,
+        )
         self.statements = []
 
     @property
     def outcome(self):
         """The last outcome that was not `ok`, or `ok`."""
-        return next((s.outcome for s in self.statements if s.outcome != "ok" and s.verb != "rollback"), "ok")
+        return next(
+            (s.outcome for s in self.statements if s.outcome != "ok" and s.verb != "rollback"), "ok"
+        )
 
     @property
     def promised(self):
--- a/src/petrelhaven/drill/held/beats.py
+++ b/src/petrelhaven/drill/held/beats.py
@@ -1,4 +1,5 @@
 """A simulated member's beats to the cores."""
+
 from ...creed.fault import Fault, Late, Unsent
 
 __all__ = ["Beats"]
@@ -27,8 +28,16 @@
     async def _say(self):
         m = self.member
         m.count += 1
-        d = {"member": m.name, "group": m.group.name, "hall": m.box.hall, "addr": f"sim:{m.box.name}", "role": m.role,
-             "state": m.state, "slots": m.slots, "count": m.count}
+        d = {
+            "member": m.name,
+            "group": m.group.name,
+            "hall": m.box.hall,
+            "addr": f"sim:{m.box.name}",
+            "role": m.role,
+            "state": m.state,
+            "slots": m.slots,
+            "count": m.count,
+        }
         if await self.tell(lambda n: n.announce(d)):
             self.acknowledged.add(d["state"])
 
@@ -41,6 +50,7 @@
                 if c.node is None:
                     raise Unsent(c.name)
                 return await fn(c.node)
+
             try:
                 await self.net.trip(self.member.box, c, there, 1_000_000, fresh=True)
             except Fault:
--- a/src/petrelhaven/drill/held/caller.py
+++ b/src/petrelhaven/drill/held/caller.py
@@ -15,4 +15,5 @@
 
         async def there():
             return await p.node.promote(group, member, fence, holder)
+
         return await self._net.trip(self._box, p, there, 3_000_000, fresh=True)
--- a/src/petrelhaven/drill/held/client.py
+++ b/src/petrelhaven/drill/held/client.py
@@ -1,4 +1,5 @@
 """A client of the path where sessions live with their connection: operations, tries, what it was told."""
+
 from ...creed.fault import Fault, Late
 from ...span.ask import Ask
 from .attempt import PROMISES, Attempt
@@ -15,7 +16,9 @@
 class Client:
     """One session that is opened again when it is lost; operations one after the other, tried again as a whole."""
 
-    def __init__(self, fleet, num, rng, pause_us=120_000, browsing=False, transactions=0.3, writes=0.35):
+    def __init__(
+        self, fleet, num, rng, pause_us=120_000, browsing=False, transactions=0.3, writes=0.35
+    ):
         self.fleet, self.num, self.rng, self.pause_us = fleet, num, rng, pause_us
         self.group = rng.choice(sorted(fleet.groups))
         self.host = self.group + ("-browse" if browsing else "")
@@ -45,7 +48,9 @@
             self._close()
 
     async def _operate(self):
-        end = self._clock.now() + (_DEADLINE_US if self.rng.random() > 0.02 else int(self.rng.uniform(5_000, 80_000)))
+        end = self._clock.now() + (
+            _DEADLINE_US if self.rng.random() > 0.02 else int(self.rng.uniform(5_000, 80_000))
+        )
         plan = self._plan()
         for _ in range(_TRIES):
             if self._clock.now() >= end:
@@ -61,7 +66,9 @@
             if self._state != "I":
                 self._close()
             o = t.outcome
-            if not (o in PROMISES or o == "failed" and not any(w for _, w in plan) or not t.sent_effect):
+            if not (
+                o in PROMISES or o == "failed" and not any(w for _, w in plan) or not t.sent_effect
+            ):
                 break
             await self._clock.sleep(int(self.rng.uniform(20_000, 150_000)))
         return False
@@ -71,7 +78,10 @@
         if r.random() >= self.mix[0]:
             w = r.random() < self.mix[1]
             return [("access", w)]
-        steps = [("access", r.random() < max(self.mix[1], 0.3) and self.mix[1] > 0) for _ in range(r.randint(1, 3))]
+        steps = [
+            ("access", r.random() < max(self.mix[1], 0.3) and self.mix[1] > 0)
+            for _ in range(r.randint(1, 3))
+        ]
         only = not any(w for _, w in steps) and (r.random() < 0.6 or not self.mix[1])
         end = r.choices(("commit", "rollback", "leave"), (17, 2, 1))[0]
         return [("begin", not only), *steps, (end, False)]
@@ -80,15 +90,25 @@
         await self._open(end)
         for i, (verb, writes) in enumerate(plan):
             if i:
-                us = self.rng.expovariate(1 / 25_000) if self.rng.random() > 0.005 else self.rng.uniform(2.5e6, 3.7e6)
+                us = (
+                    self.rng.expovariate(1 / 25_000)
+                    if self.rng.random() > 0.005
+                    else self.rng.uniform(2.5e6, 3.7e6)
+                )
                 await self._clock.sleep(int(us))
             if verb == "leave":
                 self._close()
                 return
-            a = self._access(writes) if verb == "access" else Ask(self._num(), verb, verb, writes=writes)
+            a = (
+                self._access(writes)
+                if verb == "access"
+                else Ask(self._num(), verb, verb, writes=writes)
+            )
             if await self._ask(t, a, end):
                 if self._state in ("T", "E") and self._front is not None:
-                    await self._ask(t, Ask(self._num(), "rollback", "rollback"), self._clock.now() + 2_000_000)
+                    await self._ask(
+                        t, Ask(self._num(), "rollback", "rollback"), self._clock.now() + 2_000_000
+                    )
                 return
 
     def _num(self):
@@ -101,13 +121,22 @@
         ns = [n for n, s in self._prepared.items() if s.startswith(kind)]
         if ns and self.rng.random() < 0.5:
             n = self.rng.choice(ns)
-            return Ask(self._num(), "execute", f"execute {n} {words}", name=n, data=words, shape=self._prepared[n])
+            return Ask(
+                self._num(),
+                "execute",
+                f"execute {n} {words}",
+                name=n,
+                data=words,
+                shape=self._prepared[n],
+            )
         return Ask(self._num(), "write" if writes else "read", f"{kind} {words}", writes=writes)
 
     async def _ask(self, t, a, end):
         """Asks one statement; its code if it was not served."""
         text = a.data if a.verb == "execute" else a.text
-        s = Statement(a.num, a.verb, text, a.shape or None, dict(self._values), self.fleet.loop.time())
+        s = Statement(
+            a.num, a.verb, text, a.shape or None, dict(self._values), self.fleet.loop.time()
+        )
         t.statements.append(s)
         try:
             r = await self._clock.limit(self._front.ask(a), max(10_000, end - self._clock.now()))
@@ -132,8 +161,9 @@
                 await self._prepare(n, end)
             return
         self._close()
-        self._front = await Front.open(self.fleet.net, self.fleet.out, self.rng.choice(self.fleet.edges), self.host,
-                                       800_000)
+        self._front = await Front.open(
+            self.fleet.net, self.fleet.out, self.rng.choice(self.fleet.edges), self.host, 800_000
+        )
         for _ in range(self.rng.randrange(3)):
             await self._set(end)
         for n in _NAMES:
--- a/src/petrelhaven/drill/held/connection.py
+++ b/src/petrelhaven/drill/held/connection.py
@@ -1,4 +1,5 @@
 """One connection at a simulated member: its values, its prepared names and its transaction."""
+
 import collections
 
 from ...span.ask import Reply
--- a/src/petrelhaven/drill/held/embargo.py
+++ b/src/petrelhaven/drill/held/embargo.py
@@ -1,4 +1,5 @@
 """A fleet with embargoes: records placed, put off and lifted while faults happen and one core's clock steps."""
+
 import asyncio
 import json
 import random
@@ -49,11 +50,16 @@
             for s in self._states[:n]:
                 if len(s) == 2:
                     s.append(at)
+
         return acknowledged
 
     def may_be_seen(self, now):
         """Whether some release time that may be in force at `now` has passed."""
-        return any((s[1] is None or s[1] <= now) for s in self._states if s[0] <= now and (len(s) == 2 or now < s[2]))
+        return any(
+            (s[1] is None or s[1] <= now)
+            for s in self._states
+            if s[0] <= now and (len(s) == 2 or now < s[2])
+        )
 
 
 class EmbargoedFleet(HeldFleet):
@@ -62,7 +68,10 @@
     def __init__(self, seed, records=3, **kw):
         super().__init__(seed, **kw)
         self._random = random.Random(seed * 31 + 7)
-        self.walls = {c.name: SimulatedWall(self.true, self._random.randrange(-80_000, 80_000)) for c in self.cores}
+        self.walls = {
+            c.name: SimulatedWall(self.true, self._random.randrange(-80_000, 80_000))
+            for c in self.cores
+        }
         self.records = {f"r{i}": EmbargoedRecord(f"r{i}") for i in range(records)}
         self.releases, self.served, self.withheld, self.late = {}, {}, 0, []
         self._reading, self._tasks = True, []
@@ -94,12 +103,13 @@
             r = await real(v, a)
             self._look(b.name, a, r)
             return r
+
         b.node.serve_one = judged
 
     def _look(self, edge, a, r):
         if a.writes or a.verb not in ("read", "execute"):
             return
-        thing = (a.data if a.verb == "execute" else a.text.partition(" ")[2])
+        thing = a.data if a.verb == "execute" else a.text.partition(" ")[2]
         x = self.records.get(thing)
         if x is None:
             return
@@ -113,6 +123,7 @@
     async def embargo(self, do, thing, until=None):
         """Places, moves or lifts one embargo; whether that was acknowledged."""
         from ...helm.instant import spoken
+
         acknowledged = self.records[thing].said(self.true(), until)
         d = {"do": do, "name": "x-" + thing, "by": "drill"}
         if do == "add":
@@ -126,6 +137,7 @@
                 if c.node is None:
                     raise Unsent(c.name)
                 return await c.node.embargoes.change(d)
+
             try:
                 await self.net.trip(self.out, c, there, 25_000_000, fresh=True)
             except Fault as e:
@@ -142,8 +154,12 @@
             c = await Front.open(self.net, self.out, b, host, 800_000)
         except Fault:
             return None
-        t = Attempt("embargo", sorted(self.groups)[0], self.stale_us if host.endswith("browse") else 0,
-                    any(a.verb == "begin" for a in asks))
+        t = Attempt(
+            "embargo",
+            sorted(self.groups)[0],
+            self.stale_us if host.endswith("browse") else 0,
+            any(a.verb == "begin" for a in asks),
+        )
         self.history.attempts.append(t)
         r = None
         try:
@@ -188,7 +204,9 @@
             await asyncio.sleep(0.1)
         for _ in range(r.randrange(3)):
             await asyncio.sleep(r.uniform(0, 4))
-            until = max(self.true() + 1_000_000, self.releases[thing] + r.randrange(-5_000_000, 6_000_000))
+            until = max(
+                self.true() + 1_000_000, self.releases[thing] + r.randrange(-5_000_000, 6_000_000)
+            )
             self.releases[thing] = until
             await self.embargo("move", thing, until)
         if r.random() < 0.2:
@@ -203,7 +221,9 @@
             thing, num = r.choice(sorted(self.records)), f"reader{n}.{i}"
             read = Ask(num, "read", f"get {thing}")
             if r.random() < 0.4:
-                read = Ask(num, "execute", f"execute q {thing}", name="q", data=thing, shape="get q0")
+                read = Ask(
+                    num, "execute", f"execute q {thing}", name="q", data=thing, shape="get q0"
+                )
             asks = [Ask("p" + num, "prepare", "prepare", name="q", shape="get q0")]
             if r.random() < 0.4:
                 asks.append(Ask("b" + num, "begin", "begin", writes=r.random() < 0.5))
--- a/src/petrelhaven/drill/held/failover.py
+++ b/src/petrelhaven/drill/held/failover.py
@@ -1,4 +1,5 @@
 """The simulated platform's failover call, fenced, slow or down at will, its answers lost at will."""
+
 from ...creed.fault import Fenced, Unreached
 
 __all__ = ["FailoverService"]
--- a/src/petrelhaven/drill/held/faults.py
+++ b/src/petrelhaven/drill/held/faults.py
@@ -1,17 +1,57 @@
 """The faults and the planned work of a storm."""
+
 import asyncio
 import random
 
 __all__ = ["KINDS", "PLANNED", "Faults"]
 
-PLANNED = ["release_primary", "release_replica", "evacuate", "manifests", "primary_crash", "replica_lag", "edge_leave",
-           "member_busy", "lost_answers", "deaf_heir"]
+PLANNED = [
+    "release_primary",
+    "release_replica",
+    "evacuate",
+    "manifests",
+    "primary_crash",
+    "replica_lag",
+    "edge_leave",
+    "member_busy",
+    "lost_answers",
+    "deaf_heir",
+]
 KINDS = [
-    "edge_kill", "edge_freeze", "edge_leave", "core_kill", "core_freeze", "core_disk", "core_torn", "core_all",
-    "isolate", "bridge", "cut_one", "primary_cut", "primary_crash", "primary_crash", "primary_dark", "replica_crash",
-    "replica_dark", "replica_deaf", "replica_lag", "release_primary", "release_replica", "evacuate", "manifests",
-    "platform", "platform_mute", "lost_answers", "member_busy", "vanish", "isolate_primary",
-    "deaf_heir", "replica_blink", "edge_cut", "mover_freeze", "noise",
+    "edge_kill",
+    "edge_freeze",
+    "edge_leave",
+    "core_kill",
+    "core_freeze",
+    "core_disk",
+    "core_torn",
+    "core_all",
+    "isolate",
+    "bridge",
+    "cut_one",
+    "primary_cut",
+    "primary_crash",
+    "primary_crash",
+    "primary_dark",
+    "replica_crash",
+    "replica_dark",
+    "replica_deaf",
+    "replica_lag",
+    "release_primary",
+    "release_replica",
+    "evacuate",
+    "manifests",
+    "platform",
+    "platform_mute",
+    "lost_answers",
+    "member_busy",
+    "vanish",
+    "isolate_primary",
+    "deaf_heir",
+    "replica_blink",
+    "edge_cut",
+    "mover_freeze",
+    "noise",
 ]
 
 
@@ -80,7 +120,8 @@
         vs = [c.node.chain.view for c in self.f.cores if c.node and c.node.chain.view]
         v = max(vs, key=lambda v: v["n"], default=None)
         return v is not None and all(
-            c.node and v["ids"].get(c.name) == c.node.mem.disk for c in self.f.cores if c is not b)
+            c.node and v["ids"].get(c.name) == c.node.mem.disk for c in self.f.cores if c is not b
+        )
 
     async def _core_disk(self, r):
         b = r.choice(self.f.cores)
@@ -105,7 +146,9 @@
 
     async def _isolate(self, r):
         a = r.choice("abc")
-        rest = [n for h in "abc" if h != a for n in self._in(h)] + (["platform"] if r.random() < 0.7 else [])
+        rest = [n for h in "abc" if h != a for n in self._in(h)] + (
+            ["platform"] if r.random() < 0.7 else []
+        )
         self.f.cut(self._in(a), rest, int(r.uniform(1, 8) * 1e6), r.random() < 0.8)
 
     async def _bridge(self, r):
@@ -148,6 +191,7 @@
         def deaf(m):
             m.deaf = True
             self.f.loop.call_later(us / 1e6, lambda: setattr(m, "deaf", False))
+
         p.on_call.append(deaf)
         await asyncio.sleep(12)
         p.on_call.remove(deaf)
@@ -157,12 +201,15 @@
         g, s = self._group(r), r.uniform(0.3, 5)
 
         def freeze(m):
-            heads = [b for b in self.f.cores if b.node and b.node.chain.head and b.node.chain.active]
+            heads = [
+                b for b in self.f.cores if b.node and b.node.chain.head and b.node.chain.active
+            ]
             for b in heads:
                 g.on_pause.clear()
                 b.freeze(int(s * 1e6))
                 now = self.f.loop.time()
                 self.f.history.trouble(now, now + s, "core")
+
         g.on_pause.append(freeze)
         await asyncio.sleep(10)
         g.on_pause.clear()
@@ -231,7 +278,9 @@
             self.f.history.drained[m.name] = now
         await asyncio.sleep(r.uniform(5.3, 7))
         if m.running and not m.dark:
-            await asyncio.wait([m.box.nest.spawn(m.beats.tell(lambda n: n.depart(m.name)))], timeout=5)
+            await asyncio.wait(
+                [m.box.nest.spawn(m.beats.tell(lambda n: n.depart(m.name)))], timeout=5
+            )
         if m.running:
             m.stop()
         await asyncio.sleep(r.uniform(0.3, 2))
--- a/src/petrelhaven/drill/held/fleet.py
+++ b/src/petrelhaven/drill/held/fleet.py
@@ -1,4 +1,5 @@
 """A whole fleet of the path where sessions live with their connection, in virtual time."""
+
 import asyncio
 import json
 import random
@@ -41,8 +42,10 @@
         self.clients = []
         self.cores = [Box(self.net, f"c{i + 1}", h, self._rate()) for i, h in enumerate(_HALLS)]
         self.edges = [Box(self.net, f"e{i + 1}", _HALLS[i % 3], self._rate()) for i in range(edges)]
-        self.groups = {f"g{i + 1}": DatabaseGroup(f"g{i + 1}", self.net, self.history, 1, lag_us, cap)
-                       for i in range(groups)}
+        self.groups = {
+            f"g{i + 1}": DatabaseGroup(f"g{i + 1}", self.net, self.history, 1, lag_us, cap)
+            for i in range(groups)
+        }
         self.members = []
         for i, g in enumerate(self.groups):
             self.members += [Box(self.net, f"{g}-{j + 1}", _HALLS[(i + j) % 3]) for j in range(3)]
@@ -61,11 +64,30 @@
         routes = []
         for g in self.groups:
             for host, reads, us in ((g, "strong", 0), (g + "-browse", "browsing", self.stale_us)):
-                routes.append({"name": host, "group": g, "host": host, "prefix": "/", "reads": reads,
-                               "timeout_us": timeout_us, "aim_us": 400_000, "stale_us": us})
-        return json.dumps({"name": "fleet", "version": version, "halls": list(_HALLS),
-                           "groups": [{"name": g, "cap": x.cap, "sync": x.sync} for g, x in self.groups.items()],
-                           "routes": routes, "bounds": {"keepers": 0, "idle_txn_us": 3_000_000}})
+                routes.append(
+                    {
+                        "name": host,
+                        "group": g,
+                        "host": host,
+                        "prefix": "/",
+                        "reads": reads,
+                        "timeout_us": timeout_us,
+                        "aim_us": 400_000,
+                        "stale_us": us,
+                    }
+                )
+        return json.dumps(
+            {
+                "name": "fleet",
+                "version": version,
+                "halls": list(_HALLS),
+                "groups": [
+                    {"name": g, "cap": x.cap, "sync": x.sync} for g, x in self.groups.items()
+                ],
+                "routes": routes,
+                "bounds": {"keepers": 0, "idle_txn_us": 3_000_000},
+            }
+        )
 
     def wall(self, b):
         """The wall clock of a core; nothing asks for it while embargoes are off."""
@@ -74,9 +96,21 @@
         """Powers a core on."""
         b.boot()
         try:
-            b.node = Seat(b.name, b.hall, self.seeds, b.clock, b.nest, b.link, b.disk, random.Random(self.rng.random()),
-                          FailoverCaller(self.net, b, self.platform), SimulatedWire(self.net, b), self.beat_us, b.log,
-                          wall=self.wall(b))
+            b.node = Seat(
+                b.name,
+                b.hall,
+                self.seeds,
+                b.clock,
+                b.nest,
+                b.link,
+                b.disk,
+                random.Random(self.rng.random()),
+                FailoverCaller(self.net, b, self.platform),
+                SimulatedWire(self.net, b),
+                self.beat_us,
+                b.log,
+                wall=self.wall(b),
+            )
         except asyncio.CancelledError:
             if b.up:
                 raise
@@ -90,9 +124,21 @@
 
         def near(hall):
             return 0 if hall == b.hall else 1
+
         tie = Tie(b.clock, b.nest, b.link, rng, b.name, list(self.seeds), near, b.log)
-        b.node = Gate(b.name, b.hall, b.clock, b.nest, rng, tie, SimulatedWire(self.net, b), near, _BOUND_US, _BOUND_US,
-                      b.log)
+        b.node = Gate(
+            b.name,
+            b.hall,
+            b.clock,
+            b.nest,
+            rng,
+            tie,
+            SimulatedWire(self.net, b),
+            near,
+            _BOUND_US,
+            _BOUND_US,
+            b.log,
+        )
         b.node.start()
 
     def boot_member(self, b, member=None):
@@ -139,8 +185,13 @@
         await self.until(lambda: any(c.node.ready for c in self.cores), 15, "cores ready")
         await self.apply(1)
         await self.until(lambda: all(e.node.ready for e in self.edges), 15, "edges ready")
-        await self.until(lambda: all(b.key and len(b.berths) == 3 for e in self.edges for b in e.node.bands.values()),
-                         15, "offices held")
+        await self.until(
+            lambda: all(
+                b.key and len(b.berths) == 3 for e in self.edges for b in e.node.bands.values()
+            ),
+            15,
+            "offices held",
+        )
         self.loop.create_task(self._watch())
 
     async def until(self, fn, secs, what):
@@ -160,6 +211,7 @@
                 if c.node is None:
                     raise Unsent(c.name)
                 return await fn(c.node)
+
             try:
                 return await self.net.trip(self.out, c, there, 4_500_000, fresh=True)
             except Fault as e:
@@ -180,8 +232,10 @@
         sent = self.loop.time()
         self.halls_taken.pop(hall, None)
         if state == "open":
-            self.history.evacuations = [(h, t, sent if h == hall and u is None else u)
-                                        for h, t, u in self.history.evacuations]
+            self.history.evacuations = [
+                (h, t, sent if h == hall and u is None else u)
+                for h, t, u in self.history.evacuations
+            ]
         r = await self._order(lambda n: n.hall_to(hall, state), by)
         if r is not None:
             self.halls_taken[hall] = state
@@ -246,6 +300,7 @@
                 if c.node is None:
                     raise Unsent(c.name)
                 return json.loads(json.dumps(await c.node.realm()))
+
             try:
                 d = await self.net.trip(self.out, c, there, 2_500_000, fresh=True)
                 break
@@ -255,8 +310,11 @@
             return [("LOST", "the control state can't be read back")]
         v, top = d["manifest"]["version"], max(v for _, v in self.taken)
         out = [("LOST", f"the acknowledged manifest {top}, read back is {v}")] if v < top else []
-        return out + [("LOST", f"hall {h} was acknowledged as {s}") for h, s in sorted(self.halls_taken.items())
-                      if d["halls"].get(h, "open") != s]
+        return out + [
+            ("LOST", f"hall {h} was acknowledged as {s}")
+            for h, s in sorted(self.halls_taken.items())
+            if d["halls"].get(h, "open") != s
+        ]
 
     def verdict(self):
         """Everything that must never happen and did."""
--- a/src/petrelhaven/drill/held/front.py
+++ b/src/petrelhaven/drill/held/front.py
@@ -1,4 +1,5 @@
 """A client's simulated connection to an edge, and the edge's end of it."""
+
 import asyncio
 import collections
 
--- a/src/petrelhaven/drill/held/group.py
+++ b/src/petrelhaven/drill/held/group.py
@@ -1,4 +1,5 @@
 """A simulated database group: terms, numbers, replication, promotes."""
+
 import asyncio
 
 from ...creed.fault import Fault
@@ -18,7 +19,14 @@
     """
 
     def __init__(self, name, net, history, sync=1, lag_us=30_000, cap=40):
-        self.name, self.net, self.history, self.sync, self.lag_us, self.cap = name, net, history, sync, lag_us, cap
+        self.name, self.net, self.history, self.sync, self.lag_us, self.cap = (
+            name,
+            net,
+            history,
+            sync,
+            lag_us,
+            cap,
+        )
         self.members, self.entries = [], []
         self.term, self.leader = 1, None
         self._received, self._waits = {}, []
@@ -85,22 +93,37 @@
         """Sends every replica what it lacks."""
         a = self.leader
         for m in self.members:
-            if a is not None and m is not a and self._hears(a, m) and (
-                    m.log[-1:] != a.log[-1:] or self._received.get(m, 0) < len(m.log)):
-                self.net.loop.call_later(self.net.delay(a.box, m.box), self._land, a, m, self.term, len(a.log))
+            if (
+                a is not None
+                and m is not a
+                and self._hears(a, m)
+                and (m.log[-1:] != a.log[-1:] or self._received.get(m, 0) < len(m.log))
+            ):
+                self.net.loop.call_later(
+                    self.net.delay(a.box, m.box), self._land, a, m, self.term, len(a.log)
+                )
 
     def _hears(self, a, m):
-        return (a.running and m.running and not a.dark and not m.dark and not m.deaf and not m.held
-                and not self.net.is_cut(a.box.name, m.box.name))
+        return (
+            a.running
+            and m.running
+            and not a.dark
+            and not m.dark
+            and not m.deaf
+            and not m.held
+            and not self.net.is_cut(a.box.name, m.box.name)
+        )
 
     def _land(self, a, m, term, upto):
         if self.leader is not a or self.term != term or not self._hears(a, m):
             return
         m.follow()
         if len(m.log) < upto:
-            m.receive(a.log[len(m.log):upto])
+            m.receive(a.log[len(m.log) : upto])
         if not self.net.is_cut(m.box.name, a.box.name):
-            self.net.loop.call_later(self.net.delay(m.box, a.box), self._told, a, m, term, len(m.log))
+            self.net.loop.call_later(
+                self.net.delay(m.box, a.box), self._told, a, m, term, len(m.log)
+            )
 
     def _told(self, a, m, term, n):
         if self.leader is not a or self.term != term or not a.running or a.dark:
--- a/src/petrelhaven/drill/held/history.py
+++ b/src/petrelhaven/drill/held/history.py
@@ -20,4 +20,7 @@
 
     def in_touch(self, name, at, contact):
         """Whether machine `name` and the core had no trouble in the `contact` seconds before `at`."""
-        return not any(t <= at and u >= at - contact and (name in ns or "core" in ns) for t, u, ns in self.troubles)
+        return not any(
+            t <= at and u >= at - contact and (name in ns or "core" in ns)
+            for t, u, ns in self.troubles
+        )
--- a/src/petrelhaven/drill/held/judge.py
+++ b/src/petrelhaven/drill/held/judge.py
@@ -1,4 +1,5 @@
 """What clients, members and operators saw, held against what must never happen."""
+
 import bisect
 import collections
 import itertools
@@ -16,9 +17,16 @@
     for g, e in history.entries:
         for num, _, _ in e.writes:
             kept[num].append(e)
-    rules = (_mixed(history, asked), _pinned(history, asked), _unasked(history, asked, kept),
-             _effects(history, kept), _stale(history, asked, kept), _lost(history, kept),
-             _drained(history, asked, drain_s, contact_s), _emptied(history, empty_s, contact_s))
+    rules = (
+        _mixed(history, asked),
+        _pinned(history, asked),
+        _unasked(history, asked, kept),
+        _effects(history, kept),
+        _stale(history, asked, kept),
+        _lost(history, kept),
+        _drained(history, asked, drain_s, contact_s),
+        _emptied(history, empty_s, contact_s),
+    )
     return list(itertools.chain(*rules))
 
 
@@ -28,7 +36,12 @@
         if s.outcome == "ok" and s.verb in ("read", "write", "execute", "commit"):
             r = runs.get((s.num, s.stamp))
             if r is None:
-                yield "MIXED", s.num, s.text, f"success with the stamp {s.stamp}, which no member gave it"
+                yield (
+                    "MIXED",
+                    s.num,
+                    s.text,
+                    f"success with the stamp {s.stamp}, which no member gave it",
+                )
             elif r.rows != s.rows:
                 yield "MIXED", s.num, s.text, f"rows {s.rows} where the member answered {r.rows}"
 
@@ -47,11 +60,21 @@
             yield "PINNED", s.num, s.text, f"outside of its transaction at {r.member}"
         else:
             if places.setdefault(id(t), place) != place:
-                yield "PINNED", s.num, s.text, f"ran at {place}, its transaction's first at {places[id(t)]}"
+                yield (
+                    "PINNED",
+                    s.num,
+                    s.text,
+                    f"ran at {place}, its transaction's first at {places[id(t)]}",
+                )
             if owners.setdefault(place, t) is not t:
                 yield "PINNED", s.num, f"inside the transaction of client {owners[place].client}"
         if r.values != s.values and r.kind != "commit":
-            yield "PINNED", s.num, r.member, f"ran with the values {r.values}, its client's are {s.values}"
+            yield (
+                "PINNED",
+                s.num,
+                r.member,
+                f"ran with the values {r.values}, its client's are {s.values}",
+            )
         if r.shape != s.shape:
             yield "PINNED", s.num, s.text, f"ran the shape {r.shape}, its client prepared {s.shape}"
     for _, s in asked.values():
@@ -117,8 +140,14 @@
             tip = tip.previous
         has = tip.number if tip else 0
         if n and numbers[n - 1] > has:
-            yield ("STALE", s.num, s.text, f"ran at {r.member} on {has}, {numbers[n - 1]} was acknowledged before",
-                   t.stale_us, r.at)
+            yield (
+                "STALE",
+                s.num,
+                s.text,
+                f"ran at {r.member} on {has}, {numbers[n - 1]} was acknowledged before",
+                t.stale_us,
+                r.at,
+            )
 
 
 def _lost(history, kept):
@@ -128,7 +157,12 @@
             if not es:
                 yield "LOST", num, "acknowledged, but in no log"
             elif all(e.cut is not None for e in es):
-                yield "LOST", num, f"the acknowledged commit {es[0].term}.{es[0].number} was cut back", es[0].cut
+                yield (
+                    "LOST",
+                    num,
+                    f"the acknowledged commit {es[0].term}.{es[0].number} was cut back",
+                    es[0].cut,
+                )
 
 
 def _drained(history, asked, drain_s, contact_s):
@@ -141,13 +175,29 @@
         if first.setdefault(id(t), r.num) != r.num or since is None or r.sent <= since + drain_s:
             continue
         if history.in_touch(r.node, r.sent, contact_s):
-            yield "DRAIN", r.num, r.text, f"sent to {r.member} {r.sent - since:.2f} s after it was draining", r.node
+            yield (
+                "DRAIN",
+                r.num,
+                r.text,
+                f"sent to {r.member} {r.sent - since:.2f} s after it was draining",
+                r.node,
+            )
 
 
 def _emptied(history, empty_s, contact_s):
     for hall, since, until in history.evacuations:
         for r in history.runs:
             late = r.sent - since
-            if r.hall == hall and late > empty_s and (until is None or r.sent < until) and history.in_touch(
-                    r.node, r.sent, contact_s):
-                yield "EVAC", r.num, r.text, f"sent to {r.member} {late:.2f} s after {hall} was emptied", r.node
+            if (
+                r.hall == hall
+                and late > empty_s
+                and (until is None or r.sent < until)
+                and history.in_touch(r.node, r.sent, contact_s)
+            ):
+                yield (
+                    "EVAC",
+                    r.num,
+                    r.text,
+                    f"sent to {r.member} {late:.2f} s after {hall} was emptied",
+                    r.node,
+                )
--- a/src/petrelhaven/drill/held/line.py
+++ b/src/petrelhaven/drill/held/line.py
@@ -1,4 +1,5 @@
 """A simulated connection between a node and a member: one pipe each way, in order, held while the way is cut."""
+
 from ..net import _Pipe
 
 __all__ = ["Line"]
--- a/src/petrelhaven/drill/held/member.py
+++ b/src/petrelhaven/drill/held/member.py
@@ -1,4 +1,5 @@
 """A simulated database member: its log, its slots, its connections, switches for its faults."""
+
 import asyncio
 import contextlib
 
@@ -121,9 +122,16 @@
     def status(self):
         """The row of a status statement."""
         e = self.log[-1] if self.log else None
-        return {"role": self.role, "term": self.group.term, "pos": (e.term, e.number) if e else (1, 0),
-                "held": self.held, "lag_ms": "0", "busy": self._working, "conns": len(self.connections),
-                "at": self.position}
+        return {
+            "role": self.role,
+            "term": self.group.term,
+            "pos": (e.term, e.number) if e else (1, 0),
+            "held": self.held,
+            "lag_ms": "0",
+            "busy": self._working,
+            "conns": len(self.connections),
+            "at": self.position,
+        }
 
     def accept(self, line):
         """A new connection, before it has introduced itself."""
@@ -164,8 +172,23 @@
     def note(self, c, order, kind, text, shape, rows, transaction):
         """Records what was run, and stamps it."""
         self._stamps += 1
-        r = Run(at=self._now(), sent=order.sent, node=order.node, group=self.group.name, member=self.name,
-                hall=self.box.hall, connection=c.number, transaction=transaction, num=order.num, kind=kind, text=text,
-                shape=shape, values=dict(c.values), tip=self.tip, stamp=f"{self.name}/{self._stamps}", rows=rows)
+        r = Run(
+            at=self._now(),
+            sent=order.sent,
+            node=order.node,
+            group=self.group.name,
+            member=self.name,
+            hall=self.box.hall,
+            connection=c.number,
+            transaction=transaction,
+            num=order.num,
+            kind=kind,
+            text=text,
+            shape=shape,
+            values=dict(c.values),
+            tip=self.tip,
+            stamp=f"{self.name}/{self._stamps}",
+            rows=rows,
+        )
         self.group.history.runs.append(r)
         return r
--- a/src/petrelhaven/drill/held/run.py
+++ b/src/petrelhaven/drill/held/run.py
@@ -6,8 +6,24 @@
 class Run:
     """Where it ran, inside what, on which log, and what was answered; `sent` is when the order left `node`."""
 
-    __slots__ = ("at", "sent", "node", "group", "member", "hall", "connection", "transaction", "num", "kind", "text",
-                 "shape", "values", "tip", "stamp", "rows")
+    __slots__ = (
+        "at",
+        "sent",
+        "node",
+        "group",
+        "member",
+        "hall",
+        "connection",
+        "transaction",
+        "num",
+        "kind",
+        "text",
+        "shape",
+        "values",
+        "tip",
+        "stamp",
+        "rows",
+    )
 
     def __init__(self, **kw):
         for k, v in kw.items():
--- a/src/petrelhaven/drill/held/statement.py
+++ b/src/petrelhaven/drill/held/statement.py
@@ -6,10 +6,28 @@
 class Statement:
     """`values` and `shape` are what its client had acknowledged; `outcome` is `ok`, a code, `cut` or `silent`."""
 
-    __slots__ = ("num", "verb", "text", "shape", "values", "sent", "ended", "outcome", "stamp", "rows")
+    __slots__ = (
+        "num",
+        "verb",
+        "text",
+        "shape",
+        "values",
+        "sent",
+        "ended",
+        "outcome",
+        "stamp",
+        "rows",
+    )
 
     def __init__(self, num, verb, text, shape, values, sent):
-        self.num, self.verb, self.text, self.shape, self.values, self.sent = num, verb, text, shape, values, sent
+        self.num, self.verb, self.text, self.shape, self.values, self.sent = (
+            num,
+            verb,
+            text,
+            shape,
+            values,
+            sent,
+        )
         self.ended = self.outcome = self.stamp = None
         self.rows = ()
 
--- a/src/petrelhaven/drill/held/storm.py
+++ b/src/petrelhaven/drill/held/storm.py
@@ -1,4 +1,5 @@
 """Seeded storms against a fleet whose sessions live with their connection; a violation is shrunk to few faults."""
+
 import asyncio
 import random
 import traceback
@@ -47,8 +48,11 @@
     end = t0 + secs
     for g in f.groups:
         while True:
-            ok = {a.statements[0].writes or a.transaction for a in f.history.attempts
-                  if a.group == g and a.statements and a.statements[0].sent > t0 and a.outcome == "ok"}
+            ok = {
+                a.statements[0].writes or a.transaction
+                for a in f.history.attempts
+                if a.group == g and a.statements and a.statements[0].sent > t0 and a.outcome == "ok"
+            }
             if len(ok) == 2:
                 break
             if f.loop.time() > end:
@@ -67,6 +71,7 @@
     async def go():
         box["f"] = fleet(seed, **kw)
         return await fn(box["f"])
+
     try:
         return loop.run_until_complete(go()), box["f"]
     finally:
@@ -77,13 +82,17 @@
 
 def run(seed, rows=None, clients=9, count=6, kinds=None, **kw):
     """One seeded storm: (violations, fleet)."""
+
     async def go(f):
         try:
-            return await play(f, rows if rows is not None else schedule(seed, count, kinds), clients)
+            return await play(
+                f, rows if rows is not None else schedule(seed, count, kinds), clients
+            )
         except AssertionError as e:
             return [("stuck", str(e)), *f.verdict()]
         except Exception as e:
             return [("code", repr(e), traceback.format_exc()[-600:]), *f.verdict()]
+
     return inside(go, seed, **kw)
 
 
@@ -97,8 +106,10 @@
             tries -= 1
             if tries < 0:
                 return rows
-            less = rows[:i] + rows[i + 1:]
-            if any((b[0] if isinstance(b[0], str) else b[1]) in rules for b in run(seed, less, **kw)[0]):
+            less = rows[:i] + rows[i + 1 :]
+            if any(
+                (b[0] if isinstance(b[0], str) else b[1]) in rules for b in run(seed, less, **kw)[0]
+            ):
                 rows, again = less, True
                 break
     return rows
--- a/src/petrelhaven/drill/held/strand.py
+++ b/src/petrelhaven/drill/held/strand.py
@@ -1,4 +1,5 @@
 """A node's end of a simulated connection to a member."""
+
 import asyncio
 import collections
 
--- a/src/petrelhaven/drill/held/wire.py
+++ b/src/petrelhaven/drill/held/wire.py
@@ -1,4 +1,5 @@
 """The wire to simulated members."""
+
 from ...creed.fault import Busy, Gone, Late, Unreached, Unsent
 from .strand import SimulatedStrand
 
@@ -20,7 +21,12 @@
         end = self.clock.now() + us
         for a, b in ((self.box, to), (to, self.box)):
             await self.clock.sleep(int(self.net.delay(a, b) * 1e6))
-            if self.net.is_cut(a.name, b.name) or to.name in self.net.silent or to.node is not None and to.node.dark:
+            if (
+                self.net.is_cut(a.name, b.name)
+                or to.name in self.net.silent
+                or to.node is not None
+                and to.node.dark
+            ):
                 await self.clock.sleep(max(1000, end - self.clock.now()))
                 raise Unsent("mute")
             if to.node is None:
--- a/src/petrelhaven/drill/hollow.py
+++ b/src/petrelhaven/drill/hollow.py
@@ -1,4 +1,5 @@
 """A control plane of its own size: real links over loopback, three seats and many hollow edges that only hold ties."""
+
 import asyncio
 import json
 import random
@@ -43,6 +44,7 @@
         def sent(b):
             self._count.add(b)
             send(b)
+
         c._send = sent
         return c
 
@@ -53,11 +55,23 @@
 
 
 def _manifest(version, routes):
-    return json.dumps({
-        "name": "hollow", "version": version, "halls": ["a", "b", "c"],
-        "groups": [{"name": f"g{i}", "sync": 1} for i in range(_GROUPS)],
-        "routes": [{"name": f"r{i}", "group": f"g{i % _GROUPS}", "host": f"host{i}",
-                    "timeout_us": 1_000_000 + (version if i == 0 else 0)} for i in range(routes)]})
+    return json.dumps(
+        {
+            "name": "hollow",
+            "version": version,
+            "halls": ["a", "b", "c"],
+            "groups": [{"name": f"g{i}", "sync": 1} for i in range(_GROUPS)],
+            "routes": [
+                {
+                    "name": f"r{i}",
+                    "group": f"g{i % _GROUPS}",
+                    "host": f"host{i}",
+                    "timeout_us": 1_000_000 + (version if i == 0 else 0),
+                }
+                for i in range(routes)
+            ],
+        }
+    )
 
 
 async def _until(ok, s=60):
@@ -79,8 +93,19 @@
             await x.start()
         seeds = [x.addr for x in ls]
         for i, x in enumerate(ls):
-            s = Seat(f"core-{i}", "abc"[i], list(seeds), clock, nest, x, Folder(f"{tmp}/{i}"), random.Random(i), None,
-                     None, 1_200_000)
+            s = Seat(
+                f"core-{i}",
+                "abc"[i],
+                list(seeds),
+                clock,
+                nest,
+                x,
+                Folder(f"{tmp}/{i}"),
+                random.Random(i),
+                None,
+                None,
+                1_200_000,
+            )
             seats.append(s)
             s.start()
         await _until(lambda: all(s.chain.active for s in seats))
@@ -89,8 +114,15 @@
         for i in range(edges):
             x = _Link(clock, nest, ties)
             links.append(x)
-            t = Tie(clock, nest, x, random.Random(i), f"edge-{i}", list(seeds),
-                    lambda h, i=i: 0 if h == "abc"[i % 3] else 2)
+            t = Tie(
+                clock,
+                nest,
+                x,
+                random.Random(i),
+                f"edge-{i}",
+                list(seeds),
+                lambda h, i=i: 0 if h == "abc"[i % 3] else 2,
+            )
             held.append(t)
             t.start()
         await _until(lambda: all(t.holds for t in held))
@@ -116,13 +148,28 @@
 
 def hollow():
     """What control costs at several sizes of fleet and of manifest; processor time is of this whole process."""
-    heads = ("edges", "routes", "msgs/s a core", "KB/s a core", "msgs/s an edge", "KB/s an edge", "cpu % of a core",
-             "acknowledged ms", "everywhere ms", "KB a change")
+    heads = (
+        "edges",
+        "routes",
+        "msgs/s a core",
+        "KB/s a core",
+        "msgs/s an edge",
+        "KB/s an edge",
+        "cpu % of a core",
+        "acknowledged ms",
+        "everywhere ms",
+        "KB a change",
+    )
     print(" ".join(heads))
     for edges, routes in ((6, 10), (86, 10), (300, 10), (600, 10), (86, 100), (86, 1000)):
         c, ack, every, size = asyncio.run(_run(edges, routes, 10))
         row = (c[1] / 3, c[2] / 3000, c[3] / edges, c[4] / edges / 1000, c[0] * 100)
         row += (ack * 1000, every * 1000, size / 1000)
-        print(" ".join([f"{edges:>{len(heads[0])}}", f"{routes:>{len(heads[1])}}"]
-                       + [f"{x:>{len(h)}.3f}" for x, h in zip(row, heads[2:])]), flush=True)
+        print(
+            " ".join(
+                [f"{edges:>{len(heads[0])}}", f"{routes:>{len(heads[1])}}"]
+                + [f"{x:>{len(h)}.3f}" for x, h in zip(row, heads[2:])]
+            ),
+            flush=True,
+        )
     return 0
--- a/src/petrelhaven/drill/main.py
+++ b/src/petrelhaven/drill/main.py
@@ -1,4 +1,5 @@
 """drill: a local fleet with load and checks, and the seeded simulator."""
+
 import argparse
 import asyncio
 import collections
@@ -29,7 +30,9 @@
         epilog="Exit codes: 0 nothing that must never happen was seen, 1 something was, 2 wrong call.",
     )
     sub = p.add_subparsers(dest="verb", required=True)
-    f = sub.add_parser("fleet", help="start a local fleet of processes, load it, check what visitors saw")
+    f = sub.add_parser(
+        "fleet", help="start a local fleet of processes, load it, check what visitors saw"
+    )
     f.add_argument("--size", choices=("nordvik", "archivo", "small"), default="nordvik")
     f.add_argument("--visitors", type=int, default=150)
     f.add_argument("--seconds", type=float, default=15)
@@ -38,9 +41,11 @@
         "--faults",
         default="",
         help="comma list of crash (a primary; shows the failover), edge (kill -9), core (kill -9 of the head), "
-             "freeze (an edge), drain (SIGTERM an edge)",
+        "freeze (an edge), drain (SIGTERM an edge)",
+    )
+    f.add_argument(
+        "--hold", action="store_true", help="after the load, keep the fleet up until interrupted"
     )
-    f.add_argument("--hold", action="store_true", help="after the load, keep the fleet up until interrupted")
     f.add_argument("--dir", help="folder for data and logs (a new temporary one)")
     k = sub.add_parser(
         "soak",
@@ -49,24 +54,39 @@
     k.add_argument("--size", choices=("nordvik", "archivo", "small"), default="nordvik")
     k.add_argument("--seed", type=int, default=1)
     k.add_argument("--seconds", type=float, default=120)
-    k.add_argument("--kinds", default="", help="comma list of " + ", ".join(SOAKS) + "; none for load alone")
+    k.add_argument(
+        "--kinds", default="", help="comma list of " + ", ".join(SOAKS) + "; none for load alone"
+    )
     k.add_argument("--dir", help="folder for data and logs (a new temporary one)")
     w = sub.add_parser(
-        "sweep", help="many seeded storms in virtual time; prints each violating seed with a shrunk schedule"
+        "sweep",
+        help="many seeded storms in virtual time; prints each violating seed with a shrunk schedule",
     )
     w.add_argument("--seeds", default="0-100", metavar="A-B")
     w.add_argument("--size", choices=("nordvik", "archivo", "small"), default="small")
-    w.add_argument("--path", choices=("kept", "held", "embargoed"), default="kept",
-                   help="kept: sessions that edges keep for each other; held: sessions that live with their "
-                        "connection; embargoed: the same with records that must not be seen yet and a clock that steps")
+    w.add_argument(
+        "--path",
+        choices=("kept", "held", "embargoed"),
+        default="kept",
+        help="kept: sessions that edges keep for each other; held: sessions that live with their "
+        "connection; embargoed: the same with records that must not be seen yet and a clock that steps",
+    )
     w.add_argument("--faults", type=int, default=6, help="faults a storm")
-    w.add_argument("--kinds", default="", help="comma list of " + ", ".join(KINDS) + "; with the other paths, of "
-                   + ", ".join(sorted(set(held.KINDS))))
+    w.add_argument(
+        "--kinds",
+        default="",
+        help="comma list of "
+        + ", ".join(KINDS)
+        + "; with the other paths, of "
+        + ", ".join(sorted(set(held.KINDS))),
+    )
     w.add_argument("--jobs", type=int, default=os.cpu_count())
     c = sub.add_parser("scene", help="one fault brought about on purpose, in virtual time")
     c.add_argument("name", choices=sorted(SCENES))
     c.add_argument("--seed", type=int, default=1)
-    c.add_argument("--size", choices=("nordvik", "archivo", "small"), help="the scene's own, if left out")
+    c.add_argument(
+        "--size", choices=("nordvik", "archivo", "small"), help="the scene's own, if left out"
+    )
     c.add_argument("--log", action="store_true", help="print every node's events")
     m = sub.add_parser("measure", help="one measurement, as ratios or counts")
     m.add_argument("what", choices=sorted(MEASURES))
@@ -97,7 +117,9 @@
     n = said = done = 0
     with ProcessPoolExecutor(a.jobs) as ex:
         storm = {"kept": _storm, "held": _held_storm, "embargoed": _embargoed_storm}[a.path]
-        for seed, bad, rows, ok in ex.map(storm, [(s, a.size, a.faults, kinds) for s in range(lo, hi)]):
+        for seed, bad, rows, ok in ex.map(
+            storm, [(s, a.size, a.faults, kinds) for s in range(lo, hi)]
+        ):
             said += ok
             done += 1
             if done % 20 == 0:
@@ -112,10 +134,14 @@
 
 
 def _scene(a):
-    bad, w = inside(SCENES[a.name], a.seed, a.size or SIZE.get(a.name, "small"), **NEEDS.get(a.name, {}))
+    bad, w = inside(
+        SCENES[a.name], a.seed, a.size or SIZE.get(a.name, "small"), **NEEDS.get(a.name, {})
+    )
     for row in w.net.log if a.log else ():
         print(*row)
-    print("seen: " + (", ".join(f"{k} {v}" for k, v in w.seen.items() if isinstance(k, str)) or "-"))
+    print(
+        "seen: " + (", ".join(f"{k} {v}" for k, v in w.seen.items() if isinstance(k, str)) or "-")
+    )
     for b in bad:
         print("VIOLATION " + told(b))
     print(f"violations: {len(bad)}")
@@ -126,7 +152,10 @@
     """Kills g1's primary and shows the failover; its answer is what was not seen of it."""
     was = (await fl.until(fl.settled, 20))["epochs"]["g1"]
     primary = fl.procs[was["primary"]]
-    print(f"g1: primary {was['primary']}, epoch {was['n']}; kill -9 of its process {primary.p.pid}", flush=True)
+    print(
+        f"g1: primary {was['primary']}, epoch {was['n']}; kill -9 of its process {primary.p.pid}",
+        flush=True,
+    )
     t = fl.now()
     await primary.end(signal.SIGKILL)
 
@@ -134,6 +163,7 @@
         s = await fl.head()
         e = s and s["epochs"]["g1"]
         return e and e["phase"] == "serve" and e["primary"] != was["primary"] and e
+
     try:
         e = await fl.until(serving, secs)
         await fl.served(secs)
@@ -142,7 +172,9 @@
     finally:
         took = fl.now() - t
         await fl.again(was["primary"])
-    print(f"g1: primary {e['primary']}, epoch {e['n']}; a write kept and read back {took:.1f} s after the kill")
+    print(
+        f"g1: primary {e['primary']}, epoch {e['n']}; a write kept and read back {took:.1f} s after the kill"
+    )
     argv = ["--core", ",".join(fl.cores), "why", "g1", "--epoch", str(e["n"])]
     print("$ tenet " + " ".join(argv), flush=True)
     p = await asyncio.create_subprocess_exec(sys.executable, "-m", "petrelhaven.tenet", *argv)
@@ -181,19 +213,33 @@
     try:
         t = time.monotonic()
         await fl.start()
-        print(f"fleet of size {a.size} serves after {time.monotonic() - t:.1f} s; data and logs in {d}", flush=True)
-        print("cores " + ",".join(fl.cores) + "; edges " + ",".join(e._p.facts["http"] for e in fl.edges), flush=True)
+        print(
+            f"fleet of size {a.size} serves after {time.monotonic() - t:.1f} s; data and logs in {d}",
+            flush=True,
+        )
+        print(
+            "cores "
+            + ",".join(fl.cores)
+            + "; edges "
+            + ",".join(e._p.facts["http"] for e in fl.edges),
+            flush=True,
+        )
         fl.visit(a.visitors, pause=0.7)
         end = time.monotonic() + a.seconds
         bad = await _faults(fl, [x for x in a.faults.split(",") if x])
         await fl.clock.sleep(max(0, int((end - time.monotonic()) * 1e6)))
         await fl.calm()
         c = collections.Counter((h["t"], h.get("outcome", "")) for h in fl.hist)
-        print("seen: " + ", ".join(f"{t} {o or ''}{n}".replace("  ", " ") for (t, o), n in sorted(c.items())))
+        print(
+            "seen: "
+            + ", ".join(f"{t} {o or ''}{n}".replace("  ", " ") for (t, o), n in sorted(c.items()))
+        )
         n = collections.Counter()
         for x in fl.visitors:
             n.update(x.count)
-        print(f"statements ok {n['ok']}, declined {n['declined']}; longest step {fl.longest():.2f} s")
+        print(
+            f"statements ok {n['ok']}, declined {n['declined']}; longest step {fl.longest():.2f} s"
+        )
         bad += await fl.verdict()
         for b in bad[:20]:
             print("VIOLATION " + json.dumps(b, default=str))
@@ -214,7 +260,9 @@
             sys.exit(asyncio.run(_fleet(a)))
         if a.verb == "soak":
             play(a)
-        sys.exit({"sweep": _sweep, "scene": _scene, "measure": lambda a: MEASURES[a.what]()}[a.verb](a))
+        sys.exit(
+            {"sweep": _sweep, "scene": _scene, "measure": lambda a: MEASURES[a.what]()}[a.verb](a)
+        )
     except KeyboardInterrupt:
         sys.exit(0)
 
--- a/src/petrelhaven/drill/measure.py
+++ b/src/petrelhaven/drill/measure.py
@@ -1,4 +1,5 @@
 """Measurements in virtual time: ratios within a run or counts, never bare wall time."""
+
 import asyncio
 import random
 import statistics
@@ -39,10 +40,13 @@
             g = f"g{r.randrange(w.z['groups']) + 1}"
             t0 = w.loop.time()
             try:
-                await v._call(lambda e: e.statement(v.sid, {"route": g, "verb": "get", "key": "v1"}))
+                await v._call(
+                    lambda e: e.statement(v.sid, {"route": g, "verb": "get", "key": "v1"})
+                )
                 took.append(w.loop.time() - t0)
             except Fault:
                 pass
+
     stop = False
     ts = [asyncio.ensure_future(reader(i)) for i in range(count)]
     await asyncio.sleep(secs)
@@ -69,7 +73,12 @@
             row = {}
             for name, vary in (("clock", None), ("read-wait", "read-wait")):
                 n, took = inside(
-                    lambda w: _reads(w, count, pause, 6), 1, "small", lag_us=lag, vary=vary, lanes=64 if vary else 1
+                    lambda w: _reads(w, count, pause, 6),
+                    1,
+                    "small",
+                    lag_us=lag,
+                    vary=vary,
+                    lanes=64 if vary else 1,
                 )[0]
                 row[name] = n["fetches"] / n["reads"]
                 print(
@@ -90,9 +99,15 @@
         f"{'load':>6} {'lanes':>5} {'runs':>4} {'reads':>6} {'fetches/read':>12} {'mean ms':>7} "
         f"{'median ms':>9} {'p95 ms':>7}"
     )
-    for load, count, pause, seeds in (("light", 24, 0.2, range(1, 9)), ("heavy", 240, 0.02, range(1, 2))):
+    for load, count, pause, seeds in (
+        ("light", 24, 0.2, range(1, 9)),
+        ("heavy", 240, 0.02, range(1, 2)),
+    ):
         for k in (1, 2, 3, 64):
-            rs = [inside(lambda w: _reads(w, count, pause, 6), s, "small", lag_us=10_000, lanes=k)[0] for s in seeds]
+            rs = [
+                inside(lambda w: _reads(w, count, pause, 6), s, "small", lag_us=10_000, lanes=k)[0]
+                for s in seeds
+            ]
             took = [t for _, ts in rs for t in ts]
             n, f = (sum(r[x] for r, _ in rs) for x in ("reads", "fetches"))
             print(
@@ -109,7 +124,9 @@
     took = []
     for i in range(150):
         t0 = w.loop.time()
-        r = await e.statement(sid, {"route": "g1", "verb": "put", "key": "k", "value": i, "try": i + 1})
+        r = await e.statement(
+            sid, {"route": "g1", "verb": "put", "key": "k", "value": i, "try": i + 1}
+        )
         if r["outcome"] == "kept":
             took.append(w.loop.time() - t0)
         await asyncio.sleep(0.05)
@@ -119,11 +136,15 @@
 def commit():
     """What waiting for every in-sync replica costs a write: latency with and without it, by lag."""
     from ..span.edge import Edge
+
     real = Edge.held
 
     async def at_once(self, t, primary, term, pos):
         return True
-    print(f"{'lag ms':>6} {'median, waiting':>16} {'median, not':>12} {'ratio':>6} {'difference ms':>13}")
+
+    print(
+        f"{'lag ms':>6} {'median, waiting':>16} {'median, not':>12} {'ratio':>6} {'difference ms':>13}"
+    )
     for lag in (10_000, 60_000):
         a = inside(_writes, 1, "small", lag_us=lag)[0]
         Edge.held = at_once
@@ -132,20 +153,26 @@
         finally:
             Edge.held = real
         x, y = statistics.median(a), statistics.median(b)
-        print(f"{lag // 1000:>6} {1000 * x:>13.1f} ms {1000 * y:>9.1f} ms {x / y:>6.2f} {1000 * (x - y):>13.1f}")
+        print(
+            f"{lag // 1000:>6} {1000 * x:>13.1f} ms {1000 * y:>9.1f} ms {x / y:>6.2f} {1000 * (x - y):>13.1f}"
+        )
     return 0
 
 
 def keep():
     """What each keeper costs a write: latency by the number of keepers, halls apart as in the deployment."""
-    print(f"{'size':>8} {'keepers':>7} {'writes':>6} {'median ms':>9} {'p95 ms':>7} {'to one keeper':>13}")
+    print(
+        f"{'size':>8} {'keepers':>7} {'writes':>6} {'median ms':>9} {'p95 ms':>7} {'to one keeper':>13}"
+    )
     for size in ("nordvik", "archivo"):
         base = None
         for k in (1, 2, 3):
             xs = inside(_writes, 1, size, keepers=k)[0]
             m = 1000 * statistics.median(xs)
             base = base or m
-            print(f"{size:>8} {k:>7} {len(xs):>6} {m:>9.1f} {1000 * _pct(xs, 0.95):>7.1f} {m / base:>13.2f}")
+            print(
+                f"{size:>8} {k:>7} {len(xs):>6} {m:>9.1f} {1000 * _pct(xs, 0.95):>7.1f} {m / base:>13.2f}"
+            )
     return 0
 
 
@@ -177,9 +204,15 @@
 
 def failover():
     """The failover gap: from the fault to the next kept write and a strong read of it in every group."""
-    print(f"{'size':>8} {'fault':>14} {'median s':>9} {'longest s':>9} {'platform s':>10} {'runs':>5}")
+    print(
+        f"{'size':>8} {'fault':>14} {'median s':>9} {'longest s':>9} {'platform s':>10} {'runs':>5}"
+    )
     for size in ("nordvik", "archivo"):
-        for name, f in (("primary killed", _crash), ("planned swap", _drain), ("hall lost", _region)):
+        for name, f in (
+            ("primary killed", _crash),
+            ("planned swap", _drain),
+            ("hall lost", _region),
+        ):
             xs = [inside(lambda w: _gap(w, f), s, size)[0] for s in range(1, 9)]
             print(
                 f"{size:>8} {name:>14} {statistics.median(xs):>9.2f} {max(xs):>9.2f} "
@@ -204,14 +237,18 @@
 
 def force():
     """Time from an operator's call to a manifest in force everywhere (its acknowledgement), as edges grow."""
-    print(f"{'edges':>5} {'all reached, median s':>22} {'one edge cut off, median s':>27} {'longest s':>9}")
+    print(
+        f"{'edges':>5} {'all reached, median s':>22} {'one edge cut off, median s':>27} {'longest s':>9}"
+    )
     real = dict(SIZES["small"])
     try:
         for n in (3, 6, 12, 24):
             SIZES["small"] = {**real, "edges": n}
             a = inside(lambda w: _force(w, False), 1)[0]
             b = inside(lambda w: _force(w, True), 1)[0]
-            print(f"{n:>5} {statistics.median(a):>22.3f} {statistics.median(b):>27.3f} {max(a + b):>9.3f}")
+            print(
+                f"{n:>5} {statistics.median(a):>22.3f} {statistics.median(b):>27.3f} {max(a + b):>9.3f}"
+            )
     finally:
         SIZES["small"] = real
     return 0
@@ -220,11 +257,16 @@
 async def _detect(w, us, loss):
     from ..kith.probe import Prober
     from ..kith.roster import Roster
+
     boxes = [Box(w.net, f"n{i}", w.z["halls"][i % 3]) for i in range(9)]
     for i, b in enumerate(boxes):
         b.boot()
         b.node = Roster(b.clock, (b.name, "edge", b.hall, b.link.addr, 1), b.log, suspect_us=us)
-        b.nest.spawn(Prober(b.clock, b.link, b.nest, random.Random(i), b.node, [f"sim:n{j}" for j in range(3)]).run())
+        b.nest.spawn(
+            Prober(
+                b.clock, b.link, b.nest, random.Random(i), b.node, [f"sim:n{j}" for j in range(3)]
+            ).run()
+        )
     await asyncio.sleep(3)
     w.net.loss = loss
     await asyncio.sleep(60)
@@ -240,7 +282,9 @@
 
 def detect():
     """Detection time against false removals, by the time suspicion is given and by datagram loss (9 nodes, 60 s)."""
-    print(f"{'suspicion s':>11} {'loss':>5} {'false removals':>14} {'median detection s':>18} {'slowest node s':>14}")
+    print(
+        f"{'suspicion s':>11} {'loss':>5} {'false removals':>14} {'median detection s':>18} {'slowest node s':>14}"
+    )
     for us in (300_000, 900_000, 2_000_000):
         for loss in (0.0, 0.1, 0.25):
             f, m, x = inside(lambda w: _detect(w, us, loss), 1)[0]
@@ -248,4 +292,6 @@
     return 0
 
 
-MEASURES = {f.__name__: f for f in (clock, lanes, commit, keep, failover, force, detect, hollow, embargo)}
+MEASURES = {
+    f.__name__: f for f in (clock, lanes, commit, keep, failover, force, detect, hollow, embargo)
+}
--- a/src/petrelhaven/drill/net.py
+++ b/src/petrelhaven/drill/net.py
@@ -1,4 +1,5 @@
 """The simulated machines and what lies between them: delays, cuts, losses, freezes, torn disks."""
+
 import asyncio
 import collections
 import itertools
@@ -46,6 +47,7 @@
                 self.box.thaws.append(fire)
             else:
                 fn()
+
         k.h = self.box.net.loop.call_later(max(us, 0) / 1e6 / self.rate, fire)
         return k
 
@@ -85,10 +87,10 @@
         if self.tear and len(data) < 60_000:
             self.tear = False
             cut = self._box.net.rng.randrange(0, len(data))
-            f[off:off + cut] = data[:cut]
+            f[off : off + cut] = data[:cut]
             self._box.kill()
             raise asyncio.CancelledError
-        f[off:off + len(data)] = data
+        f[off : off + len(data)] = data
 
     def lose(self):
         """Another, empty disk."""
@@ -198,8 +200,12 @@
     def __init__(self, net, a, b):
         self.net, self.a, self.b = net, a, b
         self.ab, self.ba = _Pipe(net, a, b), _Pipe(net, b, a)
-        self.ca = Channel(a.link, lambda raw: self.ab.send(lambda: self._feed(self.cb, raw)), lambda: self.shut(a))
-        self.cb = Channel(b.link, lambda raw: self.ba.send(lambda: self._feed(self.ca, raw)), lambda: self.shut(b))
+        self.ca = Channel(
+            a.link, lambda raw: self.ab.send(lambda: self._feed(self.cb, raw)), lambda: self.shut(a)
+        )
+        self.cb = Channel(
+            b.link, lambda raw: self.ba.send(lambda: self._feed(self.ca, raw)), lambda: self.shut(b)
+        )
         self.key = next(net.num)
         a.pipes[self.key] = self
         b.pipes[self.key] = self
@@ -270,7 +276,11 @@
         net, to = self._box.net, self._box_of(addr)
         for way in ((self._box, to), (to, self._box)):
             await self.clock.sleep(int(net.delay(*way) * 1e6))
-            if net.is_cut(way[0].name, way[1].name) or to.frozen or (not to.up and to.name in net.silent):
+            if (
+                net.is_cut(way[0].name, way[1].name)
+                or to.frozen
+                or (not to.up and to.name in net.silent)
+            ):
                 await self.clock.sleep(1_000_000)
                 raise Unsent(addr)
             if not to.up or to.node is None:
@@ -304,13 +314,16 @@
 
     def cut(self, a, b, us, both=True):
         """Cuts the ways from every box in `a` to every box in `b` for a while."""
-        ways = [(x, y) for x in a for y in b if x != y] + ([(y, x) for x in a for y in b if x != y] if both else [])
+        ways = [(x, y) for x in a for y in b if x != y] + (
+            [(y, x) for x in a for y in b if x != y] if both else []
+        )
         for w in ways:
             self.cuts[w] += 1
 
         def heal():
             for w in ways:
                 self.cuts[w] -= 1
+
         self.loop.call_later(us / 1e6, heal)
 
     async def trip(self, src, dst, fn, us, fresh=False):
@@ -342,11 +355,13 @@
             except Fault as x:
                 r, e = None, x
             back.send(lambda: done(r, e))
+
         go.send(lambda: dst.nest.spawn(there()))
 
         def gone(box, silent):
             if box is dst and not silent:
                 back.send(lambda: done(None, Unreached(dst.name)))
+
         self.on_kill.append(gone)
         try:
             return await src.clock.limit(f, us)
--- a/src/petrelhaven/drill/scene.py
+++ b/src/petrelhaven/drill/scene.py
@@ -1,4 +1,5 @@
 """Scenes: one fault each, brought about on purpose, with what must hold afterwards."""
+
 from .scenes import cores, edges, halls, members
 
 __all__ = ["NEEDS", "SCENES", "SIZE"]
--- a/src/petrelhaven/drill/scenes/base.py
+++ b/src/petrelhaven/drill/scenes/base.py
@@ -1,4 +1,5 @@
 """What every scene begins and ends with."""
+
 import asyncio
 
 __all__ = ["end", "load", "tally"]
--- a/src/petrelhaven/drill/scenes/cores.py
+++ b/src/petrelhaven/drill/scenes/cores.py
@@ -1,4 +1,5 @@
 """Scenes of control: operators racing, disks lost, the chain mended, the head frozen, the platform away."""
+
 import asyncio
 
 from ...creed.fault import Fault
@@ -38,8 +39,11 @@
         except Fault as f:
             if f.code not in ("stale", "duplicate", "late"):
                 bad.append(("operator told nothing useful", f.code))
+
     for v in range(2, 8):
-        await asyncio.gather(one(v, 0, manifest(w.size, v)), one(v, 2, manifest(w.size, v, wait_us=200_000)))
+        await asyncio.gather(
+            one(v, 0, manifest(w.size, v)), one(v, 2, manifest(w.size, v, wait_us=200_000))
+        )
     if not acked:
         bad.append(("no manifest was acknowledged",))
     await asyncio.sleep(9)
@@ -86,10 +90,13 @@
         await w.apply(manifest(w.size, v), by=v)
 
     async def whole():
-        await w.until(lambda: all(c.node and c.node.ready for c in w.cores), 15, "chain whole again")
+        await w.until(
+            lambda: all(c.node and c.node.ready for c in w.cores), 15, "chain whole again"
+        )
         for c in w.cores:
             if c.node.mem.realm.doc["manifest"]["version"] != v:
                 bad.append(("a core slid back", c.name, v))
+
     for place in (0, 1, 2):
         names = next(c.node for c in w.cores if c.node.ready).chain.view["chain"]
         b = w.net.boxes[names[place]]
@@ -128,7 +135,9 @@
     b.kill()
     b.disk.lose()
     bad = await back(w, 12)
-    have = max(e.node.control.realm.doc["manifest"]["version"] for e in w.edges if e.node.control.sends)
+    have = max(
+        e.node.control.realm.doc["manifest"]["version"] for e in w.edges if e.node.control.sends
+    )
     if have < acked:
         bad.append(("acknowledged manifest lost", acked, have))
     w.boot_core(b)
--- a/src/petrelhaven/drill/scenes/edges.py
+++ b/src/petrelhaven/drill/scenes/edges.py
@@ -1,4 +1,5 @@
 """Scenes of edges and sessions: killed, frozen, restarted, overloaded."""
+
 import asyncio
 
 from ...creed.fault import Fault
@@ -7,8 +8,17 @@
 from .base import end, load
 
 __all__ = [
-    "twins", "killed_edge", "frozen_edge", "rolling", "shares", "overload", "clock_back", "every_edge", "warned",
-    "warned_late", "idle",
+    "twins",
+    "killed_edge",
+    "frozen_edge",
+    "rolling",
+    "shares",
+    "overload",
+    "clock_back",
+    "every_edge",
+    "warned",
+    "warned_late",
+    "idle",
 ]
 
 
@@ -108,6 +118,7 @@
                 shed.append(w.loop.time() - t)
                 if f.back is None:
                     bad.append(("shed without a retry-after",))
+
     ts = [asyncio.ensure_future(one(s)) for s in sids]
     await asyncio.sleep(0.01)
     if len(shed) < 20 or max(shed) > 0.005:
@@ -179,6 +190,7 @@
             except Fault as f:
                 if f.code in ("not-ready", "no-lease"):
                     odd.append((b.name, f.code))
+
     new = w.out.nest.spawn(newcomers())
     for b in [w.edges[0], w.cores[2], w.edges[1], w.cores[0]]:
         t = w.loop.time()
@@ -218,7 +230,9 @@
         e = w.edges[i % 3].node
         sid = (await e.open_session())["session"]
         await e.statement(sid, {"verb": "set", "name": "who", "value": f"me-{i}"})
-        await e.statement(sid, {"verb": "prepare", "name": "p", "statement": {"verb": "show", "name": "who"}})
+        await e.statement(
+            sid, {"verb": "prepare", "name": "p", "statement": {"verb": "show", "name": "who"}}
+        )
         d = {"verb": "add", "route": "g1", "key": f"k{i}", "value": 1, "try": 7}
         said.append((i, sid, d, await e.statement(sid, d)))
     for n in range(rounds):
--- a/src/petrelhaven/drill/scenes/halls.py
+++ b/src/petrelhaven/drill/scenes/halls.py
@@ -1,4 +1,5 @@
 """Scenes of halls: cut off, lost, blind to each other, emptied."""
+
 import asyncio
 
 from ..storm import back
@@ -13,7 +14,9 @@
     w.visit(8, pause=0.02, writes=0.0, browse=0.0, txns=0.0, values=0.0, pin=w.edges[0])
     await asyncio.sleep(0.5)
     a = [b.name for b in w.net.boxes.values() if b.hall == "a"]
-    w.net.cut(a, [b.name for b in w.net.boxes.values() if b.hall in ("b", "c")] + ["platform"], 9_000_000)
+    w.net.cut(
+        a, [b.name for b in w.net.boxes.values() if b.hall in ("b", "c")] + ["platform"], 9_000_000
+    )
     await asyncio.sleep(11)
     return await end(w)
 
@@ -28,7 +31,9 @@
             w.net.silent.add(b.name)
             b.kill(silent=True)
     else:
-        w.net.cut([b.name for b in bs], [b.name for b in w.net.boxes.values() if b.hall != h], 60_000_000)
+        w.net.cut(
+            [b.name for b in bs], [b.name for b in w.net.boxes.values() if b.hall != h], 60_000_000
+        )
     t = w.loop.time()
     bad = await back(w, 12)
     w.seen["gap_us"] = int((w.loop.time() - t) * 1e6)
--- a/src/petrelhaven/drill/scenes/members.py
+++ b/src/petrelhaven/drill/scenes/members.py
@@ -1,4 +1,5 @@
 """Scenes of members: lost, lagging, cold, leaving, mute; and of the clock that reads them."""
+
 import asyncio
 
 from ...creed.fault import Fault
@@ -6,7 +7,14 @@
 from .base import end, load, tally
 
 __all__ = [
-    "primary_lost", "herd", "stale_only", "cold_member", "clock_alone", "browsing_alone", "unanswered", "leaving",
+    "primary_lost",
+    "herd",
+    "stale_only",
+    "cold_member",
+    "clock_alone",
+    "browsing_alone",
+    "unanswered",
+    "leaving",
     "replaced",
 ]
 
@@ -64,7 +72,9 @@
     s = await e.open_session()
     t = w.loop.time()
     try:
-        await e.statement(s["session"], {"route": "g1", "verb": "put", "key": "x", "value": 1, "try": 1})
+        await e.statement(
+            s["session"], {"route": "g1", "verb": "put", "key": "x", "value": 1, "try": 1}
+        )
         bad.append(("write taken without a safe primary",))
     except Fault as f:
         if w.loop.time() - t > 0.05 or f.back is None:
@@ -163,7 +173,9 @@
         w.net.cut(here, there, 5_000_000)
         w.add_member(new, old.hall)
         try:
-            await w.until(lambda new=new: new in w.head_epochs()["g1"]["safe"], 20, f"{new} in sync")
+            await w.until(
+                lambda new=new: new in w.head_epochs()["g1"]["safe"], 20, f"{new} in sync"
+            )
             old.node.draining = True
             await w.until(lambda n=n: n not in _serving(w), 10, f"{n} out")
         except AssertionError as e:
--- a/src/petrelhaven/drill/soak.py
+++ b/src/petrelhaven/drill/soak.py
@@ -96,7 +96,12 @@
 
         async def whole():
             s = await f.settled()
-            return s and len(s["view"]["chain"]) == 3 and all(x[1] == "up" for x in s["edges"].values())
+            return (
+                s
+                and len(s["view"]["chain"]) == 3
+                and all(x[1] == "up" for x in s["edges"].values())
+            )
+
         await f.until(whole, 40)
 
     async def _none(self):
@@ -189,9 +194,13 @@
 
     async def _platform_mute(self):
         f = self.f
-        await fetch(f.procs["platform"].facts["http"], "POST", "/feint", doc={"unanswered": 1}, http=f.http)
+        await fetch(
+            f.procs["platform"].facts["http"], "POST", "/feint", doc={"unanswered": 1}, http=f.http
+        )
         await self._member_drain()
-        await fetch(f.procs["platform"].facts["http"], "POST", "/feint", doc={"unanswered": 0}, http=f.http)
+        await fetch(
+            f.procs["platform"].facts["http"], "POST", "/feint", doc={"unanswered": 0}, http=f.http
+        )
 
     async def _manifest(self):
         self.version += 1
@@ -218,13 +227,17 @@
             f"a second: strong reads {reads / secs:.0f}, writes "
             f"{(ts['write'] + ts['once'] + ts['both']) / secs:.0f}, browsing reads {browse / secs:.0f}"
         )
-        self.out(f"fetches a read (since each edge's last start) {clocks['fetches'] / max(1, clocks['reads']):.3f}")
+        self.out(
+            f"fetches a read (since each edge's last start) {clocks['fetches'] / max(1, clocks['reads']):.3f}"
+        )
         for k, xs in sorted(self.gaps.items()):
             self.out(
                 f"gap after {k}: median {sorted(xs)[len(xs) // 2]:.2f} s, longest {max(xs):.2f} s, {len(xs)} times"
             )
         for k, v in sorted(used.items()):
-            self.out(f"processor time of {k}: {v / secs:.3f} of a core, all processes of it together")
+            self.out(
+                f"processor time of {k}: {v / secs:.3f} of a core, all processes of it together"
+            )
 
 
 def play(a):
@@ -232,7 +245,12 @@
     d = a.dir or tempfile.mkdtemp(prefix="petrelhaven-soak-")
     print(f"seed {a.seed}; data and logs in {d}", flush=True)
     s = Soak(
-        d, a.size, a.seed, a.seconds, kinds=[k for k in a.kinds.split(",") if k], out=lambda x: print(x, flush=True)
+        d,
+        a.size,
+        a.seed,
+        a.seconds,
+        kinds=[k for k in a.kinds.split(",") if k],
+        out=lambda x: print(x, flush=True),
     )
     bad = asyncio.run(s.run())
     for b in bad[:20]:
--- a/src/petrelhaven/drill/storm.py
+++ b/src/petrelhaven/drill/storm.py
@@ -1,4 +1,5 @@
 """Seeded schedules of faults against a simulated fleet; a violation is shrunk to few faults."""
+
 import asyncio
 import json
 import random
@@ -12,9 +13,32 @@
 __all__ = ["KINDS", "back", "inside", "play", "run", "schedule", "shrink", "told"]
 
 KINDS = [
-    "edge_kill", "edge_freeze", "edge_drain", "core_kill", "core_freeze", "core_disk", "core_torn", "core_all",
-    "member_kill", "member_store", "member_dark", "member_stall", "member_drain", "unanswered", "cut_two", "cut_one",
-    "isolate", "vanish", "platform", "operators", "hall", "noise", "edge_warned", "core_warned", "mute", "replace",
+    "edge_kill",
+    "edge_freeze",
+    "edge_drain",
+    "core_kill",
+    "core_freeze",
+    "core_disk",
+    "core_torn",
+    "core_all",
+    "member_kill",
+    "member_store",
+    "member_dark",
+    "member_stall",
+    "member_drain",
+    "unanswered",
+    "cut_two",
+    "cut_one",
+    "isolate",
+    "vanish",
+    "platform",
+    "operators",
+    "hall",
+    "noise",
+    "edge_warned",
+    "core_warned",
+    "mute",
+    "replace",
 ]
 
 
@@ -193,7 +217,9 @@
         if b.life == life and m.draining and m.last_statement:
             late = (m.last_statement - (b.clock.now() - int((self.w.loop.time() - t0) * 1e6))) / 1e6
             if late > 7.0:
-                self.w.net.findings.append((self.w.loop.time(), "statement to a leaving member", n, late))
+                self.w.net.findings.append(
+                    (self.w.loop.time(), "statement to a leaving member", n, late)
+                )
         await asyncio.sleep(1)
         m.draining = False
 
@@ -250,7 +276,9 @@
         elif x < 0.8:
             p.slow_us = int(r.uniform(0.5, 3) * 1e6)
         else:
-            self.w.net.cut(["platform"], [n for n in self.w.net.boxes if n != "platform"], 4_000_000)
+            self.w.net.cut(
+                ["platform"], [n for n in self.w.net.boxes if n != "platform"], 4_000_000
+            )
         await asyncio.sleep(r.uniform(1, 5))
         p.decline, p.slow_us = False, 0
 
@@ -295,7 +323,13 @@
                 return
             old.node.draining = True
             e = self.w.head_epochs().get(g)
-            if e and n != e["primary"] and n not in e["hold"] and n not in e["gates"] and e["settled"]:
+            if (
+                e
+                and n != e["primary"]
+                and n not in e["hold"]
+                and n not in e["gates"]
+                and e["settled"]
+            ):
                 old.kill()
                 return
             await asyncio.sleep(0.1)
@@ -315,9 +349,12 @@
             except Fault as e:
                 if e.status not in (409, 503, 504):
                     self.w.net.findings.append((self.w.loop.time(), "operator", n, e.code))
-        await asyncio.gather(one(v + 2, r.randrange(3)), one(v + 1, r.randrange(3)), one(v, r.randrange(3)))
+
+        await asyncio.gather(
+            one(v + 2, r.randrange(3)), one(v + 1, r.randrange(3)), one(v, r.randrange(3))
+        )
         try:
-            await self.w.apply("{\"name\": 3}", 1)
+            await self.w.apply('{"name": 3}', 1)
             self.w.net.findings.append((self.w.loop.time(), "invalid manifest taken", "", ""))
         except Fault as e:
             if e.status not in (422, 503, 504):
@@ -330,7 +367,9 @@
                 continue
             d = e.control.realm.doc["manifest"]
             if (d["version"] if d else 0) < n:
-                self.w.net.findings.append((self.w.loop.time(), "acknowledged manifest not in force", b.name, n))
+                self.w.net.findings.append(
+                    (self.w.loop.time(), "acknowledged manifest not in force", b.name, n)
+                )
 
     async def _hall(self, r):
         if self.emptying:
@@ -346,7 +385,12 @@
             for n, b in self.w.members.items():
                 if b.hall == h and b.node and n in marks and b.node.last_statement > marks[n]:
                     self.w.net.findings.append(
-                        (self.w.loop.time(), "statement to an emptied hall", n, self.w.loop.time() - t0)
+                        (
+                            self.w.loop.time(),
+                            "statement to an emptied hall",
+                            n,
+                            self.w.loop.time() - t0,
+                        )
                     )
         await self.w.hall(h, "open", r.randrange(3))
         self.emptying = False
@@ -391,6 +435,7 @@
     """Service must be back within `secs` of the last fault's end: a write and a strong read in each group."""
     end = w.loop.time() + secs
     from .visitor import Visitor
+
     v = Visitor(w, 9000, random.Random(1))
     sid = None
     for g in range(w.z["groups"]):
@@ -402,11 +447,22 @@
                     sid = (await v._call(lambda e: e.open_session()))["session"]
                 r = await v._call(
                     lambda e: e.statement(
-                        sid, {"route": f"g{g + 1}", "verb": "put", "key": "back", "value": n, "try": g * 1000 + n}
+                        sid,
+                        {
+                            "route": f"g{g + 1}",
+                            "verb": "put",
+                            "key": "back",
+                            "value": n,
+                            "try": g * 1000 + n,
+                        },
                     )
                 )
                 if r["outcome"] == "kept":
-                    r = await v._call(lambda e: e.statement(sid, {"route": f"g{g + 1}", "verb": "get", "key": "back"}))
+                    r = await v._call(
+                        lambda e: e.statement(
+                            sid, {"route": f"g{g + 1}", "verb": "get", "key": "back"}
+                        )
+                    )
                     if r["value"] >= n:
                         break
             except Fault:
@@ -430,7 +486,11 @@
     out = []
     ns = [b.node for b in w.cores + w.edges if b.node]
     for n in ns[1:]:
-        d = [x for x in differences(ns[0].belief(), n.belief()) if x[0] != "view" and not x[0].startswith("kith")]
+        d = [
+            x
+            for x in differences(ns[0].belief(), n.belief())
+            if x[0] != "view" and not x[0].startswith("kith")
+        ]
         if d:
             out.append(("beliefs differ", ns[0].name, n.name, d[:3]))
     top = max([v for _, v in s.acked], default=1)
@@ -449,6 +509,7 @@
     async def go():
         box["w"] = World(seed, size, **bounds)
         return await fn(box["w"])
+
     try:
         return loop.run_until_complete(go()), box["w"]
     finally:
@@ -459,13 +520,17 @@
 
 def run(seed, size="small", rows=None, visitors=12, count=6, kinds=None, **bounds):
     """One seeded storm: (violations, world)."""
+
     async def go(w):
         try:
-            return await play(w, rows if rows is not None else schedule(seed, count, kinds), visitors)
+            return await play(
+                w, rows if rows is not None else schedule(seed, count, kinds), visitors
+            )
         except AssertionError as e:
             return [("stuck", str(e))] + w.net.findings
         except Exception as e:
             return [("code", repr(e), traceback.format_exc()[-600:])] + w.net.findings
+
     return inside(go, seed, size, **bounds)
 
 
@@ -479,7 +544,7 @@
             tries -= 1
             if tries < 0:
                 return rows
-            less = rows[:i] + rows[i + 1:]
+            less = rows[:i] + rows[i + 1 :]
             if run(seed, size, less, **kw)[0]:
                 rows, again = less, True
                 break
--- a/src/petrelhaven/drill/visitor.py
+++ b/src/petrelhaven/drill/visitor.py
@@ -1,4 +1,5 @@
 """A visitor: a long-lived session with small statements, which writes down what it saw."""
+
 import asyncio
 
 from ..creed.fault import Fault, Late, Unreached
@@ -9,8 +10,20 @@
 class Visitor:
     """Runs a mix of statements against a world; the same mix drives the real fleet."""
 
-    def __init__(self, world, num, rng, pause=0.15, writes=0.25, browse=0.3, txns=0.1, values=0.1, idle=0.0,
-                 pin=None, paced=False):
+    def __init__(
+        self,
+        world,
+        num,
+        rng,
+        pause=0.15,
+        writes=0.25,
+        browse=0.3,
+        txns=0.1,
+        values=0.1,
+        idle=0.0,
+        pin=None,
+        paced=False,
+    ):
         self.w, self.num, self.rng = world, num, rng
         self.pause, self.mix = pause, (writes, browse, txns, values)
         self.idle, self.pin, self.paced = idle, pin, paced
@@ -37,7 +50,11 @@
         except Fault as e:
             self.last.append((round(self.w.loop.time(), 3), getattr(b, "name", ""), e.code, e.note))
             del self.last[:-20]
-            if isinstance(e, (Late, Unreached)) and e.back is not None and self.w.loop.time() - now > 0.9:
+            if (
+                isinstance(e, (Late, Unreached))
+                and e.back is not None
+                and self.w.loop.time() - now > 0.9
+            ):
                 self.bad[id(b)] = now
             if (
                 not isinstance(e, (Late, Unreached))
@@ -65,7 +82,9 @@
             except Fault as e:
                 self.count["declined"] += 1
                 if e.code == "no-session":
-                    self.w.hist.append({"t": "closed", "sid": self.sid, "at": self._now(), "by": self.num})
+                    self.w.hist.append(
+                        {"t": "closed", "sid": self.sid, "at": self._now(), "by": self.num}
+                    )
                     self.stop = True
                     raise
                 if e.status in (400, 404, 409, 422):
@@ -84,7 +103,9 @@
                     await asyncio.sleep(0.2)
             took = 0.0
             while not self.stop:
-                us = self.pause * (0.5 + self.rng.random()) + (self.idle if self.rng.random() < 0.1 else 0)
+                us = self.pause * (0.5 + self.rng.random()) + (
+                    self.idle if self.rng.random() < 0.1 else 0
+                )
                 await asyncio.sleep(max(0.0, us - took) if self.paced else us)
                 t0 = self.w.loop.time()
                 try:
@@ -119,8 +140,18 @@
         val = self.vals[(g, k)] = self.vals.get((g, k), 0) + 1
         t0 = self._now()
         r = await self._try({"route": g, "verb": "put", "key": k, "value": val, "try": self.n})
-        self.w.hist.append({"t": "write", "key": f"{g}:{k}", "val": val, "by": self.num, "try": self.n, "start": t0,
-                            "end": self._now(), "outcome": r})
+        self.w.hist.append(
+            {
+                "t": "write",
+                "key": f"{g}:{k}",
+                "val": val,
+                "by": self.num,
+                "try": self.n,
+                "start": t0,
+                "end": self._now(),
+                "outcome": r,
+            }
+        )
 
     async def _try(self, d):
         try:
@@ -152,7 +183,9 @@
             x = (await self._say({"route": g, "verb": "begin"})).get("txn")
             for k in ks:
                 r = await self._call(
-                    lambda e, k=k: e.statement(self.sid, {"verb": "add", "key": k, "value": 1, "txn": x})
+                    lambda e, k=k: e.statement(
+                        self.sid, {"verb": "add", "key": k, "value": 1, "txn": x}
+                    )
                 )
             if self.rng.random() < 0.1:
                 await self._call(lambda e: e.statement(self.sid, {"verb": "rollback", "txn": x}))
@@ -168,13 +201,23 @@
             elif e.code == "transaction-ended" and out == "unknown":
                 out = "unknown"
         self.w.hist.append(
-            {"t": "both", "keys": [f"{g}:{k}" for k in ks], "outcome": out, "by": self.num, "try": self.n}
+            {
+                "t": "both",
+                "keys": [f"{g}:{k}" for k in ks],
+                "outcome": out,
+                "by": self.num,
+                "try": self.n,
+            }
         )
 
     async def _undo(self, x):
         for _ in range(20):
             try:
-                await self._call(lambda e: e.statement(self.sid, {"verb": "rollback", **({"txn": x} if x else {})}))
+                await self._call(
+                    lambda e: e.statement(
+                        self.sid, {"verb": "rollback", **({"txn": x} if x else {})}
+                    )
+                )
                 return
             except Fault as e:
                 if e.code == "unordered" and "txn" in e.more:
@@ -198,9 +241,15 @@
         elif x < 0.5:
             try:
                 r = await self._say(
-                    {"verb": "prepare", "name": "mine", "statement": {"verb": "get", "key": f"p{self.num}-$1"}}
+                    {
+                        "verb": "prepare",
+                        "name": "mine",
+                        "statement": {"verb": "get", "key": f"p{self.num}-$1"},
+                    }
+                )
+                r = await self._say(
+                    {"verb": "prepare", "name": "who", "statement": {"verb": "show", "name": "who"}}
                 )
-                r = await self._say({"verb": "prepare", "name": "who", "statement": {"verb": "show", "name": "who"}})
                 if r.get("ok"):
                     self.want["prepared"] = True
             except Fault:
@@ -219,7 +268,9 @@
                     self.w.hist.append({"t": "show", "want": [], "got": e.note, "by": self.num})
                 return
             if "value" in r:
-                self.w.hist.append({"t": "show", "want": want, "got": r["value"], "by": self.num, "sid": self.sid})
+                self.w.hist.append(
+                    {"t": "show", "want": want, "got": r["value"], "by": self.num, "sid": self.sid}
+                )
 
     async def _read(self, browse):
         g = self._group()
@@ -227,12 +278,16 @@
         t0 = self._now()
         try:
             r = await self._call(
-                lambda e: e.statement(self.sid, {"route": g + ("-browse" if browse else ""), "verb": "get", "key": k})
+                lambda e: e.statement(
+                    self.sid, {"route": g + ("-browse" if browse else ""), "verb": "get", "key": k}
+                )
             )
         except Fault as e:
             self.count["declined"] += 1
             if e.code == "no-session":
-                self.w.hist.append({"t": "closed", "sid": self.sid, "at": self._now(), "by": self.num})
+                self.w.hist.append(
+                    {"t": "closed", "sid": self.sid, "at": self._now(), "by": self.num}
+                )
                 self.stop = True
             elif e.back:
                 await asyncio.sleep(min(e.back / 1e6, 0.5))
--- a/src/petrelhaven/drill/warp.py
+++ b/src/petrelhaven/drill/warp.py
@@ -1,4 +1,5 @@
 """An event loop in virtual time: when nothing is ready, time jumps to the next tick."""
+
 import asyncio
 import selectors
 
--- a/src/petrelhaven/drill/world.py
+++ b/src/petrelhaven/drill/world.py
@@ -1,4 +1,5 @@
 """A whole fleet in virtual time: the shipped planes, stand-in members, a platform and visitors."""
+
 import asyncio
 import json
 import random
@@ -51,11 +52,18 @@
     """A manifest for a fleet of that size."""
     z = SIZES[size]
     gs = [f"g{i + 1}" for i in range(z["groups"])]
-    return json.dumps({"name": size, "version": version, "halls": z["halls"],
-                       "groups": [{"name": g, "members": 3, "cap": z["cap"], "least": 1} for g in gs],
-                       "routes": [{"name": g, "group": g, "reads": "strong"} for g in gs]
-                       + [{"name": g + "-browse", "group": g, "reads": "browsing"} for g in gs],
-                       "bounds": bounds}, indent=1)
+    return json.dumps(
+        {
+            "name": size,
+            "version": version,
+            "halls": z["halls"],
+            "groups": [{"name": g, "members": 3, "cap": z["cap"], "least": 1} for g in gs],
+            "routes": [{"name": g, "group": g, "reads": "strong"} for g in gs]
+            + [{"name": g + "-browse", "group": g, "reads": "browsing"} for g in gs],
+            "bounds": bounds,
+        },
+        indent=1,
+    )
 
 
 class _Conn:
@@ -87,6 +95,7 @@
 
     async def trip(self, dst, fn, us):
         """One exchange with a member."""
+
         async def there():
             m = dst.node
             if m.dark:
@@ -97,6 +106,7 @@
                 raise MemberFault(e.doc["fault"], more=e.doc) from None
             except Unanswered:
                 await dst.clock.sleep(3_600_000_000)
+
         return await self.net.trip(self.box, dst, there, us)
 
     def _find(self, addr):
@@ -113,6 +123,7 @@
             if made[0] is None:
                 m.conns.pop(made[1], None)
             return made[-1]
+
         try:
             return _Conn(self, b, await self.trip(b, opened, us))
         except BaseException:
@@ -125,7 +136,9 @@
     def shut(self, b, num):
         """Closes at the member too."""
         life = b.life
-        self.net.loop.call_later(self.net.delay(self.box, b), lambda: b.do(life, lambda: b.node.conns.pop(num, None)))
+        self.net.loop.call_later(
+            self.net.delay(self.box, b), lambda: b.do(life, lambda: b.node.conns.pop(num, None))
+        )
 
     async def status(self, addr, us):
         """STATUS."""
@@ -146,11 +159,15 @@
         self.hist, self.visitors = [], []
         hs = self.z["halls"]
         self.cores = [Box(self.net, f"c{i + 1}", hs[i], self._rate()) for i in range(3)]
-        self.edges = [Box(self.net, f"e{i + 1}", hs[i % 3], self._rate()) for i in range(self.z["edges"])]
+        self.edges = [
+            Box(self.net, f"e{i + 1}", hs[i % 3], self._rate()) for i in range(self.z["edges"])
+        ]
         self.members = {}
         for g in range(self.z["groups"]):
             for i in range(3):
-                self.members[f"g{g + 1}m{i + 1}"] = Box(self.net, f"g{g + 1}m{i + 1}", hs[(g + i) % 3])
+                self.members[f"g{g + 1}m{i + 1}"] = Box(
+                    self.net, f"g{g + 1}m{i + 1}", hs[(g + i) % 3]
+                )
         self.plat = Box(self.net, "platform", "out")
         self.out = Box(self.net, "visitors", "out")
         self.seeds = [f"sim:{c.name}" for c in self.cores]
@@ -172,8 +189,18 @@
         """Powers a core on."""
         b.boot()
         try:
-            b.node = Core(b.name, b.hall, self.seeds, b.clock, b.nest, b.link, b.disk, random.Random(self.rng.random()),
-                          _SimPlatform(self, b), b.log)
+            b.node = Core(
+                b.name,
+                b.hall,
+                self.seeds,
+                b.clock,
+                b.nest,
+                b.link,
+                b.disk,
+                random.Random(self.rng.random()),
+                _SimPlatform(self, b),
+                b.log,
+            )
         except asyncio.CancelledError:
             if b.up:
                 raise
@@ -245,6 +272,7 @@
         async def there():
             if c.node:
                 c.node.announce(d)
+
         try:
             await self.net.trip(b, c, there, 500_000)
         except Fault:
@@ -267,11 +295,17 @@
                     return json.loads(json.dumps(src.node.feed(m.log, m.last_term())))
                 except _Stop:
                     raise Unreached("no primary") from None
+
             try:
                 d = await self.net.trip(b, src, there, 500_000)
                 if d["entries"] or d["term"] != m.term:
                     await b.clock.sleep(self.lag_us)
-                    if m.role == "replica" and not m.stall and src is not None and m.source == src.name:
+                    if (
+                        m.role == "replica"
+                        and not m.stall
+                        and src is not None
+                        and m.source == src.name
+                    ):
                         m.absorb(d)
                 else:
                     await b.clock.sleep(5_000)
@@ -286,19 +320,28 @@
                 getattr(b.node, verb)(**kw)
             except _Stop as e:
                 raise MemberFault(e.doc["fault"]) from None
+
         await self.net.trip(self.plat, b, there, 1_000_000)
 
     async def start(self):
         """Powers everything on and applies the first manifest."""
         self.plat.boot()
         self.plat.node = PlatformLogic(
-            self.plat.clock, self._tell, lambda g: [n for n in self.members if n.startswith(g)], self.z["took_us"]
+            self.plat.clock,
+            self._tell,
+            lambda g: [n for n in self.members if n.startswith(g)],
+            self.z["took_us"],
         )
         self.plat.nest.spawn(self.plat.node.tend())
         self.out.boot()
         self.out.node = True
         self.usher = Usher(
-            self.plat.clock, self.plat.nest, lambda: [b.name for b in self.edges], self._ready, self._warn, self._take
+            self.plat.clock,
+            self.plat.nest,
+            lambda: [b.name for b in self.edges],
+            self._ready,
+            self._warn,
+            self._take,
         )
         self.plat.nest.spawn(self.usher.run())
         for b in self.cores:
@@ -311,10 +354,13 @@
         await self.apply(manifest(self.size, 1, **self.bounds))
         await self.until(lambda: all(e.node.ready for e in self.edges), 15, "edges ready")
         await self.until(
-            lambda: all(
-                e["phase"] == "serve" and e["settled"] and len(e["safe"]) == 2 for e in self.head_epochs().values()
-            )
-            and len(self.head_epochs()) == self.z["groups"],
+            lambda: (
+                all(
+                    e["phase"] == "serve" and e["settled"] and len(e["safe"]) == 2
+                    for e in self.head_epochs().values()
+                )
+                and len(self.head_epochs()) == self.z["groups"]
+            ),
             15,
             "epochs settled",
         )
@@ -327,6 +373,7 @@
             if b.node is None:
                 raise Unsent(name)
             return b.node.ready
+
         return await self.net.trip(self.plat, b, there, 500_000)
 
     async def _warn(self, name):
@@ -361,10 +408,12 @@
 
     async def ask(self, box, fn, us=20_000_000):
         """An operator's or visitor's exchange with a node."""
+
         async def there():
             if box.node is None:
                 raise Unsent(box.name)
             return await fn(box.node)
+
         return await self.net.trip(self.out, box, there, us, fresh=True)
 
     async def apply(self, text, by=0):
@@ -411,7 +460,9 @@
                     self.net.findings.append((self.loop.time(), "cap passed", n, b.node.most_conns))
                     b.node.most_conns = 0
                 if b.node and b.node.flood > 25:
-                    self.net.findings.append((self.loop.time(), "flooded while cold", n, b.node.flood))
+                    self.net.findings.append(
+                        (self.loop.time(), "flooded while cold", n, b.node.flood)
+                    )
                     b.node.flood = 0
             await asyncio.sleep(0.1)
 
@@ -451,4 +502,5 @@
 
         async def there():
             return await p.node.promote(group, member, epoch, by)
+
         return await self._w.net.trip(self._box, p, there, 5_000_000)
--- a/src/petrelhaven/embargo_command.py
+++ b/src/petrelhaven/embargo_command.py
@@ -1,4 +1,5 @@
 """tenet embargo: places, moves, lifts and explains embargoes."""
+
 import json
 
 __all__ = ["arguments", "run"]
@@ -18,13 +19,19 @@
     m = do.add_parser("move", help="release it earlier or later")
     m.add_argument("name")
     for x in (a, m):
-        x.add_argument("--until", required=True, help="RFC 3339 with its offset, or a local time with --zone")
+        x.add_argument(
+            "--until", required=True, help="RFC 3339 with its offset, or a local time with --zone"
+        )
         x.add_argument("--zone", default="", help="an IANA zone, as Europe/Oslo")
-        x.add_argument("--gone", default="", metavar="EDGE,...", help="edges that are gone for good")
+        x.add_argument(
+            "--gone", default="", metavar="EDGE,...", help="edges that are gone for good"
+        )
     f = do.add_parser("lift", help="take it out")
     f.add_argument("name")
     for x in (m, f):
-        x.add_argument("--n", type=int, default=0, help="fail unless this is its next change (see list)")
+        x.add_argument(
+            "--n", type=int, default=0, help="fail unless this is its next change (see list)"
+        )
     do.add_parser("list", help="all embargoes, the newest changes, the interval around true time")
     w = do.add_parser("why", help="why a record is withheld from a visitor, or not")
     w.add_argument("--group", required=True)
@@ -57,7 +64,11 @@
 
 
 def _time(got):
-    return f"known to {(got[1] - got[0]) / 1e6:.3f} s" if got else "NOT AGREED ON: nothing more is released"
+    return (
+        f"known to {(got[1] - got[0]) / 1e6:.3f} s"
+        if got
+        else "NOT AGREED ON: nothing more is released"
+    )
 
 
 async def run(a, call, out):
@@ -65,7 +76,9 @@
     if a.do in ("add", "move", "lift"):
         r = await call(True, "POST", "/embargoes", _doc(a))
         done = {"add": "placed", "move": "moved", "lift": "lifted"}[r["do"]]
-        out(f"embargo {r['name']} is {done} and in force (change {r['change']}, {r['in_force_us'] / 1e6:.3f} s)")
+        out(
+            f"embargo {r['name']} is {done} and in force (change {r['change']}, {r['in_force_us'] / 1e6:.3f} s)"
+        )
     elif a.do == "list":
         r = await call(False, "GET", "/embargoes", None)
         out(f"groups: {', '.join(r['scope']) or 'none; embargoes are off'}")
@@ -76,11 +89,23 @@
         off = ", ".join(f"{n} {us / 1e6:+.3f} s" for n, us in r["time"]["off_us"].items())
         out(f"time {_time(r['time']['interval'])}" + (f"; {off}" if off else ""))
     else:
-        r = await call(False, "POST", "/embargoes-why", {"group": a.group, "thing": a.thing, "visitor": a.visitor})
+        r = await call(
+            False,
+            "POST",
+            "/embargoes-why",
+            {"group": a.group, "thing": a.thing, "visitor": a.visitor},
+        )
         said = f"withheld by {r['by']}" if r["withheld"] else "served"
         out(f"{said} at edges that hold a lease; time {_time(r['interval'])}")
         for x in r["rules"]:
-            out("  " + json.dumps({k: x[k] for k in ("source", "name", "thing", "prefix", "said", "zone", "early")}))
+            out(
+                "  "
+                + json.dumps(
+                    {
+                        k: x[k]
+                        for k in ("source", "name", "thing", "prefix", "said", "zone", "early")
+                    }
+                )
+            )
         if not r["embargoed_group"]:
             out(f"  group {a.group} is not embargoed: edges without a lease serve it too")
-
--- a/src/petrelhaven/feint/main.py
+++ b/src/petrelhaven/feint/main.py
@@ -1,4 +1,5 @@
 """feint: stand-in members and platform, for trying a fleet out."""
+
 import argparse
 import asyncio
 import contextlib
@@ -19,7 +20,9 @@
 
 
 def _parser():
-    p = argparse.ArgumentParser(prog="feint", description="Stand-ins: a small real database member, a platform.")
+    p = argparse.ArgumentParser(
+        prog="feint", description="Stand-ins: a small real database member, a platform."
+    )
     sub = p.add_subparsers(dest="verb", required=True)
     m = sub.add_parser("member", help="one member of a group")
     m.add_argument("--name", required=True)
@@ -28,7 +31,9 @@
     m.add_argument("--role", choices=("primary", "replica"), default="replica")
     m.add_argument("--source", default="", help="address of the primary to follow")
     m.add_argument("--http", default="127.0.0.1:0")
-    m.add_argument("--cores", default="-", help="HTTP addresses of the cores; - reads them from standard input")
+    m.add_argument(
+        "--cores", default="-", help="HTTP addresses of the cores; - reads them from standard input"
+    )
     m.add_argument("--cap", type=int, default=40)
     m.add_argument("--lag-us", type=int, default=60_000)
     m.add_argument("--warm-us", type=int, default=3_000_000)
@@ -52,13 +57,17 @@
         if "source" in kw:
             kw = {**kw, "source": members[kw["source"]][1]}
         try:
-            async with http.post(f"http://{addr}/{verb}", json=kw, timeout=aiohttp.ClientTimeout(total=1)) as r:
+            async with http.post(
+                f"http://{addr}/{verb}", json=kw, timeout=aiohttp.ClientTimeout(total=1)
+            ) as r:
                 if r.status != 200:
                     raise Fenced((await r.json()).get("fault", "?"))
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
             raise Unreached(member) from None
 
-    logic = PlatformLogic(clock, tell, lambda g: [n for n, (x, _) in members.items() if x == g], a.took_us)
+    logic = PlatformLogic(
+        clock, tell, lambda g: [n for n, (x, _) in members.items() if x == g], a.took_us
+    )
 
     async def register(req):
         for n, g, addr in (await body_of(req))["members"]:
@@ -78,6 +87,7 @@
 
     async def calls(req):
         return {"calls": logic.calls}
+
     edges = []
 
     async def enroll(req):
@@ -87,11 +97,13 @@
     async def ready(addr):
         await fetch(addr, "GET", "/ready", us=500_000, http=http)
         return True
+
     usher = Usher(clock, nest, lambda: edges, ready, None, None)
     nest.spawn(usher.run())
 
     async def route(req):
         return {"edge": usher.pick()}
+
     for v, path, fn in (
         ("POST", "/members", register),
         ("POST", "/promote", promote),
@@ -111,6 +123,7 @@
 
     async def run():
         await (Member(a).run() if a.verb == "member" else _platform(a))
+
     with contextlib.suppress(KeyboardInterrupt):
         asyncio.run(run())
     sys.exit(0)
--- a/src/petrelhaven/feint/member.py
+++ b/src/petrelhaven/feint/member.py
@@ -1,4 +1,5 @@
 """A stand-in member as a process: the store behind HTTP/1.1 JSON, its announcements, its replication."""
+
 import asyncio
 import json
 import os
@@ -24,7 +25,9 @@
         self.a = a
         self.log = logger(a.name)
         self.clock, self.nest = Clock(), Nest(self.log)
-        self.s = Store(self.clock, a.name, a.group, a.hall, a.role, a.cap, random.SystemRandom(), a.warm_us)
+        self.s = Store(
+            self.clock, a.name, a.group, a.hall, a.role, a.cap, random.SystemRandom(), a.warm_us
+        )
         if a.hot:
             self.s.born -= a.warm_us
         self.s.source = a.source or None
@@ -78,7 +81,7 @@
 
     def _save(self):
         es = self.s.entries
-        self._put(*[{"e": e} for e in es[self._kept:]])
+        self._put(*[{"e": e} for e in es[self._kept :]])
         self._kept = len(es)
         self._news.set()
 
@@ -159,8 +162,12 @@
 
     async def _status(self, req):
         await self._dark()
-        return {**self.s.status(), "flood": self.s.flood, "most_conns": self.s.most_conns,
-                "quiet_us": self.clock.now() - self.s.last_statement if self.s.last_statement else -1}
+        return {
+            **self.s.status(),
+            "flood": self.s.flood,
+            "most_conns": self.s.most_conns,
+            "quiet_us": self.clock.now() - self.s.last_statement if self.s.last_statement else -1,
+        }
 
     async def _ready(self, req):
         await self._dark()
@@ -235,6 +242,7 @@
                     await r.read()
             except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
                 pass
+
         for c in self.cores:
             self.nest.spawn(say_to(c))
 
--- a/src/petrelhaven/feint/platform.py
+++ b/src/petrelhaven/feint/platform.py
@@ -1,4 +1,5 @@
 """A stand-in platform: failover calls from one node at a time, fenced by epoch."""
+
 import asyncio
 
 from ..creed.fault import Fault, Fenced, NotReady
@@ -45,7 +46,11 @@
             await self._tell(member, "promote", {"epoch": epoch})
             self.primary[group] = (member, epoch)
             await asyncio.wait(
-                [asyncio.ensure_future(self._follow(n, member, epoch)) for n in self.members(group) if n != member],
+                [
+                    asyncio.ensure_future(self._follow(n, member, epoch))
+                    for n in self.members(group)
+                    if n != member
+                ],
                 timeout=0.1,
             )
             return {"primary": member, "epoch": epoch}
--- a/src/petrelhaven/feint/store.py
+++ b/src/petrelhaven/feint/store.py
@@ -1,4 +1,5 @@
 """A stand-in member's database: a log with positions, connections, values, prepared statements, transactions."""
+
 import copy
 
 __all__ = ["Store", "Unanswered"]
@@ -31,7 +32,14 @@
     """One member. The log is the truth; data is what the log says."""
 
     def __init__(self, clock, name, group, hall, role, cap, rng, warm_us=0, cold_most=6):
-        self.clock, self.name, self.group, self.hall, self.cap, self.rng = clock, name, group, hall, cap, rng
+        self.clock, self.name, self.group, self.hall, self.cap, self.rng = (
+            clock,
+            name,
+            group,
+            hall,
+            cap,
+            rng,
+        )
         self.role = role
         self.warm_us, self.cold_most = warm_us, cold_most
         self.term = 1 if role == "primary" else 0
@@ -67,9 +75,18 @@
 
     def status(self):
         """STATUS and READY."""
-        return {"member": self.name, "role": self.role, "log": self.log, "term": self.term, "store": self.store,
-                "boot": self.boot, "warm": self.warm, "ready": self.warm and not self.draining,
-                "draining": self.draining, "conns": len(self.conns)}
+        return {
+            "member": self.name,
+            "role": self.role,
+            "log": self.log,
+            "term": self.term,
+            "store": self.store,
+            "boot": self.boot,
+            "warm": self.warm,
+            "ready": self.warm and not self.draining,
+            "draining": self.draining,
+            "conns": len(self.conns),
+        }
 
     def announcement(self, addr, beat):
         """What the member tells control regularly."""
@@ -176,7 +193,9 @@
         return {"value": self._view(c).get(self._fill(c, o["key"], []))}
 
     def _scan(self, c, o):
-        return {"value": {k: v for k, v in sorted(self._view(c).items()) if k.startswith(o["prefix"])}}
+        return {
+            "value": {k: v for k, v in sorted(self._view(c).items()) if k.startswith(o["prefix"])}
+        }
 
     def _begin(self, c, o):
         if o["mode"] == "write" and self.role != "primary":
--- a/src/petrelhaven/feint/usher.py
+++ b/src/petrelhaven/feint/usher.py
@@ -1,4 +1,5 @@
 """The platform's other half: sends new connections to ready nodes, and stops machines after a warning."""
+
 import asyncio
 
 from ..creed.fault import Fault, NotReady
--- a/src/petrelhaven/helm/chain.py
+++ b/src/petrelhaven/helm/chain.py
@@ -1,4 +1,5 @@
 """The chain: entered at the head, answered from the tail, each core synced before it hands on."""
+
 import asyncio
 
 from ..creed.event import emit
@@ -42,7 +43,11 @@
         return self.mem.realm
 
     def _at(self):
-        if self.view and self.view["ids"].get(self.me) == self.mem.disk and self.me in self.view["chain"]:
+        if (
+            self.view
+            and self.view["ids"].get(self.me) == self.mem.disk
+            and self.me in self.view["chain"]
+        ):
             return self.view["chain"].index(self.me)
         return None
 
@@ -119,7 +124,9 @@
                 others = [n for n in v["ids"] if n != self.me]
                 if self.sparing and self.clock.now() < self.confirmed - self.confirm_us // 2:
                     self._turns += 1
-                    others = [others[(self._turns + i) % len(others)] for i in range(len(v["ids"]) // 2)]
+                    others = [
+                        others[(self._turns + i) % len(others)] for i in range(len(v["ids"]) // 2)
+                    ]
                 for n in others:
                     self.nest.spawn(self._ask(n, v["n"], now))
                 self._count(v)
@@ -127,7 +134,9 @@
 
     async def _ask(self, name, n, at):
         try:
-            r = await self._call(name, "view.confirm", {"name": self.me, "n": n, "tied": self.tied()}, 400_000)
+            r = await self._call(
+                name, "view.confirm", {"name": self.me, "n": n, "tied": self.tied()}, 400_000
+            )
         except Fault:
             return
         if r["view"] and self.view and r["view"]["n"] > self.view["n"]:
@@ -153,7 +162,10 @@
         """Numbers, checks and commits a record; this core must be the active head."""
         async with self._lock:
             if not (self.head and self.active):
-                raise NotHead("not the active head", more={"head": self.view["chain"][0] if self.view else None})
+                raise NotHead(
+                    "not the active head",
+                    more={"head": self.view["chain"][0] if self.view else None},
+                )
             self.realm.check(rec)
             seq = self.realm.seq + 1
             n = self.view["n"]
@@ -173,7 +185,9 @@
     def read(self):
         """The control state, answered only by the tail of the current view."""
         if not (self.tail and self.active):
-            raise NotReady("not the active tail", more={"tail": self.view["chain"][-1] if self.view else None})
+            raise NotReady(
+                "not the active tail", more={"tail": self.view["chain"][-1] if self.view else None}
+            )
         return self.realm.doc
 
     async def _feed(self, view, to):
@@ -183,11 +197,23 @@
                 if not self.complete:
                     await self.clock.sleep(40_000)
                     continue
-                body = {"view": view["n"], "prev": -1, "mark": 0, "recs": [], "frame": None, "done": False}
+                body = {
+                    "view": view["n"],
+                    "prev": -1,
+                    "mark": 0,
+                    "recs": [],
+                    "frame": None,
+                    "done": False,
+                }
                 if held is not None:
                     rs = self.mem.since(held, mark)
                     if rs is None:
-                        body.update(frame=self.realm.frame(), prev=self.realm.seq, mark=self.mem.mark, done=True)
+                        body.update(
+                            frame=self.realm.frame(),
+                            prev=self.realm.seq,
+                            mark=self.mem.mark,
+                            done=True,
+                        )
                     elif rs or held != fed:
                         body.update(recs=rs[:100], prev=held, mark=mark, done=len(rs) <= 100)
                     else:
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/helm/core.py
@@ -1,4 +1,5 @@
 """A core machine: roster, voter, chain, lease desk and the planning duty put together."""
+
 import asyncio
 import re
 
@@ -20,8 +21,20 @@
 __all__ = ["Core"]
 
 _ADDR = re.compile(r"[A-Za-z0-9.-]{1,64}:[A-Za-z0-9-]{1,32}")
-_FACTS = {"member": str, "group": str, "hall": str, "addr": str, "role": str, "log": int, "cap": int,
-          "draining": bool, "boot": str, "store": str, "warm": bool, "term": int}
+_FACTS = {
+    "member": str,
+    "group": str,
+    "hall": str,
+    "addr": str,
+    "role": str,
+    "log": int,
+    "cap": int,
+    "draining": bool,
+    "boot": str,
+    "store": str,
+    "warm": bool,
+    "term": int,
+}
 
 
 class Core:
@@ -47,10 +60,17 @@
         self.settings = dict
         self._alone = clock.now()
         self.founds = True
-        Machine(self, states=self.states, initial="outside", auto_transitions=False, transitions=[
-            {"trigger": "knock", "source": "*", "dest": "joining"},
-            {"trigger": "enchain", "source": "*", "dest": "chained"},
-            {"trigger": "part", "source": "*", "dest": "outside"}])
+        Machine(
+            self,
+            states=self.states,
+            initial="outside",
+            auto_transitions=False,
+            transitions=[
+                {"trigger": "knock", "source": "*", "dest": "joining"},
+                {"trigger": "enchain", "source": "*", "dest": "chained"},
+                {"trigger": "part", "source": "*", "dest": "outside"},
+            ],
+        )
         for k, f in {
             "vote.prepare": self.voter.prepare,
             "vote.accept": self.voter.accept,
@@ -76,11 +96,17 @@
         """The duty that this core does while it is the head."""
         from .duty import Duty
 
-        return Duty(self.clock, self.nest, self.chain, self.desk, self.roster, self.call, platform, self.log)
+        return Duty(
+            self.clock, self.nest, self.chain, self.desk, self.roster, self.call, platform, self.log
+        )
 
     def handlers(self):
         """What this core answers beside the chain's own calls."""
-        return {"duty.heard": self.duty.told, "edge.lease": self.desk.lease, "edge.enter": self._edge}
+        return {
+            "duty.heard": self.duty.told,
+            "edge.lease": self.desk.lease,
+            "edge.enter": self._edge,
+        }
 
     def start(self):
         """Starts the core's tasks."""
@@ -109,8 +135,15 @@
 
     async def _told(self, ch, b):
         m = self.mem
-        return {"name": self.name, "disk": m.disk, "fresh": m.fresh, "view": self.chain.view or None,
-                "done": m.done, "held": m.realm.seq, "commit": self.chain.commit}
+        return {
+            "name": self.name,
+            "disk": m.disk,
+            "fresh": m.fresh,
+            "view": self.chain.view or None,
+            "done": m.done,
+            "held": m.realm.seq,
+            "commit": self.chain.commit,
+        }
 
     async def _learn(self, ch, b):
         self.chain.adopt(b["view"])
@@ -208,7 +241,11 @@
         return n == self.name or self.roster.state(n) in ("alive", "suspect")
 
     async def _mend_view(self, v, infos):
-        keep = [n for n in v["chain"] if self._there(n) and (n not in infos or infos[n]["disk"] == v["ids"][n])]
+        keep = [
+            n
+            for n in v["chain"]
+            if self._there(n) and (n not in infos or infos[n]["disk"] == v["ids"][n])
+        ]
         if not keep or keep[0] != self.name or not self.chain.complete:
             return
         join = [n for n in sorted(infos) if n not in keep and self._there(n) and n in v["ids"]]
@@ -220,7 +257,13 @@
             return
         out = [n for n in v["chain"] if n not in keep]
         cause = "; ".join(
-            filter(None, ["lost " + ",".join(out) if out else "", "joined " + ",".join(join) if join else ""])
+            filter(
+                None,
+                [
+                    "lost " + ",".join(out) if out else "",
+                    "joined " + ",".join(join) if join else "",
+                ],
+            )
         )
         await self.propose(v, chain, ids, cause)
 
@@ -231,7 +274,9 @@
         """Has a majority of the view's cores decide the next view."""
         new = {"n": v["n"] + 1, "chain": chain, "ids": ids, "cause": cause, "by": self.name}
         emit(self.log, 302, n=new["n"], cause=cause)
-        self.spread(await self._ask.change(v["ids"], lambda x: new if x is None or x["n"] == v["n"] else x))
+        self.spread(
+            await self._ask.change(v["ids"], lambda x: new if x is None or x["n"] == v["n"] else x)
+        )
 
     async def _edge(self, ch, b):
         rec = {
@@ -278,14 +323,25 @@
             raise NotReady("no view yet")
         if v["chain"][-1] == self.name:
             return self.chain.read()
-        return (await self.reach.call(v["chain"][-1], "chain.read", {"what": None}, 2_000_000))["doc"]
+        return (await self.reach.call(v["chain"][-1], "chain.read", {"what": None}, 2_000_000))[
+            "doc"
+        ]
 
     async def apply(self, text, by="", retire=False):
         """Checks and applies a manifest."""
         m = read(text)
         if m.embargoing or m.embargoes:
-            raise Invalid("manifest declined", more={"faults": [
-                ["embargoing", "embargoes are kept only where sessions live with their connection"]]})
+            raise Invalid(
+                "manifest declined",
+                more={
+                    "faults": [
+                        [
+                            "embargoing",
+                            "embargoes are kept only where sessions live with their connection",
+                        ]
+                    ]
+                },
+            )
         r = await self.enter({"t": "manifest", "text": text, "by": by, "retire": retire})
         return {"version": m.version, "change": r["seq"], **r["doc"]}
 
@@ -300,13 +356,21 @@
 
     async def frames(self):
         """The control state that each living edge holds, by its name."""
+
         async def frame(n):
             try:
-                return n, (await self.reach.call(n, "edge.frame", {"name": self.name}, 1_500_000))["frame"]
+                return n, (await self.reach.call(n, "edge.frame", {"name": self.name}, 1_500_000))[
+                    "frame"
+                ]
             except Fault as e:
                 emit(self.log, 311, node=n, fault=e.code)
                 return n, None
-        return {n: f for n, f in await asyncio.gather(*[frame(n) for n in self.roster.living("edge")]) if f}
+
+        return {
+            n: f
+            for n, f in await asyncio.gather(*[frame(n) for n in self.roster.living("edge")])
+            if f
+        }
 
     def unconfirmed(self):
         """The control state as this core alone holds it: no majority says that it is the newest."""
@@ -319,7 +383,11 @@
         while self.clock.now() < end:
             self.prober.leave()
             v = self.chain.view
-            if v is None or self.name not in v["chain"] or len(v["chain"]) <= len(v["ids"]) // 2 + 1:
+            if (
+                v is None
+                or self.name not in v["chain"]
+                or len(v["chain"]) <= len(v["ids"]) // 2 + 1
+            ):
                 break
             await self.clock.sleep(100_000)
         emit(self.log, 104, name=self.name)
@@ -340,12 +408,19 @@
             raise Malformed("announcement field addr must be an address")
         if doc["role"] not in ("primary", "replica"):
             raise Malformed("announcement field role must be primary or replica")
-        for k, lo, hi in (("log", 0, 1 << 53), ("term", 0, 1 << 53), ("cap", 1, 10_000), ("beat", 0, 1 << 53)):
+        for k, lo, hi in (
+            ("log", 0, 1 << 53),
+            ("term", 0, 1 << 53),
+            ("cap", 1, 10_000),
+            ("beat", 0, 1 << 53),
+        ):
             if not lo <= doc.get(k, lo) <= hi:
                 raise Malformed(f"announcement field {k} must be from {lo} to {hi}")
         old = self.duty.heard.get(doc["member"])
         if old and old["doc"]["group"] != doc["group"] and self.clock.now() - old["at"] < 5_000_000:
-            raise Malformed(f"announcement field group must stay {old['doc']['group']} for {doc['member']}")
+            raise Malformed(
+                f"announcement field group must stay {old['doc']['group']} for {doc['member']}"
+            )
         self.duty.announce(doc)
 
     def belief(self):
@@ -374,7 +449,9 @@
             "head": self.chain.head,
             "waiting": dict(self.duty.why) if self.chain.head else {},
             "garbage": getattr(self.link, "garbage", 0),
-            "members": {m: {**h["doc"], "age_us": now - h["at"]} for m, h in sorted(self.duty.heard.items())},
+            "members": {
+                m: {**h["doc"], "age_us": now - h["at"]} for m, h in sorted(self.duty.heard.items())
+            },
         }
 
     @property
--- a/src/petrelhaven/helm/desk.py
+++ b/src/petrelhaven/helm/desk.py
@@ -1,4 +1,5 @@
 """The lease desk: which edges may send, what they have acknowledged, and when a change is in force."""
+
 import asyncio
 
 from ..creed.event import emit
@@ -95,8 +96,12 @@
     async def force(self, ch, b):
         """What this core knows of who has acknowledged `seq`."""
         now = self.clock.now()
-        return {"acked": dict(self.acked), "live": {e: t - now for e, t in self.live.items() if t > now},
-                "floor": max(self.floor - now, 0), "commit": self.chain.commit}
+        return {
+            "acked": dict(self.acked),
+            "live": {e: t - now for e, t in self.live.items() if t > now},
+            "floor": max(self.floor - now, 0),
+            "commit": self.chain.commit,
+        }
 
     async def in_force(self, seq, grace=0, horizon=15_000_000):
         """Waits until every edge acknowledged `seq` or its lease has certainly lapsed; returns who lapsed."""
@@ -124,11 +129,17 @@
             for e, s in r["acked"].items():
                 acked[e] = max(acked.get(e, 0), s)
         known = live | {
-            n for n, e in self.chain.realm.doc["edges"].items() if e["state"] != "gone" or not e.get("lapsed")
+            n
+            for n, e in self.chain.realm.doc["edges"].items()
+            if e["state"] != "gone" or not e.get("lapsed")
         }
         late = {e for e in known if acked.get(e, 0) < seq}
         if len(got) == len(rs):
-            return not late or not late & live and (all(r["floor"] == 0 for r in rs) or self.clock.now() >= sure)
+            return (
+                not late
+                or not late & live
+                and (all(r["floor"] == 0 for r in rs) or self.clock.now() >= sure)
+            )
         return self.clock.now() >= sure + self._lapse and not late & live
 
     async def _ask(self, name, seq):
--- a/src/petrelhaven/helm/duty.py
+++ b/src/petrelhaven/helm/duty.py
@@ -1,4 +1,5 @@
 """The planning duty: done by the head alone, fenced by the epoch's number and the view."""
+
 import asyncio
 
 from ..creed.event import emit
@@ -44,14 +45,22 @@
     def _forget(self, now):
         es = self.chain.realm.doc["epochs"].values()
         roles = {n for e in es for n in (e["primary"], *e["hold"], *e["safe"])}
-        for n in [n for n, h in self.heard.items() if now - h["at"] > _FORGET_US and n not in roles]:
+        for n in [
+            n for n, h in self.heard.items() if now - h["at"] > _FORGET_US and n not in roles
+        ]:
             del self.heard[n]
 
     async def told(self, ch, b):
         """Answers another core: what members and edges said here, with ages."""
         now = self.clock.now()
-        return {"doc": {"members": {m: {"doc": h["doc"], "age": now - h["at"]} for m, h in self.heard.items()},
-                        "edges": {e: t - now for e, t in self.desk.live.items()}}}
+        return {
+            "doc": {
+                "members": {
+                    m: {"doc": h["doc"], "age": now - h["at"]} for m, h in self.heard.items()
+                },
+                "edges": {e: t - now for e, t in self.desk.live.items()},
+            }
+        }
 
     async def run(self):
         """Plans for good while this core is the active head."""
@@ -97,7 +106,13 @@
 
     def _members(self, now):
         out = {}
-        src = [(self.chain.me, now, {m: {"doc": h["doc"], "age": now - h["at"]} for m, h in self.heard.items()})]
+        src = [
+            (
+                self.chain.me,
+                now,
+                {m: {"doc": h["doc"], "age": now - h["at"]} for m, h in self.heard.items()},
+            )
+        ]
         src += [(n, at, d["members"]) for n, (at, d) in sorted(self._others.items())]
         for who, at, ms in src:
             for n, h in ms.items():
@@ -136,7 +151,8 @@
                 continue
             born = self._born.setdefault((n, e["inc"]), now)
             if (
-                sum(h != e["hall"] and now - t < _REKEEP_US for h, t in self._let_go.items()) >= self._keepers()
+                sum(h != e["hall"] and now - t < _REKEEP_US for h, t in self._let_go.items())
+                >= self._keepers()
                 or now - self._began < 300_000
             ):
                 continue
@@ -156,7 +172,14 @@
 
     async def _gone(self, n, inc, st):
         seq = await self.chain.enter(
-            {"t": "edge", "name": n, "inc": inc, "state": "gone", "cause": f"kith: {st}, no lease", "by": self.chain.me}
+            {
+                "t": "edge",
+                "name": n,
+                "inc": inc,
+                "state": "gone",
+                "cause": f"kith: {st}, no lease",
+                "by": self.chain.me,
+            }
         )
         await self._lapse(n, inc, seq)
 
@@ -173,6 +196,7 @@
                 await self.clock.sleep(100_000)
             finally:
                 self._busy.pop(key, None)
+
         self._busy[key] = self.nest.spawn(run())
 
     def _group(self, g, m, ms, now):
@@ -230,7 +254,13 @@
     def _waited(self, g, e, mine, d, now):
         p = mine.get(e["primary"]) if e else None
         leaving = bool(p) and (p["draining"] or d["halls"].get(p["hall"], "open") != "open")
-        k = (g, e["n"] if e else 0, e["phase"] if e else "", leaving, (g, e["n"] if e else 0) in self._forced)
+        k = (
+            g,
+            e["n"] if e else 0,
+            e["phase"] if e else "",
+            leaving,
+            (g, e["n"] if e else 0) in self._forced,
+        )
         if e and e["phase"] == "serve":
             k = (g, leaving)
         if self._since.get(g, (None, 0))[0] != k:
@@ -238,7 +268,11 @@
         return now - self._since[g][1]
 
     def _track(self, g, m, mine, e, now):
-        p = mine.get(e["primary"]) if e else next((d for d in mine.values() if d["role"] == "primary"), None)
+        p = (
+            mine.get(e["primary"])
+            if e
+            else next((d for d in mine.values() if d["role"] == "primary"), None)
+        )
         t = self._tracks.setdefault(g.name, [])
         if p and p["age"] < 600_000:
             if not t or t[-1][1] != p["log"] or now - t[-1][0] > 300_000:
@@ -272,8 +306,16 @@
     async def _epoch(self, rec):
         rec = {**rec, "by": self.chain.me, "view": self.chain.view["n"]}
         await self.chain.enter(rec)
-        emit(self.log, 321 if rec["phase"] == "halt" else 320, group=rec["group"], n=rec["n"], primary=rec["primary"],
-             hold=",".join(rec["hold"]), safe=",".join(rec["safe"]), cause=rec["cause"])
+        emit(
+            self.log,
+            321 if rec["phase"] == "halt" else 320,
+            group=rec["group"],
+            n=rec["n"],
+            primary=rec["primary"],
+            hold=",".join(rec["hold"]),
+            safe=",".join(rec["safe"]),
+            cause=rec["cause"],
+        )
 
     async def _asked(self, g, target, key):
         """Asks the platform; a target that announces the office under this epoch is answer enough."""
@@ -285,7 +327,9 @@
                     r = await self.clock.limit(t, 200_000, keep=True)
                     for k, want in (("primary", target), ("epoch", key[1])):
                         if r.get(k) != want:
-                            raise Malformed(f"platform answer: {k} must be {want}, is {str(r.get(k))[:40]}")
+                            raise Malformed(
+                                f"platform answer: {k} must be {want}, is {str(r.get(k))[:40]}"
+                            )
                     return r
                 except Late:
                     d = self._members(self.clock.now()).get(target)
@@ -303,13 +347,21 @@
         try:
             await self._asked(g, target, key)
         except Fault as f:
-            emit(self.log, 323, group=g.name, target=target, epoch=key[1], fault=f.code, note=f.note)
+            emit(
+                self.log, 323, group=g.name, target=target, epoch=key[1], fault=f.code, note=f.note
+            )
             self.why[g.name] = f"platform: {f.code} {f.note}"
             if f.code == "fenced":
                 e = self.chain.realm.doc["epochs"].get(g.name)
                 if e and e["n"] == key[1]:
-                    await self._epoch({**{k: v for k, v in e.items() if k not in ("settled", "before", "seq")},
-                                       "t": "epoch", "n": e["n"] + 1, "cause": "promotion fenced: " + f.note})
+                    await self._epoch(
+                        {
+                            **{k: v for k, v in e.items() if k not in ("settled", "before", "seq")},
+                            "t": "epoch",
+                            "n": e["n"] + 1,
+                            "cause": "promotion fenced: " + f.note,
+                        }
+                    )
             else:
                 await self.clock.sleep(250_000)
             return
--- a/src/petrelhaven/helm/embargo_duty.py
+++ b/src/petrelhaven/helm/embargo_duty.py
@@ -1,4 +1,5 @@
 """What a core does about embargoes: takes an operator's calls, keeps the time, knows which edges are aware."""
+
 import asyncio
 
 from ..creed.event import emit
@@ -17,8 +18,16 @@
 
     def __init__(self, seat, wall=None):
         self.s = seat
-        self.time = TrueTime(seat.clock, wall or Wall(), seat.name, self._cores, self._bounds, seat.call, seat.nest,
-                             seat.log)
+        self.time = TrueTime(
+            seat.clock,
+            wall or Wall(),
+            seat.name,
+            self._cores,
+            self._bounds,
+            seat.call,
+            seat.nest,
+            seat.log,
+        )
         self._on = False
 
     def _cores(self):
@@ -56,8 +65,12 @@
                 acked[e] = max(acked.get(e, 0), s)
         late = sorted(e for e, s in acked.items() if s < since and e not in gone)
         if late:
-            raise NotReady("edges that may not know that embargoes are on: " + ", ".join(late)[:200]
-                           + "; restart them, or name those that are gone for good", more={"edges": late})
+            raise NotReady(
+                "edges that may not know that embargoes are on: "
+                + ", ".join(late)[:200]
+                + "; restart them, or name those that are gone for good",
+                more={"edges": late},
+            )
 
     async def apply(self, m, rec):
         """Enters manifest `m`, which embargoes something; returns once it is in force and every edge is aware."""
@@ -86,9 +99,22 @@
             emit(self.s.log, 330, do=r["do"], embargo=r["name"], by=r["by"] or "-", again=True)
             e.more["in_force"] = True
             raise
-        emit(self.s.log, 330, do=r["do"], embargo=r["name"], by=r["by"] or "-", seq=got["seq"],
-             until=r.get("said", "-"))
-        return {"do": r["do"], "name": r["name"], "change": got["seq"], "until": r.get("until", 0), **got["doc"]}
+        emit(
+            self.s.log,
+            330,
+            do=r["do"],
+            embargo=r["name"],
+            by=r["by"] or "-",
+            seq=got["seq"],
+            until=r.get("said", "-"),
+        )
+        return {
+            "do": r["do"],
+            "name": r["name"],
+            "change": got["seq"],
+            "until": r.get("until", 0),
+            **got["doc"],
+        }
 
     async def list(self):
         """All rules, the groups, the newest changes and the time, as the tail answers them."""
@@ -96,14 +122,26 @@
 
     async def why(self, d):
         """Which rules cover a thing, and what an edge that holds a lease answers to a visitor now."""
-        bad = [[k, "must be a string"] for k in ("group", "thing", "visitor") if not isinstance(d.get(k, ""), str)]
+        bad = [
+            [k, "must be a string"]
+            for k in ("group", "thing", "visitor")
+            if not isinstance(d.get(k, ""), str)
+        ]
         if bad or not d.get("thing"):
             raise Invalid("question declined", more={"faults": bad or [["thing", "missing"]]})
         doc = await self.s.realm()
         t = Table(rules_of(doc))
         got = self.time.interval()
         hit = t.held(d.get("group", ""), [d["thing"]], d.get("visitor", ""), got[0] if got else 0)
-        rules = [{"source": k[0], "name": k[1], **r} for k, r in t.covering(d.get("group", ""), d["thing"])]
+        rules = [
+            {"source": k[0], "name": k[1], **r}
+            for k, r in t.covering(d.get("group", ""), d["thing"])
+        ]
         scope = ((doc["manifest"] or {}).get("embargo") or {}).get("scope", [])
-        return {"rules": rules, "withheld": hit is not None, "by": hit[0][1] if hit else None, "interval": got,
-                "embargoed_group": d.get("group", "") in scope}
+        return {
+            "rules": rules,
+            "withheld": hit is not None,
+            "by": hit[0][1] if hit else None,
+            "interval": got,
+            "embargoed_group": d.get("group", "") in scope,
+        }
--- a/src/petrelhaven/helm/embargo_face.py
+++ b/src/petrelhaven/helm/embargo_face.py
@@ -1,4 +1,5 @@
 """Operators' calls about embargoes, on the face of a seat."""
+
 from ..creed.fault import Malformed
 
 __all__ = ["serve"]
@@ -6,6 +7,7 @@
 
 def serve(face, seat):
     """Adds the routes; nothing is loaded until one is called."""
+
     async def change(q):
         return await seat.embargoes.change(q.doc())
 
--- a/src/petrelhaven/helm/embargoes.py
+++ b/src/petrelhaven/helm/embargoes.py
@@ -1,4 +1,5 @@
 """Embargoes: rules that keep records unseen until a release time, in the manifest and placed one at a time."""
+
 import dataclasses
 import json
 import os
@@ -8,8 +9,19 @@
 from ..creed.bound import NAME
 from ..creed.fault import Duplicate, Invalid, Oversize, Racing, Stale
 
-__all__ = ["Embargo", "Table", "apply", "apply_manifest", "check", "check_manifest", "faults", "of_manifest", "placed",
-           "rules_of", "told"]
+__all__ = [
+    "Embargo",
+    "Table",
+    "apply",
+    "apply_manifest",
+    "check",
+    "check_manifest",
+    "faults",
+    "of_manifest",
+    "placed",
+    "rules_of",
+    "told",
+]
 
 _KEY = 512
 _EARLY = 32
@@ -49,8 +61,15 @@
         us = instant(e.until, e.zone)
     except ValueError as x:
         out.append((f"{at}until", str(x)))
-    return {"group": e.group, "thing": e.thing, "prefix": e.prefix, "until": us, "said": e.until, "zone": e.zone,
-            "early": sorted(set(e.early))}
+    return {
+        "group": e.group,
+        "thing": e.thing,
+        "prefix": e.prefix,
+        "until": us,
+        "said": e.until,
+        "zone": e.zone,
+        "early": sorted(set(e.early)),
+    }
 
 
 def _rules(m, out):
@@ -90,8 +109,15 @@
     rules = _rules(m, [])
     b = m.bounds
     scope = sorted({*m.embargoing, *(r["group"] for r in rules.values())})
-    return {"embargo": {"scope": scope, "rules": rules, "wall_us": b.wall_us, "skew_us": b.skew_us,
-                        "spread_us": b.spread_us}}
+    return {
+        "embargo": {
+            "scope": scope,
+            "rules": rules,
+            "wall_us": b.wall_us,
+            "skew_us": b.skew_us,
+            "spread_us": b.spread_us,
+        }
+    }
 
 
 def placed(d):
@@ -102,8 +128,11 @@
     do = d.get("do")
     if do not in ("add", "move", "lift"):
         raise Invalid("embargo declined", more={"faults": [["do", "must be add, move or lift"]]})
-    fields = {"add": ("name", "group", "thing", "prefix", "until", "zone", "early"), "move": ("name", "until", "zone"),
-              "lift": ("name",)}[do]
+    fields = {
+        "add": ("name", "group", "thing", "prefix", "until", "zone", "early"),
+        "move": ("name", "until", "zone"),
+        "lift": ("name",),
+    }[do]
     for k in sorted(set(d) - {"do", "by", "gone", "n", *fields}):
         out.append((str(k)[:40], "unknown field"))
     for k in ("by", *(f for f in fields if f != "early")):
@@ -117,15 +146,29 @@
         out.append(("n", "must be a whole number"))
     if out:
         raise Invalid("embargo declined", more={"faults": [list(x) for x in out]})
-    e = Embargo(d.get("name", ""), d.get("group", ""), d.get("until", ""), d.get("thing", "") if do == "add" else "x",
-                d.get("prefix", ""), d.get("zone", ""), d.get("early", []))
+    e = Embargo(
+        d.get("name", ""),
+        d.get("group", ""),
+        d.get("until", ""),
+        d.get("thing", "") if do == "add" else "x",
+        d.get("prefix", ""),
+        d.get("zone", ""),
+        d.get("early", []),
+    )
     r = _settled(e, "", out)
     if do == "lift":
         out = [x for x in out if x[0] != "until"]
     if out:
         raise Invalid("embargo declined", more={"faults": [list(x) for x in out]})
     keep = {"add": _FIELDS, "move": ("until", "said", "zone"), "lift": ()}[do]
-    return {"t": "embargo", "do": do, "name": e.name, **{k: r[k] for k in keep}, "n": n, "by": d.get("by", "")}
+    return {
+        "t": "embargo",
+        "do": do,
+        "name": e.name,
+        **{k: r[k] for k in keep},
+        "n": n,
+        "by": d.get("by", ""),
+    }
 
 
 def check(doc, r):
@@ -134,12 +177,21 @@
     have = doc.get("embargoes", {}).get(r["name"])
     if r["do"] == "add":
         if r["group"] not in scope:
-            raise Invalid("embargo declined", more={"faults": [
-                ["group", f"group {r['group']} is not named in the manifest's embargoing"]]})
+            raise Invalid(
+                "embargo declined",
+                more={
+                    "faults": [
+                        ["group", f"group {r['group']} is not named in the manifest's embargoing"]
+                    ]
+                },
+            )
         if have is not None:
             if all(have[k] == r[k] for k in _FIELDS):
                 raise Duplicate(f"embargo {r['name']} stands already", more={"n": have["n"]})
-            raise Stale(f"embargo {r['name']} stands with another content; move or lift it", more={"n": have["n"]})
+            raise Stale(
+                f"embargo {r['name']} stands with another content; move or lift it",
+                more={"n": have["n"]},
+            )
         if sum(map(_size, doc.get("embargoes", {}).values())) + _size(r) > _MOST:
             raise Oversize("no room for one more embargo; lift old ones, or place one on a prefix")
         return
@@ -158,8 +210,15 @@
     scope = r.get("embargo", {}).get("scope", ())
     lost = sorted({e["group"] for e in doc.get("embargoes", {}).values()} - set(scope))
     if lost:
-        raise Invalid("manifest declined", more={"faults": [
-            ["embargoing", f"embargoes are placed for group {g}; lift them first"] for g in lost]})
+        raise Invalid(
+            "manifest declined",
+            more={
+                "faults": [
+                    ["embargoing", f"embargoes are placed for group {g}; lift them first"]
+                    for g in lost
+                ]
+            },
+        )
 
 
 def apply_manifest(doc, r, seq):
@@ -184,10 +243,23 @@
     elif r["do"] == "add":
         rules[r["name"]] = {**{k: r[k] for k in _FIELDS}, "n": 1, "by": r["by"], "seq": seq}
     else:
-        rules[r["name"]] = {**old, **{k: r[k] for k in ("until", "said", "zone")}, "n": old["n"] + 1, "by": r["by"],
-                            "seq": seq}
-    past.append({"seq": seq, "do": r["do"], "name": r["name"], "by": r["by"], "was": old.get("until", 0),
-                 "until": r.get("until", 0)})
+        rules[r["name"]] = {
+            **old,
+            **{k: r[k] for k in ("until", "said", "zone")},
+            "n": old["n"] + 1,
+            "by": r["by"],
+            "seq": seq,
+        }
+    past.append(
+        {
+            "seq": seq,
+            "do": r["do"],
+            "name": r["name"],
+            "by": r["by"],
+            "was": old.get("until", 0),
+            "until": r.get("until", 0),
+        }
+    )
     del past[:-_PAST]
 
 
@@ -206,8 +278,14 @@
     from .instant import spoken
 
     m = (doc["manifest"] or {}).get("embargo") or {}
-    return {"scope": m.get("scope", []), "past": doc.get("embargo_past", []),
-            "rules": [{"source": s, "name": n, **r, "release": spoken(r["until"])} for (s, n), r in rules_of(doc)]}
+    return {
+        "scope": m.get("scope", []),
+        "past": doc.get("embargo_past", []),
+        "rules": [
+            {"source": s, "name": n, **r, "release": spoken(r["until"])}
+            for (s, n), r in rules_of(doc)
+        ],
+    }
 
 
 class Table:
@@ -271,6 +349,10 @@
         worst = None
         for t in things:
             for k, r in self.covering(group, t):
-                if r["until"] > now and visitor not in r["early"] and (worst is None or r["until"] > worst[1]["until"]):
+                if (
+                    r["until"] > now
+                    and visitor not in r["early"]
+                    and (worst is None or r["until"] > worst[1]["until"])
+                ):
                     worst = (k, r)
         return worst
--- a/src/petrelhaven/helm/face.py
+++ b/src/petrelhaven/helm/face.py
@@ -1,4 +1,5 @@
 """The operators' and members' face of a core, and the core's call to the platform."""
+
 import asyncio
 
 import aiohttp
@@ -46,7 +47,9 @@
         d = await self._c.realm() if sure else self._c.unconfirmed()
         m = d["manifest"]
         if "version" in req.query:
-            m = next((x for x in d["old"] + [m] if x and str(x["version"]) == req.query["version"]), None)
+            m = next(
+                (x for x in d["old"] + [m] if x and str(x["version"]) == req.query["version"]), None
+            )
         if m is None:
             raise NoRoute("no such manifest")
         return web.Response(
@@ -67,7 +70,9 @@
         if verb not in ("evacuate", "restore"):
             raise Malformed("evacuate or restore")
         return await self._c.hall_to(
-            req.match_info["hall"], "emptied" if verb == "evacuate" else "open", req.query.get("by", "")
+            req.match_info["hall"],
+            "emptied" if verb == "evacuate" else "open",
+            req.query.get("by", ""),
         )
 
     async def _status(self, req):
@@ -80,7 +85,9 @@
         n = req.query.get("after", "0")
         if not n.isdigit():
             raise Malformed("after must be a whole number")
-        return web.json_response(self._herald.since(int(n)), content_type="application/cloudevents-batch+json")
+        return web.json_response(
+            self._herald.since(int(n)), content_type="application/cloudevents-batch+json"
+        )
 
     async def _why(self, req):
         d = await self._c.realm()
@@ -94,8 +101,12 @@
         i = next((i for i, e in enumerate(past) if str(e["n"]) == n), None) if n else len(past) - 1
         if i is None:
             raise NoRoute(f"epoch {n} of {g} is not kept")
-        return {"epoch": past[i], "replaced": past[i - 1] if i else None,
-                "waiting": self._c.duty.why.get(g) if self._c.chain.head else None, "kept": [e["n"] for e in past]}
+        return {
+            "epoch": past[i],
+            "replaced": past[i - 1] if i else None,
+            "waiting": self._c.duty.why.get(g) if self._c.chain.head else None,
+            "kept": [e["n"] for e in past],
+        }
 
     async def _belief(self, req):
         return self._c.belief()
@@ -123,7 +134,8 @@
             self._http = aiohttp.ClientSession()
         try:
             async with self._http.post(
-                f"http://{self._addr}/promote", json={"group": group, "member": member, "epoch": epoch, "by": by}
+                f"http://{self._addr}/promote",
+                json={"group": group, "member": member, "epoch": epoch, "by": by},
             ) as r:
                 d = await r.json()
         except (aiohttp.ClientError, OSError, ValueError, asyncio.TimeoutError):
--- a/src/petrelhaven/helm/herald.py
+++ b/src/petrelhaven/helm/herald.py
@@ -1,4 +1,5 @@
 """Committed changes as CloudEvents, for whoever follows the fleet from outside."""
+
 import json
 
 from cloudevents.core.formats.json import JSONFormat
--- a/src/petrelhaven/helm/instant.py
+++ b/src/petrelhaven/helm/instant.py
@@ -1,4 +1,5 @@
 """Release times: what an operator says, as microseconds of UTC."""
+
 import re
 import zoneinfo
 from datetime import UTC, datetime, timedelta
@@ -16,7 +17,9 @@
     """Microseconds of UTC of an RFC 3339 instant, or of a local time in an IANA zone; ValueError says what is wrong."""
     m = _FORM.fullmatch(text)
     if m is None:
-        raise ValueError("must be an instant like 2026-03-01T09:00:00+01:00, or a local time with a zone")
+        raise ValueError(
+            "must be an instant like 2026-03-01T09:00:00+01:00, or a local time with a zone"
+        )
     try:
         at = parser.isoparse(text)
     except ValueError as e:
@@ -34,7 +37,9 @@
         if not tz.datetime_exists(at, there):
             raise ValueError(f"does not exist in {zone}: clocks are put forward then")
         if tz.datetime_ambiguous(at, there):
-            raise ValueError(f"comes twice in {zone}: clocks are put back then; say it with an offset")
+            raise ValueError(
+                f"comes twice in {zone}: clocks are put back then; say it with an offset"
+            )
         at = at.replace(tzinfo=there)
     try:
         us = (at.astimezone(UTC) - _EPOCH) // _US
--- a/src/petrelhaven/helm/ledger.py
+++ b/src/petrelhaven/helm/ledger.py
@@ -1,4 +1,5 @@
 """Control state where sessions live with their connection: manifest, halls, members, offices."""
+
 import copy
 import hashlib
 import json
@@ -18,8 +19,16 @@
     reader = staticmethod(json.loads)
 
     def __init__(self, doc=None):
-        self.doc = {"seq": 0, "manifest": None, "halls": {}, "members": {}, "offices": {}, "sizes": {}, "past": {},
-                    **(doc or {})}
+        self.doc = {
+            "seq": 0,
+            "manifest": None,
+            "halls": {},
+            "members": {},
+            "offices": {},
+            "sizes": {},
+            "past": {},
+            **(doc or {}),
+        }
         self.seq = self.doc["seq"]
         self._manifest = None
 
@@ -50,7 +59,11 @@
 
     def group(self, g):
         """Members of group `g` that are not gone, by name."""
-        return {n: m for n, m in sorted(self.doc["members"].items()) if m["group"] == g and m["state"] != "gone"}
+        return {
+            n: m
+            for n, m in sorted(self.doc["members"].items())
+            if m["group"] == g and m["state"] != "gone"
+        }
 
     def _check_manifest(self, r):
         now = self.doc["manifest"]
@@ -58,26 +71,46 @@
             return
         if "embargoes" in self.doc:
             from .embargoes import check_manifest
+
             check_manifest(self.doc, r)
         if r["version"] == now["version"]:
             if hashlib.sha256(r["text"].encode()).hexdigest() == now["digest"]:
-                raise Duplicate(f"version {r['version']} is in force already", more={"version": r["version"]})
-            raise Stale(f"version {r['version']} is taken by another manifest", more={"version": now["version"]})
+                raise Duplicate(
+                    f"version {r['version']} is in force already", more={"version": r["version"]}
+                )
+            raise Stale(
+                f"version {r['version']} is taken by another manifest",
+                more={"version": now["version"]},
+            )
         if r["version"] < now["version"]:
             raise Stale(f"version {now['version']} is in force", more={"version": now["version"]})
         if r.get("retire") is False:
-            gone = {g["name"] for g in self.manifest["groups"]} - {g["name"] for g in json.loads(r["text"])["groups"]}
+            gone = {g["name"] for g in self.manifest["groups"]} - {
+                g["name"] for g in json.loads(r["text"])["groups"]
+            }
             live = sorted(gone & set(self.doc["offices"]))
             if live:
-                raise Invalid("manifest declined", more={"faults": [
-                    ["groups", f"group {g} is served; retire it with retire=true"] for g in live]})
+                raise Invalid(
+                    "manifest declined",
+                    more={
+                        "faults": [
+                            ["groups", f"group {g} is served; retire it with retire=true"]
+                            for g in live
+                        ]
+                    },
+                )
 
     def _apply_manifest(self, r):
-        self.doc["manifest"] = {"version": r["version"], "text": r["text"], "by": r.get("by", ""),
-                                "digest": hashlib.sha256(r["text"].encode()).hexdigest(),
-                                **({"embargo": r["embargo"]} if "embargo" in r else {})}
+        self.doc["manifest"] = {
+            "version": r["version"],
+            "text": r["text"],
+            "by": r.get("by", ""),
+            "digest": hashlib.sha256(r["text"].encode()).hexdigest(),
+            **({"embargo": r["embargo"]} if "embargo" in r else {}),
+        }
         if "embargo" in r or "embargo_since" in self.doc:
             from .embargoes import apply_manifest
+
             apply_manifest(self.doc, r, self.seq + 1)
         self._manifest = None
 
@@ -96,7 +129,10 @@
     def _check_member(self, r):
         m = self.doc["members"].get(r["name"])
         if m and m["state"] != "ready" and r["state"] == "ready" and r["count"] <= m["count"]:
-            raise Stale(f"member {r['name']} is {m['state']}; this was said before", more={"count": m["count"]})
+            raise Stale(
+                f"member {r['name']} is {m['state']}; this was said before",
+                more={"count": m["count"]},
+            )
         if r["state"] == "gone" and (m is None or m["state"] == "gone"):
             raise Duplicate(f"member {r['name']} is gone")
         now = {k: v for k, v in r.items() if k not in ("t", "count", "name")}
@@ -114,7 +150,7 @@
         ms.pop(r["name"], None)
         ms[r["name"]] = {k: v for k, v in r.items() if k not in ("t", "name")}
         gone = [n for n, m in ms.items() if m["state"] == "gone"]
-        for n in gone[:max(0, len(gone) - _GONE)]:
+        for n in gone[: max(0, len(gone) - _GONE)]:
             del ms[n]
         g = r["group"]
         self.doc["sizes"][g] = max(self.doc["sizes"].get(g, 0), len(self.group(g)))
@@ -125,17 +161,21 @@
             raise Racing(f"office {r['n']} does not follow {o['n'] if o else 0}")
 
     def _apply_office(self, r):
-        o = self.doc["offices"][r["group"]] = {k: v for k, v in r.items() if k not in ("t", "group")}
+        o = self.doc["offices"][r["group"]] = {
+            k: v for k, v in r.items() if k not in ("t", "group")
+        }
         past = self.doc["past"].setdefault(r["group"], [])
         past.append({**o, "seq": self.seq + 1})
         del past[:-_KEEP]
 
     def _check_embargo(self, r):
         from .embargoes import check
+
         check(self.doc, r)
 
     def _apply_embargo(self, r):
         from .embargoes import apply
+
         apply(self.doc, r, self.seq + 1)
 
     def belief(self):
@@ -147,6 +187,8 @@
             "digest": m["digest"] if m else "",
             "halls": d["halls"],
             "epochs": d["offices"],
-            "members": {n: [x["group"], x["state"], x["role"]] for n, x in sorted(d["members"].items())},
+            "members": {
+                n: [x["group"], x["state"], x["role"]] for n, x in sorted(d["members"].items())
+            },
             "edges": {},
         }
--- a/src/petrelhaven/helm/ledgerface.py
+++ b/src/petrelhaven/helm/ledgerface.py
@@ -1,4 +1,5 @@
 """What cores and edges of the held path answer alike: the ledger, told as the product's own interface tells it."""
+
 import re
 
 from ..creed.fault import Malformed, NoRoute
@@ -27,8 +28,12 @@
     i = len(past) - 1 if n is None else next((i for i, o in enumerate(past) if o["n"] == n), None)
     if i is None:
         raise NoRoute(f"office {n} of {g[:60]} is not kept")
-    return {"epoch": past[i], "replaced": past[i - 1] if i else None, "waiting": waiting,
-            "kept": [o["n"] for o in past]}
+    return {
+        "epoch": past[i],
+        "replaced": past[i - 1] if i else None,
+        "waiting": waiting,
+        "kept": [o["n"] for o in past],
+    }
 
 
 def manifest_of(text, sure):
--- a/src/petrelhaven/helm/manifest.py
+++ b/src/petrelhaven/helm/manifest.py
@@ -1,4 +1,5 @@
 """The operator's manifest: one whole document, read and checked, every fault named by its path."""
+
 import dataclasses
 import json
 import typing
@@ -12,13 +13,26 @@
 __all__ = ["Bounds", "Group", "Manifest", "Route", "read"]
 
 _B = {
-    "fetch_us": Whole(5_000, 5_000_000), "join_us": Whole(10_000, 10_000_000), "wait_us": Whole(10_000, 10_000_000),
-    "statement_us": Whole(50_000, 60_000_000), "commit_us": Whole(50_000, 60_000_000),
-    "browse_us": Whole(100_000, 60_000_000), "margin_us": Whole(0, 59_000_000), "grace_us": Whole(0, 3_000_000),
-    "lost_us": Whole(300_000, 10_000_000), "stall_us": Whole(200_000, 10_000_000), "warm_us": Whole(0, 120_000_000),
-    "idle_txn_us": Whole(100_000, 600_000_000), "slots": Whole(1, 100_000), "queue": Whole(1, 1000),
-    "lanes": Whole(1, 64), "sessions": Whole(1, 1_000_000), "keepers": Whole(0, 3),
-    "wall_us": Whole(10_000, 60_000_000), "skew_us": Whole(1_000, 10_000_000), "spread_us": Whole(0, 600_000_000),
+    "fetch_us": Whole(5_000, 5_000_000),
+    "join_us": Whole(10_000, 10_000_000),
+    "wait_us": Whole(10_000, 10_000_000),
+    "statement_us": Whole(50_000, 60_000_000),
+    "commit_us": Whole(50_000, 60_000_000),
+    "browse_us": Whole(100_000, 60_000_000),
+    "margin_us": Whole(0, 59_000_000),
+    "grace_us": Whole(0, 3_000_000),
+    "lost_us": Whole(300_000, 10_000_000),
+    "stall_us": Whole(200_000, 10_000_000),
+    "warm_us": Whole(0, 120_000_000),
+    "idle_txn_us": Whole(100_000, 600_000_000),
+    "slots": Whole(1, 100_000),
+    "queue": Whole(1, 1000),
+    "lanes": Whole(1, 64),
+    "sessions": Whole(1, 1_000_000),
+    "keepers": Whole(0, 3),
+    "wall_us": Whole(10_000, 60_000_000),
+    "skew_us": Whole(1_000, 10_000_000),
+    "spread_us": Whole(0, 600_000_000),
 }
 
 
@@ -157,14 +171,23 @@
             out.append((f"routes[{i}].group", f"no group {r.group}"))
         if r.reads not in ("strong", "browsing"):
             out.append((f"routes[{i}].reads", "must be strong or browsing"))
-        for k, lo, hi in (("timeout_us", 1, 1 << 40), ("aim_us", 0, 1 << 40), ("stale_us", 0, 1 << 40),
-                          ("rank", -(1 << 31), 1 << 31)):
+        for k, lo, hi in (
+            ("timeout_us", 1, 1 << 40),
+            ("aim_us", 0, 1 << 40),
+            ("stale_us", 0, 1 << 40),
+            ("rank", -(1 << 31), 1 << 31),
+        ):
             w = Whole(lo, hi).fault(getattr(r, k))
             if w:
                 out.append((f"routes[{i}].{k}", w))
         at = (r.host, r.prefix)
         if r.host and at in hosts:
-            out.append((f"routes[{i}].host", f"host {r.host} with this prefix stands in routes[{hosts[at]}] already"))
+            out.append(
+                (
+                    f"routes[{i}].host",
+                    f"host {r.host} with this prefix stands in routes[{hosts[at]}] already",
+                )
+            )
         hosts.setdefault(at, i)
     for k, w in _B.items():
         f = w.fault(getattr(m.bounds, k))
@@ -179,6 +202,7 @@
         out.append(("bounds.statement_us", "must hold join_us and wait_us"))
     if m.embargoing or m.embargoes:
         from .embargoes import faults
+
         faults(m, out)
 
 
--- a/src/petrelhaven/helm/memory.py
+++ b/src/petrelhaven/helm/memory.py
@@ -1,4 +1,5 @@
 """What a core remembers across a restart: its identity, its vote, its place in the chain, the control state."""
+
 from ..creed.event import emit
 from ..creed.fault import Damaged, Misplaced
 from .ring import Ring
@@ -56,8 +57,15 @@
         return self.vote["value"] is None and self.realm.seq == 0
 
     def _whole(self):
-        return {"t": "frame", "disk": self.disk, "name": self.name, "vote": self.vote, "done": self.done,
-                "realm": self.realm.frame(), "mark": self.mark}
+        return {
+            "t": "frame",
+            "disk": self.disk,
+            "name": self.name,
+            "vote": self.vote,
+            "done": self.done,
+            "realm": self.realm.frame(),
+            "mark": self.mark,
+        }
 
     def _keep(self, doc):
         self._ring.append(doc, self._whole)
@@ -81,7 +89,12 @@
             elif t == "rec":
                 self._take(d["seq"], d["view"], d["rec"])
             elif t == "reset":
-                self.realm, self.recs, self.mark, self._bytes = self._state(d["realm"]), [], d["mark"], 0
+                self.realm, self.recs, self.mark, self._bytes = (
+                    self._state(d["realm"]),
+                    [],
+                    d["mark"],
+                    0,
+                )
 
     def _take(self, seq, view, rec):
         self.realm.apply(seq, rec)
@@ -126,5 +139,5 @@
             return list(self.recs)
         for i, (s, v, _) in enumerate(self.recs):
             if s == seq:
-                return self.recs[i + 1:] if mark in (None, v) else None
+                return self.recs[i + 1 :] if mark in (None, v) else None
         return None
--- a/src/petrelhaven/helm/muster.py
+++ b/src/petrelhaven/helm/muster.py
@@ -1,4 +1,5 @@
 """Ledgers of edges, gathered over their ties while a core has no majority and so holds no edge."""
+
 from ..creed.event import emit
 from ..creed.fault import Fault, Racing
 
--- a/src/petrelhaven/helm/plan.py
+++ b/src/petrelhaven/helm/plan.py
@@ -6,9 +6,23 @@
 class Sight:
     """All that a plan may look at for one group."""
 
-    __slots__ = ("group", "bounds", "epoch", "last", "members", "edges", "halls", "forced", "marks", "waited", "target")
+    __slots__ = (
+        "group",
+        "bounds",
+        "epoch",
+        "last",
+        "members",
+        "edges",
+        "halls",
+        "forced",
+        "marks",
+        "waited",
+        "target",
+    )
 
-    def __init__(self, group, bounds, epoch, last, members, edges, halls, forced, marks, waited, target=None):
+    def __init__(
+        self, group, bounds, epoch, last, members, edges, halls, forced, marks, waited, target=None
+    ):
         self.group, self.bounds, self.epoch, self.last = group, bounds, epoch, last
         self.members, self.edges, self.halls = members, edges, halls
         self.forced, self.marks, self.waited, self.target = forced, marks, waited, target
@@ -60,7 +74,11 @@
     While they are not, nothing new is acknowledged, so whoever was safe stays so.
     """
     stores = s.epoch["stores"] if s.epoch else {}
-    kept = [n for n in safe if n in hold and s.members[n]["store"] == stores.get(n, s.members[n]["store"])]
+    kept = [
+        n
+        for n in safe
+        if n in hold and s.members[n]["store"] == stores.get(n, s.members[n]["store"])
+    ]
     if len(kept) >= s.group.least:
         return kept, True
     return list(safe), False
@@ -94,7 +112,10 @@
         "stores": stores,
         "grace": grace,
         "term": s.members[primary]["term"] if s.epoch is None else old["term"],
-        "where": {n: {"addr": m["addr"], "hall": m["hall"], "boot": m["boot"]} for n, m in sorted(s.members.items())},
+        "where": {
+            n: {"addr": m["addr"], "hall": m["hall"], "boot": m["boot"]}
+            for n, m in sorted(s.members.items())
+        },
         "cause": cause,
         "evidence": _row(s, s.members),
         "was": old.get("primary"),
@@ -102,12 +123,21 @@
 
 
 def _hold(s, primary):
-    return [n for n in sorted(s.members) if n != primary and s.sound(n)
-            and (s.epoch is None or n in s.epoch["hold"] or s.members[n]["near"])]
+    return [
+        n
+        for n in sorted(s.members)
+        if n != primary
+        and s.sound(n)
+        and (s.epoch is None or n in s.epoch["hold"] or s.members[n]["near"])
+    ]
 
 
 def _first(s):
-    ps = [n for n, m in sorted(s.members.items()) if s.live(n) and m["role"] == "primary" and not s.leaving(n)]
+    ps = [
+        n
+        for n, m in sorted(s.members.items())
+        if s.live(n) and m["role"] == "primary" and not s.leaving(n)
+    ]
     if not ps:
         return "wait", "no primary has announced itself"
     if not s.edges:
@@ -125,7 +155,9 @@
     if not s.live(p):
         return "epoch", _epoch(s, "halt", p, e["hold"], e["safe"], "primary lost")
     if m["store"] != e["stores"].get(p):
-        return "epoch", _epoch(s, "halt", p, e["hold"], e["safe"], "primary came back with another store")
+        return "epoch", _epoch(
+            s, "halt", p, e["hold"], e["safe"], "primary came back with another store"
+        )
     if m["role"] != "primary" and m.get("odd", 0) > 1_000_000:
         return "epoch", _epoch(s, "halt", p, e["hold"], e["safe"], "primary is no longer one")
     if s.leaving(p) and (_candidates(s) or s.waited > 3_000_000):
@@ -140,11 +172,20 @@
     if not (s.forced and e["settled"]):
         return "wait", "the epoch is not in force everywhere yet"
     if set(hold) - set(e["hold"]):
-        return "epoch", _epoch(s, "serve", p, hold, safe, "replica in: " + ",".join(sorted(set(hold) - set(e["hold"]))))
-    more = [n for n in e["hold"] if n not in e["safe"] and s.members[n]["term"] == e["term"]
-            and s.members[n]["log"] >= s.marks.get("catch", 1 << 62)]
+        return "epoch", _epoch(
+            s, "serve", p, hold, safe, "replica in: " + ",".join(sorted(set(hold) - set(e["hold"])))
+        )
+    more = [
+        n
+        for n in e["hold"]
+        if n not in e["safe"]
+        and s.members[n]["term"] == e["term"]
+        and s.members[n]["log"] >= s.marks.get("catch", 1 << 62)
+    ]
     if more:
-        return "epoch", _epoch(s, "serve", p, hold, safe + more, "replica caught up: " + ",".join(more))
+        return "epoch", _epoch(
+            s, "serve", p, hold, safe + more, "replica caught up: " + ",".join(more)
+        )
     new = _epoch(s, "serve", p, hold, safe, "")
     if new["gates"] != e["gates"]:
         return "epoch", {**new, "cause": "read gates changed"}
@@ -159,8 +200,14 @@
 
 def _candidates(s):
     e = s.epoch
-    return [n for n in e["safe"] if n != e["primary"] and s.live(n) and not s.leaving(n)
-            and s.members[n]["store"] == e["stores"].get(n)]
+    return [
+        n
+        for n in e["safe"]
+        if n != e["primary"]
+        and s.live(n)
+        and not s.leaving(n)
+        and s.members[n]["store"] == e["stores"].get(n)
+    ]
 
 
 def _halt(s):
@@ -174,7 +221,13 @@
         return "epoch", _epoch(s, "halt", p, e["hold"], e["safe"], f"candidate {s.target} lost")
     if cs:
         c = s.target or max(
-            cs, key=lambda n: (s.members[n]["term"], s.members[n]["log"], not s.members[n]["stalled"], n)
+            cs,
+            key=lambda n: (
+                s.members[n]["term"],
+                s.members[n]["log"],
+                not s.members[n]["stalled"],
+                n,
+            ),
         )
         if (
             back
@@ -188,16 +241,25 @@
         return "promote", p
     return (
         "wait",
-        "no safe candidate: none of " + ",".join(e["safe"] or ["(no in-sync replica)"]) + " is alive and staying",
+        "no safe candidate: none of "
+        + ",".join(e["safe"] or ["(no in-sync replica)"])
+        + " is alive and staying",
     )
 
 
 def after(s, target):
     """The epoch that follows a promotion."""
     e = s.epoch
-    hold = [n for n in sorted(s.members) if n != target and s.sound(n) and (n in e["hold"] or n in e["safe"])]
+    hold = [
+        n
+        for n in sorted(s.members)
+        if n != target and s.sound(n) and (n in e["hold"] or n in e["safe"])
+    ]
     safe = [n for n in e["safe"] if n != target]
-    return {**_epoch(s, "serve", target, hold, safe, f"elected after: {e['cause']}"), "term": e["n"]}
+    return {
+        **_epoch(s, "serve", target, hold, safe, f"elected after: {e['cause']}"),
+        "term": e["n"],
+    }
 
 
 def step(s):
