--- a/src/petrelhaven/helm/realm.py
+++ b/src/petrelhaven/helm/realm.py
@@ -1,4 +1,5 @@
 """The control state that every core and edge holds: changed only by numbered records, the same everywhere."""
+
 import copy
 import hashlib
 
@@ -16,7 +17,15 @@
     __slots__ = ("seq", "doc", "_read")
 
     def __init__(self, doc=None):
-        self.doc = doc or {"seq": 0, "manifest": None, "old": [], "halls": {}, "edges": {}, "epochs": {}, "past": {}}
+        self.doc = doc or {
+            "seq": 0,
+            "manifest": None,
+            "old": [],
+            "halls": {},
+            "edges": {},
+            "epochs": {},
+            "past": {},
+        }
         self.seq = self.doc["seq"]
         self._read = None
 
@@ -48,22 +57,40 @@
             h = hashlib.sha256(r["text"].encode()).hexdigest()
             if m.version == now["version"]:
                 if h == now["digest"]:
-                    raise Duplicate(f"version {m.version} is in force already", more={"version": m.version})
-                raise Stale(f"version {m.version} is taken by another manifest", more={"version": now["version"]})
+                    raise Duplicate(
+                        f"version {m.version} is in force already", more={"version": m.version}
+                    )
+                raise Stale(
+                    f"version {m.version} is taken by another manifest",
+                    more={"version": now["version"]},
+                )
             if m.version < now["version"]:
-                raise Stale(f"version {now['version']} is in force", more={"version": now["version"]})
+                raise Stale(
+                    f"version {now['version']} is in force", more={"version": now["version"]}
+                )
             gone = {g.name for g in self.manifest.groups} - {g.name for g in m.groups}
             live = [g for g in gone if g in self.doc["epochs"] and not r.get("retire")]
             if live:
-                raise Invalid("manifest declined", more={"faults": [
-                    ["groups", f"group {g} is served; retire it with retire=true"] for g in sorted(live)]})
+                raise Invalid(
+                    "manifest declined",
+                    more={
+                        "faults": [
+                            ["groups", f"group {g} is served; retire it with retire=true"]
+                            for g in sorted(live)
+                        ]
+                    },
+                )
 
     def _apply_manifest(self, r):
         m = read(r["text"])
         if self.doc["manifest"]:
             self.doc["old"] = (self.doc["old"] + [self.doc["manifest"]])[-_KEEP:]
-        self.doc["manifest"] = {"version": m.version, "text": r["text"], "by": r.get("by", ""),
-                                "digest": hashlib.sha256(r["text"].encode()).hexdigest()}
+        self.doc["manifest"] = {
+            "version": m.version,
+            "text": r["text"],
+            "by": r.get("by", ""),
+            "digest": hashlib.sha256(r["text"].encode()).hexdigest(),
+        }
         self._read = m
         names = {g.name for g in m.groups}
         for g in list(self.doc["epochs"]):
@@ -72,15 +99,24 @@
 
     def _check_hall(self, r):
         if not self.manifest or r["hall"] not in self.manifest.halls:
-            raise Invalid(f"no hall {r['hall']}", more={"faults": [["hall", f"no hall {r['hall']}"]]})
+            raise Invalid(
+                f"no hall {r['hall']}", more={"faults": [["hall", f"no hall {r['hall']}"]]}
+            )
         if r["state"] not in ("open", "emptied"):
             raise Invalid("hall state", more={"faults": [["state", "must be open or emptied"]]})
         if self.doc["halls"].get(r["hall"], "open") == r["state"]:
             raise Duplicate(f"hall {r['hall']} is {r['state']} already")
         if r["state"] == "emptied":
-            rest = [h for h in self.manifest.halls if h != r["hall"] and self.doc["halls"].get(h, "open") == "open"]
+            rest = [
+                h
+                for h in self.manifest.halls
+                if h != r["hall"] and self.doc["halls"].get(h, "open") == "open"
+            ]
             if not rest:
-                raise Invalid("last open hall", more={"faults": [["hall", "the last open hall can't be emptied"]]})
+                raise Invalid(
+                    "last open hall",
+                    more={"faults": [["hall", "the last open hall can't be emptied"]]},
+                )
 
     def _apply_hall(self, r):
         self.doc["halls"][r["hall"]] = r["state"]
@@ -91,7 +127,13 @@
             raise Stale(f"edge {r['name']} incarnation {e['inc']} is {e['state']}")
         if e is None and r["state"] != "up":
             raise Stale(f"no edge {r['name']}")
-        if e and e["inc"] == r["inc"] and e.get("boot") and r.get("boot") and e["boot"] != r["boot"]:
+        if (
+            e
+            and e["inc"] == r["inc"]
+            and e.get("boot")
+            and r.get("boot")
+            and e["boot"] != r["boot"]
+        ):
             raise Stale(f"edge {r['name']} incarnation {e['inc']} is another process")
         if e and e["inc"] == r["inc"] and e["state"] == r["state"]:
             raise Duplicate(f"edge {r['name']} is {r['state']}")
@@ -99,7 +141,13 @@
     def _apply_edge(self, r):
         e = self.doc["edges"].setdefault(r["name"], {})
         e.pop("lapsed", None)
-        e.update({k: r[k] for k in ("inc", "state", "boot", "hall", "addr", "http") if r.get(k) not in (None, "")})
+        e.update(
+            {
+                k: r[k]
+                for k in ("inc", "state", "boot", "hall", "addr", "http")
+                if r.get(k) not in (None, "")
+            }
+        )
 
     def _check_lapse(self, r):
         e = self.doc["edges"].get(r["name"])
@@ -112,7 +160,9 @@
     def _check_epoch(self, r):
         if not self.manifest or r["group"] not in {g.name for g in self.manifest.groups}:
             raise Stale(f"no group {r['group']}")
-        now = self.doc["epochs"].get(r["group"], {"n": self.doc["past"].get(r["group"], [{"n": 0}])[-1]["n"]})
+        now = self.doc["epochs"].get(
+            r["group"], {"n": self.doc["past"].get(r["group"], [{"n": 0}])[-1]["n"]}
+        )
         if r["n"] != now["n"] + 1:
             raise Racing(f"epoch {r['n']} does not follow {now['n']}")
 
@@ -127,7 +177,19 @@
         p.append(
             {
                 k: e[k]
-                for k in ("n", "phase", "primary", "hold", "safe", "gates", "cause", "evidence", "by", "view", "seq")
+                for k in (
+                    "n",
+                    "phase",
+                    "primary",
+                    "hold",
+                    "safe",
+                    "gates",
+                    "cause",
+                    "evidence",
+                    "by",
+                    "view",
+                    "seq",
+                )
                 if k in e
             }
             | {"seq": self.seq + 1}
--- a/src/petrelhaven/helm/reform.py
+++ b/src/petrelhaven/helm/reform.py
@@ -1,4 +1,5 @@
 """Forming the chain anew after a majority of the cores lost their disks: at the operator's word only."""
+
 from ..creed.event import emit
 from ..creed.fault import Fault, Malformed, NotReady, Racing
 
@@ -28,7 +29,9 @@
                 more={"faults": [["lost", f"no core {n}"] for n in odd]},
             )
         if len(ids) - len(lost) > len(ids) // 2:
-            raise Racing("a majority of the disks is left; the chain mends itself", more={"ids": sorted(ids)})
+            raise Racing(
+                "a majority of the disks is left; the chain mends itself", more={"ids": sorted(ids)}
+            )
         infos = {}
         for n in sorted(ids):
             if n != c.name:
@@ -53,8 +56,13 @@
         emit(self.log, 310, n=n, seq=frame["seq"], src=src, lost=",".join(lost), by=by)
         c.mem.reset(frame, n)
         c.spread(view)
-        return {"view": n, "chain": chain, "change": frame["seq"], "from": src,
-                "manifest": frame["manifest"]["version"] if frame["manifest"] else 0}
+        return {
+            "view": n,
+            "chain": chain,
+            "change": frame["seq"],
+            "from": src,
+            "manifest": frame["manifest"]["version"] if frame["manifest"] else 0,
+        }
 
     async def _info(self, n):
         for _ in range(5):
@@ -79,4 +87,6 @@
             e["n"] += _GAP
             e["cause"] = f"control was formed anew; before: {e['cause']}"
             past = f["past"].setdefault(g, [])
-            past.append({**(past[-1] if past else e), "n": e["n"], "cause": e["cause"], "seq": f["seq"]})
+            past.append(
+                {**(past[-1] if past else e), "n": e["n"], "cause": e["cause"], "seq": f["seq"]}
+            )
--- a/src/petrelhaven/helm/relic.py
+++ b/src/petrelhaven/helm/relic.py
@@ -1,4 +1,5 @@
 """What a core's data folder holds, read without changing it: for checks and after a loss."""
+
 import os
 
 from ..creed.fault import Damaged
--- a/src/petrelhaven/helm/ring.py
+++ b/src/petrelhaven/helm/ring.py
@@ -1,4 +1,5 @@
 """A ring of preallocated files with checksummed records: a core's memory on disk."""
+
 import json
 import struct
 import zlib
@@ -31,11 +32,11 @@
         seen = False
         for i in range(self._count):
             raw = self._disk.read(f"ring-{i}")
-            if not any(raw[:_LEAD.size]):
+            if not any(raw[: _LEAD.size]):
                 self._blank(raw, f"ring-{i}")
                 continue
             seen = True
-            mk, lap, crc = _LEAD.unpack(raw[:_LEAD.size].ljust(_LEAD.size, b"\0"))
+            mk, lap, crc = _LEAD.unpack(raw[: _LEAD.size].ljust(_LEAD.size, b"\0"))
             if mk != _MARK or zlib.crc32(raw[:16]) != crc:
                 raise Damaged(f"ring-{i}: bad lead")
             laps.append((lap, i, raw))
@@ -52,7 +53,7 @@
     def _blank(self, raw, name):
         at = _LEAD.size
         if len(raw) > at + _HEAD.size and any(raw):
-            lap = _HEAD.unpack(raw[at:at + _HEAD.size])[2]
+            lap = _HEAD.unpack(raw[at : at + _HEAD.size])[2]
             if len(self._scan(raw, lap, name)[0]) > 1:
                 raise Damaged(f"{name}: lead blanked")
 
@@ -63,12 +64,12 @@
             n, crc, lp, num, own = _HEAD.unpack(raw[off:at])
             if not any(raw[off:at]) and not any(raw[at:]):
                 return docs, off, False
-            if zlib.crc32(raw[off:at - 4]) != own:
+            if zlib.crc32(raw[off : at - 4]) != own:
                 if any(raw[at:]):
                     raise Damaged(f"{name}: head of the record at {off}")
                 return docs, off, True
             end = at + n
-            if raw[end:end + 1] != _END:
+            if raw[end : end + 1] != _END:
                 if end >= len(raw) or any(raw[end:]):
                     raise Damaged(f"{name}: end of the record at {off}")
                 return docs, off, True
--- a/src/petrelhaven/helm/seat.py
+++ b/src/petrelhaven/helm/seat.py
@@ -1,4 +1,5 @@
 """A core machine of the path where sessions live with their connection: ledger, warden, edges' ties."""
+
 import asyncio
 
 from ..creed.bound import NAME
@@ -15,7 +16,16 @@
 
 LENT_US = 700_000
 
-_FACTS = {"member": str, "group": str, "hall": str, "addr": str, "role": str, "state": str, "slots": int, "count": int}
+_FACTS = {
+    "member": str,
+    "group": str,
+    "hall": str,
+    "addr": str,
+    "role": str,
+    "state": str,
+    "slots": int,
+    "count": int,
+}
 _HEARD_US = 900_000
 _LATE_US = 3_000_000
 _YOUNG_US = 1_500_000
@@ -31,8 +41,24 @@
     mend_us, confirm_us, ask_us, probe_us = 300_000, 600_000, 200_000, 200_000
     suspect_us = 500_000
 
-    def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, wire, beat_us, log=None, founds=True,
-                 losses=1, wall=None):
+    def __init__(
+        self,
+        name,
+        hall,
+        seeds,
+        clock,
+        nest,
+        link,
+        disk,
+        rng,
+        platform,
+        wire,
+        beat_us,
+        log=None,
+        founds=True,
+        losses=1,
+        wall=None,
+    ):
         self._wall_clock, self._embargoes = wall, None
         self.wire, self.beat_us, self._most = wire, beat_us, 2 * losses + 1
         self._gone_at = {}
@@ -55,6 +81,7 @@
         """The duty of embargoes, loaded when it is first needed."""
         if self._embargoes is None:
             from .embargo_duty import EmbargoDuty
+
             self._embargoes = EmbargoDuty(self, self._wall_clock)
         return self._embargoes
 
@@ -79,15 +106,25 @@
 
     def handlers(self):
         """What edges and other cores ask."""
-        return {"edge.hold": self._hold, "chain.force": self.desk.force, "tie.pulse": self._pulse,
-                "warden.doubt": self._doubted, "warden.look": self.duty.looked, "wall.read": self._wall_read,
-                "tie.wall": self._true_time}
+        return {
+            "edge.hold": self._hold,
+            "chain.force": self.desk.force,
+            "tie.pulse": self._pulse,
+            "warden.doubt": self._doubted,
+            "warden.look": self.duty.looked,
+            "wall.read": self._wall_read,
+            "tie.wall": self._true_time,
+        }
 
     async def rest(self):
         """Looks at the others often while there is something to mend, seldom while all is whole."""
         v = self.chain.view
-        whole = (v is not None and len(v["chain"]) == len(v["ids"]) and self.chain.active
-                 and all(self.roster.state(n) == "alive" for n in v["ids"]))
+        whole = (
+            v is not None
+            and len(v["chain"]) == len(v["ids"])
+            and self.chain.active
+            and all(self.roster.state(n) == "alive" for n in v["ids"])
+        )
         us = 2_000_000 if whole else self.mend_us if v is not None else self.mend_us // 4
         self._news.clear()
         try:
@@ -105,15 +142,20 @@
         v = self.chain.view
         if v is None or self.chain.active_at <= self.clock.now():
             return
-        ns = {r["name"]: r["view"]["n"] if r["view"] else v["n"]
-              for at, r in self._infos.values() if r and at >= self.chain.adopted}
+        ns = {
+            r["name"]: r["view"]["n"] if r["view"] else v["n"]
+            for at, r in self._infos.values()
+            if r and at >= self.chain.adopted
+        }
         if all(ns.get(n, -1) >= v["n"] for n in v["ids"] if n != self.name):
             self.chain.active_at = self.clock.now()
 
     def others(self):
         """The seeds, and every core that is known by now."""
         ps = self.roster.peers.values()
-        return sorted({*self.seeds, *(p.addr for p in ps if p.role == "core" and p.state != "gone")})
+        return sorted(
+            {*self.seeds, *(p.addr for p in ps if p.role == "core" and p.state != "gone")}
+        )
 
     def news(self):
         """What cores told within the last while."""
@@ -138,10 +180,14 @@
         if len(ids) < self._most:
             ids[new[0]] = infos[new[0]]["disk"]
             return await self.propose(v, v["chain"] + new[:1], ids, f"took in {new[0]}")
-        dead = [n for n in ids if n not in v["chain"] and now - self._gone_at.get(n, now) > _DEAD_US]
+        dead = [
+            n for n in ids if n not in v["chain"] and now - self._gone_at.get(n, now) > _DEAD_US
+        ]
         if dead and len(v["chain"]) > (len(ids) - 1) // 2:
             del ids[dead[0]]
-            await self.propose(v, v["chain"], ids, f"let go of {dead[0]}, which {new[0]} is to replace")
+            await self.propose(
+                v, v["chain"], ids, f"let go of {dead[0]}, which {new[0]} is to replace"
+            )
 
     async def frames(self):
         """The ledgers that living edges hold, by their names; edges are met as they come round."""
@@ -178,9 +224,15 @@
         ok = self.chain.active
         if ok:
             self.desk.lend(b["name"], LENT_US)
-        return {"ok": ok, "us": LENT_US, "need": self.chain.realm.seq, "view": v["n"] if v else 0,
-                "edges": len(self.tied) + sum(n for at, n in self.chain.tied_at.values() if now - at < _TIED_US),
-                "cores": cores}
+        return {
+            "ok": ok,
+            "us": LENT_US,
+            "need": self.chain.realm.seq,
+            "view": v["n"] if v else 0,
+            "edges": len(self.tied)
+            + sum(n for at, n in self.chain.tied_at.values() if now - at < _TIED_US),
+            "cores": cores,
+        }
 
     async def doubt(self, group, member, how):
         """An edge or a core doubts a primary: the head is told."""
@@ -211,7 +263,13 @@
     async def apply(self, text, by="", retire=True):
         """Checks and applies a manifest; returns once it is on every disk of the view."""
         m = read(text)
-        rec = {"t": "manifest", "text": text, "version": m.version, "by": by, **({} if retire else {"retire": False})}
+        rec = {
+            "t": "manifest",
+            "text": text,
+            "version": m.version,
+            "by": by,
+            **({} if retire else {"retire": False}),
+        }
         if m.embargoing or m.embargoes:
             r = await self.embargoes.apply(m, rec)
         else:
@@ -228,9 +286,14 @@
         for k, t in _FACTS.items():
             if type(doc.get(k)) is not t:
                 raise Malformed(f"announcement field {k} must be {t.__name__}")
-        for k, ok in (("addr", _ADDR.fullmatch(doc["addr"])), ("group", NAME.fullmatch(doc["group"])),
-                      ("role", doc["role"] in ("primary", "replica")), ("member", 0 < len(doc["member"]) <= 128),
-                      ("state", doc["state"] in ("ready", "draining")), ("count", 0 <= doc["count"] < 1 << 53)):
+        for k, ok in (
+            ("addr", _ADDR.fullmatch(doc["addr"])),
+            ("group", NAME.fullmatch(doc["group"])),
+            ("role", doc["role"] in ("primary", "replica")),
+            ("member", 0 < len(doc["member"]) <= 128),
+            ("state", doc["state"] in ("ready", "draining")),
+            ("count", 0 <= doc["count"] < 1 << 53),
+        ):
             if not ok:
                 raise Malformed(f"announcement field {k} is not valid")
         now = self.clock.now()
@@ -241,7 +304,9 @@
         self.heard[n] = (now, doc["count"])
         m = self.chain.realm.doc["members"].get(n)
         rec = {"t": "member", "name": n, **{k: doc[k] for k in _FACTS if k != "member"}}
-        if m and all(m.get(k) == rec[k] for k in ("group", "hall", "addr", "role", "state", "slots")):
+        if m and all(
+            m.get(k) == rec[k] for k in ("group", "hall", "addr", "role", "state", "slots")
+        ):
             if not self.chain.ruling:
                 raise NotReady("not confirmed by a majority")
             return
@@ -273,6 +338,13 @@
 
     def status(self):
         """The belief and what the duty is waiting for."""
-        return {**self.belief(), "ruling": self.chain.ruling, "active": self.chain.active, "head": self.chain.head,
-                "waiting": dict(self.duty.why), "tied": sorted(self.tied), "garbage": self.link.garbage,
-                **({"time": self._embargoes.time.status()} if self._embargoes else {})}
+        return {
+            **self.belief(),
+            "ruling": self.chain.ruling,
+            "active": self.chain.active,
+            "head": self.chain.head,
+            "waiting": dict(self.duty.why),
+            "tied": sorted(self.tied),
+            "garbage": self.link.garbage,
+            **({"time": self._embargoes.time.status()} if self._embargoes else {}),
+        }
--- a/src/petrelhaven/helm/seatface.py
+++ b/src/petrelhaven/helm/seatface.py
@@ -1,4 +1,5 @@
 """The operators' face of a seat: the same calls as `helm/face` serves, over HTTP that costs little memory."""
+
 import json
 from urllib.parse import unquote
 
@@ -43,7 +44,9 @@
 
     async def _apply(self, q):
         text = q.text()
-        return await self._forced(await self._c.apply(text, by=self._by(q), retire=q.query.get("retire") == "true"))
+        return await self._forced(
+            await self._c.apply(text, by=self._by(q), retire=q.query.get("retire") == "true")
+        )
 
     async def _show(self, q):
         sure = q.query.get("unconfirmed") != "true"
@@ -60,17 +63,29 @@
         if now and now["version"] == n:
             return now
         c = self._c.chain
-        return next((r for seq, _, r in reversed(c.mem.recs)
-                     if r["t"] == "manifest" and r["version"] == n and (seq <= c.commit or not sure)), None)
+        return next(
+            (
+                r
+                for seq, _, r in reversed(c.mem.recs)
+                if r["t"] == "manifest" and r["version"] == n and (seq <= c.commit or not sure)
+            ),
+            None,
+        )
 
     async def _hall(self, q, hall, state):
         hall = unquote(hall)
         m = self._c.chain.realm.manifest
         halls = m["halls"] if m else ()
         if hall not in halls:
-            raise Invalid(f"no hall {hall[:60]}", more={"faults": [["hall", f"no hall {hall[:60]}"]]})
-        if state == "emptied" and not any(h != hall and self._c.chain.realm.hall(h) == "open" for h in halls):
-            raise Invalid("last open hall", more={"faults": [["hall", "the last open hall can't be emptied"]]})
+            raise Invalid(
+                f"no hall {hall[:60]}", more={"faults": [["hall", f"no hall {hall[:60]}"]]}
+            )
+        if state == "emptied" and not any(
+            h != hall and self._c.chain.realm.hall(h) == "open" for h in halls
+        ):
+            raise Invalid(
+                "last open hall", more={"faults": [["hall", "the last open hall can't be emptied"]]}
+            )
         return await self._forced(await self._c.hall_to(hall, state, self._by(q)))
 
     async def _evacuate(self, q, hall):
@@ -89,12 +104,17 @@
     async def _status(self, q):
         c = self._c
         now = c.clock.now()
-        return {**c.status(), "settings": self._settings(),
-                "heard_us": {n: now - at for n, (at, _) in sorted(c.heard.items())}}
+        return {
+            **c.status(),
+            "settings": self._settings(),
+            "heard_us": {n: now - at for n, (at, _) in sorted(c.heard.items())},
+        }
 
     async def _why(self, q):
         g = q.query.get("group", "")
-        return why_of(await self._c.realm(), q.query, self._c.duty.why.get(g) if self._c.chain.head else None)
+        return why_of(
+            await self._c.realm(), q.query, self._c.duty.why.get(g) if self._c.chain.head else None
+        )
 
     async def _belief(self, q):
         return self._c.belief()
@@ -124,6 +144,12 @@
             raise Malformed("announcement field draining must be bool")
         if type(d.get("cap")) is not int or not 1 <= d["cap"] <= 10_000:
             raise Malformed("announcement field cap must be from 1 to 10000")
-        await self._c.announce({**{k: d.get(k) for k in ("member", "group", "hall", "addr", "role")}, "slots": d["cap"],
-                                "state": "draining" if d["draining"] else "ready", "count": d.get("beat", 0)})
+        await self._c.announce(
+            {
+                **{k: d.get(k) for k in ("member", "group", "hall", "addr", "role")},
+                "slots": d["cap"],
+                "state": "draining" if d["draining"] else "ready",
+                "count": d.get("beat", 0),
+            }
+        )
         return {"ok": True}
--- a/src/petrelhaven/helm/truetime.py
+++ b/src/petrelhaven/helm/truetime.py
@@ -1,4 +1,5 @@
 """A core's bounds on true time: the wall clocks of all cores, what a majority agrees on, monotonic time between."""
+
 from ..creed.event import emit
 from ..creed.fault import Fault
 from ..creed.wall import agreed
@@ -60,7 +61,11 @@
             return None
         now = self.clock.now()
         ids = self._ids()
-        mine = [self._of(n, now, m["skew_us"]) for n in ids if n in self._got and now - self._got[n][0] < _OLD_US]
+        mine = [
+            self._of(n, now, m["skew_us"])
+            for n in ids
+            if n in self._got and now - self._got[n][0] < _OLD_US
+        ]
         got = agreed(mine, len(ids) // 2 + 1)
         if got is None:
             return None
@@ -79,7 +84,9 @@
         self._tell("time", got is not None, 333, 332)
         if got is not None and self.name in self._got:
             lo, hi = self._of(self.name, self.clock.now(), self._bounds()["skew_us"])
-            self._tell("own", lo <= got[1] and hi >= got[0], None, 331, core=self.name, us=lo - got[0])
+            self._tell(
+                "own", lo <= got[1] and hi >= got[0], None, 331, core=self.name, us=lo - got[0]
+            )
 
     def _tell(self, what, well, good, bad, **fields):
         was = self._told.get(what, True if what == "own" else None)
@@ -93,4 +100,7 @@
         if got is None:
             return {"interval": None, "off_us": {}}
         mid = sum(got) // 2
-        return {"interval": got, "off_us": {n: w + now - b - mid for n, (_, b, w) in sorted(self._got.items())}}
+        return {
+            "interval": got,
+            "off_us": {n: w + now - b - mid for n, (_, b, w) in sorted(self._got.items())},
+        }
--- a/src/petrelhaven/helm/vote.py
+++ b/src/petrelhaven/helm/vote.py
@@ -1,4 +1,5 @@
 """One agreed register: the view. A majority of the configured cores decides it; nobody leads and no log is kept."""
+
 import asyncio
 
 from ..creed.fault import Fault, Racing
@@ -27,14 +28,22 @@
         ok = self._fits(b["ids"]) and (b["num"], b["who"]) > (o["num"], o["who"])
         if ok:
             self._mem.put_vote(num=b["num"], who=b["who"])
-        return {"ok": ok, "num": o["anum"], "who": o["awho"], "value": o["value"], "seen": max(o["num"], o["anum"])}
+        return {
+            "ok": ok,
+            "num": o["anum"],
+            "who": o["awho"],
+            "value": o["value"],
+            "seen": max(o["num"], o["anum"]),
+        }
 
     async def accept(self, ch, b):
         """Answers an accept."""
         o = self._mem.vote
         ok = self._fits(b["ids"]) and (b["num"], b["who"]) >= (o["num"], o["who"])
         if ok:
-            self._mem.put_vote(num=b["num"], who=b["who"], anum=b["num"], awho=b["who"], value=b["value"])
+            self._mem.put_vote(
+                num=b["num"], who=b["who"], anum=b["num"], awho=b["who"], value=b["value"]
+            )
         return {"ok": ok, "seen": max(o["num"], o["anum"])}
 
 
@@ -58,18 +67,22 @@
             raise Racing("no majority promised", more={"value": v})
         best = max(ok, key=lambda r: (r["num"], r["who"]))
         new = fn(best["value"])
-        got = await self._round(ids, "vote.accept", {"num": num, "who": me, "ids": ids, "value": new})
+        got = await self._round(
+            ids, "vote.accept", {"num": num, "who": me, "ids": ids, "value": new}
+        )
         if sum(r["ok"] for r in got) < need:
             raise Racing("no majority accepted")
         return new
 
     async def _round(self, ids, kind, body):
         """Asks all; answers once a majority agreed, or all have spoken."""
+
         async def one(n):
             try:
                 return await self._call(n, kind, body, 600_000)
             except Fault:
                 return None
+
         ts = [asyncio.ensure_future(one(n)) for n in sorted(ids)]
         while True:
             rs = [t.result() for t in ts if t.done() and t.result()]
--- a/src/petrelhaven/helm/warden.py
+++ b/src/petrelhaven/helm/warden.py
@@ -1,4 +1,5 @@
 """The duty that moves offices: doubts looked into by several cores, replicas paused, the highest log elected."""
+
 import asyncio
 
 from ..creed.event import emit
@@ -62,7 +63,10 @@
                 continue
             if self._began is None:
                 self._began = self.clock.now()
-                self._resume = {g: set(c.realm.group(g)) - {o["primary"]} for g, o in self._doc["offices"].items()}
+                self._resume = {
+                    g: set(c.realm.group(g)) - {o["primary"]}
+                    for g, o in self._doc["offices"].items()
+                }
             for g in c.realm.manifest["groups"]:
                 if g["name"] not in self._busy:
                     self._group(g["name"])
@@ -88,6 +92,7 @@
                 await self.clock.sleep(200_000)
             finally:
                 self._busy.pop(g, None)
+
         self._busy[g] = self.nest.spawn(run())
 
     def _group(self, g):
@@ -110,7 +115,11 @@
             return self._do(g, self._doubted, p, self._doubts.pop(g))
         if p["state"] == "draining" or self.c.chain.realm.hall(p["hall"]) != "open":
             if self._heirs(g, o["primary"]):
-                cause = "the primary is draining" if p["state"] == "draining" else f"hall {p['hall']} is emptied"
+                cause = (
+                    "the primary is draining"
+                    if p["state"] == "draining"
+                    else f"hall {p['hall']} is emptied"
+                )
                 return self._do(g, self._move, True, cause)
             self.why[g] = "no heir for a planned move"
         if g in self._resume:
@@ -118,15 +127,36 @@
 
     def _heirs(self, g, primary):
         r = self.c.chain.realm
-        return [n for n, m in r.group(g).items()
-                if n != primary and m["state"] == "ready" and r.hall(m["hall"]) == "open"]
+        return [
+            n
+            for n, m in r.group(g).items()
+            if n != primary and m["state"] == "ready" and r.hall(m["hall"]) == "open"
+        ]
 
     async def _office(self, g, phase, primary, term, cause, stuck=False):
         o = self._doc["offices"].get(g)
-        seq = await self.c.chain.enter({"t": "office", "group": g, "n": (o["n"] if o else 0) + 1, "phase": phase,
-                                        "primary": primary, "term": term, "cause": cause, "by": self.c.name,
-                                        "stuck": stuck})
-        emit(self.log, 320 if phase == "serve" else 321, group=g, phase=phase, primary=primary, term=term, cause=cause)
+        seq = await self.c.chain.enter(
+            {
+                "t": "office",
+                "group": g,
+                "n": (o["n"] if o else 0) + 1,
+                "phase": phase,
+                "primary": primary,
+                "term": term,
+                "cause": cause,
+                "by": self.c.name,
+                "stuck": stuck,
+            }
+        )
+        emit(
+            self.log,
+            320 if phase == "serve" else 321,
+            group=g,
+            phase=phase,
+            primary=primary,
+            term=term,
+            cause=cause,
+        )
         return seq
 
     async def _ask(self, w, verb, *args):
@@ -174,9 +204,12 @@
                 return await self.look(name, m)
             try:
                 b = {"member": name, "addr": m["addr"], "group": m["group"]}
-                return (await c.reach.call(n, "warden.look", b, _LOOK_US + 200_000, again=False))["how"]
+                return (await c.reach.call(n, "warden.look", b, _LOOK_US + 200_000, again=False))[
+                    "how"
+                ]
             except Fault:
                 return None
+
         got = await asyncio.gather(*[one(n) for n in v["chain"]])
         return [x for x in got if x], len(v["ids"])
 
@@ -281,7 +314,9 @@
         term = max([r["term"] for r in rows] + ([row["term"]] if row else [])) + 1
         ok = set(self._heirs(g, old))
         if planned and row and row["role"] == "primary":
-            heirs = [w for w in reps if w.name in ok and not w.row["held"]] or [w for w in reps if w.name in ok]
+            heirs = [w for w in reps if w.name in ok and not w.row["held"]] or [
+                w for w in reps if w.name in ok
+            ]
             if not heirs:
                 return self._waits(g, "no heir for a planned move")
             heir = max(heirs, key=lambda w: (w.row["pos"], w.name))
@@ -302,7 +337,8 @@
         await self.c.desk.in_force(seq)
         again = await asyncio.gather(*[self._row(w) for w in still])
         if any(r is None or r["held"] < term or r["role"] == "primary" for r in again) or (
-                set(self.c.chain.realm.group(g)) - {old} != {w.name for w in reps}):
+            set(self.c.chain.realm.group(g)) - {old} != {w.name for w in reps}
+        ):
             return self._waits(g, "what was paused is not any more")
         return await self._promote(g, heir, wards, old, seq)
 
@@ -380,7 +416,9 @@
     async def _back(self, g, old, wards, cause):
         if self._asked.get(g):
             o = self._doc["offices"][g]
-            seq = await self._office(g, o["phase"], old, o["term"], "calls that may be under way are fenced off")
+            seq = await self._office(
+                g, o["phase"], old, o["term"], "calls that may be under way are fenced off"
+            )
             await self.platform.promote(g, old, seq, self.c.name)
             self._asked[g] = False
         await self._office(g, "serve", old, self._doc["offices"][g]["term"], cause)
--- a/src/petrelhaven/kith/peer.py
+++ b/src/petrelhaven/kith/peer.py
@@ -1,4 +1,5 @@
 """What one node believes of another."""
+
 from transitions import Machine
 
 __all__ = ["Peer", "rank"]
@@ -14,12 +15,29 @@
 class Peer:
     """A peer with an explicit state; `turn` is the one function that changes it."""
 
-    __slots__ = ("name", "role", "hall", "addr", "inc", "state", "since", "spread", "heard", "__dict__")
-    _machine = Machine(model=None, states=list(_RANK), initial="alive", auto_transitions=False, transitions=[
-        {"trigger": "hear", "source": ["alive", "suspect", "gone"], "dest": "alive"},
-        {"trigger": "doubt", "source": ["alive", "suspect"], "dest": "suspect"},
-        {"trigger": "lose", "source": ["alive", "suspect", "gone"], "dest": "gone"},
-    ])
+    __slots__ = (
+        "name",
+        "role",
+        "hall",
+        "addr",
+        "inc",
+        "state",
+        "since",
+        "spread",
+        "heard",
+        "__dict__",
+    )
+    _machine = Machine(
+        model=None,
+        states=list(_RANK),
+        initial="alive",
+        auto_transitions=False,
+        transitions=[
+            {"trigger": "hear", "source": ["alive", "suspect", "gone"], "dest": "alive"},
+            {"trigger": "doubt", "source": ["alive", "suspect"], "dest": "suspect"},
+            {"trigger": "lose", "source": ["alive", "suspect", "gone"], "dest": "gone"},
+        ],
+    )
     _VERB = {"alive": "hear", "suspect": "doubt", "gone": "lose"}
 
     def __init__(self, name, role, hall, addr, inc, now):
--- a/src/petrelhaven/kith/probe.py
+++ b/src/petrelhaven/kith/probe.py
@@ -1,4 +1,5 @@
 """Probes in turn, second opinions through third parties, suspicion before removal."""
+
 import asyncio
 
 from ..creed.fault import Fault
@@ -9,7 +10,9 @@
 class Prober:
     """Keeps a roster true by probing one peer a period."""
 
-    def __init__(self, clock, link, nest, rng, roster, seeds, period_us=200_000, wait_us=90_000, aides=3):
+    def __init__(
+        self, clock, link, nest, rng, roster, seeds, period_us=200_000, wait_us=90_000, aides=3
+    ):
         self.clock, self.link, self.nest, self.rng = clock, link, nest, rng
         self.roster, self.seeds = roster, seeds
         self.period_us, self.wait_us, self.aides = period_us, wait_us, aides
@@ -37,7 +40,9 @@
         self.roster.left = True
         for n in self.roster.living()[:most]:
             self.link.tell(
-                self.roster.addr_of(n), "kith.ack", {"nonce": 0, "src": self.link.addr, "news": [self.roster.me()]}
+                self.roster.addr_of(n),
+                "kith.ack",
+                {"nonce": 0, "src": self.link.addr, "news": [self.roster.me()]},
             )
 
     async def _join(self):
@@ -66,9 +71,13 @@
     async def _check(self, p):
         if await self._ping(p.addr, "kith.probe", {}):
             return
-        others = [q for n, q in sorted(self.roster.peers.items()) if n != p.name and q.state == "alive"]
+        others = [
+            q for n, q in sorted(self.roster.peers.items()) if n != p.name and q.state == "alive"
+        ]
         self.rng.shuffle(others)
-        ok = await asyncio.gather(*[self._ping(q.addr, "kith.ask", {"to": p.addr}, 3) for q in others[:self.aides]])
+        ok = await asyncio.gather(
+            *[self._ping(q.addr, "kith.ask", {"to": p.addr}, 3) for q in others[: self.aides]]
+        )
         if not any(ok):
             self.roster.doubt(p.name)
 
@@ -76,7 +85,9 @@
         self._nonce += 1
         n = self._nonce
         f = self._wait[n] = asyncio.get_running_loop().create_future()
-        self.link.tell(addr, kind, {"nonce": n, "src": self.link.addr, "news": self.roster.news(), **more})
+        self.link.tell(
+            addr, kind, {"nonce": n, "src": self.link.addr, "news": self.roster.news(), **more}
+        )
         try:
             await self.clock.limit(f, self.wait_us * times)
             return True
@@ -87,7 +98,11 @@
 
     def _probed(self, b):
         self._spoke(b)
-        self.link.tell(b["src"], "kith.ack", {"nonce": b["nonce"], "src": self.link.addr, "news": self.roster.news()})
+        self.link.tell(
+            b["src"],
+            "kith.ack",
+            {"nonce": b["nonce"], "src": self.link.addr, "news": self.roster.news()},
+        )
 
     def _spoke(self, b):
         self.roster.heard(b["src"])
@@ -106,7 +121,9 @@
     async def _aid(self, b):
         if await self._ping(b["to"], "kith.probe", {}):
             self.link.tell(
-                b["src"], "kith.ack", {"nonce": b["nonce"], "src": self.link.addr, "news": self.roster.news()}
+                b["src"],
+                "kith.ack",
+                {"nonce": b["nonce"], "src": self.link.addr, "news": self.roster.news()},
             )
 
     async def _joined(self, ch, b):
--- a/src/petrelhaven/kith/roster.py
+++ b/src/petrelhaven/kith/roster.py
@@ -1,4 +1,5 @@
 """The roster of peers that one node keeps, merged from news."""
+
 from ..creed.event import emit
 from ..creed.fault import Malformed
 from .peer import Peer, rank
@@ -38,7 +39,14 @@
 
     def me(self):
         """This node's own row."""
-        return [self.name, self.role, self.hall, self.addr, self.inc, "gone" if self.left else "alive"]
+        return [
+            self.name,
+            self.role,
+            self.hall,
+            self.addr,
+            self.inc,
+            "gone" if self.left else "alive",
+        ]
 
     def heard(self, addr):
         """A peer spoke to this node itself."""
@@ -66,7 +74,12 @@
                 else:
                     self._turn(p, st, inc)
             elif rank(st, inc) > rank(p.state, p.inc):
-                if st == "gone" and addr != src and inc == p.inc and self.clock.now() - p.heard < self.suspect_us:
+                if (
+                    st == "gone"
+                    and addr != src
+                    and inc == p.inc
+                    and self.clock.now() - p.heard < self.suspect_us
+                ):
                     if p.state == "alive":
                         self._turn(p, "suspect", inc)
                     continue
@@ -98,10 +111,16 @@
         """Rows to piggyback: this node first, then the least spread; with `quiet`, only what is not well known yet."""
         if self.quiet:
             self._mine += 1
-            ps = [p for _, p in sorted(self.peers.items()) if p.spread < self.quiet or p.state == "suspect"][:most]
+            ps = [
+                p
+                for _, p in sorted(self.peers.items())
+                if p.spread < self.quiet or p.state == "suspect"
+            ][:most]
             for p in ps:
                 p.spread += 1
-            return ([self.me()] if self._mine < self.quiet or self.left else []) + [p.news() for p in ps]
+            return ([self.me()] if self._mine < self.quiet or self.left else []) + [
+                p.news() for p in ps
+            ]
         rows = [self.me()]
         for p in sorted(self.peers.values(), key=lambda p: (p.spread, p.name))[:most]:
             p.spread += 1
@@ -114,7 +133,9 @@
 
     def living(self, role=None):
         """Names of peers not gone, by role."""
-        return [n for n, p in sorted(self.peers.items()) if p.state != "gone" and role in (None, p.role)]
+        return [
+            n for n, p in sorted(self.peers.items()) if p.state != "gone" and role in (None, p.role)
+        ]
 
     def state(self, name):
         """alive, suspect, gone, or None for a stranger."""
--- a/src/petrelhaven/rift.py
+++ b/src/petrelhaven/rift.py
@@ -1,4 +1,5 @@
 """rift: compares what two nodes believe."""
+
 import argparse
 import asyncio
 import sys
@@ -29,7 +30,9 @@
 
 
 async def _run(a, b):
-    return await asyncio.gather(fetch(a, "GET", "/belief", us=3_000_000), fetch(b, "GET", "/belief", us=3_000_000))
+    return await asyncio.gather(
+        fetch(a, "GET", "/belief", us=3_000_000), fetch(b, "GET", "/belief", us=3_000_000)
+    )
 
 
 def main(argv=None):
@@ -51,8 +54,10 @@
     for path, u, v in ds:
         print(f"{path}: {a['name']} {u!r}, {b['name']} {v!r}")
     if not ds:
-        print(f"{a['name']} and {b['name']} agree: manifest {a['manifest']}, change {a['seq']}, "
-              + ", ".join(f"{g} epoch {e['n']}" for g, e in a["epochs"].items()))
+        print(
+            f"{a['name']} and {b['name']} agree: manifest {a['manifest']}, change {a['seq']}, "
+            + ", ".join(f"{g} epoch {e['n']}" for g, e in a["epochs"].items())
+        )
     sys.exit(1 if ds else 0)
 
 
--- a/src/petrelhaven/span/ask.py
+++ b/src/petrelhaven/span/ask.py
@@ -29,7 +29,14 @@
     __slots__ = ("rows", "stamp", "code", "text", "state", "pos")
 
     def __init__(self, rows=(), stamp="-", code=None, text="", state="I", pos=None):
-        self.rows, self.stamp, self.code, self.text, self.state, self.pos = rows, stamp, code, text, state, pos
+        self.rows, self.stamp, self.code, self.text, self.state, self.pos = (
+            rows,
+            stamp,
+            code,
+            text,
+            state,
+            pos,
+        )
 
     @property
     def ok(self):
--- a/src/petrelhaven/span/band.py
+++ b/src/petrelhaven/span/band.py
@@ -1,4 +1,5 @@
 """One database group as an edge sees it where sessions live with their connection: office, members, read clock."""
+
 import asyncio
 
 from ..creed.fault import Fault, Gone, Late, Unreached, Unsent
@@ -17,11 +18,34 @@
 class Berth:
     """One member: its connections, how it does, and what is known of its log."""
 
-    __slots__ = ("name", "addr", "hall", "state", "slots", "rank", "stock", "tide", "shared", "down", "bad", "out",
-                 "heard", "stop_at", "lags", "lag_till", "slow")
+    __slots__ = (
+        "name",
+        "addr",
+        "hall",
+        "state",
+        "slots",
+        "rank",
+        "stock",
+        "tide",
+        "shared",
+        "down",
+        "bad",
+        "out",
+        "heard",
+        "stop_at",
+        "lags",
+        "lag_till",
+        "slow",
+    )
 
     def __init__(self, name, m, rank):
-        self.name, self.addr, self.hall, self.state, self.slots = name, m["addr"], m["hall"], m["state"], m["slots"]
+        self.name, self.addr, self.hall, self.state, self.slots = (
+            name,
+            m["addr"],
+            m["hall"],
+            m["state"],
+            m["slots"],
+        )
         self.rank = rank
         self.stock = self.tide = self.shared = None
         self.down, self.bad, self.out, self.heard = 0, 0, 0, 0
@@ -78,7 +102,10 @@
             leaves = b.state == "draining", ledger.hall(b.hall) != "open"
             if any(leaves):
                 if b.stop_at is None:
-                    us = min(self.g.drain_us if leaves[0] else 1 << 60, self.g.empty_us if leaves[1] else 1 << 60)
+                    us = min(
+                        self.g.drain_us if leaves[0] else 1 << 60,
+                        self.g.empty_us if leaves[1] else 1 << 60,
+                    )
                     b.stop_at = now + (0 if fresh else us)
             else:
                 b.stop_at = None
@@ -117,7 +144,15 @@
             if n in bad or b.stop_at is not None and (n != p or now >= b.stop_at):
                 continue
             lags = b.slow > now and b.tide.log < pos
-            k = (b.down > now, lags, b.out >= max(2, b.slots - 1), b.rank, n == p and b.rank > 0, b.out, n)
+            k = (
+                b.down > now,
+                lags,
+                b.out >= max(2, b.slots - 1),
+                b.rank,
+                n == p and b.rank > 0,
+                b.out,
+                n,
+            )
             if best is None or k < best[0]:
                 best = (k, b)
         return best[1] if best else None
@@ -172,6 +207,7 @@
                 raise
             self.fine(b)
             return c
+
         return opened
 
     async def _status(self, b):
--- a/src/petrelhaven/span/change.py
+++ b/src/petrelhaven/span/change.py
@@ -1,4 +1,5 @@
 """Changes of a session itself: values and prepared statements."""
+
 from ..creed.fault import Fault, Late, Malformed, MemberFault, Unreached
 from .verb import op
 
@@ -16,7 +17,12 @@
     def set(self, s, d):
         """Sets or unsets a session value."""
         n, v = d.get("name"), d.get("value")
-        if not isinstance(n, str) or not 0 < len(n) <= 64 or d["verb"] == "set" and type(v) not in (str, int):
+        if (
+            not isinstance(n, str)
+            or not 0 < len(n) <= 64
+            or d["verb"] == "set"
+            and type(v) not in (str, int)
+        ):
             raise Malformed("set needs name and a string or whole number as value")
         if d["verb"] == "set" and n not in s.values and len(s.values) >= _MOST:
             raise Malformed("too many session values")
@@ -53,6 +59,8 @@
             raise
         if s.txn is not None:
             try:
-                yield from self.e.flow.sender.on(s.txn.pool, s.txn.conn, s, ops, 500_000, pinned=True)
+                yield from self.e.flow.sender.on(
+                    s.txn.pool, s.txn.conn, s, ops, 500_000, pinned=True
+                )
             except (Late, Unreached, MemberFault):
                 self.e.end_txn(s)
--- a/src/petrelhaven/span/clock.py
+++ b/src/petrelhaven/span/clock.py
@@ -1,4 +1,5 @@
 """The read clock: pairs of a primary's log position and the order point at which its fetch started."""
+
 import asyncio
 import itertools
 
@@ -48,7 +49,13 @@
     """One group's clock on one edge. `fetch(key)` asks the primary of `key` for its position."""
 
     def __init__(self, clock, nest, order, fetch, bounds, vary=None):
-        self.clock, self.nest, self.order, self._fetch, self.bounds = clock, nest, order, fetch, bounds
+        self.clock, self.nest, self.order, self._fetch, self.bounds = (
+            clock,
+            nest,
+            order,
+            fetch,
+            bounds,
+        )
         self.key = None
         self.pair = None
         self._flights = []
--- a/src/petrelhaven/span/control.py
+++ b/src/petrelhaven/span/control.py
@@ -1,4 +1,5 @@
 """An edge's tie to control: the held connection, the numbered changes, the lease."""
+
 import asyncio
 
 from ..creed.event import emit
@@ -52,14 +53,25 @@
 
     def others(self):
         """The other edges of the fleet, by name."""
-        return [n for n, e in sorted(self.realm.doc["edges"].items()) if e["state"] != "gone" and n != self.name]
+        return [
+            n
+            for n, e in sorted(self.realm.doc["edges"].items())
+            if e["state"] != "gone" and n != self.name
+        ]
 
     @property
     def dead(self):
         """Whether this incarnation was declared gone, or another came after it."""
         e = self.realm.doc["edges"].get(self.name)
-        return bool(e) and self.inc > 0 and (e["inc"] > self.inc or e["inc"] == self.inc and (
-            e["state"] == "gone" or e.get("boot", self._boot) != self._boot))
+        return (
+            bool(e)
+            and self.inc > 0
+            and (
+                e["inc"] > self.inc
+                or e["inc"] == self.inc
+                and (e["state"] == "gone" or e.get("boot", self._boot) != self._boot)
+            )
+        )
 
     @property
     def applied(self):
@@ -97,7 +109,11 @@
             try:
                 r = await ch.call(
                     "edge.hold",
-                    {"edge": self.name, "inc": self.inc, "applied": self.applied if self.joined else -1},
+                    {
+                        "edge": self.name,
+                        "inc": self.inc,
+                        "applied": self.applied if self.joined else -1,
+                    },
                     800_000,
                 )
                 if r["ok"]:
@@ -168,8 +184,17 @@
     async def _ask(self, ch):
         t0 = self.clock.now()
         try:
-            r = await ch.call("edge.lease", {"edge": self.name, "inc": self.inc, "boot": self._boot,
-                                             "applied": self.applied, "acked": self.acked}, 600_000)
+            r = await ch.call(
+                "edge.lease",
+                {
+                    "edge": self.name,
+                    "inc": self.inc,
+                    "boot": self._boot,
+                    "applied": self.applied,
+                    "acked": self.acked,
+                },
+                600_000,
+            )
         except Fault:
             ch.close()
             return
--- a/src/petrelhaven/span/deliver.py
+++ b/src/petrelhaven/span/deliver.py
@@ -1,4 +1,5 @@
 """Statements for sessions at home elsewhere: found, delivered, and taken from other edges."""
+
 import asyncio
 
 from ..creed.fault import Fault, Moving, NoLease, NoSession, Unsent, rebuild
@@ -21,7 +22,11 @@
         homes = [(epoch, n) for n, role, epoch in rs if role in ("home", "unsure")]
         if homes:
             return max(homes)[1]
-        if sid in self.e.vault.kept or any(role in (None, "kept") for _, role, _ in rs) or sid in self.e.homes:
+        if (
+            sid in self.e.vault.kept
+            or any(role in (None, "kept") for _, role, _ in rs)
+            or sid in self.e.homes
+        ):
             raise Moving("the session is being moved")
         raise NoSession("no edge knows this session")
 
@@ -35,7 +40,11 @@
                 n = await self._find(sid)
             try:
                 r = await self.e.reach.call(
-                    n, "span.deliver", {"sid": sid, "ask": d}, self.e.bounds().statement_us + 2_000_000, again=False
+                    n,
+                    "span.deliver",
+                    {"sid": sid, "ask": d},
+                    self.e.bounds().statement_us + 2_000_000,
+                    again=False,
                 )
                 break
             except Unsent:
@@ -45,7 +54,11 @@
                     raise Moving("the session's home can't be reached") from None
             except Fault:
                 self.at.pop(sid, None)
-                if d["verb"] == "commit" or (d["verb"] in WRITES or d["verb"] == "exec") and "txn" not in d:
+                if (
+                    d["verb"] == "commit"
+                    or (d["verb"] in WRITES or d["verb"] == "exec")
+                    and "txn" not in d
+                ):
                     return {"outcome": "unknown", "retry_after_us": 500_000}
                 raise
         if r["res"].get("not_here"):
--- a/src/petrelhaven/span/edge.py
+++ b/src/petrelhaven/span/edge.py
@@ -1,4 +1,5 @@
 """An edge machine: control tie, troops, sessions and their keepers put together."""
+
 import asyncio
 import collections
 
@@ -29,31 +30,62 @@
 
     states = ["starting", "serving", "emptied", "leaving", "left"]
 
-    def __init__(self, name, hall, seeds, clock, nest, link, rng, wire, http="", log=None, vary=None):
+    def __init__(
+        self, name, hall, seeds, clock, nest, link, rng, wire, http="", log=None, vary=None
+    ):
         self.name, self.hall = name, hall
-        self.clock, self.nest, self.link, self.rng, self.wire, self.log = clock, nest, link, rng, wire, log
+        self.clock, self.nest, self.link, self.rng, self.wire, self.log = (
+            clock,
+            nest,
+            link,
+            rng,
+            wire,
+            log,
+        )
         self.http, self.vary = http, vary
         self.roster = Roster(clock, (name, "edge", hall, link.addr, 0), log)
         self.reach = Reach(clock, link, self.roster, rng)
         self.prober = Prober(clock, link, nest, rng, self.roster, seeds)
-        self.control = Control(clock, nest, link, rng, self.roster, seeds,
-                               lambda: {"hall": hall, "addr": link.addr, "http": self.http}, log)
+        self.control = Control(
+            clock,
+            nest,
+            link,
+            rng,
+            self.roster,
+            seeds,
+            lambda: {"hall": hall, "addr": link.addr, "http": self.http},
+            log,
+        )
         self.order = Order()
         self.slab = Slab(clock)
         self.homes = {}
-        self.keeper = Keeper(clock, nest, rng, self.control, self.reach, self.homes, hall, self.bounds, log)
+        self.keeper = Keeper(
+            clock, nest, rng, self.control, self.reach, self.homes, hall, self.bounds, log
+        )
         self.vault = Vault(clock, nest, rng, self.control, self.reach, self.homes, self.keeper, log)
-        self.flow, self.follow, self.deliver, self.move = Flow(self), Follow(self), Deliver(self), Move(self)
+        self.flow, self.follow, self.deliver, self.move = (
+            Flow(self),
+            Follow(self),
+            Deliver(self),
+            Move(self),
+        )
         self.routes, self.troops = {}, {}
         self._std = Bounds()
         self.sent = 0
         self.settings = dict
         self.waits = collections.Counter()
-        Machine(self, states=self.states, initial="starting", auto_transitions=False, transitions=[
-            {"trigger": "serve", "source": ["starting", "emptied"], "dest": "serving"},
-            {"trigger": "empty", "source": ["starting", "serving"], "dest": "emptied"},
-            {"trigger": "leave", "source": "*", "dest": "leaving"},
-            {"trigger": "end", "source": "leaving", "dest": "left"}])
+        Machine(
+            self,
+            states=self.states,
+            initial="starting",
+            auto_transitions=False,
+            transitions=[
+                {"trigger": "serve", "source": ["starting", "emptied"], "dest": "serving"},
+                {"trigger": "empty", "source": ["starting", "serving"], "dest": "emptied"},
+                {"trigger": "leave", "source": "*", "dest": "leaving"},
+                {"trigger": "end", "source": "leaving", "dest": "left"},
+            ],
+        )
         self.control.on_change.append(self.follow.changed)
         self.control.on_lapse.append(self.follow.let_go)
         self.control.on_anew += [self.vault.clear, self.keeper.clear]
@@ -97,6 +129,7 @@
 
     def watch_txn(self, s, x):
         """Ends a transaction that its visitor left idle past the bound."""
+
         def look():
             if s.txn is x:
                 left = x.since + self.bounds().idle_txn_us - self.clock.now()
@@ -104,6 +137,7 @@
                     self.clock.later(left, look)
                 else:
                     self.end_txn(s)
+
         self.clock.later(self.bounds().idle_txn_us, look)
 
     def pick(self, t, pos, bad):
@@ -128,7 +162,8 @@
                 return True
             try:
                 await self.clock.limit(
-                    miss[0].tide.reach(pos) if miss else asyncio.get_running_loop().create_future(), 40_000
+                    miss[0].tide.reach(pos) if miss else asyncio.get_running_loop().create_future(),
+                    40_000,
                 )
             except Late:
                 pass
@@ -186,13 +221,24 @@
 
     def moved(self, s):
         """The fault for a statement that found its session gone from here."""
-        return NoSession("the session has ended") if s.state == "closed" else Moving("the session lives elsewhere now")
+        return (
+            NoSession("the session has ended")
+            if s.state == "closed"
+            else Moving("the session lives elsewhere now")
+        )
 
     def belief(self):
         """What this node believes."""
         r = self.control.realm
-        return {**r.belief(), "name": self.name, "role": "edge", "state": self.state, "commit": r.seq, "view": None,
-                "kith": {row[0]: row[5] for row in self.roster.full()}}
+        return {
+            **r.belief(),
+            "name": self.name,
+            "role": "edge",
+            "state": self.state,
+            "commit": r.seq,
+            "view": None,
+            "kith": {row[0]: row[5] for row in self.roster.full()},
+        }
 
     async def _belief(self, ch, b):
         return {"doc": self.belief()}
@@ -212,7 +258,9 @@
             "sessions": len(self.homes),
             "kept": len(self.vault.kept),
             "unkept": sum(not s.keepers for s in self.homes.values()),
-            "thin": sum(not s.sure or len(s.keepers) < self.bounds().keepers for s in self.homes.values()),
+            "thin": sum(
+                not s.sure or len(s.keepers) < self.bounds().keepers for s in self.homes.values()
+            ),
             "slots_used": self.slab.used,
             "shed": self.slab.shed,
             "sent": self.sent,
--- a/src/petrelhaven/span/embargo.py
+++ b/src/petrelhaven/span/embargo.py
@@ -1,4 +1,5 @@
 """An edge's gate on embargoed records: looked at before a read is entered, and again when its reply is there."""
+
 import collections
 
 from ..creed.event import emit
@@ -108,8 +109,14 @@
         how, left, name = why
         self.count[how] += 1
         self._name(group, v, how, name)
-        ms = int((left or _BACK_US) + self.g.rng.uniform(0, self.spread_us if left else _BACK_US)) // 1000 + 1
-        return Reply(code="withheld", text=f"withheld; come back in {min(ms, _MOST_MS)} ms", state=v.mark)
+        ms = (
+            int((left or _BACK_US) + self.g.rng.uniform(0, self.spread_us if left else _BACK_US))
+            // 1000
+            + 1
+        )
+        return Reply(
+            code="withheld", text=f"withheld; come back in {min(ms, _MOST_MS)} ms", state=v.mark
+        )
 
     def passed(self, v, a, group, reply):
         """The reply of a read that came back: itself, or a refusal if a rule came or a lease went meanwhile."""
@@ -137,9 +144,21 @@
             self._more += 1
             return
         self._named += 1
-        emit(self.g.log, 430, group=group, why=why, embargo=rule or "-", visitor=v.visitor[:60] or "-")
+        emit(
+            self.g.log,
+            430,
+            group=group,
+            why=why,
+            embargo=rule or "-",
+            visitor=v.visitor[:60] or "-",
+        )
 
     def status(self):
         """What is withheld here and by which time."""
-        return {"scope": sorted(self.scope), "rules": len(self.table), "time": self.time.interval(),
-                "lease": self.g.tie.holds, "count": dict(self.count)}
+        return {
+            "scope": sorted(self.scope),
+            "rules": len(self.table),
+            "time": self.time.interval(),
+            "lease": self.g.tie.holds,
+            "count": dict(self.count),
+        }
--- a/src/petrelhaven/span/face.py
+++ b/src/petrelhaven/span/face.py
@@ -1,4 +1,5 @@
 """The visitors' and the platform's face of an edge."""
+
 from ..creed.face import body_of
 from ..creed.fault import NotReady
 
--- a/src/petrelhaven/span/flow.py
+++ b/src/petrelhaven/span/flow.py
@@ -1,4 +1,5 @@
 """The way of a statement: a continuation that the slab resumes, handed to what the statement is."""
+
 from ..creed.fault import Busy, Ended, Halted, Malformed, NoRoute, NoSession, Superseded, Unordered
 from .change import Changer
 from .read import Reader
@@ -39,8 +40,10 @@
             if "txn" in d and (s.txn is None or d["txn"] != s.txn.num):
                 if v == "commit" and type(d.get("try")) is int and d["try"] in s.tries:
                     return {**s.tries[d["try"]], "repeated": True}
-                raise Ended("that transaction has ended; nothing of it was kept unless a commit said so",
-                            more={"txn": d["txn"]})
+                raise Ended(
+                    "that transaction has ended; nothing of it was kept unless a commit said so",
+                    more={"txn": d["txn"]},
+                )
             if s.txn is not None and "txn" not in d:
                 raise Unordered("a transaction is open; name it by txn", more={"txn": s.txn.num})
             if v in ("set", "unset"):
@@ -77,7 +80,9 @@
         if type(k) is not int or not 0 < k < 1 << 53:
             raise Malformed("say must be a rising whole number")
         if k < s.said:
-            raise Superseded("a later statement of this session was served already", more={"said": s.said})
+            raise Superseded(
+                "a later statement of this session was served already", more={"said": s.said}
+            )
         s.said = k
 
     def troop(self, d):
--- a/src/petrelhaven/span/follow.py
+++ b/src/petrelhaven/span/follow.py
@@ -1,4 +1,5 @@
 """How an edge follows control: routes, epochs, halls, and what must stop before a change is acknowledged."""
+
 import asyncio
 
 from ..creed.event import emit
@@ -18,7 +19,9 @@
         """Takes changes that were applied: routes, epochs, halls; acknowledged once what they stop has stopped."""
         r = self.e.control.realm
         m = r.manifest
-        kinds = {x["t"] for _, x in recs} if recs is not None else {"manifest", "epoch", "hall", "edge"}
+        kinds = (
+            {x["t"] for _, x in recs} if recs is not None else {"manifest", "epoch", "hall", "edge"}
+        )
         if m is not None and "manifest" in kinds:
             self.e.routes = {x.name: x for x in m.routes}
             self.e.slab.resize(m.bounds.slots)
@@ -49,18 +52,35 @@
         t = self.e.troops.get(g)
         if t is None:
             t = self.e.troops[g] = Troop(
-                g, self.e.clock, self.e.nest, self.e.order, self.e.wire, self.e.sends, self.e.bounds, self.e.vary
+                g,
+                self.e.clock,
+                self.e.nest,
+                self.e.order,
+                self.e.wire,
+                self.e.sends,
+                self.e.bounds,
+                self.e.vary,
             )
         old = t.epoch
-        for p in t.turn(e, lambda n: self.e.control.realm.share(g, self.e.name, n), self.e.control.realm.hall):
+        for p in t.turn(
+            e, lambda n: self.e.control.realm.share(g, self.e.name, n), self.e.control.realm.hall
+        ):
             self.e.clock.later(p.stop_at - self.e.clock.now(), lambda p=p, t=t: self._stop(t, p))
-        calm = [self.e.nest.spawn(self._within(p)) for p in t.posts.values() if p.pool.total > p.pool.share]
+        calm = [
+            self.e.nest.spawn(self._within(p))
+            for p in t.posts.values()
+            if p.pool.total > p.pool.share
+        ]
         if (
             old
             and old["primary"]
             and (e["phase"] == "halt" and old["phase"] == "serve" or old["primary"] != e["primary"])
         ):
-            calm.append(self.e.nest.spawn(self._quiet(t, old["primary"], e["grace"] if e["phase"] == "halt" else 0)))
+            calm.append(
+                self.e.nest.spawn(
+                    self._quiet(t, old["primary"], e["grace"] if e["phase"] == "halt" else 0)
+                )
+            )
         return calm
 
     async def _calm(self, ts):
@@ -73,7 +93,7 @@
             for s in list(self.e.homes.values()):
                 if s.txn is not None and s.txn.pool is p and p.pool.total > p.pool.share:
                     self.e.end_txn(s)
-            for c in list(p.pool.busy)[:max(0, p.pool.total - p.pool.share)]:
+            for c in list(p.pool.busy)[: max(0, p.pool.total - p.pool.share)]:
                 p.pool.drop(c)
 
     async def _quiet(self, t, name, grace):
@@ -81,12 +101,18 @@
         end = self.e.clock.now() + grace
         while p is not None and self.e.clock.now() < end:
             if not p.writes and not any(
-                s.txn is not None and s.txn.pool is p and s.txn.mode == "write" for s in self.e.homes.values()
+                s.txn is not None and s.txn.pool is p and s.txn.mode == "write"
+                for s in self.e.homes.values()
             ):
                 return
             await self.e.clock.sleep(20_000)
         for s in list(self.e.homes.values()):
-            if s.txn is not None and s.txn.member == name and s.txn.route == t.name and s.txn.mode == "write":
+            if (
+                s.txn is not None
+                and s.txn.member == name
+                and s.txn.route == t.name
+                and s.txn.mode == "write"
+            ):
                 self.e.end_txn(s)
 
     def _stop(self, t, p):
--- a/src/petrelhaven/span/gate.py
+++ b/src/petrelhaven/span/gate.py
@@ -1,4 +1,5 @@
 """An edge whose sessions live with their connection: tie, bands, sessions and the ways of their statements."""
+
 import asyncio
 import collections
 import types
@@ -27,18 +28,34 @@
     states = ["starting", "serving", "leaving", "left"]
 
     def __init__(self, name, hall, clock, nest, rng, tie, wire, near, drain_us, empty_us, log=None):
-        self.name, self.hall, self.clock, self.nest, self.rng, self.log = name, hall, clock, nest, rng, log
+        self.name, self.hall, self.clock, self.nest, self.rng, self.log = (
+            name,
+            hall,
+            clock,
+            nest,
+            rng,
+            log,
+        )
         self.tie, self.wire, self.near = tie, wire, near
         self.drain_us, self.empty_us = drain_us, empty_us
         self.order, self.slab = Order(), Slab(clock, 1024)
         self.routes, self.bands, self.visits = {}, {}, set()
-        self._bounds = types.SimpleNamespace(fetch_us=250_000, join_us=1_000_000, lanes=2, idle_txn_us=3_000_000)
+        self._bounds = types.SimpleNamespace(
+            fetch_us=250_000, join_us=1_000_000, lanes=2, idle_txn_us=3_000_000
+        )
         self.count = collections.Counter()
         self.passage = Passage(self)
-        Machine(self, states=self.states, initial="starting", auto_transitions=False, transitions=[
-            {"trigger": "serve", "source": "starting", "dest": "serving"},
-            {"trigger": "leave", "source": ["starting", "serving"], "dest": "leaving"},
-            {"trigger": "finish", "source": "leaving", "dest": "left"}])
+        Machine(
+            self,
+            states=self.states,
+            initial="starting",
+            auto_transitions=False,
+            transitions=[
+                {"trigger": "serve", "source": "starting", "dest": "serving"},
+                {"trigger": "leave", "source": ["starting", "serving"], "dest": "leaving"},
+                {"trigger": "finish", "source": "leaving", "dest": "left"},
+            ],
+        )
         self._opened = None
         self.embargo = None
         tie.on_change.append(self._changed)
@@ -88,6 +105,7 @@
     def _embargoed(self, d, recs, fresh):
         if self.embargo is None:
             from .embargo import EmbargoGate
+
             self.embargo, fresh = EmbargoGate(self), True
         self.embargo.turn(d, recs, fresh)
         if not self.embargo.on:
@@ -168,7 +186,9 @@
             if k == "commit":
                 self.passage.part(v)
                 v.settle()
-                return Reply(code="aborted", text="the transaction had failed; nothing of it is kept")
+                return Reply(
+                    code="aborted", text="the transaction had failed; nothing of it is kept"
+                )
             return Reply(code="malformed", text="the transaction has failed; end it", state="E")
         if k == "set":
             v.values[a.name] = a.data
@@ -184,7 +204,9 @@
             if v.trade is not None:
                 return Reply(code="malformed", text="a transaction is open", state=v.mark)
             v.begin()
-            v.trade = Trade(a.num, not a.writes, self.order.next(), self.clock.now(), self.routes.get(v.host))
+            v.trade = Trade(
+                a.num, not a.writes, self.order.next(), self.clock.now(), self.routes.get(v.host)
+            )
         elif k == "execute" and a.name not in v.prepared:
             if v.trade is not None:
                 v.fail()
@@ -211,9 +233,18 @@
         if self.embargo is not None:
             p = self.embargo.passed(v, a, b.name, p)
         if p.code is not None:
-            emit(self.log, 425, group=b.name, verb=a.verb, code=p.code, us=self.clock.now() - t0,
-                 note=p.text, visit=id(v) & 0xFFFFFF,
-                 stocks=",".join(f"{n[-4:]}:{z.stock.plight()}" for n, z in b.berths.items()), visits=b.visits)
+            emit(
+                self.log,
+                425,
+                group=b.name,
+                verb=a.verb,
+                code=p.code,
+                us=self.clock.now() - t0,
+                note=p.text,
+                visit=id(v) & 0xFFFFFF,
+                stocks=",".join(f"{n[-4:]}:{z.stock.plight()}" for n, z in b.berths.items()),
+                visits=b.visits,
+            )
         return p
 
     async def _run(self, v, a, r, b, x, end, us):
@@ -235,8 +266,18 @@
 
     def status(self):
         """What this edge believes and counts."""
-        return {**self.tie.ledger.belief(), "name": self.name, "state": self.state, "ready": self.ready,
-                "visits": len(self.visits), "slots_used": self.slab.used, "count": dict(self.count),
-                "clocks": {g: dict(b.reads.count) for g, b in sorted(self.bands.items())},
-                "stocks": {g: {n: b.stock.total for n, b in sorted(x.berths.items())} for g, x in self.bands.items()},
-                **({"embargo": self.embargo.status()} if self.embargo is not None else {})}
+        return {
+            **self.tie.ledger.belief(),
+            "name": self.name,
+            "state": self.state,
+            "ready": self.ready,
+            "visits": len(self.visits),
+            "slots_used": self.slab.used,
+            "count": dict(self.count),
+            "clocks": {g: dict(b.reads.count) for g, b in sorted(self.bands.items())},
+            "stocks": {
+                g: {n: b.stock.total for n, b in sorted(x.berths.items())}
+                for g, x in self.bands.items()
+            },
+            **({"embargo": self.embargo.status()} if self.embargo is not None else {}),
+        }
--- a/src/petrelhaven/span/gateface.py
+++ b/src/petrelhaven/span/gateface.py
@@ -1,4 +1,5 @@
 """The operators' face of a gate: what this edge believes and counts. Clients come in by the wire that they speak."""
+
 from ..creed.fault import Malformed, NoRoute, NotReady
 from ..helm.ledgerface import manifest_of, why_of
 
@@ -23,13 +24,26 @@
     def belief(self):
         """What this node believes."""
         led = self._g.tie.ledger
-        return {**led.belief(), "name": self._g.name, "role": "edge", "state": self._g.state, "commit": led.seq,
-                "view": None}
+        return {
+            **led.belief(),
+            "name": self._g.name,
+            "role": "edge",
+            "state": self._g.state,
+            "commit": led.seq,
+            "view": None,
+        }
 
     async def _status(self, q):
         t = self._g.tie
-        return {**self._g.status(), **self.belief(), "settings": self._settings(), "joined": t.joined,
-                "lease_us": max(0, t.lease - self._g.clock.now()), "cores": sorted(t.cores), "edges_tied": t.edges}
+        return {
+            **self._g.status(),
+            **self.belief(),
+            "settings": self._settings(),
+            "joined": t.joined,
+            "lease_us": max(0, t.lease - self._g.clock.now()),
+            "cores": sorted(t.cores),
+            "edges_tied": t.edges,
+        }
 
     async def _belief(self, q):
         return self.belief()
--- a/src/petrelhaven/span/keep.py
+++ b/src/petrelhaven/span/keep.py
@@ -1,4 +1,5 @@
 """This edge's own sessions: which keepers hold a copy, and bringing every change to all of them."""
+
 import asyncio
 
 from ..creed.event import emit
@@ -85,8 +86,19 @@
 
     async def _send(self, s, k, doc):
         try:
-            r = await self.reach.call(k.split("/")[0], "span.keep", {
-                "sid": s.sid, "to": k, "epoch": s.epoch, "ver": s.ver, "home": self.control.me, "state": doc}, 700_000)
+            r = await self.reach.call(
+                k.split("/")[0],
+                "span.keep",
+                {
+                    "sid": s.sid,
+                    "to": k,
+                    "epoch": s.epoch,
+                    "ver": s.ver,
+                    "home": self.control.me,
+                    "state": doc,
+                },
+                700_000,
+            )
             return r["ok"]
         except Deposed:
             return False
@@ -108,7 +120,9 @@
         for k in list(s.release):
             while self.control.lives(k):
                 try:
-                    await self.reach.call(k.split("/")[0], "span.drop", {"sid": s.sid, "epoch": s.epoch}, 500_000)
+                    await self.reach.call(
+                        k.split("/")[0], "span.drop", {"sid": s.sid, "epoch": s.epoch}, 500_000
+                    )
                     break
                 except Fault:
                     if self.clock.now() > end:
@@ -188,7 +202,9 @@
 
     async def _drop(self, k, s):
         try:
-            await self.reach.call(k.split("/")[0], "span.drop", {"sid": s.sid, "epoch": s.epoch}, 500_000)
+            await self.reach.call(
+                k.split("/")[0], "span.drop", {"sid": s.sid, "epoch": s.epoch}, 500_000
+            )
         except Fault as f:
             emit(self.log, 413, sid=s.sid, fault=f.code, note=f.note)
 
--- a/src/petrelhaven/span/move.py
+++ b/src/petrelhaven/span/move.py
@@ -1,4 +1,5 @@
 """How an edge hands its sessions over, when its hall is emptied or it leaves."""
+
 import asyncio
 
 from ..creed.event import emit
@@ -15,8 +16,13 @@
 
     def _heir(self, s):
         es = self.e.control.realm.doc["edges"]
-        ks = [k for k in s.keepers if self.e.control.lives(k) and es[k.split("/")[0]]["state"] == "up"
-              and self.e.control.realm.hall(es[k.split("/")[0]]["hall"]) == "open"]
+        ks = [
+            k
+            for k in s.keepers
+            if self.e.control.lives(k)
+            and es[k.split("/")[0]]["state"] == "up"
+            and self.e.control.realm.hall(es[k.split("/")[0]]["hall"]) == "open"
+        ]
         return ks[0] if ks else self.e.keeper.elect([], s.release)
 
     async def _hand(self, s):
@@ -71,7 +77,9 @@
         end = self.e.clock.now() + us
         while self.e.clock.now() < end:
             try:
-                return await self.e.clock.limit(self.e.control.say(state), min(3_000_000, end - self.e.clock.now()))
+                return await self.e.clock.limit(
+                    self.e.control.say(state), min(3_000_000, end - self.e.clock.now())
+                )
             except Fault:
                 await self.e.clock.sleep(100_000)
 
--- a/src/petrelhaven/span/passage.py
+++ b/src/petrelhaven/span/passage.py
@@ -1,4 +1,5 @@
 """The ways of statements of held sessions: reads by the clock, writes once, transactions on their own connection."""
+
 import asyncio
 
 from ..creed.event import emit
@@ -68,6 +69,7 @@
                 x.over = True
                 emit(self.g.log, 424, member=x.berth.name)
                 x.berth.stock.drop(c)
+
         if x.conn is not None:
             self.clock.later(us, look)
 
@@ -78,6 +80,7 @@
         def fire(*_):
             if not out.done():
                 out.set_result(None)
+
         h = self.clock.later(us, fire)
         for f in fs:
             if f.done():
@@ -101,10 +104,10 @@
         if pre or more:
             fs = [c.plain(k, args, num) for k, args, num in [*pre, *more]]
             rs = [await self.clock.limit(f, _TAKE_US, keep=True) for f in fs]
-            if any(not r.ok for r in rs[:len(pre)]):
+            if any(not r.ok for r in rs[: len(pre)]):
                 c.odd = True
                 raise MemberFault("outfit")
-            return alias, rs[len(pre):]
+            return alias, rs[len(pre) :]
         return alias, ()
 
     async def _once(self, t, v, a, band, after, us):
@@ -205,7 +208,12 @@
                         continue
             if t is None and pos is not None:
                 p = b.pick(pos, bad)
-                if p is not None and not runs and p.lag_till > self.clock.now() and p.tide.log < pos:
+                if (
+                    p is not None
+                    and not runs
+                    and p.lag_till > self.clock.now()
+                    and p.tide.log < pos
+                ):
                     g.count["joined_log"] += 1
                     if not (yield from self._lagged(b, p, pos, end)):
                         bad.add(p.name)
@@ -213,7 +221,9 @@
                 t = _Try(p, key) if p is not None else None
             if t is not None:
                 us = max(end - self.clock.now(), 1000)
-                runs.append((t, self.nest.spawn(self._once(t, v, a, b, None if t.flight else pos, us))))
+                runs.append(
+                    (t, self.nest.spawn(self._once(t, v, a, b, None if t.flight else pos, us)))
+                )
             elif not runs:
                 bad.clear()
                 yield self._either([], pause)
@@ -241,7 +251,11 @@
                     pause = min(pause * 2, 80_000)
                 elif x.code == "lagging":
                     g.count["lagging"] += 1
-                    if pos is not None and not runs and not (yield from self._lagged(b, t.berth, pos, end, x)):
+                    if (
+                        pos is not None
+                        and not runs
+                        and not (yield from self._lagged(b, t.berth, pos, end, x))
+                    ):
                         bad.add(t.berth.name)
                 elif x.code in _ELSEWHERE:
                     g.count[x.code] += 1
@@ -313,7 +327,9 @@
                 if t.sent:
                     g.count["unsure"] += 1
                     emit(g.log, 420, member=p.name)
-                    return Reply(code="unsure", text="the answer was lost; the write may be kept or not")
+                    return Reply(
+                        code="unsure", text="the answer was lost; the write may be kept or not"
+                    )
                 yield self._either([b.turned()], min(left, pause))
                 pause = min(pause * 2, 200_000)
             elif x.code in ("readonly", "misdirected"):
@@ -364,8 +380,13 @@
                 return self._torn(v, a, x)
             x.band.fine(x.berth, rep.pos)
             if rep.ok:
-                if not x.reads and rep.pos and key is not None and key[1] == x.berth.name and (
-                        a.verb != "commit" or x.wrote):
+                if (
+                    not x.reads
+                    and rep.pos
+                    and key is not None
+                    and key[1] == x.berth.name
+                    and (a.verb != "commit" or x.wrote)
+                ):
                     x.band.reads.noted(key, start, at, rep.pos)
                 if a.verb == "commit":
                     v.trade = None
@@ -376,7 +397,11 @@
                 elif a.writes:
                     x.wrote = True
                 return rep
-            if rep.code in ("busy", "unprepared") and rep.state == "T" and end - self.clock.now() > pause:
+            if (
+                rep.code in ("busy", "unprepared")
+                and rep.state == "T"
+                and end - self.clock.now() > pause
+            ):
                 if rep.code == "unprepared":
                     c.shapes.clear()
                 g.count[rep.code] += 1
@@ -425,7 +450,11 @@
         else:
             v.fail()
         self.g.count["torn"] += 1
-        return Reply(code="aborted", text="the member's answer was lost; nothing of this is kept", state=v.mark)
+        return Reply(
+            code="aborted",
+            text="the member's answer was lost; nothing of this is kept",
+            state=v.mark,
+        )
 
     def _start(self, v, x, r, b, end):
         """Begins the transaction at a member; why not, or None."""
@@ -465,7 +494,9 @@
                     yield self._either([b.turned()], min(left, 100_000))
                     continue
                 t = _Try(p, key)
-            f = self.nest.spawn(self._begun(t, v, x, b, None if t.flight else pos, min(left, 600_000)))
+            f = self.nest.spawn(
+                self._begun(t, v, x, b, None if t.flight else pos, min(left, 600_000))
+            )
             try:
                 yield self._either([f], left)
             except Late:
@@ -516,7 +547,11 @@
                 raise Unsent("lease")
             t.start, t.us = self.g.order.next(), self.clock.now()
             _, rs = await self.clock.limit(
-                self._outfit(c, v, None, [("begin", ("reads" if x.reads else "writes", pos), x.num)]), us)
+                self._outfit(
+                    c, v, None, [("begin", ("reads" if x.reads else "writes", pos), x.num)]
+                ),
+                us,
+            )
             r = rs[0]
             if r.ok and r.state == "T" and v.trade is x:
                 x.conn, x.berth = c, b
--- a/src/petrelhaven/span/pool.py
+++ b/src/petrelhaven/span/pool.py
@@ -1,4 +1,5 @@
 """The connections of one edge to one member: never more than the edge's share, ramped while the member warms up."""
+
 import asyncio
 import collections
 
--- a/src/petrelhaven/span/read.py
+++ b/src/petrelhaven/span/read.py
@@ -1,4 +1,5 @@
 """Single reads: a position, a member whose log holds it, the primary as the last resort."""
+
 from ..creed.fault import Busy, Halted, Late, MemberFault, Unreached
 
 __all__ = ["Reader"]
@@ -48,7 +49,13 @@
             try:
                 return (
                     yield from self.try_at(
-                        post, s, ops, end, [{"v": "after", "pos": pos, "term": t.epoch["term"]}], pos, pin
+                        post,
+                        s,
+                        ops,
+                        end,
+                        [{"v": "after", "pos": pos, "term": t.epoch["term"]}],
+                        pos,
+                        pin,
                     )
                 )
             except MemberFault as f:
@@ -80,7 +87,13 @@
         try:
             return (
                 yield from self.try_at(
-                    post, s, ops, end, [{"v": "ready", "role": "primary", "term": t.epoch["term"]}], None, pin
+                    post,
+                    s,
+                    ops,
+                    end,
+                    [{"v": "ready", "role": "primary", "term": t.epoch["term"]}],
+                    None,
+                    pin,
                 )
             )
         except MemberFault as f:
--- a/src/petrelhaven/span/send.py
+++ b/src/petrelhaven/span/send.py
@@ -1,4 +1,5 @@
 """Putting a batch on a connection: set up for its session, the lease looked at right before it leaves."""
+
 from ..creed.event import emit
 from ..creed.fault import Busy, Halted, Late, MemberFault, MemberSaid, NoLease, Unreached
 
@@ -23,10 +24,17 @@
         tag = self.tag(s)
         pre = []
         if not pinned and conn.tag != tag:
-            pre = [{"v": "reset"}] + [{"v": "set", "name": n, "value": v} for n, v in s.values.items()] \
+            pre = (
+                [{"v": "reset"}]
+                + [{"v": "set", "name": n, "value": v} for n, v in s.values.items()]
                 + [{"v": "prepare", "name": n, "statement": st} for n, st in s.prepared.items()]
+            )
         if not e.sends(post):
-            raise NoLease("this edge may not send now") if not e.control.sends else Halted("the member is leaving")
+            raise (
+                NoLease("this edge may not send now")
+                if not e.control.sends
+                else Halted("the member is leaving")
+            )
         was, conn.tag = conn.tag, None
         try:
             rs = yield e.nest.spawn(conn.run(list(first) + pre + ops, us))
@@ -36,7 +44,9 @@
             elif f.note == "NOCONN":
                 conn.lost = True
             if f.note not in _NOTHING:
-                raise MemberSaid(f.note, more={k: v for k, v in f.more.items() if k != "fault"}) from None
+                raise MemberSaid(
+                    f.note, more={k: v for k, v in f.more.items() if k != "fault"}
+                ) from None
             raise
         except (Late, Unreached) as f:
             conn.lost = True
@@ -44,7 +54,7 @@
             raise
         conn.tag = tag
         e.sent += 1
-        return rs[len(first) + len(pre):]
+        return rs[len(first) + len(pre) :]
 
     def take(self, post, s, us):
         """A connection to `post`, waited for at most `us`."""
@@ -66,7 +76,9 @@
         ok = False
         try:
             b = self.e.bounds()
-            rs = yield from self.on(post, c, s, ops, max(1000, min(us, b.wait_us + b.join_us)), first)
+            rs = yield from self.on(
+                post, c, s, ops, max(1000, min(us, b.wait_us + b.join_us)), first
+            )
             ok = True
             return rs
         except (MemberFault, MemberSaid, NoLease, Halted):
--- a/src/petrelhaven/span/session.py
+++ b/src/petrelhaven/span/session.py
@@ -1,4 +1,5 @@
 """A visitor's session: values, prepared statements, tries; at home on one edge, kept on another."""
+
 import asyncio
 
 from transitions import Machine
@@ -21,8 +22,27 @@
 class Session:
     """Whole state of a session; `doc` is what its keepers hold. It is used only while `sure`: every keeper holds it."""
 
-    __slots__ = ("sid", "epoch", "ver", "keepers", "values", "prepared", "tries", "floor", "txn", "txns", "queue",
-                 "busy", "mark", "release", "said", "sure", "over", "state", "__dict__")
+    __slots__ = (
+        "sid",
+        "epoch",
+        "ver",
+        "keepers",
+        "values",
+        "prepared",
+        "tries",
+        "floor",
+        "txn",
+        "txns",
+        "queue",
+        "busy",
+        "mark",
+        "release",
+        "said",
+        "sure",
+        "over",
+        "state",
+        "__dict__",
+    )
     _machine = Machine(
         model=None,
         states=["home", "moving", "moved", "closed"],
@@ -48,9 +68,17 @@
 
     def doc(self):
         """The state that outlives the home edge, and who holds it."""
-        return {"values": self.values, "prepared": self.prepared, "tries": {str(k): v for k, v in self.tries.items()},
-                "floor": self.floor, "txns": self.txns, "keepers": list(self.keepers), "release": list(self.release),
-                "said": self.said, "over": self.over}
+        return {
+            "values": self.values,
+            "prepared": self.prepared,
+            "tries": {str(k): v for k, v in self.tries.items()},
+            "floor": self.floor,
+            "txns": self.txns,
+            "keepers": list(self.keepers),
+            "release": list(self.release),
+            "said": self.said,
+            "over": self.over,
+        }
 
     @classmethod
     def revive(cls, sid, epoch, ver, d):
--- a/src/petrelhaven/span/slab.py
+++ b/src/petrelhaven/span/slab.py
@@ -1,4 +1,5 @@
 """The slab: every request in a process is a continuation in one of a fixed number of slots."""
+
 import asyncio
 
 from ..creed.fault import Busy, Late
--- a/src/petrelhaven/span/stock.py
+++ b/src/petrelhaven/span/stock.py
@@ -1,4 +1,5 @@
 """The connections of one edge to one member, handed to the session whose values and shapes they have, if any."""
+
 import asyncio
 import collections
 
--- a/src/petrelhaven/span/tide.py
+++ b/src/petrelhaven/span/tide.py
@@ -1,4 +1,5 @@
 """What an edge knows of one member's log, and those who wait for it to rise."""
+
 import asyncio
 
 from ..creed.fault import Fault
--- a/src/petrelhaven/span/tie.py
+++ b/src/petrelhaven/span/tie.py
@@ -1,4 +1,5 @@
 """An edge's tie to the core: a held connection, numbered changes, a pulse that brings a lease, doubts told at once."""
+
 import asyncio
 
 from ..creed.event import emit
@@ -60,7 +61,9 @@
                 await self.clock.sleep(100_000)
                 continue
             try:
-                ch = await self.clock.limit(self.link.open(a), 1_000_000 if self.joined else 250_000)
+                ch = await self.clock.limit(
+                    self.link.open(a), 1_000_000 if self.joined else 250_000
+                )
             except Fault:
                 self._bad[a] = self.clock.now() + (_BAD_US if self.joined else 250_000)
                 continue
@@ -96,7 +99,9 @@
                 self._bad[a] = self.clock.now() + _BAD_US
                 return
             mine = self.cores.get(a, 9)
-            if any(r < mine and self._bad.get(b, 0) <= self.clock.now() for b, r in self.cores.items()):
+            if any(
+                r < mine and self._bad.get(b, 0) <= self.clock.now() for b, r in self.cores.items()
+            ):
                 return
             await asyncio.wait([ch.gone], timeout=(_PULSE_US if not mute else 200_000) / 1e6)
 
@@ -105,8 +110,11 @@
         if ch is None:
             return False
         t0 = self.clock.now()
-        r = await ch.call("tie.pulse", {"name": self.name, "seq": self.ledger.seq, "cores": self.view,
-                                        "doubts": doubts}, 450_000)
+        r = await ch.call(
+            "tie.pulse",
+            {"name": self.name, "seq": self.ledger.seq, "cores": self.view, "doubts": doubts},
+            450_000,
+        )
         if r["edges"] != self.edges:
             self.edges = r["edges"]
             for f in self.on_change:
--- a/src/petrelhaven/span/trade.py
+++ b/src/petrelhaven/span/trade.py
@@ -1,7 +1,18 @@
 """Transactions: pinned to one connection of one member from begin to end."""
+
 from ..creed.event import emit
-from ..creed.fault import (Ended, Halted, Late, Malformed, MemberFault,
-                           MemberSaid, NoLease, Unordered, Unreached, Unsent)
+from ..creed.fault import (
+    Ended,
+    Halted,
+    Late,
+    Malformed,
+    MemberFault,
+    MemberSaid,
+    NoLease,
+    Unordered,
+    Unreached,
+    Unsent,
+)
 from .session import Txn
 from .verb import WRITES
 
@@ -50,10 +61,14 @@
             raise Unordered("the transaction only reads")
         x.since = e.clock.now()
         try:
-            rs = yield from self.e.flow.sender.on(x.pool, x.conn, s, [op], e.bounds().statement_us // 2, pinned=True)
+            rs = yield from self.e.flow.sender.on(
+                x.pool, x.conn, s, [op], e.bounds().statement_us // 2, pinned=True
+            )
         except (Late, Unreached, MemberFault):
             e.end_txn(s)
-            raise Ended("the transaction's connection was lost; nothing of it was kept", more={"txn": x.num}) from None
+            raise Ended(
+                "the transaction's connection was lost; nothing of it was kept", more={"txn": x.num}
+            ) from None
         except (NoLease, Halted):
             raise
         return {**rs[-1], "from": x.member}
@@ -65,7 +80,9 @@
             raise Unordered(f"{d['verb']} without a transaction")
         if d["verb"] == "rollback" or x.mode == "read":
             try:
-                yield from self.e.flow.sender.on(x.pool, x.conn, s, [{"v": "rollback"}], 500_000, pinned=True)
+                yield from self.e.flow.sender.on(
+                    x.pool, x.conn, s, [{"v": "rollback"}], 500_000, pinned=True
+                )
             except (Late, Unreached, MemberFault, NoLease, Halted):
                 x.conn.lost = True
             e.end_txn(s, clean=True)
@@ -85,7 +102,10 @@
         if s.txn is not x or x.conn.lost or t is None or t.epoch["term"] != x.epoch:
             s.tries.pop(n, None)
             e.end_txn(s)
-            raise Ended("the transaction ended before its commit left; nothing was kept", more={"txn": x.num})
+            raise Ended(
+                "the transaction ended before its commit left; nothing was kept",
+                more={"txn": x.num},
+            )
         x.pool.writes += 1
         try:
             rs = yield from self.e.flow.sender.on(
@@ -97,7 +117,9 @@
         except MemberFault:
             e.end_txn(s)
             s.tries.pop(n, None)
-            raise Ended("the member declined the commit; nothing was kept", more={"txn": x.num}) from None
+            raise Ended(
+                "the member declined the commit; nothing was kept", more={"txn": x.num}
+            ) from None
         except MemberSaid as f:
             e.end_txn(s)
             return (yield from self.e.flow.writer.settled(s, n, {"outcome": "not kept", **f.doc()}))
--- a/src/petrelhaven/span/troop.py
+++ b/src/petrelhaven/span/troop.py
@@ -1,4 +1,5 @@
 """One database group as an edge sees it: its epoch, its clock, and a post for each member."""
+
 from ..creed.fault import Unreached
 from .clock import ReadClock
 from .pool import Pool
@@ -23,7 +24,14 @@
     """Follows the epochs of one group."""
 
     def __init__(self, name, clock, nest, order, wire, sends, bounds, vary=None):
-        self.name, self.clock, self.nest, self.wire, self.sends, self.bounds = name, clock, nest, wire, sends, bounds
+        self.name, self.clock, self.nest, self.wire, self.sends, self.bounds = (
+            name,
+            clock,
+            nest,
+            wire,
+            sends,
+            bounds,
+        )
         self.epoch = None
         self.posts = {}
         self.reads = ReadClock(clock, nest, order, self._fetch, bounds, vary)
@@ -52,6 +60,7 @@
                 raise Unreached("no lease")
             r = await self.wire.status(p.addr, 250_000)
             return r["log"], r["term"]
+
         return ask
 
     def _opener(self, name):
@@ -60,6 +69,7 @@
             if p is None or not self.sends(p):
                 raise Unreached("no lease")
             return await self.wire.open(p.addr, 600_000)
+
         return opened
 
     def turn(self, e, share, halls):
@@ -74,7 +84,12 @@
                 p = None
             if p is None:
                 p = self.posts[n] = Post(
-                    n, w["addr"], w["hall"], w["boot"], None, Tide(self.clock, self.nest, self._ask(n))
+                    n,
+                    w["addr"],
+                    w["hall"],
+                    w["boot"],
+                    None,
+                    Tide(self.clock, self.nest, self._ask(n)),
                 )
                 p.pool = Pool(self.clock, self.nest, self._opener(n))
             elif p.boot != w["boot"]:
--- a/src/petrelhaven/span/vault.py
+++ b/src/petrelhaven/span/vault.py
@@ -1,4 +1,5 @@
 """Copies of sessions at home on other edges, and who takes over when a home is gone."""
+
 import asyncio
 
 from ..creed.event import emit
@@ -48,12 +49,22 @@
             and rec[1] > b["epoch"]
         ):
             return {"ok": False, "epoch": max(low, rec[1] if rec else 0)}
-        if c and c["epoch"] == b["epoch"] and c["home"] != b["home"] and self.control.lives(c["home"]):
+        if (
+            c
+            and c["epoch"] == b["epoch"]
+            and c["home"] != b["home"]
+            and self.control.lives(c["home"])
+        ):
             return {"ok": False, "epoch": low}
         if h is not None:
             self.keeper.part(h)
         if c is None or at >= (c["epoch"], c["ver"]) or c["home"] != b["home"]:
-            self.kept[sid] = {"epoch": b["epoch"], "ver": b["ver"], "home": b["home"], "state": b["state"]}
+            self.kept[sid] = {
+                "epoch": b["epoch"],
+                "ver": b["ver"],
+                "home": b["home"],
+                "state": b["state"],
+            }
             self.lent.pop(sid, None)
             if not self.control.lives(b["home"]):
                 self._later(sid, LAPSE_US)
@@ -65,7 +76,10 @@
         sid = b["sid"]
         h, c = self.homes.get(sid), self.kept.get(sid)
         if h and h.epoch >= b["epoch"] or self.fence.get(sid, 0) > b["epoch"]:
-            return {"ok": h is not None and h.epoch == b["epoch"], "epoch": h.epoch if h else self.fence[sid]}
+            return {
+                "ok": h is not None and h.epoch == b["epoch"],
+                "epoch": h.epoch if h else self.fence[sid],
+            }
         if c and (c["epoch"], c["ver"]) > (b["epoch"] - 1, b["ver"]) or sid in self.lent:
             return {"ok": False, "epoch": c["epoch"] if c else 0}
         self._home(sid, b["epoch"], b["ver"], b["state"], b["home"])
@@ -143,7 +157,11 @@
                     return
                 want = max(c["epoch"], rec[1] if rec else 0) + 1
                 ks = [*c["state"]["keepers"], *c["state"]["release"]]
-                todo = [k for k in dict.fromkeys(ks) if k != self.me and k not in got and self.control.lives(k)]
+                todo = [
+                    k
+                    for k in dict.fromkeys(ks)
+                    if k != self.me and k not in got and self.control.lives(k)
+                ]
                 if not todo:
                     self._over(sid, c, want, home)
                     return
@@ -163,7 +181,15 @@
             return await self.reach.call(
                 k.split("/")[0],
                 "span.cede",
-                {"sid": sid, "to": k, "me": self.me, "epoch": c["epoch"], "ver": c["ver"], "want": want, "got": got},
+                {
+                    "sid": sid,
+                    "to": k,
+                    "me": self.me,
+                    "epoch": c["epoch"],
+                    "ver": c["ver"],
+                    "want": want,
+                    "got": got,
+                },
                 500_000,
             )
         except Fault:
@@ -189,10 +215,16 @@
             self.clear()
             self.keeper.clear()
             return
-        quick = {r["name"] for r in mine if r["t"] == "lapse" or r["state"] == "gone" and r.get("by") == r["name"]}
+        quick = {
+            r["name"]
+            for r in mine
+            if r["t"] == "lapse" or r["state"] == "gone" and r.get("by") == r["name"]
+        }
         for sid, c in sorted(self.kept.items()):
             n = c["home"].split("/")[0]
-            if not self.control.lives(c["home"]) and (n in quick or self._due.get(sid, 0) < self.clock.now()):
+            if not self.control.lives(c["home"]) and (
+                n in quick or self._due.get(sid, 0) < self.clock.now()
+            ):
                 self._later(sid, 0 if n in quick else LAPSE_US)
         self.keeper.look()
 
@@ -250,7 +282,9 @@
             c = self.kept.get(sid)
             if c is None:
                 continue
-            said = [(role, ep) for rows in rs if rows is not None for x, role, ep in rows if x == sid]
+            said = [
+                (role, ep) for rows in rs if rows is not None for x, role, ep in rows if x == sid
+            ]
             if any(role == "home" and ep >= c["epoch"] for role, ep in said):
                 self.kept.pop(sid)
             elif (
--- a/src/petrelhaven/span/verb.py
+++ b/src/petrelhaven/span/verb.py
@@ -1,4 +1,5 @@
 """The verbs of visitors' statements, checked field by field."""
+
 from ..creed.fault import Malformed
 
 __all__ = ["READS", "WRITES", "op"]
--- a/src/petrelhaven/span/visit.py
+++ b/src/petrelhaven/span/visit.py
@@ -1,4 +1,5 @@
 """A session that lives with its visitor's connection: values, prepared names, at most one open transaction."""
+
 from transitions import Machine
 
 __all__ = ["Trade", "Visit"]
@@ -7,7 +8,20 @@
 class Trade:
     """An open transaction; it gets its member connection with its first statement."""
 
-    __slots__ = ("reads", "arr", "us", "since", "band", "berth", "conn", "wrote", "route", "sets", "over", "num")
+    __slots__ = (
+        "reads",
+        "arr",
+        "us",
+        "since",
+        "band",
+        "berth",
+        "conn",
+        "wrote",
+        "route",
+        "sets",
+        "over",
+        "num",
+    )
 
     def __init__(self, num, reads, arr, us, route):
         self.num = num
@@ -19,7 +33,19 @@
 class Visit:
     """One session. States: idle (I), trading (T), failed (E), ended."""
 
-    __slots__ = ("host", "values", "prepared", "nums", "trade", "busy", "since", "band", "state", "visitor", "__dict__")
+    __slots__ = (
+        "host",
+        "values",
+        "prepared",
+        "nums",
+        "trade",
+        "busy",
+        "since",
+        "band",
+        "state",
+        "visitor",
+        "__dict__",
+    )
     _machine = Machine(
         model=None,
         states=["idle", "trading", "failed", "ended"],
--- a/src/petrelhaven/span/wire.py
+++ b/src/petrelhaven/span/wire.py
@@ -1,4 +1,5 @@
 """The wire to members: HTTP/1.1 JSON with the verbs STATUS, READY and AFTER, and LAGGING among the results."""
+
 import asyncio
 import json
 
@@ -26,7 +27,11 @@
     async def run(self, ops, us):
         """Runs a batch on this connection and returns the results, one a step."""
         try:
-            rs = (await self._w.post(self._http, self._addr, "/run", {"conn": self._id, "ops": ops}, us)).get("results")
+            rs = (
+                await self._w.post(
+                    self._http, self._addr, "/run", {"conn": self._id, "ops": ops}, us
+                )
+            ).get("results")
             if (
                 not isinstance(rs, list)
                 or not all(isinstance(r, dict) for r in rs)
@@ -76,7 +81,9 @@
 
     async def open(self, addr, us=1_000_000):
         """A new connection, one TCP connection of its own."""
-        http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=1, keepalive_timeout=3600))
+        http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=1, keepalive_timeout=3600)
+        )
         try:
             d = await self.post(http, addr, "/open", {}, us)
         except BaseException:
--- a/src/petrelhaven/span/write.py
+++ b/src/petrelhaven/span/write.py
@@ -1,6 +1,17 @@
 """Single writes: the try written down, sent once, held by the in-sync replicas, its outcome written down."""
+
 from ..creed.event import emit
-from ..creed.fault import Fault, Halted, Late, Malformed, MemberFault, MemberSaid, NoLease, Unreached, Unsent
+from ..creed.fault import (
+    Fault,
+    Halted,
+    Late,
+    Malformed,
+    MemberFault,
+    MemberSaid,
+    NoLease,
+    Unreached,
+    Unsent,
+)
 
 __all__ = ["Writer"]
 
@@ -25,9 +36,13 @@
     def open(self, t):
         """The primary, if writes are taken now."""
         if t.key is None:
-            raise Halted("writes are stopped while a primary is elected", more={"epoch": t.epoch["n"]})
+            raise Halted(
+                "writes are stopped while a primary is elected", more={"epoch": t.epoch["n"]}
+            )
         if not t.epoch["open"]:
-            raise Halted("too few in-sync replicas to keep a write safe", more={"epoch": t.epoch["n"]})
+            raise Halted(
+                "too few in-sync replicas to keep a write safe", more={"epoch": t.epoch["n"]}
+            )
         return t.posts[t.epoch["primary"]]
 
     def run(self, s, d, op, t, end):
@@ -44,7 +59,9 @@
         try:
             yield e.nest.spawn(e.keeper.keep(s))
             post = self.open(t)
-            c = yield from self.e.flow.sender.take(post, s, min(max(end - e.clock.now(), 1000), 500_000))
+            c = yield from self.e.flow.sender.take(
+                post, s, min(max(end - e.clock.now(), 1000), 500_000)
+            )
         except BaseException:
             s.tries.pop(n, None)
             raise
@@ -56,12 +73,16 @@
                 raise Halted("the primary changed")
             first = [{"v": "ready", "role": "primary", "term": t.epoch["term"]}]
             term = t.epoch["term"]
-            rs = yield from self.e.flow.sender.on(post, c, s, [op], e.bounds().statement_us // 2, first)
+            rs = yield from self.e.flow.sender.on(
+                post, c, s, [op], e.bounds().statement_us // 2, first
+            )
             ok = True
         except (Unsent, MemberFault, NoLease, Halted) as f:
             ok = not c.lost
             s.tries.pop(n, None)
-            raise f if not isinstance(f, MemberFault) else Halted(f"the primary declined: {f.note}") from None
+            raise (
+                f if not isinstance(f, MemberFault) else Halted(f"the primary declined: {f.note}")
+            ) from None
         except MemberSaid as f:
             ok = True
             return (yield from self.settled(s, n, {"outcome": "not kept", **f.doc()}))
@@ -85,7 +106,13 @@
             return {"outcome": "unknown", "retry_after_us": 300_000}
         return (
             yield from self.settled(
-                s, n, {"outcome": "kept", "pos": r["pos"], **({"value": r["value"]} if "value" in r else {})}
+                s,
+                n,
+                {
+                    "outcome": "kept",
+                    "pos": r["pos"],
+                    **({"value": r["value"]} if "value" in r else {}),
+                },
             )
         )
 
--- a/src/petrelhaven/tenet.py
+++ b/src/petrelhaven/tenet.py
@@ -1,4 +1,5 @@
 """tenet: the operator's command line."""
+
 import argparse
 import asyncio
 import json
@@ -18,9 +19,11 @@
         prog="tenet",
         description="Drives a petrelhaven fleet.",
         epilog="Exit codes: 0 done, 1 declined, 2 wrong call, 3 nobody answered, 4 the outcome is not "
-               "known (read back with show).",
+        "known (read back with show).",
+    )
+    p.add_argument(
+        "--core", default="", metavar="IP:PORT,...", help="HTTP addresses of cores, tried in order"
     )
-    p.add_argument("--core", default="", metavar="IP:PORT,...", help="HTTP addresses of cores, tried in order")
     p.add_argument("--by", default="", help="who asks, kept with the change")
     sub = p.add_subparsers(dest="verb", required=True)
     a = sub.add_parser("apply", help="apply a whole manifest; returns once it is in force")
@@ -29,16 +32,22 @@
     s = sub.add_parser("show", help="read the newest acknowledged manifest back, byte for byte")
     s.add_argument("--version", type=int, help="an older version")
     s.add_argument(
-        "--unconfirmed", action="store_true", help="what one core alone holds, when no majority is left to confirm it"
+        "--unconfirmed",
+        action="store_true",
+        help="what one core alone holds, when no majority is left to confirm it",
+    )
+    k = sub.add_parser(
+        "check", help="check a manifest without a fleet; names every fault by path, changes nothing"
     )
-    k = sub.add_parser("check", help="check a manifest without a fleet; names every fault by path, changes nothing")
     k.add_argument("file", help="the manifest (JSON), - for standard input")
     g = sub.add_parser(
-        "salvage", help="read the manifest out of a core's data folder without changing it; no majority confirms it"
+        "salvage",
+        help="read the manifest out of a core's data folder without changing it; no majority confirms it",
     )
     g.add_argument("folder")
     r = sub.add_parser(
-        "reform", help="form the chain anew after a majority of the cores lost their disks; asks the first --core"
+        "reform",
+        help="form the chain anew after a majority of the cores lost their disks; asks the first --core",
     )
     r.add_argument(
         "--lost",
@@ -51,7 +60,10 @@
         x.add_argument("hall")
     t = sub.add_parser("status", help="what the cores believe, or one node")
     t.add_argument("--node", metavar="IP:PORT", help="ask this node instead")
-    w = sub.add_parser("why", help="explain an epoch: what was seen, by whom, what was decided and what it replaced")
+    w = sub.add_parser(
+        "why",
+        help="explain an epoch: what was seen, by whom, what was decided and what it replaced",
+    )
     w.add_argument("group")
     w.add_argument("--epoch", type=int)
     embargo_command.arguments(sub)
@@ -74,7 +86,9 @@
             return await fetch(c, *a, **kw)
         except (Late, Unreached) as e:
             if change and not isinstance(e, Unsent):
-                raise Late("the outcome is not known; read back with show or embargo list") from None
+                raise Late(
+                    "the outcome is not known; read back with show or embargo list"
+                ) from None
             seen.append(e)
         except Fault as e:
             if e.code not in ("not-ready", "not-head"):
@@ -114,8 +128,16 @@
     by = f"?by={a.by}" if a.by else "?"
     if a.verb == "apply":
         text = _text(a.file)
-        r = await _any(cs, True, "POST", f"/manifest{by}&retire={'true' if a.retire else 'false'}", data=text.encode())
-        out(f"version {r['version']} is in force (change {r['change']}, {r['in_force_us'] / 1e6:.3f} s)")
+        r = await _any(
+            cs,
+            True,
+            "POST",
+            f"/manifest{by}&retire={'true' if a.retire else 'false'}",
+            data=text.encode(),
+        )
+        out(
+            f"version {r['version']} is in force (change {r['change']}, {r['in_force_us'] / 1e6:.3f} s)"
+        )
     elif a.verb == "show":
         q = f"?unconfirmed={'true' if a.unconfirmed else 'false'}" + (
             f"&version={a.version}" if a.version is not None else ""
@@ -125,7 +147,9 @@
         sys.stdout.buffer.write(await _any(cs, False, "GET", f"/manifest{q}", raw=True))
     elif a.verb in ("evacuate", "restore"):
         r = await _any(cs, True, "POST", f"/halls/{a.hall}/{a.verb}{by}")
-        out(f"hall {r['hall']} is {r['state']} (change {r['change']}, {r['in_force_us'] / 1e6:.3f} s)")
+        out(
+            f"hall {r['hall']} is {r['state']} (change {r['change']}, {r['in_force_us'] / 1e6:.3f} s)"
+        )
     elif a.verb == "reform":
         r = await _any(cs[:1], True, "POST", f"/reform{by}", doc={"lost": a.lost.split(",")})
         out(
@@ -133,7 +157,9 @@
             f"state taken from {r['from']}"
         )
     elif a.verb == "embargo":
-        await embargo_command.run(a, lambda change, verb, path, doc: _any(cs, change, verb, path, doc=doc), out)
+        await embargo_command.run(
+            a, lambda change, verb, path, doc: _any(cs, change, verb, path, doc=doc), out
+        )
     elif a.verb == "status":
         if a.node:
             out(json.dumps(await fetch(a.node, "GET", "/status"), indent=1))
@@ -150,7 +176,10 @@
 
 def _status(s, out):
     v = s["view"]
-    for k, x in (("waiting", s["settings"].get("waiting")), ("declined", s["settings"].get("declined"))):
+    for k, x in (
+        ("waiting", s["settings"].get("waiting")),
+        ("declined", s["settings"].get("declined")),
+    ):
         if x:
             out(f"{s['name']}: settings {k}: {'; '.join(x)}")
     out(
@@ -185,13 +214,18 @@
         return
     for g, o in s["epochs"].items():
         why = s["waiting"].get(g)
-        out(f"  {g}: office {o['n']} {o['phase']}, primary {o['primary']} in term {o['term']}"
-            + (f" ({why})" if why else ""))
+        out(
+            f"  {g}: office {o['n']} {o['phase']}, primary {o['primary']} in term {o['term']}"
+            + (f" ({why})" if why else "")
+        )
     out("  halls: " + (", ".join(f"{h} {x}" for h, x in s["halls"].items()) or "all open"))
     for m, (g, state, role) in s["members"].items():
         if state != "gone":
             at = s["heard_us"].get(m)
-            out(f"  {m}: {role} of {g}, {state}" + (f", heard here {at / 1e6:.2f} s ago" if at is not None else ""))
+            out(
+                f"  {m}: {role} of {g}, {state}"
+                + (f", heard here {at / 1e6:.2f} s ago" if at is not None else "")
+            )
 
 
 def _office(o):
@@ -202,7 +236,9 @@
     o = d["epoch"]
     out(f"{_office(o)}, decided by {o['by']} as change {o.get('seq', '?')}")
     out(f"cause: {o['cause']}")
-    out(f"replaced: {_office(d['replaced'])}" if d["replaced"] else "replaced: nothing that is kept")
+    out(
+        f"replaced: {_office(d['replaced'])}" if d["replaced"] else "replaced: nothing that is kept"
+    )
     if d["waiting"]:
         out(f"now: {d['waiting']}")
 
@@ -218,9 +254,12 @@
     out(f"cause: {e['cause']}")
     out("seen:")
     for m, x in e["evidence"].items():
-        out(f"  {m}: {x['role']} in {x['hall']}, log {x['log']}, heard {x['age'] / 1e6:.2f} s before"
+        out(
+            f"  {m}: {x['role']} in {x['hall']}, log {x['log']}, heard {x['age'] / 1e6:.2f} s before"
             + (f" by {','.join(x['seen_by'])}" if x["seen_by"] else ", lately by nobody")
-            + (", draining" if x["draining"] else "") + (", log stalled" if x["stalled"] else ""))
+            + (", draining" if x["draining"] else "")
+            + (", log stalled" if x["stalled"] else "")
+        )
     out(
         f"decided: in sync {','.join(e['safe']) or '-'}; to be waited for {','.join(e['hold']) or '-'}; "
         f"gates {','.join(e['gates']) or '-'}"
--- a/src/petrelhaven/verge.py
+++ b/src/petrelhaven/verge.py
@@ -1,4 +1,5 @@
 """verge: the edge daemon."""
+
 import random
 import sys
 
@@ -12,7 +13,17 @@
 
 def _make(d):
     s = d.set
-    e = Edge(s.name, s.hall, d.seeds, d.clock, d.nest, d.link, random.SystemRandom(), Wire(d.clock, d.nest), log=d.log)
+    e = Edge(
+        s.name,
+        s.hall,
+        d.seeds,
+        d.clock,
+        d.nest,
+        d.link,
+        random.SystemRandom(),
+        Wire(d.clock, d.nest),
+        log=d.log,
+    )
     EdgeFace(e, d.face)
     return e
 
@@ -26,7 +37,11 @@
     """Runs an edge until it is told to stop; then its sessions are handed over."""
     sys.exit(
         Daemon(
-            "verge", "Edge daemon: holds visitors' sessions and serves their statements.", False, _make, _leave
+            "verge",
+            "Edge daemon: holds visitors' sessions and serves their statements.",
+            False,
+            _make,
+            _leave,
         ).main(argv)
     )
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,6 +22,7 @@
 @pytest.fixture
 def fleet(tmp_path):
     """Runs a coroutine function against a fleet of real processes."""
+
     def run(fn, size="small", **kw):
         async def go():
             f = Fleet(str(tmp_path), size, **kw)
@@ -30,5 +31,7 @@
                 await fn(f)
             finally:
                 await f.close()
+
         asyncio.run(go())
+
     return run
--- a/tests/embargo_world.py
+++ b/tests/embargo_world.py
@@ -1,4 +1,5 @@
 """Cores, edges and members of the held path on simulated machines in virtual time, and who reads embargoed records."""
+
 import asyncio
 import json
 import random
@@ -28,6 +29,7 @@
         out = await fn(w)
         assert w.net.findings == [], w.net.findings[:3]
         return out
+
     try:
         return loop.run_until_complete(go())
     finally:
@@ -58,8 +60,16 @@
         return (self.log[-1][0], len(self.log)) if self.log else (0, 0)
 
     def row(self):
-        return {"role": self.role, "term": self.w.term, "pos": self.pos, "held": self.held, "lag_ms": "0", "busy": 0,
-                "conns": 1, "at": self.pos}
+        return {
+            "role": self.role,
+            "term": self.w.term,
+            "pos": self.pos,
+            "held": self.held,
+            "lag_ms": "0",
+            "busy": 0,
+            "conns": 1,
+            "at": self.pos,
+        }
 
     def reply(self, conn, rows=(), code=None):
         state = "I" if conn.open_ is None else "T"
@@ -95,7 +105,9 @@
         for _ in range(300):
             if self.role != "primary":
                 raise Unreached("deposed")
-            if not writes or any(m.log[:n] == self.log[:n] for m in self.w.members.values() if m is not self):
+            if not writes or any(
+                m.log[:n] == self.log[:n] for m in self.w.members.values() if m is not self
+            ):
                 return self.reply(conn)
             await self.box.clock.sleep(10_000)
         raise Unreached("no replica")
@@ -128,7 +140,13 @@
         while True:
             await self.box.clock.sleep(int(self.lag * 1e6))
             p = next((m for m in self.w.members.values() if m.role == "primary"), None)
-            if p is None or p is self or self.held or not p.box.up or self.w.net.is_cut(p.box.name, self.box.name):
+            if (
+                p is None
+                or p is self
+                or self.held
+                or not p.box.up
+                or self.w.net.is_cut(p.box.name, self.box.name)
+            ):
                 continue
             self.log = list(p.log)
 
@@ -138,10 +156,20 @@
         while True:
             count += 1
             c = self.w.rng.choice(sorted(self.w.cores))
-            doc = {"member": self.box.name, "group": "g", "hall": self.box.hall, "addr": f"sim:{self.box.name}",
-                   "role": self.role, "state": "ready", "slots": 9, "count": count}
+            doc = {
+                "member": self.box.name,
+                "group": "g",
+                "hall": self.box.hall,
+                "addr": f"sim:{self.box.name}",
+                "role": self.role,
+                "state": "ready",
+                "slots": 9,
+                "count": count,
+            }
             try:
-                await self.w.net.trip(self.box, self.w.cores[c], lambda: self.w.heard(c, doc), 500_000)
+                await self.w.net.trip(
+                    self.box, self.w.cores[c], lambda: self.w.heard(c, doc), 500_000
+                )
             except Fault:
                 pass
             await self.box.clock.sleep(250_000)
@@ -202,6 +230,7 @@
 
         async def hello():
             return True
+
         try:
             await self.w.net.trip(self.box, dst, hello, us, fresh=True)
         except Unreached:
@@ -226,11 +255,16 @@
             for s in self.states[:i]:
                 if len(s) == 2:
                     s.append(at)
+
         return acked
 
     def may_be_seen(self, now):
         """Whether some release time that may be in force at `now` has passed."""
-        return any((s[1] is None or s[1] <= now) for s in self.states if s[0] <= now and (len(s) == 2 or now < s[2]))
+        return any(
+            (s[1] is None or s[1] <= now)
+            for s in self.states
+            if s[0] <= now and (len(s) == 2 or now < s[2])
+        )
 
 
 class World:
@@ -241,10 +275,16 @@
         self.net = Net(loop, self.rng)
         self.term, self.version, self.more = 1, 0, {"embargoing": ["g"], **manifest}
         r = self.rng
-        self.cores = {f"c{i + 1}": Box(self.net, f"c{i + 1}", h, r.uniform(0.99, 1.01) if rates else 1.0)
-                      for i, h in enumerate(HALLS)}
-        self.edges = {f"e{i + 1}": Box(self.net, f"e{i + 1}", HALLS[i % 3], r.uniform(0.99, 1.01) if rates else 1.0)
-                      for i in range(edges)}
+        self.cores = {
+            f"c{i + 1}": Box(self.net, f"c{i + 1}", h, r.uniform(0.99, 1.01) if rates else 1.0)
+            for i, h in enumerate(HALLS)
+        }
+        self.edges = {
+            f"e{i + 1}": Box(
+                self.net, f"e{i + 1}", HALLS[i % 3], r.uniform(0.99, 1.01) if rates else 1.0
+            )
+            for i in range(edges)
+        }
         self.walls = {n: SimWall(self, r.randrange(-80_000, 80_000)) for n in self.cores}
         self.members = {}
         self.records, self.seen, self.bad, self.refused = {}, [], [], 0
@@ -257,14 +297,40 @@
     def manifest(self, **kw):
         self.version += 1
         self.more |= kw
-        return json.dumps({
-            "name": "fleet", "version": self.version, "halls": list(HALLS),
-            "groups": [{"name": "g", "cap": 40, "sync": 1}],
-            "routes": [{"name": "r0", "group": "g", "host": "db", "prefix": "", "reads": "strong",
-                        "timeout_us": 900_000, "aim_us": 300_000, "stale_us": 0, "rank": 1},
-                       {"name": "r1", "group": "g", "host": "old", "prefix": "", "reads": "browsing",
-                        "timeout_us": 900_000, "aim_us": 300_000, "stale_us": 1_500_000, "rank": 1}],
-            "bounds": {"keepers": 0, "idle_txn_us": 30_000_000}, **self.more})
+        return json.dumps(
+            {
+                "name": "fleet",
+                "version": self.version,
+                "halls": list(HALLS),
+                "groups": [{"name": "g", "cap": 40, "sync": 1}],
+                "routes": [
+                    {
+                        "name": "r0",
+                        "group": "g",
+                        "host": "db",
+                        "prefix": "",
+                        "reads": "strong",
+                        "timeout_us": 900_000,
+                        "aim_us": 300_000,
+                        "stale_us": 0,
+                        "rank": 1,
+                    },
+                    {
+                        "name": "r1",
+                        "group": "g",
+                        "host": "old",
+                        "prefix": "",
+                        "reads": "browsing",
+                        "timeout_us": 900_000,
+                        "aim_us": 300_000,
+                        "stale_us": 1_500_000,
+                        "rank": 1,
+                    },
+                ],
+                "bounds": {"keepers": 0, "idle_txn_us": 30_000_000},
+                **self.more,
+            }
+        )
 
     async def start(self):
         for i, h in enumerate(HALLS):
@@ -276,15 +342,32 @@
             self.start_core(n)
         for n in self.edges:
             self.start_edge(n)
-        await self.until(lambda: any(c.node and c.node.chain.active for c in self.cores.values()), 20)
+        await self.until(
+            lambda: any(c.node and c.node.chain.active for c in self.cores.values()), 20
+        )
         await self.call(lambda s: s.apply(self.manifest(), by="op"))
-        await self.until(lambda: all(e.node.ready and e.node.tie.holds for e in self.edges.values()), 20)
+        await self.until(
+            lambda: all(e.node.ready and e.node.tie.holds for e in self.edges.values()), 20
+        )
         await self.until(lambda: all(e.node.bands["g"].office for e in self.edges.values()), 20)
 
     def start_core(self, n):
         b = self.cores[n].boot()
-        s = Seat(n, b.hall, [f"sim:{x}" for x in sorted(self.cores)], b.clock, b.nest, b.link, b.disk,
-                 random.Random(self.rng.random()), self, SimWire(self, b), 1_200_000, b.log, wall=self.walls[n])
+        s = Seat(
+            n,
+            b.hall,
+            [f"sim:{x}" for x in sorted(self.cores)],
+            b.clock,
+            b.nest,
+            b.link,
+            b.disk,
+            random.Random(self.rng.random()),
+            self,
+            SimWire(self, b),
+            1_200_000,
+            b.log,
+            wall=self.walls[n],
+        )
         b.node = s
         s.start()
 
@@ -294,8 +377,23 @@
 
         def near(hall):
             return 0 if hall == b.hall else 1
-        tie = Tie(b.clock, b.nest, b.link, rng, n, [f"sim:{x}" for x in sorted(self.cores)], near, b.log)
-        b.node = Gate(n, b.hall, b.clock, b.nest, rng, tie, SimWire(self, b), near, 3_000_000, 3_000_000, b.log)
+
+        tie = Tie(
+            b.clock, b.nest, b.link, rng, n, [f"sim:{x}" for x in sorted(self.cores)], near, b.log
+        )
+        b.node = Gate(
+            n,
+            b.hall,
+            b.clock,
+            b.nest,
+            rng,
+            tie,
+            SimWire(self, b),
+            near,
+            3_000_000,
+            3_000_000,
+            b.log,
+        )
         b.node.start()
 
     async def until(self, ok, secs, what=""):
@@ -385,7 +483,9 @@
             return None
         v = g.open(host, visitor)
         if how == "prepared":
-            await g.serve_one(v, Ask("p", "prepare", "PREPARE q FETCH s1", name="q", shape="FETCH s1"))
+            await g.serve_one(
+                v, Ask("p", "prepare", "PREPARE q FETCH s1", name="q", shape="FETCH s1")
+            )
             a = Ask("r", "execute", f"EXECUTE q {thing}", name="q", data=thing, shape="FETCH s1")
         else:
             a = Ask("r", "read", f"FETCH {thing}")
@@ -405,8 +505,15 @@
         while self.reading:
             await asyncio.sleep(r.uniform(0.01, 0.06))
             if b.up and not b.frozen:
-                t = b.nest.spawn(self.read(n, thing, r.choice(("db", "old")), "u",
-                                           r.choice(("single", "prepared", "reads", "writes"))))
+                t = b.nest.spawn(
+                    self.read(
+                        n,
+                        thing,
+                        r.choice(("db", "old")),
+                        "u",
+                        r.choice(("single", "prepared", "reads", "writes")),
+                    )
+                )
                 if t is not None:
                     await asyncio.wait([t], timeout=30)
 
@@ -431,8 +538,14 @@
         await g.serve_one(v, Ask("r", "read", "FETCH other"))
         for _ in range(4):
             await b.clock.sleep(r.randrange(200_000, 2_000_000))
-            a = r.choice((Ask("r", "read", f"FETCH {thing}"),
-                          Ask("r", "execute", f"EXECUTE q {thing}", name="q", data=thing, shape="FETCH s1")))
+            a = r.choice(
+                (
+                    Ask("r", "read", f"FETCH {thing}"),
+                    Ask(
+                        "r", "execute", f"EXECUTE q {thing}", name="q", data=thing, shape="FETCH s1"
+                    ),
+                )
+            )
             x = await g.serve_one(v, a)
             if b.life == life:
                 self.note(n, thing, x)
@@ -441,8 +554,12 @@
 
     def crowd(self, things, each=2):
         """Readers of every record at every edge."""
-        return [asyncio.ensure_future(f(n, t, i)) for n in self.edges for t in things
-                for i, f in enumerate([self.reader] * each + [self.long_reader])]
+        return [
+            asyncio.ensure_future(f(n, t, i))
+            for n in self.edges
+            for t in things
+            for i, f in enumerate([self.reader] * each + [self.long_reader])
+        ]
 
     async def settle(self, crowd):
         self.reading = False
--- a/tests/estate/beats.py
+++ b/tests/estate/beats.py
@@ -61,8 +61,17 @@
     async def _send(self, verb):
         m, g = self._member, self._member.group
         self._seq += 1
-        body = {"Service": g.service, "Address": m.address, "Zone": m.zone, "Revision": m.revision,
-                "Capacity": g.slots, "State": m.state, "WarmupLeftMs": 0, "DbRole": m.role, "CallSeq": self._seq}
+        body = {
+            "Service": g.service,
+            "Address": m.address,
+            "Zone": m.zone,
+            "Revision": m.revision,
+            "Capacity": g.slots,
+            "State": m.state,
+            "WarmupLeftMs": 0,
+            "DbRole": m.role,
+            "CallSeq": self._seq,
+        }
         node = self._target or self._nodes[self._turn % len(self._nodes)]
         status, got = await self._caller.call(node, "POST", f"/v1/Members.{verb}/{m.id}", body)
         if 200 <= status < 300 and len(got) <= 4096:
--- a/tests/estate/caller.py
+++ b/tests/estate/caller.py
@@ -16,15 +16,21 @@
     async def call(self, address, method, path, body=None, headers=None):
         """One call; returns the status and the body's bytes, or the status 0 on a failure or silence."""
         if self._http is None:
-            self._http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=5))
+            self._http = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=5)
+            )
         data = None if body is None else json.dumps(body, separators=(",", ":")).encode()
-        headers = {**(headers or {}), **({"Content-Type": "application/json"} if data is not None else {})}
+        headers = {
+            **(headers or {}),
+            **({"Content-Type": "application/json"} if data is not None else {}),
+        }
         url = f"http://{address}{path}"
         try:
             async with asyncio.timeout(self.seconds):
                 for _ in range(3):
-                    async with self._http.request(method, url, data=data, headers=headers,
-                                                  allow_redirects=False) as answer:
+                    async with self._http.request(
+                        method, url, data=data, headers=headers, allow_redirects=False
+                    ) as answer:
                         got = await answer.read()
                         if answer.status != 307:
                             return answer.status, got
--- a/tests/estate/client.py
+++ b/tests/estate/client.py
@@ -19,7 +19,20 @@
     `pick(further)` gives the address for its next connection. Things, values and prepared names clash between clients.
     """
 
-    def __init__(self, name, route, pick, history, *, seed=0, rate=4.0, tries=2, pause_ms=30, things=20, lasting=True):
+    def __init__(
+        self,
+        name,
+        route,
+        pick,
+        history,
+        *,
+        seed=0,
+        rate=4.0,
+        tries=2,
+        pause_ms=30,
+        things=20,
+        lasting=True,
+    ):
         self.name, self.route, self._pick, self._history = name, route, pick, history
         self._random = random.Random(f"{seed}/{name}")
         self._rate, self._tries, self._pause_ms, self._things = rate, tries, pause_ms, things
@@ -49,8 +62,13 @@
         plan = self._plan()
         rested = 0.0
         while operation.tries <= self._tries and self._history.now() < deadline:
-            attempt = Attempt(f"{self.name}/{self._sessions}", self.route.database, self.route.route_type,
-                              self.route.max_staleness_ms, len(plan) > 1)
+            attempt = Attempt(
+                f"{self.name}/{self._sessions}",
+                self.route.database,
+                self.route.route_type,
+                self.route.max_staleness_ms,
+                len(plan) > 1,
+            )
             self._history.attempts.append(attempt)
             operation.tries += 1
             began = self._history.now()
@@ -70,12 +88,17 @@
         r = self._random
         if r.random() >= self.route.transactions:
             return [self._text(r.random() < self.route.writes)]
-        texts = [self._text(self.route.writes > 0 and r.random() < max(0.3, self.route.writes))
-                 for _ in range(r.randint(1, 4))]
+        texts = [
+            self._text(self.route.writes > 0 and r.random() < max(0.3, self.route.writes))
+            for _ in range(r.randint(1, 4))
+        ]
         only = not any(kind == "PUT" for kind, _, _ in texts)
         end = r.choices(("COMMIT", "ROLLBACK", "LEAVE"), (18, 2, 1))[0]
-        return [("BEGIN", only and r.random() < 0.5 or self.route.route_type != "primary", None), *texts,
-                (end, None, None)]
+        return [
+            ("BEGIN", only and r.random() < 0.5 or self.route.route_type != "primary", None),
+            *texts,
+            (end, None, None),
+        ]
 
     def _text(self, writes):
         thing = f"{self._random.randrange(self._things):x}"
@@ -130,8 +153,14 @@
         return rested
 
     async def _ask(self, attempt, text, deadline, shape=None, writes=False):
-        s = Statement(f"{self._random.getrandbits(64):016x}", text, self._history.now(), shape, writes,
-                      dict(self._values))
+        s = Statement(
+            f"{self._random.getrandbits(64):016x}",
+            text,
+            self._history.now(),
+            shape,
+            writes,
+            dict(self._values),
+        )
         attempt.statements.append(s)
         try:
             answer = await self._session.ask(s.id, text, max(0.01, deadline - s.sent))
@@ -154,7 +183,9 @@
             return
         self._close()
         self._sessions += 1
-        self._session = await Session.open(self._pick(self._further), self.route.database, self.name)
+        self._session = await Session.open(
+            self._pick(self._further), self.route.database, self.name
+        )
         for name in ("lang", "zone"):
             if r.random() < 0.7:
                 value = r.choice("abc")
--- a/tests/estate/group.py
+++ b/tests/estate/group.py
@@ -12,10 +12,29 @@
     A position is the term and number of the newest commit it includes, so a promote by itself moves no position.
     """
 
-    def __init__(self, service, history, *, sync_replicas=1, lag_ms=60, net_ms=1, promote_ms=300, slots=13, queue=26,
-                 conn_limit=130, work_ms=11, connect_ms=12, sync_wait_ms=3000):
+    def __init__(
+        self,
+        service,
+        history,
+        *,
+        sync_replicas=1,
+        lag_ms=60,
+        net_ms=1,
+        promote_ms=300,
+        slots=13,
+        queue=26,
+        conn_limit=130,
+        work_ms=11,
+        connect_ms=12,
+        sync_wait_ms=3000,
+    ):
         self.service, self.history = service, history
-        self.sync_replicas, self.lag_ms, self.net_ms, self.promote_ms = sync_replicas, lag_ms, net_ms, promote_ms
+        self.sync_replicas, self.lag_ms, self.net_ms, self.promote_ms = (
+            sync_replicas,
+            lag_ms,
+            net_ms,
+            promote_ms,
+        )
         self.slots, self.queue, self.conn_limit = slots, queue, conn_limit
         self.work_ms, self.connect_ms, self.sync_wait_ms = work_ms, connect_ms, sync_wait_ms
         self.members, self.entries = {}, []
@@ -52,17 +71,21 @@
         if self.sync_replicas:
             try:
                 async with asyncio.timeout(self.sync_wait_ms / 1000):
-                    await self.changed.wait_for(lambda: entry.synced or self.leader is not leader or self.term != term)
+                    await self.changed.wait_for(
+                        lambda: entry.synced or self.leader is not leader or self.term != term
+                    )
             except TimeoutError:
                 return False
         return self.leader is leader and self.term == term
 
     def promote_soon(self, member):
         """Promotes `member` after the time that a promote takes."""
+
         async def later():
             await asyncio.sleep(self.promote_ms / 1000)
             if member.running:
                 self.promote(member)
+
         if self.leader is not member:
             task = asyncio.ensure_future(later())
             self._promotes.add(task)
@@ -97,7 +120,7 @@
             await asyncio.sleep(self.net_ms / 1000)
             if self._behind(member):
                 member.follow()
-                entries = self.leader.log[len(member.log):]
+                entries = self.leader.log[len(member.log) :]
                 member.receive(entries)
                 for entry in entries:
                     entry.synced = True
--- a/tests/estate/judge.py
+++ b/tests/estate/judge.py
@@ -15,10 +15,20 @@
     Machines are in touch, for the rules that ask it, when no machine had trouble in the `contact_ms` before.
     """
     asked = {s.id: (a, s) for a in history.attempts for s in a.statements}
-    rules = (_mixed(history, asked), _pinned(history, asked), _unasked(history, asked), _effects(history),
-             _stale(history, asked), _promote_lost(history), _drain(history, asked, drain_ms, contact_ms),
-             _evacuation(history, evacuate_ms, contact_ms), _route(history, asked), _stray(history),
-             _cut(history, contact_ms, loss_slack_ms), _config(history))
+    rules = (
+        _mixed(history, asked),
+        _pinned(history, asked),
+        _unasked(history, asked),
+        _effects(history),
+        _stale(history, asked),
+        _promote_lost(history),
+        _drain(history, asked, drain_ms, contact_ms),
+        _evacuation(history, evacuate_ms, contact_ms),
+        _route(history, asked),
+        _stray(history),
+        _cut(history, contact_ms, loss_slack_ms),
+        _config(history),
+    )
     return [Violation(*v) for v in itertools.chain(*rules)]
 
 
@@ -30,9 +40,15 @@
         if s.outcome == "ok" and s.text.split(" ")[0] in ("FETCH", "PUT", "EXECUTE", "COMMIT"):
             run = runs[s.id].get(s.stamp)
             if run is None:
-                yield "MIXED", f"{s.id} {s.text}: success with the stamp {s.stamp} which no member gave it"
+                yield (
+                    "MIXED",
+                    f"{s.id} {s.text}: success with the stamp {s.stamp} which no member gave it",
+                )
             elif run.rows != s.rows:
-                yield "MIXED", f"{s.id} {s.text}: rows {s.rows} where the member answered {run.rows}"
+                yield (
+                    "MIXED",
+                    f"{s.id} {s.text}: rows {s.rows} where the member answered {run.rows}",
+                )
 
 
 def _pinned(history, asked):
@@ -51,13 +67,22 @@
             if s is a.first:
                 places[id(a)] = place
             if places.get(id(a)) != place:
-                yield "PINNED", f"{s.id} {s.text} ran at {place}, its transaction's first at {places.get(id(a))}"
+                yield (
+                    "PINNED",
+                    f"{s.id} {s.text} ran at {place}, its transaction's first at {places.get(id(a))}",
+                )
             if owners.setdefault(place, a) is not a:
-                yield "PINNED", f"{s.id} {s.text} ran inside the transaction of {owners[place].session}"
+                yield (
+                    "PINNED",
+                    f"{s.id} {s.text} ran inside the transaction of {owners[place].session}",
+                )
         if run.values != s.values and run.kind != "COMMIT":
             yield "PINNED", f"{s.id} ran with the values {run.values}, its client's are {s.values}"
         if run.shape != s.shape:
-            yield "PINNED", f"{s.id} {s.text} ran the shape {run.shape}, its client prepared {s.shape}"
+            yield (
+                "PINNED",
+                f"{s.id} {s.text} ran the shape {run.shape}, its client prepared {s.shape}",
+            )
     for _, s in asked.values():
         if s.outcome == "NOSTMT" and s.shape is not None:
             yield "PINNED", f"{s.id} {s.text}: the prepared name is unknown"
@@ -77,17 +102,25 @@
         if run.id not in asked:
             yield "UNASKED", f"{run.member} ran {run.id} {run.text}, which no client sent"
         elif not _same_text(asked[run.id][1].text, run.text):
-            yield "UNASKED", f"{run.member} ran {run.id} as {run.text}, sent was {asked[run.id][1].text}"
+            yield (
+                "UNASKED",
+                f"{run.member} ran {run.id} as {run.text}, sent was {asked[run.id][1].text}",
+            )
 
 
 def _effects(history):
-    kept = collections.Counter(id for e in history.entries if e.cut_at is None for id, _, _ in e.writes)
+    kept = collections.Counter(
+        id for e in history.entries if e.cut_at is None for id, _, _ in e.writes
+    )
     for a in history.attempts:
         for s in a.statements:
             if kept[s.id] > 1:
                 yield "TWICE", f"{s.id} {s.text} took effect {kept[s.id]} times"
             if kept[s.id] and a.promised:
-                yield "REFUSED", f"{s.id} {s.text} was committed, its client was told that nothing is kept"
+                yield (
+                    "REFUSED",
+                    f"{s.id} {s.text} was committed, its client was told that nothing is kept",
+                )
 
 
 def _stale(history, asked):
@@ -110,7 +143,10 @@
             log = log.before
         has = log.number if log else 0
         if n and numbers[n - 1] > has:
-            yield "STALE", f"{s.id} {s.text} ran at {run.member} on {has}, {numbers[n - 1]} was acknowledged before it"
+            yield (
+                "STALE",
+                f"{s.id} {s.text} ran at {run.member} on {has}, {numbers[n - 1]} was acknowledged before it",
+            )
 
 
 def _promote_lost(history):
@@ -120,7 +156,9 @@
 
 
 def _in_touch(history, at, contact_ms):
-    return not any(t.machines and t.at <= at and t.until >= at - contact_ms / 1000 for t in history.troubles)
+    return not any(
+        t.machines and t.at <= at and t.until >= at - contact_ms / 1000 for t in history.troubles
+    )
 
 
 def _drain(history, asked, drain_ms, contact_ms):
@@ -130,7 +168,10 @@
             continue
         a, s = asked[run.id]
         if s is a.first and _in_touch(history, run.arrived, contact_ms):
-            yield "DRAIN", f"{s.id} {s.text} reached {run.member} {run.arrived - since:.1f} s after it was draining"
+            yield (
+                "DRAIN",
+                f"{s.id} {s.text} reached {run.member} {run.arrived - since:.1f} s after it was draining",
+            )
 
 
 def _evacuation(history, evacuate_ms, contact_ms):
@@ -139,15 +180,28 @@
             since = run.arrived - e.acked_at
             if run.zone != e.zone or since <= evacuate_ms / 1000:
                 continue
-            if (e.finished_at is None or run.arrived < e.finished_at) and _in_touch(history, run.arrived, contact_ms):
-                yield "EVAC", f"{run.id} {run.text} reached {run.member} {since:.1f} s after {e.zone} was evacuated"
+            if (e.finished_at is None or run.arrived < e.finished_at) and _in_touch(
+                history, run.arrived, contact_ms
+            ):
+                yield (
+                    "EVAC",
+                    f"{run.id} {run.text} reached {run.member} {since:.1f} s after {e.zone} was evacuated",
+                )
 
 
 def _route(history, asked):
-    allowed = {(r["Hostname"], r["Service"]) for o in history.configs if o.valid for r in o.config["Routes"]}
+    allowed = {
+        (r["Hostname"], r["Service"])
+        for o in history.configs
+        if o.valid
+        for r in o.config["Routes"]
+    }
     for run in history.runs:
         if run.id in asked and (asked[run.id][0].database, run.service) not in allowed:
-            yield "ROUTE", f"{run.service} ran {run.id} {run.text} of the database {asked[run.id][0].database}"
+            yield (
+                "ROUTE",
+                f"{run.service} ran {run.id} {run.text} of the database {asked[run.id][0].database}",
+            )
 
 
 def _stray(history):
@@ -161,8 +215,11 @@
         for s in a.statements:
             if s.outcome != "cut" or s.id not in ran and s.ended - s.sent <= loss_slack_ms / 1000:
                 continue
-            if not any(t.at <= s.ended and t.until >= s.sent - contact_ms / 1000
-                       for t in history.troubles if not t.planned):
+            if not any(
+                t.at <= s.ended and t.until >= s.sent - contact_ms / 1000
+                for t in history.troubles
+                if not t.planned
+            ):
                 yield "LOST", f"{s.id} {s.text} was cut off without trouble"
 
 
--- a/tests/estate/member.py
+++ b/tests/estate/member.py
@@ -21,7 +21,13 @@
     """
 
     def __init__(self, group, id, address, zone, nodes=(), beat_ms=1200, revision="v1"):
-        self.group, self.history, self.id, self.address, self.zone = group, group.history, id, address, zone
+        self.group, self.history, self.id, self.address, self.zone = (
+            group,
+            group.history,
+            id,
+            address,
+            zone,
+        )
         self.state, self.revision = "ready", revision
         self.log, self.data, self.held = [], {}, 0
         self.running, self.dark, self.deaf, self.refuse = False, False, False, False
@@ -177,7 +183,11 @@
     @contextlib.asynccontextmanager
     async def slot(self, ms):
         """Holds one of its slots for `ms` before the body runs; raises Refusal when it is too busy."""
-        if self.refuse or self.history.now() < self._busy_until or self._waiting >= self.group.queue:
+        if (
+            self.refuse
+            or self.history.now() < self._busy_until
+            or self._waiting >= self.group.queue
+        ):
             raise Refusal("BUSY", self.id)
         self._waiting += 1
         try:
@@ -209,10 +219,26 @@
     def note(self, session, id, text, kind, shape, rows, transaction=None):
         """Records what was run, and stamps it."""
         log = self._last()
-        stamp = f"{self.group.term:x}.{len(self.log):x}.{session.number:x}.{len(self.history.runs):x}"
-        run = Run(self.history.now(), session.arrived, self.group.service, self.id, self.zone, session.number,
-                  session.transaction or transaction, id, text, kind, log, shape, dict(session.values),
-                  f"{stamp}.{secrets.token_hex(8)}", rows)
+        stamp = (
+            f"{self.group.term:x}.{len(self.log):x}.{session.number:x}.{len(self.history.runs):x}"
+        )
+        run = Run(
+            self.history.now(),
+            session.arrived,
+            self.group.service,
+            self.id,
+            self.zone,
+            session.number,
+            session.transaction or transaction,
+            id,
+            text,
+            kind,
+            log,
+            shape,
+            dict(session.values),
+            f"{stamp}.{secrets.token_hex(8)}",
+            rows,
+        )
         self.history.runs.append(run)
         return run
 
@@ -270,5 +296,7 @@
         if line.split(" ")[:2] == ["GET", "/health"]:
             well = self.state == "ready" and not self.failing
             status = "200 OK" if well else "503 Service Unavailable"
-        wire.send_bytes(f"HTTP/1.1 {status}\r\nX-Member-Id: {self.id}\r\nContent-Length: 0\r\n"
-                        "Connection: close\r\n\r\n".encode())
+        wire.send_bytes(
+            f"HTTP/1.1 {status}\r\nX-Member-Id: {self.id}\r\nContent-Length: 0\r\n"
+            "Connection: close\r\n\r\n".encode()
+        )
--- a/tests/estate/member_session.py
+++ b/tests/estate/member_session.py
@@ -68,7 +68,11 @@
         if text.startswith("AFTER "):
             _, position, text = (text.split(" ", 2) + ["", ""])[:3]
             after = tuple(int(x) if x.isdigit() else -1 for x in position.split("."))
-            if len(after) != 2 or min(after) < 0 or text.split(" ")[0] not in (*READS_AND_WRITES, "BEGIN"):
+            if (
+                len(after) != 2
+                or min(after) < 0
+                or text.split(" ")[0] not in (*READS_AND_WRITES, "BEGIN")
+            ):
                 raise Refusal("MALFORMED", "AFTER")
         words = text.split(" ")
         verb = words[0]
--- a/tests/estate/process.py
+++ b/tests/estate/process.py
@@ -12,7 +12,13 @@
     """
 
     def __init__(self, argv, cwd, env, log, write_settings, pause=0.5):
-        self._argv, self._cwd, self._env, self._log, self._write = argv, cwd, env, log, write_settings
+        self._argv, self._cwd, self._env, self._log, self._write = (
+            argv,
+            cwd,
+            env,
+            log,
+            write_settings,
+        )
         self._pause = pause
         self._child, self._keeper, self._told = None, None, False
         self.starts, self.own_ends = 0, []
@@ -60,7 +66,13 @@
         self._told = False
         with open(self._log, "ab") as out:
             self._child = await asyncio.create_subprocess_exec(
-                *self._argv, cwd=self._cwd, env=self._env, stdin=asyncio.subprocess.DEVNULL, stdout=out, stderr=out)
+                *self._argv,
+                cwd=self._cwd,
+                env=self._env,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=out,
+                stderr=out,
+            )
 
     async def _keep(self):
         while True:
--- a/tests/estate/route.py
+++ b/tests/estate/route.py
@@ -18,7 +18,20 @@
 
     def row(self, priority=1):
         """The route as a configuration holds it."""
-        row = {"Name": f"r-{self.database}", "Hostname": self.database, "PathPrefix": "/", "RouteType": self.route_type,
-               "TimeoutMs": self.timeout_ms, "TargetMs": self.target_ms, "Priority": priority, "Service": self.service,
-               "MaxTries": 2, "RegionsAllowed": []}
-        return {**row, "MaxStalenessMs": self.max_staleness_ms} if self.route_type == "bounded_staleness" else row
+        row = {
+            "Name": f"r-{self.database}",
+            "Hostname": self.database,
+            "PathPrefix": "/",
+            "RouteType": self.route_type,
+            "TimeoutMs": self.timeout_ms,
+            "TargetMs": self.target_ms,
+            "Priority": priority,
+            "Service": self.service,
+            "MaxTries": 2,
+            "RegionsAllowed": [],
+        }
+        return (
+            {**row, "MaxStalenessMs": self.max_staleness_ms}
+            if self.route_type == "bounded_staleness"
+            else row
+        )
--- a/tests/estate/scene.py
+++ b/tests/estate/scene.py
@@ -24,13 +24,34 @@
     Use it as `async with`, then `play` and `verdict`; `fleet`, `groups`, `cloud` and `operator` take the faults.
     """
 
-    def __init__(self, root, folder, *, zones=3, cores=3, edges=3, services=2, members=3, bounds=None, **group):
+    def __init__(
+        self,
+        root,
+        folder,
+        *,
+        zones=3,
+        cores=3,
+        edges=3,
+        services=2,
+        members=3,
+        bounds=None,
+        **group,
+    ):
         net = 20 + os.getpid() % 200
         self.history = History()
         self.zones = {f"hall-{chr(97 + i)}": f"region-{chr(97 + i)}" for i in range(zones)}
         self.cloud = Cloud({}, f"127.{net}.250.1:8186")
-        self.fleet = Fleet(root, folder, self.history, self.zones, edges=edges, cores=cores, net=net,
-                           cloud=self.cloud.address, bounds=bounds)
+        self.fleet = Fleet(
+            root,
+            folder,
+            self.history,
+            self.zones,
+            edges=edges,
+            cores=cores,
+            net=net,
+            cloud=self.cloud.address,
+            bounds=bounds,
+        )
         self.operator = Operator(self.history, self.fleet.controls())
         self.router = Router(self.fleet.fronts, list(self.zones))
         self.groups = self.cloud.groups
@@ -44,13 +65,17 @@
                 zone = list(self.zones)[(s + i) % zones]
                 address = f"127.{net}.{(s + i) % zones + 1}.{101 + s * 10 + i}:8080"
                 g.add(Member(g, f"i-{s:04x}{i:04x}", address, zone, self.fleet.controls()))
-            self.routes += [Route(f"pri{s}", name),
-                            Route(f"bnd{s}", name, "bounded_staleness", 1500, writes=0.0, transactions=0.1)]
+            self.routes += [
+                Route(f"pri{s}", name),
+                Route(f"bnd{s}", name, "bounded_staleness", 1500, writes=0.0, transactions=0.1),
+            ]
 
     async def __aenter__(self):
         try:
             await self.cloud.start()
-            await asyncio.gather(*(m.start() for g in self.groups.values() for m in g.members.values()))
+            await asyncio.gather(
+                *(m.start() for g in self.groups.values() for m in g.members.values())
+            )
             await self.fleet.start()
             self.router.start()
             order = await self.configure()
@@ -72,13 +97,33 @@
     def config(self, **changes):
         """The next configuration: the routes of `routes` and all services."""
         self._revision += 1 + self._revision % 3
-        services = [{"Name": g.service, "HealthPath": "/health", "ConnLimit": g.conn_limit, "Protocol": "h1",
-                     "TlsMode": False, "WarmupS": 0.0, "WarmupRateS": 0.0, "SyncReplicas": g.sync_replicas}
-                    for g in self.groups.values()]
-        limits = {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000,
-                  "TxnIdleMs": 3000}
-        return {"Revision": self._revision, "Routes": [r.row(1 + (r.writes == 0)) for r in self.routes],
-                "Services": services, "Limits": limits, **changes}
+        services = [
+            {
+                "Name": g.service,
+                "HealthPath": "/health",
+                "ConnLimit": g.conn_limit,
+                "Protocol": "h1",
+                "TlsMode": False,
+                "WarmupS": 0.0,
+                "WarmupRateS": 0.0,
+                "SyncReplicas": g.sync_replicas,
+            }
+            for g in self.groups.values()
+        ]
+        limits = {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 262144,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+            "TxnIdleMs": 3000,
+        }
+        return {
+            "Revision": self._revision,
+            "Routes": [r.row(1 + (r.writes == 0)) for r in self.routes],
+            "Services": services,
+            "Limits": limits,
+            **changes,
+        }
 
     async def configure(self, valid=True, **changes):
         """Sends the next configuration; returns its order."""
@@ -95,12 +140,20 @@
     async def release(self, member, drain_ms=None):
         """A member's planned end, after which a new member with its log stands at its address; returns that."""
         await member.release(drain_ms or self.fleet.bounds["DrainMs"])
-        new = Member(member.group, f"{member.id}n", member.address, member.zone, self.fleet.controls(), revision="v2")
+        new = Member(
+            member.group,
+            f"{member.id}n",
+            member.address,
+            member.zone,
+            self.fleet.controls(),
+            revision="v2",
+        )
         member.group.replace(member, new)
         return await new.start()
 
     async def play(self, seconds, faults=(), clients=4, rate=4.0):
         """Lets `clients` for each route and zone work for `seconds`; `faults` are (second, function) pairs."""
+
         async def strike(at, fault):
             await asyncio.sleep(at)
             done = fault()
@@ -112,17 +165,35 @@
             for i in range(clients):
                 zone = list(self.zones)[i % len(self.zones)]
                 name = f"u{len(self.clients) + len(crowd)}"
-                crowd.append(Client(name, route, lambda n, z=zone, c=name: self.router.pick(z, c, n), self.history,
-                                    rate=rate, lasting=i % 4 < 3))
+                crowd.append(
+                    Client(
+                        name,
+                        route,
+                        lambda n, z=zone, c=name: self.router.pick(z, c, n),
+                        self.history,
+                        rate=rate,
+                        lasting=i % 4 < 3,
+                    )
+                )
         self.clients += crowd
         await asyncio.gather(*(c.run(seconds) for c in crowd), *(strike(*f) for f in faults))
 
     async def verdict(self):
         """Reads the configuration back and judges what was seen."""
         await self.operator.fetch()
-        violations = judge(self.history, drain_ms=self.fleet.bounds["DrainMs"],
-                           evacuate_ms=self.fleet.bounds["EvacuateMs"], contact_ms=self.fleet.bounds["ContactMs"],
-                           loss_slack_ms=self.fleet.bounds["LossSlackMs"])
+        violations = judge(
+            self.history,
+            drain_ms=self.fleet.bounds["DrainMs"],
+            evacuate_ms=self.fleet.bounds["EvacuateMs"],
+            contact_ms=self.fleet.bounds["ContactMs"],
+            loss_slack_ms=self.fleet.bounds["LossSlackMs"],
+        )
         owed = [o for c in self.clients for o in c.operations if not o.left]
-        return Verdict(violations, len(owed), sum(o.served for o in owed), sum(o.in_aim for o in owed),
-                       self.fleet.own_ends(), dict(collections.Counter(o.last for o in owed if not o.served)))
+        return Verdict(
+            violations,
+            len(owed),
+            sum(o.served for o in owed),
+            sum(o.in_aim for o in owed),
+            self.fleet.own_ends(),
+            dict(collections.Counter(o.last for o in owed if not o.served)),
+        )
--- a/tests/estate/session.py
+++ b/tests/estate/session.py
@@ -28,7 +28,11 @@
                 session._wire.send("CONNECT", *fields)
                 words = await session._next()
                 if words[0] != "READY":
-                    raise Refusal(*words[1].split(" ", 1)) if words[0] == "ERROR" else Refusal("MALFORMED", words[0])
+                    raise (
+                        Refusal(*words[1].split(" ", 1))
+                        if words[0] == "ERROR"
+                        else Refusal("MALFORMED", words[0])
+                    )
                 session._ready(words)
             except BaseException:
                 session.close()
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -3,6 +3,7 @@
 A listed test runs as a strict xfail: it may fail, but fails the run when it passes. One that is skipped fails the run
 too, and so does one that is not found when the whole suite is run.
 """
+
 import re
 
 import pytest
@@ -18,7 +19,9 @@
             continue
         fields = re.split(r"\s*\t\s*| {2,}", line.strip())
         if len(fields) != 3 or not all(fields):
-            raise pytest.UsageError(f"{FILE}:{i}: not a test id, a cause and an issue, apart by a tab or two spaces")
+            raise pytest.UsageError(
+                f"{FILE}:{i}: not a test id, a cause and an issue, apart by a tab or two spaces"
+            )
         if fields[0] in out:
             raise pytest.UsageError(f"{FILE}:{i}: {fields[0]} is listed twice")
         out[fields[0]] = fields[1:]
@@ -33,8 +36,19 @@
 
 
 def _is_whole(config):
-    narrowed = ("keyword", "markexpr", "deselect", "ignore", "ignore_glob", "lf", "stepwise", "collectonly")
-    return config.args_source is config.ArgsSource.TESTPATHS and not any(config.getoption(o, None) for o in narrowed)
+    narrowed = (
+        "keyword",
+        "markexpr",
+        "deselect",
+        "ignore",
+        "ignore_glob",
+        "lf",
+        "stepwise",
+        "collectonly",
+    )
+    return config.args_source is config.ArgsSource.TESTPATHS and not any(
+        config.getoption(o, None) for o in narrowed
+    )
 
 
 class _Marker:
@@ -47,7 +61,10 @@
         for item in items:
             if item.nodeid in self._listed:
                 cause, issue = self._listed[item.nodeid]
-                item.add_marker(pytest.mark.xfail(reason=f"known red: {cause} ({issue})", strict=True), append=False)
+                item.add_marker(
+                    pytest.mark.xfail(reason=f"known red: {cause} ({issue})", strict=True),
+                    append=False,
+                )
                 # xdist appends a group's name to the id; the property keeps it as listed
                 item.user_properties.append(("known_red", item.nodeid))
 
@@ -81,9 +98,16 @@
             if name not in self._seen and _is_whole(session.config):
                 self._seen[name] = "not found"
             if self._seen.get(name) in ("not found", "skipped, so not known to fail"):
-                session.config.hook.pytest_runtest_logreport(report=pytest.TestReport(
-                    f"{FILE}::{name}", (FILE, None, name), {}, "failed", f"listed in {FILE}: {self._seen[name]}", "call"
-                ))
+                session.config.hook.pytest_runtest_logreport(
+                    report=pytest.TestReport(
+                        f"{FILE}::{name}",
+                        (FILE, None, name),
+                        {},
+                        "failed",
+                        f"listed in {FILE}: {self._seen[name]}",
+                        "call",
+                    )
+                )
         return result
 
     def pytest_terminal_summary(self, terminalreporter):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1,4 +1,5 @@
 """The guards, each taken out alone: what the tests of test_never.py run against."""
+
 import petrelhaven.feint.usher as usher
 import petrelhaven.helm.chain as chain
 import petrelhaven.helm.desk as desk
@@ -27,6 +28,7 @@
         s.ver, s.sure = s.ver + 1, True
         s.keepers = []
         return False
+
     mp.setattr(keep.Keeper, "keep", no)
 
 
@@ -42,6 +44,7 @@
         if any(v["outcome"] == "unknown" for v in s.tries.values()):
             return True
         return await real(self, s)
+
     mp.setattr(keep.Keeper, "keep", keep_)
 
 
@@ -54,7 +57,12 @@
 
     def write(self, s, d, op, t, end):
         r = yield from real(self, s, d, op, t, end)
-        return {**r, "outcome": "not kept"} if r["outcome"] == "unknown" and not r.get("repeated") else r
+        return (
+            {**r, "outcome": "not kept"}
+            if r["outcome"] == "unknown" and not r.get("repeated")
+            else r
+        )
+
     mp.setattr(writes.Writer, "run", write)
 
 
@@ -63,7 +71,11 @@
 
 
 def browsing_any_age(mp):
-    mp.setattr(clock.ReadClock, "_fits", staticmethod(lambda start, us, r: start > r.arr or r.since is not None))
+    mp.setattr(
+        clock.ReadClock,
+        "_fits",
+        staticmethod(lambda start, us, r: start > r.arr or r.since is not None),
+    )
 
 
 def no_after(mp):
@@ -71,17 +83,23 @@
 
     def try_(self, post, s, ops, end, first, pos, pin):
         return real(self, post, s, ops, end, [o for o in first if o["v"] != "after"], pos, pin)
+
     mp.setattr(read.Reader, "try_at", try_)
 
 
 def no_hold(mp):
     async def held(self, t, primary, term, pos):
         return True
+
     mp.setattr(edge.Edge, "held", held)
 
 
 def any_candidate(mp):
-    mp.setattr(plan, "_candidates", lambda s: [n for n in s.members if n != s.epoch["primary"] and s.live(n)])
+    mp.setattr(
+        plan,
+        "_candidates",
+        lambda s: [n for n in s.members if n != s.epoch["primary"] and s.live(n)],
+    )
 
 
 def no_reset(mp):
@@ -94,7 +112,9 @@
 
 def halls_ignored(mp):
     real = troop.Troop.turn
-    mp.setattr(troop.Troop, "turn", lambda self, e, share, halls: real(self, e, share, lambda h: "open"))
+    mp.setattr(
+        troop.Troop, "turn", lambda self, e, share, halls: real(self, e, share, lambda h: "open")
+    )
     mp.setattr(plan.Sight, "leaving", lambda self, n: self.members[n]["draining"])
 
 
@@ -105,6 +125,7 @@
 def acked_at_once(mp):
     async def in_force(self, seq, grace=0, horizon=0):
         return 0
+
     mp.setattr(desk.Desk, "in_force", in_force)
 
 
@@ -113,6 +134,7 @@
 
     def announce(self, d):
         real(self, {**d, "warm": True})
+
     mp.setattr(duty.Duty, "announce", announce)
     mp.setattr(pool.Pool, "ramp", lambda self: 1.0)
 
@@ -123,14 +145,21 @@
 
 def nothing_synced(mp):
     mp.setattr(
-        memory.Memory, "_keep", lambda self, doc: None if doc["t"] == "rec" else self._ring.append(doc, self._whole)
+        memory.Memory,
+        "_keep",
+        lambda self, doc: None if doc["t"] == "rec" else self._ring.append(doc, self._whole),
     )
 
 
 def share_at_once(mp):
     from petrelhaven.helm.realm import Realm
+
     mp.setattr(
-        Realm, "share", lambda self, g, e, m: self.doc["epochs"].get(g, {"shares": {}})["shares"].get(e, {}).get(m, 0)
+        Realm,
+        "share",
+        lambda self, g, e, m: (
+            self.doc["epochs"].get(g, {"shares": {}})["shares"].get(e, {}).get(m, 0)
+        ),
     )
 
 
@@ -138,6 +167,7 @@
     def turn(self, key):
         self.key = key
         self._pump()
+
     mp.setattr(clock.ReadClock, "turn", turn)
 
 
@@ -155,30 +185,36 @@
                 return (yield from real(self, post, c, s, ops, us, first, pinned))
             finally:
                 post.pool.give(c)
+
     mp.setattr(send.Sender, "on", on)
 
 
 def no_consent(mp):
     async def consent(self, k, sid, c, want, got):
         return {"ok": True, "epoch": want}
+
     mp.setattr(vault.Vault, "_consent", consent)
 
 
 def nothing_handed(mp):
     async def take(self, ch, b):
         return {"ok": True, "epoch": b["epoch"]}
+
     mp.setattr(vault.Vault, "take", take)
 
 
 def any_home_may_keep(mp):
     async def hold(self, ch, b):
         return {"ok": True, "epoch": b["epoch"]}
+
     mp.setattr(vault.Vault, "hold", hold)
 
 
 def no_second_opinion(mp):
     real = probe.Prober.__init__
-    mp.setattr(probe.Prober, "__init__", lambda self, *a, **kw: real(self, *a, **{**kw, "aides": 0}))
+    mp.setattr(
+        probe.Prober, "__init__", lambda self, *a, **kw: real(self, *a, **{**kw, "aides": 0})
+    )
 
 
 def no_denial(mp):
@@ -186,6 +222,7 @@
 
     def merge(self, rows, src=None):
         real(self, [r for r in rows if r[0] != self.name], src)
+
     mp.setattr(roster.Roster, "merge", merge)
 
 
@@ -197,6 +234,7 @@
         await real(self, g, m, key, target)
         if "platform" in self.why.get(g.name, ""):
             await self.clock.sleep(10**12 + n)
+
     mp.setattr(duty.Duty, "_promote", promote)
 
 
@@ -209,19 +247,25 @@
                     return await self._fetch(self.key)
                 except Exception:
                     await self.clock.sleep(20_000)
+
         return alone()
+
     mp.setattr(clock.ReadClock, "gate", gate)
 
 
 def only_the_answer(mp):
     async def asked(self, g, target, key):
-        return await self.clock.limit(self.platform.promote(g.name, target, key[1], self.chain.me), 4_000_000)
+        return await self.clock.limit(
+            self.platform.promote(g.name, target, key[1], self.chain.me), 4_000_000
+        )
+
     mp.setattr(duty.Duty, "_asked", asked)
 
 
 def routes_blindly(mp):
     async def look(self, n):
         return True
+
     mp.setattr(usher.Usher, "_look", look)
 
 
@@ -231,6 +275,7 @@
     async def asked(self, g, target, key):
         await real(self, g, target, key)
         return await real(self, g, target, key)
+
     mp.setattr(duty.Duty, "_asked", asked)
 
 
@@ -241,13 +286,16 @@
         if rec["t"] == "manifest" and view > self.done and self.realm.doc["manifest"]:
             rec = {**rec, "text": self.realm.doc["manifest"]["text"]}
         real(self, seq, view, rec)
+
     mp.setattr(memory.Memory, "put_rec", put_rec)
 
 
 def slow_suspicion(mp):
     real = roster.Roster.__init__
     mp.setattr(
-        roster.Roster, "__init__", lambda self, c, me, log=None, *_, **kw: real(self, c, me, log, suspect_us=20_000_000)
+        roster.Roster,
+        "__init__",
+        lambda self, c, me, log=None, *_, **kw: real(self, c, me, log, suspect_us=20_000_000),
     )
 
 
@@ -258,6 +306,7 @@
 def acked_by_the_head(mp):
     async def until(self, seq):
         return
+
     mp.setattr(chain.Chain, "until", until)
 
 
@@ -269,18 +318,25 @@
 def reform_asks_nobody(mp):
     async def newest(self):
         return self._c.chain.realm.frame(), self._c.name
+
     mp.setattr(reform.Reform, "_newest", newest)
 
 
 def clocked_incarnation(mp):
     def anew(self):
         self.inc = self.clock.now()
+
     mp.setattr(control.Control, "_anew", anew)
 
 
 def amnesiac_votes(mp):
     from petrelhaven.helm.vote import Voter
+
     mp.setattr(Voter, "_fits", lambda self, ids: True)
 
 
-__all__ = [n for n, f in list(globals().items()) if callable(f) and getattr(f, "__module__", "") == __name__]
+__all__ = [
+    n
+    for n, f in list(globals().items())
+    if callable(f) and getattr(f, "__module__", "") == __name__
+]
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,4 +1,5 @@
 """Whatever is wrong at a face or on a link gets a typed result that names the field, and changes nothing."""
+
 import asyncio
 import json
 
@@ -23,7 +24,9 @@
     | st.sampled_from(["g1", "put", "k", "who"])
 )
 JUNK = st.recursive(
-    LEAF, lambda x: st.lists(x, max_size=3) | st.dictionaries(st.text(max_size=5), x, max_size=3), max_leaves=6
+    LEAF,
+    lambda x: st.lists(x, max_size=3) | st.dictionaries(st.text(max_size=5), x, max_size=3),
+    max_leaves=6,
 )
 VERBS = [
     "get",
@@ -41,10 +44,24 @@
     "rollback",
     "drop",
 ]
-FIELDS = ["route", "key", "value", "try", "say", "txn", "name", "args", "statement", "mode", "prefix"]
+FIELDS = [
+    "route",
+    "key",
+    "value",
+    "try",
+    "say",
+    "txn",
+    "name",
+    "args",
+    "statement",
+    "mode",
+    "prefix",
+]
 SAID = st.fixed_dictionaries(
     {"verb": st.sampled_from(VERBS) | JUNK},
-    optional={f: JUNK | st.sampled_from(["g1", "k", 1, {"verb": "get", "key": "$1"}]) for f in FIELDS},
+    optional={
+        f: JUNK | st.sampled_from(["g1", "k", 1, {"verb": "get", "key": "$1"}]) for f in FIELDS
+    },
 )
 ANNOUNCED = {
     "member": "g1m1",
@@ -87,10 +104,13 @@
             assert sid in e.homes
         if e.homes[sid].txn is not None:
             await e.statement(sid, {"verb": "rollback", "txn": e.homes[sid].txn.num})
-        assert (await e.statement(sid, {"verb": "put", "route": "g1", "key": "z", "value": 1, "try": 1 << 52}))[
-            "outcome"
-        ] == "kept"
+        assert (
+            await e.statement(
+                sid, {"verb": "put", "route": "g1", "key": "z", "value": 1, "try": 1 << 52}
+            )
+        )["outcome"] == "kept"
         return w.net.findings
+
     assert inside(go, 1)[0] == []
 
 
@@ -117,6 +137,7 @@
             json.dumps(c.status())
         await asyncio.sleep(1)
         return w.net.findings
+
     assert inside(go, 1)[0] == []
 
 
@@ -168,7 +189,9 @@
                     f["name"]: (
                         x
                         if f["name"] in KINDS[kind][0][1]
-                        else {"string": "sim:e3", "long": 1, "boolean": False}.get(str(f["type"]), [])
+                        else {"string": "sim:e3", "long": 1, "boolean": False}.get(
+                            str(f["type"]), []
+                        )
                     )
                     for f in KINDS[kind][0][0]["fields"]
                 }
@@ -182,10 +205,13 @@
                     assert type(f) is not Fault and not ch.gone.done(), (kind, f)
         await asyncio.sleep(3)
         sid = (await w.edges[0].node.open_session())["session"]
-        assert (await w.edges[2].node.statement(sid, {"verb": "put", "route": "g1", "key": "z", "value": 1, "try": 1}))[
-            "outcome"
-        ] == "kept"
+        assert (
+            await w.edges[2].node.statement(
+                sid, {"verb": "put", "route": "g1", "key": "z", "value": 1, "try": 1}
+            )
+        )["outcome"] == "kept"
         return [x for x in w.net.findings if "internal handler fault" not in x[3]]
+
     assert inside(go, 2)[0] == []
 
 
@@ -196,7 +222,9 @@
         async def any_(req):
             await body_of(req)
             from aiohttp import web
+
             return web.Response(text=odd["text"], content_type="application/json")
+
         f = Face()
         for p in ("/open", "/run", "/status"):
             f.on("POST", p, any_)
@@ -216,11 +244,16 @@
             '{"role": 1, "log": "x", "term": 0}',
         ):
             odd["text"] = text
-            for fn in (lambda: c.run([{"v": "get"}], 1_000_000), lambda: w.status(a, 1_000_000), lambda: w.open(a)):
+            for fn in (
+                lambda: c.run([{"v": "get"}], 1_000_000),
+                lambda: w.status(a, 1_000_000),
+                lambda: w.open(a),
+            ):
                 with pytest.raises(Unreached):
                     await fn()
         c.close()
         await w.close()
         await f.close()
         await nest.close()
+
     asyncio.run(go())
--- a/tests/test_band.py
+++ b/tests/test_band.py
@@ -1,4 +1,5 @@
 """One group as an edge sees it: what proves a position, and which members are picked."""
+
 import asyncio
 import collections
 import types
@@ -15,7 +16,9 @@
 from petrelhaven.span.clock import Order
 from petrelhaven.span.strand import Strand
 
-DRAWN = settings(max_examples=150, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
+DRAWN = settings(
+    max_examples=150, phases=[Phase.generate], deadline=None, derandomize=True, database=None
+)
 DRAIN_US, EMPTY_US = 2_000_000, 4_000_000
 
 
@@ -60,21 +63,34 @@
         self.clock, self.nest, self.order = LoopClock(), Nest(), Order()
         self.members, self.drain_us, self.empty_us = members, DRAIN_US, EMPTY_US
         self.count, self.doubts = collections.Counter(), []
-        self.tie = types.SimpleNamespace(edges=3, holds=True, doubt=lambda *a: self.doubts.append(a))
+        self.tie = types.SimpleNamespace(
+            edges=3, holds=True, doubt=lambda *a: self.doubts.append(a)
+        )
         self.wire = self
         self.ledger = Ledger()
         self.band = Band("g", self)
         self.band.cap, self.band.sync = 40, sync
         for i, (n, m) in enumerate(members.items()):
-            self.enter(t="member", name=n, group="g", hall=(halls or {}).get(n, "a"), addr=f"1.1.1.1:{i}", role=m.role,
-                       state="ready", slots=5, count=1)
+            self.enter(
+                t="member",
+                name=n,
+                group="g",
+                hall=(halls or {}).get(n, "a"),
+                addr=f"1.1.1.1:{i}",
+                role=m.role,
+                state="ready",
+                slots=5,
+                count=1,
+            )
         self.office("serve", "p")
 
     def near(self, hall):
         return "abcd".index(hall)
 
     def bounds(self):
-        return types.SimpleNamespace(fetch_us=250_000, join_us=1_000_000, lanes=2, idle_txn_us=3_000_000)
+        return types.SimpleNamespace(
+            fetch_us=250_000, join_us=1_000_000, lanes=2, idle_txn_us=3_000_000
+        )
 
     async def open(self, addr, group, member, us):
         m = self.members[member]
@@ -91,7 +107,9 @@
 
     def office(self, phase, primary):
         n = self.ledger.doc["offices"].get("g", {"n": 0})["n"] + 1
-        self.enter(t="office", group="g", n=n, phase=phase, primary=primary, term=n, cause="", by="c")
+        self.enter(
+            t="office", group="g", n=n, phase=phase, primary=primary, term=n, cause="", by="c"
+        )
 
     def member(self, n, state, count=2):
         m = self.ledger.doc["members"][n]
@@ -103,8 +121,10 @@
 
 
 def group(*pos):
-    return {n: Member("replica" if i else "primary", (1, x)) for i, (n, x) in enumerate(zip(("p", "r1", "r2", "r3"),
-            pos))}
+    return {
+        n: Member("replica" if i else "primary", (1, x))
+        for i, (n, x) in enumerate(zip(("p", "r1", "r2", "r3"), pos))
+    }
 
 
 def virtual(fn, *a, **kw):
@@ -113,6 +133,7 @@
 
     async def go():
         return await fn(Edge(*a, **kw))
+
     try:
         return loop.run_until_complete(go())
     finally:
@@ -125,6 +146,7 @@
     async def go(e):
         assert await e.position() == (1, 9) and not e.count["fetched_others"]
         assert [m.asked for m in e.members.values()] == [1, 0, 0]
+
     virtual(go, group(9, 3, 4))
 
 
@@ -133,10 +155,13 @@
     async def go(e):
         e.members["p"].how = how
         assert await e.position() == (1, 8) and e.count["fetched_others"]
+
     virtual(go, group(9, 8, 4))
 
 
-@pytest.mark.parametrize("how", ["mute", "refused", "gone", "full", "busy", "odd", "lost", "silent"])
+@pytest.mark.parametrize(
+    "how", ["mute", "refused", "gone", "full", "busy", "odd", "lost", "silent"]
+)
 @pytest.mark.parametrize("other", ["r1", "r2", "r3"])
 def test_all_but_one_of_the_others_prove_nothing(how, other):
     async def go(e):
@@ -145,16 +170,19 @@
         assert await e.position() is None and not e.count["fetched_others"]
         e.members[other].how = "fine"
         assert await e.position() == (1, 8)
+
     virtual(go, group(9, 8, 4, 7))
 
 
-@pytest.mark.parametrize(("members", "sync"), [(group(9, 8, 7), 0), (group(9, 8), 1), (group(9), 1), (group(9, 8, 7),
-        2)])
+@pytest.mark.parametrize(
+    ("members", "sync"), [(group(9, 8, 7), 0), (group(9, 8), 1), (group(9), 1), (group(9, 8, 7), 2)]
+)
 def test_too_few_others_prove_nothing(members, sync):
     async def go(e):
         assert await e.position() == (1, 9)
         e.members["p"].how = "lost"
         assert await e.position() is None
+
     virtual(go, members, sync=sync)
 
 
@@ -164,6 +192,7 @@
         assert await e.position() is None
         e.tie.holds = True
         assert await e.position() == (1, 8)
+
     virtual(go, group(9, 8, 4))
 
 
@@ -173,9 +202,19 @@
         e.enter(t="member", name="r3", state="gone", addr="1.1.1.1:3")
         assert await e.position() is None
         e.members["r3n"] = Member("replica", (1, 9))
-        e.enter(t="member", name="r3n", group="g", hall="a", addr="1.1.1.1:3", role="replica", state="ready", slots=5,
-                count=1)
+        e.enter(
+            t="member",
+            name="r3n",
+            group="g",
+            hall="a",
+            addr="1.1.1.1:3",
+            role="replica",
+            state="ready",
+            slots=5,
+            count=1,
+        )
         assert await e.position() == (1, 9)
+
     virtual(go, group(9, 8, 4, 9))
 
 
@@ -185,11 +224,21 @@
         assert await e.position() == (1, 8)
         e.members["r3"] = Member("replica", (1, 9))
         e.members["r3"].how = "mute"
-        e.enter(t="member", name="r3", group="g", hall="a", addr="1.1.1.1:9", role="replica", state="ready", slots=5,
-                count=1)
+        e.enter(
+            t="member",
+            name="r3",
+            group="g",
+            hall="a",
+            addr="1.1.1.1:9",
+            role="replica",
+            state="ready",
+            slots=5,
+            count=1,
+        )
         assert await e.position() is None
         e.members["r3"].how = "fine"
         assert await e.position() == (1, 9)
+
     virtual(go, group(9, 8, 4))
 
 
@@ -200,6 +249,7 @@
         assert await e.position() == (1, 8)
         e.members["r1"].how = "lost"
         assert await e.position() is None
+
     virtual(go, group(9, 8, 4))
 
 
@@ -208,14 +258,19 @@
         e.members["p"].role = "replica"
         assert await e.position() is None and not e.count["fetched_others"]
         assert ("g", "p", "replica") in e.doubts
+
     virtual(go, group(9, 8, 4))
 
 
 @DRAWN
-@given(st.lists(st.integers(0, 20), min_size=3, max_size=4),
-       st.lists(st.sampled_from(["fine", "refused", "busy"]), min_size=3, max_size=3), st.integers(0, 20))
+@given(
+    st.lists(st.integers(0, 20), min_size=3, max_size=4),
+    st.lists(st.sampled_from(["fine", "refused", "busy"]), min_size=3, max_size=3),
+    st.integers(0, 20),
+)
 def test_whatever_is_told_is_not_below_what_was_acknowledged(logs, hows, behind):
     """A commit is acknowledged once one replica has it: the highest log of a replica, or below."""
+
     async def go(e):
         acked = max(logs[1:])
         for n, how in zip(list(e.members)[1:], hows):
@@ -224,6 +279,7 @@
         pos = await e.position()
         all_heard = all(m.how == "fine" for n, m in e.members.items() if n != "p")
         assert (pos is not None) == all_heard and (pos is None or pos >= (1, acked))
+
     virtual(go, group(max(logs[1:]) + behind, *logs[1:]))
 
 
@@ -238,6 +294,7 @@
         assert e.band.pick((0, 0), {"r1", "p"}).name == "r2"
         assert e.band.pick((0, 0), {"r1", "r2", "p"}).name == "r3"
         assert e.band.pick((0, 0), set(HALLS)) is None
+
     virtual(go, group(9, 8, 4, 7), halls=HALLS)
 
 
@@ -250,12 +307,17 @@
         e.enter(t="hall", hall="b", state="open", by="op")
         e.member("r1", "ready", 3)
         assert e.band.pick((0, 0), {"p"}).name == "r1"
+
     virtual(go, group(9, 8, 4, 7), halls=HALLS)
 
 
-@pytest.mark.parametrize(("leave", "us"), [
-    (lambda e: e.member("p", "draining"), DRAIN_US),
-    (lambda e: e.enter(t="hall", hall="a", state="emptied", by="op"), EMPTY_US)])
+@pytest.mark.parametrize(
+    ("leave", "us"),
+    [
+        (lambda e: e.member("p", "draining"), DRAIN_US),
+        (lambda e: e.enter(t="hall", hall="a", state="emptied", by="op"), EMPTY_US),
+    ],
+)
 @pytest.mark.parametrize("fresh", [False, True])
 def test_the_primary_serves_until_the_bound_where_this_edge_heard_of_it_in_time(leave, us, fresh):
     async def go(e):
@@ -267,12 +329,20 @@
             assert e.band.serves(e.band.primary) == serves
             b = e.band.pick((0, 0), {"r1", "r2", "r3"})
             assert (b is not None and b.name == "p") == serves
+
     virtual(go, group(9, 8, 4, 7), halls=HALLS)
 
 
-BERTH = st.fixed_dictionaries({"dark": st.booleans(), "slow": st.booleans(), "out": st.sampled_from([0, 1, 4, 9]),
-                               "log": st.integers(0, 3), "leaves": st.sampled_from(["", "", "drains", "emptied"]),
-                               "bad": st.booleans()})
+BERTH = st.fixed_dictionaries(
+    {
+        "dark": st.booleans(),
+        "slow": st.booleans(),
+        "out": st.sampled_from([0, 1, 4, 9]),
+        "log": st.integers(0, 3),
+        "leaves": st.sampled_from(["", "", "drains", "emptied"]),
+        "bad": st.booleans(),
+    }
+)
 
 
 @DRAWN
@@ -301,6 +371,7 @@
         def lacks(n):
             x = how[n]
             return x["slow"] and ((1, x["log"]) if x["log"] else (0, 0)) < (1, need)
+
         x = how[got.name]
         if any(not how[n]["dark"] for n in may):
             assert not x["dark"]
@@ -310,6 +381,7 @@
         same = [n for n in same if lacks(n) == lacks(got.name)]
         if any(how[n]["out"] < 4 for n in same):
             assert x["out"] < 4
+
     virtual(go, group(9, 8, 4, 7), halls={"p": "a", "r1": "b", "r2": "c", "r3": "d"})
 
 
@@ -324,6 +396,7 @@
         assert e.band.primary.name == e.band.sure.name == "r1"
         e.tie.holds = False
         assert e.band.sure is None and e.band.primary.name == "r1"
+
     virtual(go, group(9, 8, 4))
 
 
@@ -343,6 +416,7 @@
         assert len(e.doubts) == 2
         e.band.fine(b)
         assert b.down == b.bad == 0
+
     virtual(go, group(9, 8, 4))
 
 
@@ -354,6 +428,7 @@
         assert e.band.berths["r1"] is not old and old.stock.closed
         e.enter(t="member", name="r1", state="gone", addr="1.1.1.1:77")
         assert set(e.band.berths) == {"p", "r2"}
+
     virtual(go, group(9, 8, 4))
 
 
@@ -366,4 +441,5 @@
         for _ in range(1000):
             e.band.earn()
         assert [e.band.spend() for _ in range(21)] == [True] * 20 + [False]
+
     virtual(go, group(9, 8, 4))
--- a/tests/test_band_proof.py
+++ b/tests/test_band_proof.py
@@ -1,4 +1,5 @@
 """What all other members prove of a position while the primary does not answer."""
+
 import collections
 import types
 
@@ -37,17 +38,46 @@
 def _band(names, size, holds):
     tie = types.SimpleNamespace(holds=holds, edges=3, doubt=lambda *_: None)
     gate = types.SimpleNamespace(
-        clock=Clock(), nest=Nest(), order=Order(), tie=tie, wire=_Wire(), near=lambda h: 0, drain_us=0, empty_us=0,
+        clock=Clock(),
+        nest=Nest(),
+        order=Order(),
+        tie=tie,
+        wire=_Wire(),
+        near=lambda h: 0,
+        drain_us=0,
+        empty_us=0,
         count=collections.Counter(),
-        bounds=lambda: types.SimpleNamespace(fetch_us=150_000, join_us=400_000, lanes=2))
+        bounds=lambda: types.SimpleNamespace(fetch_us=150_000, join_us=400_000, lanes=2),
+    )
     led = Ledger()
     for i, n in enumerate(["p", *names]):
-        led.apply(i + 1, {"t": "member", "name": n, "group": "g", "hall": "a", "addr": f"10.0.0.{i}:1",
-                          "role": "replica",
-                          "state": "ready", "slots": 5, "count": 1})
+        led.apply(
+            i + 1,
+            {
+                "t": "member",
+                "name": n,
+                "group": "g",
+                "hall": "a",
+                "addr": f"10.0.0.{i}:1",
+                "role": "replica",
+                "state": "ready",
+                "slots": 5,
+                "count": 1,
+            },
+        )
     led.doc["sizes"]["g"] = size
-    led.apply(led.seq + 1, {"t": "office", "group": "g", "n": 1, "phase": "serve", "primary": "p", "term": 1,
-                            "cause": ""})
+    led.apply(
+        led.seq + 1,
+        {
+            "t": "office",
+            "group": "g",
+            "n": 1,
+            "phase": "serve",
+            "primary": "p",
+            "term": 1,
+            "cause": "",
+        },
+    )
     b = Band("g", gate)
     b.sync = 1
     b.turn(led, True)
@@ -57,6 +87,7 @@
 def test_all_others_under_a_lease_prove_their_highest_log(warp):
     async def go():
         assert await _band(["m1", "m2", "m3"], 4, True)._fetch_others("p") == (1, 137)
+
     warp(go())
 
 
@@ -64,6 +95,7 @@
     async def go():
         with pytest.raises(Unreached):
             await _band(["m1", "m2"], 3, False)._fetch_others("p")
+
     warp(go())
 
 
@@ -73,4 +105,5 @@
             await _band(["m1", "m2"], 4, True)._fetch_others("p")
         with pytest.raises(Unreached):
             await _band(["m1"], 2, True)._fetch_others("p")
+
     warp(go())
--- a/tests/test_boot_watch.py
+++ b/tests/test_boot_watch.py
@@ -1,4 +1,5 @@
 """The platform's settings file changes underneath running programs, with no signal: taken live, or declined whole."""
+
 import asyncio
 import os
 import socket
@@ -27,8 +28,14 @@
 
 pytestmark = pytest.mark.xdist_group("faces")
 BOUNDS = {"ContactMs": 3000, "DrainMs": 3000, "GraceS": 4, "RecoveryS": 8}
-DRAWN = settings(max_examples=60, phases=[Phase.generate], deadline=None, derandomize=True, database=None,
-                 suppress_health_check=[HealthCheck.function_scoped_fixture])
+DRAWN = settings(
+    max_examples=60,
+    phases=[Phase.generate],
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
 EDGE = """
 NodeName = "edge-1"
 Serves = ["edge"]
@@ -98,6 +105,7 @@
             return await fn(w)
         finally:
             t.cancel()
+
     try:
         return loop.run_until_complete(go())
     finally:
@@ -109,7 +117,10 @@
 def test_seeds_and_the_platforms_address_are_taken_without_a_signal(tmp_path):
     async def go(w):
         assert await w.at(EDGE) == (0, [], []) and w.told() == []
-        assert await w.at(OTHER) == (1, [], []) and w.taken[0].seeds == ["10.1.0.45:7580", "10.3.0.41:7580"]
+        assert await w.at(OTHER) == (1, [], []) and w.taken[0].seeds == [
+            "10.1.0.45:7580",
+            "10.3.0.41:7580",
+        ]
         assert w.log.lines[0].endswith("fields=seeds") and w.told() == ["E107"]
         assert await w.at(OTHER.replace("10.200.0.62", "10.200.0.63")) == (2, [], [])
         assert w.taken[1].cloud == "10.200.0.63:8186" and w.log.lines[0].endswith("fields=platform")
@@ -118,13 +129,26 @@
         assert w.log.lines[0].endswith("fields=none")
         w.reload.again()
         assert w.told() == ["E107", "E107"] and len(w.taken) == 2
+
     watched(tmp_path / "b.toml", go)
 
 
-@pytest.mark.parametrize("bad", [
-    b"", None, EDGE[:40], EDGE[:EDGE.index("[CloudApi]")], EDGE[:EDGE.index("[Bounds]") - 20], b"\xff\xfe", "nonsense",
-    EDGE.replace("10.1.0.45:8180", "x"), EDGE.replace('["edge"]', '["control"]'), EDGE.replace("Zone", "Zona"),
-    EDGE.replace("SeedNodes", "SeedNodez")])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"",
+        None,
+        EDGE[:40],
+        EDGE[: EDGE.index("[CloudApi]")],
+        EDGE[: EDGE.index("[Bounds]") - 20],
+        b"\xff\xfe",
+        "nonsense",
+        EDGE.replace("10.1.0.45:8180", "x"),
+        EDGE.replace('["edge"]', '["control"]'),
+        EDGE.replace("Zone", "Zona"),
+        EDGE.replace("SeedNodes", "SeedNodez"),
+    ],
+)
 def test_a_torn_or_wrong_file_is_declined_and_the_running_settings_stay(tmp_path, bad):
     async def go(w):
         n, declined, _ = await w.at(bad)
@@ -135,15 +159,29 @@
         assert w.reload.status() == {"file": str(w.path), "waiting": [], "declined": declined}
         assert await w.at(EDGE) == (0, [], []) and w.told() == ["E107"]
         assert (await w.at(OTHER))[:2] == (1, [])
+
     watched(tmp_path / "b.toml", go)
 
 
 def test_what_a_running_program_can_not_take_waits_for_its_restart(tmp_path):
     async def go(w):
-        other = OTHER.replace('Zone = "a"', 'Zone = "b"').replace("GraceS = 6", "GraceS = 9").replace("7580", "7570")
-        assert await w.at(other) == (1, [], ["Zone", "PortRange", "Bounds.GraceS"]) and w.told() == ["E107", "E108"]
-        assert await w.at(other + "\n") == (1, [], ["Zone", "PortRange", "Bounds.GraceS"]) and w.told() == ["E107"]
+        other = (
+            OTHER.replace('Zone = "a"', 'Zone = "b"')
+            .replace("GraceS = 6", "GraceS = 9")
+            .replace("7580", "7570")
+        )
+        assert await w.at(other) == (
+            1,
+            [],
+            ["Zone", "PortRange", "Bounds.GraceS"],
+        ) and w.told() == ["E107", "E108"]
+        assert await w.at(other + "\n") == (
+            1,
+            [],
+            ["Zone", "PortRange", "Bounds.GraceS"],
+        ) and w.told() == ["E107"]
         assert await w.at(EDGE) == (2, [], [])
+
     watched(tmp_path / "b.toml", go)
 
 
@@ -155,12 +193,23 @@
         w.put(OTHER)
         await LoopClock().sleep(2_200_000)
         assert len(w.taken) == 1 and w.told() == ["E107"]
+
     watched(tmp_path / "b.toml", go)
 
 
 @DRAWN
-@given(st.lists(st.one_of(st.integers(0, len(OTHER)).map(lambda i: OTHER[:i]), st.binary(max_size=30), st.just(OTHER),
-                          st.just(EDGE), st.none()), max_size=5))
+@given(
+    st.lists(
+        st.one_of(
+            st.integers(0, len(OTHER)).map(lambda i: OTHER[:i]),
+            st.binary(max_size=30),
+            st.just(OTHER),
+            st.just(EDGE),
+            st.none(),
+        ),
+        max_size=5,
+    )
+)
 def test_whatever_is_drawn_only_whole_files_are_taken(tmp_path, files):
     async def go(w):
         for f in files:
@@ -171,6 +220,7 @@
         assert await w.at(EDGE + "\n") == (len(w.taken), [], [])
         assert w.taken == [] or w.taken[-1].seeds == w.boot.seeds
         assert {x.cloud for x in w.taken} <= {w.boot.cloud}
+
     watched(tmp_path / "b.toml", go)
 
 
@@ -207,6 +257,7 @@
             async def declined(m, yes):
                 d = await status(m)
                 return d and bool(d["settings"]["declined"]) is yes
+
             for m in (edge, cores[0]):
                 put(m, text(m)[:60])
                 await soon(lambda m=m: declined(m, True), 10)
@@ -226,20 +277,33 @@
             old = s.primary()
             await old.crash()
             await until(lambda: s.primary() not in (None, old), 20)
-            assert s.fleet.own_ends() == {} and all(p.starts == 1 for m in [edge, *cores] for p in m.processes.values())
+            assert s.fleet.own_ends() == {} and all(
+                p.starts == 1 for m in [edge, *cores] for p in m.processes.values()
+            )
+
     asyncio.run(go())
 
 
 def test_an_edge_whose_seeds_were_wrong_comes_in_once_the_file_is_right(built, tmp_path):
     async def go():
         net = 20 + os.getpid() % 200
-        f = Fleet(built, tmp_path / "run", History(), {"a": "r1"}, edges=1, cores=1, net=net, bounds=BOUNDS)
+        f = Fleet(
+            built,
+            tmp_path / "run",
+            History(),
+            {"a": "r1"},
+            edges=1,
+            cores=1,
+            net=net,
+            bounds=BOUNDS,
+        )
         edge, core = f.machines["edge-a-1"], f.machines["core-a-1"]
         right, file = f.settings, f.folder / "edge-a-1" / "verge.toml"
 
         def wrong(machine, role, first):
             t = right(machine, role, first)
             return t.replace(f"{core.ip}:8180", "127.0.0.1:9") if machine is edge else t
+
         f.settings = wrong
         try:
             await f.start()
@@ -254,6 +318,7 @@
 
             async def joined():
                 return (await status(edge))["joined"]
+
             await soon(up, 10)
             await soon(ruling, 10)
             assert not await joined()
@@ -262,13 +327,22 @@
             assert not f.own_ends()
         finally:
             await f.close()
+
     asyncio.run(go())
 
 
 def test_a_port_that_is_taken_costs_the_face_and_nothing_else(built, tmp_path):
     async def go():
-        f = Fleet(built, tmp_path / "run", History(), {"a": "r1"}, edges=1, cores=1, net=20 + os.getpid() % 200,
-                  bounds=BOUNDS)
+        f = Fleet(
+            built,
+            tmp_path / "run",
+            History(),
+            {"a": "r1"},
+            edges=1,
+            cores=1,
+            net=20 + os.getpid() % 200,
+            bounds=BOUNDS,
+        )
         core, log = f.machines["core-a-1"], f.folder / "core-a-1" / "crux.log"
         with socket.socket() as taken:
             taken.bind((core.ip, 7581))
@@ -279,11 +353,16 @@
 
                 async def ready():
                     try:
-                        return await fetch(f"{core.ip}:8180", "GET", "/v1/readiness", us=1_000_000) == {}
+                        return (
+                            await fetch(f"{core.ip}:8180", "GET", "/v1/readiness", us=1_000_000)
+                            == {}
+                        )
                     except Fault:
                         return False
+
                 await soon(ready, 10)
                 assert not f.own_ends()
             finally:
                 await f.close()
+
     asyncio.run(go())
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -1,9 +1,19 @@
 """The history checker is shown to fail on a planted violation of each kind, and only there."""
+
 import pytest
 
 from petrelhaven.drill.check import check
 
-W = {"t": "write", "key": "g1:v1", "by": 1, "try": 1, "start": 0, "end": 1_000, "val": 1, "outcome": "kept"}
+W = {
+    "t": "write",
+    "key": "g1:v1",
+    "by": 1,
+    "try": 1,
+    "start": 0,
+    "end": 1_000,
+    "val": 1,
+    "outcome": "kept",
+}
 R = {"t": "read", "key": "g1:v1", "start": 2_000, "end": 2_500, "val": 1, "browse": False}
 GOOD = [
     W,
@@ -13,7 +23,14 @@
     {"t": "show", "want": ["x"], "got": "x"},
     {"t": "once", "key": "g1:u", "outcome": "unknown"},
     {"t": "once", "key": "g1:n", "outcome": "not kept"},
-    {"t": "read", "key": "g1:v1", "start": 1_100_000, "end": 1_100_001, "val": None, "browse": True},
+    {
+        "t": "read",
+        "key": "g1:v1",
+        "start": 1_100_000,
+        "end": 1_100_001,
+        "val": None,
+        "browse": True,
+    },
 ]
 TRUTH = {"g1:v1": 1, "g1:o": 1, "g1:a": 1, "g1:b": 1, "g1:u": 1}
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -1,4 +1,5 @@
 """The read clock against a simple model: a primary whose position rises, fetches that take any time, fail or stick."""
+
 import asyncio
 import random
 from types import SimpleNamespace
@@ -53,6 +54,7 @@
         if pos is None:
             raise Unreached("former primary")
         return pos
+
     c = clock(fetch, lanes)
     c.turn(world["key"])
 
@@ -61,6 +63,7 @@
         t0 = c.clock.now()
         pos = await c.gate(arr)
         told.append((must, pos, c.clock.now() - t0, key))
+
     ts = []
     for kind, wait in steps:
         await asyncio.sleep(wait / 1000)
@@ -77,7 +80,8 @@
 
 
 STEPS = st.lists(
-    st.tuples(st.sampled_from(["commit", "read", "read", "read", "epoch"]), st.integers(0, 15)), max_size=60
+    st.tuples(st.sampled_from(["commit", "read", "read", "read", "epoch"]), st.integers(0, 15)),
+    max_size=60,
 )
 
 
@@ -99,10 +103,14 @@
         try:
             bad = 0
             for _ in range(60):
-                steps = [(rng.choice(["commit", "read", "read", "epoch"]), rng.randrange(12)) for _ in range(40)]
+                steps = [
+                    (rng.choice(["commit", "read", "read", "epoch"]), rng.randrange(12))
+                    for _ in range(40)
+                ]
                 told, c = run(drama(steps, 1))
                 bad += any(pos is not None and pos < must for must, pos, _, _ in told) or any(
-                    f.key != c.key for f in c._flights)
+                    f.key != c.key for f in c._flights
+                )
             assert bad, guard
         finally:
             mp.undo()
@@ -116,6 +124,7 @@
             n.append(key)
             await asyncio.sleep(0.01)
             return 7
+
         c = clock(fetch)
         arrivals = [c.order.next() for _ in range(20)]
         first = c.order.next()
@@ -126,6 +135,7 @@
         assert await c.gate(arrivals[3]) == 7 and len(n) == 1
         await c.gate(c.order.next())
         assert len(n) == 2
+
     run(go())
 
 
@@ -137,6 +147,7 @@
             f = asyncio.get_running_loop().create_future()
             gates.append(f)
             return await f
+
         c = clock(fetch)
         c.turn((1, "p"))
         a = c.gate(c.order.next())
@@ -147,6 +158,7 @@
         gates[0].set_result(3)
         await asyncio.sleep(0)
         assert c.pair.pos == 9
+
     run(go())
 
 
@@ -157,6 +169,7 @@
         async def fetch(key):
             f = gates[key] = asyncio.get_running_loop().create_future()
             return await f
+
         c = clock(fetch)
         c.turn((1, "old"))
         r = c.gate(c.order.next())
@@ -168,6 +181,7 @@
         assert not r.done() and c.pair is None
         gates[(2, "new")].set_result(40)
         assert await r == 40 and c.count["voided"] == 1
+
     run(go())
 
 
@@ -175,9 +189,11 @@
     async def go():
         async def fetch(key):
             raise Unreached("down")
+
         c = clock(fetch)
         c.turn((1, "p"))
         assert await c.gate(c.order.next()) is None
         assert c.clock.now() <= BOUNDS.join_us + 1000
         assert c.count["fetches"] < 12
+
     run(go())
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,4 +1,5 @@
 """The docs say what the code has."""
+
 import re
 from pathlib import Path
 
@@ -16,7 +17,9 @@
 
 
 def test_every_event_is_written_somewhere():
-    src = "".join(p.read_text() for p in (DOCS.parent / "src").rglob("*.py") if p.name != "event.py")
+    src = "".join(
+        p.read_text() for p in (DOCS.parent / "src").rglob("*.py") if p.name != "event.py"
+    )
     assert [n for n in EVENTS if not re.search(rf"\b{n}\b", src)] == []
 
 
