--- a/tests/test_embargo_storm.py
+++ b/tests/test_embargo_storm.py
@@ -1,4 +1,5 @@
 """Seeded storms over an embargoed fleet: crashes, cuts, restarts and a clock that steps; nothing is early."""
+
 import pytest
 from test_embargo_world import highest_time, own_clock
 
--- a/tests/test_embargo_system.py
+++ b/tests/test_embargo_system.py
@@ -1,4 +1,5 @@
 """Embargoes over real processes in the stand-in estate: placed by tenet, kept through a failover and a core's end."""
+
 import asyncio
 import json
 import os
@@ -35,8 +36,18 @@
 async def tenet(s, *argv):
     """(exit code, output) of one call of tenet."""
     p = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "petrelhaven.tenet", "--core", ",".join(faces(s)), "--by", "op", *argv,
-        env={**os.environ, "PYTHONPATH": str(SRC)}, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+        sys.executable,
+        "-m",
+        "petrelhaven.tenet",
+        "--core",
+        ",".join(faces(s)),
+        "--by",
+        "op",
+        *argv,
+        env={**os.environ, "PYTHONPATH": str(SRC)},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
     out, _ = await p.communicate()
     return p.returncode, out.decode()
 
@@ -52,11 +63,22 @@
             for t in texts:
                 if t.startswith("PREPARE"):
                     shape = t.split(" ")[-1]
-                x = Statement(f"{random.getrandbits(64):016x}", t, s.history.now(),
-                              shape if t.startswith("EXECUTE") else None, t.startswith("PUT"), {})
+                x = Statement(
+                    f"{random.getrandbits(64):016x}",
+                    t,
+                    s.history.now(),
+                    shape if t.startswith("EXECUTE") else None,
+                    t.startswith("PUT"),
+                    {},
+                )
                 attempt.statements.append(x)
                 a = await c.ask(x.id, t, 2)
-                x.outcome, x.stamp, x.rows, x.ended = a.code or "ok", a.stamp, a.rows, s.history.now()
+                x.outcome, x.stamp, x.rows, x.ended = (
+                    a.code or "ok",
+                    a.stamp,
+                    a.rows,
+                    s.history.now(),
+                )
             return a
         finally:
             c.close()
@@ -67,8 +89,12 @@
 async def watch(s, front, thing, seen, end):
     """Reads a record again and again; keeps what was served and when."""
     while now() < end:
-        a = await ask(s, front, "watcher", *random.choice(([f"FETCH {thing}"],
-                                                           ["PREPARE q FETCH s1", f"EXECUTE q {thing}"])))
+        a = await ask(
+            s,
+            front,
+            "watcher",
+            *random.choice(([f"FETCH {thing}"], ["PREPARE q FETCH s1", f"EXECUTE q {thing}"])),
+        )
         if a is not None:
             seen.append((front, now(), a.code, a.rows))
         await asyncio.sleep(0.03)
@@ -83,18 +109,43 @@
                 v = await s.verdict()
                 assert v.violations == [], v
                 assert v.own_ends == {}, v
+
         asyncio.run(go())
+
     return run
 
 
 def test_a_record_is_withheld_by_every_process_through_a_failover_and_served_after(scene):
     async def go(s):
-        order = await s.configure(Embargo={"Services": ["svc0"], "SpreadMs": 500, "Rules": [
-            {"Name": "all-drafts", "Service": "svc0", "Prefix": "draft-", "Until": "2199-01-01T00:00:00",
-             "Zone": "Europe/Oslo", "Early": ["editor"]}]})
+        order = await s.configure(
+            Embargo={
+                "Services": ["svc0"],
+                "SpreadMs": 500,
+                "Rules": [
+                    {
+                        "Name": "all-drafts",
+                        "Service": "svc0",
+                        "Prefix": "draft-",
+                        "Until": "2199-01-01T00:00:00",
+                        "Zone": "Europe/Oslo",
+                        "Early": ["editor"],
+                    }
+                ],
+            }
+        )
         assert order.acked_at, order
         until = now() + 12 * S
-        add = ("embargo", "add", "one", "--group", "svc0", "--thing", "opening", "--until", spoken(until))
+        add = (
+            "embargo",
+            "add",
+            "one",
+            "--group",
+            "svc0",
+            "--thing",
+            "opening",
+            "--until",
+            spoken(until),
+        )
         rc, out = await tenet(s, *add)
         assert rc == 0 and "in force" in out, out
         rc, out = await tenet(s, *add)
@@ -108,28 +159,43 @@
             await old.crash()
             await led_by_another(s, old)
             await old.start()
+
         core = next(n for n in s.fleet.machines if n.startswith("core"))
-        watchers = [asyncio.ensure_future(watch(s, f, "opening", seen, until + 4 * S)) for f in fronts]
+        watchers = [
+            asyncio.ensure_future(watch(s, f, "opening", seen, until + 4 * S)) for f in fronts
+        ]
         await s.play(9, [(3, strike), (6, lambda: s.fleet.kill(core))], clients=2)
         await asyncio.gather(*watchers)
         early = [x for x in seen if x[1] < until and not x[2]]
         assert early == [] and sum(x[2] == "DENIED" for x in seen) > 20
-        served = {f: min((at for g, at, code, rows in seen if g == f and not code and rows), default=None)
-                  for f in fronts}
+        served = {
+            f: min((at for g, at, code, rows in seen if g == f and not code and rows), default=None)
+            for f in fronts
+        }
         assert all(at and at - until < 2 * S for at in served.values()), (until, served)
         for f in fronts:
             a, b = await ask(s, f, "u", "FETCH draft-1"), await ask(s, f, "u", "FETCH draft-2")
             assert a.code == b.code == "DENIED" and a.position == b.position == "-"
             assert (await ask(s, f, "editor", "FETCH draft-1")).code == ""
-            assert (await ask(s, f, "u", "BEGIN", "PUT x y", "FETCH draft-1", "PUT x z", "COMMIT")).code == ""
+            assert (
+                await ask(s, f, "u", "BEGIN", "PUT x y", "FETCH draft-1", "PUT x z", "COMMIT")
+            ).code == ""
         rc, out = await tenet(s, "embargo", "list")
-        assert rc == 0 and "one (placed)" in out and "all-drafts (manifest)" in out and "time known" in out, out
+        assert (
+            rc == 0
+            and "one (placed)" in out
+            and "all-drafts (manifest)" in out
+            and "time known" in out
+        ), out
         rc, out = await tenet(s, "embargo", "why", "--group", "svc0", "--thing", "draft-7")
         assert rc == 0 and "withheld by all-drafts" in out, out
         rc, out = await tenet(s, "embargo", "lift", "one")
         assert rc == 0, out
-        rc, out = await tenet(s, "embargo", "add", "x", "--group", "nowhere", "--thing", "a", "--until", "soon")
+        rc, out = await tenet(
+            s, "embargo", "add", "x", "--group", "nowhere", "--thing", "a", "--until", "soon"
+        )
         assert rc == 1 and "until" in out, out
+
     scene(go)
 
 
@@ -137,10 +203,13 @@
     async def go(s):
         assert (await s.configure(Embargo={"Services": ["svc1"]})).acked_at
         soon = spoken(now() + S)
-        rc, out = await tenet(s, "embargo", "add", "e", "--group", "svc1", "--prefix", "a", "--until", soon)
+        rc, out = await tenet(
+            s, "embargo", "add", "e", "--group", "svc1", "--prefix", "a", "--until", soon
+        )
         assert rc == 0, out
         got = await s.operator._caller.call(faces(s)[0], "GET", "/events?after=0")
         rows = [r for r in json.loads(got[1]) if r["type"] == "petrelhaven.embargo"]
         assert got[0] == 200 and len(rows) == 1, got
         assert rows[0]["data"]["by"] == "op" and rows[0]["data"]["do"] == "add"
+
     scene(go)
--- a/tests/test_embargo_world.py
+++ b/tests/test_embargo_world.py
@@ -1,4 +1,5 @@
 """Embargoes on the held path in virtual time: nobody sees a record before its moment, everybody soon after it."""
+
 import asyncio
 import random
 
@@ -28,6 +29,7 @@
         assert w.bad == [] and w.refused > 100
         late = w.late("opening", until)
         assert set(late) == set(w.edges) and max(late.values()) < 0.7, late
+
     virtual(go)
 
 
@@ -114,8 +116,10 @@
     assert (await g.serve_one(x, Ask("3", "read", "FETCH opening"))).ok
     until = await placed(w, secs=6)
     for s in (v, x):
-        for a in (Ask("4", "execute", "EXECUTE q opening", name="q", data="opening", shape="FETCH s1"),
-                  Ask("5", "read", "FETCH opening")):
+        for a in (
+            Ask("4", "execute", "EXECUTE q opening", name="q", data="opening", shape="FETCH s1"),
+            Ask("5", "read", "FETCH opening"),
+        ):
             w.note("e1", "opening", await g.serve_one(s, a))
     r = await g.serve_one(x, Ask("6", "write", "PUT other 1", writes=True))
     assert r.ok and r.state == "T"
@@ -140,7 +144,17 @@
     return w.bad
 
 
-SCENES = (calm, cut_edge, stale_replica, failover, stepped, ahead, in_flight, prepared_before, moved_later)
+SCENES = (
+    calm,
+    cut_edge,
+    stale_replica,
+    failover,
+    stepped,
+    ahead,
+    in_flight,
+    prepared_before,
+    moved_later,
+)
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -155,16 +169,19 @@
 
 def no_lease(mp):
     from petrelhaven.span import embargo
+
     real = embargo.EmbargoGate.turn
 
     def turn(self, ledger, recs, fresh):
         real(self, ledger, recs, fresh)
         self.scope = frozenset()
+
     mp.setattr(embargo.EmbargoGate, "turn", turn)
 
 
 def no_second_look(mp):
     from petrelhaven.span import embargo
+
     mp.setattr(embargo.EmbargoGate, "passed", lambda self, v, a, group, reply: reply)
 
 
@@ -173,6 +190,7 @@
 
     async def in_force(self, seq, grace=0, horizon=0):
         return 0
+
     mp.setattr(desk.Desk, "in_force", in_force)
 
 
@@ -182,6 +200,7 @@
     def interval(self):
         w = self.wall.now()
         return w - self._bounds()["skew_us"], w + self._bounds()["skew_us"]
+
     mp.setattr(truetime.TrueTime, "interval", interval)
 
 
@@ -191,6 +210,7 @@
     def lowest(self):
         got = self.interval()
         return got[1] if got else 0
+
     mp.setattr(embargo.EdgeTime, "lowest", lowest)
 
 
@@ -200,6 +220,7 @@
     def lowest(self):
         got = self.interval()
         return sum(got) // 2 if got else 0
+
     mp.setattr(embargo.EdgeTime, "lowest", lowest)
 
 
@@ -209,21 +230,39 @@
 
 def transactions_unseen(mp):
     from petrelhaven.span import embargo
+
     real = embargo.EmbargoGate.refusal
-    mp.setattr(embargo.EmbargoGate, "refusal",
-               lambda self, v, a, group: None if v.trade is not None else real(self, v, a, group))
+    mp.setattr(
+        embargo.EmbargoGate,
+        "refusal",
+        lambda self, v, a, group: None if v.trade is not None else real(self, v, a, group),
+    )
 
 
 def rules_at_the_start_only(mp):
     from petrelhaven.span import embargo
-    real = embargo.EmbargoGate.turn
-    mp.setattr(embargo.EmbargoGate, "turn", lambda self, ledger, recs, fresh: real(self, ledger, [], fresh))
-
 
-@pytest.mark.parametrize(("guard", "scene"), [
-    (no_lease, cut_edge), (no_lease, moved_later), (no_second_look, in_flight), (acknowledged_at_once, cut_edge),
-    (own_clock, stepped), (highest_time, ahead), (middle_time, ahead), (executes_unseen, prepared_before),
-    (transactions_unseen, prepared_before), (rules_at_the_start_only, calm)])
+    real = embargo.EmbargoGate.turn
+    mp.setattr(
+        embargo.EmbargoGate, "turn", lambda self, ledger, recs, fresh: real(self, ledger, [], fresh)
+    )
+
+
+@pytest.mark.parametrize(
+    ("guard", "scene"),
+    [
+        (no_lease, cut_edge),
+        (no_lease, moved_later),
+        (no_second_look, in_flight),
+        (acknowledged_at_once, cut_edge),
+        (own_clock, stepped),
+        (highest_time, ahead),
+        (middle_time, ahead),
+        (executes_unseen, prepared_before),
+        (transactions_unseen, prepared_before),
+        (rules_at_the_start_only, calm),
+    ],
+)
 def test_without_its_guard_a_record_is_seen_too_early(monkeypatch, guard, scene):
     guard(monkeypatch)
     assert any(virtual(scene, seed) for seed in (1, 2, 3))
@@ -243,6 +282,7 @@
         await w.settle(crowd)
         assert w.bad == [] and w.true() < until
         assert set(w.late("a", sooner)) == set(w.late("b", lifted)) == set(w.edges)
+
     virtual(go)
 
 
@@ -254,6 +294,7 @@
             assert (await w.read(n, "opening", visitor="early")).rows == ["secret"]
             assert (await w.read(n, "opening", visitor="earl")).code == "withheld"
         assert w.bad == []
+
     virtual(go)
 
 
@@ -264,10 +305,16 @@
         await w.write("opening")
         ran = [len(m.log) for m in w.members.values()]
         for how in ("single", "prepared", "writes", "reads"):
-            a, b = await w.read("e1", "opening-1", how=how), await w.read("e1", "opening-2", how=how)
+            a, b = (
+                await w.read("e1", "opening-1", how=how),
+                await w.read("e1", "opening-2", how=how),
+            )
             assert a.code == b.code == "withheld" and a.state == b.state
             assert a.text.split(" ")[:4] == b.text.split(" ")[:4]
-        assert (await w.read("e1", "opening")).rows == ["secret"] and ran == [len(m.log) for m in w.members.values()]
+        assert (await w.read("e1", "opening")).rows == ["secret"] and ran == [
+            len(m.log) for m in w.members.values()
+        ]
+
     virtual(go)
 
 
@@ -282,6 +329,7 @@
             assert (await w.read("e1", "opening", how=how)).code == "withheld"
         assert asked == []
         assert (await w.read("e1", "other")).ok and asked == ["FETCH other"]
+
     virtual(go)
 
 
@@ -295,6 +343,7 @@
             at.append(w.true() + int(r.text.split(" ")[-2]) * 1000 - until)
         assert min(at) > -10_000 and max(at) < 2_600_000
         assert max(sum(x // 250_000 == k for x in at) for k in range(12)) < 100
+
     virtual(go)
 
 
@@ -314,6 +363,7 @@
         for n in w.edges:
             assert (await w.read(n, "b")).rows == ["secret"]
         assert w.bad == []
+
     virtual(go)
 
 
@@ -327,6 +377,7 @@
         await asyncio.sleep((until - w.true()) / S)
         await w.settle(crowd)
         assert w.bad == [] and any("E334" in x[2] for x in w.net.log)
+
     virtual(go)
 
 
@@ -339,6 +390,7 @@
         assert {x[1] for x in told} == {"c2"} and len(told) == 1
         r = await w.call(lambda s: s.embargoes.list())
         assert r["time"]["interval"] and abs(r["time"]["off_us"]["c2"]) > 4 * S
+
     virtual(go)
 
 
@@ -359,6 +411,7 @@
         await asyncio.sleep((until - w.true()) / S + 3)
         await w.settle(crowd)
         assert w.bad == [] and set(w.late("a", until)) == set(w.edges)
+
     virtual(go)
 
 
@@ -371,17 +424,42 @@
             await w.call(lambda s: s.apply(m, by="op"), 1)
         for c in w.cores.values():
             with pytest.raises(Fault) as e:
-                await c.node.embargoes.change({"do": "add", "name": "n", "group": "g", "thing": "a",
-                                               "until": "2199-01-01T00:00:00Z"})
+                await c.node.embargoes.change(
+                    {
+                        "do": "add",
+                        "name": "n",
+                        "group": "g",
+                        "thing": "a",
+                        "until": "2199-01-01T00:00:00Z",
+                    }
+                )
             assert e.value.code == "not-ready" and e.value.more["edges"] == ["e3"]
         assert (await w.read("e3", "a")).ok
-        r = await w.cores["c2"].node.embargoes.change({"do": "add", "name": "n", "group": "g", "thing": "a",
-                                                       "until": "2199-01-01T00:00:00Z", "gone": ["e3"]})
+        r = await w.cores["c2"].node.embargoes.change(
+            {
+                "do": "add",
+                "name": "n",
+                "group": "g",
+                "thing": "a",
+                "until": "2199-01-01T00:00:00Z",
+                "gone": ["e3"],
+            }
+        )
         assert r["do"] == "add"
         await asyncio.sleep(14)
-        r = await w.call(lambda s: s.embargoes.change({"do": "add", "name": "m", "group": "g", "thing": "b",
-                                                       "until": "2199-01-01T00:00:00Z"}))
+        r = await w.call(
+            lambda s: s.embargoes.change(
+                {
+                    "do": "add",
+                    "name": "m",
+                    "group": "g",
+                    "thing": "b",
+                    "until": "2199-01-01T00:00:00Z",
+                }
+            )
+        )
         assert r["do"] == "add" and (await w.read("e3", "a")).code == "withheld"
+
     virtual(go, embargoing=[])
 
 
@@ -390,14 +468,22 @@
         await w.embargo("add", "opening", w.true() + 60 * S, early=["ed"])
         ask = {"group": "g", "thing": "opening"}
         r = await w.call(lambda s: s.embargoes.why(ask))
-        assert r["withheld"] and r["by"] == "x-opening" and r["embargoed_group"] and len(r["rules"]) == 1
+        assert (
+            r["withheld"]
+            and r["by"] == "x-opening"
+            and r["embargoed_group"]
+            and len(r["rules"]) == 1
+        )
         assert not (await w.call(lambda s: s.embargoes.why({**ask, "visitor": "ed"})))["withheld"]
         assert not (await w.call(lambda s: s.embargoes.why({**ask, "thing": "x"})))["withheld"]
         r = await w.call(lambda s: s.embargoes.list())
-        assert r["past"][0]["by"] == "op" and any("E330" in x[2] and "by=op" in x[2] for x in w.net.log)
+        assert r["past"][0]["by"] == "op" and any(
+            "E330" in x[2] and "by=op" in x[2] for x in w.net.log
+        )
         await w.read("e1", "opening")
         assert any("E430" in x[2] and "visitor=u" in x[2] for x in w.net.log)
         assert w.edges["e1"].node.status()["embargo"]["count"]["embargo"] == 1
+
     virtual(go)
 
 
@@ -427,8 +513,12 @@
             if k == 0:
                 bad.off = r.choice((-5 * S, 5 * S, 0, r.randrange(-5 * S, 5 * S)))
             elif k == 1:
-                w.net.cut([r.choice(sorted(w.edges))], r.sample(sorted(w.cores), r.randint(1, 3)),
-                          r.randrange(S // 5, 4 * S), r.random() < 0.6)
+                w.net.cut(
+                    [r.choice(sorted(w.edges))],
+                    r.sample(sorted(w.cores), r.randint(1, 3)),
+                    r.randrange(S // 5, 4 * S),
+                    r.random() < 0.6,
+                )
             elif k == 2:
                 n = r.choice(sorted(w.cores))
                 if all(c.up for c in w.cores.values()):
@@ -444,6 +534,7 @@
                 w.cores[r.choice(sorted(w.cores))].freeze(r.randrange(S // 5, 2 * S))
             else:
                 w.members[r.choice(("m2", "m3"))].lag = r.choice((0.01, 0.5, 3))
+
     crowd = w.crowd([f"r{i}" for i in range(3)], 1)
     ops = [asyncio.ensure_future(operate(i)) for i in range(3)]
     await trouble()
@@ -469,8 +560,14 @@
         await w.embargo("lift", "opening")
         m = w.manifest(embargoing=[])
         await w.call(lambda s: s.apply(m, by="op"))
-        await w.until(lambda: all(e.node.embargo is None and e.node.tie.time is None for e in w.edges.values()), 5)
+        await w.until(
+            lambda: all(
+                e.node.embargo is None and e.node.tie.time is None for e in w.edges.values()
+            ),
+            5,
+        )
         w.net.cut(["e1"], list(w.cores), 5 * S)
         await asyncio.sleep(2)
         assert (await w.read("e1", "opening")).ok and "embargo" not in w.edges["e1"].node.status()
+
     virtual(go)
--- a/tests/test_embargoes.py
+++ b/tests/test_embargoes.py
@@ -1,4 +1,5 @@
 """Embargo rules: release times, what a manifest may say, records on the chain, and the table against a small model."""
+
 import asyncio
 import datetime
 import json
@@ -27,7 +28,9 @@
 
 from forms import label, manifest_of  # noqa: E402
 
-DRAWN = settings(max_examples=300, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
+DRAWN = settings(
+    max_examples=300, phases=[Phase.generate], deadline=None, derandomize=True, database=None
+)
 SRC = Path(__file__).parent.parent / "src"
 
 
@@ -35,51 +38,83 @@
     return int(datetime.datetime(*at, tzinfo=datetime.UTC).timestamp()) * 1_000_000
 
 
-@pytest.mark.parametrize(("text", "zone", "want"), [
-    ("2026-03-01T09:00:00Z", "", us(2026, 3, 1, 9)),
-    ("2026-03-01T09:00:00+01:00", "", us(2026, 3, 1, 8)),
-    ("2026-03-01T09:00:00-00:00", "", us(2026, 3, 1, 9)),
-    ("2026-03-01T09:00:00.000001Z", "", us(2026, 3, 1, 9) + 1),
-    ("2026-03-01T09:00:00.5+05:30", "", us(2026, 3, 1, 3, 30) + 500_000),
-    ("2026-03-01T09:00:00", "Europe/Oslo", us(2026, 3, 1, 8)),
-    ("2026-07-01T09:00:00", "Europe/Oslo", us(2026, 7, 1, 7)),
-    ("2026-03-29T01:59:59", "Europe/Oslo", us(2026, 3, 29, 0, 59, 59)),
-    ("2026-03-29T03:00:00", "Europe/Oslo", us(2026, 3, 29, 1)),
-    ("2026-10-25T03:00:00", "Europe/Oslo", us(2026, 10, 25, 2)),
-    ("2026-10-25T02:30:00+02:00", "", us(2026, 10, 25, 0, 30)),
-    ("2026-10-25T02:30:00+01:00", "", us(2026, 10, 25, 1, 30)),
-    ("2026-03-01T00:00:00", "Pacific/Kiritimati", us(2026, 2, 28, 10)),
-    ("2026-02-28T23:00:00", "Pacific/Pago_Pago", us(2026, 3, 1, 10)),
-    ("2028-02-29T12:00:00", "Asia/Kathmandu", us(2028, 2, 29, 6, 15))])
+@pytest.mark.parametrize(
+    ("text", "zone", "want"),
+    [
+        ("2026-03-01T09:00:00Z", "", us(2026, 3, 1, 9)),
+        ("2026-03-01T09:00:00+01:00", "", us(2026, 3, 1, 8)),
+        ("2026-03-01T09:00:00-00:00", "", us(2026, 3, 1, 9)),
+        ("2026-03-01T09:00:00.000001Z", "", us(2026, 3, 1, 9) + 1),
+        ("2026-03-01T09:00:00.5+05:30", "", us(2026, 3, 1, 3, 30) + 500_000),
+        ("2026-03-01T09:00:00", "Europe/Oslo", us(2026, 3, 1, 8)),
+        ("2026-07-01T09:00:00", "Europe/Oslo", us(2026, 7, 1, 7)),
+        ("2026-03-29T01:59:59", "Europe/Oslo", us(2026, 3, 29, 0, 59, 59)),
+        ("2026-03-29T03:00:00", "Europe/Oslo", us(2026, 3, 29, 1)),
+        ("2026-10-25T03:00:00", "Europe/Oslo", us(2026, 10, 25, 2)),
+        ("2026-10-25T02:30:00+02:00", "", us(2026, 10, 25, 0, 30)),
+        ("2026-10-25T02:30:00+01:00", "", us(2026, 10, 25, 1, 30)),
+        ("2026-03-01T00:00:00", "Pacific/Kiritimati", us(2026, 2, 28, 10)),
+        ("2026-02-28T23:00:00", "Pacific/Pago_Pago", us(2026, 3, 1, 10)),
+        ("2028-02-29T12:00:00", "Asia/Kathmandu", us(2028, 2, 29, 6, 15)),
+    ],
+)
 def test_a_release_time_is_one_moment(text, zone, want):
     assert instant(text, zone) == want
     assert instant(spoken(want)) == want
 
 
-@pytest.mark.parametrize(("text", "zone", "why"), [
-    ("2026-03-29T02:30:00", "Europe/Oslo", "does not exist"), ("2026-10-25T02:30:00", "Europe/Oslo", "comes twice"),
-    ("2026-03-01T09:00:00", "", "needs an offset"), ("2026-03-01T09:00:00Z", "Europe/Oslo", "leave the zone out"),
-    ("2026-03-01T09:00:00", "Europe/Atlantis", "not known"), ("2026-03-01T09:00:00", "../etc/passwd", "not known"),
-    ("2026-03-01T09:00:00", "Europe", "not known"), ("2026-02-29T09:00:00Z", "", "no moment"),
-    ("2026-03-01T24:00:01Z", "", "no moment"), ("2026-03-01T09:00:60Z", "", "no moment"),
-    ("2026-03-01", "", "must be an instant"), ("2026-03-01 09:00:00Z", "", "must be an instant"),
-    ("2026-03-01T09:00Z", "", "must be an instant"), ("2026-03-01T09:00:00.0000001Z", "", "must be an instant"),
-    ("tomorrow", "", "must be an instant"), ("", "", "must be an instant"),
-    ("1969-01-01T00:00:00Z", "", "between 1970"), ("2999-01-01T00:00:00Z", "", "between 1970"),
-    ("0001-01-01T00:00:00+14:00", "", "between 1970"), ("٢٠٢٦-03-01T09:00:00Z", "", "must be|no moment")])
+@pytest.mark.parametrize(
+    ("text", "zone", "why"),
+    [
+        ("2026-03-29T02:30:00", "Europe/Oslo", "does not exist"),
+        ("2026-10-25T02:30:00", "Europe/Oslo", "comes twice"),
+        ("2026-03-01T09:00:00", "", "needs an offset"),
+        ("2026-03-01T09:00:00Z", "Europe/Oslo", "leave the zone out"),
+        ("2026-03-01T09:00:00", "Europe/Atlantis", "not known"),
+        ("2026-03-01T09:00:00", "../etc/passwd", "not known"),
+        ("2026-03-01T09:00:00", "Europe", "not known"),
+        ("2026-02-29T09:00:00Z", "", "no moment"),
+        ("2026-03-01T24:00:01Z", "", "no moment"),
+        ("2026-03-01T09:00:60Z", "", "no moment"),
+        ("2026-03-01", "", "must be an instant"),
+        ("2026-03-01 09:00:00Z", "", "must be an instant"),
+        ("2026-03-01T09:00Z", "", "must be an instant"),
+        ("2026-03-01T09:00:00.0000001Z", "", "must be an instant"),
+        ("tomorrow", "", "must be an instant"),
+        ("", "", "must be an instant"),
+        ("1969-01-01T00:00:00Z", "", "between 1970"),
+        ("2999-01-01T00:00:00Z", "", "between 1970"),
+        ("0001-01-01T00:00:00+14:00", "", "between 1970"),
+        ("٢٠٢٦-03-01T09:00:00Z", "", "must be|no moment"),
+    ],
+)
 def test_what_is_no_moment_or_two_is_declined(text, zone, why):
     with pytest.raises(ValueError, match=why):
         instant(text, zone)
 
 
 @DRAWN
-@given(st.datetimes(datetime.datetime(1971, 1, 2), datetime.datetime(2037, 1, 1)).map(
-       lambda d: d.replace(microsecond=0)),
-       st.sampled_from(["Europe/Oslo", "America/New_York", "Australia/Lord_Howe", "Africa/Casablanca", "Asia/Tehran"]))
+@given(
+    st.datetimes(datetime.datetime(1971, 1, 2), datetime.datetime(2037, 1, 1)).map(
+        lambda d: d.replace(microsecond=0)
+    ),
+    st.sampled_from(
+        [
+            "Europe/Oslo",
+            "America/New_York",
+            "Australia/Lord_Howe",
+            "Africa/Casablanca",
+            "Asia/Tehran",
+        ]
+    ),
+)
 def test_a_local_time_is_the_moment_at_which_clocks_there_show_it_once(at, zone):
     z = zoneinfo.ZoneInfo(zone)
-    shows = {m for m in (at.replace(tzinfo=z, fold=f).astimezone(datetime.UTC) for f in (0, 1))
-             if m.astimezone(z).replace(tzinfo=None, fold=0) == at}
+    shows = {
+        m
+        for m in (at.replace(tzinfo=z, fold=f).astimezone(datetime.UTC) for f in (0, 1))
+        if m.astimezone(z).replace(tzinfo=None, fold=0) == at
+    }
     try:
         got = instant(at.isoformat(), zone)
     except ValueError:
@@ -104,12 +139,33 @@
     assert faults_of(embargoes=[3]) == {"embargoes[0]"}
     assert faults_of(embargoes=[rule(), rule()]) == {"embargoes[1].name"}
     assert faults_of(embargoes=[rule(colour="red"), {"name": "b"}]) == {
-        "embargoes[0].colour", "embargoes[1].group", "embargoes[1].until"}
-    assert faults_of(embargoes=[rule(group="x"), rule("B"), rule("c", prefix="p"), rule("d", thing=""),
-                                rule("e", until="soon"), rule("f", until="2026-03-29T02:30:00", zone="Europe/Oslo"),
-                                rule("g", early=[""]), rule("h", thing="x" * 513), rule("i", early=[1])]) == {
-        "embargoes[0].group", "embargoes[1].name", "embargoes[2].thing", "embargoes[3].thing", "embargoes[4].until",
-        "embargoes[5].until", "embargoes[6].early", "embargoes[7].thing", "embargoes[8].early[0]"}
+        "embargoes[0].colour",
+        "embargoes[1].group",
+        "embargoes[1].until",
+    }
+    assert faults_of(
+        embargoes=[
+            rule(group="x"),
+            rule("B"),
+            rule("c", prefix="p"),
+            rule("d", thing=""),
+            rule("e", until="soon"),
+            rule("f", until="2026-03-29T02:30:00", zone="Europe/Oslo"),
+            rule("g", early=[""]),
+            rule("h", thing="x" * 513),
+            rule("i", early=[1]),
+        ]
+    ) == {
+        "embargoes[0].group",
+        "embargoes[1].name",
+        "embargoes[2].thing",
+        "embargoes[3].thing",
+        "embargoes[4].until",
+        "embargoes[5].until",
+        "embargoes[6].early",
+        "embargoes[7].thing",
+        "embargoes[8].early[0]",
+    }
     assert faults_of(embargoing=["g1"], bounds={"wall_us": 200_000}) == {"bounds.wall_us"}
     assert faults_of(bounds={"spread_us": -1}) == {"bounds.spread_us"}
 
@@ -137,7 +193,14 @@
     def manifest(self, **kw):
         self.version += 1
         m = read(json.dumps({**json.loads(manifest("small", self.version)), **kw}))
-        self.put({"t": "manifest", "text": "{}" + " " * self.version, "version": self.version, **of_manifest(m)})
+        self.put(
+            {
+                "t": "manifest",
+                "text": "{}" + " " * self.version,
+                "version": self.version,
+                **of_manifest(m),
+            }
+        )
 
     def say(self, do, name="n", **kw):
         self.put(placed({"do": do, "name": name, **kw}))
@@ -173,16 +236,32 @@
     with pytest.raises(Stale):
         c.say("move", until="2026-05-01T06:00:00Z")
     t = told(c.led.doc)
-    assert [(p["do"], p["by"]) for p in t["past"]] == [("add", "me"), ("move", "her"), ("move", ""), ("lift", "")]
-
-
-@pytest.mark.parametrize(("d", "at"), [
-    (None, "$"), ({"do": "burn"}, "do"), ({"do": "lift"}, "name"), ({"do": "add", **rule(until="x")}, "until"),
-    ({"do": "add", **rule(colour=1)}, "colour"), ({"do": "add", **rule(thing=3)}, "thing"),
-    ({"do": "add", **rule(early="me")}, "early"), ({"do": "move", "name": "n", "until": 5}, "until"),
-    ({"do": "move", "name": "n", "until": "2026-03-01T09:00:00Z", "thing": "b"}, "thing"),
-    ({"do": "lift", "name": "n", "n": True}, "n"), ({"do": "add", **rule(gone=[1])}, "gone"),
-    ({"do": "add", **rule(), "by": 7}, "by"), ({"do": "add", **rule(prefix="p")}, "thing")])
+    assert [(p["do"], p["by"]) for p in t["past"]] == [
+        ("add", "me"),
+        ("move", "her"),
+        ("move", ""),
+        ("lift", ""),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("d", "at"),
+    [
+        (None, "$"),
+        ({"do": "burn"}, "do"),
+        ({"do": "lift"}, "name"),
+        ({"do": "add", **rule(until="x")}, "until"),
+        ({"do": "add", **rule(colour=1)}, "colour"),
+        ({"do": "add", **rule(thing=3)}, "thing"),
+        ({"do": "add", **rule(early="me")}, "early"),
+        ({"do": "move", "name": "n", "until": 5}, "until"),
+        ({"do": "move", "name": "n", "until": "2026-03-01T09:00:00Z", "thing": "b"}, "thing"),
+        ({"do": "lift", "name": "n", "n": True}, "n"),
+        ({"do": "add", **rule(gone=[1])}, "gone"),
+        ({"do": "add", **rule(), "by": 7}, "by"),
+        ({"do": "add", **rule(prefix="p")}, "thing"),
+    ],
+)
 def test_a_call_that_is_wrong_is_declined_by_field(d, at):
     with pytest.raises(Invalid) as e:
         placed(d)
@@ -219,30 +298,51 @@
     c = Chain(embargoing=["g1"])
     c.add("a")
     other = Ledger(json.loads(json.dumps(c.led.frame())))
-    for r in (placed({"do": "move", "name": "a", "until": "2026-03-01T10:00:00Z"}), placed({"do": "add", **rule("b")})):
+    for r in (
+        placed({"do": "move", "name": "a", "until": "2026-03-01T10:00:00Z"}),
+        placed({"do": "add", **rule("b")}),
+    ):
         c.put(r)
         other.apply(other.seq + 1, json.loads(json.dumps(r)))
     assert other.doc == c.led.doc
 
 
 WORD = st.text("ab", max_size=5)
-RULE = st.fixed_dictionaries({"group": st.sampled_from("gh"), "kind": st.booleans(),
-                              "at": st.text("ab", min_size=1, max_size=4), "until": st.integers(1, 9),
-                              "early": st.lists(st.sampled_from("xyz"), max_size=2)})
+RULE = st.fixed_dictionaries(
+    {
+        "group": st.sampled_from("gh"),
+        "kind": st.booleans(),
+        "at": st.text("ab", min_size=1, max_size=4),
+        "until": st.integers(1, 9),
+        "early": st.lists(st.sampled_from("xyz"), max_size=2),
+    }
+)
 STEP = st.tuples(st.integers(0, 7), RULE | st.none())
 
 
 def as_rule(d):
-    return {"group": d["group"], "thing": "" if d["kind"] else d["at"], "prefix": d["at"] if d["kind"] else "",
-            "until": d["until"], "early": d["early"]}
+    return {
+        "group": d["group"],
+        "thing": "" if d["kind"] else d["at"],
+        "prefix": d["at"] if d["kind"] else "",
+        "until": d["until"],
+        "early": d["early"],
+    }
 
 
 def covers(r, group, thing):
-    return r["group"] == group and (r["thing"] == thing if r["thing"] else thing.startswith(r["prefix"]))
+    return r["group"] == group and (
+        r["thing"] == thing if r["thing"] else thing.startswith(r["prefix"])
+    )
 
 
 @DRAWN
-@given(st.lists(STEP, max_size=25), st.lists(WORD, min_size=1, max_size=3), st.sampled_from("xyzw"), st.integers(0, 9))
+@given(
+    st.lists(STEP, max_size=25),
+    st.lists(WORD, min_size=1, max_size=3),
+    st.sampled_from("xyzw"),
+    st.integers(0, 9),
+)
 def test_the_table_holds_back_what_a_walk_over_all_rules_holds_back(steps, things, visitor, now):
     t, model = Table(), {}
     for k, d in steps:
@@ -255,9 +355,16 @@
     assert len(t) == len(model)
     for g in "gh":
         for x in things:
-            assert sorted(k for k, _ in t.covering(g, x)) == sorted(k for k, r in model.items() if covers(r, g, x))
-        holds = [r["until"] for r in model.values()
-                 if r["until"] > now and visitor not in r["early"] and any(covers(r, g, x) for x in things)]
+            assert sorted(k for k, _ in t.covering(g, x)) == sorted(
+                k for k, r in model.items() if covers(r, g, x)
+            )
+        holds = [
+            r["until"]
+            for r in model.values()
+            if r["until"] > now
+            and visitor not in r["early"]
+            and any(covers(r, g, x) for x in things)
+        ]
         hit = t.held(g, things, visitor, now)
         assert (hit[1]["until"] if hit else None) == max(holds, default=None)
 
@@ -269,10 +376,13 @@
 
 
 @DRAWN
-@given(st.integers(0, 1000), st.lists(st.tuples(st.integers(0, 40), st.integers(0, 40)), min_size=2, max_size=4),
-       st.lists(st.tuples(st.integers(-2000, 2000), st.integers(0, 80)), max_size=3))
+@given(
+    st.integers(0, 1000),
+    st.lists(st.tuples(st.integers(0, 40), st.integers(0, 40)), min_size=2, max_size=4),
+    st.lists(st.tuples(st.integers(-2000, 2000), st.integers(0, 80)), max_size=3),
+)
 def test_what_a_majority_agrees_on_holds_true_time_whatever_the_others_say(true, good, bad):
-    bad = bad[:len(good) - 1]
+    bad = bad[: len(good) - 1]
     n = len(good) + len(bad)
     got = agreed([(true - a, true + b) for a, b in good] + [(x, x + w) for x, w in bad], n // 2 + 1)
     assert got is not None and got[0] <= true <= got[1]
@@ -284,11 +394,17 @@
 
 
 def test_while_off_nothing_of_it_is_loaded():
-    code = ("import sys, petrelhaven.helm.seat, petrelhaven.span.gate, petrelhaven.span.tie\n"
-            "print([m for m in sys.modules if m.split('.')[0] in ('dateutil', 'sortedcontainers', 'zoneinfo')"
-            " or 'embargo' in m and not m.endswith('face') or m.endswith(('.wall', '.truetime', '.instant'))])")
-    out = subprocess.run([sys.executable, "-c", code], env={**os.environ, "PYTHONPATH": str(SRC)},
-                         capture_output=True, text=True)
+    code = (
+        "import sys, petrelhaven.helm.seat, petrelhaven.span.gate, petrelhaven.span.tie\n"
+        "print([m for m in sys.modules if m.split('.')[0] in ('dateutil', 'sortedcontainers', 'zoneinfo')"
+        " or 'embargo' in m and not m.endswith('face') or m.endswith(('.wall', '.truetime', '.instant'))])"
+    )
+    out = subprocess.run(
+        [sys.executable, "-c", code],
+        env={**os.environ, "PYTHONPATH": str(SRC)},
+        capture_output=True,
+        text=True,
+    )
     assert out.stdout.strip() == "[]", out
 
 
@@ -304,27 +420,54 @@
     assert [p for p, _ in e.value.more["faults"]] == ["embargoing"]
 
 
-CONFIG = {"Revision": 1, "Services": [{"Name": "svc"}, {"Name": "Ärger"}],
-          "Routes": [{"Hostname": "db", "Service": "svc", "TimeoutMs": 800}]}
-ROW = {"Name": "n", "Service": "Ärger", "Prefix": "a-", "Until": "2026-03-01T09:00:00", "Zone": "Europe/Oslo"}
+CONFIG = {
+    "Revision": 1,
+    "Services": [{"Name": "svc"}, {"Name": "Ärger"}],
+    "Routes": [{"Hostname": "db", "Service": "svc", "TimeoutMs": 800}],
+}
+ROW = {
+    "Name": "n",
+    "Service": "Ärger",
+    "Prefix": "a-",
+    "Until": "2026-03-01T09:00:00",
+    "Zone": "Europe/Oslo",
+}
 
 
 def test_a_platforms_configuration_switches_embargoes_on_and_without_the_section_they_are_off():
     assert "embargoes" not in json.loads(manifest_of(json.dumps(CONFIG).encode(), ["a"]))
-    section = {"Services": ["svc"], "ClockErrorMs": 50, "ClockWidthMs": 300, "SpreadMs": 0, "Rules": [ROW]}
+    section = {
+        "Services": ["svc"],
+        "ClockErrorMs": 50,
+        "ClockWidthMs": 300,
+        "SpreadMs": 0,
+        "Rules": [ROW],
+    }
     m = read(manifest_of(json.dumps({**CONFIG, "Embargo": section}).encode(), ["a"]))
     assert (m.bounds.skew_us, m.bounds.wall_us, m.bounds.spread_us) == (50_000, 300_000, 0)
     got = of_manifest(m)["embargo"]
-    assert got["scope"] == sorted(["svc", label("Ärger")]) and got["rules"]["n"]["until"] == us(2026, 3, 1, 8)
-    assert of_manifest(read(manifest_of(json.dumps({**CONFIG, "Embargo": {}}).encode(), ["a"]))) == {}
-
-
-@pytest.mark.parametrize(("section", "at"), [
-    (3, "Embargo"), ({"Colour": 1}, "Embargo.Colour"), ({"Services": ["x"]}, "Embargo.Services[0]"),
-    ({"Rules": [1]}, "Embargo.Rules[0]"), ({"Rules": [{**ROW, "Service": "x"}]}, "Embargo.Rules[0].Service"),
-    ({"Rules": [{**ROW, "Thingy": "x"}]}, "Embargo.Rules[0].Thingy"), ({"Rules": [{**ROW, "Early": [1]}]},
-                                                                       "Embargo.Rules[0].Early"),
-    ({"Rules": [{**ROW, "Until": 5}]}, "Embargo.Rules[0].Until"), ({"SpreadMs": "x"}, "Embargo.SpreadMs")])
+    assert got["scope"] == sorted(["svc", label("Ärger")]) and got["rules"]["n"]["until"] == us(
+        2026, 3, 1, 8
+    )
+    assert (
+        of_manifest(read(manifest_of(json.dumps({**CONFIG, "Embargo": {}}).encode(), ["a"]))) == {}
+    )
+
+
+@pytest.mark.parametrize(
+    ("section", "at"),
+    [
+        (3, "Embargo"),
+        ({"Colour": 1}, "Embargo.Colour"),
+        ({"Services": ["x"]}, "Embargo.Services[0]"),
+        ({"Rules": [1]}, "Embargo.Rules[0]"),
+        ({"Rules": [{**ROW, "Service": "x"}]}, "Embargo.Rules[0].Service"),
+        ({"Rules": [{**ROW, "Thingy": "x"}]}, "Embargo.Rules[0].Thingy"),
+        ({"Rules": [{**ROW, "Early": [1]}]}, "Embargo.Rules[0].Early"),
+        ({"Rules": [{**ROW, "Until": 5}]}, "Embargo.Rules[0].Until"),
+        ({"SpreadMs": "x"}, "Embargo.SpreadMs"),
+    ],
+)
 def test_a_platforms_configuration_is_declined_by_field(section, at):
     with pytest.raises(Invalid) as e:
         manifest_of(json.dumps({**CONFIG, "Embargo": section}).encode(), ["a"])
--- a/tests/test_estate.py
+++ b/tests/test_estate.py
@@ -1,4 +1,5 @@
 """The stand-in estate itself: the members' wire, the log they share, the platform, the fleet, and a judge that sees."""
+
 import asyncio
 import contextlib
 import functools
@@ -36,7 +37,9 @@
 
 @contextlib.asynccontextmanager
 async def members(count=3, nodes=(), **knobs):
-    g = Group("svc", History(), **{"lag_ms": 20, "promote_ms": 30, "work_ms": 1, "connect_ms": 1, **knobs})
+    g = Group(
+        "svc", History(), **{"lag_ms": 20, "promote_ms": 30, "work_ms": 1, "connect_ms": 1, **knobs}
+    )
     for i in range(count):
         g.add(Member(g, f"i-{i}", f"{NET}.1.{i + 1}:8080", f"hall-{i}", nodes, beat_ms=50))
     ms = list(g.members.values())
@@ -71,6 +74,7 @@
     async def go():
         async with members(**knobs) as (g, ms):
             await fn(g, *ms)
+
     asyncio.run(go())
 
 
@@ -78,24 +82,84 @@
     async def go(g, p, r, _):
         s = await dial(p, p.id)
         assert (s.state, s.position) == ("I", "1.0")
-        assert await say(s, "PUT a one", "FETCH a", "FETCH none", "BEGIN", "PUT a two words", "FETCH a", "ROLLBACK",
-                         "FETCH a", "BEGIN FETCH", "PUT a x", "FETCH a", "COMMIT") == [
-            ((), "I"), (("one",), "I"), ((), "I"), ((), "T"), ((), "T"), (("two words",), "T"), ((), "I"),
-            (("one",), "I"), ((), "T"), ("READONLY", "E"), ("MALFORMED", "E"), ("ABORTED", "I")]
+        assert await say(
+            s,
+            "PUT a one",
+            "FETCH a",
+            "FETCH none",
+            "BEGIN",
+            "PUT a two words",
+            "FETCH a",
+            "ROLLBACK",
+            "FETCH a",
+            "BEGIN FETCH",
+            "PUT a x",
+            "FETCH a",
+            "COMMIT",
+        ) == [
+            ((), "I"),
+            (("one",), "I"),
+            ((), "I"),
+            ((), "T"),
+            ((), "T"),
+            (("two words",), "T"),
+            ((), "I"),
+            (("one",), "I"),
+            ((), "T"),
+            ("READONLY", "E"),
+            ("MALFORMED", "E"),
+            ("ABORTED", "I"),
+        ]
         assert s.position == "1.1"
-        assert await say(s, "PREPARE s FETCH q1", "EXECUTE s a", "PREPARE w PUT q2", "EXECUTE w a three four",
-                         "DEALLOC s", "EXECUTE s a", "DEALLOC s", "SET l x", "RESET", "EXECUTE w a b") == [
-            ((), "I"), (("one",), "I"), ((), "I"), ((), "I"), ((), "I"), ("NOSTMT", "I"), ("NOSTMT", "I"), ((), "I"),
-            ((), "I"), ("NOSTMT", "I")]
-        assert p.data["a"] == "three four" and [r.shape for r in g.history.runs if r.shape] == ["q1", "q2"]
-        for bad in ("COMMIT", "ROLLBACK", "", "PUT a", "NONSENSE", "begin", "AFTER 1 FETCH a", "AFTER 1.1 SET a b"):
+        assert await say(
+            s,
+            "PREPARE s FETCH q1",
+            "EXECUTE s a",
+            "PREPARE w PUT q2",
+            "EXECUTE w a three four",
+            "DEALLOC s",
+            "EXECUTE s a",
+            "DEALLOC s",
+            "SET l x",
+            "RESET",
+            "EXECUTE w a b",
+        ) == [
+            ((), "I"),
+            (("one",), "I"),
+            ((), "I"),
+            ((), "I"),
+            ((), "I"),
+            ("NOSTMT", "I"),
+            ("NOSTMT", "I"),
+            ((), "I"),
+            ((), "I"),
+            ("NOSTMT", "I"),
+        ]
+        assert p.data["a"] == "three four" and [r.shape for r in g.history.runs if r.shape] == [
+            "q1",
+            "q2",
+        ]
+        for bad in (
+            "COMMIT",
+            "ROLLBACK",
+            "",
+            "PUT a",
+            "NONSENSE",
+            "begin",
+            "AFTER 1 FETCH a",
+            "AFTER 1.1 SET a b",
+        ):
             assert await say(s, bad) == [("MALFORMED", "I")], bad
         assert await say(s, "AFTER 1.2 FETCH a", "AFTER 1.3 FETCH a", "AFTER 1.3 BEGIN FETCH") == [
-            (("three four",), "I"), ("LAGGING", "I"), ("LAGGING", "I")]
+            (("three four",), "I"),
+            ("LAGGING", "I"),
+            ("LAGGING", "I"),
+        ]
         a = await s.ask("-", "STATUS")
         assert a.rows == ("primary 1 1.2 0 0 1 1",) and a.stamp == "-"
         s.close(polite=True)
         await until(lambda: p.connections == 0)
+
     run(go)
 
 
@@ -105,7 +169,14 @@
         await say(w, "PUT a one")
         await until(lambda: r.position() == "1.1")
         assert await say(s, "FETCH a", "PUT a x", "BEGIN", "BEGIN FETCH", "FETCH a", "COMMIT") == [
-            (("one",), "I"), ("READONLY", "I"), ("READONLY", "I"), ((), "T"), (("one",), "T"), ((), "I")]
+            (("one",), "I"),
+            ("READONLY", "I"),
+            ("READONLY", "I"),
+            ((), "T"),
+            (("one",), "T"),
+            ((), "I"),
+        ]
+
     run(go)
 
 
@@ -117,12 +188,17 @@
         row = (await s.ask("-", "STATUS")).rows[0].split()
         assert row[2] == "1.1" and s.position == "1.0"
         assert await say(s, "FETCH a", "AFTER 1.1 FETCH a") == [((), "I"), ("LAGGING", "I")]
+
     run(go, lag_ms=60_000)
 
 
 def test_connects_are_turned_away():
     async def go(g, p, *_):
-        for fields, code in (("other me", "WRONGNODE"), ("svc me i-9", "WRONGNODE"), ("svc", "MALFORMED")):
+        for fields, code in (
+            ("other me", "WRONGNODE"),
+            ("svc me i-9", "WRONGNODE"),
+            ("svc", "MALFORMED"),
+        ):
             with pytest.raises(Refusal) as e:
                 await Session.open(p.address, fields)
             assert e.value.code == code
@@ -131,6 +207,7 @@
         with pytest.raises(Refusal) as e:
             await dial(p)
         assert e.value.code == "CONNLIMIT" and len(kept) == 2
+
     run(go, conn_limit=2)
 
 
@@ -141,6 +218,7 @@
                 p.state = state
                 async with http.get(f"http://{p.address}/health") as answer:
                     assert (answer.status, answer.headers["X-Member-Id"]) == (status, p.id)
+
     run(go)
 
 
@@ -152,9 +230,18 @@
         assert await say(ss[3], "STATUS", "FETCH a") == [("BUSY", "I"), ("BUSY", "I")]
         assert await asyncio.gather(*asks) == [[((), "I")]] * 3
         p.refuse = True
-        assert await say(ss[3], "BEGIN", "FETCH a", "ROLLBACK") == [((), "T"), ("BUSY", "E"), ((), "I")]
+        assert await say(ss[3], "BEGIN", "FETCH a", "ROLLBACK") == [
+            ((), "T"),
+            ("BUSY", "E"),
+            ((), "I"),
+        ]
         p.refuse, p.failing = False, 2
-        assert await say(ss[3], "FETCH a", "PUT a x", "FETCH a") == [("FAILED", "I"), ("FAILED", "I"), ((), "I")]
+        assert await say(ss[3], "FETCH a", "PUT a x", "FETCH a") == [
+            ("FAILED", "I"),
+            ("FAILED", "I"),
+            ((), "I"),
+        ]
+
     run(go, slots=1, queue=2, work_ms=100)
 
 
@@ -168,6 +255,7 @@
         assert await say(s, "PUT a two") == [((), "I")]
         assert (len(a.log), len(b.log)) == (0, 2)
         assert [e.acked_at is not None for e in g.entries] == [False, True]
+
     run(go, sync_wait_ms=60)
 
 
@@ -180,6 +268,7 @@
         assert len(b.log) == 1 and not a.log
         assert (await s.ask("-", "RESUME")).rows[0].split()[3] == "0"
         await until(lambda: a.log)
+
     run(go)
 
 
@@ -201,6 +290,7 @@
         assert await say(n, "PUT a three") == [((), "I")] and n.position == "2.2"
         await until(lambda: a.position() == p.position() == "2.2")
         assert await say(n, "AFTER 1.2 FETCH a") == [(("three",), "I")]
+
     run(go)
 
 
@@ -213,6 +303,7 @@
         assert await say(reads, "COMMIT") == [((), "I")]
         assert await say(writes, "COMMIT") == [("READONLY", "I")]
         assert not g.entries
+
     run(go)
 
 
@@ -224,6 +315,7 @@
         assert await say(s, "PUT a x") == [("READONLY", "I")]
         g.promote(p)
         assert await say(s, "PUT a x") == [((), "I")] and s.position == "2.1"
+
     run(go)
 
 
@@ -241,6 +333,7 @@
         g.promote(a)
         await p.start()
         assert p.role == "replica" and len(p.log) == 1
+
     run(go)
 
 
@@ -256,6 +349,7 @@
         assert (await dial(p)).position == "1.0"
         await s.ended()
         assert not g.entries
+
     run(go)
 
 
@@ -269,6 +363,7 @@
             assert p.data["a"] == how and g.entries[-1].acked_at is None
             s.close()
         await until(lambda: p.connections == 0)
+
     run(go)
 
 
@@ -299,8 +394,10 @@
         self.got.append((i, request.path, body))
         if i == 0 and self.target is None:
             raise web.HTTPTemporaryRedirect(f"http://{self.addresses[1]}{request.path}")
-        return web.json_response({"BeatTarget": self.target} if self.target else {},
-                                 status=self.status.pop(0) if self.status else 200)
+        return web.json_response(
+            {"BeatTarget": self.target} if self.target else {},
+            status=self.status.pop(0) if self.status else 200,
+        )
 
 
 def test_members_beat_and_say_a_change_at_once_and_sign_off():
@@ -309,21 +406,34 @@
             await until(lambda: {x[1][-3:] for x in c.got} == {"i-0", "i-1"})
             i, path, body = next(x for x in c.got if x[0] == 1 and x[1].endswith("i-0"))
             assert path == "/v1/Members.Heartbeat/i-0" and body.pop("CallSeq") > 0
-            assert body == {"Service": "svc", "Address": p.address, "Zone": "hall-0", "Revision": "v1", "Capacity": 13,
-                            "State": "ready", "WarmupLeftMs": 0, "DbRole": "primary"}
+            assert body == {
+                "Service": "svc",
+                "Address": p.address,
+                "Zone": "hall-0",
+                "Revision": "v1",
+                "Capacity": 13,
+                "State": "ready",
+                "WarmupLeftMs": 0,
+                "DbRole": "primary",
+            }
             c.target = c.addresses[0]
             await until(lambda: c.got[-1][0] == 0 and c.got[-2][0] == 0)
             c.status += [503, 503]
             g.promote(r)
-            await until(lambda: any(x[1].endswith("i-1") and x[2]["DbRole"] == "primary" for x in c.got))
+            await until(
+                lambda: any(x[1].endswith("i-1") and x[2]["DbRole"] == "primary" for x in c.got)
+            )
             done = asyncio.ensure_future(p.release(drain_ms=10))
             await done
             assert "i-0" in g.history.drained and not p.running
-            assert [x[2]["State"] for x in c.got if x[1] == "/v1/Members.Deregister/i-0"] == ["draining"]
+            assert [x[2]["State"] for x in c.got if x[1] == "/v1/Members.Deregister/i-0"] == [
+                "draining"
+            ]
             new = Member(g, "i-9", p.address, p.zone)
             g.replace(p, new)
             await new.start()
             assert new.log == p.log and await say(await dial(new, "i-9"), "STATUS")
+
     asyncio.run(go())
 
 
@@ -344,6 +454,7 @@
             assert await o.begin("hall-0") == 200 and await o.finish("hall-0") == 200
             assert h.evacuations[0].finished_at and await o.fetch() == {}
             await o.close()
+
     asyncio.run(go())
 
 
@@ -354,9 +465,13 @@
 
             async def post(member, fence, service="svc"):
                 headers = {"X-Duty-Holder": "n1", "X-Fence-Token": str(fence)}
-                async with http.post(f"http://{cloud.address}/failover", headers=headers,
-                                     json={"Service": service, "MemberId": member}) as answer:
+                async with http.post(
+                    f"http://{cloud.address}/failover",
+                    headers=headers,
+                    json={"Service": service, "MemberId": member},
+                ) as answer:
                     return answer.status
+
             try:
                 assert await post(p.id, 5) == 200 and g.term == 1
                 assert await post(a.id, 4) == 409
@@ -373,6 +488,7 @@
                 assert 429 in [await post(a.id, 7) for _ in range(8)]
             finally:
                 await cloud.close()
+
     asyncio.run(go())
 
 
@@ -380,8 +496,11 @@
     async def go():
         async with ControlStub() as c:
             c.target = "-"
-            nodes = [("a", "z1", "front-a", c.addresses[0]), ("b", "z2", "front-b", c.addresses[1]),
-                     ("c", "z2", "front-c", f"{NET}.2.9:1")]
+            nodes = [
+                ("a", "z1", "front-a", c.addresses[0]),
+                ("b", "z2", "front-b", c.addresses[1]),
+                ("c", "z2", "front-c", f"{NET}.2.9:1"),
+            ]
             r = Router(lambda: nodes, ["z1", "z2"], gap=0.03).start()
             await until(lambda: r.ready() == {"a", "b"})
             assert {r.pick("z2", f"u{i}") for i in range(9)} == {"front-b"}
@@ -394,6 +513,7 @@
             nodes.remove(nodes[0])
             assert r.pick("z1", "u") == "front-b"
             await r.close()
+
     asyncio.run(go())
 
 
@@ -439,33 +559,45 @@
         if old in line:
             seen.append(line)
         return line.replace(old, new) if len(seen) >= from_nth else line
+
     return spoil
 
 
-@pytest.mark.parametrize("at,spoil,rule", [
-    (0, bent("none", "none"), None),
-    (1, bent("none", "none"), "STALE"),
-    (0, bent("PUT 1 ", "PUT 2 ", 1), "UNASKED"),
-    (0, bent("ROLLBACK", "COMMIT", 1), "UNASKED"),
-    (0, bent("SET lang", "SET long", 1), "PINNED"),
-    (0, bent("EXECUTE s1", "EXECUTE s2"), "PINNED"),
-    (0, bent("BEGIN FETCH", "RESET", 1), "PINNED"),
-])
+@pytest.mark.parametrize(
+    "at,spoil,rule",
+    [
+        (0, bent("none", "none"), None),
+        (1, bent("none", "none"), "STALE"),
+        (0, bent("PUT 1 ", "PUT 2 ", 1), "UNASKED"),
+        (0, bent("ROLLBACK", "COMMIT", 1), "UNASKED"),
+        (0, bent("SET lang", "SET long", 1), "PINNED"),
+        (0, bent("EXECUTE s1", "EXECUTE s2"), "PINNED"),
+        (0, bent("BEGIN FETCH", "RESET", 1), "PINNED"),
+    ],
+)
 def test_clients_through_a_front_are_judged(at, spoil, rule):
     async def go():
         async with members(lag_ms=150) as (g, ms):
             h = g.history
-            h.configs.append(ConfigOrder({"Revision": 1, "Routes": [{"Hostname": "db", "Service": "svc"}]}, 0.0))
+            h.configs.append(
+                ConfigOrder({"Revision": 1, "Routes": [{"Hostname": "db", "Service": "svc"}]}, 0.0)
+            )
             async with Pass(ms[at], spoil) as front:
                 if at:
+
                     async def feed():
                         s = await dial(ms[0])
                         for i in range(80):
                             await say(s, f"PUT {i % 5:x} w{i}")
+
                     fed = asyncio.ensure_future(feed())
                 route = Route("db", "svc", writes=0.0 if at else 0.5, transactions=0.5)
-                cs = [Client(f"u{i}", route, lambda n: front.address, h, rate=100, pause_ms=2, things=5)
-                      for i in range(4)]
+                cs = [
+                    Client(
+                        f"u{i}", route, lambda n: front.address, h, rate=100, pause_ms=2, things=5
+                    )
+                    for i in range(4)
+                ]
                 await asyncio.gather(*(c.run(1.0) for c in cs))
                 if at:
                     await fed
@@ -476,25 +608,35 @@
                 assert {a.outcome for a in h.attempts} >= {"ok", "left"}
             else:
                 assert rule in seen
+
     asyncio.run(go())
 
 
 def test_a_client_tries_again_as_a_whole_with_new_ids():
     async def go():
         async with members() as (g, (p, *_)), Pass(p) as front:
-            c = Client("u", Route("db", "svc", writes=1.0, transactions=0.0), lambda n: front.address, g.history)
+            c = Client(
+                "u",
+                Route("db", "svc", writes=1.0, transactions=0.0),
+                lambda n: front.address,
+                g.history,
+            )
             assert (await c.operate()).served
             g.history.attempts.clear()
             p.refuse = True
             o = await c.operate()
             assert (o.served, o.tries, o.last) == (False, 3, "BUSY")
             tries = [a.statements for a in g.history.attempts]
-            assert len({s.id for ss in tries for s in ss}) == 3 and len({ss[0].text.split()[-1] for ss in tries}) == 1
+            assert (
+                len({s.id for ss in tries for s in ss}) == 3
+                and len({ss[0].text.split()[-1] for ss in tries}) == 1
+            )
             p.refuse, p.losing, p.lost_how = False, 1, "cut"
             o = await c.operate()
             assert (o.served, o.tries, o.last) == (False, 1, "cut")
             assert (await c.operate()).served
             c._close()
+
     asyncio.run(go())
 
 
@@ -531,22 +673,49 @@
     (tmp_path / "program.py").write_text(SETTINGS_PROGRAM)
 
     async def go():
-        f = Fleet(tmp_path, tmp_path / "run", History(), {"z1": "r1", "z2": "r2"}, edges=4, cores=2,
-                  net=20 + os.getpid() % 200)
+        f = Fleet(
+            tmp_path,
+            tmp_path / "run",
+            History(),
+            {"z1": "r1", "z2": "r2"},
+            edges=4,
+            cores=2,
+            net=20 + os.getpid() % 200,
+        )
         roles = {m.name: sorted(m.processes) for m in f.machines.values()}
-        assert roles == {"core-z1-1": ["keeper"], "core-z2-1": ["keeper"], "edge-z1-1": ["door"], "edge-z2-1": ["door"],
-                         "edge-z1-2": ["clerk", "door"], "edge-z2-2": ["clerk", "door"]}
-        assert len({m.ip for m in f.machines.values()}) == 6 and len(f.controls()) == 2 and len(f.fronts()) == 4
+        assert roles == {
+            "core-z1-1": ["keeper"],
+            "core-z2-1": ["keeper"],
+            "edge-z1-1": ["door"],
+            "edge-z2-1": ["door"],
+            "edge-z1-2": ["clerk", "door"],
+            "edge-z2-2": ["clerk", "door"],
+        }
+        assert (
+            len({m.ip for m in f.machines.values()}) == 6
+            and len(f.controls()) == 2
+            and len(f.fronts()) == 4
+        )
 
         def told(machine, role, what):
             return (tmp_path / "run" / machine / f"{role}.log").read_text().count(what)
+
         try:
             await f.start()
             p = f.machines["core-z1-1"].processes["keeper"]
-            await until(lambda: all(told(n, r, "started") == 1 for n, rs in roles.items() for r in rs))
+            await until(
+                lambda: all(told(n, r, "started") == 1 for n, rs in roles.items() for r in rs)
+            )
             boot = tomllib.loads((tmp_path / "run/core-z1-1/keeper.toml").read_text())
-            assert boot["Bootstrap"] is True and boot["SeedNodes"] == f.controls() and boot["Serves"] == ["control"]
-            assert boot["BindAddrs"] == {"Control": f.controls()[0]} and boot["Zones"] == {"z1": "r1", "z2": "r2"}
+            assert (
+                boot["Bootstrap"] is True
+                and boot["SeedNodes"] == f.controls()
+                and boot["Serves"] == ["control"]
+            )
+            assert boot["BindAddrs"] == {"Control": f.controls()[0]} and boot["Zones"] == {
+                "z1": "r1",
+                "z2": "r2",
+            }
             f.hup("core-z1-1")
             await until(lambda: told("core-z1-1", "keeper", "hup"))
             f.kill("core-z1-1")
@@ -568,6 +737,7 @@
         finally:
             await f.close()
         assert all(p.pid is None for m in f.machines.values() for p in m.processes.values())
+
     asyncio.run(go())
 
 
@@ -585,7 +755,9 @@
         self.ask(self.transaction, 20.1, "t1", "FETCH a", transaction=1, rows=("x",))
         self.ask(self.transaction, 20.2, "t2", "PUT b y", transaction=1, commits=False)
         self.ask(self.transaction, 20.3, "t3", "COMMIT", transaction=1, commits="t2")
-        self.read = self.single(30.0, "r1", "EXECUTE s a", shape="q", values={"k": "v"}, rows=("x",))
+        self.read = self.single(
+            30.0, "r1", "EXECUTE s a", shape="q", values={"k": "v"}, rows=("x",)
+        )
 
     def attempt(self, session="u/1", outcome="ok", **kw):
         a = Attempt(session, "db", outcome=outcome, **kw)
@@ -599,15 +771,36 @@
 
     def entry(self, *ids, acked_at=None):
         before = self.h.entries[-1] if self.h.entries else None
-        e = Entry("svc", 1, len(self.h.entries) + 1, tuple((i, "a", "x") for i in ids), before, acked_at=acked_at)
+        e = Entry(
+            "svc",
+            1,
+            len(self.h.entries) + 1,
+            tuple((i, "a", "x") for i in ids),
+            before,
+            acked_at=acked_at,
+        )
         self.h.entries.append(e)
         return e
 
-    def ask(self, a, at, id, text, transaction=None, rows=(), shape=None, values=None, commits=True, **kw):
+    def ask(
+        self,
+        a,
+        at,
+        id,
+        text,
+        transaction=None,
+        rows=(),
+        shape=None,
+        values=None,
+        commits=True,
+        **kw,
+    ):
         kind = {"EXECUTE": "FETCH"}.get(text.split()[0], text.split()[0])
         writes = kind == "PUT"
         stamp = "-" if kind == "BEGIN" else f"stamp-{id}"
-        a.statements.append(Statement(id, text, at, shape, writes, values or {}, at + 0.05, "ok", stamp, rows))
+        a.statements.append(
+            Statement(id, text, at, shape, writes, values or {}, at + 0.05, "ok", stamp, rows)
+        )
         if (writes or kind == "COMMIT") and commits:
             self.entry(id if commits is True else commits, acked_at=at + 0.04)
         if kind != "BEGIN":
@@ -615,8 +808,22 @@
             self.run(at + 0.02, id, text, kind, transaction, **kw)
 
     def run(self, at, id, text, kind, transaction=None, connection=7, member="m", **kw):
-        self.h.runs.append(Run(at, at, "svc", member, "hall-0", connection, transaction, id, text, kind,
-                               kw.pop("log", self.h.entries[-1] if self.h.entries else None), **kw))
+        self.h.runs.append(
+            Run(
+                at,
+                at,
+                "svc",
+                member,
+                "hall-0",
+                connection,
+                transaction,
+                id,
+                text,
+                kind,
+                kw.pop("log", self.h.entries[-1] if self.h.entries else None),
+                **kw,
+            )
+        )
         return self.h.runs[-1]
 
     def of(self, id):
@@ -671,19 +878,29 @@
 def put(what, name, value):
     def plant(s):
         setattr(s.of(what) if isinstance(what, str) else what(s), name, value)
+
     return plant
 
 
 PLANTED = {
     "no stamp": ("MIXED", lambda s: setattr(s.read.statements[0], "stamp", "-")),
     "other rows": ("MIXED", lambda s: setattr(s.read.statements[0], "rows", ("y",))),
-    "stamp of another": ("MIXED", lambda s: setattr(s.transaction.statements[3], "stamp", "stamp-t2")),
+    "stamp of another": (
+        "MIXED",
+        lambda s: setattr(s.transaction.statements[3], "stamp", "stamp-t2"),
+    ),
     "other connection": ("PINNED", put("t2", "connection", 8)),
     "other transaction": ("PINNED", put("t2", "transaction", 2)),
     "outside its transaction": ("PINNED", put("t2", "transaction", None)),
     "inside another's": ("PINNED", put("r1", "transaction", 1)),
-    "two in one": ("PINNED", lambda s: (setattr(a := s.attempt(), "transaction", True),
-                                        s.ask(a, 22.0, "v0", "BEGIN"), s.ask(a, 22.1, "v1", "FETCH a", transaction=1))),
+    "two in one": (
+        "PINNED",
+        lambda s: (
+            setattr(a := s.attempt(), "transaction", True),
+            s.ask(a, 22.0, "v0", "BEGIN"),
+            s.ask(a, 22.1, "v1", "FETCH a", transaction=1),
+        ),
+    ),
     "other values": ("PINNED", put("r1", "values", {"k": "w"})),
     "values of another": ("PINNED", put("w1", "values", {"k": "w"})),
     "other shape": ("PINNED", put("r1", "shape", "p")),
@@ -695,7 +912,10 @@
     "commit not asked": ("UNASKED", lambda s: s.transaction.statements.pop()),
     "twice": ("TWICE", lambda s: s.entry("w1")),
     "promise broken": ("REFUSED", refused),
-    "promise for a transaction broken": ("REFUSED", put(lambda s: s.transaction.statements[3], "outcome", "READONLY")),
+    "promise for a transaction broken": (
+        "REFUSED",
+        put(lambda s: s.transaction.statements[3], "outcome", "READONLY"),
+    ),
     "missed commit": ("STALE", stale),
     "missed commit in a transaction": ("STALE", stale_in_transaction),
     "missed commit on a fork": ("STALE", stale_by_fork),
@@ -746,7 +966,9 @@
     "a drain out of touch": drain_in_trouble,
     "a zone taken back": taken_back,
     "a young commit missed on a bounded route": young,
-    "a read run twice": lambda s: s.run(30.1, "r1", "EXECUTE other a", "FETCH", shape="q", values={"k": "v"}),
+    "a read run twice": lambda s: s.run(
+        30.1, "r1", "EXECUTE other a", "FETCH", shape="q", values={"k": "v"}
+    ),
     "an own commit of reads": lambda s: s.run(31, "-", "COMMIT", "COMMIT", 5),
     "a commit cut back before it was told": lambda s: setattr(s.entry("w9"), "cut_at", 33.0),
 }
--- a/tests/test_estate_system.py
+++ b/tests/test_estate_system.py
@@ -1,4 +1,5 @@
 """The system as real processes in the stand-in estate: calm days and days of trouble, each judged by the rules."""
+
 import asyncio
 from pathlib import Path
 
@@ -26,6 +27,7 @@
 @pytest.fixture
 def day(built, tmp_path):
     """Plays a scene: `faults` gets it and answers with (second, function) pairs; then every rule is judged."""
+
     def play(faults=lambda s: (), seconds=7, least=0.9, after=None, **kw):
         async def go():
             async with Scene(built, tmp_path / "run", bounds=BOUNDS, **kw) as s:
@@ -37,7 +39,9 @@
                 assert v.own_ends == {}, v
                 assert v.owed > 50 and v.share >= least, v
                 return v
+
         return asyncio.run(go())
+
     return play
 
 
@@ -58,7 +62,9 @@
             await old.crash()
             await led_by_another(s, old)
             await old.start()
+
         return [(2, strike)]
+
     day(faults, seconds=10, least=0.8)
 
 
@@ -70,7 +76,9 @@
             old.go_dark()
             await led_by_another(s, old)
             await old.go_light()
+
         return [(2, strike)]
+
     day(faults, seconds=10, least=0.7)
 
 
@@ -78,6 +86,7 @@
     def faults(s):
         r = s.replica()
         return [(2, r.crash), (5, r.start)]
+
     day(faults, seconds=8, least=0.95)
 
 
@@ -88,19 +97,27 @@
         async def strike():
             new = await s.release(old)
             assert s.primary() not in (old, new)
+
         return [(2, strike)]
+
     day(faults, seconds=9, least=0.95)
 
 
 def test_an_edge_is_killed(day):
     def faults(s):
-        return [(3, lambda: s.fleet.kill(next(n for n in s.fleet.machines if n.startswith("edge"))))]
+        return [
+            (3, lambda: s.fleet.kill(next(n for n in s.fleet.machines if n.startswith("edge"))))
+        ]
+
     day(faults, seconds=8, least=0.8)
 
 
 def test_a_core_is_killed(day):
     def faults(s):
-        return [(3, lambda: s.fleet.kill(next(n for n in s.fleet.machines if n.startswith("core"))))]
+        return [
+            (3, lambda: s.fleet.kill(next(n for n in s.fleet.machines if n.startswith("core"))))
+        ]
+
     day(faults, seconds=8, least=0.95)
 
 
@@ -116,4 +133,5 @@
         await s.play(5)
         late = [o for c in s.clients[before:] for o in c.operations if not o.left]
         assert sum(o.served for o in late) >= 0.9 * len(late)
+
     day(seconds=4, after=again)
--- a/tests/test_held_storm.py
+++ b/tests/test_held_storm.py
@@ -1,4 +1,5 @@
 """Storms against the path where sessions live with their connection; each rule is seen broken once its guard is out."""
+
 import asyncio
 
 import pytest
@@ -25,15 +26,22 @@
         await asyncio.sleep(10)
         await f.calm()
         return f.verdict()
+
     bad, f = inside(go, 5)
     assert bad == [] and sum(c.given_up for c in f.clients) * 20 < sum(c.served for c in f.clients)
-    assert {"write", "read", "execute", "commit"} <= {s.verb for t in f.history.attempts for s in t.statements}
+    assert {"write", "read", "execute", "commit"} <= {
+        s.verb for t in f.history.attempts for s in t.statements
+    }
 
 
 def test_the_same_seed_gives_the_same_history():
     a, b = run(3)[1], run(3)[1]
-    assert [(r.at, r.num, r.stamp) for r in a.history.runs] == [(r.at, r.num, r.stamp) for r in b.history.runs]
-    assert [x for x in a.net.log if "E425" not in x[2]] == [x for x in b.net.log if "E425" not in x[2]]
+    assert [(r.at, r.num, r.stamp) for r in a.history.runs] == [
+        (r.at, r.num, r.stamp) for r in b.history.runs
+    ]
+    assert [x for x in a.net.log if "E425" not in x[2]] == [
+        x for x in b.net.log if "E425" not in x[2]
+    ]
 
 
 def no_pause(mp):
@@ -45,6 +53,7 @@
     async def row_(self, w):
         r = await row(self, w)
         return r and {**r, "held": 1 << 30}
+
     mp.setattr(warden.Warden, "_own", own_)
     mp.setattr(warden.Warden, "_row", row_)
 
@@ -55,12 +64,14 @@
     async def promote(self, g, heir, wards, old, seq):
         ws = [w for n, w in wards.items() if n != old and w.row]
         return await real(self, g, min(ws, key=lambda w: w.row["pos"]), wards, old, seq)
+
     mp.setattr(warden.Warden, "_promote", promote)
 
 
 def no_barrier(mp):
     async def in_force(self, seq, grace=0, horizon=0):
         return 0
+
     mp.setattr(desk.TiedDesk, "in_force", in_force)
 
 
@@ -70,9 +81,16 @@
 
 def no_after(mp):
     ask, plain = SimulatedStrand.ask, SimulatedStrand.plain
-    mp.setattr(SimulatedStrand, "ask", lambda self, a, after=None, alias=None: ask(self, a, None, alias))
-    mp.setattr(SimulatedStrand, "plain", lambda self, verb, args=(), num="-": plain(
-        self, verb, (args[0], None) if verb == "begin" else args, num))
+    mp.setattr(
+        SimulatedStrand, "ask", lambda self, a, after=None, alias=None: ask(self, a, None, alias)
+    )
+    mp.setattr(
+        SimulatedStrand,
+        "plain",
+        lambda self, verb, args=(), num="-": plain(
+            self, verb, (args[0], None) if verb == "begin" else args, num
+        ),
+    )
 
 
 def any_pair_fits(mp):
@@ -80,7 +98,11 @@
 
 
 def browsing_any_age(mp):
-    mp.setattr(clock.ReadClock, "_fits", staticmethod(lambda start, us, r: start > r.arr or r.since is not None))
+    mp.setattr(
+        clock.ReadClock,
+        "_fits",
+        staticmethod(lambda start, us, r: start > r.arr or r.since is not None),
+    )
 
 
 def one_of_the_others(mp):
@@ -91,6 +113,7 @@
             except Fault:
                 pass
         raise Unreached("none")
+
     mp.setattr(band.Band, "_fetch_others", fetch_others)
 
 
@@ -98,6 +121,7 @@
     class Forgetful(passage._Try):
         __slots__ = ()
         sent = property(lambda self: False, lambda self, v: None)
+
     mp.setattr(passage, "_Try", Forgetful)
 
 
@@ -107,6 +131,7 @@
     def torn(self, v, a, x):
         r = real(self, v, a, x)
         return Reply(code="aborted", state=r.state) if r.code == "unsure" else r
+
     mp.setattr(passage.Passage, "_torn", torn)
 
 
@@ -116,6 +141,7 @@
     def write(self, *a):
         r = yield from real(self, *a)
         return Reply(code="busy") if r.code == "unsure" else r
+
     mp.setattr(passage.Passage, "_write", write)
 
 
@@ -125,6 +151,7 @@
     def outfit(self, visit, ask=None):
         out, alias = real(self, visit, ask)
         return [x for x in out if x[0] not in verbs], alias
+
     mp.setattr(strand.Strand, "outfit", outfit)
 
 
@@ -142,6 +169,7 @@
     def outfit(self, visit, ask=None):
         out, alias = real(self, visit, ask)
         return out, alias and "p1"
+
     mp.setattr(strand.Strand, "outfit", outfit)
 
 
@@ -151,6 +179,7 @@
     async def pinned(self, c, v, a):
         idle = v.trade.berth.stock.idle
         return await real(self, idle[0] if idle and a.verb != "commit" else c, v, a)
+
     mp.setattr(passage.Passage, "_pinned", pinned)
 
 
@@ -158,6 +187,7 @@
     async def settle(self, conn, b, num):
         await conn.plain("commit", (), num)
         b.stock.drop(conn)
+
     mp.setattr(band.Band, "settle", settle)
 
 
@@ -169,6 +199,7 @@
         if r.ok and r.rows:
             last[0], r.rows = r.rows, last.get(0, r.rows)
         return r
+
     mp.setattr(passage.Passage, "_once", once)
 
 
@@ -179,18 +210,23 @@
         real(self, ledger, fresh)
         for b in self.berths.values():
             b.stop_at = None
+
     mp.setattr(band.Band, "turn", turn)
 
 
 def acked_by_the_head(mp):
     async def until(self, seq):
         return
+
     mp.setattr(chain.Chain, "until", until)
 
 
 def nothing_synced(mp):
-    mp.setattr(memory.Memory, "_keep",
-               lambda self, doc: None if doc["t"] == "rec" else self._ring.append(doc, self._whole))
+    mp.setattr(
+        memory.Memory,
+        "_keep",
+        lambda self, doc: None if doc["t"] == "rec" else self._ring.append(doc, self._whole),
+    )
 
 
 def older_frames_too(mp):
@@ -213,8 +249,12 @@
 GUARDS = [
     ("LOST", no_pause, [(1.0, "deaf_heir", 1), (1.5, "release_primary", 2)], {}),
     ("LOST", lowest_heir, ["primary_crash", "replica_deaf", "replica_deaf"], {}),
-    ("STALE", no_barrier, [(1.0, "edge_cut", 1), (1.01, "release_primary", 1)],
-     {"clients": 15, "took_us": 20_000, "lag_us": 400_000}),
+    (
+        "STALE",
+        no_barrier,
+        [(1.0, "edge_cut", 1), (1.01, "release_primary", 1)],
+        {"clients": 15, "took_us": 20_000, "lag_us": 400_000},
+    ),
     ("STALE", no_lease, ["isolate"], {"took_us": 20_000}),
     ("STALE", no_after, ["replica_lag"], {}),
     ("STALE", any_pair_fits, ["replica_lag"], {}),
@@ -259,8 +299,14 @@
     pytest.fail(str([str(b)[:200] for b in seen[:5]]))
 
 
-@pytest.mark.parametrize("how,kw", [(h, k) for _, _, h, k in GUARDS if not isinstance(h, list) or k.get("took_us")
-                                    or not isinstance(h[0], str)])
+@pytest.mark.parametrize(
+    "how,kw",
+    [
+        (h, k)
+        for _, _, h, k in GUARDS
+        if not isinstance(h, list) or k.get("took_us") or not isinstance(h[0], str)
+    ],
+)
 def test_with_the_guard_in_the_same_play_breaks_no_rule(how, kw):
     assert play(0, how, kw) == []
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,4 +1,5 @@
 """KNOWN-RED.txt: a listed test may fail; one that passes, is skipped or is not found fails the run."""
+
 from pathlib import Path
 
 import pytest
@@ -42,6 +43,7 @@
 @pytest.fixture(params=["", "-n 2 --dist loadgroup"], ids=["alone", "xdist"])
 def run(pytester, request):
     """Runs the tests above with these lines of the list; returns what pytest said."""
+
     def go(*lines, args=()):
         (pytester.path / "tests").mkdir()
         for name, text in (
@@ -53,6 +55,7 @@
         ):
             (pytester.path / name).write_text(text)
         return pytester.runpytest_subprocess(*args, timeout=60)
+
     return go
 
 
@@ -61,7 +64,9 @@
 
 
 def test_listed_tests_that_fail_are_printed_and_do_not_fail_the_run(run):
-    r = run(line("test_fails"), "", line("test_grouped[a b]", "\t"), line("test_setup_fails", " \t "))
+    r = run(
+        line("test_fails"), "", line("test_grouped[a b]", "\t"), line("test_setup_fails", " \t ")
+    )
     assert r.ret == 0
     r.assert_outcomes(passed=1, xfailed=3, skipped=1, xpassed=1)
     for name in RED:
@@ -97,7 +102,9 @@
     r.assert_outcomes(xfailed=1)
 
 
-@pytest.mark.parametrize("lines", [["tests/test_it.py::test_fails  a cause"], [line("test_fails")] * 2])
+@pytest.mark.parametrize(
+    "lines", [["tests/test_it.py::test_fails  a cause"], [line("test_fails")] * 2]
+)
 def test_a_line_that_is_not_whole_or_repeated_stops_the_run(run, lines):
     r = run(*lines)
     assert r.ret == pytest.ExitCode.USAGE_ERROR
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,4 +1,5 @@
 """The ledger of control state: legal records leave the state that a plain model has; illegal ones are declined."""
+
 import copy
 import json
 
@@ -9,11 +10,18 @@
 from petrelhaven.creed.fault import Duplicate, Invalid, Racing, Stale
 from petrelhaven.helm.ledger import Ledger
 
-DRAWN = settings(max_examples=200, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
+DRAWN = settings(
+    max_examples=200, phases=[Phase.generate], deadline=None, derandomize=True, database=None
+)
 
 
 def manifest(version, text=None):
-    return {"t": "manifest", "version": version, "text": text or json.dumps({"version": version}), "by": "op"}
+    return {
+        "t": "manifest",
+        "version": version,
+        "text": text or json.dumps({"version": version}),
+        "by": "op",
+    }
 
 
 def hall(name, state):
@@ -23,13 +31,30 @@
 def member(name, state="ready", addr=None, role="replica", group="g", count=1):
     if state == "gone":
         return {"t": "member", "name": name, "state": "gone", "addr": addr or f"1.1.1.1:{name}"}
-    return {"t": "member", "name": name, "group": group, "hall": "a", "addr": addr or f"1.1.1.1:{name}", "role": role,
-            "state": state, "slots": 5, "count": count}
+    return {
+        "t": "member",
+        "name": name,
+        "group": group,
+        "hall": "a",
+        "addr": addr or f"1.1.1.1:{name}",
+        "role": role,
+        "state": state,
+        "slots": 5,
+        "count": count,
+    }
 
 
 def office(group, n, primary="m1", phase="serve"):
-    return {"t": "office", "group": group, "n": n, "phase": phase, "primary": primary, "term": n, "cause": "x",
-            "by": "c"}
+    return {
+        "t": "office",
+        "group": group,
+        "n": n,
+        "phase": phase,
+        "primary": primary,
+        "term": n,
+        "cause": "x",
+        "by": "c",
+    }
 
 
 def legal(led, r):
@@ -61,7 +86,10 @@
             ok = r["version"] > self.version
             self.version = max(self.version, r["version"])
         elif t == "hall":
-            ok = r["state"] in ("open", "emptied") and self.halls.get(r["hall"], "open") != r["state"]
+            ok = (
+                r["state"] in ("open", "emptied")
+                and self.halls.get(r["hall"], "open") != r["state"]
+            )
             if ok:
                 self.halls[r["hall"]] = r["state"]
         elif t == "office":
@@ -74,7 +102,9 @@
             now = {k: v for k, v in r.items() if k not in ("t", "name", "count")}
             ok = self.here.get(r["name"]) != now
             if ok:
-                self.here = {n: m for n, m in self.here.items() if m["addr"] != r["addr"] or n == r["name"]}
+                self.here = {
+                    n: m for n, m in self.here.items() if m["addr"] != r["addr"] or n == r["name"]
+                }
                 self.here[r["name"]] = now
         return ok
 
@@ -83,8 +113,15 @@
 RECORD = (
     st.builds(manifest, st.integers(1, 6), st.sampled_from([None, "{}"]))
     | st.builds(hall, st.sampled_from("ab"), st.sampled_from(["open", "emptied", "shut"]))
-    | st.builds(member, st.sampled_from(["m1", "m2", "m3"]), st.sampled_from(["ready", "draining", "gone"]), ADDR,
-                st.sampled_from(["primary", "replica"]), st.sampled_from("gh"), st.integers(1, 9))
+    | st.builds(
+        member,
+        st.sampled_from(["m1", "m2", "m3"]),
+        st.sampled_from(["ready", "draining", "gone"]),
+        ADDR,
+        st.sampled_from(["primary", "replica"]),
+        st.sampled_from("gh"),
+        st.integers(1, 9),
+    )
     | st.builds(office, st.sampled_from("gh"), st.integers(1, 4), st.sampled_from(["m1", "m2"]))
 )
 
@@ -103,8 +140,11 @@
         want = model.enter(r)
         assert enter(led, r) == want, r
         assert r == sent and (want or state(led) == before)
-        here = {n: {k: v for k, v in m.items() if k != "count"} for n,
-                m in led.doc["members"].items() if m["state"] != "gone"}
+        here = {
+            n: {k: v for k, v in m.items() if k != "count"}
+            for n, m in led.doc["members"].items()
+            if m["state"] != "gone"
+        }
         assert here == model.here
         assert {g: o["n"] for g, o in led.doc["offices"].items()} == model.offices
         assert (led.doc["manifest"] or {"version": 0})["version"] == model.version
@@ -126,15 +166,23 @@
     at = state(a)
     for r in taken[cut:]:
         b.apply(b.seq + 1, r)
-    assert state(b) == state(led) and state(a) == at and b.belief() == led.belief() and b.manifest == led.manifest
+    assert (
+        state(b) == state(led)
+        and state(a) == at
+        and b.belief() == led.belief()
+        and b.manifest == led.manifest
+    )
 
 
-STREAMS = [[manifest(2), manifest(5)], [hall("a", "emptied"), hall("a", "open"), hall("a", "emptied")],
-           [hall("b", "emptied")], [member("m1", role="primary"), member("m1", "draining", role="primary"),
-                                    member("m1", "gone")],
-           [member("m2", group="h"), member("m2", "gone"), member("m2", group="h", count=2)], [office("g", 1),
-                   office("g", 2, phase="move")],
-           [office("h", 1, "m2")]]
+STREAMS = [
+    [manifest(2), manifest(5)],
+    [hall("a", "emptied"), hall("a", "open"), hall("a", "emptied")],
+    [hall("b", "emptied")],
+    [member("m1", role="primary"), member("m1", "draining", role="primary"), member("m1", "gone")],
+    [member("m2", group="h"), member("m2", "gone"), member("m2", group="h", count=2)],
+    [office("g", 1), office("g", 2, phase="move")],
+    [office("h", 1, "m2")],
+]
 
 
 @DRAWN
@@ -148,6 +196,7 @@
         for o in (o for past in led.doc.get("past", {}).values() for o in past):
             del o["seq"]
         return state(led)
+
     assert played(order) == played(sorted(order))
 
 
@@ -163,20 +212,33 @@
 def test_a_version_taken_stands_once():
     led = Ledger()
     assert enter(led, manifest(5, '{"x": 1}'))
-    for r, fault in ((manifest(5, '{"x": 1}'), Duplicate), (manifest(5, '{"x": 2}'), Stale), (manifest(4), Stale)):
+    for r, fault in (
+        (manifest(5, '{"x": 1}'), Duplicate),
+        (manifest(5, '{"x": 2}'), Stale),
+        (manifest(4), Stale),
+    ):
         with pytest.raises(fault):
             led.check(r)
     assert led.manifest == {"x": 1}
     assert enter(led, manifest(6, '{"x": 2}')) and led.manifest == {"x": 2}
 
 
-@pytest.mark.parametrize(("records", "bad", "fault"), [
-    ([], hall("a", "open"), Duplicate), ([], hall("a", "shut"), Invalid),
-    ([hall("a", "emptied")], hall("a", "emptied"), Duplicate), ([], member("m1", "gone"), Duplicate),
-    ([member("m1"), member("m1", "gone")], member("m1", "gone"), Duplicate), ([member("m1")], member("m1"), Duplicate),
-    ([member("m1", count=1)], member("m1", count=2), Duplicate), ([], office("g", 2), Racing), ([], office("g", 0),
-            Racing),
-    ([office("g", 1)], office("g", 1), Racing), ([office("g", 1)], office("g", 3), Racing)])
+@pytest.mark.parametrize(
+    ("records", "bad", "fault"),
+    [
+        ([], hall("a", "open"), Duplicate),
+        ([], hall("a", "shut"), Invalid),
+        ([hall("a", "emptied")], hall("a", "emptied"), Duplicate),
+        ([], member("m1", "gone"), Duplicate),
+        ([member("m1"), member("m1", "gone")], member("m1", "gone"), Duplicate),
+        ([member("m1")], member("m1"), Duplicate),
+        ([member("m1", count=1)], member("m1", count=2), Duplicate),
+        ([], office("g", 2), Racing),
+        ([], office("g", 0), Racing),
+        ([office("g", 1)], office("g", 1), Racing),
+        ([office("g", 1)], office("g", 3), Racing),
+    ],
+)
 def test_what_is_declined(records, bad, fault):
     led = Ledger()
     for r in records:
@@ -189,7 +251,11 @@
 
 def test_a_new_member_at_an_address_takes_the_place_of_the_old_one():
     led = Ledger()
-    for r in (member("m1", addr="1.1.1.1:1"), member("m2", addr="1.1.1.1:2"), member("m3", addr="1.1.1.1:1")):
+    for r in (
+        member("m1", addr="1.1.1.1:1"),
+        member("m2", addr="1.1.1.1:2"),
+        member("m3", addr="1.1.1.1:1"),
+    ):
         assert enter(led, r)
     assert set(led.group("g")) == {"m2", "m3"}
     assert enter(led, member("m3", "gone", addr="1.1.1.1:1")) and set(led.group("g")) == {"m2"}
--- a/tests/test_light.py
+++ b/tests/test_light.py
@@ -1,4 +1,5 @@
 """The light HTTP face and call: whatever comes gets one typed answer or a close, and a call has a typed outcome."""
+
 import asyncio
 import json
 import socket
@@ -13,7 +14,9 @@
 from petrelhaven.creed.tick import Clock
 from petrelhaven.drill.warp import WarpLoop, end_all
 
-DRAWN = settings(max_examples=120, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
+DRAWN = settings(
+    max_examples=120, phases=[Phase.generate], deadline=None, derandomize=True, database=None
+)
 MOST = 1000
 
 
@@ -40,18 +43,29 @@
             return {}
 
         async def odd(q):
-            raise {"/stale": Stale("old", more={"n": 1}), "/busy": NotReady("soon"), "/fault": ValueError("x"),
-                   "/deep": RecursionError()}[q.path]
+            raise {
+                "/stale": Stale("old", more={"n": 1}),
+                "/busy": NotReady("soon"),
+                "/fault": ValueError("x"),
+                "/deep": RecursionError(),
+            }[q.path]
 
         async def shaped(q):
             return 204, b"", (("X-More", "1"),)
 
         async def unshaped(q):
             return {"x": object()}
-        for verb, path, fn in (("POST", "/echo", echo), ("GET", "/echo", echo), ("GET", "/below/", below),
-                               ("POST", "/doc", doc), ("GET", "/held", held), ("GET", "/shaped", shaped),
-                               ("GET", "/unshaped", unshaped), *(("GET", f"/{x}", odd) for x in ("stale", "busy",
-                                       "fault", "deep"))):
+
+        for verb, path, fn in (
+            ("POST", "/echo", echo),
+            ("GET", "/echo", echo),
+            ("GET", "/below/", below),
+            ("POST", "/doc", doc),
+            ("GET", "/held", held),
+            ("GET", "/shaped", shaped),
+            ("GET", "/unshaped", unshaped),
+            *(("GET", f"/{x}", odd) for x in ("stale", "busy", "fault", "deep")),
+        ):
             self.face.on(verb, path, fn)
 
 
@@ -88,6 +102,7 @@
             made.append(factory)
             s = type("S", (), {"sockets": [self], "close": lambda _: None})()
             return s
+
         loop.create_server, self.getsockname = create_server, lambda: ("127.0.0.1", 1)
         await self.called.face.start()
         tr = Transport()
@@ -107,6 +122,7 @@
         c = Called()
         p, tr = await Server(c).open()
         return await fn(c, p, tr)
+
     try:
         got = loop.run_until_complete(go())
     finally:
@@ -146,7 +162,10 @@
 
 
 def get(path, verb="GET", body=b"", heads=""):
-    return f"{verb} {path} HTTP/1.1\r\nHost: x\r\n{heads}Content-Length: {len(body)}\r\n\r\n".encode() + body
+    return (
+        f"{verb} {path} HTTP/1.1\r\nHost: x\r\n{heads}Content-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
 
 
 def one(raw, verb="GET"):
@@ -154,15 +173,29 @@
         p.data_received(raw)
         await asyncio.sleep(1)
         return answers(tr.out, (verb,)), tr.closed, c.calls
+
     return talk(go)
 
 
-@pytest.mark.parametrize(("path", "status", "fault"), [
-    ("/none", 404, "http"), ("/", 404, "http"), ("/below/", 404, "http"), ("/below", 404, "http"), ("/echo/x", 404,
-            "http"),
-    ("/below/a/b", 404, "http"), ("//", 404, "http"), ("*", 404, "http"), ("http://x/echo", 404, "http"),
-    ("/stale", 409, "stale"), ("/busy", 503, "not-ready"), ("/fault", 500, "fault"), ("/deep", 500, "fault"),
-    ("/unshaped", 500, "fault")])
+@pytest.mark.parametrize(
+    ("path", "status", "fault"),
+    [
+        ("/none", 404, "http"),
+        ("/", 404, "http"),
+        ("/below/", 404, "http"),
+        ("/below", 404, "http"),
+        ("/echo/x", 404, "http"),
+        ("/below/a/b", 404, "http"),
+        ("//", 404, "http"),
+        ("*", 404, "http"),
+        ("http://x/echo", 404, "http"),
+        ("/stale", 409, "stale"),
+        ("/busy", 503, "not-ready"),
+        ("/fault", 500, "fault"),
+        ("/deep", 500, "fault"),
+        ("/unshaped", 500, "fault"),
+    ],
+)
 def test_a_request_that_is_not_served_has_a_typed_answer(path, status, fault):
     got, closed, calls = one(get(path))
     assert len(got) == 1 and got[0][0] == status and json.loads(got[0][2])["fault"] == fault
@@ -186,22 +219,43 @@
 
 def test_a_head_request_has_no_body_and_the_connection_goes_on():
     async def go(c, p, tr):
-        p.data_received(get("/below/a") + get("/none", "HEAD") + get("/below/a") + get("/none",
-                "HEAD") + b"nonsense\r\n\r\n")
+        p.data_received(
+            get("/below/a")
+            + get("/none", "HEAD")
+            + get("/below/a")
+            + get("/none", "HEAD")
+            + b"nonsense\r\n\r\n"
+        )
         await asyncio.sleep(1)
         got = answers(tr.out, ("GET", "HEAD", "GET", "HEAD"))
-        assert [x[0] for x in got] == [200, 404, 200, 404, 400] and got[1][2] == got[3][2] == b"" and tr.closed
+        assert (
+            [x[0] for x in got] == [200, 404, 200, 404, 400]
+            and got[1][2] == got[3][2] == b""
+            and tr.closed
+        )
+
     talk(go)
 
 
-@pytest.mark.parametrize("raw", [
-    b"\r\n\r\nnope\r\n\r\n", b"GET\r\n\r\n", b"GET / HTTP/1.1\r\n\r\n", b"GET / HTTP/x\r\nHost: x\r\n\r\n",
-    b"GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: x\r\n\r\n",
-    b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
-    b"GET /a b HTTP/1.1\r\nHost: x\r\n\r\n", b"GET /\xff HTTP/1.1\r\nHost: x\r\n\r\n",
-    b"GET / HTTP/1.1\r\nHost: x\r\nA" + b"a" * 70_000, b"GET /" + b"a" * 70_000,
-    b"POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-    b"CONNECT db me\r\n\r\n", b"\x16\x03\x01\r\n\r\n"])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\r\n\r\nnope\r\n\r\n",
+        b"GET\r\n\r\n",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"GET / HTTP/x\r\nHost: x\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: x\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        b"GET /a b HTTP/1.1\r\nHost: x\r\n\r\n",
+        b"GET /\xff HTTP/1.1\r\nHost: x\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: x\r\nA" + b"a" * 70_000,
+        b"GET /" + b"a" * 70_000,
+        b"POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"CONNECT db me\r\n\r\n",
+        b"\x16\x03\x01\r\n\r\n",
+    ],
+)
 def test_a_request_that_is_none_is_told_once_and_the_connection_closed(raw):
     got, closed, calls = one(raw)
     assert [x[0] for x in got] == [400] and closed and not calls
@@ -210,20 +264,40 @@
 @pytest.mark.parametrize("chunked", [False, True])
 def test_a_body_over_the_bound_is_declined_and_no_handler_called(chunked):
     body = b"x" * (MOST + 1)
-    raw = get("/echo", "POST", body) if not chunked else (
-        b"POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-        + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body))
+    raw = (
+        get("/echo", "POST", body)
+        if not chunked
+        else (
+            b"POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        )
+    )
     got, closed, calls = one(raw)
-    assert [x[0] for x in got] == [413] and json.loads(got[0][2])["fault"] == "oversize" and closed and not calls
+    assert (
+        [x[0] for x in got] == [413]
+        and json.loads(got[0][2])["fault"] == "oversize"
+        and closed
+        and not calls
+    )
     got, closed, calls = one(get("/echo", "POST", b"x" * MOST))
     assert got[0][0] == 200 and len(got[0][2]) == MOST and not closed
 
 
-PARTS = st.lists(st.sampled_from([get("/echo", "POST", b"abc"), get("/below/a"), get("/none"), get("/busy"),
-                                  get("/shaped"),
-                                  b"POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                   b"1\r\nq\r\n0\r\n\r\n"]),
-                 min_size=1, max_size=6)
+PARTS = st.lists(
+    st.sampled_from(
+        [
+            get("/echo", "POST", b"abc"),
+            get("/below/a"),
+            get("/none"),
+            get("/busy"),
+            get("/shaped"),
+            b"POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1\r\nq\r\n0\r\n\r\n",
+        ]
+    ),
+    min_size=1,
+    max_size=6,
+)
 
 
 @DRAWN
@@ -240,6 +314,7 @@
         await asyncio.sleep(1)
         assert not tr.closed
         return [(a, c) for a, _, c in answers(tr.out)]
+
     assert talk(go) == [(a, c) for x in parts for a, _, c in one(x)[0]]
 
 
@@ -263,6 +338,7 @@
         c.held.set_result(None)
         await asyncio.sleep(1)
         assert [x[0] for x in answers(tr.out)] == [200] and tr.closed and not c.face.talks
+
     talk(go)
 
 
@@ -272,11 +348,13 @@
         assert not p.eof_received()
         await asyncio.sleep(1)
         assert [x[0] for x in answers(tr.out)] == [400] and tr.closed and not c.calls
+
     talk(go)
 
     async def idle(c, p, tr):
         assert not p.eof_received()
         assert tr.out == b"" and tr.closed
+
     talk(idle)
 
 
@@ -286,6 +364,7 @@
         assert p.eof_received()
         await asyncio.sleep(1)
         assert [x[0] for x in answers(tr.out)] == [200] * 3 and tr.closed
+
     talk(go)
 
 
@@ -298,6 +377,7 @@
         c.held.set_result(None)
         await asyncio.sleep(1)
         assert tr.out == tr.late == b"" and not c.face.talks
+
     talk(go)
 
 
@@ -309,10 +389,13 @@
         assert not tr.closed
         await asyncio.sleep(61)
         assert tr.closed and len(answers(tr.out)) == 4
+
     talk(go)
 
 
-@pytest.mark.parametrize("raw", [get("/below/a", heads="Connection: close\r\n"), b"GET /below/a HTTP/1.0\r\n\r\n"])
+@pytest.mark.parametrize(
+    "raw", [get("/below/a", heads="Connection: close\r\n"), b"GET /below/a HTTP/1.0\r\n\r\n"]
+)
 def test_a_connection_is_closed_after_the_answer_if_its_caller_says_so(raw):
     got, closed, _ = one(raw)
     assert [x[0] for x in got] == [200] and closed
@@ -323,6 +406,7 @@
 
 def call(script, us=2_000_000, doc=None, heads=()):
     """The outcome of a call to a peer that answers with the parts of `script` (None: mute), and what the peer got."""
+
     async def go():
         ends, got = [], []
 
@@ -334,6 +418,7 @@
                 await w.drain()
             if script is not None:
                 w.close()
+
         s = await asyncio.start_server(peer, "127.0.0.1", 0)
         try:
             a = "127.0.0.1:%d" % s.sockets[0].getsockname()[1]
@@ -341,26 +426,43 @@
         finally:
             for e in [s, *ends]:
                 e.close()
+
     return asyncio.run(go())
 
 
-@pytest.mark.parametrize(("script", "want"), [
-    ([b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"], (200, {})),
-    ([b"HTTP/1.1 20", b"0 OK\r\nContent-Le", b"ngth: 7\r\n\r\n{\"a\"", b":1}"], (200, {"a": 1})),
-    ([b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n[]\r\n0\r\n\r\n"], (200, [])),
-    ([b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"], (409, None)),
-    ([b"HTTP/1.1 200 OK\r\n\r\n{}"], (200, {})), ([b"HTTP/1.1 500 x\r\nContent-Length: 1\r\n\r\n{"], (500, None)),
-    ([b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n" + b"[" * 90_000], (200, None)),
-    ([b"HTTP/1.1 204 x\r\n\r\n"], (204, None))])
+@pytest.mark.parametrize(
+    ("script", "want"),
+    [
+        ([b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"], (200, {})),
+        ([b"HTTP/1.1 20", b"0 OK\r\nContent-Le", b'ngth: 7\r\n\r\n{"a"', b":1}"], (200, {"a": 1})),
+        ([b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n[]\r\n0\r\n\r\n"], (200, [])),
+        (
+            [b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"],
+            (409, None),
+        ),
+        ([b"HTTP/1.1 200 OK\r\n\r\n{}"], (200, {})),
+        ([b"HTTP/1.1 500 x\r\nContent-Length: 1\r\n\r\n{"], (500, None)),
+        ([b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n" + b"[" * 90_000], (200, None)),
+        ([b"HTTP/1.1 204 x\r\n\r\n"], (204, None)),
+    ],
+)
 def test_an_answer_is_its_status_and_document(script, want):
     assert call(script)[0] == want
 
 
-@pytest.mark.parametrize("script", [
-    [], [b"HTTP/1.1 200 OK\r\n"], [b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}"], [b"nonsense\r\n\r\n"],
-    [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"],
-    [b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"],
-    [b"READY I -\r\n"], [b"HTTP/1.1 100 Continue\r\n\r\n"]])
+@pytest.mark.parametrize(
+    "script",
+    [
+        [],
+        [b"HTTP/1.1 200 OK\r\n"],
+        [b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}"],
+        [b"nonsense\r\n\r\n"],
+        [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"],
+        [b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"],
+        [b"READY I -\r\n"],
+        [b"HTTP/1.1 100 Continue\r\n\r\n"],
+    ],
+)
 def test_a_broken_answer_leaves_the_outcome_unknown(script):
     with pytest.raises(Unreached) as e:
         call(script)
@@ -377,9 +479,17 @@
 
 
 def test_a_call_says_its_document_and_heads_whole():
-    got = call([b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"], doc={"é": 1}, heads=[("X-Fence-Token", "7")])[1][0]
+    got = call(
+        [b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"],
+        doc={"é": 1},
+        heads=[("X-Fence-Token", "7")],
+    )[1][0]
     lines = got.decode().lower().split("\r\n")
-    assert lines[0] == "post /p http/1.1" and "x-fence-token: 7" in lines and "connection: close" in lines
+    assert (
+        lines[0] == "post /p http/1.1"
+        and "x-fence-token: 7" in lines
+        and "connection: close" in lines
+    )
     assert f"content-length: {len(json.dumps({'é': 1}))}" in lines
 
 
@@ -393,5 +503,6 @@
         await c.face.close()
         with pytest.raises(Unsent):
             await light_call(Clock(), a, "GET", "/busy")
+
     asyncio.run(go())
     assert issubclass(Unsent, Fault)
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -1,4 +1,5 @@
 """Manifests: declined whole, every fault by its path; versions only rise."""
+
 import json
 
 import pytest
@@ -26,10 +27,13 @@
         routes=[{"name": "r", "group": "nowhere"}, {"name": "q", "group": "g1", "reads": "stale"}]
     ),
     "out-of-range": changed(
-        version=0, groups=[{"name": "g1", "cap": 0, "members": 99, "least": -1}], bounds={"wait_us": 1, "queue": 10**9}
+        version=0,
+        groups=[{"name": "g1", "cap": 0, "members": 99, "least": -1}],
+        bounds={"wait_us": 1, "queue": 10**9},
     ),
     "impossible": changed(
-        groups=[{"name": "g1", "members": 2, "least": 2}], bounds={"margin_us": 2_000_000, "join_us": 3_000_000}
+        groups=[{"name": "g1", "members": 2, "least": 2}],
+        bounds={"margin_us": 2_000_000, "join_us": 3_000_000},
     ),
     "true-is-no-number": changed(version=True),
     "list": "[]",
@@ -57,6 +61,7 @@
         rec = {"t": "manifest", "text": text}
         r.check(rec)
         r.apply(r.seq + 1, rec)
+
     text = manifest("small", 5) + "  \n"
     enter(text)
     assert r.doc["manifest"]["text"] == text
@@ -76,9 +81,14 @@
 def test_a_served_group_is_not_dropped_by_oversight():
     r = Realm()
     r.apply(1, {"t": "manifest", "text": manifest("nordvik", 1)})
-    r.apply(2, {"t": "epoch", "group": "g3", "n": 1, "phase": "serve", "primary": "m", "shares": {}})
+    r.apply(
+        2, {"t": "epoch", "group": "g3", "n": 1, "phase": "serve", "primary": "m", "shares": {}}
+    )
     less = json.loads(manifest("nordvik", 2))
-    less["groups"], less["routes"] = less["groups"][:2], [x for x in less["routes"] if x["group"] != "g3"]
+    less["groups"], less["routes"] = (
+        less["groups"][:2],
+        [x for x in less["routes"] if x["group"] != "g3"],
+    )
     with pytest.raises(Fault) as e:
         r.check({"t": "manifest", "text": json.dumps(less)})
     assert "g3" in str(e.value.more)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -17,6 +17,7 @@
         kinds = {h["t"] for h in w.hist}
         assert kinds == {"write", "once", "both", "read", "show"}
         assert all(v.count["declined"] == 0 for v in w.visitors)
+
     warp(go())
 
 
@@ -26,6 +27,8 @@
         await f.until(lambda: _many(f, 150), 30)
         await f.calm()
         assert await f.verdict() == []
+
     async def _many(f, n):
         return sum(v.count["ok"] for v in f.visitors) >= n
+
     fleet(go)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,4 +1,5 @@
 """The stand-in platform: one caller at a time, fenced by epoch; routing by readiness; a warning has a deadline."""
+
 import asyncio
 
 import pytest
@@ -34,6 +35,7 @@
         with pytest.raises(asyncio.TimeoutError):
             await asyncio.wait_for(p.promote("g", "m2", 5, "c2"), 5)
         assert ("m2", "promote", 5) in told and p.primary["g"] == ("m2", 5)
+
     warp(go())
 
 
@@ -50,6 +52,7 @@
 
         async def kill(n):
             killed.append((n, asyncio.get_running_loop().time()))
+
         u = Usher(LoopClock(), Nest(), lambda: sorted(up), ready, warn, kill)
         t = asyncio.ensure_future(u.run())
         await asyncio.sleep(0.1)
@@ -62,4 +65,5 @@
         with pytest.raises(NotReady):
             u.pick()
         t.cancel()
+
     warp(go())
--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -1,4 +1,5 @@
 """The platform's settings file: unknown fields are taken, all wrong ones declined by name at once, first of all."""
+
 import os
 import socket
 import subprocess
@@ -14,8 +15,14 @@
 
 from boot import BootFault, load  # noqa: E402
 
-DRAWN = settings(max_examples=150, phases=[Phase.generate], deadline=None, derandomize=True, database=None,
-                 suppress_health_check=[HealthCheck.function_scoped_fixture])
+DRAWN = settings(
+    max_examples=150,
+    phases=[Phase.generate],
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
 EDGE = """
 NodeName = "edge-sthlm-hall-a-1"
 Role = "verge"
@@ -53,7 +60,8 @@
 Duties = ["failover"]
 """
 CORE = EDGE.replace('Serves = ["edge"]', 'Serves = ["control"]\nDataPath = "/data"').replace(
-    'Front = "10.1.0.42:8182"\nReady = "10.1.0.42:8181"', 'Control = "10.1.0.42:8180"')
+    'Front = "10.1.0.42:8182"\nReady = "10.1.0.42:8181"', 'Control = "10.1.0.42:8180"'
+)
 
 
 @pytest.fixture
@@ -62,6 +70,7 @@
         p = tmp_path / "boot.toml"
         p.write_bytes(text if isinstance(text, bytes) else text.encode())
         return load(str(p))
+
     return write
 
 
@@ -76,17 +85,29 @@
     """The file with the line of `field` replaced by `value`, or without it if that is None."""
     lines = text.splitlines()
     i = next(i for i, ln in enumerate(lines) if ln.split(" =")[0] == field)
-    lines[i:i + 1] = [] if value is None else [f"{field} = {value}"]
+    lines[i : i + 1] = [] if value is None else [f"{field} = {value}"]
     return "\n".join(lines)
 
 
 def test_an_edges_file(loaded):
     s = loaded(EDGE)
-    assert (s.name, s.zone, s.ip, s.link) == ("edge-sthlm-hall-a-1", "sthlm-hall-a", "10.1.0.42", "10.1.0.42:7580")
+    assert (s.name, s.zone, s.ip, s.link) == (
+        "edge-sthlm-hall-a-1",
+        "sthlm-hall-a",
+        "10.1.0.42",
+        "10.1.0.42:7580",
+    )
     assert (s.front, s.ready, s.control, s.data) == ("10.1.0.42:8182", "10.1.0.42:8181", None, None)
     assert s.seeds == ["10.1.0.45:7580", "10.2.0.41:7580"] and s.cloud == "10.200.0.62:8186"
-    assert (s.DrainMs, s.GraceS, s.EvacuateMs, s.beat_us) == (7_000_000, 6_000_000, 5_000_000, 1_200_000)
-    assert s.zones == {"sthlm-hall-a": "stockholm", "gbg-hall-b": "goteborg"} and s.bootstrap is True
+    assert (s.DrainMs, s.GraceS, s.EvacuateMs, s.beat_us) == (
+        7_000_000,
+        6_000_000,
+        5_000_000,
+        1_200_000,
+    )
+    assert (
+        s.zones == {"sthlm-hall-a": "stockholm", "gbg-hall-b": "goteborg"} and s.bootstrap is True
+    )
 
 
 def test_a_cores_file(loaded):
@@ -96,11 +117,29 @@
     assert loaded(changed(changed(CORE, "SeedNodes", "[]"), "Bootstrap", "false")).seeds == []
 
 
-@pytest.mark.parametrize(("field", "value"), [
-    ("GraceS", "6.5"), ("DrainMs", "7000.0"), ("EvacuateMs", "0"), ("ContactMs", "1e4"), ("ApplyMs", None),
-    ("BeatIntervalMs", "1200.5"), ("BeatIntervalMs", None), ("SeedNodes", None), ("Bootstrap", None), ("Role", None),
-    ("Region", "7"), ("CpuQuota", "[]"), ("FenceChecked", '"x"'), ("Duties", "0"), ("Zone", '"Ö.x_Y"'),
-    ("NodeName", '"' + "n" * 199 + '"'), ("Serves", '["edge", "something-new"]'), ("PortRange", "[7580, 7580]")])
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("GraceS", "6.5"),
+        ("DrainMs", "7000.0"),
+        ("EvacuateMs", "0"),
+        ("ContactMs", "1e4"),
+        ("ApplyMs", None),
+        ("BeatIntervalMs", "1200.5"),
+        ("BeatIntervalMs", None),
+        ("SeedNodes", None),
+        ("Bootstrap", None),
+        ("Role", None),
+        ("Region", "7"),
+        ("CpuQuota", "[]"),
+        ("FenceChecked", '"x"'),
+        ("Duties", "0"),
+        ("Zone", '"Ö.x_Y"'),
+        ("NodeName", '"' + "n" * 199 + '"'),
+        ("Serves", '["edge", "something-new"]'),
+        ("PortRange", "[7580, 7580]"),
+    ],
+)
 def test_what_may_differ_is_taken(loaded, field, value):
     loaded(changed(EDGE, field, value))
 
@@ -110,44 +149,89 @@
     assert (s.GraceS, s.beat_us) == (6_500_000, 500)
 
 
-@pytest.mark.parametrize(("text", "field", "value", "at"), [
-    (EDGE, "NodeName", None, "NodeName"), (EDGE, "NodeName", '""', "NodeName"), (EDGE, "NodeName", "7", "NodeName"),
-    (EDGE, "IpAddr", None, "IpAddr"), (EDGE, "IpAddr", '"10.1.0"', "IpAddr"), (EDGE, "IpAddr", '"10.1.0.256"',
-            "IpAddr"),
-    (EDGE, "IpAddr", '"10.1.0.4:1"', "IpAddr"), (EDGE, "IpAddr", '"١.1.0.4"', "IpAddr"), (EDGE, "Zone", None, "Zone"),
-    (EDGE, "Zone", '""', "Zone"), (EDGE, "PortRange", None, "PortRange"), (EDGE, "PortRange", "[7580]", "PortRange"),
-    (EDGE, "PortRange", "[7595, 7580]", "PortRange"), (EDGE, "PortRange", "[0, 7]", "PortRange"),
-    (EDGE, "PortRange", "[1, 65536]", "PortRange"), (EDGE, "PortRange", '["1", "2"]', "PortRange"),
-    (EDGE, "PortRange", "[true, 7]", "PortRange"), (EDGE, "SeedNodes", '"10.1.0.45:8180"', "SeedNodes"),
-    (EDGE, "SeedNodes", '["host:8180"]', "SeedNodes"), (EDGE, "SeedNodes", "[1]", "SeedNodes"),
-    (EDGE, "Serves", None, "Serves"), (EDGE, "Serves", "[]", "Serves"), (EDGE, "Serves", '["keeper"]', "Serves"),
-    (EDGE, "Serves", '"edge"', "Serves"), (EDGE, "Bootstrap", "1", "Bootstrap"),
-    (EDGE, "BeatIntervalMs", "0", "BeatIntervalMs"), (EDGE, "BeatIntervalMs", "true", "BeatIntervalMs"),
-    (EDGE, "GraceS", "-1", "Bounds.GraceS"), (EDGE, "GraceS", "nan", "Bounds.GraceS"),
-    (EDGE, "GraceS", "inf", "Bounds.GraceS"), (EDGE, "DrainMs", '"7"', "Bounds.DrainMs"),
-    (EDGE, "DrainMs", "true", "Bounds.DrainMs"), (EDGE, "Front", None, "BindAddrs.Front"),
-    (EDGE, "Front", '"10.1.0.42"', "BindAddrs.Front"), (EDGE, "Front", '"10.1.0.42:99999"', "BindAddrs.Front"),
-    (EDGE, "Ready", None, "BindAddrs.Ready"), (EDGE, "Address", "9", "CloudApi.Address"),
-    (CORE, "Control", None, "BindAddrs.Control"), (CORE, "DataPath", None, "DataPath"), (CORE, "DataPath", '""',
-            "DataPath"),
-    (EDGE, "sthlm-hall-a", "3", "Zones")])
+@pytest.mark.parametrize(
+    ("text", "field", "value", "at"),
+    [
+        (EDGE, "NodeName", None, "NodeName"),
+        (EDGE, "NodeName", '""', "NodeName"),
+        (EDGE, "NodeName", "7", "NodeName"),
+        (EDGE, "IpAddr", None, "IpAddr"),
+        (EDGE, "IpAddr", '"10.1.0"', "IpAddr"),
+        (EDGE, "IpAddr", '"10.1.0.256"', "IpAddr"),
+        (EDGE, "IpAddr", '"10.1.0.4:1"', "IpAddr"),
+        (EDGE, "IpAddr", '"١.1.0.4"', "IpAddr"),
+        (EDGE, "Zone", None, "Zone"),
+        (EDGE, "Zone", '""', "Zone"),
+        (EDGE, "PortRange", None, "PortRange"),
+        (EDGE, "PortRange", "[7580]", "PortRange"),
+        (EDGE, "PortRange", "[7595, 7580]", "PortRange"),
+        (EDGE, "PortRange", "[0, 7]", "PortRange"),
+        (EDGE, "PortRange", "[1, 65536]", "PortRange"),
+        (EDGE, "PortRange", '["1", "2"]', "PortRange"),
+        (EDGE, "PortRange", "[true, 7]", "PortRange"),
+        (EDGE, "SeedNodes", '"10.1.0.45:8180"', "SeedNodes"),
+        (EDGE, "SeedNodes", '["host:8180"]', "SeedNodes"),
+        (EDGE, "SeedNodes", "[1]", "SeedNodes"),
+        (EDGE, "Serves", None, "Serves"),
+        (EDGE, "Serves", "[]", "Serves"),
+        (EDGE, "Serves", '["keeper"]', "Serves"),
+        (EDGE, "Serves", '"edge"', "Serves"),
+        (EDGE, "Bootstrap", "1", "Bootstrap"),
+        (EDGE, "BeatIntervalMs", "0", "BeatIntervalMs"),
+        (EDGE, "BeatIntervalMs", "true", "BeatIntervalMs"),
+        (EDGE, "GraceS", "-1", "Bounds.GraceS"),
+        (EDGE, "GraceS", "nan", "Bounds.GraceS"),
+        (EDGE, "GraceS", "inf", "Bounds.GraceS"),
+        (EDGE, "DrainMs", '"7"', "Bounds.DrainMs"),
+        (EDGE, "DrainMs", "true", "Bounds.DrainMs"),
+        (EDGE, "Front", None, "BindAddrs.Front"),
+        (EDGE, "Front", '"10.1.0.42"', "BindAddrs.Front"),
+        (EDGE, "Front", '"10.1.0.42:99999"', "BindAddrs.Front"),
+        (EDGE, "Ready", None, "BindAddrs.Ready"),
+        (EDGE, "Address", "9", "CloudApi.Address"),
+        (CORE, "Control", None, "BindAddrs.Control"),
+        (CORE, "DataPath", None, "DataPath"),
+        (CORE, "DataPath", '""', "DataPath"),
+        (EDGE, "sthlm-hall-a", "3", "Zones"),
+    ],
+)
 def test_a_wrong_field_is_declined_by_its_name(loaded, text, field, value, at):
     assert declined(loaded, changed(text, field, value)) == [at]
 
 
 def test_all_wrong_fields_are_named_at_once(loaded):
     text = EDGE
-    for f, v in (("NodeName", None), ("Zone", "3"), ("PortRange", "[]"), ("GraceS", "-1"), ("Front", '"x"'),
-                 ("Ready", None)):
+    for f, v in (
+        ("NodeName", None),
+        ("Zone", "3"),
+        ("PortRange", "[]"),
+        ("GraceS", "-1"),
+        ("Front", '"x"'),
+        ("Ready", None),
+    ):
         text = changed(text, f, v)
-    assert declined(loaded, text) == ["BindAddrs.Front", "BindAddrs.Ready", "Bounds.GraceS", "NodeName", "PortRange",
-                                      "Zone"]
+    assert declined(loaded, text) == [
+        "BindAddrs.Front",
+        "BindAddrs.Ready",
+        "Bounds.GraceS",
+        "NodeName",
+        "PortRange",
+        "Zone",
+    ]
     assert declined(loaded, "") == ["IpAddr", "NodeName", "PortRange", "Serves", "Zone"]
 
 
-@pytest.mark.parametrize("text", [b"\xff", b"NodeName = ", b"a = 1\na = 2", b"a = " + b"[" * 100_000,
-                                  EDGE[:200].encode(),
-                                  b"\0"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"\xff",
+        b"NodeName = ",
+        b"a = 1\na = 2",
+        b"a = " + b"[" * 100_000,
+        EDGE[:200].encode(),
+        b"\0",
+    ],
+)
 def test_a_torn_file_is_declined(loaded, text):
     assert declined(loaded, text) == ["file"]
 
@@ -160,14 +244,38 @@
         assert len(e.value.exceptions) == 1
 
 
-VALUES = st.sampled_from(["true", "-1", "0", "1.5", "nan", '""', '"x"', "[]", "[1]", '["x"]', "{}", "{a = 1}",
-                          "1979-05-27", "[[]]", '"10.1.0.1:1"', None])
+VALUES = st.sampled_from(
+    [
+        "true",
+        "-1",
+        "0",
+        "1.5",
+        "nan",
+        '""',
+        '"x"',
+        "[]",
+        "[1]",
+        '["x"]',
+        "{}",
+        "{a = 1}",
+        "1979-05-27",
+        "[[]]",
+        '"10.1.0.1:1"',
+        None,
+    ]
+)
 
 
 @DRAWN
-@given(st.dictionaries(st.sampled_from([ln.split(" =")[0] for ln in CORE.splitlines() if " =" in ln]), VALUES,
-                       max_size=5),
-       st.sampled_from([EDGE, CORE]), st.integers(0, 2000))
+@given(
+    st.dictionaries(
+        st.sampled_from([ln.split(" =")[0] for ln in CORE.splitlines() if " =" in ln]),
+        VALUES,
+        max_size=5,
+    ),
+    st.sampled_from([EDGE, CORE]),
+    st.integers(0, 2000),
+)
 def test_any_file_is_taken_or_declined_by_name(loaded, changes, text, cut):
     for f, v in changes.items():
         try:
@@ -196,16 +304,40 @@
 @pytest.mark.parametrize("torn", [False, True])
 def test_a_program_declines_its_file_with_2_before_anything_else(tmp_path, taken, program, torn):
     data = tmp_path / "data"
-    text = (EDGE if program == "edge" else CORE).replace("10.1.0.42:8182", f"127.0.0.1:{taken[0]}").replace(
-        "10.1.0.42:8181", f"127.0.0.1:{taken[1]}").replace("10.1.0.42:8180", f"127.0.0.1:{taken[1]}").replace(
-        '"10.1.0.42"', '"127.0.0.1"').replace("[7580,7595]", f"[{taken[2]},{taken[2]}]").replace("/data", str(data))
-    text = text[:300] + "\n= torn" if torn else changed(changed(text, "NodeName", "7"), "DrainMs", '"x"')
+    text = (
+        (EDGE if program == "edge" else CORE)
+        .replace("10.1.0.42:8182", f"127.0.0.1:{taken[0]}")
+        .replace("10.1.0.42:8181", f"127.0.0.1:{taken[1]}")
+        .replace("10.1.0.42:8180", f"127.0.0.1:{taken[1]}")
+        .replace('"10.1.0.42"', '"127.0.0.1"')
+        .replace("[7580,7595]", f"[{taken[2]},{taken[2]}]")
+        .replace("/data", str(data))
+    )
+    text = (
+        text[:300] + "\n= torn"
+        if torn
+        else changed(changed(text, "NodeName", "7"), "DrainMs", '"x"')
+    )
     (tmp_path / "boot.toml").write_text(text)
     before = sorted(os.listdir(tmp_path))
-    p = subprocess.run([sys.executable, str(ROOT / f"platform/{program}.py")], cwd=ROOT, capture_output=True, text=True,
-                       timeout=30, env={**os.environ, "PETRELHAVEN_SETTINGS": str(tmp_path / "boot.toml")})
+    p = subprocess.run(
+        [sys.executable, str(ROOT / f"platform/{program}.py")],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=30,
+        env={**os.environ, "PETRELHAVEN_SETTINGS": str(tmp_path / "boot.toml")},
+    )
     assert p.returncode == 2 and p.stdout == ""
-    want = ["boot file declined: file: "] if torn else [
-        "boot file declined: NodeName: not valid", "boot file declined: Bounds.DrainMs: not valid"]
-    assert [ln.startswith(w) for ln, w in zip(p.stderr.splitlines(), want, strict=True)] == [True] * len(want)
+    want = (
+        ["boot file declined: file: "]
+        if torn
+        else [
+            "boot file declined: NodeName: not valid",
+            "boot file declined: Bounds.DrainMs: not valid",
+        ]
+    )
+    assert [ln.startswith(w) for ln, w in zip(p.stderr.splitlines(), want, strict=True)] == [
+        True
+    ] * len(want)
     assert sorted(os.listdir(tmp_path)) == before and not data.exists()
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -1,4 +1,5 @@
 """The platform's wire over connections: whatever comes in whatever pieces, each QUERY gets one end and one READY."""
+
 import asyncio
 import json
 import random
@@ -24,9 +25,14 @@
 from lines import Front, LineStrand, LineWire  # noqa: E402
 from words import MOST  # noqa: E402
 
-DRAWN = settings(max_examples=60, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
-CONFIG = {"Revision": 1, "Services": [{"Name": "svc", "ConnLimit": 40, "SyncReplicas": 1}],
-          "Routes": [{"Hostname": "db", "Service": "svc", "TimeoutMs": 800, "TargetMs": 300}]}
+DRAWN = settings(
+    max_examples=60, phases=[Phase.generate], deadline=None, derandomize=True, database=None
+)
+CONFIG = {
+    "Revision": 1,
+    "Services": [{"Name": "svc", "ConnLimit": 40, "SyncReplicas": 1}],
+    "Routes": [{"Hostname": "db", "Service": "svc", "TimeoutMs": 800, "TargetMs": 300}],
+}
 
 
 class LoopClock(Clock):
@@ -42,7 +48,13 @@
         self.mute = False
 
     def reply(self, rows=(), state="I", code=None):
-        r = Reply(rows, f"stamp{len(self.ran)}" if code is None else "-", code, state=state, pos=(1, self.pos))
+        r = Reply(
+            rows,
+            f"stamp{len(self.ran)}" if code is None else "-",
+            code,
+            state=state,
+            pos=(1, self.pos),
+        )
         f = asyncio.get_running_loop().create_future()
         if not self.mute:
             f.set_result(r)
@@ -156,19 +168,47 @@
     def __init__(self, leave_starting=False):
         self.member, self.tie, self.door = Member(), FakeTie(), set()
         self.clock, self.nest = LoopClock(), Nest()
-        self.gate = Gate("e", "a", self.clock, self.nest, random.Random(1), self.tie, FakeWire(self.member),
-                         lambda h: 0,
-                         1_000_000, 1_000_000)
+        self.gate = Gate(
+            "e",
+            "a",
+            self.clock,
+            self.nest,
+            random.Random(1),
+            self.tie,
+            FakeWire(self.member),
+            lambda h: 0,
+            1_000_000,
+            1_000_000,
+        )
         if not leave_starting:
             self.configure(CONFIG)
 
     def configure(self, config):
         text = manifest_of(json.dumps(config).encode(), ["a"])
-        recs = [{"t": "manifest", "text": text, "version": config["Revision"]},
-                {"t": "member", "name": "m1", "group": "svc", "hall": "a", "addr": "1.1.1.1:1", "role": "primary",
-                 "state": "ready", "slots": 9, "count": 1},
-                {"t": "office", "group": "svc", "n": config["Revision"], "phase": "serve", "primary": "m1", "term": 1,
-                 "cause": "", "by": "c"}]
+        recs = [
+            {"t": "manifest", "text": text, "version": config["Revision"]},
+            {
+                "t": "member",
+                "name": "m1",
+                "group": "svc",
+                "hall": "a",
+                "addr": "1.1.1.1:1",
+                "role": "primary",
+                "state": "ready",
+                "slots": 9,
+                "count": 1,
+            },
+            {
+                "t": "office",
+                "group": "svc",
+                "n": config["Revision"],
+                "phase": "serve",
+                "primary": "m1",
+                "term": 1,
+                "cause": "",
+                "by": "c",
+            },
+        ]
         for r in recs:
             self.tie.ledger.apply(self.tie.ledger.seq + 1, r)
         for fn in self.tie.on_change:
@@ -196,6 +236,7 @@
 
     async def go():
         return await fn(Door(**kw))
+
     try:
         return loop.run_until_complete(go())
     finally:
@@ -225,7 +266,10 @@
 
 
 def said(*texts):
-    return b"".join(b"QUERY %d %s\r\n" % (i, t if isinstance(t, bytes) else t.encode()) for i, t in enumerate(texts))
+    return b"".join(
+        b"QUERY %d %s\r\n" % (i, t if isinstance(t, bytes) else t.encode())
+        for i, t in enumerate(texts)
+    )
 
 
 async def answers(door, *texts):
@@ -234,14 +278,37 @@
     await rest()
     got, end = replies(tr.out)
     assert end is None and not tr.aborted
-    return [(rows, end.decode("utf-8", "surrogateescape").split(" ")[0 if end[:1] == b"C" else 1], ready[:1].decode())
-            for rows, end, ready in got]
-
-
-STATEMENT = st.sampled_from([
-    "FETCH k", "PUT k v", "PUT k fail", "BEGIN", "BEGIN FETCH", "COMMIT", "ROLLBACK", "SET n v", "PREPARE s FETCH q",
-    "PREPARE w PUT q", "EXECUTE s k", "EXECUTE w k d", "DEALLOC s",
-        "DEALLOC never", "", "NONSENSE x", "EXECUTE none k"])
+    return [
+        (
+            rows,
+            end.decode("utf-8", "surrogateescape").split(" ")[0 if end[:1] == b"C" else 1],
+            ready[:1].decode(),
+        )
+        for rows, end, ready in got
+    ]
+
+
+STATEMENT = st.sampled_from(
+    [
+        "FETCH k",
+        "PUT k v",
+        "PUT k fail",
+        "BEGIN",
+        "BEGIN FETCH",
+        "COMMIT",
+        "ROLLBACK",
+        "SET n v",
+        "PREPARE s FETCH q",
+        "PREPARE w PUT q",
+        "EXECUTE s k",
+        "EXECUTE w k d",
+        "DEALLOC s",
+        "DEALLOC never",
+        "",
+        "NONSENSE x",
+        "EXECUTE none k",
+    ]
+)
 
 
 def expected(texts):
@@ -255,7 +322,13 @@
         elif state == "E":
             end = "ABORTED" if t == "COMMIT" else "MALFORMED"
             state = "I" if t == "COMMIT" else "E"
-        elif w[0] in ("", "NONSENSE") or w[0] == "BEGIN" and state == "T" or t == "COMMIT" and state == "I":
+        elif (
+            w[0] in ("", "NONSENSE")
+            or w[0] == "BEGIN"
+            and state == "T"
+            or t == "COMMIT"
+            and state == "I"
+        ):
             end = "MALFORMED"
             if w[0] != "BEGIN":
                 state = "E" if state == "T" else state
@@ -282,7 +355,11 @@
 
 
 @DRAWN
-@given(st.lists(STATEMENT, min_size=1, max_size=8), st.randoms(use_true_random=False), st.integers(1, 9))
+@given(
+    st.lists(STATEMENT, min_size=1, max_size=8),
+    st.randoms(use_true_random=False),
+    st.integers(1, 9),
+)
 def test_the_pieces_that_bytes_come_in_change_nothing(texts, rng, most):
     raw = b"CONNECT db me\r\n" + said(*texts) + b"QUIT\r\n"
 
@@ -296,7 +373,7 @@
         at = 0
         while at < len(raw):
             n = rng.randint(1, most)
-            f.data_received(raw[at:at + n])
+            f.data_received(raw[at : at + n])
             at += n
             if rng.random() < 0.2:
                 await rest(0.001)
@@ -306,6 +383,7 @@
     def shape(x):
         got = [(e.split(b" ")[:1], ready) for _, e, ready in replies(x[0])[0]]
         return len(got), got, x[1], x[2]
+
     a, b = virtual(whole), virtual(pieces)
     assert shape(a) == shape(b) and a[2] and shape(a)[0] == len(texts)
 
@@ -320,23 +398,41 @@
                 f.data_received(j + b"\r\n")
         await rest()
         assert not tr.aborted and d.member.ran == [] and d.member.kept == {}
-        assert tr.out.count(b"ERROR") <= 1 and tr.closed == (b"ERROR" in tr.out or any(j[:4] == b"QUIT" for j in junk))
+        assert tr.out.count(b"ERROR") <= 1 and tr.closed == (
+            b"ERROR" in tr.out or any(j[:4] == b"QUIT" for j in junk)
+        )
         assert len(d.gate.visits) == (not tr.closed)
+
     virtual(go)
 
 
-@pytest.mark.parametrize(("first", "code"), [
-    (b"QUERY 1 FETCH k\r\n", b"MALFORMED"), (b"\r\n", b"MALFORMED"), (b"CONNECT\r\n", b"MALFORMED"),
-    (b"CONNECT \r\n", b"MALFORMED"), (b"connect db me\r\n", b"MALFORMED"), (b"READY I -\r\n", b"MALFORMED"),
-    (b"GET / HTTP/1.1\r\n", b"MALFORMED"), (b"CONNECT nowhere me\r\n", b"NODB"), (b"CONNECT  me\r\n", b"NODB"),
-    (b"CONNECT DB me\r\n", b"NODB"), (b"CONNECT " + b"x" * MOST + b"\r\n", b"TOOLARGE"),
-    (b"CONNECT db\nQUERY 1 PUT k v\r\n", b"MALFORMED"), (b"CONNECT db me\r\r\n", b"MALFORMED")])
+@pytest.mark.parametrize(
+    ("first", "code"),
+    [
+        (b"QUERY 1 FETCH k\r\n", b"MALFORMED"),
+        (b"\r\n", b"MALFORMED"),
+        (b"CONNECT\r\n", b"MALFORMED"),
+        (b"CONNECT \r\n", b"MALFORMED"),
+        (b"connect db me\r\n", b"MALFORMED"),
+        (b"READY I -\r\n", b"MALFORMED"),
+        (b"GET / HTTP/1.1\r\n", b"MALFORMED"),
+        (b"CONNECT nowhere me\r\n", b"NODB"),
+        (b"CONNECT  me\r\n", b"NODB"),
+        (b"CONNECT DB me\r\n", b"NODB"),
+        (b"CONNECT " + b"x" * MOST + b"\r\n", b"TOOLARGE"),
+        (b"CONNECT db\nQUERY 1 PUT k v\r\n", b"MALFORMED"),
+        (b"CONNECT db me\r\r\n", b"MALFORMED"),
+    ],
+)
 def test_what_opens_no_session_gets_one_error_and_a_close(first, code):
     async def go(d):
         f, tr = d.client(first + said("PUT k v"))
         await rest()
-        assert tr.closed and tr.out.startswith(b"ERROR " + code + b" ") and tr.out.count(b"\r\n") == 1
+        assert (
+            tr.closed and tr.out.startswith(b"ERROR " + code + b" ") and tr.out.count(b"\r\n") == 1
+        )
         assert not d.gate.visits and not d.door and d.member.kept == {}
+
     virtual(go)
 
 
@@ -349,12 +445,21 @@
         assert tr.out.startswith(b"ERROR BUSY ") and tr.out.count(b"\r\n") == 1 and tr.closed
         await rest()
         assert d.member.kept == {} and not d.door and not d.gate.visits
+
     virtual(go, leave_starting=True)
 
 
-@pytest.mark.parametrize(("name", "tail", "ends"), [
-    (b"db", b"", False), (b"db", b"QUIT\r\n", True), (b"db", None, True), (b"db", b"JUNK\r\n", True),
-    (b"db", b"CONNECT db me\r\n", True), (b"nowhere", b"", True)])
+@pytest.mark.parametrize(
+    ("name", "tail", "ends"),
+    [
+        (b"db", b"", False),
+        (b"db", b"QUIT\r\n", True),
+        (b"db", None, True),
+        (b"db", b"JUNK\r\n", True),
+        (b"db", b"CONNECT db me\r\n", True),
+        (b"nowhere", b"", True),
+    ],
+)
 def test_what_is_asked_before_the_first_configuration_is_served_after_it(name, tail, ends):
     async def go(d):
         f, tr = d.client(b"CONNECT " + name + b" me\r\n" + said("PUT a 1", "PUT a 2"))
@@ -368,6 +473,7 @@
         else:
             assert len(replies(tr.out)[0]) == 2 and d.member.kept == {"a": "2"}
         assert tr.closed == ends and not tr.aborted and len(d.gate.visits) == (not ends)
+
     virtual(go, leave_starting=True)
 
 
@@ -379,6 +485,7 @@
         d.configure(CONFIG)
         await rest()
         assert tr.out == b"" and not d.gate.visits and not d.door and d.member.kept == {}
+
     virtual(go, leave_starting=True)
 
 
@@ -393,19 +500,35 @@
         for name in (b"db", b"", b"none", b" "):
             _, tr = d.client(b"CONNECT " + name + b" me\r\n")
             assert tr.out.startswith(b"ERROR NODB"), name
+
     virtual(go)
 
 
-@pytest.mark.parametrize("tail", [b"SET k v\r\n", b"CONNECT db me\r\n", b"QUERY\r\n", b"QUERY 1\nPUT k w\r\n", b"\r\n",
-                                  b"QUERY 9 PUT k \n w\r\n", b"QUERY 9 PUT k \r w\r\n"])
+@pytest.mark.parametrize(
+    "tail",
+    [
+        b"SET k v\r\n",
+        b"CONNECT db me\r\n",
+        b"QUERY\r\n",
+        b"QUERY 1\nPUT k w\r\n",
+        b"\r\n",
+        b"QUERY 9 PUT k \n w\r\n",
+        b"QUERY 9 PUT k \r w\r\n",
+    ],
+)
 def test_what_is_no_message_ends_the_session_after_the_replies_owed(tail):
     async def go(d):
         f, tr = d.client()
         f.data_received(said("PUT a 1", "PUT a 2") + tail + said("PUT a 3"))
         await rest()
         got, end = replies(tr.out)
-        assert [x[1][:8] for x in got] == [b"COMPLETE"] * 2 and tr.closed and end.startswith(b"ERROR MALFORMED")
+        assert (
+            [x[1][:8] for x in got] == [b"COMPLETE"] * 2
+            and tr.closed
+            and end.startswith(b"ERROR MALFORMED")
+        )
         assert d.member.kept == {"a": "2"} and not d.gate.visits
+
     virtual(go)
 
 
@@ -414,7 +537,12 @@
         f, tr = d.client()
         f.data_received(b"QUERY 1\r\nQUERY 2 \r\nQUERY 3 PUT a b\r\n")
         await rest()
-        assert [x[1].split(b" ")[0] for x in replies(tr.out)[0]] == [b"ERROR", b"ERROR", b"COMPLETE"]
+        assert [x[1].split(b" ")[0] for x in replies(tr.out)[0]] == [
+            b"ERROR",
+            b"ERROR",
+            b"COMPLETE",
+        ]
+
     virtual(go)
 
 
@@ -425,9 +553,10 @@
         raw = b"QUERY 1 PUT k " + b"x" * MOST + (b"\r\n" if whole else b"")
         for at in range(0, len(raw), 1 << 18):
             if not tr.closed:
-                f.data_received(raw[at:at + (1 << 18)])
+                f.data_received(raw[at : at + (1 << 18)])
         await rest()
         assert tr.closed and replies(tr.out)[1].startswith(b"ERROR TOOLARGE") and d.member.ran == []
+
     virtual(go)
 
 
@@ -437,7 +566,10 @@
         head = b"QUERY 1 PUT k "
         f.data_received(head + b"x" * (MOST - len(head)) + b"\r\n")
         await rest()
-        assert replies(tr.out)[0][0][1].startswith(b"COMPLETE") and len(d.member.kept["k"]) == MOST - len(head)
+        assert replies(tr.out)[0][0][1].startswith(b"COMPLETE") and len(
+            d.member.kept["k"]
+        ) == MOST - len(head)
+
     virtual(go)
 
 
@@ -452,14 +584,30 @@
             return
         assert replies(tr.out)[0][1][0] == [data]
         assert d.member.ran[0][1].encode("utf-8", "surrogateescape") == b"PUT k " + data
+
     virtual(go)
 
 
 @DRAWN
-@given(st.lists(st.sampled_from(["SET a 1", "SET b ", "SET é ü ß", "PREPARE s FETCH x",
-    "PREPARE s PUT y", "DEALLOC s",
-                                 "DEALLOC none", "PREPARE " + "n" * 500 + " PUT z"]), min_size=1, max_size=8),
-       st.booleans())
+@given(
+    st.lists(
+        st.sampled_from(
+            [
+                "SET a 1",
+                "SET b ",
+                "SET é ü ß",
+                "PREPARE s FETCH x",
+                "PREPARE s PUT y",
+                "DEALLOC s",
+                "DEALLOC none",
+                "PREPARE " + "n" * 500 + " PUT z",
+            ]
+        ),
+        min_size=1,
+        max_size=8,
+    ),
+    st.booleans(),
+)
 def test_values_and_names_never_fail(texts, inside):
     got = virtual(lambda d: answers(d, *["BEGIN"] * inside, *texts))
     assert {(e, s) for _, e, s in got} == {("COMPLETE", "T" if inside else "I")}
@@ -467,12 +615,30 @@
 
 def test_a_commit_after_a_failure_keeps_nothing():
     async def go(d):
-        got = await answers(d, "BEGIN", "PUT a 1", "PUT a fail", "PUT a 2", "SET n v", "FETCH a", "COMMIT", "FETCH a")
+        got = await answers(
+            d,
+            "BEGIN",
+            "PUT a 1",
+            "PUT a fail",
+            "PUT a 2",
+            "SET n v",
+            "FETCH a",
+            "COMMIT",
+            "FETCH a",
+        )
         assert [(e, s) for _, e, s in got] == [
-            ("COMPLETE", "T"), ("COMPLETE", "T"), ("FAILED", "E"), ("MALFORMED", "E"), ("MALFORMED", "E"),
-            ("MALFORMED", "E"), ("ABORTED", "I"), ("COMPLETE", "I")]
+            ("COMPLETE", "T"),
+            ("COMPLETE", "T"),
+            ("FAILED", "E"),
+            ("MALFORMED", "E"),
+            ("MALFORMED", "E"),
+            ("MALFORMED", "E"),
+            ("ABORTED", "I"),
+            ("COMPLETE", "I"),
+        ]
         assert d.member.kept == {} and got[-1][0] == [b""]
         assert "SET n v" not in [t for _, t in d.member.ran]
+
     virtual(go)
 
 
@@ -480,6 +646,7 @@
     async def go(d):
         await answers(d, "BEGIN", "PUT a 1", "JUNK", "COMMIT", "PUT b 1")
         assert d.member.kept == {"b": "1"}
+
     virtual(go)
 
 
@@ -496,7 +663,12 @@
         f.data_received(said("COMMIT"))
         await rest()
         got, _ = replies(tr.out)
-        assert got[-1][1].startswith(b"ERROR ABORTED") and got[-1][2][:1] == b"I" and d.member.kept == {}
+        assert (
+            got[-1][1].startswith(b"ERROR ABORTED")
+            and got[-1][2][:1] == b"I"
+            and d.member.kept == {}
+        )
+
     virtual(go)
 
 
@@ -511,6 +683,7 @@
         got, end = replies(tr.out)
         assert len(got) == 2 and end is None and got[0][1].startswith(b"ERROR INDOUBT")
         assert got[1][1].split(b" ")[1] in (b"BUSY", b"TIMEOUT")
+
     virtual(go)
 
 
@@ -523,6 +696,7 @@
         assert len(replies(tr.out)[0]) == 2 and tr.closed and not d.gate.visits
         f, tr = d.client()
         assert not f.eof_received() and tr.closed
+
     virtual(go)
 
 
@@ -535,6 +709,7 @@
         tr.close()
         await rest()
         assert s.lost and not d.gate.visits and not d.door and d.member.kept == {}
+
     virtual(go)
 
 
@@ -547,7 +722,10 @@
         tr.close()
         await rest(10)
         assert not d.gate.visits and not d.door and d.gate.slab.used == 0
-        assert d.gate.bands["svc"].visits == 0 and d.gate.bands["svc"].berths["m1"].stock.busy == set()
+        assert (
+            d.gate.bands["svc"].visits == 0 and d.gate.bands["svc"].berths["m1"].stock.busy == set()
+        )
+
     virtual(go)
 
 
@@ -560,10 +738,13 @@
         tr.close()
         await rest(10)
         assert [t for _, t in d.member.ran] == ["PUT a 1"] and not tr.aborted
+
     virtual(go)
 
 
-@pytest.mark.parametrize(("text", "runs"), [(b"PUT a 1", range(64, 67)), (b"PUT a " + b"x" * (MOST >> 2), range(4, 8))])
+@pytest.mark.parametrize(
+    ("text", "runs"), [(b"PUT a 1", range(64, 67)), (b"PUT a " + b"x" * (MOST >> 2), range(4, 8))]
+)
 def test_more_than_a_session_may_ask_at_once_is_not_run_and_ends_it(text, runs):
     async def go(d):
         f, tr = d.client()
@@ -571,7 +752,13 @@
         assert sum(len(t) for _, t in f._asked) <= 2 * MOST
         await rest()
         got, end = replies(tr.out)
-        assert len(got) in runs and len(d.member.ran) == len(got) and end.startswith(b"ERROR BUSY") and tr.closed
+        assert (
+            len(got) in runs
+            and len(d.member.ran) == len(got)
+            and end.startswith(b"ERROR BUSY")
+            and tr.closed
+        )
+
     virtual(go)
 
 
@@ -597,6 +784,7 @@
 
     async def go():
         return await fn()
+
     try:
         return loop.run_until_complete(go())
     finally:
@@ -606,7 +794,9 @@
 
 
 ASK = Ask("7f", "read", "FETCH k")
-ROWS = st.lists(st.binary(max_size=12).filter(lambda b: b"\r\n" not in b and not b.endswith(b"\r")), max_size=3)
+ROWS = st.lists(
+    st.binary(max_size=12).filter(lambda b: b"\r\n" not in b and not b.endswith(b"\r")), max_size=3
+)
 
 
 @DRAWN
@@ -615,8 +805,10 @@
     async def go():
         c = strand()
         fs = [c.ask(ASK) for _ in all_rows]
-        raw = b"".join(b"".join(b"ROW %s\r\n" % r for r in rows) + b"COMPLETE s%d\r\nREADY I 3.%d\r\n" % (i, i)
-                       for i, rows in enumerate(all_rows))
+        raw = b"".join(
+            b"".join(b"ROW %s\r\n" % r for r in rows) + b"COMPLETE s%d\r\nREADY I 3.%d\r\n" % (i, i)
+            for i, rows in enumerate(all_rows)
+        )
         while raw:
             n = rng.randint(1, 7)
             c.data_received(raw[:n])
@@ -626,13 +818,22 @@
             assert [x.encode("utf-8", "surrogateescape") for x in r.rows] == rows
             assert (r.stamp, r.state, r.pos, r.ok) == (f"s{i}", "I", (3, i), True)
         assert not c.lost
+
     run(go)
 
 
-@pytest.mark.parametrize("raw", [
-    b"READY I 3.1\r\n", b"ROW a\r\nREADY I 3.1\r\n", b"COMPLETE s\r\nROW a\r\nREADY I 3.1\r\n",
-    b"COMPLETE s\r\nCOMPLETE t\r\nREADY I -\r\n", b"ERROR BUSY x\r\nCOMPLETE t\r\nREADY I -\r\n",
-    "COMPLETE s\r\nREADY I ².1\r\n".encode(), b"ROW " + b"x" * (MOST + 9)])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"READY I 3.1\r\n",
+        b"ROW a\r\nREADY I 3.1\r\n",
+        b"COMPLETE s\r\nROW a\r\nREADY I 3.1\r\n",
+        b"COMPLETE s\r\nCOMPLETE t\r\nREADY I -\r\n",
+        b"ERROR BUSY x\r\nCOMPLETE t\r\nREADY I -\r\n",
+        "COMPLETE s\r\nREADY I ².1\r\n".encode(),
+        b"ROW " + b"x" * (MOST + 9),
+    ],
+)
 def test_a_reply_out_of_order_is_no_reply(raw):
     async def go():
         c = strand()
@@ -641,16 +842,20 @@
         assert c.lost and c.drops == [c] and c._tr.closed
         assert isinstance(f.exception(), Unreached)
         assert isinstance(c.ask(ASK).exception(), Unreached)
+
     run(go)
 
 
-@pytest.mark.parametrize("raw", [b"READY I 3.1\r\n", b"ROW a\r\n", b"COMPLETE s\r\n", b"ERROR BUSY x\r\n"])
+@pytest.mark.parametrize(
+    "raw", [b"READY I 3.1\r\n", b"ROW a\r\n", b"COMPLETE s\r\n", b"ERROR BUSY x\r\n"]
+)
 def test_a_member_that_answers_nothing_asked_is_left(raw):
     async def go():
         c = strand()
         f = c.ask(ASK)
         c.data_received(b"COMPLETE s\r\nREADY I 3.1\r\n" + raw)
         assert f.result().ok and f.result().rows == [] and c.lost
+
     run(go)
 
 
@@ -665,6 +870,7 @@
         for f in fs:
             assert f.done() and (f.exception() is None or type(f.exception()) is not Fault)
             assert f.exception() is None or isinstance(f.exception(), Fault)
+
     run(go)
 
 
@@ -672,11 +878,14 @@
     async def go():
         c = strand()
         fs = [c.own("status") for _ in range(4)]
-        c.data_received(b"ROW primary 3 3.9 0 0 1 2\r\nCOMPLETE -\r\nREADY I 3.9\r\nERROR BUSY x\r\nREADY I 3.9\r\n"
-                        b"ROW odd\r\nCOMPLETE -\r\nREADY I 3.9\r\nERROR NOSTMT x\r\nREADY I 3.9\r\n")
+        c.data_received(
+            b"ROW primary 3 3.9 0 0 1 2\r\nCOMPLETE -\r\nREADY I 3.9\r\nERROR BUSY x\r\nREADY I 3.9\r\n"
+            b"ROW odd\r\nCOMPLETE -\r\nREADY I 3.9\r\nERROR NOSTMT x\r\nREADY I 3.9\r\n"
+        )
         assert fs[0].result()["pos"] == (3, 9)
         assert [type(f.exception()) for f in fs[1:]] == [Busy, MemberFault, MemberFault]
         assert not c.lost
+
     run(go)
 
 
@@ -685,13 +894,17 @@
         c = strand()
         a, b = c.ask(ASK), c.ask(ASK)
         a.cancel()
-        c.data_received(b"ROW old\r\nCOMPLETE s\r\nREADY I 3.1\r\nROW new\r\nCOMPLETE t\r\nREADY I 3.2\r\n")
+        c.data_received(
+            b"ROW old\r\nCOMPLETE s\r\nREADY I 3.1\r\nROW new\r\nCOMPLETE t\r\nREADY I 3.2\r\n"
+        )
         assert b.result().rows == ["new"] and b.result().stamp == "t"
+
     run(go)
 
 
 def loopback(fn):
     """Runs `fn(wire, serve)`; `serve(script)` is the address of a member that answers its first message so."""
+
     async def go():
         ends = []
 
@@ -707,22 +920,31 @@
                     w.write(part)
                     await w.drain()
                 w.close()
+
             s = await asyncio.start_server(talk, "127.0.0.1", 0)
             ends.append(s)
             return "127.0.0.1:%d" % s.sockets[0].getsockname()[1], got
+
         try:
             await fn(LineWire(Clock()), serve)
         finally:
             for e in ends:
                 e.close()
+
     asyncio.run(go())
 
 
 def test_how_a_connection_to_a_member_opens_or_not():
     async def go(wire, serve):
-        for script, fault in (([b"ERROR WRONGNODE i-2\r\n"], Gone), ([b"ERROR CONNLIMIT 40\r\n"], Busy),
-                              ([b"ERROR BUSY x\r\n"], Busy), ([b"ERROR ODD x\r\n"], Busy), ([], Busy),
-                              ([b"ROW x\r\nREADY I -\r\n"], Busy), ([b"\xff\r\nnonsense"], Busy)):
+        for script, fault in (
+            ([b"ERROR WRONGNODE i-2\r\n"], Gone),
+            ([b"ERROR CONNLIMIT 40\r\n"], Busy),
+            ([b"ERROR BUSY x\r\n"], Busy),
+            ([b"ERROR ODD x\r\n"], Busy),
+            ([], Busy),
+            ([b"ROW x\r\nREADY I -\r\n"], Busy),
+            ([b"\xff\r\nnonsense"], Busy),
+        ):
             a, _ = await serve(script)
             with pytest.raises(fault) as e:
                 await wire.open(a, "svc", "i-1", 2_000_000)
@@ -736,14 +958,21 @@
             with pytest.raises(Unsent) as e:
                 await wire.open("127.0.0.1:%d" % s.getsockname()[1], "svc", "i-1", 2_000_000)
         assert e.value.note == "refused"
+
     loopback(go)
 
 
 @pytest.mark.parametrize("name", ["svc", "Huvo.1_a", "x-odd", "bö", "S" * 64, "ü" * 64])
 def test_a_member_is_asked_for_by_its_services_own_name(name):
-    config = {**CONFIG, "Services": [{"Name": name}], "Routes": [{**CONFIG["Routes"][0], "Service": name}]}
+    config = {
+        **CONFIG,
+        "Services": [{"Name": name}],
+        "Routes": [{**CONFIG["Routes"][0], "Service": name}],
+    }
     led = Ledger()
-    led.apply(1, {"t": "manifest", "text": manifest_of(json.dumps(config).encode(), ["a"]), "version": 1})
+    led.apply(
+        1, {"t": "manifest", "text": manifest_of(json.dumps(config).encode(), ["a"]), "version": 1}
+    )
     assert led.manifest["groups"][0]["name"] == label(name)
 
     async def go(wire, serve):
@@ -751,4 +980,5 @@
         c = await wire.open(a, label(name), "i-1", 2_000_000)
         assert got == [f"CONNECT {name} petrelhaven i-1\r\n".encode()]
         c.close()
+
     loopback(go)
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -1,4 +1,5 @@
 """The words of the platform's wire: what is a statement, what is none, and that bytes pass as they came."""
+
 import sys
 from pathlib import Path
 
@@ -12,24 +13,50 @@
 from petrelhaven.span.ask import Ask, Reply  # noqa: E402
 from words import CODES, WORDS, ask_line, ask_of, own_line, place, position, reply_lines, row_of  # noqa: E402
 
-DRAWN = settings(max_examples=300, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
-WORD = st.text(st.characters(exclude_categories=["Cs"], exclude_characters=" \r\n"), min_size=1, max_size=8)
-LAST = st.text(st.characters(exclude_categories=["Cs"], exclude_characters="\r\n"), min_size=1, max_size=12)
+DRAWN = settings(
+    max_examples=300, phases=[Phase.generate], deadline=None, derandomize=True, database=None
+)
+WORD = st.text(
+    st.characters(exclude_categories=["Cs"], exclude_characters=" \r\n"), min_size=1, max_size=8
+)
+LAST = st.text(
+    st.characters(exclude_categories=["Cs"], exclude_characters="\r\n"), min_size=1, max_size=12
+)
 POSITION = st.none() | st.tuples(st.integers(0, 9), st.integers(0, 99))
-VERBS = {"FETCH": "read", "PUT": "write", "SET": "set", "PREPARE": "prepare", "EXECUTE": "execute", "DEALLOC": "forget"}
+VERBS = {
+    "FETCH": "read",
+    "PUT": "write",
+    "SET": "set",
+    "PREPARE": "prepare",
+    "EXECUTE": "execute",
+    "DEALLOC": "forget",
+}
 
 
 @DRAWN
 @given(WORD, WORD, LAST, st.sampled_from(["FETCH", "PUT"]))
 def test_each_well_formed_text_is_its_statement_as_it_came(name, thing, last, kind):
-    for text, verb, writes in ((f"FETCH {last}", "read", False), (f"PUT {thing} {last}", "write", True),
-                               (f"PUT {thing} ", "write", True), (f"SET {name} {last}", "set", False),
-                               (f"SET {name} ", "set", False), (f"PREPARE {name} {kind} {last}", "prepare", False),
-                               (f"EXECUTE {name} {last}", "execute", False), (f"DEALLOC {last}", "forget", False),
-                               ("BEGIN", "begin", True), ("BEGIN FETCH", "begin", False), ("COMMIT", "commit", False),
-                               ("ROLLBACK", "rollback", False)):
+    for text, verb, writes in (
+        (f"FETCH {last}", "read", False),
+        (f"PUT {thing} {last}", "write", True),
+        (f"PUT {thing} ", "write", True),
+        (f"SET {name} {last}", "set", False),
+        (f"SET {name} ", "set", False),
+        (f"PREPARE {name} {kind} {last}", "prepare", False),
+        (f"EXECUTE {name} {last}", "execute", False),
+        (f"DEALLOC {last}", "forget", False),
+        ("BEGIN", "begin", True),
+        ("BEGIN FETCH", "begin", False),
+        ("COMMIT", "commit", False),
+        ("ROLLBACK", "rollback", False),
+    ):
         a = ask_of("7f", text)
-        assert isinstance(a, Ask) and (a.num, a.verb, a.text, a.writes) == ("7f", verb, text, writes)
+        assert isinstance(a, Ask) and (a.num, a.verb, a.text, a.writes) == (
+            "7f",
+            verb,
+            text,
+            writes,
+        )
     a = ask_of("1", f"PREPARE {name} {kind} {last}")
     assert (a.name, a.shape) == (name, f"{kind} {last}")
     a = ask_of("1", f"EXECUTE {name} {last}")
@@ -38,20 +65,61 @@
     assert (a.name, a.data) == (name, last)
 
 
-@pytest.mark.parametrize("text", [
-    "", " ", "FETCH", "FETCH ", "fetch a", "PUT", "PUT a", "PUT ", "PUT  a", "SET", "SET a", "SET  a", "PREPARE a",
-    "PREPARE a FETCH", "PREPARE a FETCH ", "PREPARE a PUT ", "PREPARE a DROP b",
-        "PREPARE a FETCHX b", "PREPARE  FETCH b",
-    "EXECUTE", "EXECUTE a", "EXECUTE a ", "EXECUTE  a", "DEALLOC", "DEALLOC ", "BEGIN ", "BEGIN PUT", "BEGIN FETCH ",
-    "COMMIT now", "commit", "ROLLBACK ", "STATUS", "PAUSE 9", "RESUME", "STEPDOWN 9", "RESET", "AFTER 1.2 FETCH a",
-    "QUIT", "\0", "FETCH\ta"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        " ",
+        "FETCH",
+        "FETCH ",
+        "fetch a",
+        "PUT",
+        "PUT a",
+        "PUT ",
+        "PUT  a",
+        "SET",
+        "SET a",
+        "SET  a",
+        "PREPARE a",
+        "PREPARE a FETCH",
+        "PREPARE a FETCH ",
+        "PREPARE a PUT ",
+        "PREPARE a DROP b",
+        "PREPARE a FETCHX b",
+        "PREPARE  FETCH b",
+        "EXECUTE",
+        "EXECUTE a",
+        "EXECUTE a ",
+        "EXECUTE  a",
+        "DEALLOC",
+        "DEALLOC ",
+        "BEGIN ",
+        "BEGIN PUT",
+        "BEGIN FETCH ",
+        "COMMIT now",
+        "commit",
+        "ROLLBACK ",
+        "STATUS",
+        "PAUSE 9",
+        "RESUME",
+        "STEPDOWN 9",
+        "RESET",
+        "AFTER 1.2 FETCH a",
+        "QUIT",
+        "\0",
+        "FETCH\ta",
+    ],
+)
 def test_all_else_is_malformed(text):
     r = ask_of("1", text)
     assert isinstance(r, Reply) and r.code == "malformed"
 
 
 @DRAWN
-@given(st.text(max_size=20) | st.builds("{} {}".format, st.sampled_from(sorted(VERBS)), st.text(max_size=12)))
+@given(
+    st.text(max_size=20)
+    | st.builds("{} {}".format, st.sampled_from(sorted(VERBS)), st.text(max_size=12))
+)
 def test_no_text_raises_and_none_is_taken_for_another(text):
     a = ask_of("1", text)
     if isinstance(a, Ask):
@@ -66,13 +134,18 @@
     text = b"PUT k " + data
     line = ask_line(ask_of(num, text.decode("utf-8", "surrogateescape")), after, None)
     front = f"AFTER {after[0]}.{after[1]} ".encode() if after else b""
-    assert line.encode("utf-8", "surrogateescape") == f"QUERY {num} ".encode() + front + text + b"\r\n"
+    assert (
+        line.encode("utf-8", "surrogateescape") == f"QUERY {num} ".encode() + front + text + b"\r\n"
+    )
 
 
 @DRAWN
 @given(WORD, WORD, LAST)
 def test_only_the_prepared_name_is_changed_in_an_execute(name, alias, last):
-    assert ask_line(ask_of("9", f"EXECUTE {name} {last}"), None, alias) == f"QUERY 9 EXECUTE {alias} {last}\r\n"
+    assert (
+        ask_line(ask_of("9", f"EXECUTE {name} {last}"), None, alias)
+        == f"QUERY 9 EXECUTE {alias} {last}\r\n"
+    )
 
 
 def test_statements_of_the_systems_own():
@@ -80,18 +153,37 @@
     assert own_line("begin", ("writes", None), "5") == "QUERY 5 BEGIN\r\n"
     assert own_line("set", ("n", "a b"), "5") == "QUERY 5 SET n a b\r\n"
     assert own_line("prepare", ("p1", "PUT q"), "5") == "QUERY 5 PREPARE p1 PUT q\r\n"
-    assert [own_line(v, a) for v, a in (("reset", ()), ("rollback", ()), ("status", ()), ("pause", (9,)), ("resume",
-            ()),
-                                        ("demote", (9,)))] == [
-        f"QUERY - {t}\r\n" for t in ("RESET", "ROLLBACK", "STATUS", "PAUSE 9", "RESUME", "STEPDOWN 9")]
+    assert [
+        own_line(v, a)
+        for v, a in (
+            ("reset", ()),
+            ("rollback", ()),
+            ("status", ()),
+            ("pause", (9,)),
+            ("resume", ()),
+            ("demote", (9,)),
+        )
+    ] == [
+        f"QUERY - {t}\r\n"
+        for t in ("RESET", "ROLLBACK", "STATUS", "PAUSE 9", "RESUME", "STEPDOWN 9")
+    ]
 
 
 @DRAWN
-@given(st.lists(LAST, max_size=3), WORD, st.sampled_from("ITE"), POSITION, st.none() | st.sampled_from(sorted(WORDS)))
+@given(
+    st.lists(LAST, max_size=3),
+    WORD,
+    st.sampled_from("ITE"),
+    POSITION,
+    st.none() | st.sampled_from(sorted(WORDS)),
+)
 def test_a_reply_has_its_rows_one_end_and_one_ready(rows, stamp, state, pos, code):
     lines = reply_lines(Reply(rows, stamp, code, "why", state, pos)).split("\r\n")
-    assert lines == [f"ROW {r}" for r in rows] + [f"ERROR {WORDS[code]} why" if code else f"COMPLETE {stamp}",
-                                                 f"READY {state} {place(pos)}", ""]
+    assert lines == [f"ROW {r}" for r in rows] + [
+        f"ERROR {WORDS[code]} why" if code else f"COMPLETE {stamp}",
+        f"READY {state} {place(pos)}",
+        "",
+    ]
     assert position(place(pos)) == pos
 
 
@@ -113,5 +205,12 @@
 
 def test_a_status_row():
     assert row_of(Reply(["replica 3 3.1209 0 12 2 17"], pos=(3, 1204))) == {
-        "role": "replica", "term": 3, "pos": (3, 1209), "held": 0, "lag_ms": "12", "busy": 2, "conns": 17,
-        "at": (3, 1204)}
+        "role": "replica",
+        "term": 3,
+        "pos": (3, 1209),
+        "held": 0,
+        "lag_ms": "12",
+        "busy": 2,
+        "conns": 17,
+        "at": (3, 1204),
+    }
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -1,4 +1,5 @@
 """Whole programs over loopback: faces, bad input, operator tools, settings, kills."""
+
 import asyncio
 import json
 import os
@@ -29,8 +30,15 @@
 
 
 async def tool(name, *argv, stdin=None):
-    p = await asyncio.create_subprocess_exec(sys.executable, "-m", f"petrelhaven.{name}", *argv, stdin=subprocess.PIPE,
-                                             stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+    p = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        f"petrelhaven.{name}",
+        *argv,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
     o, e = await asyncio.wait_for(p.communicate(stdin), 40)
     return p.returncode, o.decode(), e.decode()
 
@@ -42,22 +50,36 @@
         at = f"/sessions/{s}"
         assert await code(e["http"], "POST", at, data=b"{nope") == (400, "malformed")
         assert await code(e["http"], "POST", at, doc=[1]) == (400, "malformed")
-        assert await code(e["http"], "POST", at, doc={"verb": "drop", "route": "g1"}) == (400, "malformed")
-        assert await code(e["http"], "POST", at, doc={"verb": "put", "key": "k", "value": 1, "route": "g1"}) == (
+        assert await code(e["http"], "POST", at, doc={"verb": "drop", "route": "g1"}) == (
+            400,
+            "malformed",
+        )
+        assert await code(
+            e["http"], "POST", at, doc={"verb": "put", "key": "k", "value": 1, "route": "g1"}
+        ) == (
             400,
             "malformed",
         )
-        assert await code(e["http"], "POST", at, doc={"verb": "get", "key": "k", "route": "nowhere"}) == (
+        assert await code(
+            e["http"], "POST", at, doc={"verb": "get", "key": "k", "route": "nowhere"}
+        ) == (
             404,
             "no-route",
         )
-        assert await code(e["http"], "POST", at, doc={"verb": "commit", "try": 1}) == (409, "unordered")
+        assert await code(e["http"], "POST", at, doc={"verb": "commit", "try": 1}) == (
+            409,
+            "unordered",
+        )
         assert await code(e["http"], "POST", at, doc={"verb": "get", "key": "k", "txn": 9}) == (
             409,
             "transaction-ended",
         )
-        assert await code(e["http"], "POST", at, doc={"verb": "exec", "name": "x", "route": "g1"}) == (409, "unordered")
-        assert await code(e["http"], "POST", "/sessions/s-none", doc={"verb": "get", "key": "k", "route": "g1"}) == (
+        assert await code(
+            e["http"], "POST", at, doc={"verb": "exec", "name": "x", "route": "g1"}
+        ) == (409, "unordered")
+        assert await code(
+            e["http"], "POST", "/sessions/s-none", doc={"verb": "get", "key": "k", "route": "g1"}
+        ) == (
             404,
             "no-session",
         )
@@ -65,13 +87,25 @@
         assert (await code(e["http"], "GET", "/nowhere"))[0] == 404
         assert await code(f.cores[0], "POST", "/announce", doc={"member": 1}) == (400, "malformed")
         assert (
-            await code(e["http"], "POST", at, doc={"verb": "put", "key": "k", "value": 1, "try": 1, "route": "g1"})
+            await code(
+                e["http"],
+                "POST",
+                at,
+                doc={"verb": "put", "key": "k", "value": 1, "try": 1, "route": "g1"},
+            )
         )[1]["outcome"] == "kept"
         again = (
-            await code(e["http"], "POST", at, doc={"verb": "put", "key": "k", "value": 2, "try": 1, "route": "g1"})
+            await code(
+                e["http"],
+                "POST",
+                at,
+                doc={"verb": "put", "key": "k", "value": 2, "try": 1, "route": "g1"},
+            )
         )[1]
         assert again["outcome"] == "kept" and again["repeated"]
-        assert (await code(e["http"], "POST", at, doc={"verb": "get", "key": "k", "route": "g1"}))[1]["value"] == 1
+        assert (await code(e["http"], "POST", at, doc={"verb": "get", "key": "k", "route": "g1"}))[
+            1
+        ]["value"] == 1
 
         async def poke(raw):
             h, p = e["link"].split(":")
@@ -80,6 +114,7 @@
             got = await asyncio.wait_for(r.read(4096), 5)
             w.close()
             return got
+
         assert await poke(b"GET / HTTP/1.1\r\n\r\n") == b""
         assert await poke(struct.pack(">HI", 0x7E7A, 1 << 30)) == b""
         newer = bytearray(pack("creed.belief", CALL, 5, {"who": "x"}))
@@ -90,6 +125,7 @@
         log = open(os.path.join(f.dir, "e1.log")).read()
         assert "E110" in log and "E111" in log
         assert (await code(e["http"], "GET", "/ready"))[0] == 200
+
     fleet(go)
 
 
@@ -107,7 +143,9 @@
         p.write_text(manifest("small", 1))
         rc, _, err = await tool("tenet", "--core", cs, "apply", str(p))
         assert rc == 1 and "stale" in err
-        rc, _, err = await tool("tenet", "--core", cs, "apply", "-", stdin=b'{"name": "x", "colour": 1}')
+        rc, _, err = await tool(
+            "tenet", "--core", cs, "apply", "-", stdin=b'{"name": "x", "colour": 1}'
+        )
         assert rc == 1 and "colour: unknown field" in err and "groups: missing" in err
         rc, out, _ = await tool("tenet", "--core", cs, "status")
         assert rc == 0 and "head" in out and "g1: epoch" in out
@@ -118,19 +156,28 @@
 
         async def moved():
             s = await f.head()
-            return s and s["epochs"]["g1"]["phase"] == "serve" and s["epochs"]["g1"]["primary"] != "g1m1"
+            return (
+                s
+                and s["epochs"]["g1"]["phase"] == "serve"
+                and s["epochs"]["g1"]["primary"] != "g1m1"
+            )
+
         await f.until(moved, 10)
         rc, out, _ = await tool("tenet", "--core", cs, "why", "g1")
         assert (
             rc == 0
-            and "hall emptied" in out + (await tool("tenet", "--core", cs, "why", "g1", "--epoch", "3"))[1]
+            and "hall emptied"
+            in out + (await tool("tenet", "--core", cs, "why", "g1", "--epoch", "3"))[1]
             and "replaced: epoch" in out
         )
         evs = await fetch(f.cores[1], "GET", "/events?after=0")
         assert [int(e["id"]) for e in evs] == list(range(1, len(evs) + 1))
-        assert {"petrelhaven.manifest", "petrelhaven.hall", "petrelhaven.epoch", "petrelhaven.edge"} <= {
-            e["type"] for e in evs
-        }
+        assert {
+            "petrelhaven.manifest",
+            "petrelhaven.hall",
+            "petrelhaven.epoch",
+            "petrelhaven.edge",
+        } <= {e["type"] for e in evs}
         assert all(e["specversion"] == "1.0" and e["source"] for e in evs)
         assert (await tool("tenet", "--core", cs, "restore", "a"))[0] == 0
         assert (await tool("tenet", "--core", cs, "restore", "a"))[0] == 1
@@ -140,21 +187,28 @@
         f.procs["e2"].poke(signal.SIGCONT)
         assert (await tool("rift", f.cores[0], "127.0.0.1:1"))[0] == 3
         assert (await tool("tenet", "--core", "127.0.0.1:1", "show"))[0] == 3
+
     fleet(go)
 
 
 def test_wrong_settings_stop_a_program_before_it_listens(tmp_path):
     def run(prog, *argv):
         p = subprocess.run(
-            [sys.executable, "-m", f"petrelhaven.{prog}", *argv], capture_output=True, text=True, timeout=30
+            [sys.executable, "-m", f"petrelhaven.{prog}", *argv],
+            capture_output=True,
+            text=True,
+            timeout=30,
         )
         return p.returncode, p.stdout, p.stderr
+
     s = tmp_path / "s.toml"
     s.write_text(
         'name = "e1"\nhall = "North!"\nseeds = ["127.0.0.1:1", "127.0.0.1:1"]\nhttp = "localhost:1"\ncolour = 3\n'
     )
     rc, out, err = run("verge", "--settings", str(s))
-    assert (rc, out) == (2, "") and all(w in err for w in ("hall:", "seeds:", "http:", "colour: unknown field"))
+    assert (rc, out) == (2, "") and all(
+        w in err for w in ("hall:", "seeds:", "http:", "colour: unknown field")
+    )
     rc, out, err = run("crux", "--name", "c1", "--hall", "a", "--seeds", "127.0.0.1:99999")
     assert (rc, out) == (2, "") and "data: missing" in err and "platform: missing" in err
     rc, _, err = run("crux", "--nonsense")
@@ -162,7 +216,16 @@
     for prog in ("crux", "verge", "tenet", "rift", "feint.main", "drill.main"):
         rc, out, _ = run(prog, "--help")
         assert rc == 0 and "usage" in out
-    full = ["--hall", "a", "--seeds", "-", "--data", str(tmp_path / "d"), "--platform", "127.0.0.1:9"]
+    full = [
+        "--hall",
+        "a",
+        "--seeds",
+        "-",
+        "--data",
+        str(tmp_path / "d"),
+        "--platform",
+        "127.0.0.1:9",
+    ]
     p = subprocess.Popen(
         [sys.executable, "-m", "petrelhaven.crux", "--name", "c1", *full],
         stdin=subprocess.PIPE,
@@ -202,8 +265,15 @@
 
     async def start(prog, text):
         put(text)
-        p = await asyncio.create_subprocess_exec(sys.executable, "-m", f"petrelhaven.{prog}", "--settings", str(s),
-                                                 stdout=subprocess.PIPE, stderr=open(tmp_path / "log", "ab"))
+        p = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            f"petrelhaven.{prog}",
+            "--settings",
+            str(s),
+            stdout=subprocess.PIPE,
+            stderr=open(tmp_path / "log", "ab"),
+        )
         return p, (await p.stdout.readline()).decode().split("http=")[1].strip()
 
     async def told(http, waiting, declined):
@@ -214,6 +284,7 @@
                 and bool(x["declined"]) == bool(declined)
                 and all(w in "".join(x["declined"]) for w in declined)
             )
+
         await until(seen, 10)
 
     async def go(prog, text, new, field):
@@ -237,7 +308,10 @@
         await told(http, [], [])
 
         async def live():
-            return f"E107 settings change taken live fields={field}" in (tmp_path / "log").read_text()
+            return (
+                f"E107 settings change taken live fields={field}" in (tmp_path / "log").read_text()
+            )
+
         await until(live, 10)
         assert "E106" in (tmp_path / "log").read_text()
         put("nonsense")
@@ -261,6 +335,7 @@
         )
         put(text + "colour = 3\n")
         assert (await tool(prog, "--settings", str(s), "--check"))[0] == 2
+
     asyncio.run(go("verge", good % "e9", good.replace(":2", ":3") % "e9", "seeds"))
     asyncio.run(go("crux", core, core.replace(":9", ":8"), "platform"))
     put(core.replace("c1", "c2"))
@@ -291,7 +366,9 @@
             await f.again(n)
         rc, _, err = await tool("tenet", "--core", left, "reform", "--lost", "c1,c9")
         assert rc == 1 and "no core c9" in err
-        rc, out, err = await tool("tenet", "--core", left, "--by", "op", "reform", "--lost", "c1,c2")
+        rc, out, err = await tool(
+            "tenet", "--core", left, "--by", "op", "reform", "--lost", "c1,c2"
+        )
         assert rc == 0 and "manifest 2" in out, err
         await f.served(12)
         s = await f.until(f.head, 10)
@@ -302,10 +379,12 @@
         async def elected():
             s = await f.head()
             return s and s["epochs"]["g1"]["phase"] == "serve" and s["epochs"]["g1"]["primary"] != p
+
         await f.until(elected, 12)
         await f.served(12)
         await f.calm()
         assert await f.verdict() == []
+
     fleet(go)
 
 
@@ -319,6 +398,7 @@
 
         async def _reached(n):
             return sum(v.count["ok"] for v in f.visitors) >= n
+
         await f.until(lambda: _reached(100), 20)
         assert await f.procs["e1"].end(signal.SIGKILL) == -9
         k = await more()
@@ -331,6 +411,7 @@
         async def elected():
             s = await f.head()
             return s and s["epochs"]["g1"]["phase"] == "serve" and s["epochs"]["g1"]["primary"] != p
+
         await f.until(elected, 12)
         k = await more()
         await f.until(lambda: k(200), 30)
@@ -340,12 +421,14 @@
         async def given_up():
             s = await f.head()
             return s and s["edges"]["e2"][1] == "gone"
+
         await f.until(given_up, 12)
         f.procs["e2"].poke(signal.SIGCONT)
 
         async def back():
             s = await f.head()
             return s and s["edges"]["e2"][1] == "up"
+
         await f.until(back, 12)
         for c in ("c1", "c2", "c3"):
             await f.procs[c].end(signal.SIGKILL)
@@ -357,12 +440,14 @@
             try:
                 return await fetch(f.cores[1], "GET", "/manifest", raw=True)
             except (NotReady, Unsent):
-                return None     # the head is back; the tail, which answers, may be a moment later
+                return None  # the head is back; the tail, which answers, may be a moment later
+
         assert await f.until(shown, 5) == f.manifest.encode()
         k = await more()
         await f.until(lambda: k(100), 30)
         await f.calm()
         assert await f.verdict() == []
+
     fleet(go)
 
 
@@ -372,6 +457,7 @@
 
         async def reached():
             return sum(v.count["ok"] for v in f.visitors) >= 300
+
         await f.until(reached, 20)
         lost = ["c1", "e1", "e4", "g1m1", "g2m3", "g3m2"]
         await asyncio.gather(*[f.procs[n].end(signal.SIGKILL) for n in lost])
@@ -385,10 +471,16 @@
 
         async def whole():
             s = await f.head()
-            return s and len(s["view"]["chain"]) == 3 and all(len(e["safe"]) == 2 for e in s["epochs"].values())
+            return (
+                s
+                and len(s["view"]["chain"]) == 3
+                and all(len(e["safe"]) == 2 for e in s["epochs"].values())
+            )
+
         await f.until(whole, 30)
         await f.calm()
         assert await f.verdict() == []
+
     fleet(go, "nordvik")
 
 
@@ -401,11 +493,13 @@
         async def given_up():
             s = await f.head()
             return s and s["name"] != "c1" and s["view"]["n"] == 2 and s["edges"]["e1"][1] == "gone"
+
         await f.until(given_up, 12)
         e1 = f.procs["e1"].facts["http"]
 
         async def mute():
             return (await fetch(e1, "GET", "/status"))["lease_us"] == 0
+
         await f.until(mute, 5)
         sent = (await fetch(e1, "GET", "/status"))["sent"]
         await f.served(12)
@@ -418,9 +512,11 @@
         async def whole():
             s = await f.head()
             return s and len(s["view"]["chain"]) == 3 and s["edges"]["e1"][1] == "up"
+
         await f.until(whole, 20)
         await f.calm()
         assert await f.verdict() == []
+
     fleet(go, cuts=True)
 
 
@@ -430,6 +526,7 @@
 
         async def reached():
             return sum(v.count["ok"] for v in f.visitors) >= 80
+
         await f.until(reached, 20)
         assert await f.procs["e3"].end(signal.SIGTERM) == 0
         log = open(os.path.join(f.dir, "e3.log")).read()
@@ -443,6 +540,7 @@
         await f.until(reached, 20)
         await f.calm()
         assert await f.verdict() == []
+
     fleet(go)
 
 
@@ -453,12 +551,17 @@
 
         async def reached():
             return sum(v.count["ok"] for v in f.visitors) >= 1200
+
         await f.until(reached, 40)
         await f.calm()
         assert await f.verdict() == []
         assert sum(v.count["declined"] for v in f.visitors) == 0
-        homes = [json.loads(json.dumps(await fetch(e._p.facts["http"], "GET", "/status")))["sessions"] for e in f.edges]
+        homes = [
+            json.loads(json.dumps(await fetch(e._p.facts["http"], "GET", "/status")))["sessions"]
+            for e in f.edges
+        ]
         assert sum(homes) == 150
+
     fleet(go, size)
 
 
@@ -473,18 +576,30 @@
 def test_the_stand_in_platform_routes_to_ready_edges_only(fleet):
     async def go(f):
         plat = f.procs["platform"].facts["http"]
-        await fetch(plat, "POST", "/edges", doc={"edges": [e._p.facts["http"] for e in f.edges]}, http=f.http)
+        await fetch(
+            plat,
+            "POST",
+            "/edges",
+            doc={"edges": [e._p.facts["http"] for e in f.edges]},
+            http=f.http,
+        )
 
         async def open_(n):
-            return {(await fetch(plat, "GET", "/route", http=f.http))["edge"] for _ in range(9)} if n else set()
+            return (
+                {(await fetch(plat, "GET", "/route", http=f.http))["edge"] for _ in range(9)}
+                if n
+                else set()
+            )
 
         async def seen(n):
             try:
                 return len(await open_(n)) == n
             except Fault:
                 return False
+
         await f.until(lambda: seen(3), 10)
         await f.procs["e2"].end(signal.SIGTERM)
         await f.until(lambda: seen(2), 10)
         assert f.procs["e2"].facts["http"] not in await open_(2)
+
     fleet(go)
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -1,4 +1,5 @@
 """The ring on disk: torn tails are dropped, damage is raised, nothing bad is read as good."""
+
 import random
 from types import SimpleNamespace
 
@@ -24,7 +25,7 @@
     def write(self, name, off, data):
         f = self.files.setdefault(name, bytearray())
         f.extend(bytes(max(0, off + len(data) - len(f))))
-        f[off:off + len(data)] = data
+        f[off : off + len(data)] = data
 
 
 def filled(count, size=2048):
@@ -52,7 +53,7 @@
         off = r._off
         r.append({"i": "torn", "pad": "x" * 30}, dict)
         raw = d.files["ring-0"]
-        raw[off + cut:] = bytes(len(raw) - off - cut)
+        raw[off + cut :] = bytes(len(raw) - off - cut)
         s = Ring(d, size=2048)
         assert [x["i"] for x in s.load()[1:]] == list(range(1, 8))
 
--- a/tests/test_seatface.py
+++ b/tests/test_seatface.py
@@ -1,4 +1,5 @@
 """The product's own face of a seat: the operators' calls on the held path, alone and in a fleet of real processes."""
+
 import asyncio
 import contextlib
 import dataclasses
@@ -36,8 +37,14 @@
 pytestmark = pytest.mark.xdist_group("faces")
 
 ROOT = Path(__file__).parent.parent
-DRAWN = settings(max_examples=150, phases=[Phase.generate], deadline=None, derandomize=True, database=None,
-                 suppress_health_check=[HealthCheck.function_scoped_fixture])
+DRAWN = settings(
+    max_examples=150,
+    phases=[Phase.generate],
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
 BOUNDS_HERE = {"ContactMs": 3000, "DrainMs": 3000, "GraceS": 4, "RecoveryS": 8}
 SETTINGS = {"file": "boot.toml", "waiting": [], "declined": []}
 
@@ -58,8 +65,19 @@
     clock, nest = Clock(), Nest()
     link = Link(clock, nest)
     await link.start()
-    seat = Seat("c1", "a", [link.addr], clock, nest, link, Folder(str(folder)), random.Random(1), NoMembers(),
-                NoMembers(), 1_200_000)
+    seat = Seat(
+        "c1",
+        "a",
+        [link.addr],
+        clock,
+        nest,
+        link,
+        Folder(str(folder)),
+        random.Random(1),
+        NoMembers(),
+        NoMembers(),
+        1_200_000,
+    )
     face = LightFace("127.0.0.1", 0)
     SeatFace(seat, face, lambda: SETTINGS, announced=True)
     await face.start()
@@ -77,6 +95,7 @@
     async def go():
         async with seated(folder) as (seat, face):
             return await fn(seat, face)
+
     return asyncio.run(go())
 
 
@@ -95,13 +114,29 @@
 
 
 def member(n, role="replica"):
-    return {"member": n, "group": "g1", "hall": "a", "addr": f"127.0.0.1:{9000 + int(n[-1])}", "role": role, "log": 1,
-            "cap": 5, "draining": False, "boot": "b", "store": "s", "warm": True, "term": 1, "beat": 1}
+    return {
+        "member": n,
+        "group": "g1",
+        "hall": "a",
+        "addr": f"127.0.0.1:{9000 + int(n[-1])}",
+        "role": role,
+        "log": 1,
+        "cap": 5,
+        "draining": False,
+        "boot": "b",
+        "store": "s",
+        "warm": True,
+        "term": 1,
+        "beat": 1,
+    }
 
 
 def test_a_manifest_is_applied_as_on_the_old_path_and_handed_back(tmp_path):
     async def go(seat, face):
-        assert (await ask(face, "GET", "/manifest"))[:2] == (404, {"fault": "no-route", "note": "no such manifest"})
+        assert (await ask(face, "GET", "/manifest"))[:2] == (
+            404,
+            {"fault": "no-route", "note": "no such manifest"},
+        )
         one, two = manifest("small", 1) + "\n", manifest("small", 2)
         st_, d, _ = await ask(face, "POST", "/manifest?by=op&retire=false", one.encode())
         assert st_ == 200 and d["version"] == 1 and d["change"] == 1 and d["in_force_us"] >= 0
@@ -110,18 +145,28 @@
         assert (await ask(face, "POST", "/manifest", (one + " ").encode()))[1]["fault"] == "stale"
         st_, d, _ = await ask(face, "POST", "/manifest", b'{"name": "x", "colour": 1}')
         assert st_ == 422
-        assert all(f in d["more"]["faults"] for f in (["colour", "unknown field"], ["groups", "missing"]))
+        assert all(
+            f in d["more"]["faults"] for f in (["colour", "unknown field"], ["groups", "missing"])
+        )
         assert (await ask(face, "POST", "/manifest", b"\xff\xfe"))[0] == 400
         assert (await ask(face, "POST", "/manifest", two.encode()))[1]["version"] == 2
-        for path, text in (("", two), ("?version=2", two), ("?version=1", one), ("?unconfirmed=true", two),
-                           ("?unconfirmed=true&version=1", one)):
+        for path, text in (
+            ("", two),
+            ("?version=2", two),
+            ("?version=1", one),
+            ("?unconfirmed=true", two),
+            ("?unconfirmed=true&version=1", one),
+        ):
             s, b, heads = await face.answer(_Request("GET", "/manifest" + path, b""))
             assert (s, b.decode()) == (200, text), path
             assert dict(heads) == {"Confirmed-By-Majority": "no" if "unconf" in path else "yes"}
         assert (await ask(face, "GET", "/manifest?version=9"))[0] == 404
         assert (await ask(face, "GET", "/manifest?version=x"))[:2] == (
-            400, {"fault": "malformed", "note": "version must be a whole number"})
+            400,
+            {"fault": "malformed", "note": "version must be a whole number"},
+        )
         assert (await ask(face, "GET", "/realm"))[1]["manifest"]["by"] == ""
+
     on_a_seat(tmp_path, go)
 
 
@@ -130,14 +175,26 @@
         full = json.loads(manifest("small", 1))
         assert (await ask(face, "POST", "/manifest", full))[0] == 200
         for n, role in (("m1", "primary"), ("m2", "replica")):
-            assert (await ask(face, "POST", "/announce", member(n, role)))[:2] == (200, {"ok": True})
+            assert (await ask(face, "POST", "/announce", member(n, role)))[:2] == (
+                200,
+                {"ok": True},
+            )
         await until(lambda: seat.chain.realm.doc["offices"].get("g1"), 5)
-        other = {**full, "version": 2, "groups": [{"name": "g9"}], "routes": [{"name": "r", "group": "g9"}]}
+        other = {
+            **full,
+            "version": 2,
+            "groups": [{"name": "g9"}],
+            "routes": [{"name": "r", "group": "g9"}],
+        }
         st_, d, _ = await ask(face, "POST", "/manifest", other)
-        assert (st_, d["more"]["faults"]) == (422, [["groups", "group g1 is served; retire it with retire=true"]])
+        assert (st_, d["more"]["faults"]) == (
+            422,
+            [["groups", "group g1 is served; retire it with retire=true"]],
+        )
         assert (await ask(face, "POST", "/manifest?retire=true", other))[0] == 200
         await seat.apply(manifest("small", 3), by="a caller that has no such word")
         assert seat.chain.realm.manifest["version"] == 3
+
     on_a_seat(tmp_path, go)
 
 
@@ -171,44 +228,105 @@
         evs = json.loads(b)
         assert st_ == 200 and dict(heads)["Content-Type"] == "application/cloudevents-batch+json"
         assert [(e["id"], e["type"], e["subject"]) for e in evs] == [
-            ("2", "petrelhaven.member", "m1"), ("3", "petrelhaven.office", "g1"), ("4", "petrelhaven.hall", "a"),
-            ("5", "petrelhaven.hall", "a")]
+            ("2", "petrelhaven.member", "m1"),
+            ("3", "petrelhaven.office", "g1"),
+            ("4", "petrelhaven.hall", "a"),
+            ("5", "petrelhaven.hall", "a"),
+        ]
         assert {e["source"] for e in evs} == {f"/petrelhaven/{m['name']}"}
         assert (await ask(face, "GET", "/events"))[1][0]["id"] == "1"
         assert (await ask(face, "GET", "/events?after=-1"))[0] == 400
         assert (await ask(face, "GET", "/ready"))[1] == {"ready": True}
         assert (await ask(face, "GET", "/belief"))[1]["epochs"]["g1"]["primary"] == "m1"
         assert (await ask(face, "GET", "/status"))[1]["settings"] == SETTINGS
+
     on_a_seat(tmp_path, go)
 
 
-@pytest.mark.parametrize(("change", "field"), [
-    ({"draining": 1}, "draining"), ({"cap": 0}, "cap"), ({"cap": True}, "cap"), ({"member": ""}, "member"),
-    ({"group": "G!"}, "group"), ({"addr": "here"}, "addr"), ({"role": "boss"}, "role"), ({"beat": "1"}, "count"),
-    ({"hall": None}, "hall")])
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"draining": 1}, "draining"),
+        ({"cap": 0}, "cap"),
+        ({"cap": True}, "cap"),
+        ({"member": ""}, "member"),
+        ({"group": "G!"}, "group"),
+        ({"addr": "here"}, "addr"),
+        ({"role": "boss"}, "role"),
+        ({"beat": "1"}, "count"),
+        ({"hall": None}, "hall"),
+    ],
+)
 def test_a_wrong_announcement_is_declined_by_field(tmp_path, change, field):
     async def go(seat, face):
         st_, d, _ = await ask(face, "POST", "/announce", {**member("m1", "primary"), **change})
         assert (st_, d["fault"]) == (400, "malformed") and f"field {field} " in d["note"]
         assert seat.chain.realm.seq == 0
+
     on_a_seat(tmp_path, go)
 
 
 PATHS = st.one_of(
-    st.sampled_from(["/status", "/belief", "/ready", "/realm", "/why", "/manifest", "/reform", "/events", "/announce",
-                     "/halls/a/evacuate", "/halls/%FF/restore", "/halls//evacuate", "/halls/a/{}/evacuate",
-                     "/halls/{}/evacuate"]),
-    st.text(st.characters(min_codepoint=33, max_codepoint=255), max_size=20).map(lambda s: "/" + s))
-QUERY = st.one_of(st.just(""), st.text(st.characters(min_codepoint=33, max_codepoint=255), max_size=20),
-                  st.builds("{}={}".format,
-                            st.sampled_from(["n", "group", "version", "after", "by", "retire", "unconfirmed"]),
-                            st.sampled_from(["", "0", "-1", "1e9", "g1", "true", "%00", "%C2%B2", "9" * 40, "\xb2"])))
-BODY = st.one_of(st.binary(max_size=40), st.recursive(
-    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
-    lambda x: st.lists(x, max_size=3) | st.dictionaries(
-        st.sampled_from(["lost", "name", "version", "groups", "routes", "halls", "bounds", "member", "group", "cap",
-                         "draining", "beat", "origin"]), x, max_size=6),
-    max_leaves=8).map(lambda d: json.dumps(d).encode()))
+    st.sampled_from(
+        [
+            "/status",
+            "/belief",
+            "/ready",
+            "/realm",
+            "/why",
+            "/manifest",
+            "/reform",
+            "/events",
+            "/announce",
+            "/halls/a/evacuate",
+            "/halls/%FF/restore",
+            "/halls//evacuate",
+            "/halls/a/{}/evacuate",
+            "/halls/{}/evacuate",
+        ]
+    ),
+    st.text(st.characters(min_codepoint=33, max_codepoint=255), max_size=20).map(lambda s: "/" + s),
+)
+QUERY = st.one_of(
+    st.just(""),
+    st.text(st.characters(min_codepoint=33, max_codepoint=255), max_size=20),
+    st.builds(
+        "{}={}".format,
+        st.sampled_from(["n", "group", "version", "after", "by", "retire", "unconfirmed"]),
+        st.sampled_from(["", "0", "-1", "1e9", "g1", "true", "%00", "%C2%B2", "9" * 40, "\xb2"]),
+    ),
+)
+BODY = st.one_of(
+    st.binary(max_size=40),
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+        lambda x: (
+            st.lists(x, max_size=3)
+            | st.dictionaries(
+                st.sampled_from(
+                    [
+                        "lost",
+                        "name",
+                        "version",
+                        "groups",
+                        "routes",
+                        "halls",
+                        "bounds",
+                        "member",
+                        "group",
+                        "cap",
+                        "draining",
+                        "beat",
+                        "origin",
+                    ]
+                ),
+                x,
+                max_size=6,
+            )
+        ),
+        max_leaves=8,
+    ).map(lambda d: json.dumps(d).encode()),
+)
 
 
 def test_drawn_junk_gets_typed_answers_and_changes_nothing(tmp_path):
@@ -220,6 +338,7 @@
         @given(st.sampled_from(["GET", "POST", "PUT", "DELETE"]), PATHS, QUERY, BODY)
         def draw(verb, path, query, body):
             reqs.append(_Request(verb, path + "?" + query, body))
+
         await loop.run_in_executor(None, draw)
         assert len(reqs) > 100
         for q in reqs:
@@ -228,12 +347,17 @@
             typed = s in (400, 404, 409, 422, 503) and set(d) >= {"fault", "note"}
             assert s == 200 or typed, (q.verb, q.path, q.body, s, b)
         assert seat.chain.realm.seq == 0 and seat.chain.active
+
     on_a_seat(tmp_path, go)
 
 
 def test_blanks_are_the_manifests_own_defaults():
     for blanks, tp in ((GROUP, Group), (ROUTE, Route), (BOUNDS, Bounds)):
-        std = {f.name: f.default for f in dataclasses.fields(tp) if f.default is not dataclasses.MISSING}
+        std = {
+            f.name: f.default
+            for f in dataclasses.fields(tp)
+            if f.default is not dataclasses.MISSING
+        }
         assert {k: std[k] for k in blanks} == blanks
     assert set(GROUP) | {"name"} == {f.name for f in dataclasses.fields(Group)}
     assert set(ROUTE) | {"name", "group"} == {f.name for f in dataclasses.fields(Route)}
@@ -254,6 +378,7 @@
 
     async def go(seat, face):
         assert (await ask(face, "POST", "/manifest", text.encode()))[0] == 200
+
     on_a_seat(tmp_path / "d", go)
     was = {p.name: p.read_bytes() for p in (tmp_path / "d").iterdir()}
     r = Relic(str(tmp_path / "d"))
@@ -264,6 +389,7 @@
 def test_a_manifest_that_no_configuration_stands_for_harms_no_program_on_the_platform():
     sys.path.insert(0, str(ROOT / "platform"))
     from forms import _read_manifest, origin_of, unlabel
+
     doc = json.loads(manifest("small", 1))
     doc["groups"].append({"name": "x-h1"})
     for origin in (None, "", "no json", "[]", '{"Services": [1]}', '{"Services": 3}'):
@@ -275,14 +401,26 @@
         if not origin:
             with pytest.raises(NoRoute):
                 origin_of(json.dumps(d))
-    assert [unlabel(n) for n in ("x-", "x-zz", "x-1", "x-ff", "x-h1")] == ["", "x-zz", "x-1", "x-ff", "x-h1"]
+    assert [unlabel(n) for n in ("x-", "x-zz", "x-1", "x-ff", "x-h1")] == [
+        "",
+        "x-zz",
+        "x-1",
+        "x-ff",
+        "x-h1",
+    ]
 
 
 def test_the_faces_cost_no_library_until_events_are_asked_for():
-    code = ("import sys; sys.path[:0] = [%r, %r]; import core, edge; "
-            "print([m for m in ('aiohttp', 'cloudevents', 'argparse') if m in sys.modules])")
-    p = subprocess.run([sys.executable, "-c", code % (str(ROOT / "platform"), str(ROOT / "src"))], capture_output=True,
-                       text=True, timeout=60)
+    code = (
+        "import sys; sys.path[:0] = [%r, %r]; import core, edge; "
+        "print([m for m in ('aiohttp', 'cloudevents', 'argparse') if m in sys.modules])"
+    )
+    p = subprocess.run(
+        [sys.executable, "-c", code % (str(ROOT / "platform"), str(ROOT / "src"))],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert p.stdout.strip() == "[]", p.stderr
 
 
@@ -302,8 +440,15 @@
 
 
 async def tool(name, *argv, stdin=None):
-    p = await asyncio.create_subprocess_exec(sys.executable, "-m", f"petrelhaven.{name}", *argv, stdin=subprocess.PIPE,
-                                             stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+    p = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        f"petrelhaven.{name}",
+        *argv,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
     o, e = await asyncio.wait_for(p.communicate(stdin), 40)
     return p.returncode, o.decode(), e.decode()
 
@@ -331,17 +476,27 @@
             edges = [n for n in s.fleet.machines if n.startswith("edge")]
             cs = ",".join(own(s, n) for n in cores)
             rc, text, err = await tool("tenet", "--core", cs, "show")
-            assert rc == 0 and json.loads(json.loads(text)["origin"])["Revision"] == json.loads(text)["version"], err
+            assert (
+                rc == 0
+                and json.loads(json.loads(text)["origin"])["Revision"]
+                == json.loads(text)["version"]
+            ), err
             at = tmp_path / "m.json"
-            at.write_text(json.dumps({**json.loads(text), "version": json.loads(text)["version"] + 1}) + "\n")
+            at.write_text(
+                json.dumps({**json.loads(text), "version": json.loads(text)["version"] + 1}) + "\n"
+            )
             rc, out, err = await tool("tenet", "--core", cs, "--by", "op", "apply", str(at))
             assert rc == 0 and f"version {json.loads(text)['version'] + 1} is in force" in out, err
             assert (await tool("tenet", "--core", cs, "show"))[1] == at.read_text()
             assert (await tool("tenet", "--core", cs, "apply", str(at)))[0] == 1
-            rc, out, err = await tool("tenet", "--core", cs, "apply", "-", stdin=b'{"name": "x", "colour": 1}')
+            rc, out, err = await tool(
+                "tenet", "--core", cs, "apply", "-", stdin=b'{"name": "x", "colour": 1}'
+            )
             assert rc == 1 and "colour: unknown field" in err
             rc, out, err = await tool("tenet", "--core", cs, "status")
-            assert rc == 0 and out.count("edges tied here") == 3 and "svc0: office 1 serve" in out, err
+            assert (
+                rc == 0 and out.count("edges tied here") == 3 and "svc0: office 1 serve" in out
+            ), err
             rc, out, err = await tool("tenet", "--core", cs, "status", "--node", own(s, edges[0]))
             assert rc == 0 and json.loads(out)["ready"] is True, err
             rc, out, err = await tool("tenet", "--core", cs, "why", "svc0")
@@ -349,6 +504,7 @@
 
             async def agreed():
                 return (await tool("rift", own(s, cores[0]), own(s, edges[0])))[0] == 0
+
             await soon(agreed, 20)
             old = s.primary()
             rc, out, err = await tool("tenet", "--core", cs, "evacuate", old.zone)
@@ -358,6 +514,7 @@
                 d = await head(s)
                 o = d and d["epochs"]["svc0"]
                 return o and o["phase"] == "serve" and o["primary"] != old.id
+
             await soon(moved, 20)
             rc, out, err = await tool("tenet", "--core", cs, "why", "svc0")
             assert rc == 0 and "replaced: office 2 (swap" in out, out + err
@@ -365,9 +522,12 @@
             assert rc == 0 and f"cause: hall {old.zone} is emptied" in out, out + err
             assert (await tool("tenet", "--core", cs, "restore", old.zone))[0] == 0
             evs = await fetch(own(s, cores[1]), "GET", "/events?after=0")
-            assert {e["type"] for e in evs} == {f"petrelhaven.{t}" for t in ("manifest", "hall", "member", "office")}
+            assert {e["type"] for e in evs} == {
+                f"petrelhaven.{t}" for t in ("manifest", "hall", "member", "office")
+            }
             assert (await tool("rift", own(s, cores[0]), "127.0.0.1:1"))[0] == 3
             assert s.fleet.own_ends() == {}
+
     asyncio.run(go())
 
 
@@ -385,18 +545,25 @@
                 edges = [n for n in s.fleet.machines if n.startswith("edge")]
                 ds = [await answers(own(s, n), "/manifest?unconfirmed=true") for n in edges]
                 return all(d and json.loads(d["origin"]) == json.loads(want) for d in ds)
+
             await soon(known, 20)
             await s.fleet.power_off(*lost, wipe=True)
             await s.fleet.power_on(left)
             rc, out, err = await soon(lambda: shown(s, left), 20)
             assert json.loads(json.loads(out)["origin"])["Revision"] < json.loads(want)["Revision"]
             assert (await tool("tenet", "--core", own(s, left), "show"))[0] == 3
-            rc, _, err = await tool("tenet", "--core", own(s, left), "reform", "--lost", ",".join(lost))
+            rc, _, err = await tool(
+                "tenet", "--core", own(s, left), "reform", "--lost", ",".join(lost)
+            )
             assert rc in (1, 3) and "not-ready" in err
             await s.fleet.power_on(*lost)
-            rc, _, err = await tool("tenet", "--core", own(s, left), "reform", "--lost", f"{lost[0]},c9")
+            rc, _, err = await tool(
+                "tenet", "--core", own(s, left), "reform", "--lost", f"{lost[0]},c9"
+            )
             assert rc == 1 and "no core c9" in err
-            rc, out, err = await tool("tenet", "--core", own(s, left), "--by", "op", "reform", "--lost", ",".join(lost))
+            rc, out, err = await tool(
+                "tenet", "--core", own(s, left), "--by", "op", "reform", "--lost", ",".join(lost)
+            )
             assert rc == 0 and "state taken from edge-" in out, err
             assert f"manifest {json.loads(want)['Revision']}," in out
             d = await soon(lambda: head(s), 20)
@@ -410,6 +577,7 @@
             assert v.violations == [] and v.owed > 20 and v.share > 0.9, v
             log = (tmp_path / "run" / left / "crux.log").read_text()
             assert "E310" in log and f"lost={','.join(lost)}" in log
+
     asyncio.run(go())
 
 
@@ -427,6 +595,7 @@
         assert (st_, d["fault"]) == (400, "malformed")
         for body in (b"", {"lost": 3}, {"lost": [1]}, []):
             assert (await ask(face, "POST", "/reform", body))[1]["fault"] == "malformed"
+
     on_a_seat(tmp_path, go)
 
 
@@ -446,6 +615,7 @@
         assert (await f.answer(_Request("POST", "/x/bad/do", b"")))[0] == 422
         for p in ("/x/do", "/x//do", "/x/a/b/do", "/x/a/undo", "/x/a/do/", "/do"):
             assert (await f.answer(_Request("POST", p, b"")))[0] == 404, p
+
     asyncio.run(go())
     assert got == [("a%20b", {"k": "2", "e": "", "p": "a+b c"}), ("bad", {})]
 
@@ -454,8 +624,24 @@
     """A `crux` process on free ports; it and its addresses."""
     log = open(tmp_path / f"{name}.log", "ab")
     p = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "petrelhaven.crux", "--name", name, "--hall", "a", "--seeds", "-", "--platform",
-        "127.0.0.1:9", "--data", str(tmp_path / name), *argv, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=log)
+        sys.executable,
+        "-m",
+        "petrelhaven.crux",
+        "--name",
+        name,
+        "--hall",
+        "a",
+        "--seeds",
+        "-",
+        "--platform",
+        "127.0.0.1:9",
+        "--data",
+        str(tmp_path / name),
+        *argv,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=log,
+    )
     return p, (await p.stdout.readline()).decode().split("link=")[1].strip()
 
 
@@ -470,13 +656,16 @@
             for p, _ in ps:
                 assert (await asyncio.wait_for(p.stdout.readline(), 20)).startswith(b"ready")
             cs = ",".join(https)
-            rc, out, err = await tool("tenet", "--core", cs, "apply", "-", stdin=manifest("small", 1).encode())
+            rc, out, err = await tool(
+                "tenet", "--core", cs, "apply", "-", stdin=manifest("small", 1).encode()
+            )
             assert rc == 0 and "version 1 is in force (change 1" in out, err
 
             async def announced():
                 for h in https:
                     await fetch(h, "POST", "/announce", doc=member("m1", "primary"))
                 return "serve, primary m1" in (await tool("tenet", "--core", cs, "status"))[1]
+
             await soon(announced, 20)
             rc, out, err = await tool("tenet", "--core", cs, "why", "g1", "--epoch", "1")
             assert rc == 0 and "cause: announced as primary" in out, err
@@ -494,13 +683,42 @@
         rc, out, err = await tool("tenet", "salvage", str(tmp_path / "c1"))
         assert rc == 0 and out == manifest("small", 1) and "NOT confirmed" in err
         for path, want in (("held", 0), ("kept", 3)):
-            rc, _, err = await tool("crux", "--name", "c1", "--hall", "a", "--seeds", "127.0.0.1:1", "--platform",
-                                    "127.0.0.1:9", "--data", str(tmp_path / "c1"), "--path", path, "--check")
+            rc, _, err = await tool(
+                "crux",
+                "--name",
+                "c1",
+                "--hall",
+                "a",
+                "--seeds",
+                "127.0.0.1:1",
+                "--platform",
+                "127.0.0.1:9",
+                "--data",
+                str(tmp_path / "c1"),
+                "--path",
+                path,
+                "--check",
+            )
             assert rc == want and (not want or "of the path held, not kept" in err), err
-        rc, _, err = await tool("crux", "--name", "c1", "--hall", "a", "--seeds", "127.0.0.1:1", "--platform",
-                                "127.0.0.1:9", "--data", str(tmp_path / "d"), "--path", "both", "--check")
+        rc, _, err = await tool(
+            "crux",
+            "--name",
+            "c1",
+            "--hall",
+            "a",
+            "--seeds",
+            "127.0.0.1:1",
+            "--platform",
+            "127.0.0.1:9",
+            "--data",
+            str(tmp_path / "d"),
+            "--path",
+            "both",
+            "--check",
+        )
         assert rc == 2 and "path: must be held or kept" in err
         assert (await tool("verge", "--path", "held"))[0] == 2
+
     asyncio.run(go())
 
 
@@ -524,10 +742,14 @@
         for verb in ("pause", "resume"):
             with pytest.raises(MemberFault):
                 await m.own(verb, 3)
-        for answer, tp, note in ((Unsent("x"), Unsent, "refused"), (Late("x"), Unsent, "mute"),
-                                 ({**row, "member": "m2"}, Gone, "m2 answers there"),
-                                 (MemberFault("x"), MemberFault, "x")):
+        for answer, tp, note in (
+            (Unsent("x"), Unsent, "refused"),
+            (Late("x"), Unsent, "mute"),
+            ({**row, "member": "m2"}, Gone, "m2 answers there"),
+            (MemberFault("x"), MemberFault, "x"),
+        ):
             with pytest.raises(tp) as e:
                 await opened(answer)
             assert type(e.value) is tp and e.value.note == note
+
     asyncio.run(go())
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -1,4 +1,5 @@
 """Connection shares across epoch changes: whatever each edge has applied, a member's cap is never passed."""
+
 import mutants
 import pytest
 from hypothesis import given, settings
@@ -11,7 +12,8 @@
 PLANS = st.lists(
     st.lists(st.integers(0, 5), min_size=4, max_size=4).map(
         lambda xs: [
-            min(x, CAP - sum(min(y, CAP) for y in xs[:i])) if sum(xs[:i]) < CAP else 0 for i, x in enumerate(xs)
+            min(x, CAP - sum(min(y, CAP) for y in xs[:i])) if sum(xs[:i]) < CAP else 0
+            for i, x in enumerate(xs)
         ]
     ),
     min_size=1,
@@ -42,6 +44,7 @@
         for e in edges:
             while e.seq < to:
                 e.apply(e.seq + 1, recs[e.seq])
+
     go(1)
     for p in plans:
         n += 1
--- a/tests/test_stock.py
+++ b/tests/test_stock.py
@@ -1,4 +1,5 @@
 """The connections to one member: never more than may be held, and whoever waits is served or told."""
+
 import asyncio
 
 import pytest
@@ -11,7 +12,9 @@
 from petrelhaven.span.stock import Stock
 from petrelhaven.span.strand import Strand
 
-DRAWN = settings(max_examples=300, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
+DRAWN = settings(
+    max_examples=300, phases=[Phase.generate], deadline=None, derandomize=True, database=None
+)
 
 
 class LoopClock(Clock):
@@ -64,6 +67,7 @@
 
     async def go():
         return await fn(Stock(LoopClock(), Nest(), member.open, most, lambda: want))
+
     try:
         return loop.run_until_complete(go())
     finally:
@@ -82,8 +86,12 @@
 
 
 @DRAWN
-@given(st.lists(st.tuples(ACTION, st.integers(0, 9)), max_size=50), st.lists(OUTCOME, max_size=8), st.integers(1, 4),
-       st.integers(1, 6))
+@given(
+    st.lists(st.tuples(ACTION, st.integers(0, 9)), max_size=50),
+    st.lists(OUTCOME, max_size=8),
+    st.integers(1, 4),
+    st.integers(1, 6),
+)
 def test_never_more_than_may_be_held_and_everyone_is_served_or_told(actions, plan, most, want):
     async def go(s):
         waits, out = [], []
@@ -120,6 +128,7 @@
             while out:
                 s.give(out.pop())
         assert not waits and not s.busy and s.total == len(s.idle) == len(member.live)
+
     member = Member([*plan, (0.01, None)])
     visitors = [Visitor(), Visitor({"a": "1"}), Visitor({"a": "2", "b": "1"})]
     virtual(go, member, most, want)
@@ -133,6 +142,7 @@
             c.values, c.owner = dict(v.values), v
             s.give(c)
         assert await s.take(a) is ca and await s.take(b) is cb
+
     virtual(go, Member())
 
 
@@ -145,6 +155,7 @@
             assert not f.done()
             s.give(c)
             assert f.done() and f.result() is c
+
     virtual(go, Member(), most=1)
 
 
@@ -153,7 +164,10 @@
         v = Visitor()
         await s.take(v)
         fs = [s.take(v) for _ in range(6)]
-        assert [isinstance(f.exception(), Busy) if f.done() else None for f in fs] == [None] * 4 + [True] * 2
+        assert [isinstance(f.exception(), Busy) if f.done() else None for f in fs] == [None] * 4 + [
+            True
+        ] * 2
+
     virtual(go, Member(), most=1)
 
 
@@ -167,6 +181,7 @@
         s.give(f.result())
         s.give(c)
         assert s.idle == [f.result()]
+
     virtual(go, Member(), most=1)
 
 
@@ -181,6 +196,7 @@
         f = s.take(v)
         s.quit(f)
         assert len(s.idle) == 1 and not s.busy
+
     virtual(go, Member(), most=1)
 
 
@@ -197,6 +213,7 @@
         assert member.asked == 2 and not any(f.done() for f in fs)
         await asyncio.sleep(1.2)
         assert member.asked == 5 and s.limit == 4 and all(held(f) for f in fs)
+
     member = Member([(0.01, None), (0.02, Busy), (0.01, None)])
     virtual(go, member, most=4)
 
@@ -206,6 +223,7 @@
         with pytest.raises(Busy):
             await s.take(Visitor())
         assert s.total == 0 and s.limit == 1
+
     virtual(go, Member([(0.01, Busy)]))
 
 
@@ -223,6 +241,7 @@
         s.give(held(b))
         s.give(d)
         assert not member.live and s.total == 0
+
     member = Member()
     virtual(go, member)
 
@@ -234,5 +253,6 @@
         with pytest.raises(Unsent):
             await f
         assert not member.live and s.total == 0
+
     member = Member()
     virtual(go, member)
