--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -1,4 +1,5 @@
 """A fixed small set of storms; the same seed gives the same history. Sweeps of many seeds run by `drill sweep`."""
+
 import asyncio
 
 import pytest
@@ -35,7 +36,11 @@
     "a hall is emptied, then the primary's store is lost while the next replica catches up": (
         299,
         "small",
-        [[4.845, "member_drain", 280209603], [12.928, "hall", 999602071], [13.4, "member_store", 966454656]],
+        [
+            [4.845, "member_drain", 280209603],
+            [12.928, "hall", 999602071],
+            [13.4, "member_store", 966454656],
+        ],
     ),
     "a healed cut's stale news shrinks the chain to one core, whose disk is then lost": (
         4044,
@@ -50,17 +55,29 @@
     "an edge leaves while the head is down, then its sessions' home is killed": (
         6095,
         "small",
-        [[21.074, "core_kill", 988703225], [26.425, "edge_drain", 431466681], [35.425, "edge_kill", 659433952]],
+        [
+            [21.074, "core_kill", 988703225],
+            [26.425, "edge_drain", 431466681],
+            [35.425, "edge_kill", 659433952],
+        ],
     ),
     "an edge leaves while the head is frozen": (
         4039,
         "nordvik",
-        [[25.626, "core_freeze", 803082715], [27.759, "edge_drain", 607248395], [36.759, "edge_kill", 1002744698]],
+        [
+            [25.626, "core_freeze", 803082715],
+            [27.759, "edge_drain", 607248395],
+            [36.759, "edge_kill", 1002744698],
+        ],
     ),
     "both replicas leave in turn, then the primary comes back with an empty store": (
         7056,
         "small",
-        [[14.55, "member_drain", 505412164], [19.123, "member_drain", 818928627], [20.827, "member_store", 276134730]],
+        [
+            [14.55, "member_drain", 505412164],
+            [19.123, "member_drain", 818928627],
+            [20.827, "member_store", 276134730],
+        ],
     ),
     "an edge given up amid a keep goes on under its next incarnation, then its keeper is lost": (
         7037,
@@ -85,7 +102,11 @@
     "all cores are killed and a member at once, while others have not been heard again": (
         705,
         "small",
-        [[7.642, "unanswered", 320317860], [14.301, "core_all", 131344703], [14.617, "member_kill", 341379453]],
+        [
+            [7.642, "unanswered", 320317860],
+            [14.301, "core_all", 131344703],
+            [14.617, "member_kill", 341379453],
+        ],
     ),
 }
 
@@ -104,13 +125,22 @@
         for k, v in ((1, "old"), (2, "new")):
             await e.statement(sid, {"verb": "set", "name": "who", "value": v, "say": k})
         with pytest.raises(Superseded):
-            await w.edges[1].node.statement(sid, {"verb": "set", "name": "who", "value": "old", "say": 1})
+            await w.edges[1].node.statement(
+                sid, {"verb": "set", "name": "who", "value": "old", "say": 1}
+            )
         w.edges[0].kill()
         await w.until(lambda: any(sid in b.node.homes for b in w.edges[1:]), 8, "takeover")
         await asyncio.sleep(0.5)
         with pytest.raises(Superseded):
-            await w.edges[1].node.statement(sid, {"verb": "set", "name": "who", "value": "old", "say": 1})
-        return (await w.edges[1].node.statement(sid, {"verb": "show", "name": "who", "route": "g1", "say": 3}))["value"]
+            await w.edges[1].node.statement(
+                sid, {"verb": "set", "name": "who", "value": "old", "say": 1}
+            )
+        return (
+            await w.edges[1].node.statement(
+                sid, {"verb": "show", "name": "who", "route": "g1", "say": 3}
+            )
+        )["value"]
+
     assert inside(go, 4)[0] == "new"
 
 
@@ -133,6 +163,7 @@
         await w.calm()
         await asyncio.sleep(1)
         return w.verdict()
+
     assert inside(go, 3)[0] == []
 
 
@@ -158,6 +189,7 @@
         await asyncio.sleep(3)
         assert [x.name for x in w.edges if x.node and sid in x.node.homes] == ["e3"]
         return got["value"], w.net.findings
+
     assert inside(go, 4)[0] == ("me", [])
 
 
@@ -179,6 +211,7 @@
         with pytest.raises(NoSession):
             await a.node.statement(sid, {"verb": "show", "name": "who", "route": "g1"})
         return w.net.findings
+
     assert inside(go, 4)[0] == []
 
 
@@ -193,5 +226,10 @@
         await w.edges[0].node.move._hand(w.edges[0].node.homes[sid])
         await asyncio.sleep(3)
         left = [len(x) for e in w.edges for x in (e.node.homes, e.node.vault.lent)]
-        return len(Session._machine.models) - was, sum(left), sum(len(e.node.vault.kept) for e in w.edges)
+        return (
+            len(Session._machine.models) - was,
+            sum(left),
+            sum(len(e.node.vault.kept) for e in w.edges),
+        )
+
     assert inside(go, 6)[0] == (1, 1, 2)
--- a/tests/test_vote.py
+++ b/tests/test_vote.py
@@ -1,4 +1,5 @@
 """The view's register: one outcome a round, and no vote from amnesia."""
+
 import asyncio
 import random
 
@@ -36,13 +37,18 @@
             if lossy and self.rng.random() < 0.2:
                 raise Unsent(n)
             return r
+
         return call
 
     async def propose(self, who, n):
         try:
             v = await Proposer(self.mems[who], self.caller()).change(
                 self.ids,
-                lambda x: x if x and x["n"] >= n else {"n": n, "ids": self.ids, "by": who, "x": self.rng.random()},
+                lambda x: (
+                    x
+                    if x and x["n"] >= n
+                    else {"n": n, "ids": self.ids, "by": who, "x": self.rng.random()}
+                ),
             )
             self.chosen.append(v)
         except Fault:
@@ -65,6 +71,7 @@
             if lose and i == 2 and t.chosen:
                 t.mems["c"].wipe()
             await t.deliver()
+
     asyncio.run(go())
     return {repr(v) for v in t.chosen if v["n"] == 1}
 
@@ -94,7 +101,10 @@
             await Proposer(t.mems["a"], deaf).change(ids, lambda x: two)
         assert t.mems["a"].vote["value"] == two and t.mems["b"].vote["value"] == one
         for who in "ab":
-            assert (await Proposer(t.mems[who], t.caller(lossy=False)).change(ids, lambda x: x))["n"] == 2
+            assert (await Proposer(t.mems[who], t.caller(lossy=False)).change(ids, lambda x: x))[
+                "n"
+            ] == 2
+
     asyncio.run(go())
 
 
@@ -114,6 +124,7 @@
         t.mems["c"].wipe()
         got = [await ask(n, "p", {"num": 2, "who": "b", "ids": ids}) for n in "bc"]
         return sum(r["ok"] for r in got)
+
     assert asyncio.run(go()) < 2
     mp = pytest.MonkeyPatch()
     mutants.amnesiac_votes(mp)
--- a/tests/test_warden.py
+++ b/tests/test_warden.py
@@ -1,4 +1,5 @@
 """The duty that moves offices, over a group that goes on committing: what is acknowledged is never left behind."""
+
 import asyncio
 import random
 import types
@@ -13,7 +14,9 @@
 from petrelhaven.helm.ledger import Ledger
 from petrelhaven.helm.warden import Warden
 
-DRAWN = settings(max_examples=60, phases=[Phase.generate], deadline=None, derandomize=True, database=None)
+DRAWN = settings(
+    max_examples=60, phases=[Phase.generate], deadline=None, derandomize=True, database=None
+)
 BEAT_US = 1_200_000
 
 
@@ -34,8 +37,15 @@
         self.silent = False
 
     def row(self):
-        return {"role": self.role, "term": self.term, "pos": self.pos, "held": self.held, "lag_ms": "0", "busy": 0,
-                "conns": 1}
+        return {
+            "role": self.role,
+            "term": self.term,
+            "pos": self.pos,
+            "held": self.held,
+            "lag_ms": "0",
+            "busy": 0,
+            "conns": 1,
+        }
 
 
 class Conn:
@@ -57,6 +67,7 @@
                 e.trace.append((verb, m.name, *args))
             if verb == "status" or not m.silent:
                 f.set_result(m.row())
+
         asyncio.get_running_loop().call_later(0.002, answer)
         return f
 
@@ -76,12 +87,28 @@
         self.name, self.hall, self.beat_us, self.heard = "c1", "a", BEAT_US, {}
         self.others = {"c2": "same", "c3": "same"}
         led = Ledger()
-        self.chain = types.SimpleNamespace(realm=led, head=True, active=True, enter=self.enter,
-                                           view={"chain": ["c1", "c2", "c3"], "ids": ["c1", "c2", "c3"]})
+        self.chain = types.SimpleNamespace(
+            realm=led,
+            head=True,
+            active=True,
+            enter=self.enter,
+            view={"chain": ["c1", "c2", "c3"], "ids": ["c1", "c2", "c3"]},
+        )
         self.put({"t": "manifest", "version": 1, "text": '{"groups":[{"name":"g"}]}'})
         for i, n in enumerate(names):
-            self.put({"t": "member", "name": n, "group": "g", "hall": (halls or {}).get(n, "a"), "addr": f"1.1.1.1:{i}",
-                      "role": self.members[n].role, "state": "ready", "slots": 5, "count": 1})
+            self.put(
+                {
+                    "t": "member",
+                    "name": n,
+                    "group": "g",
+                    "hall": (halls or {}).get(n, "a"),
+                    "addr": f"1.1.1.1:{i}",
+                    "role": self.members[n].role,
+                    "state": "ready",
+                    "slots": 5,
+                    "count": 1,
+                }
+            )
         self.warden = Warden(self, self)
 
     def put(self, r):
@@ -165,7 +192,13 @@
         """Members tell a change of their role at once."""
         for n, m in self.chain.realm.group("g").items():
             if self.members[n].runs and self.members[n].role != m["role"]:
-                self.put({"t": "member", "name": n, **{**m, "role": self.members[n].role, "count": m["count"] + 1}})
+                self.put(
+                    {
+                        "t": "member",
+                        "name": n,
+                        **{**m, "role": self.members[n].role, "count": m["count"] + 1},
+                    }
+                )
 
     async def work(self):
         while True:
@@ -192,8 +225,11 @@
     @property
     def settled(self):
         o = self.office
-        return (o["phase"] == "serve" and self.members[o["primary"]].role == "primary"
-                and not any(m.held for m in self.members.values()))
+        return (
+            o["phase"] == "serve"
+            and self.members[o["primary"]].role == "primary"
+            and not any(m.held for m in self.members.values())
+        )
 
     def dark(self, n, seen=False, runs=True):
         m = self.members[n]
@@ -201,7 +237,7 @@
 
     def at(self, *words):
         """Where in the trace the first entry that starts so stands."""
-        return next(i for i, x in enumerate(self.trace) if x[:len(words)] == words)
+        return next(i for i, x in enumerate(self.trace) if x[: len(words)] == words)
 
 
 def virtual(fn, *a, **kw):
@@ -214,6 +250,7 @@
         e = Estate(*a, **kw)
         await e.start()
         await fn(e)
+
     try:
         loop.run_until_complete(go())
     finally:
@@ -233,15 +270,20 @@
         moved = next(x[2] for x in e.trace if x[0] == "move")
         heir = e.calls[0]
         assert e.at("move", "p") < min(e.at("pause", "r1"), e.at("pause", "r2"))
-        assert max(e.at("pause", "r1"), e.at("pause", "r2")) < e.at("in force", moved) < e.at("promote", heir, moved)
+        assert (
+            max(e.at("pause", "r1"), e.at("pause", "r2"))
+            < e.at("in force", moved)
+            < e.at("promote", heir, moved)
+        )
         assert e.at("promote") < e.at("leads", heir) < e.at("serve", heir)
         other = ({"r1", "r2"} - {heir}).pop()
-        await e.until(lambda: ("resume", other) in e.trace[e.at("serve", heir):], 1)
+        await e.until(lambda: ("resume", other) in e.trace[e.at("serve", heir) :], 1)
         assert len(e.calls) == 1 and e.office["term"] == 2 and not e.warden.why
         e.dark("p", True, True)
         await e.until(lambda: "g" not in e.warden._resume)
         await asyncio.sleep(5)
         assert e.office["primary"] == heir and len(e.calls) == 1
+
     virtual(go)
 
 
@@ -254,6 +296,7 @@
         e.warden.doubt("g", "p", "mute")
         await e.until(lambda: e.calls and e.settled)
         assert e.calls == [ahead]
+
     virtual(go, halls={"r1": "b", "r2": "a"})
 
 
@@ -266,11 +309,17 @@
         e.warden.doubt("g", "p", "mute")
         await e.until(lambda: e.office["phase"] == "move", 2)
         await asyncio.sleep(30)
-        assert e.calls == [] and e.office["phase"] == "move" and e.office["stuck"] and away in e.warden.why["g"]
+        assert (
+            e.calls == []
+            and e.office["phase"] == "move"
+            and e.office["stuck"]
+            and away in e.warden.why["g"]
+        )
         assert sum(x[0] == "move" and x[3] for x in e.trace) == 1
         e.dark(away, True, True)
         await e.until(lambda: e.calls and e.settled)
         assert not e.office["stuck"]
+
     virtual(go)
 
 
@@ -285,10 +334,22 @@
         assert e.calls == [] and e.office["stuck"]
         new = e.members["r1n"] = Member("r1n", "replica")
         new.pos = e.members["r1"].pos
-        e.put({"t": "member", "name": "r1n", "group": "g", "hall": "a", "addr": "1.1.1.1:1", "role": "replica",
-               "state": "ready", "slots": 5, "count": 1})
+        e.put(
+            {
+                "t": "member",
+                "name": "r1n",
+                "group": "g",
+                "hall": "a",
+                "addr": "1.1.1.1:1",
+                "role": "replica",
+                "state": "ready",
+                "slots": 5,
+                "count": 1,
+            }
+        )
         await e.until(lambda: e.calls and e.settled)
         assert e.calls == ["r1n"]
+
     virtual(go)
 
 
@@ -302,12 +363,14 @@
         e.members["r2"].held = 0
         await e.until(lambda: e.calls and e.settled)
         assert sum(x[:2] == ("pause", "r2") for x in e.trace) >= 2
+
     virtual(go)
 
 
 @pytest.mark.parametrize("ahead", ["r1", "r2"])
 def test_a_pause_whose_answer_is_lost_is_asked_for_again_before_anyone_is_elected(ahead):
     """What the member received between its last row and its pause is in no row yet."""
+
     async def go(e):
         e.members[({"r1", "r2"} - {ahead}).pop()].follows = False
         e.members[ahead].silent = True
@@ -318,6 +381,7 @@
         e.members[ahead].silent = False
         await e.until(lambda: e.calls and e.settled)
         assert e.calls == [ahead]
+
     virtual(go)
 
 
@@ -333,11 +397,14 @@
         assert e.office["primary"] == "p" and e.calls == []
         e.dark("r1", True)
         await e.until(lambda: e.settled)
+
     virtual(go)
 
 
-@pytest.mark.parametrize("others", [{"c2": "up:primary", "c3": "same"}, {"c2": "up:busy", "c3": None},
-                                    {"c2": None, "c3": None}])
+@pytest.mark.parametrize(
+    "others",
+    [{"c2": "up:primary", "c3": "same"}, {"c2": "up:busy", "c3": None}, {"c2": None, "c3": None}],
+)
 def test_a_primary_that_a_core_reaches_or_that_too_few_cores_miss_is_left_alone(others):
     async def go(e):
         e.others = others
@@ -345,10 +412,15 @@
         for _ in range(10):
             e.warden.doubt("g", "p", "mute")
             await asyncio.sleep(1)
-        assert e.office["phase"] == "serve" and e.calls == [] and not any(m.held for m in e.members.values())
+        assert (
+            e.office["phase"] == "serve"
+            and e.calls == []
+            and not any(m.held for m in e.members.values())
+        )
         e.others = {"c2": "mute", "c3": "mute"}
         e.warden.doubt("g", "p", "mute")
         await e.until(lambda: e.calls and e.office["primary"] != "p")
+
     virtual(go)
 
 
@@ -359,6 +431,7 @@
         e.warden.doubt("h", "p", "mute")
         await asyncio.sleep(3)
         assert e.office["phase"] == "serve" and e.trace == e.trace[:1]
+
     virtual(go)
 
 
@@ -369,11 +442,17 @@
         await asyncio.sleep(2.3)
         assert e.office["phase"] == "serve"
         await e.until(lambda: e.calls and e.settled, 3)
+
     virtual(go)
 
 
-@pytest.mark.parametrize("leave", [lambda e: e.member("p", "draining"),
-                                   lambda e: e.put({"t": "hall", "hall": "b", "state": "emptied", "by": "op"})])
+@pytest.mark.parametrize(
+    "leave",
+    [
+        lambda e: e.member("p", "draining"),
+        lambda e: e.put({"t": "hall", "hall": "b", "state": "emptied", "by": "op"}),
+    ],
+)
 def test_a_planned_move_waits_until_the_heir_has_what_the_primary_had(leave):
     async def go(e):
         e.trace.clear()
@@ -390,8 +469,14 @@
         await e.until(lambda: e.calls and e.settled)
         assert e.calls == ["r2"] and e.office["primary"] == "r2"
         seq = next(x[2] for x in e.trace if x[0] == "swap")
-        assert e.at("pause", "r1") < e.at("in force", seq) < e.at("promote", "r2", seq) < e.at("serve", "r2")
+        assert (
+            e.at("pause", "r1")
+            < e.at("in force", seq)
+            < e.at("promote", "r2", seq)
+            < e.at("serve", "r2")
+        )
         assert ("pause", "r2") not in [x[:2] for x in e.trace]
+
     virtual(go, halls={"p": "b"})
 
 
@@ -407,6 +492,7 @@
         for n in ("r1", "r2"):
             e.members[n].follows = True
         await e.until(lambda: e.calls and e.settled)
+
     virtual(go)
 
 
@@ -416,10 +502,15 @@
             e.member(n, "draining")
         e.member("p", "draining")
         await asyncio.sleep(5)
-        assert e.calls == [] and e.office["phase"] == "serve" and e.warden.why["g"] == "no heir for a planned move"
+        assert (
+            e.calls == []
+            and e.office["phase"] == "serve"
+            and e.warden.why["g"] == "no heir for a planned move"
+        )
         e.member("r2", "ready")
         await e.until(lambda: e.calls and e.settled)
         assert e.calls == ["r2"]
+
     virtual(go)
 
 
@@ -433,6 +524,7 @@
         await asyncio.sleep(0.5)
         e.dark("p", runs=False)
         await e.until(lambda: e.calls and e.settled)
+
     virtual(go)
 
 
@@ -448,6 +540,7 @@
         assert e.calls == [] and e.office["phase"] == "move"
         setattr(e.chain, lost, True)
         await e.until(lambda: e.calls and e.settled)
+
     virtual(go)
 
 
@@ -460,6 +553,7 @@
         await e.until(lambda: e.calls and e.settled)
         assert len(e.calls) == (1 if how == "unanswered" else 4)
         assert e.members[e.office["primary"]].role == "primary"
+
     virtual(go)
 
 
@@ -479,6 +573,7 @@
         assert e.trace[-1][:2] == ("serve", "p") and e.at("promote", "p") < len(e.trace) - 1
         e.dark("r1", True)
         await e.until(lambda: e.settled)
+
     virtual(go)
 
 
@@ -499,6 +594,7 @@
         await asyncio.sleep(5)
         e.members["r2"].seen = True
         await e.until(lambda: not e.members["r2"].held)
+
     virtual(go)
 
 
@@ -509,14 +605,38 @@
         e.warden.doubt("g", "p", "replica")
         await e.until(lambda: e.office["primary"] == new and e.office["phase"] == "serve")
         assert e.calls == []
+
     virtual(go)
 
 
 EVENT = st.tuples(
-    st.sampled_from(["unseen", "unseen", "dead", "back", "back", "lag", "follow", "silent", "restart", "drain",
-                     "ready", "empty",
-                     "open", "doubt", "doubt", "slow barrier", "quick barrier", "head lost", "head back", "platform"]),
-    st.sampled_from(["p", "r1", "r2"]), st.sampled_from([0.0, 0.05, 0.2, 0.7, 2.0]))
+    st.sampled_from(
+        [
+            "unseen",
+            "unseen",
+            "dead",
+            "back",
+            "back",
+            "lag",
+            "follow",
+            "silent",
+            "restart",
+            "drain",
+            "ready",
+            "empty",
+            "open",
+            "doubt",
+            "doubt",
+            "slow barrier",
+            "quick barrier",
+            "head lost",
+            "head back",
+            "platform",
+        ]
+    ),
+    st.sampled_from(["p", "r1", "r2"]),
+    st.sampled_from([0.0, 0.05, 0.2, 0.7, 2.0]),
+)
 
 
 @DRAWN
@@ -557,4 +677,5 @@
             m.silent = False
         e.warden.doubt("g", e.office["primary"], "mute")
         await e.until(lambda: e.settled and "g" not in e.warden._resume, 60)
+
     virtual(go, halls={"p": "b", "r2": "b"})
