--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,21 @@
 # make demo: sets up and shows a failover on a local fleet. make test: sets up and passes the tests.
+# make lint: formatter and linter.
 PYTHON = python3
 VENV = .venv
 PIP = $(VENV)/bin/python -m pip -q --disable-pip-version-check
 
-.PHONY: demo test
+.PHONY: demo test lint
 
 demo: $(VENV)/installed
-	$(VENV)/bin/drill fleet --size small --visitors 20 --seconds 10 --faults crash
+	$(VENV)/bin/petrelhaven-sim fleet --size small --visitors 20 --seconds 10 --faults crash
 
 test: $(VENV)/installed
 	PYTHONHASHSEED=0 $(VENV)/bin/python -m pytest
 
+lint: $(VENV)/installed
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
 $(VENV)/installed: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(PIP) install -r requirements.txt
--- a/src/petrelhaven/__init__.py
+++ b/src/petrelhaven/__init__.py
@@ -0,0 +1,1 @@
+"""A database pooler with failover."""
--- /dev/null
+++ b/src/petrelhaven/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: the control daemon, the proxy daemon and the operator's tools."""
--- a/src/petrelhaven/crux.py
+++ b/src/petrelhaven/commands/control.py
@@ -1,22 +1,22 @@
-"""crux: the core daemon."""
+"""petrelhaven-control: the core daemon."""
 
 import os
 import random
 import sys
 
-from .creed.daemon import Daemon
-from .creed.disk import Folder
-from .creed.fault import Damaged, Misplaced
-from .creed.light import LightFace
-from .helm.core import Core
-from .helm.face import CoreFace, Platform
-from .helm.ledger import Ledger
-from .helm.memberwire import MemberWire
-from .helm.memory import Memory
-from .helm.relic import Relic
-from .helm.seat import Seat
-from .helm.seatface import SeatFace
-from .span.wire import Wire
+from petrelhaven.control.core import Core
+from petrelhaven.control.failover.member_protocol import MemberWire
+from petrelhaven.control.interface.held_interface import SeatFace
+from petrelhaven.control.interface.kept_interface import CoreFace, Platform
+from petrelhaven.control.seat import Seat
+from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.control.storage.data_folder import Relic
+from petrelhaven.control.storage.disk import Folder
+from petrelhaven.control.storage.memory import Memory
+from petrelhaven.proxy.pool.member_protocol import Wire
+from petrelhaven.runtime.daemon import Daemon
+from petrelhaven.runtime.errors import Damaged, Misplaced
+from petrelhaven.transport.light_http import LightFace
 
 __all__ = ["main"]
 
@@ -110,7 +110,7 @@
     """Runs a core until it is told to stop."""
     sys.exit(
         _Crux(
-            "crux",
+            "petrelhaven-control",
             "Core daemon: keeps the manifest, the epochs and the leases.",
             True,
             _make,
--- a/src/petrelhaven/tenet.py
+++ b/src/petrelhaven/commands/ctl.py
@@ -1,22 +1,22 @@
-"""tenet: the operator's command line."""
+"""petrelhavenctl: the operator's command line."""
 
 import argparse
 import asyncio
 import json
 import sys
 
-from . import embargo_command
-from .creed.fault import Fault, Late, Malformed, NoRoute, Unreached, Unsent
-from .creed.http import fetch
-from .helm.manifest import read
-from .helm.relic import Relic
+from petrelhaven.commands import embargo as embargo_command
+from petrelhaven.control.configuration.manifest import read
+from petrelhaven.control.storage.data_folder import Relic
+from petrelhaven.runtime.errors import Fault, Late, Malformed, NoRoute, Unreached, Unsent
+from petrelhaven.transport.http import fetch
 
 __all__ = ["main"]
 
 
 def _parser():
     p = argparse.ArgumentParser(
-        prog="tenet",
+        prog="petrelhavenctl",
         description="Drives a petrelhaven fleet.",
         epilog="Exit codes: 0 done, 1 declined, 2 wrong call, 3 nobody answered, 4 the outcome is not "
         "known (read back with show).",
@@ -71,7 +71,7 @@
 
 
 def _fall(e):
-    print(f"tenet: declined: {e.code}: {e.note}", file=sys.stderr)
+    print(f"petrelhavenctl: declined: {e.code}: {e.note}", file=sys.stderr)
     for at, w in e.more.get("faults", []):
         print(f"  {at}: {w}", file=sys.stderr)
     if e.back:
@@ -104,7 +104,7 @@
         return h.read()
 
 
-_UNSURE = "tenet: NOT confirmed by a majority of the cores; a newer one may have been acknowledged"
+_UNSURE = "petrelhavenctl: NOT confirmed by a majority of the cores; a newer one may have been acknowledged"
 
 
 async def _run(a, out):
@@ -280,18 +280,18 @@
         asyncio.run(_run(a, print))
     except ExceptionGroup as g:
         for e in g.exceptions:
-            print(f"tenet: {e.code}: {e.note}", file=sys.stderr)
+            print(f"petrelhavenctl: {e.code}: {e.note}", file=sys.stderr)
         sys.exit(3)
     except Late as e:
-        print(f"tenet: {e.note}", file=sys.stderr)
+        print(f"petrelhavenctl: {e.note}", file=sys.stderr)
         sys.exit(4)
     except Unreached as e:
-        print(f"tenet: nobody answers: {e.note}", file=sys.stderr)
+        print(f"petrelhavenctl: nobody answers: {e.note}", file=sys.stderr)
         sys.exit(3)
     except Fault as e:
         sys.exit(_fall(e))
     except (OSError, UnicodeDecodeError) as e:
-        print(f"tenet: {e}", file=sys.stderr)
+        print(f"petrelhavenctl: {e}", file=sys.stderr)
         sys.exit(2)
 
 
--- a/src/petrelhaven/rift.py
+++ b/src/petrelhaven/commands/diff.py
@@ -1,11 +1,11 @@
-"""rift: compares what two nodes believe."""
+"""petrelhaven-diff: compares what two nodes believe."""
 
 import argparse
 import asyncio
 import sys
 
-from .creed.fault import Fault
-from .creed.http import fetch
+from petrelhaven.runtime.errors import Fault
+from petrelhaven.transport.http import fetch
 
 __all__ = ["differences", "main"]
 
@@ -38,7 +38,7 @@
 def main(argv=None):
     """Prints the differences; exits 0 where there are none, 1 where there are, 3 where a node does not answer."""
     p = argparse.ArgumentParser(
-        prog="rift",
+        prog="petrelhaven-diff",
         description="Compares the manifest version, epochs, membership and plan that two nodes hold.",
         epilog="Exit codes: 0 the same, 1 they differ, 2 wrong call, 3 a node did not answer.",
     )
@@ -48,7 +48,7 @@
     try:
         a, b = asyncio.run(_run(x.a, x.b))
     except Fault as e:
-        print(f"rift: {e.code}: {e.note}", file=sys.stderr)
+        print(f"petrelhaven-diff: {e.code}: {e.note}", file=sys.stderr)
         sys.exit(3)
     ds = differences(a, b)
     for path, u, v in ds:
--- a/src/petrelhaven/embargo_command.py
+++ b/src/petrelhaven/commands/embargo.py
@@ -1,4 +1,4 @@
-"""tenet embargo: places, moves, lifts and explains embargoes."""
+"""petrelhavenctl embargo: places, moves, lifts and explains embargoes."""
 
 import json
 
@@ -6,7 +6,7 @@
 
 
 def arguments(sub):
-    """Adds the subcommand to tenet's parser."""
+    """Adds the subcommand to petrelhavenctl's parser."""
     e = sub.add_parser("embargo", help="records that must not be seen before a set time")
     do = e.add_subparsers(dest="do", required=True)
     a = do.add_parser("add", help="place one; returns once it is in force at every edge")
--- a/src/petrelhaven/verge.py
+++ b/src/petrelhaven/commands/proxy.py
@@ -1,12 +1,12 @@
-"""verge: the edge daemon."""
+"""petrelhaven-proxy: the edge daemon."""
 
 import random
 import sys
 
-from .creed.daemon import Daemon
-from .span.edge import Edge
-from .span.face import EdgeFace
-from .span.wire import Wire
+from petrelhaven.proxy.kept_edge import Edge
+from petrelhaven.proxy.kept_interface import EdgeFace
+from petrelhaven.proxy.pool.member_protocol import Wire
+from petrelhaven.runtime.daemon import Daemon
 
 __all__ = ["main"]
 
@@ -37,7 +37,7 @@
     """Runs an edge until it is told to stop; then its sessions are handed over."""
     sys.exit(
         Daemon(
-            "verge",
+            "petrelhaven-proxy",
             "Edge daemon: holds visitors' sessions and serves their statements.",
             False,
             _make,
--- /dev/null
+++ b/src/petrelhaven/control/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's configuration: its types and checks."""
--- a/src/petrelhaven/helm/manifest.py
+++ b/src/petrelhaven/control/configuration/manifest.py
@@ -7,8 +7,8 @@
 from serde import SerdeError, field, serde
 from serde.json import from_dict
 
-from ..creed.bound import NAME, Whole
-from ..creed.fault import Invalid
+from petrelhaven.runtime.errors import Invalid
+from petrelhaven.runtime.limits import NAME, Whole
 
 __all__ = ["Bounds", "Group", "Manifest", "Route", "read"]
 
@@ -201,7 +201,7 @@
     if b.join_us + b.wait_us > b.statement_us:
         out.append(("bounds.statement_us", "must hold join_us and wait_us"))
     if m.embargoing or m.embargoes:
-        from .embargoes import faults
+        from petrelhaven.control.embargo.rules import faults
 
         faults(m, out)
 
--- /dev/null
+++ b/src/petrelhaven/control/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement between core machines: the register of the view and the replication chain."""
--- a/src/petrelhaven/helm/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from ..creed.event import emit
-from ..creed.fault import Deposed, Fault, Late, NotHead, NotReady
+from petrelhaven.runtime.errors import Deposed, Fault, Late, NotHead, NotReady
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Chain", "CONFIRM_US", "DRIFT"]
 
--- a/src/petrelhaven/helm/muster.py
+++ b/src/petrelhaven/control/consensus/edge_survey.py
@@ -1,7 +1,7 @@
 """Ledgers of edges, gathered over their ties while a core has no majority and so holds no edge."""
 
-from ..creed.event import emit
-from ..creed.fault import Fault, Racing
+from petrelhaven.runtime.errors import Fault, Racing
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Muster"]
 
--- a/src/petrelhaven/helm/reform.py
+++ b/src/petrelhaven/control/consensus/reform.py
@@ -1,7 +1,7 @@
 """Forming the chain anew after a majority of the cores lost their disks: at the operator's word only."""
 
-from ..creed.event import emit
-from ..creed.fault import Fault, Malformed, NotReady, Racing
+from petrelhaven.runtime.errors import Fault, Malformed, NotReady, Racing
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Reform"]
 
--- a/src/petrelhaven/helm/vote.py
+++ b/src/petrelhaven/control/consensus/register.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..creed.fault import Fault, Racing
+from petrelhaven.runtime.errors import Fault, Racing
 
 __all__ = ["Voter", "Proposer"]
 
--- a/src/petrelhaven/helm/core.py
+++ b/src/petrelhaven/control/core.py
@@ -5,18 +5,18 @@
 
 from transitions import Machine
 
-from ..creed.bound import NAME
-from ..creed.event import emit
-from ..creed.fault import Duplicate, Fault, Invalid, Malformed, NotReady
-from ..creed.reach import Reach
-from ..kith.probe import Prober
-from ..kith.roster import Roster
-from .chain import Chain
-from .desk import Desk
-from .manifest import read
-from .memory import Memory
-from .reform import Reform
-from .vote import Proposer, Voter
+from petrelhaven.control.configuration.manifest import read
+from petrelhaven.control.consensus.chain import Chain
+from petrelhaven.control.consensus.reform import Reform
+from petrelhaven.control.consensus.register import Proposer, Voter
+from petrelhaven.control.leases import Desk
+from petrelhaven.control.storage.memory import Memory
+from petrelhaven.membership.prober import Prober
+from petrelhaven.membership.roster import Roster
+from petrelhaven.runtime.errors import Duplicate, Fault, Invalid, Malformed, NotReady
+from petrelhaven.runtime.events import emit
+from petrelhaven.runtime.limits import NAME
+from petrelhaven.transport.reach import Reach
 
 __all__ = ["Core"]
 
@@ -94,7 +94,7 @@
 
     def make_duty(self, platform):
         """The duty that this core does while it is the head."""
-        from .duty import Duty
+        from petrelhaven.control.failover.kept_duty import Duty
 
         return Duty(
             self.clock, self.nest, self.chain, self.desk, self.roster, self.call, platform, self.log
--- a/src/petrelhaven/helm/truetime.py
+++ b/src/petrelhaven/control/embargo/agreed_time.py
@@ -1,9 +1,9 @@
 """A core's bounds on true time: the wall clocks of all cores, what a majority agrees on, monotonic time between."""
 
-from ..creed.event import emit
-from ..creed.fault import Fault
-from ..creed.wall import agreed
-from .chain import DRIFT
+from petrelhaven.control.consensus.chain import DRIFT
+from petrelhaven.runtime.errors import Fault
+from petrelhaven.runtime.events import emit
+from petrelhaven.runtime.wall_clock import agreed
 
 __all__ = ["TrueTime", "widened"]
 
--- a/src/petrelhaven/helm/embargo_duty.py
+++ b/src/petrelhaven/control/embargo/duty.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from ..creed.event import emit
-from ..creed.fault import Duplicate, Fault, Invalid, NotReady
-from ..creed.wall import Wall
-from .embargoes import Table, of_manifest, placed, rules_of, told
-from .truetime import TrueTime
+from petrelhaven.control.embargo.agreed_time import TrueTime
+from petrelhaven.control.embargo.rules import Table, of_manifest, placed, rules_of, told
+from petrelhaven.runtime.errors import Duplicate, Fault, Invalid, NotReady
+from petrelhaven.runtime.events import emit
+from petrelhaven.runtime.wall_clock import Wall
 
 __all__ = ["EmbargoDuty"]
 
--- a/src/petrelhaven/helm/embargo_face.py
+++ b/src/petrelhaven/control/embargo/interface.py
@@ -1,6 +1,6 @@
 """Operators' calls about embargoes, on the face of a seat."""
 
-from ..creed.fault import Malformed
+from petrelhaven.runtime.errors import Malformed
 
 __all__ = ["serve"]
 
--- a/src/petrelhaven/helm/embargoes.py
+++ b/src/petrelhaven/control/embargo/rules.py
@@ -6,8 +6,8 @@
 
 from sortedcontainers import SortedDict
 
-from ..creed.bound import NAME
-from ..creed.fault import Duplicate, Invalid, Oversize, Racing, Stale
+from petrelhaven.runtime.errors import Duplicate, Invalid, Oversize, Racing, Stale
+from petrelhaven.runtime.limits import NAME
 
 __all__ = [
     "Embargo",
@@ -45,7 +45,7 @@
 
 def _settled(e, at, out):
     """The rule with its release time in microseconds of UTC; what is wrong goes into `out` by path."""
-    from .instant import instant
+    from petrelhaven.control.embargo.instant import instant
 
     us = 0
     if not NAME.fullmatch(e.name):
@@ -73,7 +73,7 @@
 
 
 def _rules(m, out):
-    from .manifest import _walk
+    from petrelhaven.control.configuration.manifest import _walk
 
     groups = {g.name for g in m.groups}
     rules = {}
@@ -274,8 +274,8 @@
 
 
 def told(doc):
-    """What `tenet embargo list` shows."""
-    from .instant import spoken
+    """What `petrelhavenctl embargo list` shows."""
+    from petrelhaven.control.embargo.instant import spoken
 
     m = (doc["manifest"] or {}).get("embargo") or {}
     return {
--- /dev/null
+++ b/src/petrelhaven/control/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing and promoting primaries."""
--- a/src/petrelhaven/helm/duty.py
+++ b/src/petrelhaven/control/failover/kept_duty.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from ..creed.event import emit
-from ..creed.fault import Fault, Late, Malformed
-from .desk import LAPSE_US, LEASE_US
-from .plan import Sight, after, step
+from petrelhaven.control.failover.plan import Sight, after, step
+from petrelhaven.control.leases import LAPSE_US, LEASE_US
+from petrelhaven.runtime.errors import Fault, Late, Malformed
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Duty"]
 
--- a/src/petrelhaven/helm/memberwire.py
+++ b/src/petrelhaven/control/failover/member_protocol.py
@@ -1,6 +1,6 @@
 """A seat's questions to members of the product's own interface, which has no PAUSE: there, moves of offices wait."""
 
-from ..creed.fault import Gone, Late, MemberFault, Unsent
+from petrelhaven.runtime.errors import Gone, Late, MemberFault, Unsent
 
 __all__ = ["MemberWire"]
 
--- a/src/petrelhaven/helm/warden.py
+++ b/src/petrelhaven/control/failover/warden.py
@@ -2,8 +2,18 @@
 
 import asyncio
 
-from ..creed.event import emit
-from ..creed.fault import Busy, Fault, Fenced, Gone, Late, MemberFault, NotHead, Unreached, Unsent
+from petrelhaven.runtime.errors import (
+    Busy,
+    Fault,
+    Fenced,
+    Gone,
+    Late,
+    MemberFault,
+    NotHead,
+    Unreached,
+    Unsent,
+)
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Warden"]
 
--- /dev/null
+++ b/src/petrelhaven/control/interface/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interfaces of the control side for operators."""
--- a/src/petrelhaven/helm/ledgerface.py
+++ b/src/petrelhaven/control/interface/documents.py
@@ -2,7 +2,7 @@
 
 import re
 
-from ..creed.fault import Malformed, NoRoute
+from petrelhaven.runtime.errors import Malformed, NoRoute
 
 __all__ = ["manifest_of", "number", "why_of"]
 
--- a/src/petrelhaven/helm/seatface.py
+++ b/src/petrelhaven/control/interface/held_interface.py
@@ -1,11 +1,11 @@
-"""The operators' face of a seat: the same calls as `helm/face` serves, over HTTP that costs little memory."""
+"""The operators' interface of a seat: the calls of the kept interface, over HTTP that costs little memory."""
 
 import json
 from urllib.parse import unquote
 
-from ..creed.fault import Invalid, Malformed, NoRoute, NotReady
-from .embargo_face import serve
-from .ledgerface import manifest_of, number, why_of
+from petrelhaven.control.embargo.interface import serve
+from petrelhaven.control.interface.documents import manifest_of, number, why_of
+from petrelhaven.runtime.errors import Invalid, Malformed, NoRoute, NotReady
 
 __all__ = ["SeatFace"]
 
@@ -130,7 +130,7 @@
     async def _events(self, q):
         n = number(q.query, "after", 0)
         if self._herald is None:
-            from .herald import Herald
+            from petrelhaven.control.interface.event_feed import Herald
 
             self._herald = Herald(self._c.chain)
         body = json.dumps(self._herald.since(n)).encode()
--- a/src/petrelhaven/helm/face.py
+++ b/src/petrelhaven/control/interface/kept_interface.py
@@ -5,9 +5,9 @@
 import aiohttp
 from aiohttp import web
 
-from ..creed.face import body_of
-from ..creed.fault import Malformed, NoRoute, NotReady, Unreached, rebuild
-from .herald import Herald
+from petrelhaven.control.interface.event_feed import Herald
+from petrelhaven.runtime.errors import Malformed, NoRoute, NotReady, Unreached, rebuild
+from petrelhaven.transport.http_server import body_of
 
 __all__ = ["CoreFace", "Platform"]
 
--- a/src/petrelhaven/helm/desk.py
+++ b/src/petrelhaven/control/leases.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from ..creed.event import emit
-from ..creed.fault import Fault, Late
-from .chain import CONFIRM_US, DRIFT
+from petrelhaven.control.consensus.chain import CONFIRM_US, DRIFT
+from petrelhaven.runtime.errors import Fault, Late
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Desk", "LEASE_US", "LAPSE_US", "TiedDesk"]
 
--- a/src/petrelhaven/helm/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -2,15 +2,15 @@
 
 import asyncio
 
-from ..creed.bound import NAME
-from ..creed.fault import Duplicate, Fault, Late, Malformed, NotReady, Stale
-from .chain import DRIFT
-from .core import _ADDR, Core
-from .desk import TiedDesk
-from .ledger import Ledger
-from .manifest import read
-from .muster import Muster
-from .warden import Warden
+from petrelhaven.control.configuration.manifest import read
+from petrelhaven.control.consensus.chain import DRIFT
+from petrelhaven.control.consensus.edge_survey import Muster
+from petrelhaven.control.core import _ADDR, Core
+from petrelhaven.control.failover.warden import Warden
+from petrelhaven.control.leases import TiedDesk
+from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.runtime.errors import Duplicate, Fault, Late, Malformed, NotReady, Stale
+from petrelhaven.runtime.limits import NAME
 
 __all__ = ["LENT_US", "Seat"]
 
@@ -80,7 +80,7 @@
     def embargoes(self):
         """The duty of embargoes, loaded when it is first needed."""
         if self._embargoes is None:
-            from .embargo_duty import EmbargoDuty
+            from petrelhaven.control.embargo.duty import EmbargoDuty
 
             self._embargoes = EmbargoDuty(self, self._wall_clock)
         return self._embargoes
--- /dev/null
+++ b/src/petrelhaven/control/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated control state and its checks."""
--- a/src/petrelhaven/helm/realm.py
+++ b/src/petrelhaven/control/state/kept_state.py
@@ -3,8 +3,8 @@
 import copy
 import hashlib
 
-from ..creed.fault import Duplicate, Invalid, Racing, Stale
-from .manifest import read
+from petrelhaven.control.configuration.manifest import read
+from petrelhaven.runtime.errors import Duplicate, Invalid, Racing, Stale
 
 __all__ = ["Realm"]
 
@@ -223,7 +223,7 @@
         return n if e["settled"] else min(n, e["before"].get(edge, {}).get(member, 0))
 
     def belief(self):
-        """What `rift` compares of this state."""
+        """What `petrelhaven-diff` compares of this state."""
         d, m = self.doc, self.doc["manifest"]
         keys = ("n", "phase", "primary", "hold", "safe", "gates", "open", "settled", "shares")
         return {
--- a/src/petrelhaven/helm/ledger.py
+++ b/src/petrelhaven/control/state/ledger.py
@@ -4,7 +4,7 @@
 import hashlib
 import json
 
-from ..creed.fault import Duplicate, Invalid, Racing, Stale
+from petrelhaven.runtime.errors import Duplicate, Invalid, Racing, Stale
 
 __all__ = ["Ledger"]
 
@@ -70,7 +70,7 @@
         if not now:
             return
         if "embargoes" in self.doc:
-            from .embargoes import check_manifest
+            from petrelhaven.control.embargo.rules import check_manifest
 
             check_manifest(self.doc, r)
         if r["version"] == now["version"]:
@@ -109,7 +109,7 @@
             **({"embargo": r["embargo"]} if "embargo" in r else {}),
         }
         if "embargo" in r or "embargo_since" in self.doc:
-            from .embargoes import apply_manifest
+            from petrelhaven.control.embargo.rules import apply_manifest
 
             apply_manifest(self.doc, r, self.seq + 1)
         self._manifest = None
@@ -169,17 +169,17 @@
         del past[:-_KEEP]
 
     def _check_embargo(self, r):
-        from .embargoes import check
+        from petrelhaven.control.embargo.rules import check
 
         check(self.doc, r)
 
     def _apply_embargo(self, r):
-        from .embargoes import apply
+        from petrelhaven.control.embargo.rules import apply
 
         apply(self.doc, r, self.seq + 1)
 
     def belief(self):
-        """What `rift` compares of this state."""
+        """What `petrelhaven-diff` compares of this state."""
         d, m = self.doc, self.doc["manifest"]
         return {
             "seq": self.seq,
--- /dev/null
+++ b/src/petrelhaven/control/storage/__init__.py
@@ -0,0 +1,1 @@
+"""What a core machine keeps on its disk."""
--- a/src/petrelhaven/helm/relic.py
+++ b/src/petrelhaven/control/storage/data_folder.py
@@ -2,10 +2,10 @@
 
 import os
 
-from ..creed.fault import Damaged
-from .ledger import Ledger
-from .memory import Memory
-from .realm import Realm
+from petrelhaven.control.state.kept_state import Realm
+from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.control.storage.memory import Memory
+from petrelhaven.runtime.errors import Damaged
 
 __all__ = ["Relic"]
 
--- a/src/petrelhaven/helm/memory.py
+++ b/src/petrelhaven/control/storage/memory.py
@@ -1,8 +1,8 @@
 """What a core remembers across a restart: its identity, its vote, its place in the chain, the control state."""
 
-from ..creed.event import emit
-from ..creed.fault import Damaged, Misplaced
-from .ring import Ring
+from petrelhaven.control.storage.ring import Ring
+from petrelhaven.runtime.errors import Damaged, Misplaced
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Memory"]
 
@@ -11,7 +11,7 @@
 
 
 def _realm():
-    from .realm import Realm
+    from petrelhaven.control.state.kept_state import Realm
 
     return Realm
 
--- a/src/petrelhaven/helm/ring.py
+++ b/src/petrelhaven/control/storage/ring.py
@@ -4,7 +4,7 @@
 import struct
 import zlib
 
-from ..creed.fault import Damaged
+from petrelhaven.runtime.errors import Damaged
 
 __all__ = ["Ring"]
 
--- /dev/null
+++ b/src/petrelhaven/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for database members and the platform, for trials and tests."""
--- a/src/petrelhaven/feint/usher.py
+++ b/src/petrelhaven/emulator/balancer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..creed.fault import Fault, NotReady
+from petrelhaven.runtime.errors import Fault, NotReady
 
 __all__ = ["Usher"]
 
--- a/src/petrelhaven/feint/main.py
+++ b/src/petrelhaven/emulator/main.py
@@ -1,4 +1,4 @@
-"""feint: stand-in members and platform, for trying a fleet out."""
+"""petrelhaven-emulator: stand-in members and platform, for trying a fleet out."""
 
 import argparse
 import asyncio
@@ -7,21 +7,22 @@
 
 import aiohttp
 
-from ..creed.daemon import say
-from ..creed.face import Face, body_of
-from ..creed.fault import Fenced, Unreached
-from ..creed.http import fetch
-from ..creed.tick import Clock, Nest
-from .member import Member
-from .platform import PlatformLogic
-from .usher import Usher
+from petrelhaven.emulator.balancer import Usher
+from petrelhaven.emulator.member import Member
+from petrelhaven.emulator.platform import PlatformLogic
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.daemon import say
+from petrelhaven.runtime.errors import Fenced, Unreached
+from petrelhaven.transport.http import fetch
+from petrelhaven.transport.http_server import Face, body_of
 
 __all__ = ["main"]
 
 
 def _parser():
     p = argparse.ArgumentParser(
-        prog="feint", description="Stand-ins: a small real database member, a platform."
+        prog="petrelhaven-emulator",
+        description="Stand-ins: a small real database member, a platform.",
     )
     sub = p.add_subparsers(dest="verb", required=True)
     m = sub.add_parser("member", help="one member of a group")
--- a/src/petrelhaven/feint/member.py
+++ b/src/petrelhaven/emulator/member.py
@@ -8,12 +8,12 @@
 import aiohttp
 from aiohttp import web
 
-from ..creed.daemon import say
-from ..creed.event import emit, logger
-from ..creed.face import Face, body_of
-from ..creed.fault import Fault
-from ..creed.tick import Clock, Nest
-from .store import Store, Unanswered, _Stop
+from petrelhaven.emulator.store import Store, Unanswered, _Stop
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.daemon import say
+from petrelhaven.runtime.errors import Fault
+from petrelhaven.runtime.events import emit, logger
+from petrelhaven.transport.http_server import Face, body_of
 
 __all__ = ["Member"]
 
--- a/src/petrelhaven/feint/platform.py
+++ b/src/petrelhaven/emulator/platform.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..creed.fault import Fault, Fenced, NotReady
+from petrelhaven.runtime.errors import Fault, Fenced, NotReady
 
 __all__ = ["PlatformLogic"]
 
--- /dev/null
+++ b/src/petrelhaven/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection: who is in the fleet and alive."""
--- a/src/petrelhaven/kith/roster.py
+++ b/src/petrelhaven/membership/roster.py
@@ -1,8 +1,8 @@
 """The roster of peers that one node keeps, merged from news."""
 
-from ..creed.event import emit
-from ..creed.fault import Malformed
-from .peer import Peer, rank
+from petrelhaven.membership.peer import Peer, rank
+from petrelhaven.runtime.errors import Malformed
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Roster"]
 
--- /dev/null
+++ b/src/petrelhaven/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy side: sessions, member connections and statement routing."""
--- a/src/petrelhaven/span/control.py
+++ b/src/petrelhaven/proxy/control_client.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from ..creed.event import emit
-from ..creed.fault import Fault, Stale, Unsent
-from ..helm.realm import Realm
+from petrelhaven.control.state.kept_state import Realm
+from petrelhaven.runtime.errors import Fault, Stale, Unsent
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Control"]
 
--- a/src/petrelhaven/span/tie.py
+++ b/src/petrelhaven/proxy/core_connection.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from ..creed.event import emit
-from ..creed.fault import Fault
-from ..helm.ledger import Ledger
+from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.runtime.errors import Fault
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Tie"]
 
--- a/src/petrelhaven/span/embargo.py
+++ b/src/petrelhaven/proxy/embargo.py
@@ -2,11 +2,11 @@
 
 import collections
 
-from ..creed.event import emit
-from ..creed.fault import Fault
-from ..helm.embargoes import Table, rules_of
-from ..helm.truetime import widened
-from .ask import Reply
+from petrelhaven.control.embargo.agreed_time import widened
+from petrelhaven.control.embargo.rules import Table, rules_of
+from petrelhaven.proxy.session.statement import Reply
+from petrelhaven.runtime.errors import Fault
+from petrelhaven.runtime.events import emit
 
 __all__ = ["EdgeTime", "EmbargoGate"]
 
--- a/src/petrelhaven/span/follow.py
+++ b/src/petrelhaven/proxy/follow.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from ..creed.event import emit
-from ..creed.fault import Late
-from .troop import Troop
+from petrelhaven.proxy.routing.kept_group import Troop
+from petrelhaven.runtime.errors import Late
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Follow"]
 
--- a/src/petrelhaven/span/gate.py
+++ b/src/petrelhaven/proxy/held_edge.py
@@ -6,15 +6,15 @@
 
 from transitions import Machine
 
-from ..creed.event import emit
-from ..creed.fault import Busy, Late, NoRoute
-from ..helm.blanks import fill
-from .ask import Reply
-from .band import Band
-from .clock import Order
-from .passage import Passage
-from .slab import Slab
-from .visit import Trade, Visit
+from petrelhaven.control.configuration.defaults import fill
+from petrelhaven.proxy.reads.read_clock import Order
+from petrelhaven.proxy.routing.group import Band
+from petrelhaven.proxy.routing.slab import Slab
+from petrelhaven.proxy.routing.statement_path import Passage
+from petrelhaven.proxy.session.held_session import Trade, Visit
+from petrelhaven.proxy.session.statement import Reply
+from petrelhaven.runtime.errors import Busy, Late, NoRoute
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Gate"]
 
@@ -104,7 +104,7 @@
 
     def _embargoed(self, d, recs, fresh):
         if self.embargo is None:
-            from .embargo import EmbargoGate
+            from petrelhaven.proxy.embargo import EmbargoGate
 
             self.embargo, fresh = EmbargoGate(self), True
         self.embargo.turn(d, recs, fresh)
--- a/src/petrelhaven/span/gateface.py
+++ b/src/petrelhaven/proxy/held_interface.py
@@ -1,7 +1,7 @@
 """The operators' face of a gate: what this edge believes and counts. Clients come in by the wire that they speak."""
 
-from ..creed.fault import Malformed, NoRoute, NotReady
-from ..helm.ledgerface import manifest_of, why_of
+from petrelhaven.control.interface.documents import manifest_of, why_of
+from petrelhaven.runtime.errors import Malformed, NoRoute, NotReady
 
 __all__ = ["GateFace"]
 
--- a/src/petrelhaven/span/edge.py
+++ b/src/petrelhaven/proxy/kept_edge.py
@@ -5,22 +5,22 @@
 
 from transitions import Machine
 
-from ..creed.event import emit
-from ..creed.fault import Busy, Fault, Late, Malformed, Moving, NoSession, NotReady
-from ..creed.reach import Reach
-from ..helm.manifest import Bounds
-from ..kith.probe import Prober
-from ..kith.roster import Roster
-from .clock import Order
-from .control import Control
-from .deliver import Deliver
-from .flow import Flow
-from .follow import Follow
-from .keep import Keeper
-from .move import Move
-from .session import Session
-from .slab import Slab
-from .vault import Vault
+from petrelhaven.control.configuration.manifest import Bounds
+from petrelhaven.membership.prober import Prober
+from petrelhaven.membership.roster import Roster
+from petrelhaven.proxy.control_client import Control
+from petrelhaven.proxy.follow import Follow
+from petrelhaven.proxy.reads.read_clock import Order
+from petrelhaven.proxy.routing.deliver import Deliver
+from petrelhaven.proxy.routing.flow import Flow
+from petrelhaven.proxy.routing.slab import Slab
+from petrelhaven.proxy.session.copies import Vault
+from petrelhaven.proxy.session.handover import Move
+from petrelhaven.proxy.session.keeper import Keeper
+from petrelhaven.proxy.session.kept_session import Session
+from petrelhaven.runtime.errors import Busy, Fault, Late, Malformed, Moving, NoSession, NotReady
+from petrelhaven.runtime.events import emit
+from petrelhaven.transport.reach import Reach
 
 __all__ = ["Edge"]
 
--- a/src/petrelhaven/span/face.py
+++ b/src/petrelhaven/proxy/kept_interface.py
@@ -1,7 +1,7 @@
 """The visitors' and the platform's face of an edge."""
 
-from ..creed.face import body_of
-from ..creed.fault import NotReady
+from petrelhaven.runtime.errors import NotReady
+from petrelhaven.transport.http_server import body_of
 
 __all__ = ["EdgeFace"]
 
--- /dev/null
+++ b/src/petrelhaven/proxy/pool/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to database members."""
--- a/src/petrelhaven/span/pool.py
+++ b/src/petrelhaven/proxy/pool/kept_pool.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-from ..creed.fault import Busy, Fault, Unsent
+from petrelhaven.runtime.errors import Busy, Fault, Unsent
 
 __all__ = ["Pool"]
 
--- a/src/petrelhaven/span/wire.py
+++ b/src/petrelhaven/proxy/pool/member_protocol.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from ..creed.fault import Late, MemberFault, Unreached, Unsent
+from petrelhaven.runtime.errors import Late, MemberFault, Unreached, Unsent
 
 __all__ = ["Wire", "raise_first"]
 
--- /dev/null
+++ b/src/petrelhaven/proxy/reads/__init__.py
@@ -0,0 +1,1 @@
+"""Read routing: the read clock and log positions."""
--- a/src/petrelhaven/span/tide.py
+++ b/src/petrelhaven/proxy/reads/log_progress.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..creed.fault import Fault
+from petrelhaven.runtime.errors import Fault
 
 __all__ = ["Tide"]
 
--- a/src/petrelhaven/span/read.py
+++ b/src/petrelhaven/proxy/reads/read.py
@@ -1,6 +1,6 @@
 """Single reads: a position, a member whose log holds it, the primary as the last resort."""
 
-from ..creed.fault import Busy, Halted, Late, MemberFault, Unreached
+from petrelhaven.runtime.errors import Busy, Halted, Late, MemberFault, Unreached
 
 __all__ = ["Reader"]
 
--- a/src/petrelhaven/span/clock.py
+++ b/src/petrelhaven/proxy/reads/read_clock.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 
-from ..creed.fault import Fault
+from petrelhaven.runtime.errors import Fault
 
 __all__ = ["Order", "Pair", "ReadClock"]
 
--- /dev/null
+++ b/src/petrelhaven/proxy/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a statement from a session to a member."""
--- a/src/petrelhaven/span/change.py
+++ b/src/petrelhaven/proxy/routing/change.py
@@ -1,7 +1,7 @@
 """Changes of a session itself: values and prepared statements."""
 
-from ..creed.fault import Fault, Late, Malformed, MemberFault, Unreached
-from .verb import op
+from petrelhaven.proxy.session.verbs import op
+from petrelhaven.runtime.errors import Fault, Late, Malformed, MemberFault, Unreached
 
 __all__ = ["Changer"]
 
--- a/src/petrelhaven/span/deliver.py
+++ b/src/petrelhaven/proxy/routing/deliver.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from ..creed.fault import Fault, Moving, NoLease, NoSession, Unsent, rebuild
-from .verb import WRITES
+from petrelhaven.proxy.session.verbs import WRITES
+from petrelhaven.runtime.errors import Fault, Moving, NoLease, NoSession, Unsent, rebuild
 
 __all__ = ["Deliver"]
 
--- a/src/petrelhaven/span/flow.py
+++ b/src/petrelhaven/proxy/routing/flow.py
@@ -1,12 +1,21 @@
 """The way of a statement: a continuation that the slab resumes, handed to what the statement is."""
 
-from ..creed.fault import Busy, Ended, Halted, Malformed, NoRoute, NoSession, Superseded, Unordered
-from .change import Changer
-from .read import Reader
-from .send import Sender
-from .trade import Trader
-from .verb import WRITES, op
-from .write import Writer
+from petrelhaven.proxy.reads.read import Reader
+from petrelhaven.proxy.routing.change import Changer
+from petrelhaven.proxy.routing.send import Sender
+from petrelhaven.proxy.routing.write import Writer
+from petrelhaven.proxy.session.transaction import Trader
+from petrelhaven.proxy.session.verbs import WRITES, op
+from petrelhaven.runtime.errors import (
+    Busy,
+    Ended,
+    Halted,
+    Malformed,
+    NoRoute,
+    NoSession,
+    Superseded,
+    Unordered,
+)
 
 __all__ = ["Flow"]
 
--- a/src/petrelhaven/span/band.py
+++ b/src/petrelhaven/proxy/routing/group.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from ..creed.fault import Fault, Gone, Late, Unreached, Unsent
-from .clock import ReadClock
-from .stock import Stock
-from .tide import Tide
+from petrelhaven.proxy.pool.connection_pool import Stock
+from petrelhaven.proxy.reads.log_progress import Tide
+from petrelhaven.proxy.reads.read_clock import ReadClock
+from petrelhaven.runtime.errors import Fault, Gone, Late, Unreached, Unsent
 
 __all__ = ["Band", "Berth"]
 
--- a/src/petrelhaven/span/troop.py
+++ b/src/petrelhaven/proxy/routing/kept_group.py
@@ -1,9 +1,9 @@
 """One database group as an edge sees it: its epoch, its clock, and a post for each member."""
 
-from ..creed.fault import Unreached
-from .clock import ReadClock
-from .pool import Pool
-from .tide import Tide
+from petrelhaven.proxy.pool.kept_pool import Pool
+from petrelhaven.proxy.reads.log_progress import Tide
+from petrelhaven.proxy.reads.read_clock import ReadClock
+from petrelhaven.runtime.errors import Unreached
 
 __all__ = ["Post", "Troop"]
 
--- a/src/petrelhaven/span/send.py
+++ b/src/petrelhaven/proxy/routing/send.py
@@ -1,7 +1,15 @@
 """Putting a batch on a connection: set up for its session, the lease looked at right before it leaves."""
 
-from ..creed.event import emit
-from ..creed.fault import Busy, Halted, Late, MemberFault, MemberSaid, NoLease, Unreached
+from petrelhaven.runtime.errors import (
+    Busy,
+    Halted,
+    Late,
+    MemberFault,
+    MemberSaid,
+    NoLease,
+    Unreached,
+)
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Sender"]
 
--- a/src/petrelhaven/span/slab.py
+++ b/src/petrelhaven/proxy/routing/slab.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..creed.fault import Busy, Late
+from petrelhaven.runtime.errors import Busy, Late
 
 __all__ = ["Slab"]
 
@@ -53,7 +53,7 @@
     def _late(self, i, g):
         s = self._slots[i]
         if s.gen == g:
-            w, s.wait = s.wait, None
+            s.wait = None
             self._resume(i, g, None, Late("horizon passed"))
 
     def _woken(self, i, g, f):
--- a/src/petrelhaven/span/passage.py
+++ b/src/petrelhaven/proxy/routing/statement_path.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from ..creed.event import emit
-from ..creed.fault import Busy, Fault, Gone, Late, MemberFault, Unreached, Unsent
-from .ask import Reply
+from petrelhaven.proxy.session.statement import Reply
+from petrelhaven.runtime.errors import Busy, Fault, Gone, Late, MemberFault, Unreached, Unsent
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Passage"]
 
--- a/src/petrelhaven/span/write.py
+++ b/src/petrelhaven/proxy/routing/write.py
@@ -1,7 +1,6 @@
 """Single writes: the try written down, sent once, held by the in-sync replicas, its outcome written down."""
 
-from ..creed.event import emit
-from ..creed.fault import (
+from petrelhaven.runtime.errors import (
     Fault,
     Halted,
     Late,
@@ -12,6 +11,7 @@
     Unreached,
     Unsent,
 )
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Writer"]
 
--- /dev/null
+++ b/src/petrelhaven/proxy/session/__init__.py
@@ -0,0 +1,1 @@
+"""Client sessions and the transactions in them."""
--- a/src/petrelhaven/span/vault.py
+++ b/src/petrelhaven/proxy/session/copies.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from ..creed.event import emit
-from ..creed.fault import Fault, Unreached
-from ..helm.desk import LAPSE_US
-from .session import Session
+from petrelhaven.control.leases import LAPSE_US
+from petrelhaven.proxy.session.kept_session import Session
+from petrelhaven.runtime.errors import Fault, Unreached
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Vault"]
 
--- a/src/petrelhaven/span/move.py
+++ b/src/petrelhaven/proxy/session/handover.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from ..creed.event import emit
-from ..creed.fault import Fault
+from petrelhaven.runtime.errors import Fault
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Move"]
 
--- a/src/petrelhaven/span/trade.py
+++ b/src/petrelhaven/proxy/session/transaction.py
@@ -1,7 +1,8 @@
 """Transactions: pinned to one connection of one member from begin to end."""
 
-from ..creed.event import emit
-from ..creed.fault import (
+from petrelhaven.proxy.session.kept_session import Txn
+from petrelhaven.proxy.session.verbs import WRITES
+from petrelhaven.runtime.errors import (
     Ended,
     Halted,
     Late,
@@ -13,8 +14,7 @@
     Unreached,
     Unsent,
 )
-from .session import Txn
-from .verb import WRITES
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Trader"]
 
--- a/src/petrelhaven/span/verb.py
+++ b/src/petrelhaven/proxy/session/verbs.py
@@ -1,6 +1,6 @@
 """The verbs of visitors' statements, checked field by field."""
 
-from ..creed.fault import Malformed
+from petrelhaven.runtime.errors import Malformed
 
 __all__ = ["READS", "WRITES", "op"]
 
--- /dev/null
+++ b/src/petrelhaven/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, tasks, errors, events and settings shared by all programs."""
--- a/src/petrelhaven/creed/tick.py
+++ b/src/petrelhaven/runtime/clock.py
@@ -4,8 +4,8 @@
 import os
 import time
 
-from .event import emit
-from .fault import Fault, Late
+from petrelhaven.runtime.errors import Fault, Late
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Clock", "Nest"]
 
--- a/src/petrelhaven/creed/daemon.py
+++ b/src/petrelhaven/runtime/daemon.py
@@ -5,13 +5,13 @@
 import signal
 import sys
 
-from .event import emit, logger, turn_level
-from .face import Face
-from .fault import Misplaced
-from .link import Link
-from .settings import SettingsFault, load, seeds_from_stdin
-from .tick import Clock, Nest
-from .watch import Watch
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.errors import Misplaced
+from petrelhaven.runtime.events import emit, logger, turn_level
+from petrelhaven.runtime.file_watch import Watch
+from petrelhaven.runtime.settings import SettingsFault, load, seeds_from_stdin
+from petrelhaven.transport.http_server import Face
+from petrelhaven.transport.link import Link
 
 __all__ = ["Daemon", "say"]
 
--- a/src/petrelhaven/creed/event.py
+++ b/src/petrelhaven/runtime/events.py
@@ -54,11 +54,11 @@
         "no frame from an edge while forming anew",
         "none; another node's may be as new",
     ),
-    320: ("info", "epoch", "read `tenet why`"),
+    320: ("info", "epoch", "read `petrelhavenctl why`"),
     321: (
         "warning",
         "group halted",
-        "read `tenet why`; writes are declined until a primary is elected",
+        "read `petrelhavenctl why`; writes are declined until a primary is elected",
     ),
     322: ("warning", "no safe candidate", "bring a member of the in-sync set back"),
     323: ("warning", "platform declined or unreachable", "look at the platform; it is asked again"),
--- a/src/petrelhaven/creed/watch.py
+++ b/src/petrelhaven/runtime/file_watch.py
@@ -2,8 +2,8 @@
 
 import hashlib
 
-from .event import emit
-from .settings import LIVE, SettingsFault
+from petrelhaven.runtime.events import emit
+from petrelhaven.runtime.settings import LIVE, SettingsFault
 
 __all__ = ["Watch"]
 
--- a/src/petrelhaven/creed/settings.py
+++ b/src/petrelhaven/runtime/settings.py
@@ -5,7 +5,7 @@
 import sys
 import tomllib
 
-from .bound import NAME, Word
+from petrelhaven.runtime.limits import NAME, Word
 
 __all__ = ["LIVE", "Settings", "SettingsFault", "load"]
 
--- /dev/null
+++ b/src/petrelhaven/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The seeded simulator, local fleets and measurements."""
--- a/src/petrelhaven/drill/cut.py
+++ b/src/petrelhaven/simulator/cut.py
@@ -8,11 +8,11 @@
 import sys
 import threading
 
-from .. import crux, verge
-from ..creed import daemon
-from ..creed.fault import Unsent
-from ..creed.link import Link
-from ..span.wire import Wire
+from petrelhaven.commands import control, proxy
+from petrelhaven.proxy.pool.member_protocol import Wire
+from petrelhaven.runtime import daemon
+from petrelhaven.runtime.errors import Unsent
+from petrelhaven.transport.link import Link
 
 __all__ = ["main"]
 
@@ -100,10 +100,10 @@
 
 
 def main():
-    """`python -m petrelhaven.drill.cut crux|verge FLAGS`."""
+    """`python -m petrelhaven.simulator.cut commands.control|commands.proxy FLAGS`."""
     daemon.Link = _CutLink
-    verge.Wire = _FarWire
-    {"crux": crux, "verge": verge}[sys.argv[1]].main(sys.argv[2:])
+    proxy.Wire = _FarWire
+    {"commands.control": control, "commands.proxy": proxy}[sys.argv[1]].main(sys.argv[2:])
 
 
 if __name__ == "__main__":
--- a/src/petrelhaven/drill/embargo_cost.py
+++ b/src/petrelhaven/simulator/embargo_cost.py
@@ -7,7 +7,7 @@
 import time
 import tracemalloc
 
-from ..span.ask import Ask
+from petrelhaven.proxy.session.statement import Ask
 
 __all__ = ["embargo"]
 
@@ -42,7 +42,7 @@
 
 async def _cost(f, n):
     """Seconds of processor time of reads at one edge, and of the two looks alone, with `n` rules (None: off)."""
-    from ..helm.embargoes import Table
+    from petrelhaven.control.embargo.rules import Table
 
     await _fleet(f, n is None)
     g, size = f.edges[0].node, 0
@@ -119,8 +119,8 @@
 
 def embargo():
     """Cost of a read by the number of embargoes, lateness of a release, and ten thousand readers who wait for one."""
-    from .held.embargo import EmbargoedFleet
-    from .held.storm import inside
+    from petrelhaven.simulator.held.embargo import EmbargoedFleet
+    from petrelhaven.simulator.held.storm import inside
 
     print(f"{'rules':>8} {'read, to off':>12} {'looks, share of a read off':>27} {'table MB':>9}")
     off = statistics.median(
--- a/src/petrelhaven/drill/fleet.py
+++ b/src/petrelhaven/simulator/fleet.py
@@ -9,13 +9,13 @@
 
 import aiohttp
 
-from ..creed.fault import Fault
-from ..creed.http import fetch
-from ..creed.tick import Clock, Nest
-from ..feint.usher import Usher
-from .check import check
-from .visitor import Visitor
-from .world import SIZES, manifest
+from petrelhaven.emulator.balancer import Usher
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.errors import Fault
+from petrelhaven.simulator.check import check
+from petrelhaven.simulator.visitor import Visitor
+from petrelhaven.simulator.world import SIZES, manifest
+from petrelhaven.transport.http import fetch
 
 __all__ = ["Fleet", "Proc", "until"]
 
@@ -155,7 +155,7 @@
         return p
 
     def _program(self, name):
-        return ("petrelhaven.drill.cut", name) if self.cuts else (f"petrelhaven.{name}",)
+        return ("petrelhaven.simulator.cut", name) if self.cuts else (f"petrelhaven.{name}",)
 
     async def cut(self, names, others):
         """Cuts the links between two sets of daemons; with none in `others`, heals those of `names`."""
@@ -173,13 +173,13 @@
         self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=400))
         hs = self.z["halls"]
         plat = await self._proc(
-            "platform", "petrelhaven.feint.main", "platform", "--took-us", str(self.z["took_us"])
+            "platform", "petrelhaven.emulator.main", "platform", "--took-us", str(self.z["took_us"])
         ).start()
         await plat.mark("started")
         cores = [
             self._proc(
                 f"c{i + 1}",
-                *self._program("crux"),
+                *self._program("commands.control"),
                 "--name",
                 f"c{i + 1}",
                 "--hall",
@@ -204,7 +204,7 @@
                 n = f"g{g + 1}m{i + 1}"
                 p = self._proc(
                     n,
-                    "petrelhaven.feint.main",
+                    "petrelhaven.emulator.main",
                     "member",
                     "--name",
                     n,
@@ -233,7 +233,7 @@
         for i in range(self.z["edges"]):
             p = self._proc(
                 f"e{i + 1}",
-                *self._program("verge"),
+                *self._program("commands.proxy"),
                 "--name",
                 f"e{i + 1}",
                 "--hall",
@@ -383,7 +383,7 @@
 
     @staticmethod
     def _kind(n):
-        return {"c": "crux", "e": "verge", "g": "feint member"}.get(n[0], "feint platform")
+        return {"c": "control", "e": "proxy", "g": "emulator member"}.get(n[0], "emulator platform")
 
     async def stop(self, name, s=signal.SIGKILL):
         """Ends a process, its processor time counted."""
--- /dev/null
+++ b/src/petrelhaven/simulator/held/__init__.py
@@ -0,0 +1,1 @@
+"""Simulation of sessions that live with their connection."""
--- a/src/petrelhaven/drill/held/beats.py
+++ b/src/petrelhaven/simulator/held/beats.py
@@ -1,6 +1,6 @@
 """A simulated member's beats to the cores."""
 
-from ...creed.fault import Fault, Late, Unsent
+from petrelhaven.runtime.errors import Fault, Late, Unsent
 
 __all__ = ["Beats"]
 
--- a/src/petrelhaven/drill/held/client.py
+++ b/src/petrelhaven/simulator/held/client.py
@@ -1,10 +1,10 @@
 """A client of the path where sessions live with their connection: operations, tries, what it was told."""
 
-from ...creed.fault import Fault, Late
-from ...span.ask import Ask
-from .attempt import PROMISES, Attempt
-from .front import Front
-from .statement import Statement
+from petrelhaven.proxy.session.statement import Ask
+from petrelhaven.runtime.errors import Fault, Late
+from petrelhaven.simulator.held.attempt import PROMISES, Attempt
+from petrelhaven.simulator.held.front import Front
+from petrelhaven.simulator.held.statement import Statement
 
 __all__ = ["Client"]
 
--- a/src/petrelhaven/drill/held/connection.py
+++ b/src/petrelhaven/simulator/held/connection.py
@@ -2,8 +2,8 @@
 
 import collections
 
-from ...span.ask import Reply
-from .refusal import Refusal
+from petrelhaven.proxy.session.statement import Reply
+from petrelhaven.simulator.held.refusal import Refusal
 
 __all__ = ["MemberConnection"]
 
--- a/src/petrelhaven/drill/held/embargo.py
+++ b/src/petrelhaven/simulator/held/embargo.py
@@ -4,12 +4,12 @@
 import json
 import random
 
-from ...creed.fault import Fault, Late, Unsent
-from ...span.ask import Ask
-from .attempt import Attempt
-from .fleet import HeldFleet
-from .front import Front
-from .statement import Statement
+from petrelhaven.proxy.session.statement import Ask
+from petrelhaven.runtime.errors import Fault, Late, Unsent
+from petrelhaven.simulator.held.attempt import Attempt
+from petrelhaven.simulator.held.fleet import HeldFleet
+from petrelhaven.simulator.held.front import Front
+from petrelhaven.simulator.held.statement import Statement
 
 __all__ = ["BASE_US", "EmbargoedFleet", "EmbargoedRecord", "SimulatedWall"]
 
@@ -122,7 +122,7 @@
 
     async def embargo(self, do, thing, until=None):
         """Places, moves or lifts one embargo; whether that was acknowledged."""
-        from ...helm.instant import spoken
+        from petrelhaven.control.embargo.instant import spoken
 
         acknowledged = self.records[thing].said(self.true(), until)
         d = {"do": do, "name": "x-" + thing, "by": "drill"}
--- a/src/petrelhaven/drill/held/failover.py
+++ b/src/petrelhaven/simulator/held/failover.py
@@ -1,6 +1,6 @@
 """The simulated platform's failover call, fenced, slow or down at will, its answers lost at will."""
 
-from ...creed.fault import Fenced, Unreached
+from petrelhaven.runtime.errors import Fenced, Unreached
 
 __all__ = ["FailoverService"]
 
--- a/src/petrelhaven/drill/held/fleet.py
+++ b/src/petrelhaven/simulator/held/fleet.py
@@ -4,20 +4,20 @@
 import json
 import random
 
-from ...creed.fault import Fault, Unsent
-from ...helm.seat import Seat
-from ...span.gate import Gate
-from ...span.tie import Tie
-from ..net import Box, Net
-from .beats import Beats
-from .caller import FailoverCaller
-from .client import Client
-from .failover import FailoverService
-from .group import DatabaseGroup
-from .history import History
-from .judge import judge
-from .member import DatabaseMember
-from .wire import SimulatedWire
+from petrelhaven.control.seat import Seat
+from petrelhaven.proxy.core_connection import Tie
+from petrelhaven.proxy.held_edge import Gate
+from petrelhaven.runtime.errors import Fault, Unsent
+from petrelhaven.simulator.held.beats import Beats
+from petrelhaven.simulator.held.caller import FailoverCaller
+from petrelhaven.simulator.held.client import Client
+from petrelhaven.simulator.held.failover import FailoverService
+from petrelhaven.simulator.held.group import DatabaseGroup
+from petrelhaven.simulator.held.history import History
+from petrelhaven.simulator.held.judge import judge
+from petrelhaven.simulator.held.member import DatabaseMember
+from petrelhaven.simulator.held.wire import SimulatedWire
+from petrelhaven.simulator.net import Box, Net
 
 __all__ = ["HeldFleet"]
 
--- a/src/petrelhaven/drill/held/front.py
+++ b/src/petrelhaven/simulator/held/front.py
@@ -3,9 +3,9 @@
 import asyncio
 import collections
 
-from ...creed.fault import Fault, NoRoute, Unreached, Unsent
-from ...span.ask import Reply
-from ..net import _Pipe
+from petrelhaven.proxy.session.statement import Reply
+from petrelhaven.runtime.errors import Fault, NoRoute, Unreached, Unsent
+from petrelhaven.simulator.net import _Pipe
 
 __all__ = ["Front"]
 
--- a/src/petrelhaven/drill/held/group.py
+++ b/src/petrelhaven/simulator/held/group.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from ...creed.fault import Fault
-from .entry import LogEntry
+from petrelhaven.runtime.errors import Fault
+from petrelhaven.simulator.held.entry import LogEntry
 
 __all__ = ["DatabaseGroup"]
 
--- a/src/petrelhaven/drill/held/line.py
+++ b/src/petrelhaven/simulator/held/line.py
@@ -1,6 +1,6 @@
 """A simulated connection between a node and a member: one pipe each way, in order, held while the way is cut."""
 
-from ..net import _Pipe
+from petrelhaven.simulator.net import _Pipe
 
 __all__ = ["Line"]
 
--- a/src/petrelhaven/drill/held/member.py
+++ b/src/petrelhaven/simulator/held/member.py
@@ -3,9 +3,9 @@
 import asyncio
 import contextlib
 
-from .connection import MemberConnection
-from .refusal import Refusal
-from .run import Run
+from petrelhaven.simulator.held.connection import MemberConnection
+from petrelhaven.simulator.held.refusal import Refusal
+from petrelhaven.simulator.held.run import Run
 
 __all__ = ["DatabaseMember"]
 
--- a/src/petrelhaven/drill/held/storm.py
+++ b/src/petrelhaven/simulator/held/storm.py
@@ -4,9 +4,9 @@
 import random
 import traceback
 
-from ..warp import WarpLoop, end_all
-from .faults import KINDS, PLANNED, Faults
-from .fleet import HeldFleet
+from petrelhaven.simulator.held.faults import KINDS, PLANNED, Faults
+from petrelhaven.simulator.held.fleet import HeldFleet
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
 __all__ = ["KINDS", "inside", "play", "run", "schedule", "shrink"]
 
--- a/src/petrelhaven/drill/held/strand.py
+++ b/src/petrelhaven/simulator/held/strand.py
@@ -3,10 +3,10 @@
 import asyncio
 import collections
 
-from ...creed.fault import Busy, MemberFault, Unreached
-from ...span.strand import Strand
-from .line import Line
-from .order import Order
+from petrelhaven.proxy.pool.member_connection import Strand
+from petrelhaven.runtime.errors import Busy, MemberFault, Unreached
+from petrelhaven.simulator.held.line import Line
+from petrelhaven.simulator.held.order import Order
 
 __all__ = ["SimulatedStrand"]
 
--- a/src/petrelhaven/drill/held/wire.py
+++ b/src/petrelhaven/simulator/held/wire.py
@@ -1,7 +1,7 @@
 """The wire to simulated members."""
 
-from ...creed.fault import Busy, Gone, Late, Unreached, Unsent
-from .strand import SimulatedStrand
+from petrelhaven.runtime.errors import Busy, Gone, Late, Unreached, Unsent
+from petrelhaven.simulator.held.strand import SimulatedStrand
 
 __all__ = ["SimulatedWire"]
 
--- a/src/petrelhaven/drill/hollow.py
+++ b/src/petrelhaven/simulator/hollow_nodes.py
@@ -7,11 +7,11 @@
 import tempfile
 import time
 
-from ..creed import link as linking
-from ..creed.disk import Folder
-from ..creed.tick import Clock, Nest
-from ..helm.seat import Seat
-from ..span.tie import Tie
+from petrelhaven.control.seat import Seat
+from petrelhaven.control.storage.disk import Folder
+from petrelhaven.proxy.core_connection import Tie
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.transport import link as linking
 
 __all__ = ["hollow"]
 
--- a/src/petrelhaven/drill/main.py
+++ b/src/petrelhaven/simulator/main.py
@@ -1,4 +1,4 @@
-"""drill: a local fleet with load and checks, and the seeded simulator."""
+"""petrelhaven-sim: a local fleet with load and checks, and the seeded simulator."""
 
 import argparse
 import asyncio
@@ -11,21 +11,21 @@
 import time
 from concurrent.futures import ProcessPoolExecutor
 
-from .fleet import Fleet
-from .held import storm as held
-from .held.embargo import EmbargoedFleet
-from .measure import MEASURES
-from .scene import NEEDS, SCENES, SIZE
-from .soak import KINDS as SOAKS
-from .soak import play
-from .storm import KINDS, inside, run, schedule, shrink, told
+from petrelhaven.simulator.fleet import Fleet
+from petrelhaven.simulator.held import storm as held
+from petrelhaven.simulator.held.embargo import EmbargoedFleet
+from petrelhaven.simulator.measure import MEASURES
+from petrelhaven.simulator.scene import NEEDS, SCENES, SIZE
+from petrelhaven.simulator.soak import KINDS as SOAKS
+from petrelhaven.simulator.soak import play
+from petrelhaven.simulator.storm import KINDS, inside, run, schedule, shrink, told
 
 __all__ = ["main"]
 
 
 def _parser():
     p = argparse.ArgumentParser(
-        prog="drill",
+        prog="petrelhaven-sim",
         description="Tries a fleet out.",
         epilog="Exit codes: 0 nothing that must never happen was seen, 1 something was, 2 wrong call.",
     )
@@ -176,8 +176,10 @@
         f"g1: primary {e['primary']}, epoch {e['n']}; a write kept and read back {took:.1f} s after the kill"
     )
     argv = ["--core", ",".join(fl.cores), "why", "g1", "--epoch", str(e["n"])]
-    print("$ tenet " + " ".join(argv), flush=True)
-    p = await asyncio.create_subprocess_exec(sys.executable, "-m", "petrelhaven.tenet", *argv)
+    print("$ petrelhavenctl " + " ".join(argv), flush=True)
+    p = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "petrelhaven.commands.ctl", *argv
+    )
     rc = await p.wait()
     return [("not explained", "g1", e["n"], rc)] if rc else []
 
--- a/src/petrelhaven/drill/measure.py
+++ b/src/petrelhaven/simulator/measure.py
@@ -4,13 +4,13 @@
 import random
 import statistics
 
-from ..creed.fault import Fault
-from .embargo_cost import embargo
-from .hollow import hollow
-from .net import Box
-from .storm import back, inside
-from .visitor import Visitor
-from .world import SIZES, manifest
+from petrelhaven.runtime.errors import Fault
+from petrelhaven.simulator.embargo_cost import embargo
+from petrelhaven.simulator.hollow_nodes import hollow
+from petrelhaven.simulator.net import Box
+from petrelhaven.simulator.storm import back, inside
+from petrelhaven.simulator.visitor import Visitor
+from petrelhaven.simulator.world import SIZES, manifest
 
 __all__ = ["MEASURES"]
 
@@ -135,7 +135,7 @@
 
 def commit():
     """What waiting for every in-sync replica costs a write: latency with and without it, by lag."""
-    from ..span.edge import Edge
+    from petrelhaven.proxy.kept_edge import Edge
 
     real = Edge.held
 
@@ -255,8 +255,8 @@
 
 
 async def _detect(w, us, loss):
-    from ..kith.probe import Prober
-    from ..kith.roster import Roster
+    from petrelhaven.membership.prober import Prober
+    from petrelhaven.membership.roster import Roster
 
     boxes = [Box(w.net, f"n{i}", w.z["halls"][i % 3]) for i in range(9)]
     for i, b in enumerate(boxes):
--- a/src/petrelhaven/drill/net.py
+++ b/src/petrelhaven/simulator/net.py
@@ -4,10 +4,10 @@
 import collections
 import itertools
 
-from ..creed.contract import TELL, pack
-from ..creed.fault import Fault, Malformed, Unreached, Unsent
-from ..creed.link import Channel, Held, Link
-from ..creed.tick import Clock, Nest
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.errors import Fault, Malformed, Unreached, Unsent
+from petrelhaven.transport.link import Channel, Held, Link
+from petrelhaven.transport.messages import TELL, pack
 
 __all__ = ["Box", "Net", "SimDisk", "SimLink"]
 
--- a/src/petrelhaven/drill/scene.py
+++ b/src/petrelhaven/simulator/scene.py
@@ -1,6 +1,6 @@
 """Scenes: one fault each, brought about on purpose, with what must hold afterwards."""
 
-from .scenes import cores, edges, halls, members
+from petrelhaven.simulator.scenes import cores, edges, halls, members
 
 __all__ = ["NEEDS", "SCENES", "SIZE"]
 
--- /dev/null
+++ b/src/petrelhaven/simulator/scenes/__init__.py
@@ -0,0 +1,1 @@
+"""One simulated run for each kind of fault."""
--- a/src/petrelhaven/drill/scenes/cores.py
+++ b/src/petrelhaven/simulator/scenes/cores.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from ...creed.fault import Fault
-from ..storm import back
-from ..world import manifest
-from .base import end, load
+from petrelhaven.runtime.errors import Fault
+from petrelhaven.simulator.scenes.base import end, load
+from petrelhaven.simulator.storm import back
+from petrelhaven.simulator.world import manifest
 
 __all__ = [
     "racing",
--- a/src/petrelhaven/drill/scenes/members.py
+++ b/src/petrelhaven/simulator/scenes/members.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from ...creed.fault import Fault
-from ..storm import back
-from .base import end, load, tally
+from petrelhaven.runtime.errors import Fault
+from petrelhaven.simulator.scenes.base import end, load, tally
+from petrelhaven.simulator.storm import back
 
 __all__ = [
     "primary_lost",
--- a/src/petrelhaven/drill/soak.py
+++ b/src/petrelhaven/simulator/soak.py
@@ -8,9 +8,9 @@
 import sys
 import tempfile
 
-from ..creed.http import fetch
-from .fleet import Fleet
-from .world import manifest
+from petrelhaven.simulator.fleet import Fleet
+from petrelhaven.simulator.world import manifest
+from petrelhaven.transport.http import fetch
 
 __all__ = ["KINDS", "Soak", "play"]
 
@@ -241,7 +241,7 @@
 
 
 def play(a):
-    """`drill soak`."""
+    """`petrelhaven-sim soak`."""
     d = a.dir or tempfile.mkdtemp(prefix="petrelhaven-soak-")
     print(f"seed {a.seed}; data and logs in {d}", flush=True)
     s = Soak(
--- a/src/petrelhaven/drill/visitor.py
+++ b/src/petrelhaven/simulator/visitor.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..creed.fault import Fault, Late, Unreached
+from petrelhaven.runtime.errors import Fault, Late, Unreached
 
 __all__ = ["Visitor"]
 
--- a/src/petrelhaven/drill/world.py
+++ b/src/petrelhaven/simulator/world.py
@@ -4,16 +4,16 @@
 import json
 import random
 
-from ..creed.fault import Fault, MemberFault, Unreached, Unsent
-from ..feint.platform import PlatformLogic
-from ..feint.store import Store, Unanswered, _Stop
-from ..feint.usher import Usher
-from ..helm.core import Core
-from ..span.edge import Edge
-from ..span.wire import raise_first
-from .check import check
-from .net import Box, Net
-from .visitor import Visitor
+from petrelhaven.control.core import Core
+from petrelhaven.emulator.balancer import Usher
+from petrelhaven.emulator.platform import PlatformLogic
+from petrelhaven.emulator.store import Store, Unanswered, _Stop
+from petrelhaven.proxy.kept_edge import Edge
+from petrelhaven.proxy.pool.member_protocol import raise_first
+from petrelhaven.runtime.errors import Fault, MemberFault, Unreached, Unsent
+from petrelhaven.simulator.check import check
+from petrelhaven.simulator.net import Box, Net
+from petrelhaven.simulator.visitor import Visitor
 
 __all__ = ["SIZES", "World", "manifest"]
 
--- /dev/null
+++ b/src/petrelhaven/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Calls between processes: links, messages and HTTP."""
--- a/src/petrelhaven/creed/http.py
+++ b/src/petrelhaven/transport/http.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from .fault import Late, Unreached, Unsent, rebuild
+from petrelhaven.runtime.errors import Late, Unreached, Unsent, rebuild
 
 __all__ = ["fetch"]
 
--- a/src/petrelhaven/creed/face.py
+++ b/src/petrelhaven/transport/http_server.py
@@ -4,8 +4,8 @@
 
 from aiohttp import web
 
-from .event import emit
-from .fault import Fault, Malformed, Oversize
+from petrelhaven.runtime.errors import Fault, Malformed, Oversize
+from petrelhaven.runtime.events import emit
 
 __all__ = ["Face", "body_of"]
 
--- a/src/petrelhaven/creed/light.py
+++ b/src/petrelhaven/transport/light_http.py
@@ -5,8 +5,8 @@
 
 import h11
 
-from .event import emit
-from .fault import Fault, Late, Malformed, Oversize, Unreached, Unsent
+from petrelhaven.runtime.errors import Fault, Late, Malformed, Oversize, Unreached, Unsent
+from petrelhaven.runtime.events import emit
 
 __all__ = ["LightFace", "light_call"]
 
--- a/src/petrelhaven/creed/link.py
+++ b/src/petrelhaven/transport/link.py
@@ -4,9 +4,18 @@
 import itertools
 import struct
 
-from .contract import CALL, FAULT, RESULT, TELL, pack, unpack
-from .event import emit
-from .fault import Fault, Late, Malformed, Unreached, Unsent, Unspoken, Unversed, rebuild
+from petrelhaven.runtime.errors import (
+    Fault,
+    Late,
+    Malformed,
+    Unreached,
+    Unsent,
+    Unspoken,
+    Unversed,
+    rebuild,
+)
+from petrelhaven.runtime.events import emit
+from petrelhaven.transport.messages import CALL, FAULT, RESULT, TELL, pack, unpack
 
 __all__ = ["Channel", "Held", "Link"]
 
--- a/src/petrelhaven/creed/contract.py
+++ b/src/petrelhaven/transport/messages.py
@@ -6,7 +6,7 @@
 
 import fastavro
 
-from .fault import Malformed, Unspoken, Unversed
+from petrelhaven.runtime.errors import Malformed, Unspoken, Unversed
 
 __all__ = ["VERSION", "KINDS", "pack", "unpack"]
 
--- a/src/petrelhaven/creed/own.py
+++ b/src/petrelhaven/transport/own_interface.py
@@ -1,7 +1,7 @@
 """The product's own face beside another one of the machine's: served if it can be, and stopping nothing if it can't."""
 
-from .event import emit
-from .light import LightFace
+from petrelhaven.runtime.events import emit
+from petrelhaven.transport.light_http import LightFace
 
 __all__ = ["own_face"]
 
--- a/src/petrelhaven/creed/reach.py
+++ b/src/petrelhaven/transport/reach.py
@@ -1,6 +1,6 @@
 """Calls by name: straight where the link holds, else through a third node that sees both."""
 
-from .fault import Late, Unreached, Unsent
+from petrelhaven.runtime.errors import Late, Unreached, Unsent
 
 __all__ = ["Reach"]
 
@@ -31,7 +31,7 @@
                 return r
             except Unsent:
                 self._bad[name] = self.clock.now() + _BAD_US
-            except (Late, Unreached) as e:
+            except (Late, Unreached):
                 self._bad[name] = self.clock.now() + _BAD_US
                 if not again:
                     raise
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from petrelhaven.drill.fleet import Fleet
-from petrelhaven.drill.warp import WarpLoop, end_all
+from petrelhaven.simulator.fleet import Fleet
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
 pytest_plugins = ["known_red"]
 
--- a/tests/embargo_world.py
+++ b/tests/embargo_world.py
@@ -4,15 +4,15 @@
 import json
 import random
 
-from petrelhaven.creed.fault import Duplicate, Fault, Late, Unreached, Unsent
-from petrelhaven.drill.net import Box, Net
-from petrelhaven.drill.warp import WarpLoop, end_all
-from petrelhaven.helm.instant import spoken
-from petrelhaven.helm.seat import Seat
-from petrelhaven.span.ask import Ask, Reply
-from petrelhaven.span.gate import Gate
-from petrelhaven.span.strand import Strand
-from petrelhaven.span.tie import Tie
+from petrelhaven.control.embargo.instant import spoken
+from petrelhaven.control.seat import Seat
+from petrelhaven.proxy.core_connection import Tie
+from petrelhaven.proxy.held_edge import Gate
+from petrelhaven.proxy.pool.member_connection import Strand
+from petrelhaven.proxy.session.statement import Ask, Reply
+from petrelhaven.runtime.errors import Duplicate, Fault, Late, Unreached, Unsent
+from petrelhaven.simulator.net import Box, Net
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
 BASE = 1_780_000_000_000_000
 HALLS = "abc"
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1,26 +1,26 @@
 """The guards, each taken out alone: what the tests of test_never.py run against."""
 
-import petrelhaven.feint.usher as usher
-import petrelhaven.helm.chain as chain
-import petrelhaven.helm.desk as desk
-import petrelhaven.helm.duty as duty
-import petrelhaven.helm.memory as memory
-import petrelhaven.helm.plan as plan
-import petrelhaven.helm.reform as reform
-import petrelhaven.kith.probe as probe
-import petrelhaven.kith.roster as roster
-import petrelhaven.span.clock as clock
-import petrelhaven.span.control as control
-import petrelhaven.span.edge as edge
-import petrelhaven.span.keep as keep
-import petrelhaven.span.pool as pool
-import petrelhaven.span.read as read
-import petrelhaven.span.send as send
-import petrelhaven.span.slab as slab
-import petrelhaven.span.troop as troop
-import petrelhaven.span.vault as vault
-import petrelhaven.span.write as writes
-from petrelhaven.creed.fault import Late, Unreached
+import petrelhaven.control.consensus.chain as chain
+import petrelhaven.control.consensus.reform as reform
+import petrelhaven.control.failover.kept_duty as duty
+import petrelhaven.control.failover.plan as plan
+import petrelhaven.control.leases as desk
+import petrelhaven.control.storage.memory as memory
+import petrelhaven.emulator.balancer as usher
+import petrelhaven.membership.prober as probe
+import petrelhaven.membership.roster as roster
+import petrelhaven.proxy.control_client as control
+import petrelhaven.proxy.kept_edge as edge
+import petrelhaven.proxy.pool.kept_pool as pool
+import petrelhaven.proxy.reads.read as read
+import petrelhaven.proxy.reads.read_clock as clock
+import petrelhaven.proxy.routing.kept_group as troop
+import petrelhaven.proxy.routing.send as send
+import petrelhaven.proxy.routing.slab as slab
+import petrelhaven.proxy.routing.write as writes
+import petrelhaven.proxy.session.copies as vault
+import petrelhaven.proxy.session.keeper as keep
+from petrelhaven.runtime.errors import Late, Unreached
 
 
 def nothing_kept(mp):
@@ -152,7 +152,7 @@
 
 
 def share_at_once(mp):
-    from petrelhaven.helm.realm import Realm
+    from petrelhaven.control.state.kept_state import Realm
 
     mp.setattr(
         Realm,
@@ -330,7 +330,7 @@
 
 
 def amnesiac_votes(mp):
-    from petrelhaven.helm.vote import Voter
+    from petrelhaven.control.consensus.register import Voter
 
     mp.setattr(Voter, "_fits", lambda self, ids: True)
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -7,13 +7,13 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from petrelhaven.creed.contract import KINDS, TELL, pack
-from petrelhaven.creed.face import Face, body_of
-from petrelhaven.creed.fault import Fault, Invalid, Malformed, Unreached
-from petrelhaven.creed.tick import Clock, Nest
-from petrelhaven.drill.storm import inside
-from petrelhaven.helm.manifest import read
-from petrelhaven.span.wire import Wire
+from petrelhaven.control.configuration.manifest import read
+from petrelhaven.proxy.pool.member_protocol import Wire
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.errors import Fault, Invalid, Malformed, Unreached
+from petrelhaven.simulator.storm import inside
+from petrelhaven.transport.http_server import Face, body_of
+from petrelhaven.transport.messages import KINDS, TELL, pack
 
 LEAF = (
     st.none()
--- a/tests/test_band.py
+++ b/tests/test_band.py
@@ -8,13 +8,13 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from petrelhaven.creed.fault import Busy, Gone, MemberFault, Unreached, Unsent
-from petrelhaven.creed.tick import Clock, Nest
-from petrelhaven.drill.warp import WarpLoop, end_all
-from petrelhaven.helm.ledger import Ledger
-from petrelhaven.span.band import Band
-from petrelhaven.span.clock import Order
-from petrelhaven.span.strand import Strand
+from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.proxy.pool.member_connection import Strand
+from petrelhaven.proxy.reads.read_clock import Order
+from petrelhaven.proxy.routing.group import Band
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.errors import Busy, Gone, MemberFault, Unreached, Unsent
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
 DRAWN = settings(
     max_examples=150, phases=[Phase.generate], deadline=None, derandomize=True, database=None
--- a/tests/test_band_proof.py
+++ b/tests/test_band_proof.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from petrelhaven.creed.fault import Unreached
-from petrelhaven.creed.tick import Clock, Nest
-from petrelhaven.helm.ledger import Ledger
-from petrelhaven.span.band import Band
-from petrelhaven.span.clock import Order
+from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.proxy.reads.read_clock import Order
+from petrelhaven.proxy.routing.group import Band
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.errors import Unreached
 
 LOGS = {"m1": (1, 9), "m2": (1, 135), "m3": (1, 137)}
 
--- a/tests/test_boot_watch.py
+++ b/tests/test_boot_watch.py
@@ -14,11 +14,11 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from petrelhaven.creed.fault import Fault
-from petrelhaven.creed.http import fetch
-from petrelhaven.creed.tick import Clock
-from petrelhaven.drill.fleet import until as soon
-from petrelhaven.drill.warp import WarpLoop, end_all
+from petrelhaven.runtime.clock import Clock
+from petrelhaven.runtime.errors import Fault
+from petrelhaven.simulator.fleet import until as soon
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all
+from petrelhaven.transport.http import fetch
 
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT / "platform"))
@@ -272,7 +272,7 @@
             await s.cloud.start()
             for m in cores:
                 put(m, text(m).replace(here, there))
-            logs = [s.fleet.folder / m.name / "crux.log" for m in cores]
+            logs = [s.fleet.folder / m.name / "control.log" for m in cores]
             await until(lambda: all("fields=platform" in p.read_text() for p in logs), 10)
             old = s.primary()
             await old.crash()
@@ -298,7 +298,7 @@
             bounds=BOUNDS,
         )
         edge, core = f.machines["edge-a-1"], f.machines["core-a-1"]
-        right, file = f.settings, f.folder / "edge-a-1" / "verge.toml"
+        right, file = f.settings, f.folder / "edge-a-1" / "proxy.toml"
 
         def wrong(machine, role, first):
             t = right(machine, role, first)
@@ -322,7 +322,7 @@
             await soon(up, 10)
             await soon(ruling, 10)
             assert not await joined()
-            file.write_text(right(edge, "verge", False))
+            file.write_text(right(edge, "proxy", False))
             await soon(joined, 10)
             assert not f.own_ends()
         finally:
@@ -343,7 +343,7 @@
             net=20 + os.getpid() % 200,
             bounds=BOUNDS,
         )
-        core, log = f.machines["core-a-1"], f.folder / "core-a-1" / "crux.log"
+        core, log = f.machines["core-a-1"], f.folder / "core-a-1" / "control.log"
         with socket.socket() as taken:
             taken.bind((core.ip, 7581))
             taken.listen()
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from petrelhaven.drill.check import check
+from petrelhaven.simulator.check import check
 
 W = {
     "t": "write",
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -9,10 +9,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from petrelhaven.creed.fault import Unreached
-from petrelhaven.creed.tick import Clock, Nest
-from petrelhaven.drill.warp import WarpLoop, end_all
-from petrelhaven.span.clock import Order, ReadClock
+from petrelhaven.proxy.reads.read_clock import Order, ReadClock
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.errors import Unreached
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
 BOUNDS = SimpleNamespace(fetch_us=50_000, join_us=200_000, lanes=1)
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -3,10 +3,10 @@
 import re
 from pathlib import Path
 
-from petrelhaven.creed.event import EVENTS
-from petrelhaven.drill.measure import MEASURES
-from petrelhaven.drill.scene import SCENES
-from petrelhaven.helm.manifest import Bounds
+from petrelhaven.control.configuration.manifest import Bounds
+from petrelhaven.runtime.events import EVENTS
+from petrelhaven.simulator.measure import MEASURES
+from petrelhaven.simulator.scene import SCENES
 
 DOCS = Path(__file__).parent.parent / "docs"
 
@@ -29,7 +29,7 @@
     text = (DOCS / "proof.md").read_text()
     assert [s for s in SCENES if f"`{s}`" not in text] == []
     text = (DOCS / "measurements.md").read_text()
-    assert [m for m in MEASURES if f"`drill measure {m}`" not in text] == []
+    assert [m for m in MEASURES if f"`petrelhaven-sim measure {m}`" not in text] == []
 
 
 def test_no_line_of_code_is_over_120_columns_and_nothing_rests_on_wall_time():
--- a/tests/test_embargo_storm.py
+++ b/tests/test_embargo_storm.py
@@ -3,8 +3,8 @@
 import pytest
 from test_embargo_world import highest_time, own_clock
 
-from petrelhaven.drill.held import storm
-from petrelhaven.drill.held.embargo import EmbargoedFleet
+from petrelhaven.simulator.held import storm
+from petrelhaven.simulator.held.embargo import EmbargoedFleet
 
 
 @pytest.mark.parametrize("seed", range(8))
--- a/tests/test_embargo_system.py
+++ b/tests/test_embargo_system.py
@@ -1,4 +1,4 @@
-"""Embargoes over real processes in the stand-in estate: placed by tenet, kept through a failover and a core's end."""
+"""Embargoes over real processes in the stand-in estate: placed by an operator, kept through a failover."""
 
 import asyncio
 import json
@@ -15,7 +15,7 @@
 from estate.statement import Statement
 from test_estate_system import BOUNDS, built, led_by_another  # noqa: F401
 
-from petrelhaven.helm.instant import spoken
+from petrelhaven.control.embargo.instant import spoken
 
 pytestmark = pytest.mark.xdist_group("estate")
 
@@ -33,12 +33,12 @@
     return [f"{m.ip}:7581" for n, m in s.fleet.machines.items() if n.startswith("core")]
 
 
-async def tenet(s, *argv):
-    """(exit code, output) of one call of tenet."""
+async def petrelhavenctl(s, *argv):
+    """(exit code, output) of one call of petrelhavenctl."""
     p = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "petrelhaven.tenet",
+        "petrelhaven.commands.ctl",
         "--core",
         ",".join(faces(s)),
         "--by",
@@ -146,9 +146,9 @@
             "--until",
             spoken(until),
         )
-        rc, out = await tenet(s, *add)
+        rc, out = await petrelhavenctl(s, *add)
         assert rc == 0 and "in force" in out, out
-        rc, out = await tenet(s, *add)
+        rc, out = await petrelhavenctl(s, *add)
         assert rc == 1 and "stands already" in out, out
         fronts = [f[2] for f in s.fleet.fronts()]
         for t in ("opening secret", "draft-1 secret"):
@@ -180,18 +180,18 @@
             assert (
                 await ask(s, f, "u", "BEGIN", "PUT x y", "FETCH draft-1", "PUT x z", "COMMIT")
             ).code == ""
-        rc, out = await tenet(s, "embargo", "list")
+        rc, out = await petrelhavenctl(s, "embargo", "list")
         assert (
             rc == 0
             and "one (placed)" in out
             and "all-drafts (manifest)" in out
             and "time known" in out
         ), out
-        rc, out = await tenet(s, "embargo", "why", "--group", "svc0", "--thing", "draft-7")
+        rc, out = await petrelhavenctl(s, "embargo", "why", "--group", "svc0", "--thing", "draft-7")
         assert rc == 0 and "withheld by all-drafts" in out, out
-        rc, out = await tenet(s, "embargo", "lift", "one")
+        rc, out = await petrelhavenctl(s, "embargo", "lift", "one")
         assert rc == 0, out
-        rc, out = await tenet(
+        rc, out = await petrelhavenctl(
             s, "embargo", "add", "x", "--group", "nowhere", "--thing", "a", "--until", "soon"
         )
         assert rc == 1 and "until" in out, out
@@ -203,7 +203,7 @@
     async def go(s):
         assert (await s.configure(Embargo={"Services": ["svc1"]})).acked_at
         soon = spoken(now() + S)
-        rc, out = await tenet(
+        rc, out = await petrelhavenctl(
             s, "embargo", "add", "e", "--group", "svc1", "--prefix", "a", "--until", soon
         )
         assert rc == 0, out
--- a/tests/test_embargo_world.py
+++ b/tests/test_embargo_world.py
@@ -6,8 +6,8 @@
 import pytest
 from embargo_world import virtual
 
-from petrelhaven.creed.fault import Fault
-from petrelhaven.span.ask import Ask
+from petrelhaven.proxy.session.statement import Ask
+from petrelhaven.runtime.errors import Fault
 
 S = 1_000_000
 
@@ -168,7 +168,7 @@
 
 
 def no_lease(mp):
-    from petrelhaven.span import embargo
+    from petrelhaven.proxy import embargo
 
     real = embargo.EmbargoGate.turn
 
@@ -180,13 +180,13 @@
 
 
 def no_second_look(mp):
-    from petrelhaven.span import embargo
+    from petrelhaven.proxy import embargo
 
     mp.setattr(embargo.EmbargoGate, "passed", lambda self, v, a, group, reply: reply)
 
 
 def acknowledged_at_once(mp):
-    from petrelhaven.helm import desk
+    from petrelhaven.control import leases as desk
 
     async def in_force(self, seq, grace=0, horizon=0):
         return 0
@@ -195,7 +195,7 @@
 
 
 def own_clock(mp):
-    from petrelhaven.helm import truetime
+    from petrelhaven.control.embargo import agreed_time as truetime
 
     def interval(self):
         w = self.wall.now()
@@ -205,7 +205,7 @@
 
 
 def highest_time(mp):
-    from petrelhaven.span import embargo
+    from petrelhaven.proxy import embargo
 
     def lowest(self):
         got = self.interval()
@@ -215,7 +215,7 @@
 
 
 def middle_time(mp):
-    from petrelhaven.span import embargo
+    from petrelhaven.proxy import embargo
 
     def lowest(self):
         got = self.interval()
@@ -229,7 +229,7 @@
 
 
 def transactions_unseen(mp):
-    from petrelhaven.span import embargo
+    from petrelhaven.proxy import embargo
 
     real = embargo.EmbargoGate.refusal
     mp.setattr(
@@ -240,7 +240,7 @@
 
 
 def rules_at_the_start_only(mp):
-    from petrelhaven.span import embargo
+    from petrelhaven.proxy import embargo
 
     real = embargo.EmbargoGate.turn
     mp.setattr(
--- a/tests/test_embargoes.py
+++ b/tests/test_embargoes.py
@@ -16,17 +16,16 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
 
-from petrelhaven.creed.fault import Duplicate, Invalid, Oversize, Racing, Stale  # noqa: E402
-from petrelhaven.creed.wall import agreed  # noqa: E402
-from petrelhaven.drill.world import manifest  # noqa: E402
-from petrelhaven.helm.core import Core  # noqa: E402
-from petrelhaven.helm.embargoes import Table, of_manifest, placed, rules_of, told  # noqa: E402
-from petrelhaven.helm.instant import instant, spoken  # noqa: E402
-from petrelhaven.helm.ledger import Ledger  # noqa: E402
-from petrelhaven.helm.manifest import read  # noqa: E402
-from petrelhaven.span.ask import Ask  # noqa: E402
-
 from forms import label, manifest_of  # noqa: E402
+from petrelhaven.control.configuration.manifest import read  # noqa: E402
+from petrelhaven.control.core import Core  # noqa: E402
+from petrelhaven.control.embargo.instant import instant, spoken  # noqa: E402
+from petrelhaven.control.embargo.rules import Table, of_manifest, placed, rules_of, told  # noqa: E402
+from petrelhaven.control.state.ledger import Ledger  # noqa: E402
+from petrelhaven.proxy.session.statement import Ask  # noqa: E402
+from petrelhaven.runtime.errors import Duplicate, Invalid, Oversize, Racing, Stale  # noqa: E402
+from petrelhaven.runtime.wall_clock import agreed  # noqa: E402
+from petrelhaven.simulator.world import manifest  # noqa: E402
 
 DRAWN = settings(
     max_examples=300, phases=[Phase.generate], deadline=None, derandomize=True, database=None
@@ -395,9 +394,10 @@
 
 def test_while_off_nothing_of_it_is_loaded():
     code = (
-        "import sys, petrelhaven.helm.seat, petrelhaven.span.gate, petrelhaven.span.tie\n"
+        "import sys, petrelhaven.control.seat, petrelhaven.proxy.held_edge, petrelhaven.proxy.core_connection\n"
         "print([m for m in sys.modules if m.split('.')[0] in ('dateutil', 'sortedcontainers', 'zoneinfo')"
-        " or 'embargo' in m and not m.endswith('face') or m.endswith(('.wall', '.truetime', '.instant'))])"
+        " or 'embargo' in m and not m.endswith(('interface', 'control.embargo'))"
+        " or m.endswith(('.wall_clock', '.agreed_time', '.instant'))])"
     )
     out = subprocess.run(
         [sys.executable, "-c", code],
@@ -410,7 +410,7 @@
 
 def test_the_wall_clock_is_read_in_one_place():
     reads = re.compile(r"CLOCK_REALTIME|time\.time|datetime\.now|utcnow|localtime|gmtime")
-    assert [p.name for p in SRC.rglob("*.py") if reads.search(p.read_text())] == ["wall.py"]
+    assert [p.name for p in SRC.rglob("*.py") if reads.search(p.read_text())] == ["wall_clock.py"]
 
 
 def test_a_core_of_kept_sessions_takes_no_manifest_with_embargoes():
--- a/tests/test_gateface.py
+++ b/tests/test_gateface.py
@@ -8,15 +8,15 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from petrelhaven.creed.light import LightFace, _Request
-from petrelhaven.creed.link import Link
-from petrelhaven.creed.tick import Clock, Nest
-from petrelhaven.helm.ledger import Ledger
-from petrelhaven.helm.ledgerface import number
-from petrelhaven.rift import differences
-from petrelhaven.span.gate import Gate
-from petrelhaven.span.gateface import GateFace
-from petrelhaven.span.tie import Tie
+from petrelhaven.commands.diff import differences
+from petrelhaven.control.interface.documents import number
+from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.proxy.core_connection import Tie
+from petrelhaven.proxy.held_edge import Gate
+from petrelhaven.proxy.held_interface import GateFace
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.transport.light_http import LightFace, _Request
+from petrelhaven.transport.link import Link
 
 DRAWN = settings(
     max_examples=200,
--- a/tests/test_held_storm.py
+++ b/tests/test_held_storm.py
@@ -4,12 +4,19 @@
 
 import pytest
 
-from petrelhaven.creed.fault import Fault, Unreached
-from petrelhaven.drill.held.storm import inside, run, schedule, shrink
-from petrelhaven.drill.held.strand import SimulatedStrand
-from petrelhaven.helm import chain, desk, memory, warden
-from petrelhaven.span import band, clock, passage, strand, tie
-from petrelhaven.span.ask import Reply
+from petrelhaven.control import leases as desk
+from petrelhaven.control.consensus import chain
+from petrelhaven.control.failover import warden
+from petrelhaven.control.storage import memory
+from petrelhaven.proxy import core_connection as tie
+from petrelhaven.proxy.pool import member_connection as strand
+from petrelhaven.proxy.reads import read_clock as clock
+from petrelhaven.proxy.routing import group as band
+from petrelhaven.proxy.routing import statement_path as passage
+from petrelhaven.proxy.session.statement import Reply
+from petrelhaven.runtime.errors import Fault, Unreached
+from petrelhaven.simulator.held.storm import inside, run, schedule, shrink
+from petrelhaven.simulator.held.strand import SimulatedStrand
 
 
 @pytest.mark.parametrize("seed", [1, 4, 7, 12, 15, 33, 60, 87, 112])
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -2,9 +2,8 @@
 
 from pathlib import Path
 
-import pytest
-
 import known_red
+import pytest
 
 pytest_plugins = ["pytester"]
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -7,8 +7,8 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from petrelhaven.creed.fault import Duplicate, Invalid, Racing, Stale
-from petrelhaven.helm.ledger import Ledger
+from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.runtime.errors import Duplicate, Invalid, Racing, Stale
 
 DRAWN = settings(
     max_examples=200, phases=[Phase.generate], deadline=None, derandomize=True, database=None
--- a/tests/test_light.py
+++ b/tests/test_light.py
@@ -9,10 +9,10 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from petrelhaven.creed.fault import Fault, Late, NotReady, Stale, Unreached, Unsent
-from petrelhaven.creed.light import LightFace, light_call
-from petrelhaven.creed.tick import Clock
-from petrelhaven.drill.warp import WarpLoop, end_all
+from petrelhaven.runtime.clock import Clock
+from petrelhaven.runtime.errors import Fault, Late, NotReady, Stale, Unreached, Unsent
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all
+from petrelhaven.transport.light_http import LightFace, light_call
 
 DRAWN = settings(
     max_examples=120, phases=[Phase.generate], deadline=None, derandomize=True, database=None
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from petrelhaven.creed.fault import Duplicate, Fault, Invalid, Stale
-from petrelhaven.drill.world import manifest
-from petrelhaven.helm.manifest import read
-from petrelhaven.helm.realm import Realm
+from petrelhaven.control.configuration.manifest import read
+from petrelhaven.control.state.kept_state import Realm
+from petrelhaven.runtime.errors import Duplicate, Fault, Invalid, Stale
+from petrelhaven.simulator.world import manifest
 
 GOOD = json.loads(manifest("small"))
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from petrelhaven.drill.world import World
+from petrelhaven.simulator.world import World
 
 
 @pytest.mark.parametrize("size", ["small", "nordvik", "archivo"])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from petrelhaven.creed.fault import Fenced, NotReady
-from petrelhaven.creed.tick import Clock, Nest
-from petrelhaven.feint.platform import PlatformLogic
-from petrelhaven.feint.usher import Usher
+from petrelhaven.emulator.balancer import Usher
+from petrelhaven.emulator.platform import PlatformLogic
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.errors import Fenced, NotReady
 
 
 class LoopClock(Clock):
--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -25,7 +25,7 @@
 )
 EDGE = """
 NodeName = "edge-sthlm-hall-a-1"
-Role = "verge"
+Role = "commands.proxy"
 NodeClass = "edge"
 Serves = ["edge"]
 IpAddr = "10.1.0.42"
--- a/tests/test_platform_forms.py
+++ b/tests/test_platform_forms.py
@@ -10,12 +10,11 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
 
-from petrelhaven.creed.bound import NAME  # noqa: E402
-from petrelhaven.creed.fault import Fault, Invalid  # noqa: E402
-from petrelhaven.helm.ledger import Ledger  # noqa: E402
-from petrelhaven.helm.manifest import read  # noqa: E402
-
 from forms import announcement, label, manifest_of, origin_of, unlabel  # noqa: E402
+from petrelhaven.control.configuration.manifest import read  # noqa: E402
+from petrelhaven.control.state.ledger import Ledger  # noqa: E402
+from petrelhaven.runtime.errors import Fault, Invalid  # noqa: E402
+from petrelhaven.runtime.limits import NAME  # noqa: E402
 
 DRAWN = settings(
     max_examples=200, phases=[Phase.generate], deadline=None, derandomize=True, database=None
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -13,16 +13,15 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
 
-from petrelhaven.creed.fault import Busy, Fault, Gone, MemberFault, Unreached, Unsent  # noqa: E402
-from petrelhaven.creed.tick import Clock, Nest  # noqa: E402
-from petrelhaven.drill.warp import WarpLoop, end_all  # noqa: E402
-from petrelhaven.helm.ledger import Ledger  # noqa: E402
-from petrelhaven.span.ask import Ask, Reply  # noqa: E402
-from petrelhaven.span.gate import Gate  # noqa: E402
-from petrelhaven.span.strand import Strand  # noqa: E402
-
 from forms import label, manifest_of  # noqa: E402
 from lines import Front, LineStrand, LineWire  # noqa: E402
+from petrelhaven.control.state.ledger import Ledger  # noqa: E402
+from petrelhaven.proxy.held_edge import Gate  # noqa: E402
+from petrelhaven.proxy.pool.member_connection import Strand  # noqa: E402
+from petrelhaven.proxy.session.statement import Ask, Reply  # noqa: E402
+from petrelhaven.runtime.clock import Clock, Nest  # noqa: E402
+from petrelhaven.runtime.errors import Busy, Fault, Gone, MemberFault, Unreached, Unsent  # noqa: E402
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all  # noqa: E402
 from words import MOST  # noqa: E402
 
 DRAWN = settings(
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -9,8 +9,8 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
 
-from petrelhaven.creed.fault import Fault  # noqa: E402
-from petrelhaven.span.ask import Ask, Reply  # noqa: E402
+from petrelhaven.proxy.session.statement import Ask, Reply  # noqa: E402
+from petrelhaven.runtime.errors import Fault  # noqa: E402
 from words import CODES, WORDS, ask_line, ask_of, own_line, place, position, reply_lines, row_of  # noqa: E402
 
 DRAWN = settings(
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -11,13 +11,12 @@
 
 import pytest
 
-from petrelhaven.creed.contract import CALL, VERSION, pack
-from petrelhaven.creed.fault import Fault, NotReady, Unsent
-from petrelhaven.creed.http import fetch
-from petrelhaven.drill.fleet import until
-from petrelhaven.drill.soak import Soak
-from petrelhaven.drill.world import manifest
-
+from petrelhaven.runtime.errors import Fault, NotReady, Unsent
+from petrelhaven.simulator.fleet import until
+from petrelhaven.simulator.soak import Soak
+from petrelhaven.simulator.world import manifest
+from petrelhaven.transport.http import fetch
+from petrelhaven.transport.messages import CALL, VERSION, pack
 
 pytestmark = pytest.mark.xdist_group("programs")
 
@@ -134,24 +133,24 @@
         cs = ",".join(f.cores)
         p = tmp_path / "m.json"
         p.write_text(manifest("small", 2) + "\n\n")
-        rc, out, err = await tool("tenet", "--core", cs, "apply", str(p))
+        rc, out, err = await tool("commands.ctl", "--core", cs, "apply", str(p))
         assert rc == 0 and "version 2 is in force" in out
-        assert (await tool("tenet", "--core", cs, "show"))[1] == p.read_text()
-        assert (await tool("tenet", "--core", cs, "show", "--version", "1"))[1] == f.manifest
-        rc, _, err = await tool("tenet", "--core", cs, "apply", str(p))
+        assert (await tool("commands.ctl", "--core", cs, "show"))[1] == p.read_text()
+        assert (await tool("commands.ctl", "--core", cs, "show", "--version", "1"))[1] == f.manifest
+        rc, _, err = await tool("commands.ctl", "--core", cs, "apply", str(p))
         assert rc == 1 and "duplicate" in err
         p.write_text(manifest("small", 1))
-        rc, _, err = await tool("tenet", "--core", cs, "apply", str(p))
+        rc, _, err = await tool("commands.ctl", "--core", cs, "apply", str(p))
         assert rc == 1 and "stale" in err
         rc, _, err = await tool(
-            "tenet", "--core", cs, "apply", "-", stdin=b'{"name": "x", "colour": 1}'
+            "commands.ctl", "--core", cs, "apply", "-", stdin=b'{"name": "x", "colour": 1}'
         )
         assert rc == 1 and "colour: unknown field" in err and "groups: missing" in err
-        rc, out, _ = await tool("tenet", "--core", cs, "status")
+        rc, out, _ = await tool("commands.ctl", "--core", cs, "status")
         assert rc == 0 and "head" in out and "g1: epoch" in out
-        rc, out, _ = await tool("rift", f.procs["e1"].facts["http"], f.cores[2])
+        rc, out, _ = await tool("commands.diff", f.procs["e1"].facts["http"], f.cores[2])
         assert rc == 0 and "agree: manifest 2" in out, out
-        rc, out, _ = await tool("tenet", "--core", cs, "evacuate", "a")
+        rc, out, _ = await tool("commands.ctl", "--core", cs, "evacuate", "a")
         assert rc == 0 and "hall a is emptied" in out
 
         async def moved():
@@ -163,11 +162,11 @@
             )
 
         await f.until(moved, 10)
-        rc, out, _ = await tool("tenet", "--core", cs, "why", "g1")
+        rc, out, _ = await tool("commands.ctl", "--core", cs, "why", "g1")
         assert (
             rc == 0
             and "hall emptied"
-            in out + (await tool("tenet", "--core", cs, "why", "g1", "--epoch", "3"))[1]
+            in out + (await tool("commands.ctl", "--core", cs, "why", "g1", "--epoch", "3"))[1]
             and "replaced: epoch" in out
         )
         evs = await fetch(f.cores[1], "GET", "/events?after=0")
@@ -179,14 +178,14 @@
             "petrelhaven.edge",
         } <= {e["type"] for e in evs}
         assert all(e["specversion"] == "1.0" and e["source"] for e in evs)
-        assert (await tool("tenet", "--core", cs, "restore", "a"))[0] == 0
-        assert (await tool("tenet", "--core", cs, "restore", "a"))[0] == 1
+        assert (await tool("commands.ctl", "--core", cs, "restore", "a"))[0] == 0
+        assert (await tool("commands.ctl", "--core", cs, "restore", "a"))[0] == 1
         f.procs["e2"].poke(signal.SIGSTOP)
         p.write_text(manifest("small", 3))
-        assert (await tool("tenet", "--core", cs, "apply", str(p)))[0] == 0
+        assert (await tool("commands.ctl", "--core", cs, "apply", str(p)))[0] == 0
         f.procs["e2"].poke(signal.SIGCONT)
-        assert (await tool("rift", f.cores[0], "127.0.0.1:1"))[0] == 3
-        assert (await tool("tenet", "--core", "127.0.0.1:1", "show"))[0] == 3
+        assert (await tool("commands.diff", f.cores[0], "127.0.0.1:1"))[0] == 3
+        assert (await tool("commands.ctl", "--core", "127.0.0.1:1", "show"))[0] == 3
 
     fleet(go)
 
@@ -205,15 +204,24 @@
     s.write_text(
         'name = "e1"\nhall = "North!"\nseeds = ["127.0.0.1:1", "127.0.0.1:1"]\nhttp = "localhost:1"\ncolour = 3\n'
     )
-    rc, out, err = run("verge", "--settings", str(s))
+    rc, out, err = run("commands.proxy", "--settings", str(s))
     assert (rc, out) == (2, "") and all(
         w in err for w in ("hall:", "seeds:", "http:", "colour: unknown field")
     )
-    rc, out, err = run("crux", "--name", "c1", "--hall", "a", "--seeds", "127.0.0.1:99999")
+    rc, out, err = run(
+        "commands.control", "--name", "c1", "--hall", "a", "--seeds", "127.0.0.1:99999"
+    )
     assert (rc, out) == (2, "") and "data: missing" in err and "platform: missing" in err
-    rc, _, err = run("crux", "--nonsense")
+    rc, _, err = run("commands.control", "--nonsense")
     assert rc == 2 and "usage" in err
-    for prog in ("crux", "verge", "tenet", "rift", "feint.main", "drill.main"):
+    for prog in (
+        "commands.control",
+        "commands.proxy",
+        "commands.ctl",
+        "commands.diff",
+        "emulator.main",
+        "simulator.main",
+    ):
         rc, out, _ = run(prog, "--help")
         assert rc == 0 and "usage" in out
     full = [
@@ -227,7 +235,7 @@
         "127.0.0.1:9",
     ]
     p = subprocess.Popen(
-        [sys.executable, "-m", "petrelhaven.crux", "--name", "c1", *full],
+        [sys.executable, "-m", "petrelhaven.commands.control", "--name", "c1", *full],
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
@@ -238,7 +246,7 @@
     p.wait()
     s.write_text('name = "e9"\nhall = "a"\nseeds = ["127.0.0.1:1"]\n')
     q = subprocess.Popen(
-        [sys.executable, "-m", "petrelhaven.verge", "--settings", str(s)],
+        [sys.executable, "-m", "petrelhaven.commands.proxy", "--settings", str(s)],
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
         text=True,
@@ -251,7 +259,7 @@
     assert q.wait(20) == 0
     q.communicate()
     p.communicate()
-    rc, out, err = run("crux", "--name", "c2", *full)
+    rc, out, err = run("commands.control", "--name", "c2", *full)
     assert (rc, out) == (3, "") and "belongs to c1" in err
 
 
@@ -336,10 +344,10 @@
         put(text + "colour = 3\n")
         assert (await tool(prog, "--settings", str(s), "--check"))[0] == 2
 
-    asyncio.run(go("verge", good % "e9", good.replace(":2", ":3") % "e9", "seeds"))
-    asyncio.run(go("crux", core, core.replace(":9", ":8"), "platform"))
+    asyncio.run(go("commands.proxy", good % "e9", good.replace(":2", ":3") % "e9", "seeds"))
+    asyncio.run(go("commands.control", core, core.replace(":9", ":8"), "platform"))
     put(core.replace("c1", "c2"))
-    rc, out, err = asyncio.run(tool("crux", "--settings", str(s), "--check"))
+    rc, out, err = asyncio.run(tool("commands.control", "--settings", str(s), "--check"))
     assert (rc, out) == (3, "") and "belongs to c1" in err
 
 
@@ -349,25 +357,25 @@
         left = f.cores[2]
         m = tmp_path / "m.json"
         m.write_text(manifest("small", 2))
-        assert (await tool("tenet", "check", str(m)))[0] == 0
-        assert (await tool("tenet", "--core", ",".join(f.cores), "apply", str(m)))[0] == 0
+        assert (await tool("commands.ctl", "check", str(m)))[0] == 0
+        assert (await tool("commands.ctl", "--core", ",".join(f.cores), "apply", str(m)))[0] == 0
         was = (await f.head())["seq"]
         for n in ("c1", "c2"):
             await f.procs[n].end(signal.SIGKILL)
             shutil.rmtree(os.path.join(f.dir, n))
-        rc, out, err = await tool("tenet", "--core", left, "show", "--unconfirmed")
+        rc, out, err = await tool("commands.ctl", "--core", left, "show", "--unconfirmed")
         assert rc == 0 and out == m.read_text() and "NOT confirmed" in err
-        rc, out, err = await tool("tenet", "salvage", os.path.join(f.dir, "c3"))
+        rc, out, err = await tool("commands.ctl", "salvage", os.path.join(f.dir, "c3"))
         assert rc == 0 and out == m.read_text() and "NOT confirmed" in err
-        assert (await tool("tenet", "--core", left, "show"))[0] != 0
-        rc, _, err = await tool("tenet", "--core", left, "reform", "--lost", "c1,c2")
+        assert (await tool("commands.ctl", "--core", left, "show"))[0] != 0
+        rc, _, err = await tool("commands.ctl", "--core", left, "reform", "--lost", "c1,c2")
         assert rc in (1, 3) and "not-ready" in err
         for n in ("c1", "c2"):
             await f.again(n)
-        rc, _, err = await tool("tenet", "--core", left, "reform", "--lost", "c1,c9")
+        rc, _, err = await tool("commands.ctl", "--core", left, "reform", "--lost", "c1,c9")
         assert rc == 1 and "no core c9" in err
         rc, out, err = await tool(
-            "tenet", "--core", left, "--by", "op", "reform", "--lost", "c1,c2"
+            "commands.ctl", "--core", left, "--by", "op", "reform", "--lost", "c1,c2"
         )
         assert rc == 0 and "manifest 2" in out, err
         await f.served(12)
@@ -505,7 +513,7 @@
         await f.served(12)
         assert (await fetch(e1, "GET", "/status"))["sent"] == sent
         assert (await code(e1, "GET", "/ready"))[0] == 503
-        rc, out, _ = await tool("rift", e1, f.cores[1])
+        rc, out, _ = await tool("commands.diff", e1, f.cores[1])
         assert rc == 1 and "edges.e1" in out
         await f.cut(here + there, [])
 
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from petrelhaven.creed.disk import Folder
-from petrelhaven.creed.fault import Damaged, Misplaced
-from petrelhaven.drill.world import manifest
-from petrelhaven.helm.memory import Memory
-from petrelhaven.helm import ring
-from petrelhaven.helm.ring import Ring
+from petrelhaven.control.storage import ring
+from petrelhaven.control.storage.disk import Folder
+from petrelhaven.control.storage.memory import Memory
+from petrelhaven.control.storage.ring import Ring
+from petrelhaven.runtime.errors import Damaged, Misplaced
+from petrelhaven.simulator.world import manifest
 
 
 class Bytes:
--- a/tests/test_seatface.py
+++ b/tests/test_seatface.py
@@ -16,23 +16,23 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from petrelhaven import tenet
-from petrelhaven.creed.disk import Folder
-from petrelhaven.creed.fault import Fault, Gone, Invalid, Late, MemberFault, NoRoute, Unsent
-from petrelhaven.creed.http import fetch
-from petrelhaven.creed.light import LightFace, _Request
-from petrelhaven.creed.link import Link
-from petrelhaven.creed.tick import Clock, Nest
-from petrelhaven.drill.fleet import until as soon
-from petrelhaven.drill.world import manifest
-from petrelhaven.helm.blanks import BOUNDS, GROUP, ROUTE, fill
-from petrelhaven.helm.ledger import Ledger
-from petrelhaven.helm.ledgerface import why_of
-from petrelhaven.helm.manifest import Bounds, Group, Route
-from petrelhaven.helm.memberwire import MemberWire
-from petrelhaven.helm.relic import Relic
-from petrelhaven.helm.seat import Seat
-from petrelhaven.helm.seatface import SeatFace
+from petrelhaven.commands import ctl
+from petrelhaven.control.configuration.defaults import BOUNDS, GROUP, ROUTE, fill
+from petrelhaven.control.configuration.manifest import Bounds, Group, Route
+from petrelhaven.control.failover.member_protocol import MemberWire
+from petrelhaven.control.interface.documents import why_of
+from petrelhaven.control.interface.held_interface import SeatFace
+from petrelhaven.control.seat import Seat
+from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.control.storage.data_folder import Relic
+from petrelhaven.control.storage.disk import Folder
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.errors import Fault, Gone, Invalid, Late, MemberFault, NoRoute, Unsent
+from petrelhaven.simulator.fleet import until as soon
+from petrelhaven.simulator.world import manifest
+from petrelhaven.transport.http import fetch
+from petrelhaven.transport.light_http import LightFace, _Request
+from petrelhaven.transport.link import Link
 
 pytestmark = pytest.mark.xdist_group("faces")
 
@@ -107,9 +107,9 @@
 
 
 async def told(face, *argv):
-    """What `tenet` prints against the face."""
+    """What `petrelhavenctl` prints against the face."""
     out = []
-    await tenet._run(tenet._parser().parse_args(["--core", face.addr, *argv]), out.append)
+    await ctl._run(ctl._parser().parse_args(["--core", face.addr, *argv]), out.append)
     return "\n".join(out)
 
 
@@ -369,7 +369,7 @@
     d = why_of(led.doc, {"group": "g"})
     assert d == {"epoch": o, "replaced": None, "waiting": None, "kept": [3]}
     out = []
-    tenet._why(d, out.append)
+    ctl._why(d, out.append)
     assert out[0] == "office 3 (serve, primary m1 in term 2), decided by c1 as change ?"
 
 
@@ -475,7 +475,7 @@
             cores = [n for n in s.fleet.machines if n.startswith("core")]
             edges = [n for n in s.fleet.machines if n.startswith("edge")]
             cs = ",".join(own(s, n) for n in cores)
-            rc, text, err = await tool("tenet", "--core", cs, "show")
+            rc, text, err = await tool("commands.ctl", "--core", cs, "show")
             assert (
                 rc == 0
                 and json.loads(json.loads(text)["origin"])["Revision"]
@@ -485,29 +485,31 @@
             at.write_text(
                 json.dumps({**json.loads(text), "version": json.loads(text)["version"] + 1}) + "\n"
             )
-            rc, out, err = await tool("tenet", "--core", cs, "--by", "op", "apply", str(at))
+            rc, out, err = await tool("commands.ctl", "--core", cs, "--by", "op", "apply", str(at))
             assert rc == 0 and f"version {json.loads(text)['version'] + 1} is in force" in out, err
-            assert (await tool("tenet", "--core", cs, "show"))[1] == at.read_text()
-            assert (await tool("tenet", "--core", cs, "apply", str(at)))[0] == 1
+            assert (await tool("commands.ctl", "--core", cs, "show"))[1] == at.read_text()
+            assert (await tool("commands.ctl", "--core", cs, "apply", str(at)))[0] == 1
             rc, out, err = await tool(
-                "tenet", "--core", cs, "apply", "-", stdin=b'{"name": "x", "colour": 1}'
+                "commands.ctl", "--core", cs, "apply", "-", stdin=b'{"name": "x", "colour": 1}'
             )
             assert rc == 1 and "colour: unknown field" in err
-            rc, out, err = await tool("tenet", "--core", cs, "status")
+            rc, out, err = await tool("commands.ctl", "--core", cs, "status")
             assert (
                 rc == 0 and out.count("edges tied here") == 3 and "svc0: office 1 serve" in out
             ), err
-            rc, out, err = await tool("tenet", "--core", cs, "status", "--node", own(s, edges[0]))
+            rc, out, err = await tool(
+                "commands.ctl", "--core", cs, "status", "--node", own(s, edges[0])
+            )
             assert rc == 0 and json.loads(out)["ready"] is True, err
-            rc, out, err = await tool("tenet", "--core", cs, "why", "svc0")
+            rc, out, err = await tool("commands.ctl", "--core", cs, "why", "svc0")
             assert rc == 0 and "cause: announced as primary" in out, err
 
             async def agreed():
-                return (await tool("rift", own(s, cores[0]), own(s, edges[0])))[0] == 0
+                return (await tool("commands.diff", own(s, cores[0]), own(s, edges[0])))[0] == 0
 
             await soon(agreed, 20)
             old = s.primary()
-            rc, out, err = await tool("tenet", "--core", cs, "evacuate", old.zone)
+            rc, out, err = await tool("commands.ctl", "--core", cs, "evacuate", old.zone)
             assert rc == 0 and f"hall {old.zone} is emptied" in out, err
 
             async def moved():
@@ -516,16 +518,16 @@
                 return o and o["phase"] == "serve" and o["primary"] != old.id
 
             await soon(moved, 20)
-            rc, out, err = await tool("tenet", "--core", cs, "why", "svc0")
+            rc, out, err = await tool("commands.ctl", "--core", cs, "why", "svc0")
             assert rc == 0 and "replaced: office 2 (swap" in out, out + err
-            rc, out, err = await tool("tenet", "--core", cs, "why", "svc0", "--epoch", "2")
+            rc, out, err = await tool("commands.ctl", "--core", cs, "why", "svc0", "--epoch", "2")
             assert rc == 0 and f"cause: hall {old.zone} is emptied" in out, out + err
-            assert (await tool("tenet", "--core", cs, "restore", old.zone))[0] == 0
+            assert (await tool("commands.ctl", "--core", cs, "restore", old.zone))[0] == 0
             evs = await fetch(own(s, cores[1]), "GET", "/events?after=0")
             assert {e["type"] for e in evs} == {
                 f"petrelhaven.{t}" for t in ("manifest", "hall", "member", "office")
             }
-            assert (await tool("rift", own(s, cores[0]), "127.0.0.1:1"))[0] == 3
+            assert (await tool("commands.diff", own(s, cores[0]), "127.0.0.1:1"))[0] == 3
             assert s.fleet.own_ends() == {}
 
     asyncio.run(go())
@@ -551,18 +553,25 @@
             await s.fleet.power_on(left)
             rc, out, err = await soon(lambda: shown(s, left), 20)
             assert json.loads(json.loads(out)["origin"])["Revision"] < json.loads(want)["Revision"]
-            assert (await tool("tenet", "--core", own(s, left), "show"))[0] == 3
+            assert (await tool("commands.ctl", "--core", own(s, left), "show"))[0] == 3
             rc, _, err = await tool(
-                "tenet", "--core", own(s, left), "reform", "--lost", ",".join(lost)
+                "commands.ctl", "--core", own(s, left), "reform", "--lost", ",".join(lost)
             )
             assert rc in (1, 3) and "not-ready" in err
             await s.fleet.power_on(*lost)
             rc, _, err = await tool(
-                "tenet", "--core", own(s, left), "reform", "--lost", f"{lost[0]},c9"
+                "commands.ctl", "--core", own(s, left), "reform", "--lost", f"{lost[0]},c9"
             )
             assert rc == 1 and "no core c9" in err
             rc, out, err = await tool(
-                "tenet", "--core", own(s, left), "--by", "op", "reform", "--lost", ",".join(lost)
+                "commands.ctl",
+                "--core",
+                own(s, left),
+                "--by",
+                "op",
+                "reform",
+                "--lost",
+                ",".join(lost),
             )
             assert rc == 0 and "state taken from edge-" in out, err
             assert f"manifest {json.loads(want)['Revision']}," in out
@@ -575,14 +584,14 @@
             await s.play(3)
             v = await s.verdict()
             assert v.violations == [] and v.owed > 20 and v.share > 0.9, v
-            log = (tmp_path / "run" / left / "crux.log").read_text()
+            log = (tmp_path / "run" / left / "control.log").read_text()
             assert "E310" in log and f"lost={','.join(lost)}" in log
 
     asyncio.run(go())
 
 
 async def shown(s, name):
-    r = await tool("tenet", "--core", own(s, name), "show", "--unconfirmed")
+    r = await tool("commands.ctl", "--core", own(s, name), "show", "--unconfirmed")
     return r if r[0] == 0 else None
 
 
@@ -620,13 +629,13 @@
     assert got == [("a%20b", {"k": "2", "e": "", "p": "a+b c"}), ("bad", {})]
 
 
-async def crux(tmp_path, name, *argv):
-    """A `crux` process on free ports; it and its addresses."""
+async def start_control(tmp_path, name, *argv):
+    """A `petrelhaven-control` process on free ports; it and its addresses."""
     log = open(tmp_path / f"{name}.log", "ab")
     p = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "petrelhaven.crux",
+        "petrelhaven.commands.control",
         "--name",
         name,
         "--hall",
@@ -647,7 +656,7 @@
 
 def test_cores_run_the_held_path_without_the_users_platform(tmp_path):
     async def go():
-        ps = [await crux(tmp_path, f"c{i}", "--path", "held") for i in (1, 2, 3)]
+        ps = [await start_control(tmp_path, f"c{i}", "--path", "held") for i in (1, 2, 3)]
         try:
             https = []
             for p, _ in ps:
@@ -657,19 +666,21 @@
                 assert (await asyncio.wait_for(p.stdout.readline(), 20)).startswith(b"ready")
             cs = ",".join(https)
             rc, out, err = await tool(
-                "tenet", "--core", cs, "apply", "-", stdin=manifest("small", 1).encode()
+                "commands.ctl", "--core", cs, "apply", "-", stdin=manifest("small", 1).encode()
             )
             assert rc == 0 and "version 1 is in force (change 1" in out, err
 
             async def announced():
                 for h in https:
                     await fetch(h, "POST", "/announce", doc=member("m1", "primary"))
-                return "serve, primary m1" in (await tool("tenet", "--core", cs, "status"))[1]
+                return (
+                    "serve, primary m1" in (await tool("commands.ctl", "--core", cs, "status"))[1]
+                )
 
             await soon(announced, 20)
-            rc, out, err = await tool("tenet", "--core", cs, "why", "g1", "--epoch", "1")
+            rc, out, err = await tool("commands.ctl", "--core", cs, "why", "g1", "--epoch", "1")
             assert rc == 0 and "cause: announced as primary" in out, err
-            rc, out, _ = await tool("rift", *https[:2])
+            rc, out, _ = await tool("commands.diff", *https[:2])
             # nobody announces m1 any more, so its office may be on the move by now: all must agree on it then too
             assert rc == 0 and "agree: manifest 1" in out and re.search(r"g1 epoch \d", out), out
             for p, _ in ps:
@@ -680,11 +691,11 @@
                 if p.returncode is None:
                     p.kill()
                     await p.wait()
-        rc, out, err = await tool("tenet", "salvage", str(tmp_path / "c1"))
+        rc, out, err = await tool("commands.ctl", "salvage", str(tmp_path / "c1"))
         assert rc == 0 and out == manifest("small", 1) and "NOT confirmed" in err
         for path, want in (("held", 0), ("kept", 3)):
             rc, _, err = await tool(
-                "crux",
+                "commands.control",
                 "--name",
                 "c1",
                 "--hall",
@@ -701,7 +712,7 @@
             )
             assert rc == want and (not want or "of the path held, not kept" in err), err
         rc, _, err = await tool(
-            "crux",
+            "commands.control",
             "--name",
             "c1",
             "--hall",
@@ -717,7 +728,7 @@
             "--check",
         )
         assert rc == 2 and "path: must be held or kept" in err
-        assert (await tool("verge", "--path", "held"))[0] == 2
+        assert (await tool("commands.proxy", "--path", "held"))[0] == 2
 
     asyncio.run(go())
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,8 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from petrelhaven.drill.world import manifest
-from petrelhaven.helm.realm import Realm
+from petrelhaven.control.state.kept_state import Realm
+from petrelhaven.simulator.world import manifest
 
 CAP = 10
 PLANS = st.lists(
--- a/tests/test_stock.py
+++ b/tests/test_stock.py
@@ -6,11 +6,11 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from petrelhaven.creed.fault import Busy, Fault, Unsent
-from petrelhaven.creed.tick import Clock, Nest
-from petrelhaven.drill.warp import WarpLoop, end_all
-from petrelhaven.span.stock import Stock
-from petrelhaven.span.strand import Strand
+from petrelhaven.proxy.pool.connection_pool import Stock
+from petrelhaven.proxy.pool.member_connection import Strand
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.errors import Busy, Fault, Unsent
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
 DRAWN = settings(
     max_examples=300, phases=[Phase.generate], deadline=None, derandomize=True, database=None
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -1,12 +1,12 @@
-"""A fixed small set of storms; the same seed gives the same history. Sweeps of many seeds run by `drill sweep`."""
+"""A fixed small set of storms; the same seed gives the same history (`petrelhaven-sim sweep` runs more)."""
 
 import asyncio
 
 import pytest
 
-from petrelhaven.creed.fault import NoSession, Superseded
-from petrelhaven.drill.storm import inside, run
-from petrelhaven.span.session import Session
+from petrelhaven.proxy.session.kept_session import Session
+from petrelhaven.runtime.errors import NoSession, Superseded
+from petrelhaven.simulator.storm import inside, run
 
 
 @pytest.mark.parametrize(
--- a/tests/test_vote.py
+++ b/tests/test_vote.py
@@ -5,12 +5,12 @@
 
 import mutants
 import pytest
-
-from petrelhaven.creed.fault import Fault, Unsent
-from petrelhaven.helm.memory import Memory
-from petrelhaven.helm.vote import Proposer, Voter
 from test_ring import Bytes
 
+from petrelhaven.control.consensus.register import Proposer, Voter
+from petrelhaven.control.storage.memory import Memory
+from petrelhaven.runtime.errors import Fault, Unsent
+
 
 class Trio:
     """Three voters whose calls may be lost or arrive long after."""
--- a/tests/test_warden.py
+++ b/tests/test_warden.py
@@ -8,11 +8,11 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from petrelhaven.creed.fault import Fenced, Unreached, Unsent
-from petrelhaven.creed.tick import Clock, Nest
-from petrelhaven.drill.warp import WarpLoop, end_all
-from petrelhaven.helm.ledger import Ledger
-from petrelhaven.helm.warden import Warden
+from petrelhaven.control.failover.warden import Warden
+from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.errors import Fenced, Unreached, Unsent
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
 DRAWN = settings(
     max_examples=60, phases=[Phase.generate], deadline=None, derandomize=True, database=None
