An order is acknowledged for its own record, not for whatever took its number

Cause: a head that is cut off still numbers orders for up to confirm_us. Once it is back in the chain its numbers hold other records, and `Chain.enter`, which waited for a number alone (`until(seq)`), confirmed the order although its record had been replaced: acknowledged and lost. `Seat._enter` did the same for an order that was sent again.

Test seen to fail first: tests/test_orders.py (answer 'acknowledged', hall still open). The mutants that acknowledge at the head now take out `settled`, where the wait stands; both rules are still seen broken.

--- a/src/petrelhaven/control/consensus/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -94,8 +94,14 @@
             self._feeder = self.nest.spawn(self._feed(view, view["chain"][at + 1]))
         for f in self.on_view:
             f()
+        self._wake()
         self._settle()
 
+    def _wake(self):
+        """Lets whoever waits for a commit look again."""
+        moved, self._moved = self._moved, asyncio.Event()
+        moved.set()
+
     def _settle(self):
         if self.tail and self.complete:
             self._committed(self.realm.seq)
@@ -104,8 +110,7 @@
     def _committed(self, seq):
         if seq > self.commit:
             self.commit = seq
-            e, self._moved = self._moved, asyncio.Event()
-            e.set()
+            self._wake()
             for f in self.on_commit:
                 f()
 
@@ -114,6 +119,28 @@
         while self.commit < seq:
             await self._moved.wait()
 
+    def keeps(self, seq, view):
+        """Whether the record that this core holds as number `seq` is the one that was entered in `view`.
+
+        A number alone names no record: what a head entered and could not commit is replaced by another head's records.
+        """
+        if seq == self.realm.seq:
+            return self.mem.mark == view
+        return any(
+            number == seq and entered == view for number, entered, _ in reversed(self.mem.recs)
+        )
+
+    async def settled(self, seq, view):
+        """Waits until record `seq` of `view` is committed here; NotReady once it may have been replaced."""
+        while True:
+            if not self.keeps(seq, view):
+                raise NotReady("another record took the number; read back to see the outcome")
+            if self.commit >= seq:
+                return
+            if self._at() is None:
+                raise NotReady("not in the chain any more; read back to see the outcome")
+            await self._moved.wait()
+
     async def confirm(self):
         """Keeps asking the other cores whether this view is still theirs."""
         while True:
@@ -172,7 +199,7 @@
             self.mem.put_rec(seq, n, rec)
             self._news.set()
             self._settle()
-        await self.clock.limit(self.until(seq), horizon)
+        await self.clock.limit(self.settled(seq, n), horizon)
         while not self.active:
             if self.view["n"] != n and not self.head:
                 raise NotReady("the view changed; read back to see the outcome")
@@ -241,6 +268,7 @@
             if b["frame"] is not None:
                 if b["prev"] != self.realm.seq or b["mark"] != self.mem.mark:
                     self.mem.reset(b["frame"], b["mark"])
+                    self._wake()
             elif (b["prev"], b["mark"]) == (self.realm.seq, self.mem.mark):
                 for s, n, r in b["recs"]:
                     self.mem.put_rec(s, n, r)
--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -253,7 +253,7 @@
             return await super()._enter(ch, b)
         except (Duplicate, Stale) as e:
             seq = self.chain.realm.seq
-            await self.clock.limit(self.chain.until(seq), 5_000_000)
+            await self.clock.limit(self.chain.settled(seq, self.chain.mem.mark), 5_000_000)
             if not self.chain.active:
                 raise NotReady("not the active head any more") from None
             if b["force"] and isinstance(e, Duplicate):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -304,10 +304,10 @@
 
 
 def acked_by_the_head(mp):
-    async def until(self, seq):
+    async def settled(self, seq, view):
         return
 
-    mp.setattr(chain.Chain, "until", until)
+    mp.setattr(chain.Chain, "settled", settled)
 
 
 def reform_raises_nothing(mp):
--- a/tests/test_held_storm.py
+++ b/tests/test_held_storm.py
@@ -222,10 +222,10 @@
 
 
 def acked_by_the_head(mp):
-    async def until(self, seq):
+    async def settled(self, seq, view):
         return
 
-    mp.setattr(chain.Chain, "until", until)
+    mp.setattr(chain.Chain, "settled", settled)
 
 
 def nothing_synced(mp):
