Storage: a change is written and synced before it counts; a refusing disk leaves service

Cause: the core's memory changed first and its file afterwards, and the record number was raised before the write. One write that the disk refused left memory ahead of the disk and a gap in the numbers; the next start called the file damaged and began anew with another identity and nothing in it. Seen in the test of that course (a refused write, space again, four more records, a restart): damaged True, sequence 0, another identity.

Now: write, sync, then remember. A refused write (also a short one, or a sync that failed) raises the new fault disk-refused and changes neither state nor place; a retry writes the last record anew and zeroes what was left behind it. A start writes its last record anew too, since a process may have died before the sync. A bad record is damage only where a later one proves that it had been synced. A turn to the next file, a first start and a start from nothing are decided by one write, the lead; once a turn has begun nothing more goes to the file before. Damaged files are copied aside before a core starts anew and dropped once it has been fed as much as they hold. A refusing core neither votes nor holds nor confirms; it tells the others, who leave it out of the next view and let it in again (disk.turned, E316 to E319).

Folders written before load as they are.

Ruled out: renaming damaged files (names may be kept or lost one by one, an older lap could come up as the newest); a new field in view.ask (another version of the whole protocol).

--- a/src/petrelhaven/commands/control.py
+++ b/src/petrelhaven/commands/control.py
@@ -10,9 +10,9 @@
 from petrelhaven.control.interface.kept_interface import CoreFace, Platform
 from petrelhaven.control.seat import Seat
 from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.control.storage.core_store import CoreStore
 from petrelhaven.control.storage.data_folder import Relic
 from petrelhaven.control.storage.disk import Folder
-from petrelhaven.control.storage.memory import Memory
 from petrelhaven.proxy.pool.member_protocol import Wire
 from petrelhaven.runtime.daemon import Daemon
 from petrelhaven.runtime.errors import Damaged, Misplaced
@@ -84,7 +84,7 @@
         except Damaged:
             pass  # the core comes back as an empty one
         f = Folder(self.set.data)
-        Memory(
+        CoreStore(
             f,
             self.set.name,
             random.SystemRandom(),
--- a/src/petrelhaven/commands/ctl.py
+++ b/src/petrelhaven/commands/ctl.py
@@ -7,7 +7,7 @@
 
 from petrelhaven.commands import embargo as embargo_command
 from petrelhaven.control.configuration.manifest import read
-from petrelhaven.control.storage.data_folder import Relic
+from petrelhaven.control.storage.data_folder import salvage
 from petrelhaven.runtime.errors import Fault, Late, Malformed, NoRoute, Unreached, Unsent
 from petrelhaven.transport.http import fetch
 
@@ -116,7 +116,7 @@
         )
         return
     if a.verb == "salvage":
-        r = Relic(a.folder)
+        r = salvage(a.folder)
         if r.realm.doc["manifest"] is None:
             raise NoRoute(f"{a.folder} holds no manifest")
         print(f"{_UNSURE} (folder of {r.name}, change {r.realm.seq})", file=sys.stderr)
--- a/src/petrelhaven/control/consensus/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from petrelhaven.runtime.errors import Deposed, Fault, Late, NotHead, NotReady
+from petrelhaven.runtime.errors import Deposed, DiskRefused, Fault, Late, NotHead, NotReady
 from petrelhaven.runtime.events import emit
 
 __all__ = ["Chain", "CONFIRM_US", "DRIFT"]
@@ -61,7 +61,12 @@
 
     @property
     def complete(self):
-        return self.view is not None and self.mem.done == self.view["n"] and self._at() is not None
+        return (
+            self.view is not None
+            and self.mem.done == self.view["n"]
+            and self._at() is not None
+            and not self.mem.refuses
+        )
 
     @property
     def ruling(self):
@@ -77,9 +82,14 @@
         """Takes a decided view if it is newer."""
         if view is None or self.view and view["n"] <= self.view["n"]:
             return
-        self.view = view
         newer = not self.mem.vote["value"] or self.mem.vote["value"]["n"] < view["n"]
-        self.mem.put_vote(ids=view["ids"], **({"value": view} if newer else {}))
+        heads = view["chain"][0] == self.me and view["ids"].get(self.me) == self.mem.disk
+        self.mem.put_vote(
+            done=view["n"] if heads else None,
+            ids=view["ids"],
+            **({"value": view} if newer else {}),
+        )
+        self.view = view
         self.confirmed = 0
         self.adopted = self.clock.now()
         self.active_at = self.clock.now() + int(self.confirm_us * DRIFT)
@@ -88,8 +98,6 @@
             self._feeder.cancel()
             self._feeder = None
         at = self._at()
-        if at == 0:
-            self.mem.put_done(view["n"])
         if at is not None and at + 1 < len(view["chain"]):
             self._feeder = self.nest.spawn(self._feed(view, view["chain"][at + 1]))
         for f in self.on_view:
@@ -155,7 +163,12 @@
         """Answers another core's view.confirm: no, once a newer view was accepted here."""
         v = self.mem.vote["value"]
         self.tied_at[b["name"]] = (self.clock.now(), b["tied"])
-        ok = bool(v and v["n"] == b["n"] and v["ids"].get(self.me) == self.mem.disk)
+        ok = bool(
+            v
+            and v["n"] == b["n"]
+            and v["ids"].get(self.me) == self.mem.disk
+            and not self.mem.refuses
+        )
         return {"ok": ok, "view": self.view if self.view and self.view["n"] > b["n"] else None}
 
     async def enter(self, rec, horizon=8_000_000):
@@ -174,7 +187,7 @@
             self._settle()
         await self.clock.limit(self.until(seq), horizon)
         while not self.active:
-            if self.view["n"] != n and not self.head:
+            if self.mem.refuses or self.view["n"] != n and not self.head:
                 raise NotReady("the view changed; read back to see the outcome")
             await self.clock.sleep(30_000)
         what = ("name", "group", "hall", "state", "role") if rec["t"] == "member" else ()
@@ -237,6 +250,8 @@
         v = self.view
         if v is None or v["n"] != b["view"] or not self._at():
             raise Deposed(f"view {v['n'] if v else 0}")
+        if self.mem.refuses:
+            raise DiskRefused("the disk of this core refuses writes")
         if b["prev"] >= 0:
             if b["frame"] is not None:
                 if b["prev"] != self.realm.seq or b["mark"] != self.mem.mark:
--- a/src/petrelhaven/control/core.py
+++ b/src/petrelhaven/control/core.py
@@ -7,10 +7,11 @@
 
 from petrelhaven.control.configuration.manifest import read
 from petrelhaven.control.consensus.chain import Chain
+from petrelhaven.control.consensus.disk_watch import DiskWatch
 from petrelhaven.control.consensus.reform import Reform
 from petrelhaven.control.consensus.register import Proposer, Voter
 from petrelhaven.control.leases import Desk
-from petrelhaven.control.storage.memory import Memory
+from petrelhaven.control.storage.core_store import CoreStore
 from petrelhaven.membership.prober import Prober
 from petrelhaven.membership.roster import Roster
 from petrelhaven.runtime.errors import Duplicate, Fault, Invalid, Malformed, NotReady
@@ -47,7 +48,7 @@
     def __init__(self, name, hall, seeds, clock, nest, link, disk, rng, platform, log=None):
         self.name, self.hall, self.seeds = name, hall, seeds
         self.clock, self.nest, self.link, self.rng, self.log = clock, nest, link, rng, log
-        self.mem = Memory(disk, name, rng, log, state=self.state_of)
+        self.mem = CoreStore(disk, name, rng, log, state=self.state_of)
         self.roster = Roster(clock, (name, "core", hall, link.addr, 0), log, self.suspect_us)
         self.reach = Reach(clock, link, self.roster, rng)
         self.prober = Prober(clock, link, nest, rng, self.roster, seeds, self.probe_us)
@@ -56,6 +57,7 @@
         self.duty = self.make_duty(platform)
         self.voter = Voter(self.mem)
         self._ask = Proposer(self.mem, self.call)
+        self.disk_watch = DiskWatch(self)
         self._infos = {}
         self.settings = dict
         self._alone = clock.now()
@@ -78,6 +80,7 @@
             "view.learn": self._learn,
             "view.confirm": self.chain.confirmed_by,
             "chain.append": self.chain.append,
+            "disk.turned": self.disk_watch.heard,
             "chain.enter": self._enter,
             "chain.read": self._read,
             "chain.force": self.desk.force,
@@ -113,6 +116,7 @@
         emit(self.log, 101, name=self.name, hall=self.hall, addr=self.link.addr, disk=self.mem.disk)
         for co in (self.prober.run(), self.chain.confirm(), self._mend(), self.duty.run()):
             self.nest.spawn(co)
+        self.disk_watch.start()
 
     async def call(self, name, kind, body, us):
         """Calls another core (or this one) by name."""
@@ -135,6 +139,7 @@
 
     async def _told(self, ch, b):
         m = self.mem
+        m.expect_identity()
         return {
             "name": self.name,
             "disk": m.disk,
@@ -153,6 +158,8 @@
             await self.rest()
             for a in self.others():
                 self.nest.spawn(self._info(a))
+            if self.mem.refuses:
+                continue
             try:
                 await self._consider()
             except Fault as e:
@@ -237,6 +244,9 @@
             return await self._finish(newest)
         await self._mend_view(v, infos)
 
+    def wake(self):
+        """Has the other cores looked at soon."""
+
     def _there(self, n):
         return n == self.name or self.roster.state(n) in ("alive", "suspect")
 
@@ -244,11 +254,20 @@
         keep = [
             n
             for n in v["chain"]
-            if self._there(n) and (n not in infos or infos[n]["disk"] == v["ids"][n])
+            if self._there(n)
+            and self.disk_watch.takes_writes(n)
+            and (n not in infos or infos[n]["disk"] == v["ids"][n])
         ]
         if not keep or keep[0] != self.name or not self.chain.complete:
             return
-        join = [n for n in sorted(infos) if n not in keep and self._there(n) and n in v["ids"]]
+        join = [
+            n
+            for n in sorted(infos)
+            if n not in keep
+            and self._there(n)
+            and n in v["ids"]
+            and self.disk_watch.takes_writes(n)
+        ]
         chain = keep + join
         ids = {**v["ids"], **{n: infos[n]["disk"] for n in join}}
         if chain == v["chain"] and ids == v["ids"]:
--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -132,6 +132,10 @@
         except Late:
             pass
 
+    def wake(self):
+        """Ends the rest between two looks at the other cores."""
+        self._news.set()
+
     def _there(self, n):
         """A core that this one has not met since its start may be starting too."""
         young = self.clock.now() - self._born < _YOUNG_US
@@ -173,7 +177,13 @@
                 self._gone_at.pop(n, None)
             else:
                 self._gone_at.setdefault(n, now)
-        new = [n for n in sorted(infos) if n not in v["ids"] and self.roster.state(n) == "alive"]
+        new = [
+            n
+            for n in sorted(infos)
+            if n not in v["ids"]
+            and self.roster.state(n) == "alive"
+            and self.disk_watch.takes_writes(n)
+        ]
         if not new or not self.chain.active:
             return
         ids = dict(v["ids"])
--- /dev/null
+++ b/src/petrelhaven/control/storage/core_store.py
@@ -0,0 +1,271 @@
+"""What a core remembers across a restart: its identity, its vote, its place in the chain, the control state."""
+
+import contextlib
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+from petrelhaven.control.storage.documents import (
+    ChainRecord,
+    Entry,
+    HandedOver,
+    Reset,
+    StateFrame,
+    Vote,
+    from_document,
+    no_vote,
+    to_document,
+)
+from petrelhaven.control.storage.record_log import FILE_SIZE, Disk, RecordLog
+from petrelhaven.control.storage.set_aside import SetAside
+from petrelhaven.runtime.errors import Damaged, DiskRefused, Misplaced
+from petrelhaven.runtime.events import emit
+
+__all__ = ["CoreStore", "replayed"]
+
+_LEAST_RECORDS = 400
+_MOST_TEXT_BYTES = 2 << 20
+_SIZE_STEPS = 8
+_SIZE_STEP = 16 << 10
+
+
+def _file_size(name: str) -> int:
+    """Cores differ in the size of their files, so that they don't all turn them at the same record."""
+    return FILE_SIZE - zlib.crc32(name.encode()) % _SIZE_STEPS * _SIZE_STEP
+
+
+def _default_state(document: dict | None = None) -> Any:  # noqa: ANN401
+    from petrelhaven.control.state.kept_state import Realm
+
+    return Realm(document)
+
+
+def replayed(documents: list[dict], state: Callable[..., Any]) -> Any:  # noqa: ANN401
+    """The control state that `documents` add up to; None if there are none."""
+    realm = None
+    for entry in map(from_document, documents):
+        if isinstance(entry, StateFrame | Reset):
+            realm = state(entry.realm)
+        elif isinstance(entry, ChainRecord):
+            realm.apply(entry.seq, entry.record)
+    return realm
+
+
+class CoreStore:
+    """Every change is written and synced first, and remembered only if that succeeded.
+
+    A change that the disk refuses raises `DiskRefused` and leaves everything as it was; from then on `refuses` is
+    True, until a later change or `recover` has succeeded. A core that refuses takes part in nothing.
+    """
+
+    def __init__(  # noqa: PLR0913
+        self,
+        disk: Disk,
+        name: str,
+        rng: Any,  # noqa: ANN401
+        log: Any = None,  # noqa: ANN401
+        keep: bool = False,
+        state: Callable[..., Any] | None = None,
+    ) -> None:
+        self.name, self.log = name, log
+        self._rng, self._any_name = rng, keep
+        self._state = state or _default_state
+        self._log = RecordLog(disk, size=_file_size(name))
+        self._aside = SetAside(disk)
+        self.damaged = self.refuses = self._unborn = self._said = False
+        self.on_turn: list[Callable[[], None]] = []
+        self._clear()
+        if not self._load():
+            self._unborn = True
+            self._draw()
+        self._start()
+
+    def _load(self) -> bool:
+        """Reads the log; False if there is nothing to go on from."""
+        try:
+            documents = self._log.load()
+        except Damaged as damage:
+            emit(self.log, 303, note=damage.note)
+            self.damaged = True
+            return False
+        for document in documents:
+            self._replay(from_document(document))
+        if documents:
+            emit(self.log, 309, seq=self.realm.seq, torn=self._log.torn)
+        return bool(documents)
+
+    def _start(self) -> None:
+        self.refuses = True
+        with contextlib.suppress(DiskRefused):
+            self.recover()
+
+    def recover(self) -> None:
+        """Tries whether the disk takes writes; does nothing unless an earlier one was refused."""
+        if not self.refuses:
+            return
+        if self._unborn:
+            self._guarded(lambda: self._begin(self._frame()))
+        else:
+            self._guarded(lambda: self._log.confirm(self._frame_document))
+
+    def _begin(self, frame: StateFrame) -> None:
+        """Writes the first frame of an identity; what a damaged log still holds is copied first."""
+        if self.damaged:
+            self._set_aside()
+        self._log.begin(to_document(frame))
+        self._unborn = False
+
+    def _set_aside(self) -> None:
+        try:
+            self._aside.keep()
+        except OSError as error:
+            raise DiskRefused(f"copies of the damaged files: {error.strerror}") from error
+        emit(self.log, 318, name=self.name)
+
+    def _clear(self) -> None:
+        self.disk = ""
+        self.vote: dict = no_vote()
+        self.done = 0
+        self._forget_state(self._state(), 0)
+
+    def _forget_state(self, realm: Any, mark: int) -> None:  # noqa: ANN401
+        self.realm, self.mark = realm, mark
+        self.recs: list[list] = []
+        self._text_bytes = 0
+
+    def _draw(self) -> None:
+        self.disk = "%016x" % self._rng.getrandbits(64)
+
+    def wipe(self) -> None:
+        """Forgets everything; the core goes on as an empty one with another disk identity."""
+        disk = "%016x" % self._rng.getrandbits(64)
+        empty = StateFrame(disk, self.name, no_vote(), 0, self._state().frame(), 0)
+        self._guarded(lambda: self._log.begin(to_document(empty)))
+        self._clear()
+        self.disk = disk
+
+    def expect_identity(self) -> None:
+        """Raises DiskRefused while the identity of this core has not been written yet."""
+        if self._unborn:
+            raise DiskRefused("the identity of this core is not written yet")
+
+    @property
+    def fresh(self) -> bool:
+        """True while this core has neither voted nor held anything."""
+        return self.vote["value"] is None and self.realm.seq == 0
+
+    def _frame(self) -> StateFrame:
+        return StateFrame(self.disk, self.name, self.vote, self.done, self.realm.frame(), self.mark)
+
+    def _frame_document(self) -> dict:
+        return to_document(self._frame())
+
+    def _keep(self, entry: Entry) -> None:
+        """Writes an entry; only then may the caller remember it."""
+        if self._unborn:
+            self.recover()
+        self._guarded(lambda: self._log.append(to_document(entry), self._frame_document))
+
+    def _guarded(self, write: Callable[[], None]) -> None:
+        try:
+            write()
+        except DiskRefused as refusal:
+            self._turn(True, refusal.note)
+            raise
+        self._turn(False)
+
+    def _turn(self, refuses: bool, note: str = "") -> None:
+        self.refuses = refuses
+        if self._said == refuses:
+            return
+        self._said = refuses
+        if refuses:
+            emit(self.log, 316, note=note)
+        else:
+            emit(self.log, 317, disk=self.disk)
+        for listener in self.on_turn:
+            listener()
+
+    def _replay(self, entry: Entry | None) -> None:
+        match entry:
+            case StateFrame(disk, name, vote, done, realm, mark):
+                if self._any_name:
+                    self.name = name
+                elif name != self.name:
+                    raise Misplaced(f"the data folder belongs to {name}, not {self.name}")
+                self.disk, self.vote, self.done = disk, vote, done
+                self._forget_state(self._state(realm), mark)
+            case Vote(vote, done):
+                self.vote = vote
+                self.done = self.done if done is None else done
+            case HandedOver(view):
+                self.done = view
+            case ChainRecord(seq, view, record):
+                self._take(seq, view, record)
+            case Reset(realm, mark):
+                self._forget_state(self._state(realm), mark)
+
+    def _take(self, seq: int, view: int, record: dict) -> None:
+        self.realm.apply(seq, record)
+        self.recs.append([seq, view, record])
+        self.mark = view
+        self._text_bytes += len(record.get("text", ""))
+        if len(self.recs) > 2 * _LEAST_RECORDS:
+            self._trim(len(self.recs) - _LEAST_RECORDS)
+        while self._text_bytes > _MOST_TEXT_BYTES and len(self.recs) > 2:  # noqa: PLR2004
+            self._trim(len(self.recs) // 2)
+
+    def _trim(self, count: int) -> None:
+        self._text_bytes -= sum(len(record.get("text", "")) for _, _, record in self.recs[:count])
+        del self.recs[:count]
+
+    def put_vote(self, done: int | None = None, **changes: Any) -> None:  # noqa: ANN401
+        """Remembers a promise or an accepted view; with `done`, also that everything of view `done` is held here."""
+        vote = {**self.vote, **changes}
+        self._keep(Vote(vote, done))
+        self.vote = vote
+        if done is not None:
+            self.done = done
+
+    def put_done(self, view: int) -> None:
+        """Remembers that everything of `view` was handed over to this core."""
+        if self.done != view:
+            self._keep(HandedOver(view))
+            self.done = view
+        if self._aside.present:
+            self._release_aside()
+
+    def _release_aside(self) -> None:
+        """Drops the copies of damaged files once this core has been fed at least what they hold."""
+        try:
+            held = replayed(self._aside.documents(), self._state)
+            if held is not None and self.realm.seq < held.seq:
+                return
+            self._aside.drop()
+        except OSError:
+            return
+        emit(self.log, 319, seq=held.seq if held else 0)
+
+    def put_rec(self, seq: int, view: int, record: dict) -> None:
+        """Adds a numbered record."""
+        if seq != self.realm.seq + 1:
+            raise AssertionError(f"record {seq} does not follow {self.realm.seq}")
+        self._keep(ChainRecord(seq, view, record))
+        self._take(seq, view, record)
+
+    def reset(self, realm: dict, mark: int) -> None:
+        """Replaces the control state by another core's frame."""
+        state = self._state(realm)
+        self._keep(Reset(realm, mark))
+        self._forget_state(state, mark)
+
+    def since(self, seq: int, mark: int | None = None) -> list[list] | None:
+        """Records after `seq`, or None if they are no longer kept (or `mark` does not fit)."""
+        if seq == self.realm.seq:
+            return [] if mark in (None, self.mark) else None
+        if seq == 0 and self.recs and self.recs[0][0] == 1:
+            return list(self.recs)
+        for i, (s, v, _) in enumerate(self.recs):
+            if s == seq:
+                return self.recs[i + 1 :] if mark in (None, v) else None
+        return None
--- a/src/petrelhaven/control/storage/data_folder.py
+++ b/src/petrelhaven/control/storage/data_folder.py
@@ -1,49 +1,85 @@
 """What a core's data folder holds, read without changing it: for checks and after a loss."""
 
 import os
+from dataclasses import dataclass
+from typing import Any
 
 from petrelhaven.control.state.kept_state import Realm
 from petrelhaven.control.state.ledger import Ledger
-from petrelhaven.control.storage.memory import Memory
+from petrelhaven.control.storage.core_store import CoreStore, replayed
+from petrelhaven.control.storage.documents import StateFrame, from_document
+from petrelhaven.control.storage.record_log import log_file_names, readable_documents
+from petrelhaven.control.storage.set_aside import SetAside
 from petrelhaven.runtime.errors import Damaged
 
-__all__ = ["Relic"]
+__all__ = ["Relic", "Salvage", "salvage"]
 
 
-class _Still:
-    """A folder that is only read; what would be written is kept in memory."""
+class _ReadOnly:
+    """A folder that is only read; what would be written is dropped."""
 
-    def __init__(self, path):
+    def __init__(self, path: str) -> None:
         self._path = path
 
-    def read(self, name):
+    def read(self, name: str) -> bytes:
         """All bytes of `name`; empty if there is none."""
         try:
-            with open(os.path.join(self._path, name), "rb") as h:
-                return h.read()
+            with open(os.path.join(self._path, name), "rb") as file:
+                return file.read()
         except FileNotFoundError:
             return b""
 
-    def write(self, name, off, data):
+    def write(self, name: str, offset: int, data: bytes) -> None:
         """Writes nothing."""
 
+    def remove(self, name: str) -> None:
+        """Removes nothing."""
+
 
 class Relic:
     """Name, disk identity and control state of a folder; `name` is None for an empty one."""
 
-    def __init__(self, path):
-        m = Memory(_Still(path), "", _NoChance(), keep=True, state=_state)
-        if m.damaged:
+    def __init__(self, path: str) -> None:
+        store = CoreStore(_ReadOnly(path), "", _NoChance(), keep=True, state=_state)
+        if store.damaged:
             raise Damaged(f"{path}: the ring is damaged")
-        self.name, self.disk, self.realm = m.name or None, m.disk, m.realm
+        self.name, self.disk, self.realm = store.name or None, store.disk, store.realm
+
+
+@dataclass(frozen=True, slots=True)
+class Salvage:
+    """The newest control state that can still be read of a folder, damaged or not."""
+
+    name: str
+    realm: Any
+
+
+def salvage(path: str) -> Salvage:
+    """Reads the log's files and the copies that were set aside, up to the first damage in each."""
+    disk = _ReadOnly(path)
+    log_files = [disk.read(name) for name in log_file_names()]
+    found = [_salvaged(readable_documents(log_files)), _salvaged(SetAside(disk).documents())]
+    readable = [state for state in found if state is not None]
+    if not readable:
+        raise Damaged(f"{path}: nothing in it can be read")
+    return max(readable, key=lambda state: state.realm.seq)
+
+
+def _salvaged(documents: list[dict]) -> Salvage | None:
+    if not documents:
+        return None
+    first = from_document(documents[0])
+    if not isinstance(first, StateFrame):
+        return None
+    return Salvage(first.name, replayed(documents, _state))
 
 
-def _state(doc=None):
-    return Ledger(doc) if doc and "offices" in doc else Realm(doc)
+def _state(document: dict | None = None) -> Ledger | Realm:
+    return Ledger(document) if document and "offices" in document else Realm(document)
 
 
 class _NoChance:
     @staticmethod
-    def getrandbits(n):
+    def getrandbits(count: int) -> int:
         """No identity is drawn for a folder that is only looked at."""
         return 0
--- /dev/null
+++ b/src/petrelhaven/control/storage/documents.py
@@ -0,0 +1,116 @@
+"""What a core writes to its log: typed entries, and their one translation to and from JSON documents."""
+
+from dataclasses import dataclass
+
+__all__ = [
+    "ChainRecord",
+    "Entry",
+    "HandedOver",
+    "Reset",
+    "StateFrame",
+    "Vote",
+    "from_document",
+    "no_vote",
+    "to_document",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class StateFrame:
+    """Everything that a core remembers: the first record of every file."""
+
+    disk: str
+    name: str
+    vote: dict
+    done: int
+    realm: dict
+    mark: int
+
+
+@dataclass(frozen=True, slots=True)
+class Vote:
+    """The promise and the view accepted last; with `done`, everything of that view is held here too."""
+
+    vote: dict
+    done: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HandedOver:
+    """Everything of a view was handed over to this core."""
+
+    view: int
+
+
+@dataclass(frozen=True, slots=True)
+class ChainRecord:
+    """A numbered record of the chain and the view in which it was entered."""
+
+    seq: int
+    view: int
+    record: dict
+
+
+@dataclass(frozen=True, slots=True)
+class Reset:
+    """The control state was replaced by that of another core."""
+
+    realm: dict
+    mark: int
+
+
+Entry = StateFrame | Vote | HandedOver | ChainRecord | Reset
+
+
+def no_vote() -> dict:
+    """The vote of a core that has neither promised nor accepted anything."""
+    return {"num": 0, "who": "", "anum": 0, "awho": "", "value": None, "ids": None}
+
+
+def to_document(entry: Entry) -> dict:
+    """The JSON document of an entry."""
+    match entry:
+        case StateFrame(disk, name, vote, done, realm, mark):
+            return {
+                "t": "frame",
+                "disk": disk,
+                "name": name,
+                "vote": vote,
+                "done": done,
+                "realm": realm,
+                "mark": mark,
+            }
+        case Vote(vote, None):
+            return {"t": "vote", "vote": vote}
+        case Vote(vote, done):
+            return {"t": "vote", "vote": vote, "done": done}
+        case HandedOver(view):
+            return {"t": "done", "n": view}
+        case ChainRecord(seq, view, record):
+            return {"t": "rec", "seq": seq, "view": view, "rec": record}
+        case Reset(realm, mark):
+            return {"t": "reset", "realm": realm, "mark": mark}
+    raise TypeError(type(entry).__name__)
+
+
+def from_document(document: dict) -> Entry | None:
+    """The entry of a JSON document; None for one that says nothing more than its frame (`id`)."""
+    match document:
+        case {"t": "frame"}:
+            return StateFrame(
+                document["disk"],
+                document["name"],
+                {**no_vote(), **document["vote"]},
+                document["done"],
+                document["realm"],
+                document["mark"],
+            )
+        case {"t": "vote"}:
+            return Vote({**no_vote(), **document["vote"]}, document.get("done"))
+        case {"t": "done"}:
+            return HandedOver(document["n"])
+        case {"t": "rec"}:
+            return ChainRecord(document["seq"], document["view"], document["rec"])
+        case {"t": "reset"}:
+            return Reset(document["realm"], document["mark"])
+    return None
--- /dev/null
+++ b/src/petrelhaven/control/storage/record_log.py
@@ -0,0 +1,211 @@
+"""An append-only log over a few preallocated files, written in turn: a core's memory on disk."""
+
+import json
+from collections.abc import Callable
+from typing import Protocol
+
+from petrelhaven.control.storage.record_format import (
+    LEAD_SIZE,
+    LogRecord,
+    encode_lead,
+    encode_record,
+    holds_record,
+    read_lead,
+    read_record,
+)
+from petrelhaven.runtime.errors import Damaged, DiskRefused
+
+__all__ = ["Disk", "RecordLog", "log_file_names", "readable_documents"]
+
+FILE_COUNT = 4
+FILE_SIZE = 1 << 20
+_SLACK = 64
+
+
+class Disk(Protocol):
+    """What the log needs of a disk; a write that is not wholly synced raises OSError."""
+
+    def read(self, name: str) -> bytes:
+        """All bytes of a file; empty if there is none."""
+
+    def write(self, name: str, offset: int, data: bytes) -> None:
+        """Writes and syncs."""
+
+    def remove(self, name: str) -> None:
+        """Removes a file; a removal may come undone at a loss of power."""
+
+
+def log_file_names(count: int = FILE_COUNT) -> list[str]:
+    """The names of a log's files."""
+    return [f"ring-{index}" for index in range(count)]
+
+
+def _encode(document: dict) -> bytes:
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def _scan(raw: bytes, lap: int) -> list[LogRecord]:
+    """The whole records of a file from its first on, up to the first that is not whole."""
+    records = []
+    offset = LEAD_SIZE
+    while record := read_record(raw, offset):
+        if record.lap != lap or records and record.number != records[-1].number + 1:
+            break
+        records.append(record)
+        offset = record.end
+    return records
+
+
+def readable_documents(files: list[bytes]) -> list[dict]:
+    """What can still be read of damaged files: the newest readable state, oldest record first."""
+    firsts = [(record.lap, raw) for raw in files if (record := read_record(raw, LEAD_SIZE))]
+    if not firsts:
+        return []
+    lap, raw = max(firsts, key=lambda first: first[0])
+    return [json.loads(record.body) for record in _scan(raw, lap)]
+
+
+class RecordLog:
+    """Every file opens with a frame of the whole state, so that older files may be written over.
+
+    A record counts once its write and its sync have succeeded. One that the disk refuses changes neither number nor
+    place: the next one is written over what it left. After a loss of power the last write may be there, missing or
+    torn in any part and is dropped unless it is whole. A bad record is damage only where a later record proves that
+    it had been synced; damage is raised, never read past.
+
+    A turn to the next file writes zeros, then the frame, then the lead, each synced before the next. Until the lead
+    is whole the file before it holds everything; once a turn has begun, nothing more goes to the file before.
+    """
+
+    def __init__(self, disk: Disk, count: int = FILE_COUNT, size: int = FILE_SIZE) -> None:
+        self._disk, self._size = disk, size
+        self._names = log_file_names(count)
+        self._lap = self._offset = self._number = 0
+        self._last, self._last_offset = b"", 0
+        self._leftover = 0
+        self._turning = False
+        self._unconfirmed = False
+        self.torn = False
+
+    @property
+    def unconfirmed(self) -> bool:
+        """True from `load` until what was read is known to be synced: the process may have died before its sync."""
+        return self._unconfirmed
+
+    def load(self) -> list[dict]:
+        """The documents since the newest whole frame, oldest first; empty for a new disk."""
+        files = [self._read(name) for name in self._names]
+        laps = {lap: index for index, raw in enumerate(files) if (lap := read_lead(raw))}
+        if not laps:
+            self._expect_unused(files)
+            return []
+        self._lap = max(laps)
+        raw = files[laps[self._lap]]
+        if self._index(self._lap) != laps[self._lap]:
+            raise Damaged(f"{self._names[laps[self._lap]]}: lead of another file")
+        self._expect_no_later_lap(files)
+        records = _scan(raw, self._lap)
+        if not records:
+            raise Damaged(f"{self._name()}: first record")
+        self._take(raw, records)
+        return [json.loads(record.body) for record in records]
+
+    def _expect_unused(self, files: list[bytes]) -> None:
+        """Files without any lead are new, or left by a first start that was cut short."""
+        firsts = [record.lap for raw in files if (record := read_record(raw, LEAD_SIZE))]
+        if any(any(raw) for raw in files[1:]) or holds_record(files[0], LEAD_SIZE + 1, 1):
+            self._lap = max(firsts, default=0)
+            raise Damaged("no whole lead")
+
+    def _expect_no_later_lap(self, files: list[bytes]) -> None:
+        """A record behind the frame of the next lap proves that the next lap's lead had been synced."""
+        later = self._lap + 1
+        if any(holds_record(raw, LEAD_SIZE + 1, later) for raw in files):
+            self._lap = later
+            raise Damaged(f"{self._name()}: lead")
+
+    def _take(self, raw: bytes, records: list[LogRecord]) -> None:
+        last = records[-1]
+        if holds_record(raw, last.end, self._lap):
+            raise Damaged(f"{self._name()}: record at {last.end}")
+        self._size = max(self._size, len(raw))
+        self._number, self._offset = last.number, last.end
+        first = len(records) == 1
+        self._last_offset = 0 if first else last.offset
+        self._last = raw[:LEAD_SIZE] if first else raw[last.offset : last.end]
+        self._leftover = len(raw[last.end :].rstrip(b"\0"))
+        self.torn = self._leftover > 0
+        self._unconfirmed = True
+
+    def append(self, document: dict, frame: Callable[[], dict]) -> None:
+        """Adds `document`; a full file is left first, and the next opens with `frame()`, the state before it."""
+        body = _encode(document)
+        raw = encode_record(self._lap, self._number + 1, body)
+        if self._lap == 0 or self._turning or self._offset + len(raw) + _SLACK > self._size:
+            self._turn(frame(), len(raw))
+            raw = encode_record(self._lap, self._number + 1, body)
+        elif self._unconfirmed:
+            self.confirm(frame)
+        self._leftover = max(self._leftover, len(raw))
+        self._write(self._name(), self._offset, raw)
+        self._last, self._last_offset = raw, self._offset
+        self._leftover -= len(raw)
+        self._offset += len(raw)
+        self._number += 1
+
+    def begin(self, frame: dict) -> None:
+        """Starts anew with `frame` in the next file; what was there before stays in the older ones for a while."""
+        if self._lap == 0:
+            self._clear()
+        self._turn(frame, 0)
+
+    def confirm(self, frame: Callable[[], dict]) -> None:
+        """Has exactly what is remembered on the disk: finishes a turn, or writes the last record anew."""
+        if self._turning:
+            self._turn(frame(), 0)
+            return
+        if self._leftover:
+            self._write(self._name(), self._offset, bytes(self._leftover))
+            self._leftover = 0
+        self._write(self._name(), self._last_offset, self._last)
+        self._unconfirmed = False
+
+    def _turn(self, frame: dict, room: int) -> None:
+        self._turning = True
+        lap, number = self._lap + 1, self._number + 1
+        raw = encode_record(lap, number, _encode(frame))
+        lead = encode_lead(lap)
+        size = max(self._size, 2 * (len(raw) + room))
+        name = self._names[self._index(lap)]
+        self._write(name, 0, bytes(max(size, len(self._read(name)))))
+        self._write(name, LEAD_SIZE, raw)
+        self._write(name, 0, lead)
+        self._lap, self._number, self._size = lap, number, size
+        self._offset = LEAD_SIZE + len(raw)
+        self._last, self._last_offset, self._leftover = lead, 0, 0
+        self._turning = self._unconfirmed = False
+
+    def _clear(self) -> None:
+        """Zeroes what a first start that was cut short, or files without any lead, have left."""
+        for name in self._names:
+            raw = self._read(name)
+            if any(raw):
+                self._write(name, 0, bytes(len(raw)))
+
+    def _index(self, lap: int) -> int:
+        return (lap - 1) % len(self._names)
+
+    def _name(self) -> str:
+        return self._names[self._index(self._lap)]
+
+    def _read(self, name: str) -> bytes:
+        try:
+            return self._disk.read(name)
+        except OSError as error:
+            raise DiskRefused(f"{name}: {error.strerror}") from error
+
+    def _write(self, name: str, offset: int, data: bytes) -> None:
+        try:
+            self._disk.write(name, offset, data)
+        except OSError as error:
+            raise DiskRefused(f"{name}: {error.strerror}") from error
--- a/src/petrelhaven/runtime/errors.py
+++ b/src/petrelhaven/runtime/errors.py
@@ -150,6 +150,12 @@
     code = "damaged"
 
 
+class DiskRefused(Fault):
+    """The disk did not take a write; nothing was remembered of it."""
+
+    code, status, back = "disk-refused", 503, 500_000
+
+
 class Misplaced(Fault):
     code = "misplaced"
 
--- a/src/petrelhaven/runtime/events.py
+++ b/src/petrelhaven/runtime/events.py
@@ -54,6 +54,18 @@
         "no frame from an edge while forming anew",
         "none; another node's may be as new",
     ),
+    316: (
+        "error",
+        "disk refuses writes; the core is out of service until it takes them",
+        "make room or look at the disk; the core comes back by itself",
+    ),
+    317: ("info", "disk takes writes again", "none"),
+    318: (
+        "error",
+        "damaged files copied before the core starts anew",
+        "read the disk-loss page before you remove them",
+    ),
+    319: ("info", "copies of damaged files removed; others hold as much", "none"),
     320: ("info", "epoch", "read `petrelhavenctl why`"),
     321: (
         "warning",
--- a/src/petrelhaven/simulator/held/faults.py
+++ b/src/petrelhaven/simulator/held/faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-__all__ = ["KINDS", "PLANNED", "Faults"]
+__all__ = ["DISK_KINDS", "KINDS", "PLANNED", "Faults"]
 
 PLANNED = [
     "release_primary",
@@ -54,6 +54,11 @@
     "noise",
 ]
 
+_SLOW_SYNC_US = 125_000
+
+#: Disks in trouble; apart from `KINDS`, whose seeds name the same schedules as ever.
+DISK_KINDS = ["disk_full", "disk_stall", "disk_slow"]
+
 
 class Faults:
     """Brings the faults of one schedule about."""
@@ -134,6 +139,27 @@
         b.up or self.f.boot_core(b)
         self._wiping = False
 
+    async def _disk_full(self, r):
+        """A core's disk refuses writes for a while."""
+        b = r.choice(self.f.cores)
+        b.disk.full = True
+        await self._rest(r, 0.3, 8, "core")
+        b.disk.full = False
+
+    async def _disk_stall(self, r):
+        """A core's next write waits for seconds."""
+        b = r.choice(self.f.cores)
+        b.disk.slow_us = int(r.uniform(1, 6) * 1e6)
+        await self._rest(r, 1, 6, "core")
+        b.disk.slow_us = 0
+
+    async def _disk_slow(self, r):
+        """A core's writes take 25 times as long."""
+        b = r.choice(self.f.cores)
+        b.disk.slow_us = _SLOW_SYNC_US
+        await self._rest(r, 2, 10, "core")
+        b.disk.slow_us = 0
+
     async def _core_torn(self, r):
         b = r.choice(self.f.cores)
         b.disk.tear = True
--- a/src/petrelhaven/simulator/net.py
+++ b/src/petrelhaven/simulator/net.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import errno
 import itertools
 
 from petrelhaven.runtime.clock import Clock, Nest
@@ -66,12 +67,14 @@
 
 
 class SimDisk:
-    """A disk that survives its machine; it can tear the next write, rot, or be lost."""
+    """A disk that survives its machine; it can tear the next write, refuse writes, stand still, rot, or be lost."""
 
     def __init__(self, box):
         self._box = box
         self.files = {}
         self.tear = False
+        self.full = False
+        self.slow_us = 0
         self.synced = 0
 
     def read(self, name):
@@ -79,10 +82,19 @@
         return bytes(self.files.get(name, b""))
 
     def write(self, name, off, data):
-        """Writes and syncs, or tears and takes the machine down."""
+        """Writes and syncs; or refuses after a part of it, or tears and takes the machine down.
+
+        A slow or stalled disk holds up the whole machine, as a process that waits for its disk does.
+        """
+        if self.slow_us:
+            self._box.stall(self.slow_us)
         f = self.files.setdefault(name, bytearray())
         if len(f) < off + len(data):
             f.extend(bytes(off + len(data) - len(f)))
+        if self.full:
+            cut = self._box.net.rng.randrange(0, len(data))
+            f[off : off + cut] = data[:cut]
+            raise OSError(errno.ENOSPC, "no space left on the simulated disk")
         self.synced += 1
         if self.tear and len(data) < 60_000:
             self.tear = False
@@ -92,6 +104,10 @@
             raise asyncio.CancelledError
         f[off : off + len(data)] = data
 
+    def remove(self, name):
+        """Removes a file."""
+        self.files.pop(name, None)
+
     def lose(self):
         """Another, empty disk."""
         self.files = {}
@@ -103,6 +119,7 @@
     def __init__(self, net, name, hall, rate=1.0):
         self.net, self.name, self.hall = net, name, hall
         self.up, self.frozen, self.life = False, False, 0
+        self.stalled = False
         self.thaws = []
         self.clock = SimClock(self, rate, net.rng.randrange(1, 1 << 40))
         self.disk = SimDisk(self)
@@ -116,6 +133,7 @@
     def boot(self):
         """Power on with nothing but the disk."""
         self.up, self.frozen, self.thaws = True, False, []
+        self.stalled = False
         self.life += 1
         self.nest = Nest(self.log)
         self.link = SimLink(self)
@@ -144,9 +162,15 @@
         life = self.life
         self.net.loop.call_later(us / 1e6, lambda: self._thaw(life))
 
+    def stall(self, us):
+        """Stops the machine while its process waits for the disk; what it says next goes out afterwards."""
+        if self.up and not self.frozen:
+            self.stalled = True
+            self.freeze(us)
+
     def _thaw(self, life):
         if self.life == life and self.up:
-            self.frozen = False
+            self.frozen = self.stalled = False
             fs, self.thaws = self.thaws, []
             for f in fs:
                 f()
@@ -176,6 +200,9 @@
         """Brings `fn` to the other side."""
         if self.dead:
             return
+        if self.src.stalled:
+            self.src.thaws.append(lambda: self.send(fn))
+            return
         t = self.net.loop.time()
         self.last = max(self.last, t + self.net.delay(self.src, self.dst))
         self.q.append((t, fn))
--- a/src/petrelhaven/transport/messages.py
+++ b/src/petrelhaven/transport/messages.py
@@ -57,6 +57,7 @@
     "name:string",
     "name:string disk:string fresh:boolean view:doc done:long held:long commit:long",
 )
+_contract("disk.turned", "name:string refuses:boolean")
 _contract("view.learn", "view:doc")
 _contract("view.confirm", "name:string n:long tied:long", "ok:boolean view:doc")
 _contract(
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -5,7 +5,7 @@
 import petrelhaven.control.failover.kept_duty as duty
 import petrelhaven.control.failover.plan as plan
 import petrelhaven.control.leases as desk
-import petrelhaven.control.storage.memory as memory
+import petrelhaven.control.storage.core_store as core_store
 import petrelhaven.emulator.balancer as usher
 import petrelhaven.membership.prober as probe
 import petrelhaven.membership.roster as roster
@@ -20,6 +20,7 @@
 import petrelhaven.proxy.routing.write as writes
 import petrelhaven.proxy.session.copies as vault
 import petrelhaven.proxy.session.keeper as keep
+from petrelhaven.control.storage.documents import ChainRecord
 from petrelhaven.runtime.errors import Late, Unreached
 
 
@@ -144,10 +145,11 @@
 
 
 def nothing_synced(mp):
+    real = core_store.CoreStore._keep
     mp.setattr(
-        memory.Memory,
+        core_store.CoreStore,
         "_keep",
-        lambda self, doc: None if doc["t"] == "rec" else self._ring.append(doc, self._whole),
+        lambda self, entry: None if isinstance(entry, ChainRecord) else real(self, entry),
     )
 
 
@@ -280,14 +282,14 @@
 
 
 def handed_over_stale(mp):
-    real = memory.Memory.put_rec
+    real = core_store.CoreStore.put_rec
 
     def put_rec(self, seq, view, rec):
         if rec["t"] == "manifest" and view > self.done and self.realm.doc["manifest"]:
             rec = {**rec, "text": self.realm.doc["manifest"]["text"]}
         real(self, seq, view, rec)
 
-    mp.setattr(memory.Memory, "put_rec", put_rec)
+    mp.setattr(core_store.CoreStore, "put_rec", put_rec)
 
 
 def slow_suspicion(mp):
--- a/tests/test_held_storm.py
+++ b/tests/test_held_storm.py
@@ -7,7 +7,8 @@
 from petrelhaven.control import leases as desk
 from petrelhaven.control.consensus import chain
 from petrelhaven.control.failover import warden
-from petrelhaven.control.storage import memory
+from petrelhaven.control.storage import core_store
+from petrelhaven.control.storage.documents import ChainRecord
 from petrelhaven.proxy import core_connection as tie
 from petrelhaven.proxy.pool import member_connection as strand
 from petrelhaven.proxy.reads import read_clock as clock
@@ -229,10 +230,11 @@
 
 
 def nothing_synced(mp):
+    real = core_store.CoreStore._keep
     mp.setattr(
-        memory.Memory,
+        core_store.CoreStore,
         "_keep",
-        lambda self, doc: None if doc["t"] == "rec" else self._ring.append(doc, self._whole),
+        lambda self, entry: None if isinstance(entry, ChainRecord) else real(self, entry),
     )
 
 
--- a/tests/test_vote.py
+++ b/tests/test_vote.py
@@ -8,7 +8,7 @@
 from test_ring import Bytes
 
 from petrelhaven.control.consensus.register import Proposer, Voter
-from petrelhaven.control.storage.memory import Memory
+from petrelhaven.control.storage.core_store import CoreStore
 from petrelhaven.runtime.errors import Fault, Unsent
 
 
@@ -17,7 +17,7 @@
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
-        self.mems = {n: Memory(Bytes(), n, random.Random(f"{seed}{n}")) for n in "abc"}
+        self.mems = {n: CoreStore(Bytes(), n, random.Random(f"{seed}{n}")) for n in "abc"}
         self.late = []
         self.chosen = []
 
