Leaving members are counted out and bounded, so planned leavings don't end a group

Cause: the coordinator elected only while as many members were there as a group ever had at once. The number stood in for a proof: a replica that leaves counts for SyncReplicas until it is gone and takes its log along. Now the proof itself is kept, as records (`evidence`): a replica that drains is paused while another that stays receives, with its position; the log of one that left unpaused is bounded by the primary's position read after its end; a new primary's position at its election is a floor for the next one. A member that drained for its time and refuses is signed off. Counting out is undone while nobody else receives. Old ledgers load: what they can't tell counts as unproven until the primary bounds it. Ruled out: lowering the number when a member leaves (elects a replica that lacks what only the leaver had); waiting for successors by address (a release comes at a new one). The DRAIN mutant of the held storm takes the pause of leavers out as well: paused, they were too old for any read, so the guard under test was never reached.

--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -6,7 +6,7 @@
 from petrelhaven.control.consensus.chain import DRIFT
 from petrelhaven.control.consensus.edge_survey import Muster
 from petrelhaven.control.core import _ADDR, Core
-from petrelhaven.control.failover.warden import Warden
+from petrelhaven.control.failover.coordinator import FailoverCoordinator
 from petrelhaven.control.leases import TiedDesk
 from petrelhaven.control.state.ledger import Ledger
 from petrelhaven.runtime.errors import Duplicate, Fault, Late, Malformed, NotReady, Stale
@@ -101,8 +101,8 @@
         return TiedDesk(self.clock, self.nest, self.chain, self.call, self.log, lapse)
 
     def make_duty(self, platform):
-        """The warden of all offices."""
-        return Warden(self, platform)
+        """The duty that keeps a primary in office for each group."""
+        return FailoverCoordinator(self, platform)
 
     def handlers(self):
         """What edges and other cores ask."""
@@ -111,7 +111,7 @@
             "chain.force": self.desk.force,
             "tie.pulse": self._pulse,
             "warden.doubt": self._doubted,
-            "warden.look": self.duty.looked,
+            "warden.look": self.duty.answer_look,
             "wall.read": self._wall_read,
             "tie.wall": self._true_time,
         }
--- a/src/petrelhaven/control/state/ledger.py
+++ b/src/petrelhaven/control/state/ledger.py
@@ -4,7 +4,8 @@
 import hashlib
 import json
 
-from petrelhaven.runtime.errors import Duplicate, Invalid, Racing, Stale
+from petrelhaven.control.failover.evidence import ElectionOrder, Evidence
+from petrelhaven.runtime.errors import Duplicate, Invalid, NoRoute, Racing, Stale
 
 __all__ = ["Ledger"]
 
@@ -27,10 +28,13 @@
             "offices": {},
             "sizes": {},
             "past": {},
+            "evidence": {},
             **(doc or {}),
         }
         self.seq = self.doc["seq"]
         self._manifest = None
+        if doc and "evidence" not in doc:
+            self._evidence_of_older_version()
 
     @property
     def manifest(self):
@@ -65,6 +69,21 @@
             if m["group"] == g and m["state"] != "gone"
         }
 
+    def evidence(self, group: str) -> Evidence:
+        """What is recorded about the logs of a group's members."""
+        return Evidence.from_document(self.doc["evidence"].get(group))
+
+    def _put_evidence(self, group: str, evidence: Evidence) -> None:
+        self.doc["evidence"][group] = evidence.document()
+
+    def _evidence_of_older_version(self) -> None:
+        """A version without evidence knew only how many members a group ever had at once."""
+        for group, size in self.doc["sizes"].items():
+            missing = size - len(self.group(group))
+            if missing > 0:
+                names = tuple(f"unrecorded-{i + 1}" for i in range(missing))
+                self._put_evidence(group, Evidence(unproven=names))
+
     def _check_manifest(self, r):
         now = self.doc["manifest"]
         if not now:
@@ -142,11 +161,11 @@
     def _apply_member(self, r):
         ms = self.doc["members"]
         if r["state"] == "gone":
-            ms[r["name"]]["state"] = "gone"
+            self._departed(r["name"])
             return
         for n, m in ms.items():
             if n != r["name"] and m["addr"] == r["addr"]:
-                m["state"] = "gone"
+                self._succeeded(n, m, r["group"])
         ms.pop(r["name"], None)
         ms[r["name"]] = {k: v for k, v in r.items() if k not in ("t", "name")}
         gone = [n for n, m in ms.items() if m["state"] == "gone"]
@@ -155,15 +174,89 @@
         g = r["group"]
         self.doc["sizes"][g] = max(self.doc["sizes"].get(g, 0), len(self.group(g)))
 
+    def _departed(self, name: str) -> None:
+        """A member signed off: its copy is gone with it."""
+        member = self.doc["members"][name]
+        group = member["group"]
+        member["state"] = "gone"
+        office = self.doc["offices"].get(group)
+        moving = bool(office) and office["phase"] != "serve"
+        evidence = self.evidence(group)
+        self._put_evidence(group, evidence.with_departure(name, moving))
+        if name in evidence.counted_out:
+            self._shrink(group)
+
+    def _succeeded(self, name: str, member: dict, group: str) -> None:
+        """Another member came to the address of this one."""
+        was_gone = member["state"] == "gone"
+        member["state"] = "gone"
+        if member["group"] != group:
+            if not was_gone:
+                self._departed(name)
+            return
+        before = self.evidence(group)
+        after = before.with_successor(name)
+        if after != before:
+            self._put_evidence(group, after)
+
+    def _shrink(self, group: str) -> None:
+        """One copy fewer has to be known for a proof."""
+        least = len(self.group(group)) + len(self.evidence(group).unproven)
+        self.doc["sizes"][group] = max(least, self.doc["sizes"].get(group, 0) - 1)
+
+    def _check_evidence(self, r):
+        """Evidence may be added about members that are there, and orders about groups that halt."""
+        group, office = r["group"], self.doc["offices"].get(r["group"])
+        if office is None:
+            raise NoRoute(f"no group {group[:60]} is served")
+        if r["what"] == "counted_out" and r["member"] not in self.group(group):
+            raise Stale(f"member {r['member']} is gone")
+        if r["what"] == "order":
+            if office["phase"] != "move":
+                raise Invalid(
+                    "the group is served", more={"faults": [["group", "its office does not wait"]]}
+                )
+            if r["member"] not in self.group(group):
+                raise Invalid(
+                    "no such member",
+                    more={"faults": [["member", f"no member {r['member'][:60]} in {group[:60]}"]]},
+                )
+
+    def _apply_evidence(self, r):
+        group = r["group"]
+        evidence = self.evidence(group)
+        if r["what"] == "counted_out":
+            position = tuple(r["pos"]) if r["pos"] else None
+            evidence = evidence.with_counted_out(r["member"], position)
+        elif r["what"] == "bounded":
+            resolved = len(set(r["members"]) & set(evidence.unproven))
+            evidence = evidence.with_bound(r["members"], tuple(r["pos"]))
+            self._put_evidence(group, evidence)
+            for _ in range(resolved):
+                self._shrink(group)
+            return
+        elif r["what"] == "order":
+            evidence = evidence.with_order(ElectionOrder(r["member"], r["by"]))
+        self._put_evidence(group, evidence)
+
     def _check_office(self, r):
         o = self.doc["offices"].get(r["group"])
         if r["n"] != (o["n"] if o else 0) + 1:
             raise Racing(f"office {r['n']} does not follow {o['n'] if o else 0}")
 
     def _apply_office(self, r):
+        before = self.doc["offices"].get(r["group"])
         o = self.doc["offices"][r["group"]] = {
             k: v for k, v in r.items() if k not in ("t", "group")
         }
+        if o["phase"] == "serve" and before is not None:
+            changed = before["primary"] != o["primary"]
+            position = tuple(o.get("pos") or (0, 0))
+            evidence = self.evidence(r["group"])
+            self._put_evidence(
+                r["group"],
+                evidence.with_primary(changed, position, bool(o.get("accepted_loss"))),
+            )
         past = self.doc["past"].setdefault(r["group"], [])
         past.append({**o, "seq": self.seq + 1})
         del past[:-_KEEP]
--- a/src/petrelhaven/runtime/events.py
+++ b/src/petrelhaven/runtime/events.py
@@ -96,6 +96,27 @@
         "agreed time jumped; nothing is released for a minute",
         "look at the clocks of all cores",
     ),
+    340: (
+        "info",
+        "leaving member counted out: paused at `pos`",
+        "none; those that stay hold the rest",
+    ),
+    341: ("info", "leaving member counts again", "none; no other replica receives"),
+    342: (
+        "info",
+        "log of departed members bounded",
+        "none; whoever holds `pos` holds all of theirs",
+    ),
+    343: (
+        "error",
+        "group waits: nobody is proved to hold every acknowledged commit",
+        "bring the member named or the primary back; or accept the loss with `petrelhavenctl elect`",
+    ),
+    344: (
+        "error",
+        "member elected by order; acknowledged commits may be lost",
+        "none; `by` gave the order",
+    ),
     401: ("info", "core held; leases come from it", "none"),
     402: ("warning", "core lost; its leases lapse", "look at the links to the cores"),
     403: ("info", "change applied", "none"),
--- a/tests/test_held_storm.py
+++ b/tests/test_held_storm.py
@@ -1,12 +1,15 @@
 """Storms against the path where sessions live with their connection; each rule is seen broken once its guard is out."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
 from petrelhaven.control import leases as desk
 from petrelhaven.control.consensus import chain
-from petrelhaven.control.failover import warden
+from petrelhaven.control.failover.departures import DepartureWatch
+from petrelhaven.control.failover.member_access import MemberHandle
+from petrelhaven.control.failover.office_move import OfficeMove
 from petrelhaven.control.storage import memory
 from petrelhaven.proxy import core_connection as tie
 from petrelhaven.proxy.pool import member_connection as strand
@@ -52,27 +55,27 @@
 
 
 def no_pause(mp):
-    own, row = warden.Warden._own, warden.Warden._row
+    status = MemberHandle.status
 
-    async def own_(self, w, verb, *args):
-        return verb == "pause" or await own(self, w, verb, *args)
+    async def pause(self, term):
+        return self.row
 
-    async def row_(self, w):
-        r = await row(self, w)
-        return r and {**r, "held": 1 << 30}
+    async def status_(self):
+        row = await status(self)
+        return row and dataclasses.replace(row, held_term=1 << 30)
 
-    mp.setattr(warden.Warden, "_own", own_)
-    mp.setattr(warden.Warden, "_row", row_)
+    mp.setattr(MemberHandle, "pause", pause)
+    mp.setattr(MemberHandle, "status", status_)
 
 
 def lowest_heir(mp):
-    real = warden.Warden._promote
+    real = OfficeMove._promote
 
-    async def promote(self, g, heir, wards, old, seq):
-        ws = [w for n, w in wards.items() if n != old and w.row]
-        return await real(self, g, min(ws, key=lambda w: w.row["pos"]), wards, old, seq)
+    async def promote(self, heir, accepted_loss=""):
+        others = [h for n, h in self._handles.items() if n != self.old and h.row]
+        return await real(self, min(others, key=lambda h: h.row.position), accepted_loss)
 
-    mp.setattr(warden.Warden, "_promote", promote)
+    mp.setattr(OfficeMove, "_promote", promote)
 
 
 def no_barrier(mp):
@@ -210,6 +213,15 @@
     mp.setattr(passage.Passage, "_once", once)
 
 
+def never_counted_out(mp):
+    """A replica that leaves goes on receiving; paused, it would soon be too old for the reads of a storm."""
+
+    async def nothing(self, *args):
+        return None
+
+    mp.setattr(DepartureWatch, "_count_out", nothing)
+
+
 def stops_ignored(mp):
     real = band.Band.turn
 
@@ -277,7 +289,7 @@
     ("PINNED", another_connection, ["edge_kill"], {}),
     ("UNASKED", rolled_forward, ["edge_kill"], {}),
     ("MIXED", rows_of_another, ["edge_kill"], {}),
-    ("DRAIN", stops_ignored, ["release_replica"], {}),
+    ("DRAIN", (stops_ignored, never_counted_out), ["release_replica"], {}),
     ("EVAC", stops_ignored, ["evacuate"], {}),
     ("the acknowledged manifest", acked_by_the_head, lone_head, {}),
     ("acknowledged manifest not in force", nothing_synced, ["core_all", "manifests"], {}),
@@ -320,6 +332,7 @@
 
 def test_a_violation_is_shrunk_to_fewer_faults_that_still_bring_it(monkeypatch):
     stops_ignored(monkeypatch)
+    never_counted_out(monkeypatch)
     rows = schedule(1, 4, ["replica_lag", "edge_kill"]) + [(30.0, "release_replica", 1)]
     left = shrink(0, rows)
     assert len(left) < len(rows) and "release_replica" in [k for _, k, _ in left]
--- a/tests/test_warden.py
+++ b/tests/test_warden.py
@@ -8,7 +8,7 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from petrelhaven.control.failover.warden import Warden
+from petrelhaven.control.failover.coordinator import FailoverCoordinator
 from petrelhaven.control.state.ledger import Ledger
 from petrelhaven.runtime.clock import Clock, Nest
 from petrelhaven.runtime.errors import Fenced, Unreached, Unsent
@@ -109,7 +109,7 @@
                     "count": 1,
                 }
             )
-        self.warden = Warden(self, self)
+        self.warden = FailoverCoordinator(self, self)
 
     def put(self, r):
         led = self.chain.realm
@@ -120,13 +120,50 @@
     async def enter(self, r):
         await asyncio.sleep(0.005)
         seq = self.put(r)
-        self.trace.append((r["phase"], r["primary"], seq, r["stuck"]))
+        if r["t"] == "office":
+            self.trace.append((r["phase"], r["primary"], seq, r["stuck"]))
         return seq
 
     def member(self, n, state):
         m = self.chain.realm.doc["members"][n]
         self.put({"t": "member", "name": n, **{**m, "state": state, "count": m["count"] + 1}})
 
+    def join(self, n, pos=None):
+        """A new member at an address of its own; it receives from now on."""
+        m = self.members[n] = Member(n, "replica")
+        m.term = max(x.term for x in self.members.values())
+        m.pos = pos or (1, 0)
+        self.put(
+            {
+                "t": "member",
+                "name": n,
+                "group": "g",
+                "hall": "a",
+                "addr": f"1.1.1.2:{n}",
+                "role": "replica",
+                "state": "ready",
+                "slots": 5,
+                "count": 1,
+            }
+        )
+
+    def end(self, n, tells=True):
+        """A member ends; its log goes with it."""
+        self.members[n].runs = False
+        if tells:
+            addr = self.chain.realm.doc["members"][n]["addr"]
+            self.put({"t": "member", "name": n, "state": "gone", "addr": addr})
+
+    async def release(self, n, s=7.3, tells=True):
+        """A planned end: `draining`, some seconds of service, then gone."""
+        self.member(n, "draining")
+        await asyncio.sleep(s)
+        self.end(n, tells)
+
+    @property
+    def evidence(self):
+        return self.chain.realm.evidence("g")
+
     async def in_force(self, seq):
         await asyncio.sleep(self.barrier)
         self.trace.append(("in force", seq))
@@ -145,7 +182,9 @@
         how = self.others[core]
         if how is None:
             raise Unreached("cut off")
-        return {"how": await self.warden.look(body["member"], body) if how == "same" else how}
+        return {
+            "how": await self.warden.observer.look(body["member"], body) if how == "same" else how
+        }
 
     async def doubt(self, group, member, how):
         self.warden.doubt(group, member, how)
@@ -228,9 +267,14 @@
         return (
             o["phase"] == "serve"
             and self.members[o["primary"]].role == "primary"
-            and not any(m.held for m in self.members.values())
+            and not any(m.held for n, m in self.members.items() if self.stays(n))
         )
 
+    def stays(self, n):
+        """Whether a member is there and not about to leave."""
+        m = self.chain.realm.doc["members"].get(n)
+        return m is not None and m["state"] == "ready"
+
     def dark(self, n, seen=False, runs=True):
         m = self.members[n]
         m.seen, m.runs = seen, runs
@@ -280,7 +324,7 @@
         await e.until(lambda: ("resume", other) in e.trace[e.at("serve", heir) :], 1)
         assert len(e.calls) == 1 and e.office["term"] == 2 and not e.warden.why
         e.dark("p", True, True)
-        await e.until(lambda: "g" not in e.warden._resume)
+        await e.until(lambda: "g" not in e.warden._to_resume)
         await asyncio.sleep(5)
         assert e.office["primary"] == heir and len(e.calls) == 1
 
@@ -609,6 +653,157 @@
     virtual(go)
 
 
+def test_two_planned_leavings_that_overlap_do_not_end_the_group():
+    """Each time the new member starts before the old one drains, so there were five at once."""
+
+    async def go(e):
+        e.join("n1")
+        first = asyncio.ensure_future(e.release("p"))
+        await e.until(lambda: e.calls and e.settled)
+        e.join("n2")
+        await asyncio.sleep(3)
+        second = e.office["primary"]
+        e.members["r1" if second != "r1" else "r2"].follows = False
+        other = asyncio.ensure_future(e.release(second))
+        await e.until(lambda: e.office["primary"] not in ("p", second) and e.settled, 6)
+        await first
+        await other
+        await e.until(lambda: not e.evidence.unproven, 5)
+        last = e.office["primary"]
+        e.dark(last, runs=False)
+        e.members["r1" if second != "r1" else "r2"].follows = True
+        e.warden.doubt("g", last, "refused")
+        await e.until(lambda: e.office["primary"] != last and e.settled, 5)
+
+    virtual(go)
+
+
+def test_a_leaving_replica_is_counted_out_before_it_goes_and_its_loss_is_harmless():
+    async def go(e):
+        e.members["r2"].follows = False
+        leaving = asyncio.ensure_future(e.release("r1"))
+        await asyncio.sleep(4)
+        assert not e.members["r1"].held, "paused while no other replica receives"
+        e.members["r2"].follows = True
+        await e.until(lambda: e.evidence.counted_out, 2)
+        assert e.members["r1"].held and e.evidence.counted_out["r1"] == e.members["r1"].pos
+        await leaving
+        assert not e.evidence.unproven and e.evidence.floor == e.members["r1"].pos
+        e.dark("p", runs=False)
+        e.warden.doubt("g", "p", "refused")
+        await e.until(lambda: e.calls and e.settled, 5)
+        assert e.calls == ["r2"]
+
+    virtual(go)
+
+
+def test_a_counted_out_replica_counts_again_while_no_other_receives():
+    async def go(e):
+        leaving = asyncio.ensure_future(e.release("r1", 20))
+        await e.until(lambda: e.members["r1"].held, 2)
+        e.members["r2"].follows = False
+        await e.until(lambda: not e.members["r1"].held, 4)
+        assert not e.evidence.counted_out
+        e.members["r2"].follows = True
+        await e.until(lambda: e.members["r1"].held, 4)
+        await leaving
+
+    virtual(go)
+
+
+def test_the_only_copy_of_a_member_that_left_is_waited_for_until_the_primary_bounds_it():
+    """The other replica is deaf, so the leaving one is not paused; its log may be needed."""
+
+    async def go(e):
+        e.members["r2"].follows = False
+        await e.release("r1")
+        assert e.evidence.unproven == ("r1",)
+        e.dark("p")
+        e.warden.doubt("g", "p", "mute")
+        await asyncio.sleep(8)
+        assert e.calls == [] and e.office["stuck"] and "r1" in e.warden.why["g"]
+        e.dark("p", True)
+        e.members["r2"].follows = True
+        await e.until(lambda: e.settled and not e.evidence.unproven)
+        await asyncio.sleep(1)
+        e.dark("p", runs=False)
+        e.warden.doubt("g", "p", "refused")
+        await e.until(lambda: e.calls and e.settled)
+        assert e.calls == ["r2"]
+
+    virtual(go)
+
+
+def test_a_new_primary_that_dies_before_a_replica_has_its_log_is_waited_for():
+    async def go(e):
+        for n in ("r1", "r2"):
+            e.members[n].follows = n == "r1"
+        await asyncio.sleep(0.5)
+        e.dark("p", runs=False)
+        e.warden.doubt("g", "p", "refused")
+        await e.until(lambda: e.office["primary"] == "r1" and e.office["phase"] == "serve")
+        e.put({"t": "member", "name": "p", "state": "gone", "addr": "1.1.1.1:0"})
+        e.join("n1")
+        e.members["n1"].follows = False
+        e.dark("r1", runs=False)
+        e.warden.doubt("g", "r1", "refused")
+        await asyncio.sleep(5)
+        assert e.calls == ["r1"] and e.office["stuck"]
+        e.dark("r1", True, True)
+        e.members["r2"].follows = True
+        await e.until(lambda: e.settled)
+
+    virtual(go)
+
+
+@pytest.mark.parametrize("n", ["r1", "p"])
+def test_a_member_that_ended_without_a_word_after_draining_is_signed_off(n):
+    async def go(e):
+        await e.release(n, tells=False)
+        await e.until(lambda: e.chain.realm.doc["members"][n]["state"] == "gone", 8)
+        await e.until(lambda: e.settled and not e.evidence.unproven, 8)
+        assert e.members[e.office["primary"]].runs
+
+    virtual(go)
+
+
+@pytest.mark.parametrize("again", [False, True])
+def test_a_new_head_keeps_what_is_counted_out(again):
+    async def go(e):
+        leaving = asyncio.ensure_future(e.release("r1", 12))
+        await e.until(lambda: e.evidence.counted_out)
+        e.chain.head = False
+        await asyncio.sleep(1)
+        if again:
+            e.members["r1"].held = 0
+        e.chain.head = True
+        await asyncio.sleep(2)
+        assert e.members["r1"].held and e.evidence.counted_out["r1"] == e.members["r1"].pos
+        await leaving
+        e.dark("p", runs=False)
+        e.warden.doubt("g", "p", "refused")
+        await e.until(lambda: e.calls and e.settled, 5)
+
+    virtual(go)
+
+
+def test_a_wait_without_proof_ends_by_an_order_that_is_recorded():
+    async def go(e):
+        e.members["r2"].follows = False
+        await e.release("r1")
+        e.dark("p", runs=False)
+        e.warden.doubt("g", "p", "refused")
+        await asyncio.sleep(5)
+        assert e.calls == [] and "petrelhavenctl elect" in e.warden.why["g"]
+        e.acked = (1, 0)
+        e.put({"t": "evidence", "group": "g", "what": "order", "member": "r2", "by": "anna"})
+        await e.until(lambda: e.calls and e.settled, 5)
+        assert e.calls == ["r2"] and e.office["accepted_loss"] == "anna"
+        assert not e.evidence.unproven and e.evidence.order is None
+
+    virtual(go)
+
+
 EVENT = st.tuples(
     st.sampled_from(
         [
@@ -676,6 +871,6 @@
             m.seen = m.runs = m.follows = True
             m.silent = False
         e.warden.doubt("g", e.office["primary"], "mute")
-        await e.until(lambda: e.settled and "g" not in e.warden._resume, 60)
+        await e.until(lambda: e.settled and "g" not in e.warden._to_resume, 60)
 
     virtual(go, halls={"p": "b", "r2": "b"})
