--- a/src/petrelhaven/commands/ctl.py
+++ b/src/petrelhaven/commands/ctl.py
@@ -66,6 +66,21 @@
     )
     w.add_argument("group")
     w.add_argument("--epoch", type=int)
+    e = sub.add_parser(
+        "elect",
+        help="elect a member of a group that waits without proof; acknowledged commits may be lost",
+    )
+    e.add_argument("--group", required=True)
+    e.add_argument("--member", required=True)
+    e.add_argument(
+        "--office", type=int, help="the number of the waiting office; asked for if it is not said"
+    )
+    e.add_argument(
+        "--accept-loss",
+        action="store_true",
+        required=True,
+        help="say that commits only held by members that left may be lost",
+    )
     embargo_command.arguments(sub)
     return p
 
@@ -156,6 +171,8 @@
             f"view {r['view']}: {' > '.join(r['chain'])}; change {r['change']}, manifest {r['manifest']}, "
             f"state taken from {r['from']}"
         )
+    elif a.verb == "elect":
+        await _elect(a, cs, by, out)
     elif a.verb == "embargo":
         await embargo_command.run(
             a, lambda change, verb, path, doc: _any(cs, change, verb, path, doc=doc), out
@@ -174,6 +191,16 @@
         _why(await _any(cs, False, "GET", f"/why?group={a.group}{q}"), out)
 
 
+async def _elect(a, cores, by, out):
+    """Orders an election for the office that waits now, or for the one that was said."""
+    office = a.office
+    if office is None:
+        office = (await _any(cores, False, "GET", f"/why?group={a.group}"))["epoch"]["n"]
+    query = f"{by}&member={a.member}&office={office}&accept_loss=true"
+    r = await _any(cores, True, "POST", f"/groups/{a.group}/elect{query}")
+    out(f"member {r['member']} of {r['group']} is to be elected (change {r['change']})")
+
+
 def _status(s, out):
     v = s["view"]
     for k, x in (
--- a/src/petrelhaven/control/interface/held_interface.py
+++ b/src/petrelhaven/control/interface/held_interface.py
@@ -24,6 +24,7 @@
             ("GET", "/manifest", self._show),
             ("POST", "/halls/{}/evacuate", self._evacuate),
             ("POST", "/halls/{}/restore", self._restore),
+            ("POST", "/groups/{}/elect", self._elect),
             ("POST", "/reform", self._reform),
             ("GET", "/status", self._status),
             ("GET", "/why", self._why),
@@ -94,6 +95,18 @@
     async def _restore(self, q, hall):
         return await self._hall(q, hall, "open")
 
+    async def _elect(self, q, group):
+        """Elects a member without proof; only where the caller accepts that commits may be lost."""
+        member, office = q.query.get("member", ""), number(q.query, "office")
+        if not member or office is None:
+            raise Malformed("member and office must be said")
+        if q.query.get("accept_loss") != "true":
+            raise Invalid(
+                "acknowledged commits may be lost",
+                more={"faults": [["accept_loss", "must be true"]]},
+            )
+        return await self._c.elect(unquote(group), member, office, self._by(q))
+
     async def _reform(self, q):
         d = q.doc()
         lost = d.get("lost") if isinstance(d, dict) else None
@@ -112,9 +125,9 @@
 
     async def _why(self, q):
         g = q.query.get("group", "")
-        return why_of(
-            await self._c.realm(), q.query, self._c.duty.why.get(g) if self._c.chain.head else None
-        )
+        realm = await self._c.realm()
+        answer = why_of(realm, q.query, self._c.duty.why.get(g) if self._c.chain.head else None)
+        return {**answer, "evidence": realm["evidence"].get(g)}
 
     async def _belief(self, q):
         return self._c.belief()
--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -281,6 +281,23 @@
         r = await self.enter({"t": "hall", "hall": hall, "state": state, "by": by}, False)
         return {"hall": hall, "state": state, "change": r["seq"]}
 
+    async def elect(self, group: str, member: str, office: int, by: str = "") -> dict:
+        """Records an operator's order to elect `member` although acknowledged commits may be lost.
+
+        `office` is the number of the waiting office that the operator saw: an order that was held
+        up on its way finds another number and is declined.
+        """
+        order = {
+            "t": "evidence",
+            "group": group,
+            "what": "order",
+            "member": member,
+            "n": office,
+            "by": by or "operator",
+        }
+        answer = await self.enter(order, False)
+        return {"group": group, "member": member, "change": answer["seq"]}
+
     async def announce(self, doc):
         """Takes a member's announcement; what it changes is on the chain before this returns."""
         for k, t in _FACTS.items():
--- a/src/petrelhaven/control/state/ledger.py
+++ b/src/petrelhaven/control/state/ledger.py
@@ -212,15 +212,21 @@
         if r["what"] == "counted_out" and r["member"] not in self.group(group):
             raise Stale(f"member {r['member']} is gone")
         if r["what"] == "order":
-            if office["phase"] != "move":
-                raise Invalid(
-                    "the group is served", more={"faults": [["group", "its office does not wait"]]}
-                )
-            if r["member"] not in self.group(group):
-                raise Invalid(
-                    "no such member",
-                    more={"faults": [["member", f"no member {r['member'][:60]} in {group[:60]}"]]},
-                )
+            self._check_order(r, office)
+
+    def _check_order(self, r, office):
+        group, member = r["group"], r["member"]
+        if office["phase"] != "move":
+            faults = [["group", f"group {group[:60]} is served by {office['primary']}"]]
+            raise Invalid("no election is waited for", more={"faults": faults})
+        if r["n"] != office["n"]:
+            raise Racing(f"office {office['n']} of {group[:60]} waits, not {r['n']}")
+        if member not in self.group(group):
+            faults = [["member", f"no member {member[:60]} in group {group[:60]}"]]
+            raise Invalid("no such member", more={"faults": faults})
+        order = self.evidence(group).order
+        if order is not None and order.member == member:
+            raise Duplicate(f"{order.by} ordered {member} already")
 
     def _apply_evidence(self, r):
         group = r["group"]
--- a/tests/test_seatface.py
+++ b/tests/test_seatface.py
@@ -243,6 +243,40 @@
     on_a_seat(tmp_path, go)
 
 
+def test_an_election_without_proof_is_ordered_for_the_office_that_waits(tmp_path):
+    async def go(seat, face):
+        m = {**json.loads(manifest("small", 1)), "halls": ["a", "b"]}
+        assert (await ask(face, "POST", "/manifest", m))[0] == 200
+        for name, role in (("m1", "primary"), ("m2", "replica")):
+            assert (await ask(face, "POST", "/announce", member(name, role)))[0] == 200
+        await until(lambda: seat.chain.realm.doc["offices"].get("g1"), 5)
+        path = "/groups/g1/elect?member=m2&accept_loss=true&by=anna"
+        st_, d, _ = await ask(face, "POST", path + "&office=1")
+        assert (st_, d["fault"]) == (422, "invalid") and "served by m1" in str(d)
+        await seat.depart("m1")
+        await until(lambda: seat.chain.realm.doc["offices"]["g1"].get("stuck"), 5)
+        n = seat.chain.realm.doc["offices"]["g1"]["n"]
+        wrong = (("&office=1", "racing"), (f"&office={n}&accept_loss=no", "invalid"))
+        for more, fault in (*wrong, ("", "malformed"), ("&office=x", "malformed")):
+            assert (await ask(face, "POST", path + more))[1]["fault"] == fault
+        assert (
+            await ask(face, "POST", f"/groups/none/elect?member=m2&office={n}&accept_loss=true")
+        )[0] == 404
+        with pytest.raises(SystemExit):
+            await told(face, "elect", "--group", "g1", "--member", "m2")
+        out = await told(
+            face, "--by", "anna", "elect", "--group", "g1", "--member", "m2", "--accept-loss"
+        )
+        assert "member m2 of g1 is to be elected (change" in out
+        why = (await ask(face, "GET", "/why?group=g1"))[1]
+        assert why["evidence"]["order"] == {"member": "m2", "by": "anna"}
+        assert why["evidence"]["unproven"] == ["m1"]
+        await until(lambda: "ordered by anna" in seat.duty.why.get("g1", ""), 5)
+        assert "ordered by anna" in await told(face, "status")
+
+    on_a_seat(tmp_path, go)
+
+
 @pytest.mark.parametrize(
     ("change", "field"),
     [
@@ -283,6 +317,8 @@
             "/halls//evacuate",
             "/halls/a/{}/evacuate",
             "/halls/{}/evacuate",
+            "/groups/g1/elect",
+            "/groups/{}/elect",
         ]
     ),
     st.text(st.characters(min_codepoint=33, max_codepoint=255), max_size=20).map(lambda s: "/" + s),
@@ -292,7 +328,19 @@
     st.text(st.characters(min_codepoint=33, max_codepoint=255), max_size=20),
     st.builds(
         "{}={}".format,
-        st.sampled_from(["n", "group", "version", "after", "by", "retire", "unconfirmed"]),
+        st.sampled_from(
+            [
+                "n",
+                "group",
+                "version",
+                "after",
+                "by",
+                "retire",
+                "unconfirmed",
+                "office",
+                "accept_loss",
+            ]
+        ),
         st.sampled_from(["", "0", "-1", "1e9", "g1", "true", "%00", "%C2%B2", "9" * 40, "\xb2"]),
     ),
 )
--- a/tests/test_warden.py
+++ b/tests/test_warden.py
@@ -11,7 +11,7 @@
 from petrelhaven.control.failover.coordinator import FailoverCoordinator
 from petrelhaven.control.state.ledger import Ledger
 from petrelhaven.runtime.clock import Clock, Nest
-from petrelhaven.runtime.errors import Fenced, Unreached, Unsent
+from petrelhaven.runtime.errors import Fenced, Invalid, Racing, Unreached, Unsent
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
 DRAWN = settings(
@@ -796,10 +796,17 @@
         await asyncio.sleep(5)
         assert e.calls == [] and "petrelhavenctl elect" in e.warden.why["g"]
         e.acked = (1, 0)
-        e.put({"t": "evidence", "group": "g", "what": "order", "member": "r2", "by": "anna"})
+        order = {"t": "evidence", "group": "g", "what": "order", "member": "r2", "by": "anna"}
+        with pytest.raises(Racing):
+            e.put({**order, "n": e.office["n"] - 1})
+        with pytest.raises(Invalid):
+            e.put({**order, "n": e.office["n"], "member": "r1"})
+        e.put({**order, "n": e.office["n"]})
         await e.until(lambda: e.calls and e.settled, 5)
         assert e.calls == ["r2"] and e.office["accepted_loss"] == "anna"
         assert not e.evidence.unproven and e.evidence.order is None
+        with pytest.raises(Invalid):
+            e.put({**order, "n": e.office["n"]})
 
     virtual(go)
 
