--- a/tests/test_worst_days_tool.py
+++ b/tests/test_worst_days_tool.py
@@ -12,7 +12,7 @@
 
 from worst_days.bench import NOT_PLAYED, Bench, refused_kind  # noqa: E402
 from worst_days.day import Day, Entry  # noqa: E402
-from worst_days.drawing import closings, draw_day, variants  # noqa: E402
+from worst_days.drawing import Density, closings, draw_day, variants  # noqa: E402
 from worst_days.kinds import merge_kinds, parse_kinds, with_variants  # noqa: E402
 from worst_days.report import Finding, Outcome, read_report  # noqa: E402
 from worst_days.shrinking import shrink  # noqa: E402
@@ -136,6 +136,24 @@
     assert orders == {"config_change", "evacuate"}
 
 
+def test_a_dense_day_has_more_entries_and_some_at_one_moment(site, kinds):
+    dense = Density(fewest=4, most=6, together=0.5)
+    days = [draw_day(site, kinds, seed, dense) for seed in range(40)]
+    assert {len(day.entries) - 3 for day in days} == {4, 5, 6}
+    moments = [{entry.at for entry in day.entries[:-3]} for day in days]
+    assert any(len(times) < len(day.entries) - 3 for times, day in zip(moments, days, strict=True))
+    assert days == [draw_day(site, kinds, seed, dense) for seed in range(40)]
+
+
+def test_the_operator_orders_a_plain_change_where_no_order_is_among_the_kinds(site):
+    day = draw_day(site, parse_kinds("hup: how: now later\n"), 3)
+    assert {entry.kind for entry in day.entries[:-3]} == {"hup"}
+    assert {(entry.kind, entry.how) for entry in day.entries[-3:]} <= {
+        ("config_change", "idle"),
+        ("config_change", ""),
+    }
+
+
 def test_a_day_is_written_in_the_shape_of_the_sites_own_days(site, kinds, tmp_path):
     for seed in range(60):
         day = draw_day(site, kinds, seed)
--- a/tools/worst_days/__main__.py
+++ b/tools/worst_days/__main__.py
@@ -7,11 +7,11 @@
 
 from worst_days.bench import Bench
 from worst_days.day import Day
-from worst_days.drawing import draw_day
+from worst_days.drawing import USUAL, Density, draw_day
 from worst_days.kinds import Kind, merge_kinds, with_variants
 from worst_days.report import Outcome
 from worst_days.shrinking import Breaks, shrink
-from worst_days.site import Site, read_site
+from worst_days.site import read_site
 
 FOUND = 1
 
@@ -30,6 +30,10 @@
     parser.add_argument(
         "--kinds-of", type=Path, nargs="*", default=[], help="site files whose kinds come too"
     )
+    parser.add_argument("--only", nargs="*", help="kinds to draw from; left out: all")
+    parser.add_argument("--fewest", type=int, default=USUAL.fewest, help="fewest entries a day")
+    parser.add_argument("--most", type=int, default=USUAL.most, help="most entries a day")
+    parser.add_argument("--together", type=float, default=0.0, help="share that strike at once")
     parser.add_argument("--why", default="drawn day", help="a line for the journal")
     parser.add_argument("--plays", type=int, default=1, help="how many days are played at once")
     parser.add_argument(
@@ -57,7 +61,12 @@
         args.bench, args.site, args.repository, args.out, args.why, options, args.least_worth
     )
     kinds = merge_kinds([_kinds(bench, site) for site in [args.site, *args.kinds_of]])
-    days = _days(read_site(args.site), kinds, range(args.first, args.first + args.days))
+    if args.only:
+        kinds = tuple(kind for kind in kinds if kind.name in args.only)
+    density = Density(args.fewest, args.most, args.together)
+    seeds = range(args.first, args.first + args.days)
+    site = read_site(args.site)
+    days = [draw_day(site, kinds, seed, density) for seed in seeds]
     if args.write_only:
         for day in days:
             print(day.write(args.out))
@@ -73,10 +82,6 @@
     return with_variants(bench.kinds(site), read_site(site).variants)
 
 
-def _days(site: Site, kinds: tuple[Kind, ...], seeds: range) -> list[Day]:
-    return [draw_day(site, kinds, seed) for seed in seeds]
-
-
 def _hunt(bench: Bench, day: Day, most_plays: int) -> bool:
     """Plays a day and shrinks it if it breaks; whether it does."""
     played = bench.play(day)
--- a/tools/worst_days/drawing.py
+++ b/tools/worst_days/drawing.py
@@ -6,7 +6,7 @@
 midst of the trouble.
 """
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from random import Random
 
 from worst_days.day import Day, Entry
@@ -15,7 +15,6 @@
 from worst_days.site import Site
 from worst_days.toml_text import TomlValue
 
-FEWEST_ENTRIES, MOST_ENTRIES = 2, 6
 DEALT_ENTRIES = 2
 FIRST_S, LAST_S, CLUSTER_S = 2.0, 12.0, 8.0
 LATEST_S = 24.0
@@ -54,6 +53,8 @@
 _CLOSINGS = ("power_off_all", "wipe_after_ack", "kill_all")
 _CLOSING_VARIANTS = ("", "timed", "taken")
 
+PLAIN_CHANGE = Kind("config_change", "a change", ("idle",), None)
+
 Variant = tuple[Kind, str]
 
 
@@ -76,19 +77,33 @@
     ]
 
 
-def draw_day(site: Site, kinds: tuple[Kind, ...], seed: int) -> Day:
+@dataclass(frozen=True, slots=True)
+class Density:
+    """How many entries a day has, and how often two of them strike at the same moment."""
+
+    fewest: int = 2
+    most: int = 6
+    together: float = 0.0
+
+
+USUAL = Density()
+
+
+def draw_day(site: Site, kinds: tuple[Kind, ...], seed: int, density: Density = USUAL) -> Day:
     """The day that a seed names."""
     rng = Random(f"{site.name}:{seed}")
     every = variants(kinds)
     start = rng.uniform(FIRST_S, LAST_S)
     dealt = [_dealt(every, site, seed * DEALT_ENTRIES + i) for i in range(DEALT_ENTRIES)]
     entries = [_entry(rng, site, start, variant) for variant in dealt]
-    for _ in range(rng.randint(FEWEST_ENTRIES, MOST_ENTRIES) - DEALT_ENTRIES):
+    for _ in range(rng.randint(density.fewest, density.most) - DEALT_ENTRIES):
         repeated = rng.random() < REPEAT_CHANCE
         entries.append(
             _again(rng, entries) if repeated else _entry(rng, site, start, _free(rng, every))
         )
-    orders = [Entry(at, "config_change", "idle") for at in CALM_ORDERS_S]
+    if density.together:
+        entries = _at_one_moment(rng, entries, density.together)
+    orders = [Entry(at, PLAIN_CHANGE.name, "idle") for at in CALM_ORDERS_S]
     orders.append(_entry(rng, site, start, _order(rng, every)))
     return Day(
         name=f"{site.name}:{seed}",
@@ -114,8 +129,9 @@
 
 
 def _order(rng: Random, every: list[Variant]) -> Variant:
-    """An order of the operator."""
-    return _free(rng, [variant for variant in every if variant[0].name in _ORDERS])
+    """An order of the operator; a plain change where none is among the kinds."""
+    orders = [variant for variant in every if variant[0].name in _ORDERS]
+    return _free(rng, orders or [(PLAIN_CHANGE, "idle")])
 
 
 def _entry(rng: Random, site: Site, start: float, variant: Variant) -> Entry:
@@ -130,6 +146,15 @@
     return replace(entry, at=round(min(LATEST_S, entry.at + rng.uniform(0.5, CLUSTER_S)), 2))
 
 
+def _at_one_moment(rng: Random, entries: list[Entry], chance: float) -> list[Entry]:
+    """The entries, some moved to the moment of the one before."""
+    moved = entries[:1]
+    for entry in entries[1:]:
+        together = rng.random() < chance
+        moved.append(replace(entry, at=moved[-1].at) if together else entry)
+    return moved
+
+
 def _closing(rng: Random, site: Site, seed: int) -> dict[str, TomlValue]:
     if rng.random() >= CLOSING_CHANCE:
         return {}
