--- /dev/null
+++ b/tests/control_mutants.py
@@ -0,0 +1,175 @@
+"""The guards of the control side, each taken out alone: what the model of test_control_model.py must find."""
+
+import petrelhaven.control.consensus.chain as chain
+import petrelhaven.control.consensus.register as register
+from petrelhaven.control import seat
+from petrelhaven.control.state import ledger
+from petrelhaven.control.storage import memory
+from petrelhaven.runtime.errors import NotReady
+
+
+def vote_not_kept(mp):
+    def put_vote(self, **changes):
+        self.vote = {**self.vote, **changes}
+
+    mp.setattr(memory.Memory, "put_vote", put_vote)
+
+
+def votes_under_any_identity(mp):
+    mp.setattr(register.Voter, "_fits", lambda self, ids: True)
+
+
+def promise_ignored(mp):
+    async def accept(self, channel, body):
+        vote = self._mem.vote
+        self._mem.put_vote(
+            num=body["num"],
+            who=body["who"],
+            anum=body["num"],
+            awho=body["who"],
+            value=body["value"],
+        )
+        return {"ok": True, "seen": max(vote["num"], vote["anum"])}
+
+    mp.setattr(register.Voter, "accept", accept)
+
+
+def accepted_value_ignored(mp):
+    real = register.Proposer.change
+
+    async def change(self, ids, decide):
+        return await real(self, ids, lambda known: decide(None))
+
+    mp.setattr(register.Proposer, "change", change)
+
+
+def minority_decides(mp):
+    real = register.Proposer._round
+
+    async def one_round(self, ids, kind, body):
+        answers = await real(self, ids, kind, body)
+        silent = {"ok": True, "num": 0, "who": "", "value": None, "seen": 0}
+        return answers + [silent] * (len(ids) - len(answers))
+
+    mp.setattr(register.Proposer, "_round", one_round)
+
+
+def confirmed_without_majority(mp):
+    def count(self, view):
+        latest = max(self._sent.get(name, 0) for name in view["ids"])
+        self.confirmed = max(self.confirmed, latest + self.confirm_us)
+
+    mp.setattr(chain.Chain, "_count", count)
+
+
+def confirms_an_older_view(mp):
+    real = chain.Chain.confirmed_by
+
+    async def confirmed_by(self, channel, body):
+        return {**await real(self, channel, body), "ok": True}
+
+    mp.setattr(chain.Chain, "confirmed_by", confirmed_by)
+
+
+def tail_reads_while_not_active(mp):
+    def read(self):
+        if not self.tail:
+            raise NotReady("not the tail")
+        return self.realm.doc
+
+    mp.setattr(chain.Chain, "read", read)
+
+
+def complete_without_handover(mp):
+    mp.setattr(
+        chain.Chain,
+        "complete",
+        property(lambda self: self.view is not None and self._at() is not None),
+    )
+
+
+def lapse_not_awaited(mp):
+    real = chain.Chain.adopt
+
+    def adopt(self, view):
+        real(self, view)
+        self.active_at = 0
+
+    mp.setattr(chain.Chain, "adopt", adopt)
+
+
+def informed_by_any_core(mp):
+    def informed(self):
+        view = self.chain.view
+        if view is None:
+            return
+        told = (answer for at, answer in self._infos.values() if answer and at >= self.chain.adopted)
+        if any(answer["name"] != self.name for answer in told):
+            self.chain.active_at = self.clock.now()
+
+    mp.setattr(seat.Seat, "informed", informed)
+
+
+def members_changed_two_at_once(mp):
+    async def recast(self, view, infos):
+        new = [n for n in infos if n not in view["ids"] and self.roster.state(n) == "alive"]
+        if not new or not self.chain.active:
+            return
+        ids = {n: disk for n, disk in view["ids"].items() if n in view["chain"]}
+        ids[new[0]] = infos[new[0]]["disk"]
+        await self.propose(view, view["chain"] + new[:1], ids, "exchanged")
+
+    mp.setattr(seat.Seat, "recast", recast)
+
+
+def acknowledged_before_commit(mp):
+    async def until(self, seq):
+        return
+
+    mp.setattr(chain.Chain, "until", until)
+
+
+def records_not_synced(mp):
+    real = memory.Memory._keep
+    mp.setattr(
+        memory.Memory,
+        "_keep",
+        lambda self, document: None if document["t"] == "rec" else real(self, document),
+    )
+
+
+def reset_without_frame(mp):
+    def reset(self, realm, mark):
+        self.mark = mark
+
+    mp.setattr(memory.Memory, "reset", reset)
+
+
+def reset_not_synced(mp):
+    def reset(self, realm, mark):
+        self.realm, self.recs, self.mark, self._bytes = self._state(realm), [], mark, 0
+
+    mp.setattr(memory.Memory, "reset", reset)
+
+
+def versions_not_checked(mp):
+    mp.setattr(ledger.Ledger, "_check_manifest", lambda self, record: None)
+
+
+def fence_before_commit(mp):
+    real = chain.Chain.enter
+
+    async def enter(self, record, *args):
+        if record["t"] != "office" or not (self.head and self.active):
+            return await real(self, record, *args)
+        self.nest.spawn(real(self, record, *args))
+        return self.realm.seq + 1
+
+    mp.setattr(chain.Chain, "enter", enter)
+
+
+__all__ = [
+    name
+    for name, value in list(globals().items())
+    if callable(value) and getattr(value, "__module__", "") == __name__
+]
--- /dev/null
+++ b/tests/model/cluster.py
@@ -0,0 +1,188 @@
+"""Shipped control cores on simulated machines in virtual time, without proxies, members or a platform."""
+
+import asyncio
+import functools
+import itertools
+import random
+
+from model.disk import ModelDisk
+from model.observer import Observer
+
+from petrelhaven.control.seat import Seat
+from petrelhaven.control.storage import memory
+from petrelhaven.simulator.net import Box, Net
+
+__all__ = ["Cluster", "Shape"]
+
+_HALLS = ("a", "b", "c")
+_TURN_S = 0.01
+_BEAT_US = 1_200_000
+_RATES = (1.0, 1.045, 1.0, 1.02, 1.045)
+
+
+class Shape:
+    """Size of the cluster and of what its cores keep: a small file turns often, a short tail is trimmed soon."""
+
+    def __init__(self, cores=3, file_bytes=1 << 20, tail=400):
+        self.cores, self.file_bytes, self.tail = cores, file_bytes, tail
+
+    def __repr__(self):
+        return f"Shape({self.cores}, {self.file_bytes}, {self.tail})"
+
+
+class ModelNet(Net):
+    """A network whose ways can be slowed."""
+
+    def __init__(self, loop, rng):
+        super().__init__(loop, rng, 8_000)
+        self.slowed = {}
+
+    def delay(self, a, b):
+        """One way, in seconds."""
+        extra = max(self.slowed.get(a.name, 0.0), self.slowed.get(b.name, 0.0))
+        return super().delay(a, b) + extra * self.rng.random()
+
+
+class Cluster:
+    """Three or five cores; `observer` checks the invariants all along."""
+
+    def __init__(self, shape, seed):
+        self.loop = asyncio.get_running_loop()
+        self.rng = random.Random(seed)
+        self.shape = shape
+        self.net = ModelNet(self.loop, self.rng)
+        self.observer = Observer(self.loop)
+        self.tolerated = (shape.cores - 1) // 2
+        self._names = (f"c{i}" for i in itertools.count(1))
+        self.cores = [self._machine(i) for i in range(shape.cores)]
+        self.seeds = [f"sim:{b.name}" for b in self.cores[:3]]
+        self.away = set()
+        self.behind = set()
+        self.operators = Box(self.net, "operators", "out")
+        self._small = functools.partial(memory.Ring, size=shape.file_bytes)
+
+    def _machine(self, place):
+        rate = _RATES[place % len(_RATES)]
+        box = Box(self.net, next(self._names), _HALLS[place % 3], rate)
+        box.disk = ModelDisk(box)
+        return box
+
+    async def start(self):
+        """Powers everything on for the first time and waits until the cores are ready."""
+        self.operators.boot()
+        self.operators.node = True
+        for box in self.cores:
+            self.boot(box, founds=True)
+        self.loop.create_task(self._watch())
+        return await self.until(
+            lambda: all(b.node and b.node.ready and len(b.node.chain.view["ids"]) == len(self.cores) for b in self.cores),
+            20,
+        )
+
+    def boot(self, box, founds=False):
+        """Powers a core on over what its disk holds."""
+        if box.up or box.name in self.away:
+            return
+        box.boot()
+        try:
+            box.node = Seat(
+                box.name,
+                box.hall,
+                list(self.seeds),
+                box.clock,
+                box.nest,
+                box.link,
+                box.disk,
+                random.Random(self.rng.random()),
+                None,
+                None,
+                _BEAT_US,
+                box.log,
+                founds,
+                self.tolerated,
+            )
+        except asyncio.CancelledError:
+            if box.up:
+                raise
+            return
+        self.observer.attach(box)
+        box.node.start()
+
+    def at(self, index):
+        """A core by its place."""
+        return self.cores[index % len(self.cores)]
+
+    def may_lose(self, box):
+        """Whether one more disk may be lost: those that came back empty count until they caught up."""
+        return len(self.behind | {box.name}) <= self.tolerated
+
+    def lose_disk(self, box):
+        """Powers a core off for good with its disk, if that many losses are tolerated."""
+        if not self.may_lose(box):
+            return False
+        box.kill()
+        box.disk.lose()
+        self.behind.add(box.name)
+        return True
+
+    def replace(self, index):
+        """Removes a core; a new one with another name, address and disk comes in its place."""
+        old = self.at(index)
+        if not self.lose_disk(old):
+            return None
+        self.away.add(old.name)
+        new = self.cores[index % len(self.cores)] = self._machine(index)
+        self.behind.discard(old.name)
+        self.behind.add(new.name)
+        return new
+
+    def isolate(self, box, us, way):
+        """Cuts a core from the other cores: both ways, outwards only or inwards only."""
+        others = [b.name for b in self.cores if b is not box]
+        if way % 3 == 2:
+            self.net.cut(others, [box.name], us, both=False)
+        else:
+            self.net.cut([box.name], others, us, both=way % 3 == 0)
+
+    def reset_connections(self, box):
+        """Closes every connection of a core; the other sides see it."""
+        for end in list(box.pipes.values()):
+            end.cut(False)
+            for machine, channel in ((end.a, end.ca), (end.b, end.cb)):
+                if machine is box:
+                    channel.lose()
+
+    async def until(self, condition, seconds):
+        """Waits in virtual time for a condition; false if it did not come true."""
+        end = self.loop.time() + seconds
+        while not condition():
+            if self.loop.time() > end:
+                return False
+            await asyncio.sleep(0.02)
+        return True
+
+    async def _watch(self):
+        while True:
+            self.observer.turn(self.cores)
+            for name in list(self.behind):
+                box = next((b for b in self.cores if b.name == name), None)
+                if box and box.up and box.node and self._caught_up(box.node):
+                    self.behind.discard(name)
+            await asyncio.sleep(_TURN_S)
+
+    def _caught_up(self, node):
+        newest = max(self.observer.views, default=0)
+        return node.ready and node.chain.view["n"] == newest
+
+    def heal(self):
+        """Ends all trouble: nothing cut, slowed, frozen or off but what was removed."""
+        self.net.cuts.clear()
+        self.net.slowed.clear()
+        self.net.loss = self.net.double = 0.0
+        for box in self.cores:
+            box.disk.crash_at_next_write = None
+            if box.frozen:
+                box._thaw(box.life)
+            self.boot(box)
+
+
--- /dev/null
+++ b/tests/model/disk.py
@@ -0,0 +1,32 @@
+"""A core's disk in the model: a write that a crash interrupts is kept whole, lost, or torn."""
+
+import asyncio
+
+from petrelhaven.simulator.net import SimDisk
+
+__all__ = ["OUTCOMES", "ModelDisk"]
+
+OUTCOMES = ("present", "missing", "torn")
+
+
+class ModelDisk(SimDisk):
+    """Every finished write is synced; `crash_at_next_write` says what is left of the next one."""
+
+    def __init__(self, box):
+        super().__init__(box)
+        self.crash_at_next_write = None
+
+    def write(self, name, off, data):
+        """Writes and syncs, or takes the machine down with what the disk kept of the write."""
+        outcome, self.crash_at_next_write = self.crash_at_next_write, None
+        if outcome is None or not self._box.up:
+            return super().write(name, off, data)
+        kept = {"present": len(data), "missing": 0, "torn": len(data) // 2}[outcome]
+        super().write(name, off, data[:kept])
+        self._box.kill()
+        raise asyncio.CancelledError
+
+    def lose(self):
+        """Another, empty disk."""
+        super().lose()
+        self.crash_at_next_write = None
--- /dev/null
+++ b/tests/model/schedule.py
@@ -0,0 +1,258 @@
+"""Schedules of the model: steps drawn by hypothesis or written down, played on a cluster and judged."""
+
+import asyncio
+import contextlib
+import functools
+from dataclasses import dataclass
+from unittest import mock
+
+from hypothesis import strategies
+from model.cluster import Cluster, Shape
+from model.disk import OUTCOMES
+from model.operators import Operators
+
+from petrelhaven.control.storage import memory
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all
+
+__all__ = ["KINDS", "Result", "Step", "play", "schedules", "shapes", "shrunk"]
+
+_CALM_S = 30.0
+_ORDER_S = 10.0
+_HALLS = ("a", "b", "c")
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Waits `pause` ms, then brings `kind` about at core `who`, with `other` as its variant, for `span` ms."""
+
+    pause: int
+    kind: str
+    who: int = 0
+    other: int = 0
+    span: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What a played schedule showed."""
+
+    broken: dict
+    acknowledged: int
+    orders: int
+    reads: int
+    findings: list
+    cluster: Cluster
+
+
+class Player:
+    """Brings steps about."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self.operators = Operators(cluster)
+        self.ends = 0.0
+
+    async def step(self, step):
+        """One step, after its pause."""
+        await asyncio.sleep(step.pause / 1000)
+        self.ends = max(self.ends, self._cluster.loop.time() + step.span / 1000)
+        getattr(self, "_" + step.kind)(self._cluster.at(step.who), step)
+
+    def _later(self, span, action):
+        self._cluster.loop.call_later(span / 1000, action)
+
+    def _back(self, box, span):
+        self._later(span, lambda: self._cluster.boot(box))
+
+    def _kill(self, box, step):
+        box.kill(silent=step.other % 2 == 1)
+        self._back(box, step.span)
+
+    def _tear(self, box, step):
+        box.disk.crash_at_next_write = OUTCOMES[step.other % len(OUTCOMES)]
+        self._back(box, step.span + 1000)
+
+    def _lose(self, box, step):
+        if self._cluster.lose_disk(box):
+            self._back(box, step.span)
+
+    def _replace(self, box, step):
+        new = self._cluster.replace(step.who)
+        if new is not None:
+            self._back(new, step.span)
+
+    def _cut(self, box, step):
+        self._cluster.isolate(box, step.span * 1000, step.other)
+
+    def _split(self, box, step):
+        other = self._cluster.at(step.who + 1 + step.other)
+        if other is not box:
+            self._cluster.net.cut([box.name], [other.name], step.span * 1000)
+
+    def _freeze(self, box, step):
+        box.freeze(step.span * 1000)
+
+    def _slow(self, box, step):
+        slowed = self._cluster.net.slowed
+        slowed[box.name] = 0.05 * (1 + step.other % 8)
+        self._later(step.span, lambda: slowed.pop(box.name, None))
+
+    def _lossy(self, box, step):
+        net, operators = self._cluster.net, self.operators
+        operators.lost_answers, net.loss, net.double = 0.5, 0.2, 0.2
+
+        def end():
+            operators.lost_answers = net.loss = net.double = 0.0
+
+        self._later(step.span, end)
+
+    def _reset(self, box, step):
+        self._cluster.reset_connections(box)
+
+    def _blackout(self, box, step):
+        for i, machine in enumerate(self._cluster.cores):
+            machine.kill(silent=True)
+            self._back(machine, step.span + (i * step.other * 300) % 2000)
+
+    def _order(self, box, step):
+        self.operators.spawn(self.operators.apply(step.who))
+
+    def _race(self, box, step):
+        self.operators.spawn(self.operators.race(step.who, step.who + step.other))
+
+    def _burst(self, box, step):
+        for i in range(8):
+            self.operators.spawn(self.operators.apply(step.who + i * step.other))
+
+    def _hall(self, box, step):
+        self.operators.spawn(self.operators.turn_hall(step.who, _HALLS[step.other % 3]))
+
+    def _read(self, box, step):
+        self.operators.spawn(self.operators.read(step.who))
+
+    def _fence(self, box, step):
+        for i in range(len(self._cluster.cores)):
+            self.operators.spawn(self.operators.fence(i))
+
+
+KINDS = tuple(sorted(n[1:] for n in vars(Player) if n[0] == "_" and n[1] != "_" and n not in ("_later", "_back")))
+
+
+async def _judged(cluster, player, observer):
+    """After the schedule: everything is healed, and the cluster must serve, catch up and keep."""
+    operators = player.operators
+    cluster.heal()
+    operators.lost_answers = 0.0
+    ready = await cluster.until(lambda: all(b.node and b.node.ready for b in cluster.cores), _CALM_S)
+    if not ready:
+        names = [(b.name, b.up, bool(b.node and b.node.ready)) for b in cluster.cores]
+        observer.report("every core is ready again after calm", f"within {_CALM_S} s: {names}")
+    await asyncio.gather(*operators.tasks)
+    begun = cluster.loop.time()
+    if not await operators.apply(0):
+        observer.report("an order is acknowledged after calm", "12 s without an acknowledgement")
+    elif cluster.loop.time() - begun > _ORDER_S:
+        observer.report("an order is acknowledged after calm", f"{cluster.loop.time() - begun:.1f} s")
+    held = [b.node.chain for b in cluster.cores if b.node]
+    caught = await cluster.until(lambda: all(c.commit >= observer.committed for c in held), 5)
+    if not caught:
+        observer.report("a restarted core reaches the newest state", f"{[c.commit for c in held]}")
+    for i in range(len(cluster.cores)):
+        for _ in range(10):
+            if await operators.read(i) is not None:
+                break
+            await asyncio.sleep(0.3)
+        else:
+            observer.report("the state is read back after calm", f"not by way of {cluster.at(i).name}")
+
+
+async def _played(shape, steps, seed):
+    cluster = Cluster(shape, seed)
+    observer = cluster.observer
+    if not await cluster.start():
+        observer.report("the first start ends", "cores not ready within 20 s")
+        return cluster, Player(cluster)
+    player = Player(cluster)
+    for step in steps:
+        await player.step(step)
+        if observer.broken:
+            return cluster, player
+    await asyncio.sleep(max(0.5, player.ends - cluster.loop.time()))
+    await _judged(cluster, player, observer)
+    return cluster, player
+
+
+@contextlib.contextmanager
+def _sizes(shape):
+    ring = functools.partial(memory.Ring, size=shape.file_bytes)
+    with mock.patch.multiple(memory, Ring=ring, _TAIL=shape.tail):
+        yield
+
+
+def play(shape, steps, seed=1):
+    """Plays a schedule in virtual time and returns what it showed."""
+    loop = WarpLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        with _sizes(shape):
+            cluster, player = loop.run_until_complete(_played(shape, steps, seed))
+        operators = player.operators
+        for at, kind, *what in cluster.net.findings:
+            cluster.observer.report(f"no {kind} fault in a core", f"at {at}: {what}")
+        return Result(
+            dict(cluster.observer.broken),
+            operators.acknowledged,
+            operators.orders,
+            operators.reads,
+            cluster.net.log,
+            cluster,
+        )
+    finally:
+        end_all(loop)
+        loop.close()
+        asyncio.set_event_loop(None)
+
+
+_PAUSES = strategies.one_of(
+    strategies.integers(0, 400), strategies.integers(0, 3000), strategies.just(0)
+)
+_SPANS = strategies.one_of(
+    strategies.integers(50, 1500), strategies.integers(500, 8000), strategies.sampled_from((20_000,))
+)
+
+
+def schedules(most=14):
+    """Drawn schedules."""
+    step = strategies.builds(
+        Step,
+        pause=_PAUSES,
+        kind=strategies.sampled_from(KINDS),
+        who=strategies.integers(0, 4),
+        other=strategies.integers(0, 7),
+        span=_SPANS,
+    )
+    return strategies.lists(step, min_size=2, max_size=most)
+
+
+def shapes():
+    """Drawn clusters: three or five cores, files that turn or not, a tail that is trimmed or not."""
+    return strategies.builds(
+        Shape,
+        cores=strategies.sampled_from((3, 3, 5)),
+        file_bytes=strategies.sampled_from((1 << 20, 8192)),
+        tail=strategies.sampled_from((400, 4)),
+    )
+
+
+def shrunk(shape, steps, seed, rule, tries=60):
+    """The schedule with every step taken out that `rule` is broken without."""
+    steps = list(steps)
+    again = True
+    while again and tries > 0:
+        again = False
+        for i in reversed(range(len(steps))):
+            fewer = steps[:i] + steps[i + 1 :]
+            tries -= 1
+            if tries > 0 and rule in play(shape, fewer, seed).broken:
+                steps, again = fewer, True
+    return steps
