--- a/tests/control_mutants.py
+++ b/tests/control_mutants.py
@@ -103,7 +103,9 @@
         view = self.chain.view
         if view is None:
             return
-        told = (answer for at, answer in self._infos.values() if answer and at >= self.chain.adopted)
+        told = (
+            answer for at, answer in self._infos.values() if answer and at >= self.chain.adopted
+        )
         if any(answer["name"] != self.name for answer in told):
             self.chain.active_at = self.clock.now()
 
--- a/tests/model/cluster.py
+++ b/tests/model/cluster.py
@@ -1,7 +1,6 @@
 """Shipped control cores on simulated machines in virtual time, without proxies, members or a platform."""
 
 import asyncio
-import functools
 import itertools
 import random
 
@@ -9,7 +8,6 @@
 from model.observer import Observer
 
 from petrelhaven.control.seat import Seat
-from petrelhaven.control.storage import memory
 from petrelhaven.simulator.net import Box, Net
 
 __all__ = ["Cluster", "Shape"]
@@ -55,11 +53,10 @@
         self.tolerated = (shape.cores - 1) // 2
         self._names = (f"c{i}" for i in itertools.count(1))
         self.cores = [self._machine(i) for i in range(shape.cores)]
-        self.seeds = [f"sim:{b.name}" for b in self.cores[:3]]
+        self._seeds = {b.name: self._listed() for b in self.cores}
         self.away = set()
         self.behind = set()
         self.operators = Box(self.net, "operators", "out")
-        self._small = functools.partial(memory.Ring, size=shape.file_bytes)
 
     def _machine(self, place):
         rate = _RATES[place % len(_RATES)]
@@ -67,6 +64,10 @@
         box.disk = ModelDisk(box)
         return box
 
+    def _listed(self):
+        """The operator's list as a machine's file names it: three machines of the time when it was written."""
+        return [f"sim:{b.name}" for b in self.cores[:3]]
+
     async def start(self):
         """Powers everything on for the first time and waits until the cores are ready."""
         self.operators.boot()
@@ -75,7 +76,10 @@
             self.boot(box, founds=True)
         self.loop.create_task(self._watch())
         return await self.until(
-            lambda: all(b.node and b.node.ready and len(b.node.chain.view["ids"]) == len(self.cores) for b in self.cores),
+            lambda: all(
+                b.node and b.node.ready and len(b.node.chain.view["ids"]) == len(self.cores)
+                for b in self.cores
+            ),
             20,
         )
 
@@ -88,7 +92,7 @@
             box.node = Seat(
                 box.name,
                 box.hall,
-                list(self.seeds),
+                list(self._seeds[box.name]),
                 box.clock,
                 box.nest,
                 box.link,
@@ -132,6 +136,7 @@
             return None
         self.away.add(old.name)
         new = self.cores[index % len(self.cores)] = self._machine(index)
+        self._seeds[new.name] = self._listed()
         self.behind.discard(old.name)
         self.behind.add(new.name)
         return new
@@ -184,5 +189,3 @@
             if box.frozen:
                 box._thaw(box.life)
             self.boot(box)
-
-
--- a/tests/model/observer.py
+++ b/tests/model/observer.py
@@ -178,8 +178,12 @@
             return
         version = record["version"]
         if self._versions.setdefault(version, seq) != seq:
-            self.report("an order is applied once", f"{version}: {seq} and {self._versions[version]}")
-        if any(s < seq and v > version or s > seq and v < version for v, s in self._versions.items()):
+            self.report(
+                "an order is applied once", f"{version}: {seq} and {self._versions[version]}"
+            )
+        if any(
+            s < seq and v > version or s > seq and v < version for v, s in self._versions.items()
+        ):
             self.report("versions rise", f"{version} as {seq}: {self._versions}")
 
     def _same(self, known, key, text, rule, name):
--- a/tests/model/operators.py
+++ b/tests/model/operators.py
@@ -162,7 +162,9 @@
         self._check(document, change, version, "read")
         for hall, state in halls.items():
             if self.halls.get(hall) == state and document["halls"].get(hall, "open") != state:
-                self._observer.report("acknowledged is kept", f"hall {hall} was acknowledged {state}")
+                self._observer.report(
+                    "acknowledged is kept", f"hall {hall} was acknowledged {state}"
+                )
         return document
 
     def _check(self, document, change, version, what):
@@ -175,4 +177,6 @@
             )
         acknowledged = self.manifests.get(shown)
         if acknowledged is not None and held["text"] != acknowledged:
-            self._observer.report("one content a version", f"{shown} is read as {held['text'][:60]}")
+            self._observer.report(
+                "one content a version", f"{shown} is read as {held['text'][:60]}"
+            )
--- a/tests/model/schedule.py
+++ b/tests/model/schedule.py
@@ -135,7 +135,11 @@
             self.operators.spawn(self.operators.fence(i))
 
 
-KINDS = tuple(sorted(n[1:] for n in vars(Player) if n[0] == "_" and n[1] != "_" and n not in ("_later", "_back")))
+KINDS = tuple(
+    sorted(
+        n[1:] for n in vars(Player) if n[0] == "_" and n[1] != "_" and n not in ("_later", "_back")
+    )
+)
 
 
 async def _judged(cluster, player, observer):
@@ -143,7 +147,9 @@
     operators = player.operators
     cluster.heal()
     operators.lost_answers = 0.0
-    ready = await cluster.until(lambda: all(b.node and b.node.ready for b in cluster.cores), _CALM_S)
+    ready = await cluster.until(
+        lambda: all(b.node and b.node.ready for b in cluster.cores), _CALM_S
+    )
     if not ready:
         names = [(b.name, b.up, bool(b.node and b.node.ready)) for b in cluster.cores]
         observer.report("every core is ready again after calm", f"within {_CALM_S} s: {names}")
@@ -152,7 +158,9 @@
     if not await operators.apply(0):
         observer.report("an order is acknowledged after calm", "12 s without an acknowledgement")
     elif cluster.loop.time() - begun > _ORDER_S:
-        observer.report("an order is acknowledged after calm", f"{cluster.loop.time() - begun:.1f} s")
+        observer.report(
+            "an order is acknowledged after calm", f"{cluster.loop.time() - begun:.1f} s"
+        )
     held = [b.node.chain for b in cluster.cores if b.node]
     caught = await cluster.until(lambda: all(c.commit >= observer.committed for c in held), 5)
     if not caught:
@@ -163,7 +171,9 @@
                 break
             await asyncio.sleep(0.3)
         else:
-            observer.report("the state is read back after calm", f"not by way of {cluster.at(i).name}")
+            observer.report(
+                "the state is read back after calm", f"not by way of {cluster.at(i).name}"
+            )
 
 
 async def _played(shape, steps, seed):
@@ -217,7 +227,9 @@
     strategies.integers(0, 400), strategies.integers(0, 3000), strategies.just(0)
 )
 _SPANS = strategies.one_of(
-    strategies.integers(50, 1500), strategies.integers(500, 8000), strategies.sampled_from((20_000,))
+    strategies.integers(50, 1500),
+    strategies.integers(500, 8000),
+    strategies.sampled_from((20_000,)),
 )
 
 
