A core that stays in the chain is complete in the next view without a handover

Cause: Chain.adopt took only the head as complete; any other core had to be fed by its predecessor first. A head whose disk went before that (some tens of ms after a view change; for good if the others finished its proposal while it was gone) left a view in which no core was complete, so none could propose another. Why it is safe: a record is committed once every core of its view's chain holds it. So a core that was complete in view n-1 (its disk says done = n-1) and stands in the chain of view n holds all that was committed before view n; and as a chain keeps the order of those that stay, it holds no more than its predecessor. Cores that join still wait. Ruled out: going by the former view in memory, which a restart loses; done is on the disk. Before: the two schedules of test_control_model.py end with no core ready after 30 s of calm; after: both pass.

--- a/src/petrelhaven/control/consensus/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -88,7 +88,8 @@
             self._feeder.cancel()
             self._feeder = None
         at = self._at()
-        if at == 0:
+        if at == 0 or at is not None and self.mem.done == view["n"] - 1:
+            # What was committed in the former view is on every core of its chain, so also on one that stays in it.
             self.mem.put_done(view["n"])
         if at is not None and at + 1 < len(view["chain"]):
             self._feeder = self.nest.spawn(self._feed(view, view["chain"][at + 1]))
