Test: a deposed head that rejoins confirms an order whose record was thrown away

Fails on this commit: Chain.enter returns the number of a record of another head. The model checks it too: what enter returns is the number of the record that was entered.

--- a/tests/model/cluster.py
+++ b/tests/model/cluster.py
@@ -6,7 +6,6 @@
 
 from model.disk import ModelDisk
 from model.observer import Observer
-
 from petrelhaven.control.seat import Seat
 from petrelhaven.simulator.net import Box, Net
 
--- a/tests/model/observer.py
+++ b/tests/model/observer.py
@@ -73,6 +73,10 @@
         async def watched(*args, **kwargs):
             seq = await enter(*args, **kwargs)
             self.check_word(node, "confirmed an order")
+            committed = self._records.get(seq)
+            if committed is not None and committed != _text(args[0]):
+                rule = "what is confirmed under a number is its record"
+                self.report(rule, f"{node.name}, {seq}: {args[0]} and {committed[-200:]}")
             return seq
 
         return watched
--- a/tests/model/schedule.py
+++ b/tests/model/schedule.py
@@ -7,10 +7,10 @@
 from unittest import mock
 
 from hypothesis import strategies
+
 from model.cluster import Cluster, Shape
 from model.disk import OUTCOMES
 from model.operators import Operators
-
 from petrelhaven.control.storage import memory
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
--- /dev/null
+++ b/tests/test_entered_record.py
@@ -0,0 +1,61 @@
+"""An order that a deposed head had taken is not confirmed by another record that took its number."""
+
+import asyncio
+import random
+
+import pytest
+from test_ring import Bytes
+
+from petrelhaven.control.consensus.chain import Chain
+from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.control.storage.memory import Memory
+from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.runtime.errors import NotReady, Unsent
+
+
+class LoopClock(Clock):
+    """Follows the loop's virtual time."""
+
+    def now(self):
+        return int(asyncio.get_running_loop().time() * 1e6)
+
+
+async def _others_confirm(name, kind, body, us):
+    if kind == "view.confirm":
+        return {"ok": True, "view": None}
+    raise Unsent(name)
+
+
+def hall(name):
+    return {"t": "hall", "hall": name, "state": "emptied", "by": "operator"}
+
+
+def test_a_deposed_head_that_rejoins_does_not_confirm_what_was_thrown_away(warp):
+    async def go():
+        mem = Memory(Bytes(), "a", random.Random(1), state=Ledger)
+        nest = Nest()
+        chain = Chain(LoopClock(), nest, mem, _others_confirm)
+        ids = {"a": mem.disk, "b": "other", "c": "third"}
+
+        def view(n, *names):
+            return {"n": n, "chain": list(names), "ids": ids, "cause": "", "by": names[0]}
+
+        nest.spawn(chain.confirm())
+        chain.adopt(view(1, "a", "b", "c"))
+        await asyncio.sleep(1)
+        order = nest.spawn(chain.enter(hall("lost")))
+        await asyncio.sleep(0.5)
+        chain.adopt(view(2, "b", "c"))
+        await asyncio.sleep(0.5)
+        chain.adopt(view(3, "b", "c", "a"))
+        await asyncio.sleep(1)
+        ledger = Ledger()
+        ledger.apply(1, hall("kept"))
+        body = {"view": 3, "prev": 1, "mark": 2, "recs": [], "frame": ledger.frame(), "done": True}
+        await chain.append(None, body)
+        assert chain.active and chain.commit == 1
+        with pytest.raises(NotReady):
+            await order
+        nest.kill()
+
+    warp(go())
