An order is confirmed only while the state that took it was not replaced by a frame

Cause: Chain.enter waits until its number is committed here; a head that was cut off, deposed and taken in again at the tail gets the others' frame, and its number is committed as another record. If a majority's word was in already, the core was active at that moment and answered the order (or an office's number, which is a fence) as done. The same in Seat._enter for an order found to be there already: what it found may have been thrown away. Mend: the state's object is compared; Memory.reset makes a new one. Ruled out: the view's number alone, as a core may be head again, and the record list, which is trimmed.

--- a/src/petrelhaven/control/consensus/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -169,7 +169,7 @@
                 )
             self.realm.check(rec)
             seq = self.realm.seq + 1
-            n = self.view["n"]
+            n, realm = self.view["n"], self.realm
             self.mem.put_rec(seq, n, rec)
             self._news.set()
             self._settle()
@@ -178,6 +178,9 @@
             if self.view["n"] != n and not self.head:
                 raise NotReady("the view changed; read back to see the outcome")
             await self.clock.sleep(30_000)
+        if self.realm is not realm:
+            # Another core's frame took the place of what was held here: the number may be another record's now.
+            raise NotReady("the view changed; read back to see the outcome")
         what = ("name", "group", "hall", "state", "role") if rec["t"] == "member" else ()
         more = {k: rec[k] for k in what if rec.get(k)}
         emit(self.log, 305, seq=seq, kind=rec["t"], **more)
--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -252,9 +252,10 @@
         try:
             return await super()._enter(ch, b)
         except (Duplicate, Stale) as e:
-            seq = self.chain.realm.seq
+            realm = self.chain.realm
+            seq = realm.seq
             await self.clock.limit(self.chain.until(seq), 5_000_000)
-            if not self.chain.active:
+            if self.chain.realm is not realm or not self.chain.active:
                 raise NotReady("not the active head any more") from None
             if b["force"] and isinstance(e, Duplicate):
                 await self.desk.in_force(seq)
