A hold heard late no longer ends the pushes over an edge's newer connection

Cause: pushes of changes stood under the edge's name, and a new hold ended the older one's. Connections are not heard in the order they were opened in: an edge that was cut off gives one up, opens another, and the first one's bytes come when the cut heals. The core then pushed down the dead connection and never again down the live one, while pulses over that went on being answered: the edge kept its tie, its lease lapsed and its configuration stood still until the tie broke.

Now each connection has pushes of its own; they end with it. An edge closes a connection that it didn't mean as soon as something is pushed there, as before.

Ruled out: a number in the hold (two cores, and edges that start anew, would have to agree on it).

Test seen to fail first: after the late hold, change 4 came over the dead connection alone.

--- a/src/petrelhaven/control/leases.py
+++ b/src/petrelhaven/control/leases.py
@@ -5,6 +5,7 @@
 from petrelhaven.control.consensus.chain import CONFIRM_US, DRIFT
 from petrelhaven.runtime.errors import Fault, Late
 from petrelhaven.runtime.events import emit
+from petrelhaven.transport.channel import Channel
 
 __all__ = ["Desk", "LEASE_US", "LAPSE_US", "TiedDesk"]
 
@@ -21,7 +22,7 @@
         self.live = {}
         self.acked = {}
         self.floor = clock.now() + lapse_us
-        self._hold = {}
+        self._hold: dict[Channel, asyncio.Task] = {}
         chain.on_view.append(self._viewed)
         chain.on_commit.append(self._wake)
         self._news = asyncio.Event()
@@ -51,12 +52,21 @@
         """Takes an edge's held connection and pushes numbered changes down it."""
         if not self.chain.complete:
             return {"ok": False, "note": "not in the chain"}
-        old = self._hold.get(b["edge"])
+        # Connections may be heard in another order than they were opened in: each has pushes of its own, which end
+        # with it, and the edge closes those that it did not mean.
+        old = self._hold.pop(ch, None)
         if old:
             old.cancel()
-        self._hold[b["edge"]] = self.nest.spawn(self._push(ch, b["edge"], b["applied"]))
+        task = self.nest.spawn(self._push(ch, b["edge"], b["applied"]))
+        if task is not None:
+            self._hold[ch] = task
+            task.add_done_callback(lambda _: self._forget(ch, task))
         return {"ok": True, "note": ""}
 
+    def _forget(self, channel: Channel, task: asyncio.Task) -> None:
+        if self._hold.get(channel) is task:
+            del self._hold[channel]
+
     async def _push(self, ch, edge, at):
         c = self.chain
         while not ch.gone.done():
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -390,6 +390,47 @@
     virtual(go)
 
 
+def test_a_hold_that_arrives_late_does_not_end_the_pushes_over_a_newer_connection():
+    """An edge asks to be pushed to, is cut off, and asks anew over another connection; then the first one arrives."""
+    from petrelhaven.control.leases import TiedDesk
+
+    async def go(net):
+        edge, core = Node(net, "edge"), Node(net, "core")
+        realm = SimpleNamespace(seq=3, frame=lambda: {"seq": 3})
+        chain = SimpleNamespace(
+            complete=True,
+            commit=3,
+            realm=realm,
+            mem=SimpleNamespace(since=lambda at: []),
+            on_view=[],
+            on_commit=[],
+        )
+        desk = TiedDesk(core.clock, core.nest, chain, None)
+        core.on("edge.hold", desk.hold)
+        pushed = []
+
+        async def push(channel, body):
+            pushed.append((channel is new, body["commit"]))
+            return {"applied": body["commit"], "acked": body["commit"]}
+
+        edge.on("edge.push", push)
+        hold = {"edge": "edge", "inc": 0, "applied": -1}
+        old, new = await edge.open("core"), await edge.open("core")
+        assert (await new.call("edge.hold", hold, 100_000))["ok"]
+        await asyncio.sleep(0.1)
+        # the older connection's bytes arrive only now, and it is not known yet that its far end is gone
+        await old.call("edge.hold", hold, 100_000)
+        await asyncio.sleep(0.1)
+        chain.commit = realm.seq = 4
+        realm.frame = lambda: {"seq": 4}
+        chain.mem.since = lambda at: None
+        chain.on_commit[0]()
+        await asyncio.sleep(0.1)
+        assert (True, 4) in pushed
+
+    virtual(go)
+
+
 # Real sockets: bytes that the other machine has not taken in are lost with the caller's patience.
 
 
