A call to the platform that is given up is taken back from the wire

Cause: `light_call` closed its connection in order after a silence; what was still in its buffers, the fenced `POST /failover` among it, was delivered when the cut healed.

Test with a server that reads nothing until the caller has given up: the whole body of 120,000 bytes came before, less now.

--- a/src/petrelhaven/transport/light_http.py
+++ b/src/petrelhaven/transport/light_http.py
@@ -2,15 +2,21 @@
 
 import asyncio
 import json
+from collections.abc import Sequence
+from typing import Any
 
 import h11
 
+from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.errors import Fault, Late, Malformed, Oversize, Unreached, Unsent
 from petrelhaven.runtime.events import emit
+from petrelhaven.transport.sockets import reset, tune
 
 __all__ = ["LightFace", "light_call"]
 
 _IDLE_S = 60
+_CONNECT_US = 1_000_000
+_READ_BYTES = 65_536
 
 
 class _Request:
@@ -206,50 +212,90 @@
             t.close()
 
 
-async def light_call(clock, addr, verb, path, doc=None, heads=(), us=2_000_000):
-    """(status, document) of one HTTP exchange; Unsent if nothing left, Late or Unreached if its outcome is unknown."""
-    h, p = addr.rsplit(":", 1)
+async def light_call(
+    clock: Clock,
+    addr: str,
+    verb: str,
+    path: str,
+    doc: Any = None,
+    heads: Sequence[tuple[str, str]] = (),
+    us: int = 2_000_000,
+) -> tuple[int, Any]:
+    """(status, document) of one HTTP exchange over a connection of its own.
+
+    Unsent if nothing left, Late or Unreached if its outcome is unknown. What is given up is taken back from the wire,
+    as far as the other machine has not received it: the connection is reset.
+    """
+    host, port = addr.rsplit(":", 1)
     try:
-        r, w = await clock.limit(asyncio.open_connection(h, int(p)), min(us, 1_000_000))
+        reader, writer = await clock.limit(
+            asyncio.open_connection(host, int(port)), min(us, _CONNECT_US)
+        )
     except (OSError, Late):
         raise Unsent(addr) from None
+    tune(writer.transport)
+    answered = False
     try:
-        return await clock.limit(_exchange(r, w, addr, verb, path, doc, heads), us)
+        answer = await clock.limit(_exchange(reader, writer, addr, verb, path, doc, heads), us)
+        answered = True
+        return answer
     except (OSError, h11.RemoteProtocolError, ValueError):
         raise Unreached(addr) from None
     finally:
-        w.close()
-
-
-async def _exchange(r, w, addr, verb, path, doc, heads):
-    c = h11.Connection(h11.CLIENT)
+        if answered:
+            writer.close()
+        else:
+            reset(writer.transport)
+
+
+def _request(
+    connection: h11.Connection,
+    addr: str,
+    verb: str,
+    path: str,
+    doc: Any,
+    heads: Sequence[tuple[str, str]],
+) -> bytes:
+    """The bytes of one request."""
     body = json.dumps(doc).encode() if doc is not None else b""
-    hs = [
+    headers = [
         ("Host", addr),
         ("Content-Length", str(len(body))),
         ("Content-Type", "application/json"),
         ("Connection", "close"),
         *heads,
     ]
-    w.write(
-        c.send(h11.Request(method=verb, target=path, headers=hs))
-        + (c.send(h11.Data(data=body)) if body else b"")
-        + c.send(h11.EndOfMessage())
-    )
-    got, st = [], 0
+    out = connection.send(h11.Request(method=verb, target=path, headers=headers))
+    if body:
+        out += connection.send(h11.Data(data=body))
+    return out + connection.send(h11.EndOfMessage())
+
+
+async def _exchange(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    addr: str,
+    verb: str,
+    path: str,
+    doc: Any,
+    heads: Sequence[tuple[str, str]],
+) -> tuple[int, Any]:
+    connection = h11.Connection(h11.CLIENT)
+    writer.write(_request(connection, addr, verb, path, doc, heads))
+    parts, status = [], 0
     while True:
-        e = c.next_event()
-        if e is h11.NEED_DATA:
-            c.receive_data(await r.read(65536))
-        elif type(e) is h11.Response:
-            st = e.status_code
-        elif type(e) is h11.Data:
-            got.append(bytes(e.data))
-        elif type(e) is h11.EndOfMessage:
-            raw = b"".join(got)
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(_READ_BYTES))
+        elif type(event) is h11.Response:
+            status = event.status_code
+        elif type(event) is h11.Data:
+            parts.append(bytes(event.data))
+        elif type(event) is h11.EndOfMessage:
+            raw = b"".join(parts)
             try:
-                return st, json.loads(raw) if raw else None
+                return status, json.loads(raw) if raw else None
             except (ValueError, RecursionError):
-                return st, None
-        elif type(e) is h11.ConnectionClosed:
+                return status, None
+        elif type(event) is h11.ConnectionClosed:
             raise Unreached(addr)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -486,6 +486,16 @@
     asyncio.run(go())
 
 
+def test_a_fenced_call_to_the_platform_is_taken_back_from_the_wire():
+    async def go():
+        server = DeafServer()
+        with pytest.raises(Late):
+            await light_call(Clock(), server.addr, "POST", "/failover", {"a": BIG}, us=100_000)
+        assert await server.hears() < len(BIG)
+
+    asyncio.run(go())
+
+
 def test_a_call_whose_caller_has_reset_the_connection_is_not_run_any_more():
     """A machine that stood still reads what came before the reset; what is sent once must not run then."""
 
