A statement that is given up is taken back from the wire

Cause: a member connection with replies due was ended by a plain close: bytes that a cut held up were delivered when it healed, a write among them, seconds after its client was told that the outcome is unknown.

Ruled out: keep-alive probes on idle connections (about 540 idle connections a second between regions, all priced).

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -496,6 +496,18 @@
     asyncio.run(go())
 
 
+def test_a_statement_that_is_given_up_is_taken_back_from_the_wire():
+    async def go():
+        server = DeafServer()
+        host, port = server.addr.split(":")
+        _, strand = await asyncio.get_running_loop().create_connection(LineStrand, host, int(port))
+        strand.plain("set", ("a", BIG))
+        strand.close()
+        assert await server.hears() < len(BIG)
+
+    asyncio.run(go())
+
+
 def test_a_call_whose_caller_has_reset_the_connection_is_not_run_any_more():
     """A machine that stood still reads what came before the reset; what is sent once must not run then."""
 
@@ -525,6 +537,34 @@
     asyncio.run(go())
 
 
+def test_connections_do_not_wait_for_a_dark_machine_for_long():
+    def bound(transport):
+        return transport.get_extra_info("socket").getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+        )
+
+    async def go():
+        nest, taken = Nest(), []
+        link, other = Link(Clock(), nest), Link(Clock(), nest)
+        real = other._wrap
+        other._wrap = lambda r, w: (taken.append(w.transport), real(r, w))
+        address = await other.start()
+        opened = []
+        wrap = link._wrap
+        link._wrap = lambda r, w: (opened.append(w.transport), wrap(r, w))[1]
+        await link.open(address)
+        host, port = address.split(":")
+        transport, _ = await asyncio.get_running_loop().create_connection(
+            LineStrand, host, int(port)
+        )
+        await asyncio.sleep(0.05)
+        assert [bound(t) for t in [*opened, *taken, transport]] == [UNACKNOWLEDGED_MS] * 4
+        await nest.close()
+        await other.close()
+
+    asyncio.run(go())
+
+
 def test_a_fault_without_a_shape_ends_the_connection_and_the_call():
     async def go():
         nest = Nest()
