--- a/src/petrelhaven/proxy/pool/connection_pool.py
+++ b/src/petrelhaven/proxy/pool/connection_pool.py
@@ -126,9 +126,9 @@
                 self.nest.spawn(self._fresh(f))
 
     def give(self, c):
-        """Takes a connection back."""
+        """Takes a connection back; one that still waits for replies is closed, for nobody knows its state."""
         self.busy.discard(c)
-        if c.lost or self.closed or self.total >= self.most:
+        if c.lost or c.due or self.closed or self.total >= self.most:
             c.close()
         else:
             self.idle.append(c)
--- a/src/petrelhaven/proxy/pool/member_connection.py
+++ b/src/petrelhaven/proxy/pool/member_connection.py
@@ -10,9 +10,12 @@
 
     `ask(ask, after, alias)` gives a future of a Reply, `own(verb, *args)` one of a status row, `plain(verb, args,
     number)` one of a Reply to a statement said again under its visitor's number, or `-` of the system's own; a lost
-    connection fails them with Unreached.
+    connection fails them with Unreached. `due` is how many replies are still to come, also those that nobody waits for
+    any more; only a connection with none due may go to another session.
     """
 
+    due = 0
+
     def __init__(self):
         self.values, self.shapes, self.owner = {}, {}, None
         self.lost = self.odd = False
--- a/src/petrelhaven/simulator/held/strand.py
+++ b/src/petrelhaven/simulator/held/strand.py
@@ -28,6 +28,11 @@
         self._line.say(order)
         return f
 
+    @property
+    def due(self):
+        """How many statements still wait for their reply."""
+        return len(self._wait)
+
     def connect(self, group, member):
         """Introduces this connection."""
         return self._say(Order("-", "connect", (group, member)), "connect")
