Simulator: five cores, cores replaced and wiped, operators that send again, piled storms

Cause: storms of the held path had three cores whose addresses never changed, and an operator that waited 4.5 s for an answer.

Never more cores are lost with their disks at a time than FaultTolerance says. Clock steps are not modelled here (embargoed path).

--- a/src/petrelhaven/simulator/held/faults.py
+++ b/src/petrelhaven/simulator/held/faults.py
@@ -107,7 +107,7 @@
         for b in self.f.cores:
             b.kill()
         await self._rest(r, 0.1, 2, "core")
-        for b in r.sample(self.f.cores, 3):
+        for b in r.sample(self.f.cores, len(self.f.cores)):
             b.up or self.f.boot_core(b)
             await self._rest(r, 0, 0.5, "core")
 
--- a/src/petrelhaven/simulator/held/fleet.py
+++ b/src/petrelhaven/simulator/held/fleet.py
@@ -24,15 +24,19 @@
 _HALLS = ("a", "b", "c")
 _BOUND_US = 3_500_000
 _APPLY_S = 5.0
+_SEEDS = 3
 
 
 class HeldFleet:
-    """Three cores, some edges, groups of three members, a platform and clients; `history` keeps what they saw."""
+    """Cores (three, or five where two may be lost), edges, groups of three members, a platform and clients.
+
+    `history` keeps what the clients saw. The settings of every machine name the first three cores as seeds.
+    """
 
     stale_us = 1_500_000
     beat_us = 1_200_000
 
-    def __init__(self, seed, edges=4, groups=1, lag_us=30_000, cap=None, took_us=None):
+    def __init__(self, seed, edges=4, groups=1, lag_us=30_000, cap=None, took_us=None, losses=1):
         self.rng = random.Random(seed)
         self.loop = asyncio.get_running_loop()
         cap = cap or self.rng.choice((10, 20, 40))
@@ -40,7 +44,10 @@
         self.net = Net(self.loop, self.rng, 8_000)
         self.history = History()
         self.clients = []
-        self.cores = [Box(self.net, f"c{i + 1}", h, self._rate()) for i, h in enumerate(_HALLS)]
+        self.losses = losses
+        self.cores = [
+            Box(self.net, f"c{i + 1}", _HALLS[i % 3], self._rate()) for i in range(2 * losses + 1)
+        ]
         self.edges = [Box(self.net, f"e{i + 1}", _HALLS[i % 3], self._rate()) for i in range(edges)]
         self.groups = {
             f"g{i + 1}": DatabaseGroup(f"g{i + 1}", self.net, self.history, 1, lag_us, cap)
@@ -50,7 +57,7 @@
         for i, g in enumerate(self.groups):
             self.members += [Box(self.net, f"{g}-{j + 1}", _HALLS[(i + j) % 3]) for j in range(3)]
         self.platform, self.out = Box(self.net, "platform", "out"), Box(self.net, "clients", "out")
-        self.seeds = [f"sim:{c.name}" for c in self.cores]
+        self.seeds = [f"sim:{c.name}" for c in self.cores[:_SEEDS]]
         self.version, self.taken = 0, []
         self.halls_taken = {}
         self._seen = {}
@@ -89,6 +96,14 @@
             }
         )
 
+    def seeds_for(self, b):
+        """The seeds that the settings of machine `b` name."""
+        return list(self.seeds)
+
+    def founds(self, b):
+        """Whether the settings of core `b` say that the whole system starts for the first time."""
+        return True
+
     def wall(self, b):
         """The wall clock of a core; nothing asks for it while embargoes are off."""
 
@@ -99,7 +114,7 @@
             b.node = Seat(
                 b.name,
                 b.hall,
-                self.seeds,
+                self.seeds_for(b),
                 b.clock,
                 b.nest,
                 b.link,
@@ -109,6 +124,8 @@
                 SimulatedWire(self.net, b),
                 self.beat_us,
                 b.log,
+                founds=self.founds(b),
+                losses=self.losses,
                 wall=self.wall(b),
             )
         except asyncio.CancelledError:
@@ -125,7 +142,7 @@
         def near(hall):
             return 0 if hall == b.hall else 1
 
-        tie = Tie(b.clock, b.nest, b.link, rng, b.name, list(self.seeds), near, b.log)
+        tie = Tie(b.clock, b.nest, b.link, rng, b.name, self.seeds_for(b), near, b.log)
         b.node = Gate(
             b.name,
             b.hall,
@@ -205,7 +222,7 @@
     async def _order(self, fn, by):
         """An operator's order, sent again until it is answered clearly; its answer, or the fault that is one."""
         for i in range(60):
-            c = self.cores[(by + i) % 3]
+            c = self.cores[(by + i) % len(self.cores)]
 
             async def there(c=c):
                 if c.node is None:
@@ -294,7 +311,7 @@
         """Acknowledged control state that no core gives back any more."""
         d = None
         for i in range(60):
-            c = self.cores[i % 3]
+            c = self.cores[i % len(self.cores)]
 
             async def there(c=c):
                 if c.node is None:
--- a/src/petrelhaven/simulator/held/storm.py
+++ b/src/petrelhaven/simulator/held/storm.py
@@ -8,7 +8,7 @@
 from petrelhaven.simulator.held.fleet import HeldFleet
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
-__all__ = ["KINDS", "inside", "play", "run", "schedule", "shrink"]
+__all__ = ["KINDS", "inside", "play", "run", "schedule", "serves_again", "shrink"]
 
 
 def schedule(seed, count=6, kinds=None, span=25.0):
@@ -35,14 +35,14 @@
     await asyncio.gather(*s.tasks)
     while any(f.net.cuts.values()) or any(b.frozen for b in f.net.boxes.values()):
         await asyncio.sleep(0.1)
-    bad = await _back(f, settle)
+    bad = await serves_again(f, settle)
     await f.calm()
     await asyncio.sleep(1)
     bad += await f.kept()
     return bad + f.verdict()
 
 
-async def _back(f, secs):
+async def serves_again(f, secs):
     """Writes and reads of each group must be served again within `secs` of the last fault's end."""
     t0 = f.loop.time()
     end = t0 + secs
--- a/src/petrelhaven/simulator/main.py
+++ b/src/petrelhaven/simulator/main.py
@@ -12,7 +12,9 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from petrelhaven.simulator.fleet import Fleet
+from petrelhaven.simulator.held import control_storm
 from petrelhaven.simulator.held import storm as held
+from petrelhaven.simulator.held.control_faults import CONTROL_KINDS
 from petrelhaven.simulator.held.embargo import EmbargoedFleet
 from petrelhaven.simulator.measure import MEASURES
 from petrelhaven.simulator.scene import NEEDS, SCENES, SIZE
@@ -66,10 +68,12 @@
     w.add_argument("--size", choices=("nordvik", "archivo", "small"), default="small")
     w.add_argument(
         "--path",
-        choices=("kept", "held", "embargoed"),
+        choices=("kept", "held", "embargoed", "control"),
         default="kept",
         help="kept: sessions that edges keep for each other; held: sessions that live with their "
-        "connection; embargoed: the same with records that must not be seen yet and a clock that steps",
+        "connection; embargoed: the same with records that must not be seen yet and a clock that steps; "
+        "control: the held path with faults of cores piled up under operators' orders, every other seed "
+        "with five cores",
     )
     w.add_argument("--faults", type=int, default=6, help="faults a storm")
     w.add_argument(
@@ -78,7 +82,9 @@
         help="comma list of "
         + ", ".join(KINDS)
         + "; with the other paths, of "
-        + ", ".join(sorted(set(held.KINDS))),
+        + ", ".join(sorted(set(held.KINDS)))
+        + "; of the path control: "
+        + ", ".join(CONTROL_KINDS),
     )
     w.add_argument("--jobs", type=int, default=os.cpu_count())
     c = sub.add_parser("scene", help="one fault brought about on purpose, in virtual time")
@@ -111,12 +117,25 @@
     return _held_storm(job, fleet=EmbargoedFleet)
 
 
+def _control_storm(job):
+    seed, _, _, kinds = job
+    bad, fleet = control_storm.run(seed, kinds=kinds or None)
+    rows = control_storm.schedule(seed, kinds=kinds or None)
+    rows = control_storm.shrink(seed, rows, broken=bad) if bad else None
+    return seed, [told(b) for b in bad], rows, sum(c.served for c in fleet.clients)
+
+
 def _sweep(a):
     lo, hi = map(int, a.seeds.split("-"))
     kinds = [k for k in a.kinds.split(",") if k]
     n = said = done = 0
     with ProcessPoolExecutor(a.jobs) as ex:
-        storm = {"kept": _storm, "held": _held_storm, "embargoed": _embargoed_storm}[a.path]
+        storm = {
+            "kept": _storm,
+            "held": _held_storm,
+            "embargoed": _embargoed_storm,
+            "control": _control_storm,
+        }[a.path]
         for seed, bad, rows, ok in ex.map(
             storm, [(s, a.size, a.faults, kinds) for s in range(lo, hi)]
         ):
--- a/src/petrelhaven/simulator/net.py
+++ b/src/petrelhaven/simulator/net.py
@@ -276,6 +276,8 @@
         net, to = self._box.net, self._box_of(addr)
         for way in ((self._box, to), (to, self._box)):
             await self.clock.sleep(int(net.delay(*way) * 1e6))
+            if net.refuses(way[0].name, way[1].name):
+                raise Unsent(addr)
             if (
                 net.is_cut(way[0].name, way[1].name)
                 or to.frozen
@@ -295,6 +297,7 @@
         self.loop, self.rng = loop, rng
         self.boxes = {}
         self.cuts = collections.Counter()
+        self.refusals = collections.Counter()
         self.silent = set()
         self.loss, self.double = 0.0, 0.0
         self.apart = apart_us / 2e6
@@ -326,6 +329,23 @@
 
         self.loop.call_later(us / 1e6, heal)
 
+    def refuses(self, a, b):
+        """Whether a cut from `a` to `b` answers new connections with a refusal in place of silence."""
+        return self.refusals[(a, b)] > 0
+
+    def refuse(self, a, b, us):
+        """Cuts the ways between `a` and `b` for a while and refuses connections meanwhile."""
+        self.cut(a, b, us)
+        ways = [w for x in a for y in b if x != y for w in ((x, y), (y, x))]
+        for w in ways:
+            self.refusals[w] += 1
+
+        def heal():
+            for w in ways:
+                self.refusals[w] -= 1
+
+        self.loop.call_later(us / 1e6, heal)
+
     async def trip(self, src, dst, fn, us, fresh=False):
         """Goes from `src` to `dst`, awaits `fn()` there and comes back; Late, Unsent or Unreached otherwise.
 
