--- a/src/petrelhaven/simulator/measure.py
+++ b/src/petrelhaven/simulator/measure.py
@@ -5,6 +5,7 @@
 import statistics
 
 from petrelhaven.runtime.errors import Fault
+from petrelhaven.simulator.control_gaps import control_gaps
 from petrelhaven.simulator.embargo_cost import embargo
 from petrelhaven.simulator.hollow_nodes import hollow
 from petrelhaven.simulator.net import Box
@@ -293,5 +294,6 @@
 
 
 MEASURES = {
-    f.__name__: f for f in (clock, lanes, commit, keep, failover, force, detect, hollow, embargo)
+    f.__name__: f
+    for f in (clock, lanes, commit, keep, failover, force, detect, hollow, embargo, control_gaps)
 }
