--- a/src/petrelhaven/control/consensus/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from petrelhaven.runtime.errors import Deposed, Fault, Late, NotHead, NotReady
+from petrelhaven.runtime.errors import Deposed, DiskRefused, Fault, Late, NotHead, NotReady
 from petrelhaven.runtime.events import emit
 
 __all__ = ["Chain", "CONFIRM_US", "DRIFT"]
@@ -61,7 +61,12 @@
 
     @property
     def complete(self):
-        return self.view is not None and self.mem.done == self.view["n"] and self._at() is not None
+        return (
+            self.view is not None
+            and self.mem.done == self.view["n"]
+            and self._at() is not None
+            and not self.mem.refuses
+        )
 
     @property
     def ruling(self):
@@ -77,9 +82,14 @@
         """Takes a decided view if it is newer."""
         if view is None or self.view and view["n"] <= self.view["n"]:
             return
-        self.view = view
         newer = not self.mem.vote["value"] or self.mem.vote["value"]["n"] < view["n"]
-        self.mem.put_vote(ids=view["ids"], **({"value": view} if newer else {}))
+        heads = view["chain"][0] == self.me and view["ids"].get(self.me) == self.mem.disk
+        self.mem.put_vote(
+            done=view["n"] if heads else None,
+            ids=view["ids"],
+            **({"value": view} if newer else {}),
+        )
+        self.view = view
         self.confirmed = 0
         self.adopted = self.clock.now()
         self.active_at = self.clock.now() + int(self.confirm_us * DRIFT)
@@ -88,14 +98,18 @@
             self._feeder.cancel()
             self._feeder = None
         at = self._at()
-        if at == 0:
-            self.mem.put_done(view["n"])
         if at is not None and at + 1 < len(view["chain"]):
             self._feeder = self.nest.spawn(self._feed(view, view["chain"][at + 1]))
         for f in self.on_view:
             f()
+        self._wake()
         self._settle()
 
+    def _wake(self):
+        """Lets whoever waits for a commit look again."""
+        moved, self._moved = self._moved, asyncio.Event()
+        moved.set()
+
     def _settle(self):
         if self.tail and self.complete:
             self._committed(self.realm.seq)
@@ -104,8 +118,7 @@
     def _committed(self, seq):
         if seq > self.commit:
             self.commit = seq
-            e, self._moved = self._moved, asyncio.Event()
-            e.set()
+            self._wake()
             for f in self.on_commit:
                 f()
 
@@ -114,6 +127,28 @@
         while self.commit < seq:
             await self._moved.wait()
 
+    def keeps(self, seq, view):
+        """Whether the record that this core holds as number `seq` is the one that was entered in `view`.
+
+        A number alone names no record: what a head entered and could not commit is replaced by another head's records.
+        """
+        if seq == self.realm.seq:
+            return self.mem.mark == view
+        return any(
+            number == seq and entered == view for number, entered, _ in reversed(self.mem.recs)
+        )
+
+    async def settled(self, seq, view):
+        """Waits until record `seq` of `view` is committed here; NotReady once it may have been replaced."""
+        while True:
+            if not self.keeps(seq, view):
+                raise NotReady("another record took the number; read back to see the outcome")
+            if self.commit >= seq:
+                return
+            if self._at() is None:
+                raise NotReady("not in the chain any more; read back to see the outcome")
+            await self._moved.wait()
+
     async def confirm(self):
         """Keeps asking the other cores whether this view is still theirs."""
         while True:
@@ -155,7 +190,12 @@
         """Answers another core's view.confirm: no, once a newer view was accepted here."""
         v = self.mem.vote["value"]
         self.tied_at[b["name"]] = (self.clock.now(), b["tied"])
-        ok = bool(v and v["n"] == b["n"] and v["ids"].get(self.me) == self.mem.disk)
+        ok = bool(
+            v
+            and v["n"] == b["n"]
+            and v["ids"].get(self.me) == self.mem.disk
+            and not self.mem.refuses
+        )
         return {"ok": ok, "view": self.view if self.view and self.view["n"] > b["n"] else None}
 
     async def enter(self, rec, horizon=8_000_000):
@@ -172,9 +212,9 @@
             self.mem.put_rec(seq, n, rec)
             self._news.set()
             self._settle()
-        await self.clock.limit(self.until(seq), horizon)
+        await self.clock.limit(self.settled(seq, n), horizon)
         while not self.active:
-            if self.view["n"] != n and not self.head:
+            if self.mem.refuses or self.view["n"] != n and not self.head:
                 raise NotReady("the view changed; read back to see the outcome")
             await self.clock.sleep(30_000)
         what = ("name", "group", "hall", "state", "role") if rec["t"] == "member" else ()
@@ -237,10 +277,13 @@
         v = self.view
         if v is None or v["n"] != b["view"] or not self._at():
             raise Deposed(f"view {v['n'] if v else 0}")
+        if self.mem.refuses:
+            raise DiskRefused("the disk of this core refuses writes")
         if b["prev"] >= 0:
             if b["frame"] is not None:
                 if b["prev"] != self.realm.seq or b["mark"] != self.mem.mark:
                     self.mem.reset(b["frame"], b["mark"])
+                    self._wake()
             elif (b["prev"], b["mark"]) == (self.realm.seq, self.mem.mark):
                 for s, n, r in b["recs"]:
                     self.mem.put_rec(s, n, r)
--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -6,7 +6,7 @@
 from petrelhaven.control.consensus.chain import DRIFT
 from petrelhaven.control.consensus.edge_survey import Muster
 from petrelhaven.control.core import _ADDR, Core
-from petrelhaven.control.failover.warden import Warden
+from petrelhaven.control.failover.coordinator import FailoverCoordinator
 from petrelhaven.control.leases import TiedDesk
 from petrelhaven.control.state.ledger import Ledger
 from petrelhaven.runtime.errors import Duplicate, Fault, Late, Malformed, NotReady, Stale
@@ -101,8 +101,8 @@
         return TiedDesk(self.clock, self.nest, self.chain, self.call, self.log, lapse)
 
     def make_duty(self, platform):
-        """The warden of all offices."""
-        return Warden(self, platform)
+        """The duty that keeps a primary in office for each group."""
+        return FailoverCoordinator(self, platform)
 
     def handlers(self):
         """What edges and other cores ask."""
@@ -111,7 +111,7 @@
             "chain.force": self.desk.force,
             "tie.pulse": self._pulse,
             "warden.doubt": self._doubted,
-            "warden.look": self.duty.looked,
+            "warden.look": self.duty.answer_look,
             "wall.read": self._wall_read,
             "tie.wall": self._true_time,
         }
@@ -132,6 +132,10 @@
         except Late:
             pass
 
+    def wake(self):
+        """Ends the rest between two looks at the other cores."""
+        self._news.set()
+
     def _there(self, n):
         """A core that this one has not met since its start may be starting too."""
         young = self.clock.now() - self._born < _YOUNG_US
@@ -173,7 +177,13 @@
                 self._gone_at.pop(n, None)
             else:
                 self._gone_at.setdefault(n, now)
-        new = [n for n in sorted(infos) if n not in v["ids"] and self.roster.state(n) == "alive"]
+        new = [
+            n
+            for n in sorted(infos)
+            if n not in v["ids"]
+            and self.roster.state(n) == "alive"
+            and self.disk_watch.takes_writes(n)
+        ]
         if not new or not self.chain.active:
             return
         ids = dict(v["ids"])
@@ -253,7 +263,7 @@
             return await super()._enter(ch, b)
         except (Duplicate, Stale) as e:
             seq = self.chain.realm.seq
-            await self.clock.limit(self.chain.until(seq), 5_000_000)
+            await self.clock.limit(self.chain.settled(seq, self.chain.mem.mark), 5_000_000)
             if not self.chain.active:
                 raise NotReady("not the active head any more") from None
             if b["force"] and isinstance(e, Duplicate):
@@ -281,6 +291,23 @@
         r = await self.enter({"t": "hall", "hall": hall, "state": state, "by": by}, False)
         return {"hall": hall, "state": state, "change": r["seq"]}
 
+    async def elect(self, group: str, member: str, office: int, by: str = "") -> dict:
+        """Records an operator's order to elect `member` although acknowledged commits may be lost.
+
+        `office` is the number of the waiting office that the operator saw: an order that was held
+        up on its way finds another number and is declined.
+        """
+        order = {
+            "t": "evidence",
+            "group": group,
+            "what": "order",
+            "member": member,
+            "n": office,
+            "by": by or "operator",
+        }
+        answer = await self.enter(order, False)
+        return {"group": group, "member": member, "change": answer["seq"]}
+
     async def announce(self, doc):
         """Takes a member's announcement; what it changes is on the chain before this returns."""
         for k, t in _FACTS.items():
--- a/src/petrelhaven/runtime/events.py
+++ b/src/petrelhaven/runtime/events.py
@@ -54,6 +54,18 @@
         "no frame from an edge while forming anew",
         "none; another node's may be as new",
     ),
+    316: (
+        "error",
+        "disk refuses writes; the core is out of service until it takes them",
+        "make room or look at the disk; the core comes back by itself",
+    ),
+    317: ("info", "disk takes writes again", "none"),
+    318: (
+        "error",
+        "damaged files copied before the core starts anew",
+        "read the disk-loss page before you remove them",
+    ),
+    319: ("info", "copies of damaged files removed; others hold as much", "none"),
     320: ("info", "epoch", "read `petrelhavenctl why`"),
     321: (
         "warning",
@@ -96,6 +108,27 @@
         "agreed time jumped; nothing is released for a minute",
         "look at the clocks of all cores",
     ),
+    340: (
+        "info",
+        "leaving member counted out: paused at `pos`",
+        "none; those that stay hold the rest",
+    ),
+    341: ("info", "leaving member counts again", "none; no other replica receives"),
+    342: (
+        "info",
+        "log of departed members bounded",
+        "none; whoever holds `pos` holds all of theirs",
+    ),
+    343: (
+        "error",
+        "group waits: nobody is proved to hold every acknowledged commit",
+        "bring the member named or the primary back; or accept the loss with `petrelhavenctl elect`",
+    ),
+    344: (
+        "error",
+        "member elected by order; acknowledged commits may be lost",
+        "none; `by` gave the order",
+    ),
     401: ("info", "core held; leases come from it", "none"),
     402: ("warning", "core lost; its leases lapse", "look at the links to the cores"),
     403: ("info", "change applied", "none"),
