--- a/src/petrelhaven/simulator/main.py
+++ b/src/petrelhaven/simulator/main.py
@@ -255,7 +255,7 @@
 
 
 def main(argv=None):
-    """Runs one drill."""
+    """Runs one subcommand."""
     a = _parser().parse_args(argv)
     try:
         if a.verb == "fleet":
