--- a/src/petrelhaven/proxy/held_edge.py
+++ b/src/petrelhaven/proxy/held_edge.py
@@ -1,50 +1,85 @@
-"""An edge whose sessions live with their connection: tie, bands, sessions and the ways of their statements."""
+"""A proxy whose sessions live with their client's connection."""
+
+from __future__ import annotations
 
 import asyncio
 import collections
-import types
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
 
 from transitions import Machine
 
 from petrelhaven.control.configuration.defaults import fill
+from petrelhaven.proxy.bounds import HeldBounds
 from petrelhaven.proxy.reads.read_clock import Order
-from petrelhaven.proxy.routing.group import Band
+from petrelhaven.proxy.routing.group import MemberGroup
+from petrelhaven.proxy.routing.request import Request
+from petrelhaven.proxy.routing.route import Route
 from petrelhaven.proxy.routing.slab import Slab
-from petrelhaven.proxy.routing.statement_path import Passage
-from petrelhaven.proxy.session.held_session import Trade, Visit
-from petrelhaven.proxy.session.statement import Reply
+from petrelhaven.proxy.routing.statement_path import StatementPath
+from petrelhaven.proxy.session.at_once import reply_at_once
+from petrelhaven.proxy.session.held_session import ClientSession
+from petrelhaven.proxy.session.statement import Ask, Reply
+from petrelhaven.runtime.clock import Clock, Nest
 from petrelhaven.runtime.errors import Busy, Late, NoRoute
 from petrelhaven.runtime.events import emit
 
-__all__ = ["Gate"]
+if TYPE_CHECKING:
+    import logbook
+
+    from petrelhaven.control.state.ledger import Ledger
+    from petrelhaven.proxy.core_connection import Tie
+    from petrelhaven.proxy.embargo import EmbargoGate
+    from petrelhaven.proxy.routing.member_wire import MemberWire
+
+__all__ = ["ProxyNode"]
 
-_TIED_US = 4_000_000
+_SLOTS = 1024
 _SLACK_US = 30_000
+_HORIZON_US = 2_000_000
+_RETRY_US = 250_000
+_SESSION_ID_BITS = 0xFFFFFF
 
 
-class Gate:
-    """One edge daemon's logic; clock, link, tie and wire are given. `near(hall)` ranks halls."""
+class ProxyNode:
+    """One proxy's logic; clock, links, core connection and wire are given.
+
+    `near(zone)` ranks zones; `drain_us` and `empty_us` are how long a primary that drains, or whose
+    zone is evacuated, still takes statements.
+    """
 
     states = ["starting", "serving", "leaving", "left"]
 
-    def __init__(self, name, hall, clock, nest, rng, tie, wire, near, drain_us, empty_us, log=None):
-        self.name, self.hall, self.clock, self.nest, self.rng, self.log = (
-            name,
-            hall,
-            clock,
-            nest,
-            rng,
-            log,
-        )
+    def __init__(  # noqa: PLR0913, PLR0917 (what a node is made of; each is given by whoever runs it)
+        self,
+        name: str,
+        zone: str,
+        clock: Clock,
+        nest: Nest,
+        rng: random.Random,
+        tie: Tie,
+        wire: MemberWire,
+        near: Callable[[str], int],
+        drain_us: int,
+        empty_us: int,
+        log: logbook.Logger | None = None,
+    ) -> None:
+        """Puts a proxy together; `start` starts it."""
+        self.name, self.zone, self.log = name, zone, log
+        self.clock, self.nest, self.rng = clock, nest, rng
         self.tie, self.wire, self.near = tie, wire, near
         self.drain_us, self.empty_us = drain_us, empty_us
-        self.order, self.slab = Order(), Slab(clock, 1024)
-        self.routes, self.bands, self.visits = {}, {}, set()
-        self._bounds = types.SimpleNamespace(
-            fetch_us=250_000, join_us=1_000_000, lanes=2, idle_txn_us=3_000_000
-        )
-        self.count = collections.Counter()
-        self.passage = Passage(self)
+        self.order = Order()
+        self.slab = Slab(clock, _SLOTS)
+        self.routes: dict[str, Route] = {}
+        self.groups: dict[str, MemberGroup] = {}
+        self.sessions: set[ClientSession] = set()
+        self.count: collections.Counter[str] = collections.Counter()
+        self.embargo: EmbargoGate | None = None
+        self._bounds = HeldBounds()
+        self._path = StatementPath(self)
+        self._opened: asyncio.Future[None] | None = None
         Machine(
             self,
             states=self.states,
@@ -56,228 +91,214 @@
                 {"trigger": "finish", "source": "leaving", "dest": "left"},
             ],
         )
-        self._opened = None
-        self.embargo = None
         tie.on_change.append(self._changed)
 
-    def start(self):
-        """Starts the edge's tasks."""
-        emit(self.log, 101, name=self.name, hall=self.hall)
+    def start(self) -> None:
+        """Starts the proxy's tasks."""
+        emit(self.log, 101, name=self.name, hall=self.zone)
         self.tie.start()
 
-    def bounds(self):
+    def bounds(self) -> HeldBounds:
         """The bounds in force."""
         return self._bounds
 
     @property
-    def ready(self):
+    def ready(self) -> bool:
         """Whether new connections should come here."""
         return self.state == "serving"
 
-    async def opened(self, us):
-        """Waits until this edge knows a manifest; Busy with when to come back if that takes longer than `us`."""
-        if self.state == "starting":
-            if self._opened is None:
-                self._opened = asyncio.get_running_loop().create_future()
-            try:
-                await self.clock.limit(asyncio.shield(self._opened), us)
-            except Late:
-                raise Busy("this edge knows no manifest yet") from None
-
-    def _changed(self, recs, fresh):
-        d = self.tie.ledger
-        m = d.manifest
-        if m is None:
+    async def opened(self, limit_us: int) -> None:
+        """Waits until this proxy knows a configuration.
+
+        Raises:
+            Busy: that takes longer than `limit_us`.
+        """
+        if self.state != "starting":
+            return
+        if self._opened is None:
+            self._opened = asyncio.get_running_loop().create_future()
+        try:
+            await self.clock.limit(asyncio.shield(self._opened), limit_us)
+        except Late:
+            raise Busy("this edge knows no manifest yet") from None
+
+    def _changed(self, records: list[dict[str, Any]], fresh: bool) -> None:
+        """Takes records of the control state, or with `fresh` a whole state."""
+        ledger = self.tie.ledger
+        configuration = ledger.manifest
+        if configuration is None:
             return
-        if self.embargo is not None or "embargo" in d.doc["manifest"]:
-            self._embargoed(d, recs, fresh)
-        kinds = {r["t"] for r in recs}
-        if fresh or "manifest" in kinds:
-            self._manifest(m)
-        for b in self.bands.values():
-            b.turn(d, fresh)
+        if self.embargo is not None or "embargo" in ledger.doc["manifest"]:
+            self._follow_embargoes(ledger, records, fresh)
+        if fresh or any(record["t"] == "manifest" for record in records):
+            self._configure(configuration)
+        for group in self.groups.values():
+            group.turn(ledger, fresh)
         if self.state == "starting":
             self.serve()
             if self._opened is not None:
                 self._opened.set_result(None)
             emit(self.log, 102, name=self.name)
 
-    def _embargoed(self, d, recs, fresh):
+    def _follow_embargoes(self, ledger: Ledger, records: list[dict[str, Any]], fresh: bool) -> None:
         if self.embargo is None:
             from petrelhaven.proxy.embargo import EmbargoGate
 
             self.embargo, fresh = EmbargoGate(self), True
-        self.embargo.turn(d, recs, fresh)
+        self.embargo.turn(ledger, records, fresh)
         if not self.embargo.on:
             self.embargo = None
         self.tie.time = self.embargo and self.embargo.time
 
-    def _manifest(self, m):
-        m = fill(m)
-        self.routes = {r["host"]: types.SimpleNamespace(**r) for r in reversed(m["routes"])}
-        gs = {g["name"]: g for g in m["groups"]}
-        for n in [n for n in self.bands if n not in gs]:
-            self.bands.pop(n).close()
-        for n, g in gs.items():
-            b = self.bands.get(n)
-            if b is None:
-                b = self.bands[n] = Band(n, self)
-            b.cap, b.sync = g["cap"], g["sync"]
-        self._bounds.idle_txn_us = m["bounds"]["idle_txn_us"]
-        emit(self.log, 403, seq=self.tie.ledger.seq, version=m["version"])
-
-    def route(self, host):
-        """The route and band of a host, or NoRoute."""
-        r = self.routes.get(host)
-        b = self.bands.get(r.group) if r is not None else None
-        if b is None:
+    def _configure(self, configuration: dict[str, Any]) -> None:
+        configuration = fill(configuration)
+        self.routes = {
+            row["host"]: Route.from_configuration(row) for row in reversed(configuration["routes"])
+        }
+        rows = {row["name"]: row for row in configuration["groups"]}
+        for name in [name for name in self.groups if name not in rows]:
+            self.groups.pop(name).close()
+        for name, row in rows.items():
+            group = self.groups.get(name)
+            if group is None:
+                group = self.groups[name] = MemberGroup(name, self)
+            group.connection_cap, group.sync_replicas = row["cap"], row["sync"]
+        self._bounds.idle_txn_us = configuration["bounds"]["idle_txn_us"]
+        emit(self.log, 403, seq=self.tie.ledger.seq, version=configuration["version"])
+
+    def route(self, host: str) -> tuple[Route, MemberGroup]:
+        """The route and group of a host.
+
+        Raises:
+            NoRoute: no route of the configuration has this host.
+        """
+        route = self.routes.get(host)
+        group = self.groups.get(route.group) if route is not None else None
+        if group is None:
             raise NoRoute(f"no database {host[:60]}")
-        return r, b
-
-    def open(self, host, visitor=""):
-        """A new session, or NoRoute."""
-        r, b = self.route(host)
-        v = Visit(host, visitor)
-        self.visits.add(v)
-        if r.reads == "strong":
-            v.band = b
-            b.visits += 1
+        return route, group
+
+    def open(self, host: str, visitor: str = "") -> ClientSession:
+        """A new session.
+
+        Raises:
+            NoRoute: no route of the configuration has this host.
+        """
+        route, group = self.route(host)
+        session = ClientSession(host, visitor)
+        self.sessions.add(session)
+        if route.reads == "strong":
+            session.counted_in = group
+            group.strong_sessions += 1
         self.count["visits"] += 1
-        return v
+        return session
 
-    def close(self, v):
-        """The visitor's connection has ended."""
-        if v not in self.visits:
+    def close(self, session: ClientSession) -> None:
+        """The client's connection has ended."""
+        if session not in self.sessions:
             return
-        self.visits.discard(v)
-        if v.band is not None:
-            v.band.visits -= 1
-        if not v.busy:
-            self.passage.part(v)
-        v.close()
-
-    async def serve_one(self, v, a):
+        self.sessions.discard(session)
+        if session.counted_in is not None:
+            session.counted_in.strong_sessions -= 1
+        if not session.busy:
+            self._path.transactions.release(session)
+        session.close()
+
+    async def serve_one(self, session: ClientSession, statement: Ask) -> Reply:
         """The reply to one statement."""
-        if v.state == "ended":
+        if session.state == "ended":
             return Reply(code="aborted", text="the session has ended")
-        v.busy = True
+        session.busy = True
         try:
-            r = self._at_once(v, a)
-            if r is None:
-                r = await self._slabbed(v, a)
+            reply = reply_at_once(self, self._path.transactions, session, statement)
+            if reply is None:
+                reply = await self._run_routed(session, statement)
         finally:
-            v.busy = False
-            v.since = self.clock.now()
-            if v.state == "ended":
-                self.passage.part(v)
-        if v.trade is not None:
-            self.passage.watch(v, v.trade)
-        return r
-
-    def _at_once(self, v, a):
-        """What needs no member."""
-        k = a.verb
-        if k == "rollback":
-            if v.state != "idle":
-                self.passage.part(v, a.num)
-                v.settle()
-            return Reply()
-        if v.state == "failed":
-            if k == "commit":
-                self.passage.part(v)
-                v.settle()
-                return Reply(
-                    code="aborted", text="the transaction had failed; nothing of it is kept"
-                )
-            return Reply(code="malformed", text="the transaction has failed; end it", state="E")
-        if k == "set":
-            v.values[a.name] = a.data
-            v.nums[a.name] = a.num
-            if v.trade is not None:
-                v.trade.sets = True
-        elif k == "prepare":
-            v.prepared[a.name] = a.shape
-            v.nums["", a.name] = a.num
-        elif k == "forget":
-            v.prepared.pop(a.name, None)
-        elif k == "begin":
-            if v.trade is not None:
-                return Reply(code="malformed", text="a transaction is open", state=v.mark)
-            v.begin()
-            v.trade = Trade(
-                a.num, not a.writes, self.order.next(), self.clock.now(), self.routes.get(v.host)
-            )
-        elif k == "execute" and a.name not in v.prepared:
-            if v.trade is not None:
-                v.fail()
-            return Reply(code="unprepared", text="no such prepared name", state=v.mark)
-        elif k == "commit" and v.trade is None:
-            return Reply(code="malformed", text="no transaction is open")
-        else:
-            return None
-        return Reply(state=v.mark)
-
-    async def _slabbed(self, v, a):
-        x = v.trade
-        r = x.route if x is not None else self.routes.get(v.host)
-        b = self.bands.get(r.group) if r is not None else None
-        if b is None:
-            return Reply(code="unknown", text="no such database any more", state=v.mark)
-        if self.embargo is not None and (p := self.embargo.refusal(v, a, b.name)) is not None:
-            return p
+            session.busy = False
+            session.idle_since = self.clock.now()
+            if session.state == "ended":
+                self._path.transactions.release(session)
+        if session.transaction is not None:
+            self._path.transactions.watch_idle(session, session.transaction)
+        return reply
+
+    async def _run_routed(self, session: ClientSession, statement: Ask) -> Reply:
+        """Runs a statement at a member of its group, unless an embargo withholds it."""
+        transaction = session.transaction
+        route = transaction.route if transaction is not None else self.routes.get(session.host)
+        group = self.groups.get(route.group) if route is not None else None
+        if group is None:
+            return Reply(code="unknown", text="no such database any more", state=session.mark)
+        if self.embargo is not None:
+            refusal = self.embargo.refusal(session, statement, group.name)
+            if refusal is not None:
+                return refusal
         self.count["asked"] += 1
-        b.earn()
-        us = r.timeout_us - _SLACK_US
-        t0 = self.clock.now()
-        p = await self._run(v, a, r, b, x, t0 + us, us)
+        group.earn()
+        limit_us = route.timeout_us - _SLACK_US
+        started = self.clock.now()
+        request = Request(session, statement, route, group, started + limit_us)
+        reply = await self._run_slotted(request, limit_us + _HORIZON_US)
         if self.embargo is not None:
-            p = self.embargo.passed(v, a, b.name, p)
-        if p.code is not None:
-            emit(
-                self.log,
-                425,
-                group=b.name,
-                verb=a.verb,
-                code=p.code,
-                us=self.clock.now() - t0,
-                note=p.text,
-                visit=id(v) & 0xFFFFFF,
-                stocks=",".join(f"{n[-4:]}:{z.stock.plight()}" for n, z in b.berths.items()),
-                visits=b.visits,
-            )
-        return p
-
-    async def _run(self, v, a, r, b, x, end, us):
+            reply = self.embargo.passed(session, statement, group.name, reply)
+        if reply.code is not None:
+            self._tell_not_served(request, reply, self.clock.now() - started)
+        return reply
+
+    async def _run_slotted(self, request: Request, horizon_us: int) -> Reply:
+        session = request.session
+        inside = session.transaction is not None
         try:
-            return await self.slab.enter(self.passage.run(v, a, r, b, end), us + 2_000_000)
-        except Busy as e:
-            if x is not None:
-                v.fail()
-            return Reply(code="busy", text=self.back(e.back), state=v.mark)
+            return await self.slab.enter(self._path.run(request), horizon_us)
+        except Busy as fault:
+            code, text = "busy", self.retry_after(fault.back)
         except Late:
-            if x is not None:
-                v.fail()
-            return Reply(code="timeout", text="the statement ran out of time", state=v.mark)
+            code, text = "timeout", "the statement ran out of time"
+        if inside:
+            session.fail()
+        return Reply(code=code, text=text, state=session.mark)
 
-    def back(self, us):
+    def _tell_not_served(self, request: Request, reply: Reply, took_us: int) -> None:
+        group = request.group
+        emit(
+            self.log,
+            425,
+            group=group.name,
+            verb=request.statement.verb,
+            code=reply.code,
+            us=took_us,
+            note=reply.text,
+            visit=id(request.session) & _SESSION_ID_BITS,
+            stocks=",".join(f"{n[-4:]}:{m.pool.plight()}" for n, m in group.members.items()),
+            visits=group.strong_sessions,
+        )
+
+    def retry_after(self, delay_us: int = _RETRY_US) -> str:
         """When to come back, in words, spread so that not all come at once."""
         self.count["shed"] += 1
-        return f"not run; come back in {int(us * self.rng.uniform(0.75, 1.25)) // 1000} ms"
+        return f"not run; come back in {int(delay_us * self.rng.uniform(0.75, 1.25)) // 1000} ms"
+
+    def out_of_time(self, tried: bool = False) -> Reply:
+        """The reply to a statement whose time is over; `tried` if a member has it."""
+        if tried:
+            return Reply(code="timeout", text="no answer in time")
+        return Reply(code="busy", text=self.retry_after())
 
-    def status(self):
-        """What this edge believes and counts."""
+    def status(self) -> dict[str, Any]:
+        """What this proxy believes and counts."""
+        groups = sorted(self.groups.items())
         return {
             **self.tie.ledger.belief(),
             "name": self.name,
             "state": self.state,
             "ready": self.ready,
-            "visits": len(self.visits),
+            "visits": len(self.sessions),
             "slots_used": self.slab.used,
             "count": dict(self.count),
-            "clocks": {g: dict(b.reads.count) for g, b in sorted(self.bands.items())},
+            "clocks": {name: dict(group.read_clock.count) for name, group in groups},
             "stocks": {
-                g: {n: b.stock.total for n, b in sorted(x.berths.items())}
-                for g, x in self.bands.items()
+                name: {n: m.pool.total for n, m in sorted(group.members.items())}
+                for name, group in groups
             },
             **({"embargo": self.embargo.status()} if self.embargo is not None else {}),
         }
--- a/src/petrelhaven/proxy/reads/log_progress.py
+++ b/src/petrelhaven/proxy/reads/log_progress.py
@@ -4,10 +4,10 @@
 
 from petrelhaven.runtime.errors import Fault
 
-__all__ = ["Tide"]
+__all__ = ["LogProgress"]
 
 
-class Tide:
+class LogProgress:
     """Asks STATUS only while somebody waits; one question in flight a member."""
 
     def __init__(self, clock, nest, ask, gap_us=8_000):
--- a/src/petrelhaven/proxy/routing/group.py
+++ b/src/petrelhaven/proxy/routing/group.py
@@ -1,279 +1,323 @@
-"""One database group as an edge sees it where sessions live with their connection: office, members, read clock."""
+"""One database group as a proxy sees it: its leadership, its members, its read clock."""
+
+from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
+from typing import TYPE_CHECKING, Any
 
 from petrelhaven.proxy.pool.connection_pool import Stock
-from petrelhaven.proxy.reads.log_progress import Tide
+from petrelhaven.proxy.reads.log_progress import LogProgress
 from petrelhaven.proxy.reads.read_clock import ReadClock
+from petrelhaven.proxy.routing.leadership import Leadership
+from petrelhaven.proxy.routing.member import Member
 from petrelhaven.runtime.errors import Fault, Gone, Late, Unreached, Unsent
 
-__all__ = ["Band", "Berth"]
+if TYPE_CHECKING:
+    from petrelhaven.control.state.ledger import Ledger
+    from petrelhaven.proxy.held_edge import ProxyNode
+    from petrelhaven.proxy.pool.member_connection import Strand
+    from petrelhaven.proxy.reads.position import Position
+    from petrelhaven.proxy.routing.attempt import Attempt
+    from petrelhaven.proxy.routing.route import Route
+
+__all__ = ["MemberGroup"]
 
 _DOWN_US = 250_000
 _DOWN_MOST_US = 2_000_000
+_FAILURES_MOST = 4
+_MEMBER_GONE_US = 5_000_000
 _OPEN_US = 450_000
-_QUIET_US = 350_000
-
-
-class Berth:
-    """One member: its connections, how it does, and what is known of its log."""
-
-    __slots__ = (
-        "name",
-        "addr",
-        "hall",
-        "state",
-        "slots",
-        "rank",
-        "stock",
-        "tide",
-        "shared",
-        "down",
-        "bad",
-        "out",
-        "heard",
-        "stop_at",
-        "lags",
-        "lag_till",
-        "slow",
-    )
-
-    def __init__(self, name, m, rank):
-        self.name, self.addr, self.hall, self.state, self.slots = (
-            name,
-            m["addr"],
-            m["hall"],
-            m["state"],
-            m["slots"],
-        )
-        self.rank = rank
-        self.stock = self.tide = self.shared = None
-        self.down, self.bad, self.out, self.heard = 0, 0, 0, 0
-        self.stop_at = None
-        self.lags, self.lag_till, self.slow = 0, 0, 0
+_RECENTLY_HEARD_US = 350_000
+_ROLLBACK_US = 500_000
+_DARK_US = 4_000_000
+_NEVER_US = 1 << 60
+
+_CONNECTION_CAP = 40
+_RESERVED_CONNECTIONS = 4
+_FEWEST_PROXIES = 3
+_SPARE_CONNECTIONS = 2
+
+_SECOND_TRIES = 10.0
+_SECOND_TRIES_MOST = 20.0
+_SECOND_TRIES_EARNED = 0.1
+
+
+class MemberGroup:
+    """Follows the leadership and the members of one group.
+
+    `leading` is (number, primary) of the leadership, also while it moves; the read clock's pairs
+    belong to it. `connection_cap` bounds the connections that all proxies hold to one member,
+    `sync_replicas` is how many replicas have a commit before it is acknowledged, `size` the most
+    members the group has had, and `strong_sessions` counts sessions whose route reads strongly.
+    """
+
+    def __init__(self, name: str, proxy: ProxyNode) -> None:
+        """Makes a group that knows no members yet."""
+        self.name = name
+        self._proxy = proxy
+        self._clock = proxy.clock
+        self.members: dict[str, Member] = {}
+        self.leadership: Leadership | None = None
+        self.leading: tuple[int, str] | None = None
+        self._leadership_record: dict[str, Any] | None = None
+        self.connection_cap = _CONNECTION_CAP
+        self.sync_replicas = self.size = self.strong_sessions = 0
+        self.read_clock = ReadClock(proxy.clock, proxy.nest, proxy.order, self._fetch, proxy.bounds)
+        self._turned: asyncio.Future[None] | None = None
+        self._second_tries = _SECOND_TRIES
 
+    @property
+    def primary(self) -> Member | None:
+        """The primary that serves, or None."""
+        now = self.leadership
+        if now is None or now.phase == "move":
+            return None
+        return self.members.get(now.primary)
 
-class Band:
-    """Follows the office and the members of one group."""
+    @property
+    def sure(self) -> Member | None:
+        """The primary that leads under this proxy's lease, or None; asked right before a send."""
+        now = self.leadership
+        if now is None or now.phase != "serve" or not self._proxy.tie.holds:
+            return None
+        return self.members.get(now.primary)
 
-    def __init__(self, name, gate):
-        self.name, self.g = name, gate
-        self.clock, self.nest = gate.clock, gate.nest
-        self.berths, self.office = {}, None
-        self.cap, self.sync, self.size, self.visits = 40, 0, 0, 0
-        self.reads = ReadClock(self.clock, self.nest, gate.order, self._fetch, gate.bounds)
-        self._turned = None
-        self._tokens = 10.0
+    def available_primary(self) -> Member | None:
+        """The primary, if a statement that begins anew may go to it now."""
+        member = self.primary
+        if member is None or not self.serves(member) or member.down_until > self._clock.now():
+            return None
+        return member
 
-    @property
-    def key(self):
-        """(office, primary) while a primary serves, else None."""
-        o = self.office
-        return (o["n"], o["primary"]) if o and o["phase"] != "move" else None
+    def serves(self, member: Member) -> bool:
+        """Whether statements that begin anew may go to the primary `member` now."""
+        return member.stop_at is None or self._clock.now() < member.stop_at
 
-    @property
-    def reading(self):
-        """What the read clock's pairs belong to: (office, primary), also while the office moves."""
-        o = self.office
-        return (o["n"], o["primary"]) if o else None
+    def turn(self, ledger: Ledger, fresh: bool) -> None:
+        """Takes the leadership, the members and the zones as the control state has them.
 
-    @property
-    def primary(self):
-        """The berth of the primary that serves, or None."""
-        return self.berths.get(self.office["primary"]) if self.key else None
-
-    def turn(self, ledger, fresh):
-        """Takes the office, the members and the halls as the ledger has them."""
-        now = self.clock.now()
-        ms = ledger.group(self.name)
+        `fresh` tells that the whole state was handed over: how old its changes are is not known.
+        """
+        rows = ledger.group(self.name)
         self.size = ledger.doc["sizes"].get(self.name, 0)
-        for n, m in ms.items():
-            b = self.berths.get(n)
-            if b is not None and b.addr != m["addr"]:
-                b.stock.close()
-                b = None
-            if b is None:
-                b = self.berths[n] = Berth(n, m, self.g.near(m["hall"]))
-                b.stock = Stock(self.clock, self.nest, self._opener(b), 1, lambda: self.visits + 2)
-                b.tide = Tide(self.clock, self.nest, None)
-                b.tide.log = (0, 0)
-            b.state = m["state"]
-            b.stock.most = max(1, (self.cap - 4) // max(self.g.tie.edges, 3) - 1)
-            leaves = b.state == "draining", ledger.hall(b.hall) != "open"
-            if any(leaves):
-                if b.stop_at is None:
-                    us = min(
-                        self.g.drain_us if leaves[0] else 1 << 60,
-                        self.g.empty_us if leaves[1] else 1 << 60,
-                    )
-                    b.stop_at = now + (0 if fresh else us)
-            else:
-                b.stop_at = None
-        for n in [n for n in self.berths if n not in ms]:
-            b = self.berths.pop(n)
-            b.stock.close()
-            if b.shared is not None:
-                b.shared.close()
-        o = ledger.doc["offices"].get(self.name)
-        if o != self.office:
-            self.office = o
-            self.reads.turn(self.reading)
-            p = self.primary
-            if p is not None and o["phase"] == "serve":
-                p.down = p.bad = 0
-            f, self._turned = self._turned, None
-            if f is not None:
-                f.set_result(None)
-
-    def turned(self):
-        """A future that is done at the next change of the office."""
+        for name, row in rows.items():
+            self._turn_member(name, row, ledger, fresh)
+        for name in [name for name in self.members if name not in rows]:
+            self.members.pop(name).close()
+        record = ledger.doc["offices"].get(self.name)
+        if record != self._leadership_record:
+            self._turn_leadership(record)
+
+    def _turn_member(self, name: str, row: dict[str, Any], ledger: Ledger, fresh: bool) -> None:
+        member = self.members.get(name)
+        if member is not None and member.address != row["addr"]:
+            member.pool.close()
+            member = None
+        if member is None:
+            member = self.members[name] = self._new_member(name, row)
+        member.state = row["state"]
+        proxies = max(self._proxy.tie.edges, _FEWEST_PROXIES)
+        share = (self.connection_cap - _RESERVED_CONNECTIONS) // proxies - 1
+        member.pool.most = max(1, share)
+        draining = member.state == "draining"
+        evacuated = ledger.hall(member.zone) != "open"
+        if not draining and not evacuated:
+            member.stop_at = None
+        elif member.stop_at is None:
+            bound_us = min(
+                self._proxy.drain_us if draining else _NEVER_US,
+                self._proxy.empty_us if evacuated else _NEVER_US,
+            )
+            member.stop_at = self._clock.now() + (0 if fresh else bound_us)
+
+    def _new_member(self, name: str, row: dict[str, Any]) -> Member:
+        proxy = self._proxy
+        pool = Stock(
+            self._clock,
+            proxy.nest,
+            lambda: self._open(member),
+            1,
+            lambda: self.strong_sessions + _SPARE_CONNECTIONS,
+        )
+        log_progress = LogProgress(self._clock, proxy.nest, None)
+        log_progress.log = (0, 0)
+        member = Member(name, row, proxy.near(row["hall"]), pool, log_progress)
+        return member
+
+    def _turn_leadership(self, record: dict[str, Any] | None) -> None:
+        self._leadership_record = record
+        now = Leadership.from_record(record) if record is not None else None
+        self.leadership = now
+        self.leading = (now.number, now.primary) if now is not None else None
+        self.read_clock.turn(self.leading)
+        primary = self.primary
+        if primary is not None and self.leadership.phase == "serve":
+            primary.down_until = primary.failures = 0
+        turned, self._turned = self._turned, None
+        if turned is not None:
+            turned.set_result(None)
+
+    def turned(self) -> asyncio.Future[None]:
+        """A future that is done at the next change of the leadership."""
         if self._turned is None:
             self._turned = asyncio.get_running_loop().create_future()
         return self._turned
 
-    def serves(self, b):
-        """Whether statements that begin anew may go to the primary `b` now."""
-        return b.stop_at is None or self.clock.now() < b.stop_at
-
-    def pick(self, pos, bad, exclude_primary=False):
-        """The member for a read: well, near, not full; one known to hold `pos` first."""
-        now = self.clock.now()
-        p = self.office["primary"] if self.office else None
-        best = None
-        for n, b in self.berths.items():
-            if n in bad or b.stop_at is not None and (n != p or now >= b.stop_at):
+    def pick(self, position: Position, excluded: Collection[str]) -> Member | None:
+        """The member for a read: well, near, not full; one known to hold `position` first."""
+        now = self._clock.now()
+        primary = self.leadership.primary if self.leadership is not None else None
+        best = best_cost = None
+        for name, member in self.members.items():
+            if name in excluded:
+                continue
+            stop_at = member.stop_at
+            if stop_at is not None and (name != primary or now >= stop_at):
                 continue
-            lags = b.slow > now and b.tide.log < pos
-            k = (
-                b.down > now,
-                lags,
-                b.out >= max(2, b.slots - 1),
-                b.rank,
-                n == p and b.rank > 0,
-                b.out,
-                n,
+            cost = (
+                member.down_until > now,
+                member.slow_until > now and member.log_progress.log < position,
+                member.in_flight >= max(2, member.capacity - 1),
+                member.distance,
+                name == primary and member.distance > 0,
+                member.in_flight,
+                name,
             )
-            if best is None or k < best[0]:
-                best = (k, b)
-        return best[1] if best else None
+            if best is None or cost < best_cost:
+                best, best_cost = member, cost
+        return best
 
-    def spend(self):
+    def spend(self) -> bool:
         """Whether a second try is within the budget of this group."""
-        if self._tokens < 1:
+        if self._second_tries < 1:
             return False
-        self._tokens -= 1
+        self._second_tries -= 1
         return True
 
-    def earn(self):
+    def earn(self) -> None:
         """A request came: a tenth of a second try is earned."""
-        self._tokens = min(20.0, self._tokens + 0.1)
+        self._second_tries = min(_SECOND_TRIES_MOST, self._second_tries + _SECOND_TRIES_EARNED)
+
+    def fine(self, member: Member, position: Position | None = None) -> None:
+        """The member has answered, its log at `position`."""
+        member.last_heard = self._clock.now()
+        member.failures = member.down_until = 0
+        if position is not None:
+            member.note_log(position)
+
+    def missed(self, member: Member, how: str) -> None:
+        """The member did not answer (`mute`, `reset`, `refused`); a primary is suspected."""
+        now = self._clock.now()
+        if how == "mute" and now - member.last_heard <= _RECENTLY_HEARD_US:
+            return
+        member.failures = min(member.failures + 1, _FAILURES_MOST)
+        member.down_until = now + min(_DOWN_US << (member.failures - 1), _DOWN_MOST_US)
+        leadership = self.leadership
+        if leadership is None or leadership.primary != member.name or leadership.phase == "move":
+            return
+        self._proxy.tie.doubt(self.name, member.name, how)
+
+    def note_position(self, attempt: Attempt, position: Position) -> None:
+        """A statement that only a leading primary answers came back with its log at `position`."""
+        self.read_clock.noted(attempt.leadership, attempt.started, attempt.started_us, position)
+
+    def hopeless(self, route: Route, end: int) -> bool:
+        """Whether the primary has been away too long to be waited for."""
+        stuck = self.leadership is not None and self.leadership.stuck
+        if not stuck and self._dark_us() <= _DARK_US:
+            return False
+        return self._clock.now() > end - route.timeout_us + route.aim_us // 5
 
-    def fine(self, b, pos=None):
-        """Member `b` has answered, its log at `pos`."""
-        b.heard = self.clock.now()
-        b.bad = b.down = 0
-        if pos is not None and pos > b.tide.log:
-            b.tide.note(pos, 0)
+    def _dark_us(self) -> int:
+        """Microseconds since the primary last answered here, if it fails now."""
+        member = self.members.get(self.leadership.primary) if self.leadership is not None else None
+        if member is None or not member.failures or not member.last_heard:
+            return 0
+        return self._clock.now() - member.last_heard
 
-    @property
-    def sure(self):
-        """The primary that is in office under this edge's lease, or None; asked right before a send."""
-        o = self.office
-        if o is None or o["phase"] != "serve" or not self.g.tie.holds:
-            return None
-        return self.berths.get(o["primary"])
-
-    def missed(self, b, how):
-        """Member `b` did not answer; a primary that is silent or refuses is doubted."""
-        now = self.clock.now()
-        if how != "mute" or now - b.heard > _QUIET_US:
-            b.bad = min(b.bad + 1, 4)
-            b.down = now + min(_DOWN_US << (b.bad - 1), _DOWN_MOST_US)
-            if self.office and self.office["primary"] == b.name and self.office["phase"] != "move":
-                self.g.tie.doubt(self.name, b.name, how)
-
-    def _opener(self, b):
-        async def opened():
-            try:
-                c = await self.g.wire.open(b.addr, self.name, b.name, _OPEN_US)
-            except Gone:
-                b.down = self.clock.now() + 5_000_000
-                raise
-            except Unsent as e:
-                self.missed(b, e.note)
-                raise
-            except (Late, Unreached):
-                self.missed(b, "mute")
-                raise
-            self.fine(b)
-            return c
-
-        return opened
-
-    async def _status(self, b):
-        if b.shared is None or b.shared.lost:
-            b.shared = await self._opener(b)()
+    async def _open(self, member: Member) -> Strand:
+        """A new connection to the member."""
+        try:
+            connection = await self._proxy.wire.open(
+                member.address, self.name, member.name, _OPEN_US
+            )
+        except Gone:
+            member.down_until = self._clock.now() + _MEMBER_GONE_US
+            raise
+        except Unsent as fault:
+            self.missed(member, fault.note)
+            raise
+        except (Late, Unreached):
+            self.missed(member, "mute")
+            raise
+        self.fine(member)
+        return connection
+
+    async def _status(self, member: Member) -> dict[str, Any]:
+        if member.status_connection is None or member.status_connection.lost:
+            member.status_connection = await self._open(member)
         try:
-            r = await self.clock.limit(b.shared.own("status"), self.g.bounds().join_us // 2)
+            row = await self._clock.limit(
+                member.status_connection.own("status"), self._proxy.bounds().join_us // 2
+            )
         except (Late, Unreached):
-            b.shared.close()
-            self.missed(b, "mute")
+            member.status_connection.close()
+            self.missed(member, "mute")
             raise
-        self.fine(b)
-        return r
+        self.fine(member)
+        return row
 
-    async def _fetch(self, key):
+    async def _fetch(self, leading: tuple[int, str]) -> Position:
         """The primary's position; where it does not answer, what all others together prove.
 
-        A commit is acknowledged once a replica has it (`sync`), so the highest log of all members but one holds every
-        acknowledged commit, whoever of them leads.
+        A commit is acknowledged once a replica has it (`sync_replicas`), so the highest log of all
+        members but one holds every acknowledged commit, whoever of them leads.
         """
-        b = self.berths.get(key[1])
-        if self.reading != key:
+        primary = self.members.get(leading[1])
+        if self.leading != leading:
             raise Unreached("no primary to ask")
-        if b is None or b.down > self.clock.now():
-            return await self._fetch_others(key[1])
+        if primary is None or primary.down_until > self._clock.now():
+            return await self._fetch_others(leading[1])
         try:
-            r = await self._status(b)
+            row = await self._status(primary)
         except Fault:
-            return await self._fetch_others(key[1])
-        if r["role"] != "primary":
-            self.g.tie.doubt(self.name, b.name, "replica")
+            return await self._fetch_others(leading[1])
+        if row["role"] != "primary":
+            self._proxy.tie.doubt(self.name, primary.name, "replica")
             raise Unreached("not the primary")
-        return r["pos"]
+        return row["pos"]
 
-    async def _fetch_others(self, name):
-        bs = [b for n, b in self.berths.items() if n != name]
-        if not self.sync or len(bs) < max(self.sync + 1, self.size - 1) or not self.g.tie.holds:
+    async def _fetch_others(self, primary: str) -> Position:
+        others = [member for name, member in self.members.items() if name != primary]
+        fewest = max(self.sync_replicas + 1, self.size - 1)
+        if not self.sync_replicas or len(others) < fewest or not self._proxy.tie.holds:
             raise Unreached("no primary to ask")
-        rs = await asyncio.gather(*[self._status(b) for b in bs], return_exceptions=True)
-        bad = next((r for r in rs if isinstance(r, BaseException)), None)
-        if bad is not None:
-            raise bad if isinstance(bad, Fault) else Unreached("not all others answered")
-        for b, r in zip(bs, rs):
-            if r["pos"] > b.tide.log:
-                b.tide.note(r["pos"], 0)
-        self.g.count["fetched_others"] += 1
-        return max(r["pos"] for r in rs)
-
-    def dark(self):
-        """Microseconds since the primary last answered here, if it fails now."""
-        b = self.berths.get(self.office["primary"]) if self.office else None
-        return self.clock.now() - b.heard if b is not None and b.bad and b.heard else 0
-
-    def close(self):
-        """The group left the manifest."""
-        for b in self.berths.values():
-            b.stock.close()
-            if b.shared is not None:
-                b.shared.close()
-        self.reads.turn(None)
-
-    async def settle(self, conn, b, num):
-        """Rolls a connection back at its visitor's word and keeps it, if that works within the bound."""
+        rows = await asyncio.gather(
+            *[self._status(member) for member in others], return_exceptions=True
+        )
+        for row in rows:
+            if isinstance(row, BaseException):
+                raise row if isinstance(row, Fault) else Unreached("not all others answered")
+        for member, row in zip(others, rows, strict=True):
+            member.note_log(row["pos"])
+        self._proxy.count["fetched_others"] += 1
+        return max(row["pos"] for row in rows)
+
+    def close(self) -> None:
+        """The group left the configuration."""
+        for member in self.members.values():
+            member.close()
+        self.read_clock.turn(None)
+
+    async def settle(self, connection: Strand, member: Member, number: str) -> None:
+        """Rolls a connection back at its client's word; keeps it if that works in time."""
         try:
-            r = await self.clock.limit(conn.plain("rollback", (), num), 500_000)
-            ok = r.state == "I"
+            reply = await self._clock.limit(connection.plain("rollback", (), number), _ROLLBACK_US)
+            clean = reply.state == "I"
         except Fault:
-            ok = False
-        b.stock.give(conn) if ok else b.stock.drop(conn)
+            clean = False
+        if clean:
+            member.pool.give(connection)
+        else:
+            member.pool.drop(connection)
--- /dev/null
+++ b/src/petrelhaven/proxy/routing/held_reads.py
@@ -0,0 +1,200 @@
+"""Single reads of held sessions: placed by the read clock, hedged when slow."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Generator
+from typing import TYPE_CHECKING
+
+from petrelhaven.proxy.routing.attempt import Attempt
+from petrelhaven.proxy.routing.waiting import first_done
+
+if TYPE_CHECKING:
+    from petrelhaven.proxy.held_edge import ProxyNode
+    from petrelhaven.proxy.reads.position import Position
+    from petrelhaven.proxy.routing.member import Member
+    from petrelhaven.proxy.routing.member_calls import MemberCalls
+    from petrelhaven.proxy.routing.read_placement import ReadPlacement
+    from petrelhaven.proxy.routing.request import Request
+    from petrelhaven.proxy.session.statement import Reply
+
+__all__ = ["HeldReads"]
+
+_RETRY_ELSEWHERE = ("busy", "crowded", "failed", "misdirected", "readonly", "unprepared")
+_HEDGE_LEAST_US = 60_000
+_HEDGE_SHARE = 0.4
+_FIRST_PAUSE_US = 10_000
+_LONGEST_PAUSE_US = 80_000
+_LEAST_LIMIT_US = 1_000
+
+
+class _ReadState:
+    """Where one read stands; `running` are its attempts under way, two at the most."""
+
+    __slots__ = (
+        "request",
+        "arrival",
+        "since",
+        "hedge_us",
+        "excluded",
+        "leadership",
+        "position",
+        "pause_us",
+        "left_us",
+        "running",
+    )
+
+    def __init__(self, request: Request, arrival: int, now: int) -> None:
+        """Starts a read that arrived at the order point `arrival`."""
+        self.request = request
+        self.arrival = arrival
+        self.since = request.oldest_fetch(now)
+        self.hedge_us = max(_HEDGE_LEAST_US, int(request.route.aim_us * _HEDGE_SHARE))
+        self.excluded: set[str] = set()
+        self.leadership: tuple[int, str] | None = None
+        self.position: Position | None = None
+        self.pause_us = _FIRST_PAUSE_US
+        self.left_us = 0
+        self.running: list[Attempt] = []
+
+    def next_pause_us(self) -> int:
+        """The pause before another round; each is twice as long as the one before."""
+        pause_us = min(self.pause_us, self.left_us)
+        self.pause_us = min(self.pause_us * 2, _LONGEST_PAUSE_US)
+        return pause_us
+
+
+class HeldReads:
+    """Runs reads outside transactions, each as a continuation that ends with a reply."""
+
+    def __init__(self, proxy: ProxyNode, calls: MemberCalls, placement: ReadPlacement) -> None:
+        """Uses the clock, the tasks and the counters of `proxy`."""
+        self._proxy = proxy
+        self._clock = proxy.clock
+        self._calls = calls
+        self._placement = placement
+
+    def run(self, request: Request) -> Generator[asyncio.Future, None, Reply]:
+        """One read; attempts that have not left yet end with it."""
+        state = _ReadState(request, self._proxy.order.next(), self._clock.now())
+        try:
+            return (yield from self._until_answered(state))
+        finally:
+            for attempt in state.running:
+                if not attempt.sent:
+                    attempt.task.cancel()
+                    if attempt.flight is not None:
+                        request.group.read_clock.failed(attempt.flight)
+
+    def _until_answered(self, state: _ReadState) -> Generator[asyncio.Future, None, Reply]:
+        while True:
+            state.left_us = state.request.end - self._clock.now()
+            if state.left_us <= 0:
+                return self._proxy.out_of_time(bool(state.running))
+            reply = yield from self._round(state)
+            if reply is not None:
+                return reply
+
+    def _round(self, state: _ReadState) -> Generator[asyncio.Future, None, Reply | None]:
+        """Starts an attempt where there is a place for one, waits, and looks at what came."""
+        group = state.request.group
+        if state.leadership != group.leading:
+            state.leadership, state.position = group.leading, None
+        attempt = None if state.running else self._carrier(state)
+        if attempt is None and state.position is None:
+            yield from self._find_position(state)
+            if state.leadership != group.leading:
+                return None
+        if attempt is None and state.position is not None:
+            member = group.pick(state.position, state.excluded)
+            if member is not None and self._joins_log_wait(state, member):
+                self._proxy.count["joined_log"] += 1
+                yield from self._placement.joined(member, state.position, state.request.end)
+                return None
+            if member is not None:
+                attempt = Attempt(member, state.leadership)
+        if attempt is not None:
+            self._launch(state, attempt)
+        elif not state.running:
+            state.excluded.clear()
+            yield first_done(self._clock, (), state.pause_us)
+            state.pause_us = min(state.pause_us * 2, _LONGEST_PAUSE_US)
+            return None
+        if (yield from self._wait(state, may_hedge=attempt is not None)):
+            return None
+        return (yield from self._collect(state))
+
+    def _carrier(self, state: _ReadState) -> Attempt | None:
+        if state.position is not None:
+            return None
+        return self._placement.carrier(
+            state.request.group, state.arrival, state.since, state.excluded
+        )
+
+    def _find_position(self, state: _ReadState) -> Generator[asyncio.Future, None, None]:
+        state.position = yield from self._placement.position(
+            state.request.group,
+            state.arrival,
+            state.since,
+            state.left_us,
+            [attempt.task for attempt in state.running],
+        )
+
+    def _joins_log_wait(self, state: _ReadState, member: Member) -> bool:
+        return not state.running and self._placement.is_behind(member, state.position)
+
+    def _launch(self, state: _ReadState, attempt: Attempt) -> None:
+        limit_us = max(state.request.end - self._clock.now(), _LEAST_LIMIT_US)
+        after = None if attempt.flight else state.position
+        attempt.task = self._proxy.nest.spawn(
+            self._calls.send(state.request, attempt, after, limit_us)
+        )
+        state.running.append(attempt)
+
+    def _wait(self, state: _ReadState, may_hedge: bool) -> Generator[asyncio.Future, None, bool]:
+        """Waits until an attempt ends; True if it is slow and a second one is to start."""
+        running, group = state.running, state.request.group
+        may_hedge = may_hedge and len(running) == 1
+        limit_us = min(state.hedge_us, state.left_us) if may_hedge else state.left_us
+        yield first_done(self._clock, [attempt.task for attempt in running], limit_us)
+        if not may_hedge or running[0].task.done():
+            return False
+        if group.spend():
+            member = running[0].member
+            group.missed(member, "mute")
+            state.excluded.add(member.name)
+            self._proxy.count["hedged"] += 1
+            return True
+        yield first_done(self._clock, [running[0].task], state.request.end - self._clock.now())
+        return False
+
+    def _collect(self, state: _ReadState) -> Generator[asyncio.Future, None, Reply | None]:
+        """The reply that ends the read, or None if it must be tried again."""
+        group = state.request.group
+        done = [attempt for attempt in state.running if attempt.task.done()]
+        state.running[:] = [attempt for attempt in state.running if not attempt.task.done()]
+        for attempt in done:
+            reply = self._calls.outcome(group, attempt)
+            if reply is None:
+                state.excluded.add(attempt.member.name)
+                yield first_done(self._clock, (), state.next_pause_us())
+            elif reply.code == "lagging":
+                yield from self._lagging(state, attempt)
+            elif reply.code in _RETRY_ELSEWHERE:
+                self._proxy.count[reply.code] += 1
+                state.excluded.add(attempt.member.name)
+                if reply.code == "failed" and not group.spend():
+                    return reply
+            else:
+                return reply
+        return None
+
+    def _lagging(
+        self, state: _ReadState, attempt: Attempt
+    ) -> Generator[asyncio.Future, None, None]:
+        self._proxy.count["lagging"] += 1
+        if state.position is None or state.running:
+            return
+        member = attempt.member
+        if not (yield from self._placement.told_lagging(member, state.position, state.request.end)):
+            state.excluded.add(member.name)
--- /dev/null
+++ b/src/petrelhaven/proxy/routing/held_transactions.py
@@ -0,0 +1,216 @@
+"""Statements inside a transaction of a held session: on one connection to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Generator
+from typing import TYPE_CHECKING
+
+from petrelhaven.proxy.routing.attempt import Attempt
+from petrelhaven.proxy.routing.waiting import first_done
+from petrelhaven.proxy.session.statement import Reply
+from petrelhaven.runtime.errors import Late
+from petrelhaven.runtime.events import emit
+
+if TYPE_CHECKING:
+    from petrelhaven.proxy.held_edge import ProxyNode
+    from petrelhaven.proxy.routing.member_calls import MemberCalls
+    from petrelhaven.proxy.routing.request import Request
+    from petrelhaven.proxy.routing.transaction_start import TransactionStart
+    from petrelhaven.proxy.session.held_session import ClientSession, Transaction
+
+__all__ = ["HeldTransactions"]
+
+_FIRST_PAUSE_US = 10_000
+_STATEMENT_LEAST_US = 100_000
+
+
+class HeldTransactions:
+    """Runs statements inside transactions, and ends transactions."""
+
+    def __init__(self, proxy: ProxyNode, calls: MemberCalls, start: TransactionStart) -> None:
+        """Uses the clock, the tasks and the counters of `proxy`."""
+        self._proxy = proxy
+        self._clock = proxy.clock
+        self._calls = calls
+        self._start = start
+
+    def run(self, request: Request) -> Generator[asyncio.Future, None, Reply]:
+        """One statement; the first one gets the transaction its connection."""
+        session, statement = request.session, request.statement
+        transaction = session.transaction
+        if transaction.connection is None:
+            why = yield from self._begin(request, transaction)
+            if why is not None:
+                return self._abort(request, why)
+        pause_us = _FIRST_PAUSE_US
+        while True:
+            limit_us = self._limit_us(request)
+            if limit_us <= 0:
+                return self._abort(request, self._proxy.retry_after())
+            connection = transaction.connection
+            attempt = Attempt(transaction.member, transaction.group.leading)
+            attempt.started = self._proxy.order.next()
+            attempt.started_us = self._clock.now()
+            attempt.task = self._proxy.nest.spawn(
+                self._calls.send_pinned(connection, session, statement)
+            )
+            with contextlib.suppress(Late):
+                yield first_done(self._clock, [attempt.task], limit_us)
+            reply = self._reply(transaction, attempt)
+            if reply is None:
+                return self._connection_lost(request)
+            if reply.ok:
+                return self._succeeded(request, attempt, reply)
+            left_us = request.end - self._clock.now()
+            if not self._may_repeat(reply) or left_us <= pause_us:
+                return self._failed(request, reply)
+            if reply.code == "unprepared":
+                connection.shapes.clear()
+            self._proxy.count[reply.code] += 1
+            yield first_done(self._clock, (), pause_us)
+            pause_us *= 2
+
+    def _begin(
+        self, request: Request, transaction: Transaction
+    ) -> Generator[asyncio.Future, None, str | None]:
+        """Gets the transaction its connection; why that could not be done, or None."""
+        if transaction.timed_out:
+            return "the transaction had ended"
+        transaction.group = request.group
+        return (yield from self._start.run(request, transaction))
+
+    def release(self, session: ClientSession, number: str | None = None) -> None:
+        """Ends a session's transaction: by its ROLLBACK `number`, else with the connection."""
+        transaction, session.transaction = session.transaction, None
+        if transaction is None or transaction.connection is None:
+            return
+        connection, transaction.connection = transaction.connection, None
+        if connection.lost or number is None:
+            transaction.member.pool.drop(connection)
+            return
+        if transaction.has_set:
+            connection.odd = True
+        self._proxy.nest.spawn(transaction.group.settle(connection, transaction.member, number))
+
+    def watch_idle(self, session: ClientSession, transaction: Transaction) -> None:
+        """Ends a transaction that rests too long.
+
+        Its member is told at once, its client at its next statement.
+        """
+        limit_us = self._proxy.bounds().idle_txn_us
+
+        def look() -> None:
+            if session.transaction is not transaction or session.busy:
+                return
+            if session.state not in ("trading", "failed"):
+                return
+            left_us = session.idle_since + limit_us - self._clock.now()
+            if left_us > 0:
+                self._clock.later(left_us, look)
+            elif transaction.connection is not None:
+                connection, transaction.connection = transaction.connection, None
+                transaction.timed_out = True
+                emit(self._proxy.log, 424, member=transaction.member.name)
+                transaction.member.pool.drop(connection)
+
+        if transaction.connection is not None:
+            self._clock.later(limit_us, look)
+
+    def _limit_us(self, request: Request) -> int:
+        """How long one statement may take; a COMMIT has all the time that is left."""
+        left_us = request.end - self._clock.now()
+        if left_us <= 0 or request.statement.verb == "commit":
+            return left_us
+        return min(left_us, max(_STATEMENT_LEAST_US, request.route.aim_us * 6 // 10))
+
+    def _reply(self, transaction: Transaction, attempt: Attempt) -> Reply | None:
+        """The member's reply, or None; notes what that says of the member."""
+        task = attempt.task
+        if not task.done():
+            task.cancel()
+            transaction.group.missed(attempt.member, "mute")
+            return None
+        if task.cancelled() or task.exception() is not None:
+            transaction.group.missed(attempt.member, "reset")
+            return None
+        reply = task.result()
+        transaction.group.fine(attempt.member, reply.pos)
+        return reply
+
+    @staticmethod
+    def _may_repeat(reply: Reply) -> bool:
+        return reply.code in ("busy", "unprepared") and reply.state == "T"
+
+    def _succeeded(self, request: Request, attempt: Attempt, reply: Reply) -> Reply:
+        session, transaction = request.session, request.session.transaction
+        commits = request.statement.verb == "commit"
+        if self._proves_position(transaction, attempt, commits) and reply.pos:
+            transaction.group.note_position(attempt, reply.pos)
+        if commits:
+            session.transaction = None
+            session.settle()
+            connection, transaction.connection = transaction.connection, None
+            if reply.state == "I":
+                transaction.member.pool.give(connection)
+            else:
+                transaction.member.pool.drop(connection)
+            reply.state = "I"
+        elif request.statement.writes:
+            transaction.wrote = True
+        return reply
+
+    @staticmethod
+    def _proves_position(transaction: Transaction, attempt: Attempt, commits: bool) -> bool:
+        """Whether only a primary that leads can have given this reply."""
+        if transaction.reads or attempt.leadership is None:
+            return False
+        if attempt.leadership[1] != attempt.member.name:
+            return False
+        return not commits or transaction.wrote
+
+    def _failed(self, request: Request, reply: Reply) -> Reply:
+        """The member said no: the transaction has failed, or ended with its commit."""
+        session = request.session
+        if reply.code == "readonly":
+            member = session.transaction.member
+            self._proxy.tie.doubt(request.group.name, member.name, "replica")
+        if request.statement.verb == "commit":
+            self.release(session)
+            session.settle()
+        else:
+            session.fail()
+        reply.state = session.mark
+        return reply
+
+    def _abort(self, request: Request, why: str) -> Reply:
+        """Nothing was committed and nothing will be."""
+        session = request.session
+        self.release(session)
+        if request.statement.verb == "commit":
+            session.settle()
+        else:
+            session.fail()
+        return Reply(code="aborted", text=why, state=session.mark)
+
+    def _connection_lost(self, request: Request) -> Reply:
+        """The connection is lost or mute: closed, so that its member rolls back."""
+        session, transaction = request.session, request.session.transaction
+        connection, transaction.connection = transaction.connection, None
+        transaction.member.pool.drop(connection)
+        session.transaction = None
+        if request.statement.verb == "commit":
+            session.settle()
+            if transaction.wrote:
+                self._proxy.count["unsure"] += 1
+                emit(self._proxy.log, 420, member=transaction.member.name)
+                return Reply(code="unsure", text="the answer to the commit was lost")
+        else:
+            session.fail()
+        self._proxy.count["torn"] += 1
+        return Reply(
+            code="aborted",
+            text="the member's answer was lost; nothing of this is kept",
+            state=session.mark,
+        )
--- /dev/null
+++ b/src/petrelhaven/proxy/routing/held_writes.py
@@ -0,0 +1,103 @@
+"""Single writes of held sessions: sent once, and again only if they certainly did not run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Generator
+from typing import TYPE_CHECKING
+
+from petrelhaven.proxy.routing.attempt import Attempt
+from petrelhaven.proxy.routing.waiting import first_done
+from petrelhaven.proxy.session.statement import Reply
+from petrelhaven.runtime.errors import Late
+from petrelhaven.runtime.events import emit
+
+if TYPE_CHECKING:
+    from petrelhaven.proxy.held_edge import ProxyNode
+    from petrelhaven.proxy.routing.group import MemberGroup
+    from petrelhaven.proxy.routing.member_calls import MemberCalls
+    from petrelhaven.proxy.routing.request import Request
+
+__all__ = ["HeldWrites"]
+
+_LEADERSHIP_WAIT_US = 100_000
+_FIRST_PAUSE_US = 15_000
+_UNSENT_PAUSE_MOST_US = 200_000
+_BUSY_PAUSE_MOST_US = 120_000
+_REPLICA_WAIT_US = 200_000
+_NOT_RUN = ("busy", "crowded", "misdirected", "readonly", "unprepared")
+
+
+class HeldWrites:
+    """Runs writes outside transactions, each as a continuation that ends with a reply."""
+
+    def __init__(self, proxy: ProxyNode, calls: MemberCalls) -> None:
+        """Uses the clock, the tasks and the counters of `proxy`."""
+        self._proxy = proxy
+        self._clock = proxy.clock
+        self._calls = calls
+
+    def run(self, request: Request) -> Generator[asyncio.Future, None, Reply]:
+        """One write."""
+        group = request.group
+        pause_us = _FIRST_PAUSE_US
+        while True:
+            left_us = request.end - self._clock.now()
+            if left_us <= 0:
+                return self._proxy.out_of_time()
+            member = group.available_primary()
+            if member is None:
+                if group.hopeless(request.route, request.end):
+                    return self._proxy.out_of_time()
+                yield first_done(self._clock, [group.turned()], min(left_us, _LEADERSHIP_WAIT_US))
+                continue
+            attempt = Attempt(member, group.leading)
+            attempt.task = self._proxy.nest.spawn(self._calls.send(request, attempt, None, left_us))
+            with contextlib.suppress(Late):
+                yield first_done(self._clock, [attempt.task], left_us)
+            if not attempt.task.done():
+                return self._unanswered(request, attempt)
+            reply = self._calls.outcome(group, attempt)
+            if reply is None and attempt.sent:
+                return self._answer_lost(attempt)
+            if reply is not None and reply.code not in _NOT_RUN:
+                if reply.ok and reply.pos:
+                    group.note_position(attempt, reply.pos)
+                return reply
+            pause_us = yield from self._before_retry(group, attempt, reply, left_us, pause_us)
+
+    def _before_retry(
+        self,
+        group: MemberGroup,
+        attempt: Attempt,
+        reply: Reply | None,
+        left_us: int,
+        pause_us: int,
+    ) -> Generator[asyncio.Future, None, int]:
+        """Waits as long as a write that did not run should; how long the next pause is."""
+        if reply is None:
+            yield first_done(self._clock, [group.turned()], min(left_us, pause_us))
+            return min(pause_us * 2, _UNSENT_PAUSE_MOST_US)
+        if reply.code in ("readonly", "misdirected"):
+            self._proxy.tie.doubt(group.name, attempt.member.name, "replica")
+            yield first_done(self._clock, [group.turned()], min(left_us, _REPLICA_WAIT_US))
+        elif reply.code in ("busy", "crowded"):
+            self._proxy.count[reply.code] += 1
+            yield first_done(self._clock, (), min(left_us, pause_us))
+            return min(pause_us * 2, _BUSY_PAUSE_MOST_US)
+        return pause_us
+
+    def _unanswered(self, request: Request, attempt: Attempt) -> Reply:
+        """The time is over and the attempt still runs."""
+        if not attempt.sent:
+            attempt.task.cancel()
+            return self._proxy.out_of_time()
+        self._proxy.count["unsure"] += 1
+        request.group.missed(attempt.member, "mute")
+        return Reply(code="unsure", text="no answer came; the write may be kept or not")
+
+    def _answer_lost(self, attempt: Attempt) -> Reply:
+        self._proxy.count["unsure"] += 1
+        emit(self._proxy.log, 420, member=attempt.member.name)
+        return Reply(code="unsure", text="the answer was lost; the write may be kept or not")
--- a/src/petrelhaven/proxy/routing/kept_group.py
+++ b/src/petrelhaven/proxy/routing/kept_group.py
@@ -1,7 +1,7 @@
 """One database group as an edge sees it: its epoch, its clock, and a post for each member."""
 
 from petrelhaven.proxy.pool.kept_pool import Pool
-from petrelhaven.proxy.reads.log_progress import Tide
+from petrelhaven.proxy.reads.log_progress import LogProgress
 from petrelhaven.proxy.reads.read_clock import ReadClock
 from petrelhaven.runtime.errors import Unreached
 
@@ -89,7 +89,7 @@
                     w["hall"],
                     w["boot"],
                     None,
-                    Tide(self.clock, self.nest, self._ask(n)),
+                    LogProgress(self.clock, self.nest, self._ask(n)),
                 )
                 p.pool = Pool(self.clock, self.nest, self._opener(n))
             elif p.boot != w["boot"]:
--- /dev/null
+++ b/src/petrelhaven/proxy/routing/member_calls.py
@@ -0,0 +1,181 @@
+"""Sending statements to members: takes a connection, makes it fit, sends, gives it back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from petrelhaven.runtime.errors import Gone, Late, MemberFault, Unreached, Unsent
+
+if TYPE_CHECKING:
+    from petrelhaven.proxy.held_edge import ProxyNode
+    from petrelhaven.proxy.pool.member_connection import Strand
+    from petrelhaven.proxy.reads.position import Position
+    from petrelhaven.proxy.routing.attempt import Attempt
+    from petrelhaven.proxy.routing.group import MemberGroup
+    from petrelhaven.proxy.routing.member import Member
+    from petrelhaven.proxy.routing.request import Request
+    from petrelhaven.proxy.session.held_session import ClientSession, Transaction
+    from petrelhaven.proxy.session.statement import Ask, Reply
+
+__all__ = ["MemberCalls", "note_fault"]
+
+_CONNECTION_WAIT_US = 600_000
+
+
+def note_fault(group: MemberGroup, member: Member, fault: BaseException) -> None:
+    """Counts a fault against the member, unless it shows that nothing was sent to it."""
+    if isinstance(fault, (Late, Unreached)) and not isinstance(fault, (Unsent, Gone)):
+        group.missed(member, "mute" if isinstance(fault, Late) else "reset")
+
+
+class MemberCalls:
+    """The calls of one proxy to its members."""
+
+    def __init__(self, proxy: ProxyNode) -> None:
+        """Uses the clock, the tasks and the counters of `proxy`."""
+        self._proxy = proxy
+        self._clock = proxy.clock
+
+    async def send(
+        self, request: Request, attempt: Attempt, after: Position | None, limit_us: int
+    ) -> Reply:
+        """The member's reply to one statement outside transactions.
+
+        `after` is the position that a read must find. A read without it goes only to the primary
+        that leads under a lease; its reply is a position fetch of its own.
+
+        Raises:
+            Unsent: nothing left for the member.
+            Late, Unreached: no answer; if `attempt.sent`, the statement may have run.
+        """
+        member = attempt.member
+        connection = reply = None
+        reusable = False
+        try:
+            connection = await self._connection(
+                member, request.session, min(limit_us, _CONNECTION_WAIT_US)
+            )
+            alias, _ = await self._set_up(connection, request.session, request.statement)
+            if attempt.flight is not None and request.group.sure is not member:
+                reusable = True
+                raise Unsent("lease")
+            attempt.sent = True
+            self._stamp(attempt)
+            member.in_flight += 1
+            try:
+                reply = await self._clock.limit(
+                    connection.ask(request.statement, after, alias), limit_us
+                )
+            finally:
+                member.in_flight -= 1
+            reusable = reply.state == "I"
+            if reply.code == "unprepared":
+                connection.odd = True
+            return reply
+        finally:
+            self._end_flight(request.group, attempt, reply)
+            if connection is not None:
+                self._give_back(member, connection, reusable)
+
+    async def send_pinned(
+        self, connection: Strand, session: ClientSession, statement: Ask
+    ) -> Reply:
+        """The member's reply to a statement inside the transaction that has `connection`."""
+        alias, _ = await self._set_up(connection, session, statement)
+        return await connection.ask(statement, None, alias)
+
+    async def begin(
+        self,
+        request: Request,
+        transaction: Transaction,
+        attempt: Attempt,
+        after: Position | None,
+        limit_us: int,
+    ) -> Reply:
+        """BEGIN at one member; on success its connection is the transaction's."""
+        member = attempt.member
+        connection = reply = None
+        try:
+            connection = await self._connection(
+                member, request.session, min(limit_us, _CONNECTION_WAIT_US)
+            )
+            if attempt.flight is not None and request.group.sure is not member:
+                raise Unsent("lease")
+            self._stamp(attempt)
+            mode = "reads" if transaction.reads else "writes"
+            begin = ("begin", (mode, after), transaction.number)
+            _, replies = await self._clock.limit(
+                self._set_up(connection, request.session, None, [begin]), limit_us
+            )
+            reply = replies[0]
+            open_here = reply.ok and reply.state == "T"
+            if open_here and request.session.transaction is transaction:
+                transaction.connection, transaction.member = connection, member
+            return reply
+        finally:
+            self._end_flight(request.group, attempt, reply)
+            if connection is not None and transaction.connection is not connection:
+                self._give_back(member, connection, reply is not None and reply.state == "I")
+
+    def outcome(self, group: MemberGroup, attempt: Attempt) -> Reply | None:
+        """The reply to a finished attempt, or None; notes what its end says of the member."""
+        task = attempt.task
+        if task.cancelled():
+            return None
+        fault = task.exception()
+        if fault is None:
+            reply = task.result()
+            group.fine(attempt.member, reply.pos)
+            return reply
+        note_fault(group, attempt.member, fault)
+        return None
+
+    def _stamp(self, attempt: Attempt) -> None:
+        attempt.started = self._proxy.order.next()
+        attempt.started_us = self._clock.now()
+
+    async def _connection(self, member: Member, session: ClientSession, limit_us: int) -> Strand:
+        waiting: asyncio.Future[Strand] = member.pool.take(session)
+        try:
+            return await self._clock.limit(waiting, limit_us, keep=True)
+        except BaseException:
+            member.pool.quit(waiting)
+            raise
+
+    async def _set_up(
+        self,
+        connection: Strand,
+        session: ClientSession,
+        statement: Ask | None,
+        more: Sequence[tuple[str, tuple, str]] = (),
+    ) -> tuple[str | None, Sequence[Reply]]:
+        """Makes the connection fit; answers the prepared name to use, and the replies to `more`."""
+        needed, alias = connection.outfit(session, statement)
+        if not needed and not more:
+            return alias, ()
+        sent = [connection.plain(verb, args, number) for verb, args, number in [*needed, *more]]
+        replies = [
+            await self._clock.limit(future, _CONNECTION_WAIT_US, keep=True) for future in sent
+        ]
+        if any(not reply.ok for reply in replies[: len(needed)]):
+            connection.odd = True
+            raise MemberFault("outfit")
+        return alias, replies[len(needed) :]
+
+    @staticmethod
+    def _end_flight(group: MemberGroup, attempt: Attempt, reply: Reply | None) -> None:
+        if attempt.flight is None:
+            return
+        if reply is not None and reply.ok and reply.pos:
+            group.read_clock.landed(attempt.flight, reply.pos)
+        else:
+            group.read_clock.failed(attempt.flight)
+
+    @staticmethod
+    def _give_back(member: Member, connection: Strand, reusable: bool) -> None:
+        if reusable:
+            member.pool.give(connection)
+        else:
+            member.pool.drop(connection)
--- /dev/null
+++ b/src/petrelhaven/proxy/routing/read_placement.py
@@ -0,0 +1,96 @@
+"""Where a read may run: at the primary as its own fetch, or wherever the log has a position."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection, Generator, Sequence
+from typing import TYPE_CHECKING
+
+from petrelhaven.proxy.routing.attempt import Attempt
+from petrelhaven.proxy.routing.waiting import first_done
+
+if TYPE_CHECKING:
+    from petrelhaven.proxy.held_edge import ProxyNode
+    from petrelhaven.proxy.reads.position import Position
+    from petrelhaven.proxy.routing.group import MemberGroup
+    from petrelhaven.proxy.routing.member import Member
+
+__all__ = ["ReadPlacement"]
+
+_LAGGING_MOST = 5
+_LAGGING_PAUSE_US = 12_000
+_LAGGING_DOUBLINGS = 3
+_JOINED_WAIT_US = 60_000
+_STALLED_US = 1_000_000
+
+
+class ReadPlacement:
+    """What single reads and transactions that only read share."""
+
+    def __init__(self, proxy: ProxyNode) -> None:
+        """Uses the clock, the tasks and the counters of `proxy`."""
+        self._proxy = proxy
+        self._clock = proxy.clock
+
+    def carrier(
+        self, group: MemberGroup, arrival: int, since: int | None, excluded: Collection[str]
+    ) -> Attempt | None:
+        """An attempt at the primary as its own position fetch; None if another fetch will do."""
+        primary = group.sure
+        if primary is None or primary.name in excluded or primary.down_until > self._clock.now():
+            return None
+        if not group.serves(primary):
+            return None
+        flight = group.read_clock.carrier(arrival, since)
+        return Attempt(primary, group.leading, flight) if flight is not None else None
+
+    def position(
+        self,
+        group: MemberGroup,
+        arrival: int,
+        since: int | None,
+        limit_us: int,
+        running: Sequence[asyncio.Future] = (),
+    ) -> Generator[asyncio.Future, None, Position | None]:
+        """The position that a read must find; None if time or one of `running` ended first."""
+        gate = group.read_clock.gate(arrival, since)
+        yield first_done(self._clock, [gate, *running], limit_us)
+        if gate.done() and gate.result() is not None:
+            return gate.result()
+        gate.cancel()
+        return None
+
+    def is_behind(self, member: Member, position: Position) -> bool:
+        """Whether the member has just said LAGGING and is not known to hold `position` yet."""
+        return member.lagging_until > self._clock.now() and member.log_progress.log < position
+
+    def joined(
+        self, member: Member, position: Position, end: int
+    ) -> Generator[asyncio.Future, None, None]:
+        """Joins the wait for the member's log of whoever was told LAGGING."""
+        yield from self._log_wait(member, position, end, _JOINED_WAIT_US)
+
+    def told_lagging(
+        self, member: Member, position: Position, end: int
+    ) -> Generator[asyncio.Future, None, bool]:
+        """Waits for the log of a member that said LAGGING; False if it is to be given up."""
+        now = self._clock.now()
+        member.lagging_replies += 1
+        if member.lagging_replies > _LAGGING_MOST:
+            member.lagging_replies, member.lagging_until = 0, 0
+            member.slow_until = now + _STALLED_US
+            self._proxy.count["stalled"] += 1
+            return False
+        pause_us = _LAGGING_PAUSE_US << min(member.lagging_replies - 1, _LAGGING_DOUBLINGS)
+        member.lagging_until = now + pause_us
+        yield from self._log_wait(member, position, end, pause_us)
+        return True
+
+    def _log_wait(
+        self, member: Member, position: Position, end: int, pause_us: int
+    ) -> Generator[asyncio.Future, None, None]:
+        risen = member.log_progress.wait(position)
+        yield first_done(self._clock, [risen], max(0, min(pause_us, end - self._clock.now())))
+        risen.cancel()
+        if risen.done() and not risen.cancelled():
+            member.lagging_replies = 0
--- /dev/null
+++ b/src/petrelhaven/proxy/routing/request.py
@@ -0,0 +1,33 @@
+"""One statement on its way through the proxy."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from petrelhaven.proxy.routing.group import MemberGroup
+    from petrelhaven.proxy.routing.route import Route
+    from petrelhaven.proxy.session.held_session import ClientSession
+    from petrelhaven.proxy.session.statement import Ask
+
+__all__ = ["Request"]
+
+_BROWSING_SHARE = 0.8
+
+
+@dataclass(slots=True)
+class Request:
+    """A statement with its session, route and group; `end` is when its time is over (clock µs)."""
+
+    session: ClientSession
+    statement: Ask
+    route: Route
+    group: MemberGroup
+    end: int
+
+    def oldest_fetch(self, now: int) -> int | None:
+        """When the fetch that a browsing read rests on may have started; None for a strong read."""
+        if not self.route.browsing:
+            return None
+        return now - int(self.route.stale_us * _BROWSING_SHARE)
--- /dev/null
+++ b/src/petrelhaven/proxy/routing/transaction_start.py
@@ -0,0 +1,196 @@
+"""Beginning a transaction at a member, before its first statement."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Coroutine, Generator
+from typing import TYPE_CHECKING, Any
+
+from petrelhaven.proxy.routing.attempt import Attempt
+from petrelhaven.proxy.routing.member_calls import note_fault
+from petrelhaven.proxy.routing.waiting import first_done
+from petrelhaven.runtime.errors import Busy, Fault, Late
+
+if TYPE_CHECKING:
+    from petrelhaven.proxy.held_edge import ProxyNode
+    from petrelhaven.proxy.reads.position import Position
+    from petrelhaven.proxy.routing.member_calls import MemberCalls
+    from petrelhaven.proxy.routing.read_placement import ReadPlacement
+    from petrelhaven.proxy.routing.request import Request
+    from petrelhaven.proxy.session.held_session import Transaction
+    from petrelhaven.proxy.session.statement import Reply
+
+__all__ = ["TransactionStart"]
+
+_LEADERSHIP_WAIT_US = 100_000
+_BEGIN_LIMIT_US = 600_000
+_FIRST_PAUSE_US = 15_000
+_FAULT_PAUSE_MOST_US = 200_000
+_BUSY_PAUSE_MOST_US = 120_000
+_REPLICA_WAIT_US = 200_000
+
+
+class _StartState:
+    """Where the begin of one transaction stands."""
+
+    __slots__ = (
+        "request",
+        "transaction",
+        "since",
+        "excluded",
+        "leadership",
+        "position",
+        "pause_us",
+        "left_us",
+    )
+
+    def __init__(self, request: Request, transaction: Transaction) -> None:
+        """Starts the begin of `transaction`."""
+        self.request = request
+        self.transaction = transaction
+        self.since = request.oldest_fetch(transaction.started_us)
+        self.excluded: set[str] = set()
+        self.leadership: tuple[int, str] | None = None
+        self.position: Position | None = None
+        self.pause_us = _FIRST_PAUSE_US
+        self.left_us = 0
+
+    def next_pause_us(self, longest_us: int) -> int:
+        """The pause before another round, which doubles up to `longest_us`."""
+        pause_us = min(self.left_us, self.pause_us)
+        self.pause_us = min(self.pause_us * 2, longest_us)
+        return pause_us
+
+
+class TransactionStart:
+    """Finds a member for a transaction and says BEGIN to it."""
+
+    def __init__(self, proxy: ProxyNode, calls: MemberCalls, placement: ReadPlacement) -> None:
+        """Uses the clock, the tasks and the counters of `proxy`."""
+        self._proxy = proxy
+        self._clock = proxy.clock
+        self._calls = calls
+        self._placement = placement
+
+    def run(
+        self, request: Request, transaction: Transaction
+    ) -> Generator[asyncio.Future, None, str | None]:
+        """Begins the transaction at a member; why that could not be done, or None."""
+        state = _StartState(request, transaction)
+        group = request.group
+        while True:
+            state.left_us = request.end - self._clock.now()
+            if state.left_us <= 0 or self._hopeless(state):
+                return self._proxy.retry_after()
+            if state.leadership != group.leading:
+                state.leadership, state.position = group.leading, None
+            if transaction.reads:
+                attempt = yield from self._read_attempt(state)
+            else:
+                attempt = yield from self._write_attempt(state)
+            if attempt is None:
+                continue
+            attempt.task = self._proxy.nest.spawn(self._begin(state, attempt))
+            with contextlib.suppress(Late):
+                yield first_done(self._clock, [attempt.task], state.left_us)
+            if not attempt.task.done():
+                attempt.task.cancel()
+                group.missed(attempt.member, "mute")
+                return self._proxy.retry_after()
+            reply = yield from self._reply(state, attempt)
+            if reply is None:
+                continue
+            if reply.ok:
+                return None
+            why = yield from self._declined(state, attempt, reply)
+            if why is not None:
+                return why
+
+    def _hopeless(self, state: _StartState) -> bool:
+        """Whether a primary is needed that has been away too long to be waited for."""
+        request = state.request
+        if state.transaction.reads or request.group.available_primary() is not None:
+            return False
+        return request.group.hopeless(request.route, request.end)
+
+    def _begin(self, state: _StartState, attempt: Attempt) -> Coroutine[Any, Any, Reply]:
+        after = None if attempt.flight else state.position
+        limit_us = min(state.left_us, _BEGIN_LIMIT_US)
+        return self._calls.begin(state.request, state.transaction, attempt, after, limit_us)
+
+    def _read_attempt(self, state: _StartState) -> Generator[asyncio.Future, None, Attempt | None]:
+        """Where a transaction that only reads may begin; None if that must be looked at again."""
+        group, transaction = state.request.group, state.transaction
+        if state.position is None:
+            attempt = self._placement.carrier(
+                group, transaction.arrival, state.since, state.excluded
+            )
+            if attempt is not None:
+                return attempt
+            state.position = yield from self._placement.position(
+                group, transaction.arrival, state.since, state.left_us
+            )
+            if state.position is None or state.leadership != group.leading:
+                return None
+        member = group.pick(state.position, state.excluded)
+        if member is None:
+            state.excluded.clear()
+            yield first_done(self._clock, (), state.next_pause_us(_BUSY_PAUSE_MOST_US))
+            return None
+        if self._placement.is_behind(member, state.position):
+            yield from self._placement.joined(member, state.position, state.request.end)
+            return None
+        return Attempt(member, state.leadership)
+
+    def _write_attempt(self, state: _StartState) -> Generator[asyncio.Future, None, Attempt | None]:
+        """An attempt at the primary; None if there was none to ask."""
+        group = state.request.group
+        member = group.available_primary()
+        if member is not None:
+            return Attempt(member, state.leadership)
+        yield first_done(self._clock, [group.turned()], min(state.left_us, _LEADERSHIP_WAIT_US))
+        return None
+
+    def _reply(
+        self, state: _StartState, attempt: Attempt
+    ) -> Generator[asyncio.Future, None, Reply | None]:
+        """The reply to BEGIN; None after a pause if none came."""
+        group, task = state.request.group, attempt.task
+        fault = Busy() if task.cancelled() else task.exception()
+        if fault is not None:
+            if not isinstance(fault, Fault):
+                raise fault
+            note_fault(group, attempt.member, fault)
+            state.excluded.add(attempt.member.name)
+            pause_us = state.next_pause_us(_FAULT_PAUSE_MOST_US)
+            yield first_done(self._clock, [group.turned()], pause_us)
+            return None
+        reply = task.result()
+        group.fine(attempt.member, reply.pos)
+        if reply.ok and not state.transaction.reads and reply.pos:
+            group.note_position(attempt, reply.pos)
+        return reply
+
+    def _declined(
+        self, state: _StartState, attempt: Attempt, reply: Reply
+    ) -> Generator[asyncio.Future, None, str | None]:
+        """The member declined BEGIN: why the transaction ends, or None to try again."""
+        group, member = state.request.group, attempt.member
+        if reply.code == "lagging" and state.position is not None:
+            self._proxy.count["lagging"] += 1
+            if not (
+                yield from self._placement.told_lagging(member, state.position, state.request.end)
+            ):
+                state.excluded.add(member.name)
+        elif reply.code in ("readonly", "misdirected"):
+            self._proxy.tie.doubt(group.name, member.name, "replica")
+            yield first_done(self._clock, [group.turned()], min(state.left_us, _REPLICA_WAIT_US))
+        elif reply.code in ("busy", "crowded", "failed"):
+            self._proxy.count[reply.code] += 1
+            if state.transaction.reads:
+                state.excluded.add(member.name)
+            yield first_done(self._clock, (), state.next_pause_us(_BUSY_PAUSE_MOST_US))
+        else:
+            return f"{reply.code} {reply.text}"
+        return None
--- /dev/null
+++ b/src/petrelhaven/proxy/routing/waiting.py
@@ -0,0 +1,30 @@
+"""Waiting for the first of several futures."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+from petrelhaven.runtime.clock import Clock
+
+__all__ = ["first_done"]
+
+
+def first_done(
+    clock: Clock, futures: Iterable[asyncio.Future], limit_us: int
+) -> asyncio.Future[None]:
+    """A future that is done once one of `futures` is, or after `limit_us`. It cancels none."""
+    out = asyncio.get_running_loop().create_future()
+
+    def finish(*_: object) -> None:
+        if not out.done():
+            out.set_result(None)
+
+    timer = clock.later(limit_us, finish)
+    for future in futures:
+        if future.done():
+            finish()
+        else:
+            future.add_done_callback(finish)
+    out.add_done_callback(lambda _: timer.cancel())
+    return out
--- /dev/null
+++ b/src/petrelhaven/proxy/session/at_once.py
@@ -0,0 +1,83 @@
+"""Statements of held sessions that need no member: values, prepared names, BEGIN, ROLLBACK."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from petrelhaven.proxy.session.held_session import Transaction
+from petrelhaven.proxy.session.statement import Reply
+
+if TYPE_CHECKING:
+    from petrelhaven.proxy.held_edge import ProxyNode
+    from petrelhaven.proxy.routing.held_transactions import HeldTransactions
+    from petrelhaven.proxy.session.held_session import ClientSession
+    from petrelhaven.proxy.session.statement import Ask
+
+__all__ = ["reply_at_once"]
+
+
+def reply_at_once(
+    proxy: ProxyNode, transactions: HeldTransactions, session: ClientSession, statement: Ask
+) -> Reply | None:
+    """The reply to a statement that needs no member, or None if it needs one."""
+    verb = statement.verb
+    if verb == "rollback":
+        if session.state != "idle":
+            transactions.release(session, statement.num)
+            session.settle()
+        return Reply()
+    if session.state == "failed":
+        return _in_failed_transaction(transactions, session, verb)
+    if verb == "begin":
+        return _begin(proxy, session, statement)
+    if verb in ("set", "prepare", "forget"):
+        _change_session(session, statement)
+        return Reply(state=session.mark)
+    return _out_of_place(session, statement)
+
+
+def _in_failed_transaction(
+    transactions: HeldTransactions, session: ClientSession, verb: str
+) -> Reply:
+    if verb != "commit":
+        return Reply(code="malformed", text="the transaction has failed; end it", state="E")
+    transactions.release(session)
+    session.settle()
+    return Reply(code="aborted", text="the transaction had failed; nothing of it is kept")
+
+
+def _out_of_place(session: ClientSession, statement: Ask) -> Reply | None:
+    if statement.verb == "execute" and statement.name not in session.prepared:
+        if session.transaction is not None:
+            session.fail()
+        return Reply(code="unprepared", text="no such prepared name", state=session.mark)
+    if statement.verb == "commit" and session.transaction is None:
+        return Reply(code="malformed", text="no transaction is open")
+    return None
+
+
+def _begin(proxy: ProxyNode, session: ClientSession, statement: Ask) -> Reply:
+    if session.transaction is not None:
+        return Reply(code="malformed", text="a transaction is open", state=session.mark)
+    session.begin()
+    session.transaction = Transaction(
+        statement.num,
+        not statement.writes,
+        proxy.order.next(),
+        proxy.clock.now(),
+        proxy.routes.get(session.host),
+    )
+    return Reply(state=session.mark)
+
+
+def _change_session(session: ClientSession, statement: Ask) -> None:
+    if statement.verb == "set":
+        session.values[statement.name] = statement.data
+        session.nums[statement.name] = statement.num
+        if session.transaction is not None:
+            session.transaction.has_set = True
+    elif statement.verb == "prepare":
+        session.prepared[statement.name] = statement.shape
+        session.nums["", statement.name] = statement.num
+    else:
+        session.prepared.pop(statement.name, None)
--- a/src/petrelhaven/simulator/held/fleet.py
+++ b/src/petrelhaven/simulator/held/fleet.py
@@ -6,7 +6,7 @@
 
 from petrelhaven.control.seat import Seat
 from petrelhaven.proxy.core_connection import Tie
-from petrelhaven.proxy.held_edge import Gate
+from petrelhaven.proxy.held_edge import ProxyNode
 from petrelhaven.runtime.errors import Fault, Unsent
 from petrelhaven.simulator.held.beats import Beats
 from petrelhaven.simulator.held.caller import FailoverCaller
@@ -126,7 +126,7 @@
             return 0 if hall == b.hall else 1
 
         tie = Tie(b.clock, b.nest, b.link, rng, b.name, list(self.seeds), near, b.log)
-        b.node = Gate(
+        b.node = ProxyNode(
             b.name,
             b.hall,
             b.clock,
@@ -187,7 +187,9 @@
         await self.until(lambda: all(e.node.ready for e in self.edges), 15, "edges ready")
         await self.until(
             lambda: all(
-                b.key and len(b.berths) == 3 for e in self.edges for b in e.node.bands.values()
+                b.primary and len(b.members) == 3
+                for e in self.edges
+                for b in e.node.groups.values()
             ),
             15,
             "offices held",
--- a/tests/embargo_world.py
+++ b/tests/embargo_world.py
@@ -7,7 +7,7 @@
 from petrelhaven.control.embargo.instant import spoken
 from petrelhaven.control.seat import Seat
 from petrelhaven.proxy.core_connection import Tie
-from petrelhaven.proxy.held_edge import Gate
+from petrelhaven.proxy.held_edge import ProxyNode
 from petrelhaven.proxy.pool.member_connection import Strand
 from petrelhaven.proxy.session.statement import Ask, Reply
 from petrelhaven.runtime.errors import Duplicate, Fault, Late, Unreached, Unsent
@@ -349,7 +349,9 @@
         await self.until(
             lambda: all(e.node.ready and e.node.tie.holds for e in self.edges.values()), 20
         )
-        await self.until(lambda: all(e.node.bands["g"].office for e in self.edges.values()), 20)
+        await self.until(
+            lambda: all(e.node.groups["g"].leadership for e in self.edges.values()), 20
+        )
 
     def start_core(self, n):
         b = self.cores[n].boot()
@@ -381,7 +383,7 @@
         tie = Tie(
             b.clock, b.nest, b.link, rng, n, [f"sim:{x}" for x in sorted(self.cores)], near, b.log
         )
-        b.node = Gate(
+        b.node = ProxyNode(
             n,
             b.hall,
             b.clock,
--- a/tests/test_band.py
+++ b/tests/test_band.py
@@ -11,7 +11,7 @@
 from petrelhaven.control.state.ledger import Ledger
 from petrelhaven.proxy.pool.member_connection import Strand
 from petrelhaven.proxy.reads.read_clock import Order
-from petrelhaven.proxy.routing.group import Band
+from petrelhaven.proxy.routing.group import MemberGroup
 from petrelhaven.runtime.clock import Clock, Nest
 from petrelhaven.runtime.errors import Busy, Gone, MemberFault, Unreached, Unsent
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
@@ -68,8 +68,8 @@
         )
         self.wire = self
         self.ledger = Ledger()
-        self.band = Band("g", self)
-        self.band.cap, self.band.sync = 40, sync
+        self.band = MemberGroup("g", self)
+        self.band.connection_cap, self.band.sync_replicas = 40, sync
         for i, (n, m) in enumerate(members.items()):
             self.enter(
                 t="member",
@@ -117,7 +117,7 @@
 
     async def position(self):
         """What a read that arrives now must find, or None if nothing proves it in time."""
-        return await self.band.reads.gate(self.order.next())
+        return await self.band.read_clock.gate(self.order.next())
 
 
 def group(*pos):
@@ -289,7 +289,7 @@
 def test_the_near_one_is_picked_and_the_primary_only_where_it_is_near():
     async def go(e):
         assert e.band.pick((0, 0), set()).name == "p"
-        e.band.berths["p"].out = 1
+        e.band.members["p"].in_flight = 1
         assert e.band.pick((0, 0), set()).name == "r1"
         assert e.band.pick((0, 0), {"r1", "p"}).name == "r2"
         assert e.band.pick((0, 0), {"r1", "r2", "p"}).name == "r3"
@@ -356,10 +356,14 @@
                 e.member(n, "draining")
             elif x["leaves"]:
                 e.enter(t="hall", hall="abcd"[list(how).index(n)], state="emptied", by="op")
-            b = e.band.berths[n]
-            b.down, b.slow, b.out = now + 1000 * x["dark"], now + 1000 * x["slow"], x["out"]
+            b = e.band.members[n]
+            b.down_until, b.slow_until, b.in_flight = (
+                now + 1000 * x["dark"],
+                now + 1000 * x["slow"],
+                x["out"],
+            )
             if x["log"]:
-                b.tide.note((1, x["log"]), 0)
+                b.log_progress.note((1, x["log"]), 0)
         bad = {n for n, x in how.items() if x["bad"]}
         got = e.band.pick((1, need), bad)
         may = [n for n, x in how.items() if n not in bad and (not x["leaves"] or n == "p")]
@@ -402,32 +406,32 @@
 
 def test_a_primary_that_misses_is_doubted_but_not_while_it_answers_others():
     async def go(e):
-        b = e.band.berths["p"]
+        b = e.band.members["p"]
         await asyncio.sleep(1)
         e.band.fine(b)
         e.band.missed(b, "mute")
-        assert e.doubts == [] and b.down <= e.clock.now()
+        assert e.doubts == [] and b.down_until <= e.clock.now()
         e.band.missed(b, "reset")
-        assert e.doubts == [("g", "p", "reset")] and b.down > e.clock.now()
-        e.band.missed(e.band.berths["r1"], "refused")
+        assert e.doubts == [("g", "p", "reset")] and b.down_until > e.clock.now()
+        e.band.missed(e.band.members["r1"], "refused")
         assert len(e.doubts) == 1
         await asyncio.sleep(1)
         e.band.missed(b, "mute")
         assert len(e.doubts) == 2
         e.band.fine(b)
-        assert b.down == b.bad == 0
+        assert b.down_until == b.failures == 0
 
     virtual(go, group(9, 8, 4))
 
 
 def test_a_member_at_a_new_address_is_a_new_one():
     async def go(e):
-        old = e.band.berths["r1"]
+        old = e.band.members["r1"]
         m = e.ledger.doc["members"]["r1"]
         e.enter(t="member", name="r1", **{**m, "addr": "1.1.1.1:77"})
-        assert e.band.berths["r1"] is not old and old.stock.closed
+        assert e.band.members["r1"] is not old and old.pool.closed
         e.enter(t="member", name="r1", state="gone", addr="1.1.1.1:77")
-        assert set(e.band.berths) == {"p", "r2"}
+        assert set(e.band.members) == {"p", "r2"}
 
     virtual(go, group(9, 8, 4))
 
--- a/tests/test_band_proof.py
+++ b/tests/test_band_proof.py
@@ -7,7 +7,7 @@
 
 from petrelhaven.control.state.ledger import Ledger
 from petrelhaven.proxy.reads.read_clock import Order
-from petrelhaven.proxy.routing.group import Band
+from petrelhaven.proxy.routing.group import MemberGroup
 from petrelhaven.runtime.clock import Clock, Nest
 from petrelhaven.runtime.errors import Unreached
 
@@ -78,8 +78,8 @@
             "cause": "",
         },
     )
-    b = Band("g", gate)
-    b.sync = 1
+    b = MemberGroup("g", gate)
+    b.sync_replicas = 1
     b.turn(led, True)
     return b
 
--- a/tests/test_embargo_world.py
+++ b/tests/test_embargo_world.py
@@ -235,7 +235,7 @@
     mp.setattr(
         embargo.EmbargoGate,
         "refusal",
-        lambda self, v, a, group: None if v.trade is not None else real(self, v, a, group),
+        lambda self, v, a, group: None if v.transaction is not None else real(self, v, a, group),
     )
 
 
--- a/tests/test_gateface.py
+++ b/tests/test_gateface.py
@@ -12,7 +12,7 @@
 from petrelhaven.control.interface.documents import number
 from petrelhaven.control.state.ledger import Ledger
 from petrelhaven.proxy.core_connection import Tie
-from petrelhaven.proxy.held_edge import Gate
+from petrelhaven.proxy.held_edge import ProxyNode
 from petrelhaven.proxy.held_interface import GateFace
 from petrelhaven.runtime.clock import Clock, Nest
 from petrelhaven.transport.light_http import LightFace, _Request
@@ -80,7 +80,9 @@
     async def go():
         clock, nest = Clock(), Nest()
         tie = Tie(clock, nest, Link(clock, nest), random.Random(1), "e1", [], lambda h: 0)
-        gate = Gate("e1", "a", clock, nest, random.Random(1), tie, NoMembers(), lambda h: 0, 1, 1)
+        gate = ProxyNode(
+            "e1", "a", clock, nest, random.Random(1), tie, NoMembers(), lambda h: 0, 1, 1
+        )
         face = LightFace("127.0.0.1", 0)
         GateFace(gate, face, lambda: {"waiting": ["Zone"]})
         if records:
@@ -167,7 +169,12 @@
 def test_a_manifest_that_leaves_fields_out_is_served_with_their_defaults():
     async def go(gate, face):
         r, b = gate.route("db")
-        assert (r.reads, r.timeout_us, b.cap, b.sync) == ("strong", 2_000_000, 40, 0)
+        assert (r.reads, r.timeout_us, b.connection_cap, b.sync_replicas) == (
+            "strong",
+            2_000_000,
+            40,
+            0,
+        )
         assert gate.bounds().idle_txn_us == 10_000_000
 
     on_a_gate(go)
--- a/tests/test_held_storm.py
+++ b/tests/test_held_storm.py
@@ -11,8 +11,8 @@
 from petrelhaven.proxy import core_connection as tie
 from petrelhaven.proxy.pool import member_connection as strand
 from petrelhaven.proxy.reads import read_clock as clock
-from petrelhaven.proxy.routing import group as band
-from petrelhaven.proxy.routing import statement_path as passage
+from petrelhaven.proxy.routing import attempt, held_transactions, held_writes, member_calls
+from petrelhaven.proxy.routing import group as member_group
 from petrelhaven.proxy.session.statement import Reply
 from petrelhaven.runtime.errors import Fault, Unreached
 from petrelhaven.simulator.held.storm import inside, run, schedule, shrink
@@ -114,42 +114,39 @@
 
 def one_of_the_others(mp):
     async def fetch_others(self, name):
-        for b in [b for n, b in sorted(self.berths.items()) if n != name]:
+        for b in [b for n, b in sorted(self.members.items()) if n != name]:
             try:
                 return (await self._status(b))["pos"]
             except Fault:
                 pass
         raise Unreached("none")
 
-    mp.setattr(band.Band, "_fetch_others", fetch_others)
+    mp.setattr(member_group.MemberGroup, "_fetch_others", fetch_others)
 
 
 def sent_again(mp):
-    class Forgetful(passage._Try):
-        __slots__ = ()
-        sent = property(lambda self: False, lambda self, v: None)
-
-    mp.setattr(passage, "_Try", Forgetful)
+    never = property(lambda self: False, lambda self, v: None)
+    mp.setattr(attempt.Attempt, "sent", never)
 
 
 def lost_commit_is_aborted(mp):
-    real = passage.Passage._torn
+    real = held_transactions.HeldTransactions._connection_lost
 
-    def torn(self, v, a, x):
-        r = real(self, v, a, x)
+    def torn(self, request):
+        r = real(self, request)
         return Reply(code="aborted", state=r.state) if r.code == "unsure" else r
 
-    mp.setattr(passage.Passage, "_torn", torn)
+    mp.setattr(held_transactions.HeldTransactions, "_connection_lost", torn)
 
 
 def lost_write_is_busy(mp):
-    real = passage.Passage._write
+    real = held_writes.HeldWrites.run
 
     def write(self, *a):
         r = yield from real(self, *a)
         return Reply(code="busy") if r.code == "unsure" else r
 
-    mp.setattr(passage.Passage, "_write", write)
+    mp.setattr(held_writes.HeldWrites, "run", write)
 
 
 def _without(mp, verbs):
@@ -181,25 +178,25 @@
 
 
 def another_connection(mp):
-    real = passage.Passage._pinned
+    real = member_calls.MemberCalls.send_pinned
 
     async def pinned(self, c, v, a):
-        idle = v.trade.berth.stock.idle
+        idle = v.transaction.member.pool.idle
         return await real(self, idle[0] if idle and a.verb != "commit" else c, v, a)
 
-    mp.setattr(passage.Passage, "_pinned", pinned)
+    mp.setattr(member_calls.MemberCalls, "send_pinned", pinned)
 
 
 def rolled_forward(mp):
     async def settle(self, conn, b, num):
         await conn.plain("commit", (), num)
-        b.stock.drop(conn)
+        b.pool.drop(conn)
 
-    mp.setattr(band.Band, "settle", settle)
+    mp.setattr(member_group.MemberGroup, "settle", settle)
 
 
 def rows_of_another(mp):
-    real, last = passage.Passage._once, {}
+    real, last = member_calls.MemberCalls.send, {}
 
     async def once(self, *a):
         r = await real(self, *a)
@@ -207,18 +204,18 @@
             last[0], r.rows = r.rows, last.get(0, r.rows)
         return r
 
-    mp.setattr(passage.Passage, "_once", once)
+    mp.setattr(member_calls.MemberCalls, "send", once)
 
 
 def stops_ignored(mp):
-    real = band.Band.turn
+    real = member_group.MemberGroup.turn
 
     def turn(self, ledger, fresh):
         real(self, ledger, fresh)
-        for b in self.berths.values():
+        for b in self.members.values():
             b.stop_at = None
 
-    mp.setattr(band.Band, "turn", turn)
+    mp.setattr(member_group.MemberGroup, "turn", turn)
 
 
 def acked_by_the_head(mp):
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -16,7 +16,7 @@
 from forms import label, manifest_of  # noqa: E402
 from lines import Front, LineStrand, LineWire  # noqa: E402
 from petrelhaven.control.state.ledger import Ledger  # noqa: E402
-from petrelhaven.proxy.held_edge import Gate  # noqa: E402
+from petrelhaven.proxy.held_edge import ProxyNode  # noqa: E402
 from petrelhaven.proxy.pool.member_connection import Strand  # noqa: E402
 from petrelhaven.proxy.session.statement import Ask, Reply  # noqa: E402
 from petrelhaven.runtime.clock import Clock, Nest  # noqa: E402
@@ -167,7 +167,7 @@
     def __init__(self, leave_starting=False):
         self.member, self.tie, self.door = Member(), FakeTie(), set()
         self.clock, self.nest = LoopClock(), Nest()
-        self.gate = Gate(
+        self.gate = ProxyNode(
             "e",
             "a",
             self.clock,
@@ -400,7 +400,7 @@
         assert tr.out.count(b"ERROR") <= 1 and tr.closed == (
             b"ERROR" in tr.out or any(j[:4] == b"QUIT" for j in junk)
         )
-        assert len(d.gate.visits) == (not tr.closed)
+        assert len(d.gate.sessions) == (not tr.closed)
 
     virtual(go)
 
@@ -430,7 +430,7 @@
         assert (
             tr.closed and tr.out.startswith(b"ERROR " + code + b" ") and tr.out.count(b"\r\n") == 1
         )
-        assert not d.gate.visits and not d.door and d.member.kept == {}
+        assert not d.gate.sessions and not d.door and d.member.kept == {}
 
     virtual(go)
 
@@ -443,7 +443,7 @@
         await rest(0.9)
         assert tr.out.startswith(b"ERROR BUSY ") and tr.out.count(b"\r\n") == 1 and tr.closed
         await rest()
-        assert d.member.kept == {} and not d.door and not d.gate.visits
+        assert d.member.kept == {} and not d.door and not d.gate.sessions
 
     virtual(go, leave_starting=True)
 
@@ -471,7 +471,7 @@
             assert tr.out.startswith(b"ERROR NODB") and tr.out.count(b"\r\n") == 1
         else:
             assert len(replies(tr.out)[0]) == 2 and d.member.kept == {"a": "2"}
-        assert tr.closed == ends and not tr.aborted and len(d.gate.visits) == (not ends)
+        assert tr.closed == ends and not tr.aborted and len(d.gate.sessions) == (not ends)
 
     virtual(go, leave_starting=True)
 
@@ -483,7 +483,7 @@
         await rest(0.1)
         d.configure(CONFIG)
         await rest()
-        assert tr.out == b"" and not d.gate.visits and not d.door and d.member.kept == {}
+        assert tr.out == b"" and not d.gate.sessions and not d.door and d.member.kept == {}
 
     virtual(go, leave_starting=True)
 
@@ -526,7 +526,7 @@
             and tr.closed
             and end.startswith(b"ERROR MALFORMED")
         )
-        assert d.member.kept == {"a": "2"} and not d.gate.visits
+        assert d.member.kept == {"a": "2"} and not d.gate.sessions
 
     virtual(go)
 
@@ -692,7 +692,7 @@
         f.data_received(said("PUT a 1", "PUT a 2"))
         assert f.eof_received()
         await rest()
-        assert len(replies(tr.out)[0]) == 2 and tr.closed and not d.gate.visits
+        assert len(replies(tr.out)[0]) == 2 and tr.closed and not d.gate.sessions
         f, tr = d.client()
         assert not f.eof_received() and tr.closed
 
@@ -707,7 +707,7 @@
         s = next(s for s in d.member.strands if s.open_ is not None)
         tr.close()
         await rest()
-        assert s.lost and not d.gate.visits and not d.door and d.member.kept == {}
+        assert s.lost and not d.gate.sessions and not d.door and d.member.kept == {}
 
     virtual(go)
 
@@ -720,9 +720,10 @@
         await rest(0.01)
         tr.close()
         await rest(10)
-        assert not d.gate.visits and not d.door and d.gate.slab.used == 0
+        assert not d.gate.sessions and not d.door and d.gate.slab.used == 0
         assert (
-            d.gate.bands["svc"].visits == 0 and d.gate.bands["svc"].berths["m1"].stock.busy == set()
+            d.gate.groups["svc"].strong_sessions == 0
+            and d.gate.groups["svc"].members["m1"].pool.busy == set()
         )
 
     virtual(go)
