--- a/src/petrelhaven/membership/peer.py
+++ b/src/petrelhaven/membership/peer.py
@@ -2,18 +2,19 @@
 
 from transitions import Machine
 
-__all__ = ["Peer", "rank"]
+from petrelhaven.membership.news import ALIVE, GONE, SUSPECT, PeerNews
 
-_RANK = {"alive": 0, "suspect": 1, "gone": 2}
+__all__ = ["Peer"]
 
-
-def rank(state, inc):
-    """Order of news: a higher incarnation wins, then the graver state."""
-    return inc, _RANK[state]
+_NEVER_US = -1 << 60
 
 
 class Peer:
-    """A peer with an explicit state; `turn` is the one function that changes it."""
+    """A peer with an explicit state; `turn` is the one function that changes it.
+
+    `since` is when its state last changed and `heard` when it last spoke to this node itself (clock
+    microseconds); `spread` counts how often this news was passed on.
+    """
 
     __slots__ = (
         "name",
@@ -29,33 +30,40 @@
     )
     _machine = Machine(
         model=None,
-        states=list(_RANK),
-        initial="alive",
+        states=[ALIVE, SUSPECT, GONE],
+        initial=ALIVE,
         auto_transitions=False,
         transitions=[
-            {"trigger": "hear", "source": ["alive", "suspect", "gone"], "dest": "alive"},
-            {"trigger": "doubt", "source": ["alive", "suspect"], "dest": "suspect"},
-            {"trigger": "lose", "source": ["alive", "suspect", "gone"], "dest": "gone"},
+            {"trigger": "hear", "source": [ALIVE, SUSPECT, GONE], "dest": ALIVE},
+            {"trigger": "doubt", "source": [ALIVE, SUSPECT], "dest": SUSPECT},
+            {"trigger": "lose", "source": [ALIVE, SUSPECT, GONE], "dest": GONE},
         ],
     )
-    _VERB = {"alive": "hear", "suspect": "doubt", "gone": "lose"}
+    _TRIGGER = {ALIVE: "hear", SUSPECT: "doubt", GONE: "lose"}
 
-    def __init__(self, name, role, hall, addr, inc, now):
-        self.name, self.role, self.hall, self.addr, self.inc = name, role, hall, addr, inc
-        self.since, self.spread, self.heard = now, 0, -1 << 60
+    def __init__(self, news: PeerNews, now: int) -> None:
+        """Takes a peer that is first heard of, as alive."""
+        self.name = news.name
+        self.role = news.role
+        self.hall = news.zone
+        self.addr = news.address
+        self.inc = news.incarnation
+        self.since = now
+        self.spread = 0
+        self.heard = _NEVER_US
         self._machine.add_model(self)
 
-    def turn(self, state, inc, now):
-        """Moves to `state` at incarnation `inc`."""
-        if state == "suspect" and self.state == "gone":
+    def turn(self, state: str, incarnation: int, now: int) -> None:
+        """Moves to `state` at `incarnation`."""
+        if state == SUSPECT and self.state == GONE:
             self.hear()
-        getattr(self, self._VERB[state])()
-        self.inc, self.since, self.spread = inc, now, 0
+        getattr(self, self._TRIGGER[state])()
+        self.inc, self.since, self.spread = incarnation, now, 0
 
-    def news(self):
-        """The peer as a row of news."""
-        return [self.name, self.role, self.hall, self.addr, self.inc, self.state]
+    def news(self) -> PeerNews:
+        """What this node says of the peer."""
+        return PeerNews(self.name, self.role, self.hall, self.addr, self.inc, self.state)
 
-    def forget(self):
+    def forget(self) -> None:
         """Detaches the peer from its machine."""
         self._machine.remove_model(self)
--- a/src/petrelhaven/membership/prober.py
+++ b/src/petrelhaven/membership/prober.py
@@ -1,131 +1,179 @@
 """Probes in turn, second opinions through third parties, suspicion before removal."""
 
+from __future__ import annotations
+
 import asyncio
+import contextlib
+import random
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, Any
 
+from petrelhaven.membership.news import ALIVE, GONE
 from petrelhaven.runtime.errors import Fault
 
+if TYPE_CHECKING:
+    from petrelhaven.membership.peer import Peer
+    from petrelhaven.membership.roster import Roster
+    from petrelhaven.runtime.clock import Clock, Nest
+    from petrelhaven.transport.link import Channel, Link
+
 __all__ = ["Prober"]
 
+# The messages' names on the wire, from before the packages were renamed.
+_PROBE, _ACK, _ASK, _JOIN = "kith.probe", "kith.ack", "kith.ask", "kith.join"
+
+_PERIOD_US = 200_000
+_ANSWER_US = 90_000
+_SECOND_OPINIONS = 3
+_JOIN_PERIOD_US = 2_000_000
+_FIRST_JOIN_PERIOD_US = 200_000
+_JOIN_ANSWER_US = 800_000
+_GONE_PROBED_SHARE = 0.2
+_SECOND_OPINION_TIMES = 3
+_NOBODY_WAITS = 0
 
-class Prober:
-    """Keeps a roster true by probing one peer a period."""
 
-    def __init__(
-        self, clock, link, nest, rng, roster, seeds, period_us=200_000, wait_us=90_000, aides=3
-    ):
+class Prober:
+    """Keeps a roster true by probing one peer a period.
+
+    `join_us` is how often the seeds are asked for the whole roster once a peer is known.
+    """
+
+    def __init__(  # noqa: PLR0913, PLR0917 (whoever runs it gives each)
+        self,
+        clock: Clock,
+        link: Link,
+        nest: Nest,
+        rng: random.Random,
+        roster: Roster,
+        seeds: Sequence[str],
+        period_us: int = _PERIOD_US,
+        wait_us: int = _ANSWER_US,
+        aides: int = _SECOND_OPINIONS,
+    ) -> None:
+        """Answers others' probes from now on; `run` starts this node's own.
+
+        A peer has `wait_us` to answer; else `aides` others are asked to probe it.
+        """
         self.clock, self.link, self.nest, self.rng = clock, link, nest, rng
         self.roster, self.seeds = roster, seeds
         self.period_us, self.wait_us, self.aides = period_us, wait_us, aides
-        self.join_us = 2_000_000
-        self._wait = {}
-        self._round = []
-        self._nonce = 0
-        link.on("kith.probe", self._probed)
-        link.on("kith.ack", self._acked)
-        link.on("kith.ask", self._asked)
-        link.on("kith.join", self._joined)
-
-    async def run(self):
+        self.join_us = _JOIN_PERIOD_US
+        self._waiting: dict[int, asyncio.Future[None]] = {}
+        self._round: list[str] = []
+        self._nonce = _NOBODY_WAITS
+        link.on(_PROBE, self._probed)
+        link.on(_ACK, self._acked)
+        link.on(_ASK, self._asked)
+        link.on(_JOIN, self._joined)
+
+    async def run(self) -> None:
         """Joins through the seeds, then probes for good."""
         self.nest.spawn(self._join())
         while True:
             await self.clock.sleep(self.period_us)
             self.roster.ripen()
-            p = self._next()
-            if p is not None:
-                self.nest.spawn(self._check(p))
+            peer = self._next()
+            if peer is not None:
+                self.nest.spawn(self._check(peer))
 
-    def leave(self, most=None):
+    def leave(self, most: int | None = None) -> None:
         """Says to living peers, `most` of them, that this node is leaving."""
         self.roster.left = True
-        for n in self.roster.living()[:most]:
-            self.link.tell(
-                self.roster.addr_of(n),
-                "kith.ack",
-                {"nonce": 0, "src": self.link.addr, "news": [self.roster.me()]},
-            )
-
-    async def _join(self):
+        body = {
+            "nonce": _NOBODY_WAITS,
+            "src": self.link.addr,
+            "news": [self.roster.me().to_wire()],
+        }
+        for name in self.roster.living()[:most]:
+            self.link.tell(self.roster.addr_of(name), _ACK, body)
+
+    async def _join(self) -> None:
         while True:
-            for a in self.seeds:
-                if a == self.link.addr:
+            for address in self.seeds:
+                if address == self.link.addr:
                     continue
-                try:
-                    r = await self.link.call(
-                        a, "kith.join", {"src": self.link.addr, "news": self.roster.full()}, 800_000
-                    )
-                    self.roster.merge(r["news"])
-                except Fault:
-                    pass
-            await self.clock.sleep(self.join_us if self.roster.peers else 200_000)
-
-    def _next(self):
+                body = {"src": self.link.addr, "news": self.roster.full()}
+                with contextlib.suppress(Fault):
+                    reply = await self.link.call(address, _JOIN, body, _JOIN_ANSWER_US)
+                    self.roster.merge(reply["news"])
+            pause_us = self.join_us if self.roster.peers else _FIRST_JOIN_PERIOD_US
+            await self.clock.sleep(pause_us)
+
+    def _next(self) -> Peer | None:
+        """The next peer of a shuffled round; of those gone, only some."""
         while self._round:
-            p = self.roster.peers.get(self._round.pop())
-            if p is not None and (p.state != "gone" or self.rng.random() < 0.2):
-                return p
+            peer = self.roster.peers.get(self._round.pop())
+            if peer is None:
+                continue
+            if peer.state != GONE or self.rng.random() < _GONE_PROBED_SHARE:
+                return peer
         self._round = sorted(self.roster.peers)
         self.rng.shuffle(self._round)
         return self.roster.peers.get(self._round.pop()) if self._round else None
 
-    async def _check(self, p):
-        if await self._ping(p.addr, "kith.probe", {}):
+    async def _check(self, peer: Peer) -> None:
+        """Probes a peer; suspects it if neither this node nor the third parties reach it."""
+        if await self._ping(peer.addr, _PROBE):
             return
         others = [
-            q for n, q in sorted(self.roster.peers.items()) if n != p.name and q.state == "alive"
+            other
+            for name, other in sorted(self.roster.peers.items())
+            if name != peer.name and other.state == ALIVE
         ]
         self.rng.shuffle(others)
-        ok = await asyncio.gather(
-            *[self._ping(q.addr, "kith.ask", {"to": p.addr}, 3) for q in others[: self.aides]]
+        reached = await asyncio.gather(
+            *[
+                self._ping(other.addr, _ASK, {"to": peer.addr}, _SECOND_OPINION_TIMES)
+                for other in others[: self.aides]
+            ]
         )
-        if not any(ok):
-            self.roster.doubt(p.name)
+        if not any(reached):
+            self.roster.doubt(peer.name)
 
-    async def _ping(self, addr, kind, more, times=1):
+    async def _ping(
+        self, address: str, kind: str, more: dict[str, Any] | None = None, times: int = 1
+    ) -> bool:
+        """Whether `address` acknowledges a message of `kind` in `times` the usual wait."""
         self._nonce += 1
-        n = self._nonce
-        f = self._wait[n] = asyncio.get_running_loop().create_future()
-        self.link.tell(
-            addr, kind, {"nonce": n, "src": self.link.addr, "news": self.roster.news(), **more}
-        )
+        nonce = self._nonce
+        answered = self._waiting[nonce] = asyncio.get_running_loop().create_future()
+        self.link.tell(address, kind, {**self._body(nonce), **(more or {})})
         try:
-            await self.clock.limit(f, self.wait_us * times)
-            return True
+            await self.clock.limit(answered, self.wait_us * times)
         except Fault:
             return False
+        else:
+            return True
         finally:
-            self._wait.pop(n, None)
-
-    def _probed(self, b):
-        self._spoke(b)
-        self.link.tell(
-            b["src"],
-            "kith.ack",
-            {"nonce": b["nonce"], "src": self.link.addr, "news": self.roster.news()},
-        )
+            self._waiting.pop(nonce, None)
+
+    def _body(self, nonce: int) -> dict[str, Any]:
+        return {"nonce": nonce, "src": self.link.addr, "news": self.roster.news()}
+
+    def _probed(self, body: dict[str, Any]) -> None:
+        self._spoke(body)
+        self.link.tell(body["src"], _ACK, self._body(body["nonce"]))
+
+    def _spoke(self, body: dict[str, Any]) -> None:
+        self.roster.heard(body["src"])
+        self.roster.merge(body["news"], body["src"])
+
+    def _acked(self, body: dict[str, Any]) -> None:
+        self._spoke(body)
+        answered = self._waiting.get(body["nonce"])
+        if answered is not None and not answered.done():
+            answered.set_result(None)
+
+    def _asked(self, body: dict[str, Any]) -> None:
+        self._spoke(body)
+        self.nest.spawn(self._second_opinion(body))
+
+    async def _second_opinion(self, body: dict[str, Any]) -> None:
+        """Probes a peer for another node, which learns only if it answers."""
+        if await self._ping(body["to"], _PROBE):
+            self.link.tell(body["src"], _ACK, self._body(body["nonce"]))
 
-    def _spoke(self, b):
-        self.roster.heard(b["src"])
-        self.roster.merge(b["news"], b["src"])
-
-    def _acked(self, b):
-        self._spoke(b)
-        f = self._wait.get(b["nonce"])
-        if f is not None and not f.done():
-            f.set_result(None)
-
-    def _asked(self, b):
-        self._spoke(b)
-        self.nest.spawn(self._aid(b))
-
-    async def _aid(self, b):
-        if await self._ping(b["to"], "kith.probe", {}):
-            self.link.tell(
-                b["src"],
-                "kith.ack",
-                {"nonce": b["nonce"], "src": self.link.addr, "news": self.roster.news()},
-            )
-
-    async def _joined(self, ch, b):
-        self.roster.merge(b["news"])
+    async def _joined(self, channel: Channel, body: dict[str, Any]) -> dict[str, Any]:
+        self.roster.merge(body["news"])
         return {"news": self.roster.full()}
--- a/src/petrelhaven/membership/roster.py
+++ b/src/petrelhaven/membership/roster.py
@@ -1,152 +1,191 @@
 """The roster of peers that one node keeps, merged from news."""
 
-from petrelhaven.membership.peer import Peer, rank
-from petrelhaven.runtime.errors import Malformed
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, Any
+
+from petrelhaven.membership.news import ALIVE, GONE, SUSPECT, PeerNews
+from petrelhaven.membership.peer import Peer
 from petrelhaven.runtime.events import emit
 
+if TYPE_CHECKING:
+    import logbook
+
+    from petrelhaven.runtime.clock import Clock
+
 __all__ = ["Roster"]
 
+_EVENTS = {ALIVE: 204, SUSPECT: 202, GONE: 203}
+_NEW_PEER_EVENT = 201
+_SUSPICION_US = 900_000
+_ROWS_A_PROBE = 6
 
-def _sound(rows):
-    if not isinstance(rows, list):
-        raise Malformed("news must be a list")
-    for r in rows:
-        if (
-            not isinstance(r, list)
-            or len(r) != 6
-            or not all(isinstance(x, str) for x in r[:4])
-            or type(r[4]) is not int
-            or r[4] < 0
-            or r[5] not in ("alive", "suspect", "gone")
-        ):
-            raise Malformed("news row must be name, role, hall, addr, inc, state")
-    return rows
+WireRow = list[str | int]
 
 
 class Roster:
-    """Merges news; tells of changes through `on_turn(peer, old_state)`."""
-
-    def __init__(self, clock, me, log=None, suspect_us=900_000, spread=6):
+    """Merges news; tells of changes through `on_turn(peer, old_state)`.
+
+    `quiet`, unless 0, is how often news is passed on before it counts as well known. `left` tells
+    that this node is leaving.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        me: tuple[str, str, str, str, int],
+        log: logbook.Logger | None = None,
+        suspect_us: int = _SUSPICION_US,
+    ) -> None:
+        """Knows only this node, `me`: name, role, zone, link address, incarnation.
+
+        A peer that is suspected for `suspect_us` without denying it counts as gone.
+        """
         self.clock, self.log = clock, log
         self.name, self.role, self.hall, self.addr, self.inc = me
-        self.peers = {}
-        self.on_turn = []
+        self.peers: dict[str, Peer] = {}
+        self.on_turn: list[Callable[[Peer, str | None], object]] = []
         self.suspect_us = suspect_us
         self.left = False
-        self._spread = spread
-        self._mine = 0
         self.quiet = 0
+        self._told_of_me = 0
 
-    def me(self):
-        """This node's own row."""
-        return [
-            self.name,
-            self.role,
-            self.hall,
-            self.addr,
-            self.inc,
-            "gone" if self.left else "alive",
-        ]
+    def me(self) -> PeerNews:
+        """What this node says of itself."""
+        state = GONE if self.left else ALIVE
+        return PeerNews(self.name, self.role, self.hall, self.addr, self.inc, state)
 
-    def heard(self, addr):
+    def heard(self, address: str) -> None:
         """A peer spoke to this node itself."""
-        for p in self.peers.values():
-            if p.addr == addr:
-                p.heard = self.clock.now()
-
-    def merge(self, rows, src=None):
-        """Takes rows of news from `src`. That a peer is gone is only suspected while it speaks to this node itself."""
-        for n, role, hall, addr, inc, st in _sound(rows):
-            if n == self.name:
-                if not self.left and st != "alive" and inc >= self.inc:
-                    self.inc = inc + 1
-                    self._mine = 0
-                elif not self.left and inc > self.inc:
-                    self.inc = inc + 1
+        for peer in self.peers.values():
+            if peer.addr == address:
+                peer.heard = self.clock.now()
+
+    def merge(self, rows: Any, source: str | None = None) -> None:  # noqa: ANN401 (from the wire)
+        """Takes rows of news that the node at the address `source` sent.
+
+        That a peer is gone is only suspected while it speaks to this node itself.
+
+        Raises:
+            Malformed: a row is not news.
+        """
+        for news in PeerNews.read_all(rows):
+            if news.name == self.name:
+                self._merge_me(news)
                 continue
-            p = self.peers.get(n)
-            if p is None:
-                p = self.peers[n] = Peer(n, role, hall, addr, inc, self.clock.now())
-                if st == "alive":
-                    emit(self.log, 201, peer=n, inc=inc)
-                    for f in self.on_turn:
-                        f(p, None)
-                else:
-                    self._turn(p, st, inc)
-            elif rank(st, inc) > rank(p.state, p.inc):
-                if (
-                    st == "gone"
-                    and addr != src
-                    and inc == p.inc
-                    and self.clock.now() - p.heard < self.suspect_us
-                ):
-                    if p.state == "alive":
-                        self._turn(p, "suspect", inc)
-                    continue
-                p.role, p.hall, p.addr = role, hall, addr
-                self._turn(p, st, inc)
-
-    def _turn(self, p, st, inc):
-        old = p.state
-        p.turn(st, inc, self.clock.now())
-        if old != st:
-            emit(self.log, {"alive": 204, "suspect": 202, "gone": 203}[st], peer=p.name, inc=inc)
-            for f in self.on_turn:
-                f(p, old)
-
-    def doubt(self, name):
+            peer = self.peers.get(news.name)
+            if peer is None:
+                self._add(news)
+            elif news.supersedes(peer.state, peer.inc):
+                self._update(peer, news, source)
+
+    def _merge_me(self, news: PeerNews) -> None:
+        """Denies that this node is suspect or gone, and passes what a former run of it said."""
+        if self.left:
+            return
+        denied = news.state != ALIVE and news.incarnation >= self.inc
+        if denied:
+            self._told_of_me = 0
+        if denied or news.incarnation > self.inc:
+            self.inc = news.incarnation + 1
+
+    def _add(self, news: PeerNews) -> None:
+        peer = self.peers[news.name] = Peer(news, self.clock.now())
+        if news.state != ALIVE:
+            self._turn(peer, news.state, news.incarnation)
+            return
+        emit(self.log, _NEW_PEER_EVENT, peer=news.name, inc=news.incarnation)
+        for tell in self.on_turn:
+            tell(peer, None)
+
+    def _update(self, peer: Peer, news: PeerNews, source: str | None) -> None:
+        if news.state == GONE and self._is_hearsay(peer, news, source):
+            if peer.state == ALIVE:
+                self._turn(peer, SUSPECT, news.incarnation)
+            return
+        peer.role, peer.hall, peer.addr = news.role, news.zone, news.address
+        self._turn(peer, news.state, news.incarnation)
+
+    def _is_hearsay(self, peer: Peer, news: PeerNews, source: str | None) -> bool:
+        """Whether others say what the peer's own words to this node contradict."""
+        if news.address == source or news.incarnation != peer.inc:
+            return False
+        return self.clock.now() - peer.heard < self.suspect_us
+
+    def _turn(self, peer: Peer, state: str, incarnation: int) -> None:
+        old = peer.state
+        peer.turn(state, incarnation, self.clock.now())
+        if old == state:
+            return
+        emit(self.log, _EVENTS[state], peer=peer.name, inc=incarnation)
+        for tell in self.on_turn:
+            tell(peer, old)
+
+    def doubt(self, name: str) -> None:
         """Suspects a peer that did not answer."""
-        p = self.peers.get(name)
-        if p and p.state == "alive":
-            self._turn(p, "suspect", p.inc)
+        peer = self.peers.get(name)
+        if peer is not None and peer.state == ALIVE:
+            self._turn(peer, SUSPECT, peer.inc)
 
-    def ripen(self):
+    def ripen(self) -> None:
         """Turns suspicion that nobody denied into gone."""
         now = self.clock.now()
-        for p in list(self.peers.values()):
-            if p.state == "suspect" and now - p.since >= self.suspect_us:
-                self._turn(p, "gone", p.inc)
+        for peer in list(self.peers.values()):
+            if peer.state == SUSPECT and now - peer.since >= self.suspect_us:
+                self._turn(peer, GONE, peer.inc)
 
-    def news(self, most=6):
-        """Rows to piggyback: this node first, then the least spread; with `quiet`, only what is not well known yet."""
+    def news(self, most: int = _ROWS_A_PROBE) -> list[WireRow]:
+        """Rows for a probe: this node first, then the least spread.
+
+        With `quiet`, only what is not well known yet.
+        """
         if self.quiet:
-            self._mine += 1
-            ps = [
-                p
-                for _, p in sorted(self.peers.items())
-                if p.spread < self.quiet or p.state == "suspect"
-            ][:most]
-            for p in ps:
-                p.spread += 1
-            return ([self.me()] if self._mine < self.quiet or self.left else []) + [
-                p.news() for p in ps
-            ]
-        rows = [self.me()]
-        for p in sorted(self.peers.values(), key=lambda p: (p.spread, p.name))[:most]:
-            p.spread += 1
-            rows.append(p.news())
+            return self._quiet_news(most)
+        peers = sorted(self.peers.values(), key=lambda peer: (peer.spread, peer.name))
+        return [self.me().to_wire(), *self._pass_on(peers[:most])]
+
+    def _quiet_news(self, most: int) -> list[WireRow]:
+        self._told_of_me += 1
+        peers = [
+            peer
+            for _, peer in sorted(self.peers.items())
+            if peer.spread < self.quiet or peer.state == SUSPECT
+        ]
+        rows = self._pass_on(peers[:most])
+        if self._told_of_me < self.quiet or self.left:
+            rows.insert(0, self.me().to_wire())
         return rows
 
-    def full(self):
+    @staticmethod
+    def _pass_on(peers: Sequence[Peer]) -> list[WireRow]:
+        for peer in peers:
+            peer.spread += 1
+        return [peer.news().to_wire() for peer in peers]
+
+    def full(self) -> list[WireRow]:
         """Every row."""
-        return [self.me()] + [p.news() for _, p in sorted(self.peers.items())]
+        peers = [peer for _, peer in sorted(self.peers.items())]
+        return [self.me().to_wire(), *(peer.news().to_wire() for peer in peers)]
 
-    def living(self, role=None):
+    def living(self, role: str | None = None) -> list[str]:
         """Names of peers not gone, by role."""
         return [
-            n for n, p in sorted(self.peers.items()) if p.state != "gone" and role in (None, p.role)
+            name
+            for name, peer in sorted(self.peers.items())
+            if peer.state != GONE and role in (None, peer.role)
         ]
 
-    def state(self, name):
-        """alive, suspect, gone, or None for a stranger."""
+    def state(self, name: str) -> str | None:
+        """Alive, suspect, gone, or None for a stranger."""
         if name == self.name:
-            return "alive"
-        p = self.peers.get(name)
-        return p.state if p else None
+            return ALIVE
+        peer = self.peers.get(name)
+        return peer.state if peer is not None else None
 
-    def addr_of(self, name):
+    def addr_of(self, name: str) -> str | None:
         """The link address of `name`."""
         if name == self.name:
             return self.addr
-        p = self.peers.get(name)
-        return p.addr if p else None
+        peer = self.peers.get(name)
+        return peer.addr if peer is not None else None
--- /dev/null
+++ b/tests/test_peer_news.py
@@ -0,0 +1,52 @@
+"""News about peers: what is declined, and which news is the newer."""
+
+import pytest
+
+from petrelhaven.membership.news import PeerNews
+from petrelhaven.runtime.errors import Malformed
+
+ROW = ["e1", "edge", "north", "10.0.0.1:7000", 3, "alive"]
+
+
+def test_a_row_read_and_written_again_is_the_same():
+    assert [news.to_wire() for news in PeerNews.read_all([ROW])] == [ROW]
+
+
+@pytest.mark.parametrize(
+    "rows",
+    [
+        None,
+        {"e1": "alive"},
+        [None],
+        [tuple(ROW)],
+        [ROW[:5]],
+        [[*ROW, "more"]],
+        [[1, *ROW[1:]]],
+        [[*ROW[:4], -1, "alive"]],
+        [[*ROW[:4], True, "alive"]],
+        [[*ROW[:4], "3", "alive"]],
+        [[*ROW[:5], "dead"]],
+        [[*ROW[:5], None]],
+        [[*ROW[:5], ["alive"]]],
+        [[*ROW[:5], {"alive": 1}]],
+        [ROW, [*ROW[:5], "dead"]],
+    ],
+)
+def test_rows_that_are_no_news_are_declined(rows):
+    with pytest.raises(Malformed):
+        PeerNews.read_all(rows)
+
+
+@pytest.mark.parametrize(
+    ("state", "incarnation", "newer"),
+    [
+        ("alive", 3, False),
+        ("suspect", 3, True),
+        ("gone", 3, True),
+        ("alive", 4, True),
+        ("gone", 2, False),
+    ],
+)
+def test_a_higher_incarnation_wins_then_the_graver_state(state, incarnation, newer):
+    news = PeerNews("e1", "edge", "north", "10.0.0.1:7000", incarnation, state)
+    assert news.supersedes("alive", 3) == newer
