--- a/src/petrelhaven/control/failover/observation.py
+++ b/src/petrelhaven/control/failover/observation.py
@@ -76,7 +76,7 @@
         body = {"member": name, "addr": facts["addr"], "group": facts["group"]}
         bound = _LOOK_US + _CALL_MARGIN_US
         try:
-            answer = await self._core.reach.call(core, "warden.look", body, bound, again=False)
+            answer = await self._core.reach.call(core, "warden.look", body, bound)
         except Fault:
             return None
         return answer["how"]
--- a/tests/test_member_model.py
+++ b/tests/test_member_model.py
@@ -14,7 +14,10 @@
 
 from lines import LineStrand  # isort: skip
 from petrelhaven.proxy.pool.connection_pool import Stock
-from petrelhaven.proxy.routing.statement_path import Passage
+from petrelhaven.proxy.routing.held_transactions import HeldTransactions
+from petrelhaven.proxy.routing.held_writes import HeldWrites
+from petrelhaven.proxy.routing.member_calls import MemberCalls
+from petrelhaven.proxy.session.statement import Reply
 from petrelhaven.runtime.errors import Late, Unreached
 
 DRAWN = settings(
@@ -285,9 +288,9 @@
                     member.bad.append(("acknowledged and not kept", num))
         if len(set(member.kept)) < len(member.kept):
             member.bad.append(("twice", sorted(member.kept)))
-        for b in door.gate.bands.values():
-            for p in b.berths.values():
-                for c in p.stock.idle:
+        for b in door.gate.groups.values():
+            for p in b.members.values():
+                for c in p.pool.idle:
                     if c.due or c.lost:
                         member.bad.append(("idle with replies due", c.due, c.lost))
         return member.bad
@@ -322,38 +325,38 @@
 
 def sent_again_after_silence(mp):
     """A lost answer counts as never sent."""
-    real = Passage._write
+    real = HeldWrites.run
 
-    def write(self, v, a, r, b, end):
-        x = yield from real(self, v, a, r, b, end)
-        if x.code == "unsure" and self.clock.now() < end:
-            x = yield from real(self, v, a, r, b, end)
-        return x
+    def run(self, request):
+        reply = yield from real(self, request)
+        if reply.code == "unsure" and self._clock.now() < request.end:
+            reply = yield from real(self, request)
+        return reply
 
-    mp.setattr(Passage, "_write", write)
+    mp.setattr(HeldWrites, "run", run)
 
 
 def lost_counts_as_unsent(mp):
-    real = Passage._once
+    real = MemberCalls.send
 
-    async def once(self, t, *rest):
+    async def send(self, request, attempt, *rest):
         try:
-            return await real(self, t, *rest)
+            return await real(self, request, attempt, *rest)
         except (Late, Unreached):
-            t.sent = False
+            attempt.sent = False
             raise
 
-    mp.setattr(Passage, "_once", once)
+    mp.setattr(MemberCalls, "send", send)
 
 
 def lost_commit_is_aborted(mp):
-    real = Passage._torn
+    real = HeldTransactions._connection_lost
 
-    def torn(self, v, a, x):
-        x.wrote = False
-        return real(self, v, a, x)
+    def connection_lost(self, request):
+        reply = real(self, request)
+        return Reply(code="aborted", state=reply.state) if reply.code == "unsure" else reply
 
-    mp.setattr(Passage, "_torn", torn)
+    mp.setattr(HeldTransactions, "_connection_lost", connection_lost)
 
 
 @pytest.mark.parametrize(
