--- a/src/petrelhaven/simulator/net.py
+++ b/src/petrelhaven/simulator/net.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import errno
 import itertools
 
 from petrelhaven.runtime.clock import Clock, Nest
@@ -66,12 +67,14 @@
 
 
 class SimDisk:
-    """A disk that survives its machine; it can tear the next write, rot, or be lost."""
+    """A disk that survives its machine; it can tear the next write, refuse writes, stand still, rot, or be lost."""
 
     def __init__(self, box):
         self._box = box
         self.files = {}
         self.tear = False
+        self.full = False
+        self.slow_us = 0
         self.synced = 0
 
     def read(self, name):
@@ -79,10 +82,19 @@
         return bytes(self.files.get(name, b""))
 
     def write(self, name, off, data):
-        """Writes and syncs, or tears and takes the machine down."""
+        """Writes and syncs; or refuses after a part of it, or tears and takes the machine down.
+
+        A slow or stalled disk holds up the whole machine, as a process that waits for its disk does.
+        """
+        if self.slow_us:
+            self._box.stall(self.slow_us)
         f = self.files.setdefault(name, bytearray())
         if len(f) < off + len(data):
             f.extend(bytes(off + len(data) - len(f)))
+        if self.full:
+            cut = self._box.net.rng.randrange(0, len(data))
+            f[off : off + cut] = data[:cut]
+            raise OSError(errno.ENOSPC, "no space left on the simulated disk")
         self.synced += 1
         if self.tear and len(data) < 60_000:
             self.tear = False
@@ -92,6 +104,10 @@
             raise asyncio.CancelledError
         f[off : off + len(data)] = data
 
+    def remove(self, name):
+        """Removes a file."""
+        self.files.pop(name, None)
+
     def lose(self):
         """Another, empty disk."""
         self.files = {}
@@ -103,6 +119,7 @@
     def __init__(self, net, name, hall, rate=1.0):
         self.net, self.name, self.hall = net, name, hall
         self.up, self.frozen, self.life = False, False, 0
+        self.stalled = False
         self.thaws = []
         self.clock = SimClock(self, rate, net.rng.randrange(1, 1 << 40))
         self.disk = SimDisk(self)
@@ -116,6 +133,7 @@
     def boot(self):
         """Power on with nothing but the disk."""
         self.up, self.frozen, self.thaws = True, False, []
+        self.stalled = False
         self.life += 1
         self.nest = Nest(self.log)
         self.link = SimLink(self)
@@ -144,9 +162,15 @@
         life = self.life
         self.net.loop.call_later(us / 1e6, lambda: self._thaw(life))
 
+    def stall(self, us):
+        """Stops the machine while its process waits for the disk; what it says next goes out afterwards."""
+        if self.up and not self.frozen:
+            self.stalled = True
+            self.freeze(us)
+
     def _thaw(self, life):
         if self.life == life and self.up:
-            self.frozen = False
+            self.frozen = self.stalled = False
             fs, self.thaws = self.thaws, []
             for f in fs:
                 f()
@@ -176,6 +200,9 @@
         """Brings `fn` to the other side."""
         if self.dead:
             return
+        if self.src.stalled:
+            self.src.thaws.append(lambda: self.send(fn))
+            return
         t = self.net.loop.time()
         self.last = max(self.last, t + self.net.delay(self.src, self.dst))
         self.q.append((t, fn))
@@ -201,10 +228,16 @@
         self.net, self.a, self.b = net, a, b
         self.ab, self.ba = _Pipe(net, a, b), _Pipe(net, b, a)
         self.ca = Channel(
-            a.link, lambda raw: self.ab.send(lambda: self._feed(self.cb, raw)), lambda: self.shut(a)
+            a.link,
+            lambda raw: self.ab.send(lambda: self._feed(self.cb, raw)),
+            lambda: self.shut(a),
+            lambda: self.reset(a),
         )
         self.cb = Channel(
-            b.link, lambda raw: self.ba.send(lambda: self._feed(self.ca, raw)), lambda: self.shut(b)
+            b.link,
+            lambda raw: self.ba.send(lambda: self._feed(self.ca, raw)),
+            lambda: self.shut(b),
+            lambda: self.reset(b),
         )
         self.key = next(net.num)
         a.pipes[self.key] = self
@@ -227,6 +260,13 @@
         o, p, c = (self.b, self.ab, self.cb) if who is self.a else (self.a, self.ba, self.ca)
         p.send(c.lose)
 
+    def reset(self, who):
+        """One side closes by a reset: what a cut holds up of its bytes is lost."""
+        way = self.ab if who is self.a else self.ba
+        if self.net.is_cut(way.src.name, way.dst.name):
+            way.q.clear()
+        self.shut(who)
+
     def cut(self, silent):
         """A machine is gone."""
         for box, ch, p in ((self.a, self.ca, self.ba), (self.b, self.cb, self.ab)):
@@ -276,6 +316,8 @@
         net, to = self._box.net, self._box_of(addr)
         for way in ((self._box, to), (to, self._box)):
             await self.clock.sleep(int(net.delay(*way) * 1e6))
+            if net.refuses(way[0].name, way[1].name):
+                raise Unsent(addr)
             if (
                 net.is_cut(way[0].name, way[1].name)
                 or to.frozen
@@ -295,6 +337,7 @@
         self.loop, self.rng = loop, rng
         self.boxes = {}
         self.cuts = collections.Counter()
+        self.refusals = collections.Counter()
         self.silent = set()
         self.loss, self.double = 0.0, 0.0
         self.apart = apart_us / 2e6
@@ -326,6 +369,23 @@
 
         self.loop.call_later(us / 1e6, heal)
 
+    def refuses(self, a, b):
+        """Whether a cut from `a` to `b` answers new connections with a refusal in place of silence."""
+        return self.refusals[(a, b)] > 0
+
+    def refuse(self, a, b, us):
+        """Cuts the ways between `a` and `b` for a while and refuses connections meanwhile."""
+        self.cut(a, b, us)
+        ways = [w for x in a for y in b if x != y for w in ((x, y), (y, x))]
+        for w in ways:
+            self.refusals[w] += 1
+
+        def heal():
+            for w in ways:
+                self.refusals[w] -= 1
+
+        self.loop.call_later(us / 1e6, heal)
+
     async def trip(self, src, dst, fn, us, fresh=False):
         """Goes from `src` to `dst`, awaits `fn()` there and comes back; Late, Unsent or Unreached otherwise.
 
