--- a/tests/control_mutants.py
+++ b/tests/control_mutants.py
@@ -4,15 +4,16 @@
 import petrelhaven.control.consensus.register as register
 from petrelhaven.control import seat
 from petrelhaven.control.state import ledger
-from petrelhaven.control.storage import memory
+from petrelhaven.control.storage import core_store, documents
 from petrelhaven.runtime.errors import NotReady
 
 
 def vote_not_kept(mp):
-    def put_vote(self, **changes):
+    def put_vote(self, done=None, **changes):
         self.vote = {**self.vote, **changes}
+        self.done = self.done if done is None else done
 
-    mp.setattr(memory.Memory, "put_vote", put_vote)
+    mp.setattr(core_store.CoreStore, "put_vote", put_vote)
 
 
 def votes_under_any_identity(mp):
@@ -111,18 +112,18 @@
 
 
 def acknowledged_before_commit(mp):
-    async def until(self, seq):
+    async def settled(self, seq, view):
         return
 
-    mp.setattr(chain.Chain, "until", until)
+    mp.setattr(chain.Chain, "settled", settled)
 
 
 def records_not_synced(mp):
-    real = memory.Memory._keep
+    real = core_store.CoreStore._keep
     mp.setattr(
-        memory.Memory,
+        core_store.CoreStore,
         "_keep",
-        lambda self, document: None if document["t"] == "rec" else real(self, document),
+        lambda self, entry: None if isinstance(entry, documents.ChainRecord) else real(self, entry),
     )
 
 
@@ -130,14 +131,14 @@
     def reset(self, realm, mark):
         self.mark = mark
 
-    mp.setattr(memory.Memory, "reset", reset)
+    mp.setattr(core_store.CoreStore, "reset", reset)
 
 
 def reset_not_synced(mp):
     def reset(self, realm, mark):
-        self.realm, self.recs, self.mark, self._bytes = self._state(realm), [], mark, 0
+        self._forget_state(self._state(realm), mark)
 
-    mp.setattr(memory.Memory, "reset", reset)
+    mp.setattr(core_store.CoreStore, "reset", reset)
 
 
 def versions_not_checked(mp):
--- a/tests/model/cluster.py
+++ b/tests/model/cluster.py
@@ -185,6 +185,7 @@
         self.net.loss = self.net.double = 0.0
         for box in self.cores:
             box.disk.crash_at_next_write = None
+            box.disk.full = False
             if box.frozen:
                 box._thaw(box.life)
             self.boot(box)
--- a/tests/model/disk.py
+++ b/tests/model/disk.py
@@ -6,7 +6,7 @@
 
 __all__ = ["OUTCOMES", "ModelDisk"]
 
-OUTCOMES = ("present", "missing", "torn")
+OUTCOMES = ("present", "torn", "missing", "torn in the middle")
 
 
 class ModelDisk(SimDisk):
@@ -18,11 +18,18 @@
 
     def write(self, name, off, data):
         """Writes and syncs, or takes the machine down with what the disk kept of the write."""
-        outcome, self.crash_at_next_write = self.crash_at_next_write, None
-        if outcome is None or not self._box.up:
+        outcome = self.crash_at_next_write
+        if outcome is None or self.full or not self._box.up:
             return super().write(name, off, data)
-        kept = {"present": len(data), "missing": 0, "torn": len(data) // 2}[outcome]
-        super().write(name, off, data[:kept])
+        self.crash_at_next_write = None
+        third = len(data) // 3
+        if outcome == "present":
+            super().write(name, off, data)
+        elif outcome == "torn":
+            super().write(name, off, data[: len(data) // 2])
+        elif outcome == "torn in the middle":
+            super().write(name, off, data[:third])
+            super().write(name, off + 2 * third, data[2 * third :])
         self._box.kill()
         raise asyncio.CancelledError
 
--- a/tests/model/schedule.py
+++ b/tests/model/schedule.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import functools
 from dataclasses import dataclass
 from unittest import mock
 
@@ -11,7 +10,7 @@
 from model.cluster import Cluster, Shape
 from model.disk import OUTCOMES
 from model.operators import Operators
-from petrelhaven.control.storage import memory
+from petrelhaven.control.storage import core_store
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
 __all__ = ["KINDS", "Result", "Step", "play", "schedules", "shapes", "shrunk"]
@@ -72,6 +71,12 @@
         box.disk.crash_at_next_write = OUTCOMES[step.other % len(OUTCOMES)]
         self._back(box, step.span + 1000)
 
+    def _full(self, box, step):
+        """The disk refuses writes for a while."""
+        disk = box.disk
+        disk.full = True
+        self._later(step.span, lambda: setattr(disk, "full", False))
+
     def _lose(self, box, step):
         if self._cluster.lose_disk(box):
             self._back(box, step.span)
@@ -203,8 +208,8 @@
 
 @contextlib.contextmanager
 def _sizes(shape):
-    ring = functools.partial(memory.Ring, size=shape.file_bytes)
-    with mock.patch.multiple(memory, Ring=ring, _TAIL=shape.tail):
+    sizes = {"_file_size": lambda name: shape.file_bytes, "_LEAST_RECORDS": shape.tail}
+    with mock.patch.multiple(core_store, **sizes):
         yield
 
 
--- a/tests/test_entered_record.py
+++ b/tests/test_entered_record.py
@@ -8,7 +8,7 @@
 
 from petrelhaven.control.consensus.chain import Chain
 from petrelhaven.control.state.ledger import Ledger
-from petrelhaven.control.storage.memory import Memory
+from petrelhaven.control.storage.core_store import CoreStore
 from petrelhaven.runtime.clock import Clock, Nest
 from petrelhaven.runtime.errors import NotReady, Unsent
 
@@ -32,7 +32,7 @@
 
 def test_a_deposed_head_that_rejoins_does_not_confirm_what_was_thrown_away(warp):
     async def go():
-        mem = Memory(Bytes(), "a", random.Random(1), state=Ledger)
+        mem = CoreStore(Bytes(), "a", random.Random(1), state=Ledger)
         nest = Nest()
         chain = Chain(LoopClock(), nest, mem, _others_confirm)
         ids = {"a": mem.disk, "b": "other", "c": "third"}
