--- a/src/petrelhaven/control/storage/core_store.py
+++ b/src/petrelhaven/control/storage/core_store.py
@@ -75,9 +75,7 @@
         self.damaged = self.refuses = self._unborn = self._said = False
         self.on_turn: list[Callable[[], None]] = []
         self._clear()
-        if not self._load():
-            self._unborn = True
-            self._draw()
+        self._unborn = not self._load()
         self._start()
 
     def _load(self) -> bool:
@@ -88,11 +86,13 @@
             emit(self.log, 303, note=damage.note)
             self.damaged = True
             return False
+        if not documents:
+            self._clear()  # a second draw: recorded seeds of storms go on naming the same storms
+            return False
         for document in documents:
             self._replay(from_document(document))
-        if documents:
-            emit(self.log, 309, seq=self.realm.seq, torn=self._log.torn)
-        return bool(documents)
+        emit(self.log, 309, seq=self.realm.seq, torn=self._log.torn)
+        return True
 
     def _start(self) -> None:
         self.refuses = True
@@ -123,7 +123,8 @@
         emit(self.log, 318, name=self.name)
 
     def _clear(self) -> None:
-        self.disk = ""
+        """Nothing is remembered; the identity drawn here counts unless one is read."""
+        self.disk = "%016x" % self._rng.getrandbits(64)
         self.vote: dict = no_vote()
         self.done = 0
         self._forget_state(self._state(), 0)
@@ -133,16 +134,13 @@
         self.recs: list[list] = []
         self._text_bytes = 0
 
-    def _draw(self) -> None:
-        self.disk = "%016x" % self._rng.getrandbits(64)
-
     def wipe(self) -> None:
         """Forgets everything; the core goes on as an empty one with another disk identity."""
         disk = "%016x" % self._rng.getrandbits(64)
         empty = StateFrame(disk, self.name, no_vote(), 0, self._state().frame(), 0)
         self._guarded(lambda: self._log.begin(to_document(empty)))
-        self._clear()
-        self.disk = disk
+        self.disk, self.vote, self.done = disk, no_vote(), 0
+        self._forget_state(self._state(), 0)
 
     def expect_identity(self) -> None:
         """Raises DiskRefused while the identity of this core has not been written yet."""
