--- a/tests/test_disk_refusal.py
+++ b/tests/test_disk_refusal.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from petrelhaven.control.consensus.disk_watch import DiskWatch
 from petrelhaven.simulator.held.faults import DISK_KINDS, KINDS
 from petrelhaven.simulator.held.storm import inside, run, schedule
 
@@ -142,3 +143,17 @@
     rows = schedule(seed, 7, [*KINDS, *DISK_KINDS * 5])
     bad, f = run(seed, rows)
     assert bad == []
+
+
+def test_without_being_left_out_of_the_next_view_a_refusing_core_halts_control(monkeypatch):
+    monkeypatch.setattr(DiskWatch, "takes_writes", lambda self, name: True)
+
+    async def go(f):
+        await f.start()
+        await f.until(lambda: whole(f), 10, "chain whole")
+        f.net.boxes[f.cores[0].node.chain.view["chain"][0]].disk.full = True
+        waiting = asyncio.ensure_future(change(f, 2))
+        await asyncio.sleep(10)
+        return waiting.done()
+
+    assert inside(go, 3)[0] is False
