Disk watch: a refusal told in the name of an unknown core is not kept

Cause: names of internal messages would have been kept without bound. The test was run on the code before and failed (the name 'nobody' was kept), and passes now.

--- a/src/petrelhaven/control/consensus/disk_watch.py
+++ b/src/petrelhaven/control/consensus/disk_watch.py
@@ -64,6 +64,8 @@
 
     async def heard(self, channel: Any, body: dict) -> None:  # noqa: ANN401
         """Another core's disk has begun to refuse writes, or takes them again."""
+        if body["name"] not in self._core.roster.peers:
+            return
         if body["refuses"]:
             self._refused_at[body["name"]] = self._core.clock.now()
         else:
--- a/tests/test_disk_refusal.py
+++ b/tests/test_disk_refusal.py
@@ -157,3 +157,15 @@
         return waiting.done()
 
     assert inside(go, 3)[0] is False
+
+
+def test_a_refusal_told_in_the_name_of_an_unknown_core_is_not_kept():
+    async def go(f):
+        await f.start()
+        await f.until(lambda: whole(f), 10, "chain whole")
+        watch = f.cores[0].node.disk_watch
+        for name in ("nobody", "c2"):
+            await watch.heard(None, {"name": name, "refuses": True})
+        return sorted(watch._refused_at)
+
+    assert inside(go, 3)[0] == ["c2"]
