--- a/src/petrelhaven/control/consensus/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -68,17 +68,6 @@
             and not self.mem.refuses
         )
 
-    @property
-    def holds_all(self):
-        """Complete, or complete in the view just before while everybody ahead of it in this one is gone.
-
-        Nothing was committed in this view then: its tail would have had to be fed through this core first. And all that
-        was committed before is on this core's disk. Whoever asks must have made sure that those ahead are gone.
-        """
-        return self.complete or (
-            self._at() is not None and self.mem.done == self.view["n"] - 1 and not self.mem.refuses
-        )
-
     @property
     def ruling(self):
         """In the current view, holding everything of it, confirmed by a majority lately."""
--- a/src/petrelhaven/control/core.py
+++ b/src/petrelhaven/control/core.py
@@ -258,9 +258,7 @@
             and self.disk_watch.takes_writes(n)
             and (n not in infos or infos[n]["disk"] == v["ids"][n])
         ]
-        if not keep or keep[0] != self.name or not self.chain.holds_all:
-            return
-        if not self.chain.complete and v["chain"][0] == self.name:
+        if not keep or keep[0] != self.name or not self.chain.complete:
             return
         join = [
             n
