Orders are answered within a second and follow the head; a view begins once the lost have lapsed

- control/orders.py: an order at any core follows the head from view to view for 0.85 s at most.
No majority heard: 503 at once.
A core of the chain silent but not yet gone: 503, the caller comes sooner than the view.
Nothing goes on after its answer.
Reads follow the tail in the same way.
- Held calls: an order sent to the head carries its end by the head's own clock (`peer_clocks`, read from the confirmations), and that run of its process; the head declines it later (`Expired`).
Before, a Begin that lay 1.5 s in a cut connection was applied after a Finish that went another way had been acknowledged.
- A process that stood still for longer than callers wait declines what it reads in the first 0.3 s.
- A view names the cores before it; each core tells when it last confirmed to whom.
The wait after a new view ends as soon as none of the former cores can rule (`Chain.lapse_by`), which takes in the cores that were let go.

--- a/src/petrelhaven/control/consensus/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from petrelhaven.control.consensus.peer_clocks import PeerClocks
 from petrelhaven.runtime.errors import Deposed, Fault, Late, NotHead, NotReady
 from petrelhaven.runtime.events import emit
 
@@ -10,6 +11,7 @@
 CONFIRM_US = 500_000
 DRIFT = 1.05
 _AWAIT_US = 150_000
+_PAUSE_US = 300_000
 
 
 class Chain:
@@ -32,6 +34,11 @@
         self.sparing = False
         self._turns = 0
         self.tied_at = {}
+        self.boot = clock.now()
+        self._ticked = clock.now()
+        self.pause = (0, 0)
+        self.peer_clocks = PeerClocks(clock)
+        self._granted = {}
         self.on_view = []
 
     @property
@@ -94,9 +101,49 @@
             self._feeder = self.nest.spawn(self._feed(view, view["chain"][at + 1]))
         for f in self.on_view:
             f()
+        self._ask_others()
         self._wake()
         self._settle()
 
+    def former_cores(self):
+        """The cores, by disk, that may still rule when the next view is proposed; None where that isn't known."""
+        if self.clock.now() >= self.active_at:
+            return [self.view["ids"]]
+        before = self.view.get("before")
+        return None if before is None else [*before, self.view["ids"]]
+
+    def granted_ages(self):
+        """For each core, how long ago this one last confirmed a view to it."""
+        now = self.clock.now()
+        return {name: now - at for name, at in self._granted.items()}
+
+    def lapse_by(self, told, at):
+        """Ends the wait after a new view as soon as every core of a former one has lapsed.
+
+        `told` is what the cores of this view said of themselves by the moment `at` or before, since the view was
+        adopted. A core rules under an older view only for `confirm_us` after a majority confirmed that to it. Of any
+        majority of a former view's cores, one confirmed to it last; once they all hold the newer view, none will again.
+        """
+        before = self.view.get("before")
+        if before is None:
+            return
+        n, lapsed_at = self.view["n"], at
+        for ids in before:
+            moved = [
+                r
+                for r in told
+                if ids.get(r["name"]) == r["disk"] and r["view"] is not None and r["view"]["n"] >= n
+            ]
+            for core in ids:
+                others = [r for r in moved if r["name"] != core]
+                if any(r["name"] == core for r in moved):
+                    continue
+                if len(others) <= len(ids) // 2:
+                    return
+                age = min(r["granted_us"].get(core, r["up_us"]) for r in others)
+                lapsed_at = max(lapsed_at, at + int(self.confirm_us * DRIFT) - age)
+        self.active_at = min(self.active_at, lapsed_at)
+
     def _wake(self):
         """Lets whoever waits for a commit look again."""
         moved, self._moved = self._moved, asyncio.Event()
@@ -144,20 +191,35 @@
     async def confirm(self):
         """Keeps asking the other cores whether this view is still theirs."""
         while True:
-            v = self.view
-            if v:
-                now = self.clock.now()
-                self._sent[self.me] = now
-                others = [n for n in v["ids"] if n != self.me]
-                if self.sparing and self.clock.now() < self.confirmed - self.confirm_us // 2:
-                    self._turns += 1
-                    others = [
-                        others[(self._turns + i) % len(others)] for i in range(len(v["ids"]) // 2)
-                    ]
-                for n in others:
-                    self.nest.spawn(self._ask(n, v["n"], now))
-                self._count(v)
+            self._ask_others()
+            self._ticked = self.clock.now()
             await self.clock.sleep(self.ask_us)
+            self.note_pause()
+
+    def _ask_others(self):
+        """Asks the other cores of the view; only as many as needed while this one is surely confirmed."""
+        v = self.view
+        if not v:
+            return
+        now = self.clock.now()
+        self._sent[self.me] = now
+        others = [n for n in v["ids"] if n != self.me]
+        if self.sparing and now < self.confirmed - self.confirm_us // 2:
+            self._turns += 1
+            others = [others[(self._turns + i) % len(others)] for i in range(len(v["ids"]) // 2)]
+        for n in others:
+            self.nest.spawn(self._ask(n, v["n"], now))
+        self._count(v)
+
+    def note_pause(self):
+        """Notes when this process last stood still, and for how long; it should have asked every `ask_us`."""
+        stood_us = self.clock.now() - self._ticked - self.ask_us
+        if stood_us > _PAUSE_US:
+            self.pause = (self.clock.now(), stood_us)
+
+    async def ask(self, name):
+        """Asks one core whether this view is still its own."""
+        await self._ask(name, self.view["n"], self.clock.now())
 
     async def _ask(self, name, n, at):
         try:
@@ -166,6 +228,7 @@
             )
         except Fault:
             return
+        self.peer_clocks.note(name, r["boot"], r["clock"])
         if r["view"] and self.view and r["view"]["n"] > self.view["n"]:
             self.adopt(r["view"])
         elif r["ok"] and self.view["n"] == n:
@@ -183,7 +246,10 @@
         v = self.mem.vote["value"]
         self.tied_at[b["name"]] = (self.clock.now(), b["tied"])
         ok = bool(v and v["n"] == b["n"] and v["ids"].get(self.me) == self.mem.disk)
-        return {"ok": ok, "view": self.view if self.view and self.view["n"] > b["n"] else None}
+        if ok:
+            self._granted[b["name"]] = self.clock.now()
+        newer = self.view if self.view and self.view["n"] > b["n"] else None
+        return {"ok": ok, "view": newer, "boot": self.boot, "clock": self.clock.now()}
 
     async def enter(self, rec, horizon=8_000_000):
         """Numbers, checks and commits a record; this core must be the active head."""
--- /dev/null
+++ b/src/petrelhaven/control/consensus/peer_clocks.py
@@ -0,0 +1,65 @@
+"""What the steady clocks of the other cores show, so that a call can carry its end by the clock of whom it goes to."""
+
+from dataclasses import dataclass
+
+from petrelhaven.runtime.clock import Clock
+from petrelhaven.runtime.errors import Unsent
+
+__all__ = ["Expiry", "PeerClocks"]
+
+_FRESH_US = 5_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Expiry:
+    """A moment on the steady clock of one run of one core's process."""
+
+    boot: int
+    moment_us: int
+
+    def document(self) -> list[int]:
+        """The moment as a message carries it."""
+        return [self.boot, self.moment_us]
+
+    @classmethod
+    def read(cls, document: list[int] | None) -> "Expiry | None":
+        """The moment that a message carried, if it carried one."""
+        return None if document is None else cls(*document)
+
+    def stands(self, boot: int, now_us: int) -> bool:
+        """Whether the moment lies ahead, in this very run of the process."""
+        return boot == self.boot and now_us <= self.moment_us
+
+
+@dataclass(frozen=True, slots=True)
+class _Reading:
+    boot: int
+    shown_us: int
+    received_us: int
+
+
+class PeerClocks:
+    """The last reading of each core's clock.
+
+    A reading is older on arrival than it says, so what is worked out from it lies before the true moment, never after.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._readings: dict[str, _Reading] = {}
+
+    def note(self, name: str, boot: int, shown_us: int) -> None:
+        """Takes what the clock of core `name` showed when it answered just now."""
+        self._readings[name] = _Reading(boot, shown_us, self._clock.now())
+
+    def knows(self, name: str) -> bool:
+        """Whether there is a reading that is young enough for the drift between two clocks not to matter."""
+        reading = self._readings.get(name)
+        return reading is not None and self._clock.now() - reading.received_us < _FRESH_US
+
+    def expiry(self, name: str, us: int) -> Expiry:
+        """The moment `us` from now on the clock of core `name`; Unsent where that core has not answered yet."""
+        reading = self._readings.get(name)
+        if reading is None:
+            raise Unsent(f"the clock of {name} is not known")
+        return Expiry(reading.boot, reading.shown_us + self._clock.now() - reading.received_us + us)
--- a/src/petrelhaven/control/core.py
+++ b/src/petrelhaven/control/core.py
@@ -134,6 +134,10 @@
                 emit(self.log, 304 if self.chain.view["n"] > 1 else 102, view=self.chain.view["n"])
 
     async def _told(self, ch, b):
+        return self.told()
+
+    def told(self):
+        """What this core tells the others of itself."""
         m = self.mem
         return {
             "name": self.name,
@@ -143,6 +147,8 @@
             "done": m.done,
             "held": m.realm.seq,
             "commit": self.chain.commit,
+            "up_us": self.clock.now() - self.chain.boot,
+            "granted_us": self.chain.granted_ages(),
         }
 
     async def _learn(self, ch, b):
@@ -229,6 +235,7 @@
                 return
             ids = {n: r["disk"] for n, r in sorted(infos.items())}
             new = {"n": 1, "chain": sorted(ids), "ids": ids, "cause": "first view", "by": self.name}
+            new["before"] = []
             emit(self.log, 302, n=1, cause="first view")
             self.spread(await self._ask.change(ids, lambda x: x or new))
             return
@@ -273,6 +280,7 @@
     async def propose(self, v, chain, ids, cause):
         """Has a majority of the view's cores decide the next view."""
         new = {"n": v["n"] + 1, "chain": chain, "ids": ids, "cause": cause, "by": self.name}
+        new["before"] = self.chain.former_cores()
         emit(self.log, 302, n=new["n"], cause=cause)
         self.spread(
             await self._ask.change(v["ids"], lambda x: new if x is None or x["n"] == v["n"] else x)
@@ -301,9 +309,13 @@
         if v is None:
             raise NotReady("no view yet")
         if v["chain"][0] == self.name:
-            return await self._enter(None, {"rec": rec, "force": force})
+            return await self._enter(None, {"rec": rec, "force": force, "bound": None})
         return await self.reach.call(
-            v["chain"][0], "chain.enter", {"rec": rec, "force": force}, 20_000_000, again=False
+            v["chain"][0],
+            "chain.enter",
+            {"rec": rec, "force": force, "bound": None},
+            20_000_000,
+            again=False,
         )
 
     async def _enter(self, ch, b):
--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -8,6 +8,7 @@
 from petrelhaven.control.core import _ADDR, Core
 from petrelhaven.control.failover.warden import Warden
 from petrelhaven.control.leases import TiedDesk
+from petrelhaven.control.orders import ANSWER_US, OrderRouter
 from petrelhaven.control.state.ledger import Ledger
 from petrelhaven.runtime.errors import Duplicate, Fault, Late, Malformed, NotReady, Stale
 from petrelhaven.runtime.limits import NAME
@@ -26,7 +27,9 @@
     "slots": int,
     "count": int,
 }
-_HEARD_US = 900_000
+_FORCED_US = 20_000_000
+_OWN_US = 8_000_000
+_SPREAD_US = 20_000
 _LATE_US = 3_000_000
 _YOUNG_US = 1_500_000
 _TOLD_US = 3_000_000
@@ -67,6 +70,7 @@
         self.muster = Muster(clock, nest, log)
         super().__init__(name, hall, seeds, clock, nest, link, disk, rng, platform, log)
         self.founds = founds and link.addr in seeds
+        self.orders = OrderRouter(clock, self.chain, self.reach, name, self.roster.state)
         self.chain.sparing = True
         self.roster.quiet = 12
         self.prober.join_us = 6_000_000
@@ -74,6 +78,7 @@
         self._news = asyncio.Event()
         self.roster.on_turn.append(lambda *_: self._news.set())
         self.chain.on_view.append(self._news.set)
+        self.chain.on_view.append(lambda: nest.spawn(self._ask_who_moved()))
         self.chain.on_commit.append(self._committed)
 
     @property
@@ -138,17 +143,19 @@
         return super()._there(n) or young and self.roster.state(n) is None
 
     def informed(self):
-        """Once every other core of the view has told that it rules no older one, nothing is waited for."""
-        v = self.chain.view
-        if v is None or self.chain.active_at <= self.clock.now():
+        """After a new view: what the others tell may end the wait for the cores of the former one."""
+        chain, now = self.chain, self.clock.now()
+        if chain.view is None or chain.active_at <= now:
             return
-        ns = {
-            r["name"]: r["view"]["n"] if r["view"] else v["n"]
-            for at, r in self._infos.values()
-            if r and at >= self.chain.adopted
-        }
-        if all(ns.get(n, -1) >= v["n"] for n in v["ids"] if n != self.name):
-            self.chain.active_at = self.clock.now()
+        told = [r for at, r in self._infos.values() if r and at >= chain.adopted]
+        chain.lapse_by([*told, self.told()], now)
+
+    async def _ask_who_moved(self):
+        """Asks the others for what ends the wait after a new view, once they may have heard of it."""
+        await self.clock.sleep(_SPREAD_US)
+        if self.chain.active_at > self.clock.now():
+            for address in self.others():
+                self.nest.spawn(self._info(address))
 
     def others(self):
         """The seeds, and every core that is known by now."""
@@ -248,7 +255,16 @@
     async def _doubted(self, ch, b):
         self.duty.doubt(b["group"], b["member"], b["how"])
 
+    async def enter(self, rec, force=True, within_us=_FORCED_US):
+        """Enters a record at the head, wherever that is or moves to; with `force`, returns once it is in force."""
+        return await self.orders.submit(rec, force, within_us, lambda b: self._enter(None, b))
+
+    async def realm(self, within_us=_OWN_US):
+        """The control state as the tail answers it."""
+        return await self.orders.read(within_us)
+
     async def _enter(self, ch, b):
+        self.orders.check(b["bound"])
         try:
             return await super()._enter(ch, b)
         except (Duplicate, Stale) as e:
@@ -260,7 +276,7 @@
                 await self.desk.in_force(seq)
             raise
 
-    async def apply(self, text, by="", retire=True):
+    async def apply(self, text, by="", retire=True, within_us=_OWN_US):
         """Checks and applies a manifest; returns once it is on every disk of the view."""
         m = read(text)
         rec = {
@@ -273,12 +289,13 @@
         if m.embargoing or m.embargoes:
             r = await self.embargoes.apply(m, rec)
         else:
-            r = await self.enter(rec, False)
+            r = await self.enter(rec, False, within_us)
         return {"version": m.version, "change": r["seq"]}
 
-    async def hall_to(self, hall, state, by=""):
+    async def hall_to(self, hall, state, by="", within_us=_OWN_US):
         """Empties or restores a hall."""
-        r = await self.enter({"t": "hall", "hall": hall, "state": state, "by": by}, False)
+        rec = {"t": "hall", "hall": hall, "state": state, "by": by}
+        r = await self.enter(rec, False, within_us)
         return {"hall": hall, "state": state, "change": r["seq"]}
 
     async def announce(self, doc):
@@ -321,7 +338,7 @@
 
     async def _heard(self, rec):
         try:
-            await self.clock.limit(self.enter(rec, False), _HEARD_US)
+            await self.enter(rec, False, ANSWER_US)
         except (Duplicate, Stale):
             pass
 
--- a/src/petrelhaven/runtime/errors.py
+++ b/src/petrelhaven/runtime/errors.py
@@ -122,6 +122,12 @@
     code, status, back = "not-head", 503, 300_000
 
 
+class Expired(Fault):
+    """An order reached the head after the call that brought it had ended."""
+
+    code, status, back = "expired", 503, 300_000
+
+
 class NotReady(Fault):
     code, status, back = "not-ready", 503, 500_000
 
--- a/src/petrelhaven/transport/messages.py
+++ b/src/petrelhaven/transport/messages.py
@@ -55,16 +55,19 @@
 _contract(
     "view.ask",
     "name:string",
-    "name:string disk:string fresh:boolean view:doc done:long held:long commit:long",
+    "name:string disk:string fresh:boolean view:doc done:long held:long commit:long "
+    "up_us:long granted_us:longs",
 )
 _contract("view.learn", "view:doc")
-_contract("view.confirm", "name:string n:long tied:long", "ok:boolean view:doc")
+_contract(
+    "view.confirm", "name:string n:long tied:long", "ok:boolean view:doc boot:long clock:long"
+)
 _contract(
     "chain.append",
     "view:long prev:long mark:long recs:doc frame:doc done:boolean",
     "held:long mark:long commit:long",
 )
-_contract("chain.enter", "rec:doc force:boolean", "seq:long forced:boolean doc:doc")
+_contract("chain.enter", "rec:doc force:boolean bound:doc", "seq:long forced:boolean doc:doc")
 _contract("chain.read", "what:doc", "doc:doc")
 _contract("chain.force", "seq:long", "acked:longs live:longs floor:long commit:long")
 _contract("edge.frame", "name:string", "frame:doc")
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -1,7 +1,12 @@
 """The operator's orders while cores are cut off, frozen or replaced: acknowledged is kept, and no answer is late."""
 
 import asyncio
+from types import SimpleNamespace
 
+import pytest
+
+from petrelhaven.control.consensus.chain import Chain
+from petrelhaven.control.orders import ANSWER_US
 from petrelhaven.runtime.errors import Duplicate, Fault
 from petrelhaven.simulator.held.storm import inside
 
@@ -53,3 +58,199 @@
     for seed in range(4):
         (answer, state), _ = inside(go, seed)
         assert (answer, state) == ("not-ready", "open")
+
+
+def test_a_core_that_is_cut_off_says_so_at_once():
+    async def go(f):
+        await f.start()
+        head = head_of(f)
+        cut_off(f, head, 6_000_000)
+        await asyncio.sleep(1.5)
+        took = []
+        for order in (
+            head.node.hall_to("a", "emptied"),
+            head.node.apply(f.manifest(9)),
+            head.node.realm(),
+        ):
+            at = f.loop.time()
+            assert await outcome(order) == "not-ready"
+            took.append(f.loop.time() - at)
+        return took
+
+    assert max(inside(go, 1)[0]) < 0.1
+
+
+def test_every_core_answers_an_order_within_a_second_whatever_happens_to_the_head():
+    async def go(f):
+        await f.start()
+        head = head_of(f)
+        how(f, head)
+        took = []
+
+        async def order(box, at):
+            await asyncio.sleep(at)
+            start = f.loop.time()
+            await outcome(box.node.hall_to("a", "emptied", within_us=ANSWER_US))
+            took.append(f.loop.time() - start)
+
+        boxes = others(f, head) if how is freeze else f.cores
+        await asyncio.gather(*[order(b, at / 10) for b in boxes for at in range(30)])
+        return max(took)
+
+    def freeze(f, head):
+        head.freeze(4_000_000)
+
+    def silent(f, head):
+        cut_off(f, head, 3_500_000)
+
+    def one_way(f, head):
+        cut_off(f, head, 3_500_000, both=False)
+
+    for how in (freeze, silent, one_way):
+        for seed in range(3):
+            assert inside(go, seed)[0] < 0.95, (how.__name__, seed)
+
+
+def test_an_order_to_a_core_of_the_majority_is_acknowledged_within_2_s_of_the_loss_of_the_head():
+    async def go(f):
+        await f.start()
+        head = head_of(f)
+        lost = f.loop.time()
+        head.freeze(5_000_000) if frozen else cut_off(f, head, 5_000_000)
+        tries = 0
+        while (
+            await outcome(
+                others(f, head)[tries % 2].node.hall_to("a", "emptied", within_us=ANSWER_US)
+            )
+            != "acknowledged"
+        ):
+            tries += 1
+            await asyncio.sleep(0.1 * tries)
+        return f.loop.time() - lost
+
+    for frozen in (False, True):
+        for seed in range(4):
+            assert inside(go, seed)[0] < 2.0, (frozen, seed)
+
+
+def test_an_order_held_in_a_cut_is_not_applied_after_the_contrary_was_acknowledged():
+    async def go(f):
+        await f.start()
+        head = head_of(f)
+        near, far = others(f, head)
+        head_call = near.node.reach.call(
+            head.name,
+            "chain.enter",
+            {
+                "rec": {"t": "hall", "hall": "a", "state": "emptied"},
+                "force": False,
+                "bound": (await near.node.orders._expiry(head.name, 850_000)).document(),
+            },
+            20_000_000,
+            again=False,
+        )
+        f.net.cut([near.name], [head.name], 1_500_000, both=False)
+        held = near.nest.spawn(outcome(head_call))
+        await asyncio.sleep(0.9)
+        assert await outcome(far.node.hall_to("a", "open")) == "acknowledged"
+        await asyncio.sleep(3)
+        return held.result(), head.node.chain.realm.hall("a")
+
+    for seed in range(3):
+        assert inside(go, seed)[0] == ("expired", "open")
+
+
+def test_an_order_that_lay_in_a_frozen_core_is_not_taken_when_it_thaws():
+    async def go(f):
+        await f.start()
+        head = head_of(f)
+        near = others(f, head)[0]
+        head.freeze(900_000)
+        await asyncio.sleep(1.0)
+
+        async def there():
+            return await outcome(head.node.hall_to("a", "emptied", within_us=ANSWER_US))
+
+        begin = near.nest.spawn(f.net.trip(f.out, head, there, 20_000_000))
+        await asyncio.sleep(4)
+        return begin.result(), near.node.chain.realm.hall("a")
+
+    assert inside(go, 2)[0] == ("not-ready", "open")
+
+
+def test_a_new_view_begins_as_soon_as_the_core_that_was_lost_has_lapsed():
+    async def go(f):
+        await f.start()
+        head = head_of(f)
+        cut_off(f, head, 5_000_000)
+        rest = others(f, head)
+        while True:
+            now = [b for b in rest if b.node.chain.head and b.node.chain.active]
+            if now and now[0].node.chain.view["n"] > 1:
+                break
+            await asyncio.sleep(0.005)
+        assert not head.node.chain.active
+        chain = now[0].node.chain
+        return chain.clock.now() - chain.adopted
+
+    assert max(inside(go, seed)[0] for seed in range(6)) < 200_000
+
+
+def test_a_late_answer_does_not_part_the_last_two_cores():
+    async def go(f):
+        await f.start()
+        head = head_of(f)
+        head.kill()
+        await asyncio.sleep(3)
+        one, two = others(f, head)
+        one.node.reach._bad[two.name] = one.clock.now() + 1_500_000
+        return await outcome(one.node.reach.call(two.name, "view.ask", {"name": one.name}, 400_000))
+
+    assert inside(go, 1)[0] == "acknowledged"
+
+
+def told(name, view_n, up_us=10_000_000, **granted_us):
+    return {
+        "name": name,
+        "disk": f"disk-{name}",
+        "view": {"n": view_n},
+        "up_us": up_us,
+        "granted_us": granted_us,
+    }
+
+
+class Now:
+    """A clock that stands."""
+
+    def now(self):
+        return 50_000_000
+
+
+@pytest.mark.parametrize(
+    ("cores", "left_us"),
+    [
+        ([told("a", 8), told("b", 8), told("c", 8)], 0),
+        ([told("a", 8, c=700_000), told("b", 8, c=900_000)], 0),
+        ([told("a", 8, c=100_000), told("b", 8, c=900_000)], 530_000),
+        ([told("a", 8, c=900_000), told("b", 8, up_us=200_000)], 430_000),
+        ([told("a", 8, c=900_000), told("b", 7, c=900_000)], 630_000),
+        ([told("a", 8, c=900_000)], 630_000),
+    ],
+)
+def test_the_wait_after_a_new_view_ends_when_no_former_core_can_rule_any_more(cores, left_us):
+    chain = Chain(Now(), None, SimpleNamespace(name="a", disk="disk-a"), None, confirm_us=600_000)
+    ids = {n: f"disk-{n}" for n in "abc"}
+    chain.view = {
+        "n": 8,
+        "chain": ["a", "b"],
+        "ids": {"a": "disk-a", "b": "disk-b"},
+        "before": [ids],
+    }
+    now = chain.clock.now()
+    chain.active_at = now + 630_000
+    chain.lapse_by(cores, now)
+    assert chain.active_at - now == left_us
+    chain.active_at = now + 630_000
+    chain.view = {k: v for k, v in chain.view.items() if k != "before"}
+    chain.lapse_by(cores, now)
+    assert chain.active_at - now == 630_000
