What a member says again is acknowledged only once its record is committed

Cause: `Seat.announce` and `depart` answered at once when the local ledger already had what was said. On a head, or any core before the tail, that record may not be committed yet: a `draining` or a farewell said twice was acknowledged the second time and lost with the head. Brought about in a test: the head is cut off, told twice, and replaced; before: acknowledged, and all three cores hold `ready`. Now such a repeat waits until all that the ledger says is committed here (`Chain.settled`) and this core is confirmed after that. A farewell of a member that this core does not know is checked in the same way, since the ledger may be behind.

An order that an earlier try of the same call has entered is acknowledged instead of called a duplicate.

--- a/src/petrelhaven/control/orders.py
+++ b/src/petrelhaven/control/orders.py
@@ -13,7 +13,15 @@
 from petrelhaven.control.consensus.chain import Chain
 from petrelhaven.control.consensus.peer_clocks import Expiry
 from petrelhaven.runtime.clock import Clock
-from petrelhaven.runtime.errors import Deposed, Expired, Late, NotHead, NotReady, Unreached
+from petrelhaven.runtime.errors import (
+    Deposed,
+    Duplicate,
+    Expired,
+    Late,
+    NotHead,
+    NotReady,
+    Unreached,
+)
 from petrelhaven.transport.reach import Reach
 
 __all__ = ["ANSWER_US", "OrderRouter"]
@@ -47,7 +55,20 @@
         """Has the head enter `record`; `enter` does so where this core is the head itself."""
         self._decline_after_pause(within_us)
 
+        tries = 0
+
         async def attempt(head: str, us: int) -> Document:
+            nonlocal tries
+            tries += 1
+            try:
+                return await once(head, us)
+            except Duplicate:
+                if tries == 1:
+                    raise
+                # what an earlier try of this very call has entered
+                return {"seq": self._chain.realm.seq, "forced": force, "doc": {"in_force_us": 0}}
+
+        async def once(head: str, us: int) -> Document:
             if head == self._name:
                 return await enter({"rec": record, "force": force, "bound": None})
             expiry = await self._expiry(head, min(us, _ENTER_US))
--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -324,17 +324,26 @@
         if m and all(
             m.get(k) == rec[k] for k in ("group", "hall", "addr", "role", "state", "slots")
         ):
-            if not self.chain.ruling:
-                raise NotReady("not confirmed by a majority")
-            return
+            return await self._confirm_ledger()
         await self._heard(rec)
 
     async def depart(self, member):
         """A member says that it ends."""
         m = self.chain.realm.doc["members"].get(member)
         self.heard.pop(member, None)
-        if m is not None and m["state"] != "gone":
-            await self._heard({"t": "member", "name": member, "state": "gone", "addr": m["addr"]})
+        if m is None or m["state"] == "gone":
+            return await self._confirm_ledger()
+        await self._heard({"t": "member", "name": member, "state": "gone", "addr": m["addr"]})
+
+    async def _confirm_ledger(self):
+        """Returns once all that this core's ledger says is committed, and a majority has confirmed this core since.
+
+        A head, or any core before the tail, holds records that are not committed yet and may go with it.
+        """
+        chain = self.chain
+        await self.clock.limit(chain.settled(chain.realm.seq, chain.mem.mark), ANSWER_US)
+        if not chain.ruling:
+            raise NotReady("not confirmed by a majority")
 
     async def _heard(self, rec):
         try:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -254,3 +254,41 @@
     chain.view = {k: v for k, v in chain.view.items() if k != "before"}
     chain.lapse_by(cores, now)
     assert chain.active_at - now == 630_000
+
+
+def announcement(state):
+    return {
+        "member": "m9",
+        "group": "g1",
+        "hall": "a",
+        "addr": "sim:m9",
+        "role": "replica",
+        "state": state,
+        "slots": 5,
+        "count": 7 if state == "ready" else 8,
+    }
+
+
+@pytest.mark.parametrize("farewell", [False, True])
+def test_what_a_member_says_again_is_acknowledged_only_once_it_is_committed(farewell):
+    async def go(f):
+        await f.start()
+        head = head_of(f)
+        assert await outcome(head.node.announce(announcement("ready"))) == "acknowledged"
+        cut_off(f, head, 4_000_000)
+
+        def say():
+            if farewell:
+                return head.node.depart("m9")
+            return head.node.announce(announcement("draining"))
+
+        first = head.nest.spawn(outcome(say()))
+        await asyncio.sleep(0.03)
+        said_again = await outcome(say())
+        first = await first
+        await asyncio.sleep(10)
+        kept = {b.node.chain.realm.doc["members"]["m9"]["state"] for b in f.cores}
+        return first, said_again, kept
+
+    first, said_again, kept = inside(go, 3)[0]
+    assert kept == {"ready"} and first != "acknowledged" and said_again != "acknowledged"
