One content a version: another manifest under an accepted version is told so, also later

Cause: `Config.Replace` passed over every `Stale`, so two operators that raced under one version were both acknowledged; and an accepted order that was sent again after a later version was `Stale`, not `Duplicate`, on the product's own interface.

Tests: test_a_version_that_was_accepted_is_known_by_its_content_after_later_ones and the bound of what is kept (both new with the class). test_seatface asks for `taken` where it asked for `stale`: the fault has its own code.

--- a/src/petrelhaven/control/state/ledger.py
+++ b/src/petrelhaven/control/state/ledger.py
@@ -4,12 +4,17 @@
 import hashlib
 import json
 
-from petrelhaven.runtime.errors import Duplicate, Invalid, Racing, Stale
+from petrelhaven.runtime.errors import Duplicate, Invalid, Racing, Stale, Taken
 
 __all__ = ["Ledger"]
 
 _GONE = 64
 _KEEP = 16
+_ACCEPTED = 128
+
+
+def _digest(text):
+    return hashlib.sha256(text.encode()).hexdigest()
 
 
 class Ledger:
@@ -27,6 +32,7 @@
             "offices": {},
             "sizes": {},
             "past": {},
+            "accepted": [],
             **(doc or {}),
         }
         self.seq = self.doc["seq"]
@@ -73,16 +79,16 @@
             from petrelhaven.control.embargo.rules import check_manifest
 
             check_manifest(self.doc, r)
-        if r["version"] == now["version"]:
-            if hashlib.sha256(r["text"].encode()).hexdigest() == now["digest"]:
-                raise Duplicate(
-                    f"version {r['version']} is in force already", more={"version": r["version"]}
-                )
-            raise Stale(
-                f"version {r['version']} is taken by another manifest",
-                more={"version": now["version"]},
+        version, digest = r["version"], self._accepted(r["version"])
+        if digest is not None and digest == _digest(r["text"]):
+            state = "in force" if version == now["version"] else "accepted"
+            raise Duplicate(f"version {version} is {state} already", more={"version": version})
+        if digest is not None:
+            raise Taken(
+                f"version {version} is taken by another manifest",
+                more={"version": now["version"], "taken": version, "digest": digest},
             )
-        if r["version"] < now["version"]:
+        if version < now["version"]:
             raise Stale(f"version {now['version']} is in force", more={"version": now["version"]})
         if r.get("retire") is False:
             gone = {g["name"] for g in self.manifest["groups"]} - {
@@ -100,14 +106,23 @@
                     },
                 )
 
+    def _accepted(self, version):
+        """The digest of the manifest that was accepted under `version`, as long as it is remembered."""
+        now = self.doc["manifest"]
+        if now["version"] == version:
+            return now["digest"]
+        return next((d for v, d in reversed(self.doc["accepted"]) if v == version), None)
+
     def _apply_manifest(self, r):
         self.doc["manifest"] = {
             "version": r["version"],
             "text": r["text"],
             "by": r.get("by", ""),
-            "digest": hashlib.sha256(r["text"].encode()).hexdigest(),
+            "digest": _digest(r["text"]),
             **({"embargo": r["embargo"]} if "embargo" in r else {}),
         }
+        self.doc["accepted"].append([r["version"], self.doc["manifest"]["digest"]])
+        del self.doc["accepted"][:-_ACCEPTED]
         if "embargo" in r or "embargo_since" in self.doc:
             from petrelhaven.control.embargo.rules import apply_manifest
 
--- a/src/petrelhaven/runtime/errors.py
+++ b/src/petrelhaven/runtime/errors.py
@@ -54,6 +54,12 @@
     code, status = "stale", 409
 
 
+class Taken(Stale):
+    """Another manifest was accepted under this version."""
+
+    code = "taken"
+
+
 class Duplicate(Fault):
     code, status = "duplicate", 409
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from petrelhaven.control.state.ledger import Ledger
-from petrelhaven.runtime.errors import Duplicate, Invalid, Racing, Stale
+from petrelhaven.runtime.errors import Duplicate, Invalid, Racing, Stale, Taken
 
 DRAWN = settings(
     max_examples=200, phases=[Phase.generate], deadline=None, derandomize=True, database=None
@@ -223,6 +223,36 @@
     assert enter(led, manifest(6, '{"x": 2}')) and led.manifest == {"x": 2}
 
 
+def test_a_version_that_was_accepted_is_known_by_its_content_after_later_ones():
+    led = Ledger()
+    for version in (3, 5, 9):
+        assert enter(led, manifest(version, f'{{"x": {version}}}'))
+    led = Ledger(json.loads(json.dumps(led.frame())))
+    for r, fault in (
+        (manifest(5, '{"x": 5}'), Duplicate),
+        (manifest(3, '{"x": 3}'), Duplicate),
+        (manifest(5, '{"x": 6}'), Taken),
+        (manifest(9, '{"x": 5}'), Taken),
+        (manifest(4, '{"x": 4}'), Stale),
+    ):
+        with pytest.raises(fault) as told:
+            led.check(r)
+        assert type(told.value) is fault and told.value.status == 409
+        assert told.value.more["version"] == (r["version"] if fault is Duplicate else 9)
+
+
+def test_the_versions_that_were_accepted_are_forgotten_in_the_end():
+    led = Ledger()
+    for version in range(1, 1_001):
+        assert enter(led, manifest(version, f'{{"x": {version}}}'))
+    assert len(led.doc["accepted"]) < 200
+    with pytest.raises(Duplicate):
+        led.check(manifest(950, '{"x": 950}'))
+    with pytest.raises(Stale) as told:
+        led.check(manifest(1, '{"x": 1}'))
+    assert type(told.value) is Stale
+
+
 @pytest.mark.parametrize(
     ("records", "bad", "fault"),
     [
--- a/tests/test_seatface.py
+++ b/tests/test_seatface.py
@@ -142,7 +142,7 @@
         assert st_ == 200 and d["version"] == 1 and d["change"] == 1 and d["in_force_us"] >= 0
         st_, d, _ = await ask(face, "POST", "/manifest", one.encode())
         assert (st_, d["fault"], d["more"]) == (409, "duplicate", {"version": 1})
-        assert (await ask(face, "POST", "/manifest", (one + " ").encode()))[1]["fault"] == "stale"
+        assert (await ask(face, "POST", "/manifest", (one + " ").encode()))[1]["fault"] == "taken"
         st_, d, _ = await ask(face, "POST", "/manifest", b'{"name": "x", "colour": 1}')
         assert st_ == 422
         assert all(
