--- a/src/petrelhaven/control/orders.py
+++ b/src/petrelhaven/control/orders.py
@@ -73,7 +73,7 @@
                 return await enter({"rec": record, "force": force, "bound": None})
             expiry = await self._expiry(head, min(us, _ENTER_US))
             body = {"rec": record, "force": force, "bound": expiry.document()}
-            return await self._reach.call(head, "chain.enter", body, us, again=False)
+            return await self._reach.call(head, "chain.enter", body, us)
 
         return await self._follow(0, attempt, within_us)
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -147,7 +147,6 @@
                 "bound": (await near.node.orders._expiry(head.name, 850_000)).document(),
             },
             20_000_000,
-            again=False,
         )
         f.net.cut([near.name], [head.name], 1_500_000, both=False)
         held = near.nest.spawn(outcome(head_call))
