--- a/src/petrelhaven/transport/reach.py
+++ b/src/petrelhaven/transport/reach.py
@@ -40,11 +40,11 @@
         end = now + us
         once = repeat_of(kind, body) is Repeat.NEVER
         may_have_left = False
-        if self._bad.get(name, 0) <= now:
+        other_ways = bool(self._relays(name))
+        if self._bad.get(name, 0) <= now or not other_ways:
+            share = _FIRST_SHARE if other_ways and not once else 1
             try:
-                result = await self.link.call(
-                    address, kind, body, us if once else us // _FIRST_SHARE
-                )
+                result = await self.link.call(address, kind, body, us // share)
                 self._bad.pop(name, None)
                 return result
             except (Late, Unreached) as fault:
