A batch that is cancelled leaves its member connection lost

Cause: a connection to a member of the product's own interface counted as lost after a silence or a reset, but not when its caller was cancelled: the batch may still run under the same connection number. Only a member's own refusal leaves it usable now. Test seen to fail first (`lost` was false after the cancel).

--- a/src/petrelhaven/proxy/pool/member_protocol.py
+++ b/src/petrelhaven/proxy/pool/member_protocol.py
@@ -40,7 +40,9 @@
             ):
                 raise Unreached(f"{self._addr} answered oddly: results")
             return raise_first(rs)
-        except (Late, Unreached, Unsent):
+        except MemberFault:
+            raise
+        except BaseException:
             self.lost = True
             raise
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -584,3 +584,36 @@
         await nest.close()
 
     asyncio.run(go())
+
+
+def test_a_batch_that_is_cancelled_leaves_its_connection_lost():
+    """On the product's own members: the batch may still run there, and nothing else may use its connection."""
+    from petrelhaven.proxy.pool.member_protocol import Wire
+
+    async def go():
+        async def mute(reader, writer):
+            await reader.read()
+
+        server = await asyncio.start_server(mute, "127.0.0.1", 0)
+        nest = Nest()
+        wire = Wire(Clock(), nest)
+        connection = wire_connection(wire, "%s:%d" % server.sockets[0].getsockname())
+        task = asyncio.ensure_future(connection.run([{"op": "get"}], 5_000_000))
+        await asyncio.sleep(0.05)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        assert connection.lost
+        connection.close()
+        await asyncio.sleep(0.01)
+        server.close()
+        await nest.close()
+
+    def wire_connection(wire, address):
+        import aiohttp
+
+        from petrelhaven.proxy.pool.member_protocol import _Conn
+
+        return _Conn(wire, address, aiohttp.ClientSession(), 1)
+
+    asyncio.run(go())
