--- a/src/petrelhaven/transport/channel.py
+++ b/src/petrelhaven/transport/channel.py
@@ -1,4 +1,7 @@
-"""One held connection between two processes: calls by number, answers matched by connection, number and kind."""
+"""One held connection between two processes.
+
+Calls are numbered; an answer is matched by its connection, its number and its kind.
+"""
 
 import asyncio
 import itertools
@@ -46,7 +49,10 @@
 
 
 def _answered_fault(kind: str, doc: Mapping[str, Any]) -> Fault:
-    """The fault that the other side answered with. That nothing was sent is only a relay's to say."""
+    """The fault that the other side answered with.
+
+    That nothing was sent is only a relay's to say.
+    """
     fault = rebuild(doc)
     if isinstance(fault, Unsent) and not (kind == RELAY and isinstance(fault, NotRelayed)):
         fault = Unreached(fault.note, fault.back, fault.more)
@@ -57,8 +63,9 @@
 class Channel:
     """One held connection. Either side may call; `gone` is done once it is lost.
 
-    `send` writes one message, `close` ends the connection after what was written, `reset` ends it at once, with what
-    the other machine has not received yet, and `broken` tells whether the other side has reset it.
+    `send` writes one message, `close` ends the connection after what was written, `reset` ends it
+    at once, with what the other machine has not received yet, and `broken` tells whether the other
+    side has reset it.
     """
 
     def __init__(
@@ -69,6 +76,7 @@
         reset: Callable[[], None] | None = None,
         broken: Callable[[], bool] = lambda: False,
     ) -> None:
+        """A new connection of `link`, whose node serves what the other side calls."""
         self._link = link
         self._send = send
         self._close = close
@@ -84,9 +92,10 @@
     async def call(self, kind: str, body: Mapping[str, Any], us: int) -> dict[str, Any]:
         """Asks the other side and returns its result.
 
-        Unsent if nothing left; Late or Unreached if the outcome is not known; any fault that is `answered` was said
-        by the other side. A call that may not be repeated and is given up here is taken back from the wire, as far as
-        the other machine has not received it: the connection is reset.
+        Unsent if nothing left; Late or Unreached if the outcome is not known; any fault that is
+        `answered` was said by the other side. A call that may not be repeated and is given up here
+        is taken back from the wire, as far as the other machine has not received it: the connection
+        is reset.
         """
         if self.gone.done():
             raise Unsent(kind)
@@ -104,7 +113,7 @@
                 self._give_up(number, kind, repeat_of(kind, body))
 
     def _give_up(self, number: int, kind: str, repeat: Repeat) -> None:
-        """Nobody waits for call `number` any more; its answer may still come, and must then be of its kind."""
+        """Nobody waits for call `number` any more; an answer that comes must be of its kind."""
         self._given_up[number] = kind
         if len(self._given_up) > _GIVEN_UP_MOST:
             del self._given_up[next(iter(self._given_up))]
@@ -175,7 +184,7 @@
                 pending.answer.set_exception(Unreached("connection lost"))
 
     def close(self) -> None:
-        """Closes the connection; calls that may not have been received yet are taken back from the wire."""
+        """Closes the connection and takes calls that may not have been received from the wire."""
         if self._last_sent > self._last_answered:
             self._reset()
         else:
--- a/src/petrelhaven/transport/contracts.py
+++ b/src/petrelhaven/transport/contracts.py
@@ -1,10 +1,11 @@
 """What the system's own processes say to each other: one avro contract for each kind of message.
 
-Each contract also says whether a call of its kind may run more than once. The transport follows that property: a call
-that may not be repeated leaves a process once, whatever becomes of its answer.
+Each contract also says whether a call of its kind may run more than once. The transport follows
+that property: a call that may not be repeated leaves a process once, whatever its answer.
 """
 
 import enum
+import functools
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -28,24 +29,46 @@
     """Whether a call may run more than once for one wish of its caller."""
 
     SAFE = "safe"
-    """Running it again, also late, changes nothing: it reads, or numbers or epochs in it make the second run void."""
+    """Running it again, also late, changes nothing: it reads, or numbers make it void."""
     NEVER = "never"
-    """It is sent once. After a silence or a reset its outcome is unknown, and the caller is told so."""
+    """It is sent once. After a silence or a reset its outcome is unknown, and said so."""
     CARRIED = "carried"
     """It carries another call, and that call's property holds."""
 
 
+@functools.cache
+def _parsed(name: str, fields: str) -> tuple[Any, tuple[str, ...]]:
+    """The avro schema that `fields` describes, and which of them are JSON documents."""
+    pairs = [word.split(":") for word in fields.split()]
+    declared = []
+    for field, kind in pairs:
+        assert kind in _PLAIN_TYPES or kind in _COMPOSED_TYPES, kind
+        declared.append({"name": field, "type": _COMPOSED_TYPES.get(kind, kind)})
+    schema = fastavro.parse_schema({"type": "record", "name": name, "fields": declared})
+    return schema, tuple(field for field, kind in pairs if kind == "doc")
+
+
 @dataclass(frozen=True, slots=True)
 class Shape:
-    """The avro schema of one body, and which of its fields are JSON documents."""
+    """One body: words of the form `name:type`. Parsed at its first use, for few nodes use all."""
+
+    name: str
+    fields: str
 
-    schema: Any
-    documents: tuple[str, ...]
+    @property
+    def schema(self) -> Any:  # noqa: ANN401
+        """Its avro schema."""
+        return _parsed(self.name, self.fields)[0]
+
+    @property
+    def documents(self) -> tuple[str, ...]:
+        """Which of its fields are JSON documents."""
+        return _parsed(self.name, self.fields)[1]
 
 
 @dataclass(frozen=True, slots=True)
 class Contract:
-    """One kind of message: what is asked, what is answered, and whether the call may be repeated."""
+    """One kind of message: what is asked and answered, and whether the call may be repeated."""
 
     kind: str
     ask: Shape
@@ -53,23 +76,12 @@
     repeat: Repeat
 
 
-def shape(name: str, fields: str) -> Shape:
-    """The shape that `fields` describes: words of the form `name:type`."""
-    pairs = [word.split(":") for word in fields.split()]
-    declared = []
-    for field, kind in pairs:
-        assert kind in _PLAIN_TYPES or kind in _COMPOSED_TYPES, kind
-        declared.append({"name": field, "type": _COMPOSED_TYPES.get(kind, kind)})
-    schema = fastavro.parse_schema({"type": "record", "name": name, "fields": declared})
-    return Shape(schema, tuple(field for field, kind in pairs if kind == "doc"))
-
-
 KINDS: dict[str, Contract] = {}
 
 
 def _contract(kind: str, repeat: Repeat, ask: str, result: str = _DONE) -> None:
     name = kind.replace(".", "_")
-    KINDS[kind] = Contract(kind, shape(f"{name}_ask", ask), shape(f"{name}_res", result), repeat)
+    KINDS[kind] = Contract(kind, Shape(f"{name}_ask", ask), Shape(f"{name}_res", result), repeat)
 
 
 def repeat_of(kind: str, body: Mapping[str, Any]) -> Repeat:
@@ -110,7 +122,8 @@
 _contract("view.learn", Repeat.SAFE, "view:doc")
 _contract("view.confirm", Repeat.SAFE, "name:string n:long tied:long", "ok:boolean view:doc")
 
-# Control: the chain. Records are numbered by the head, so an append is void the second time; entering one is not.
+# Control: the chain. Records are numbered by the head, so an append is void the second time;
+# entering a record is not.
 _contract(
     "chain.append",
     Repeat.SAFE,
@@ -133,7 +146,8 @@
 _contract("edge.frame", Repeat.SAFE, "name:string", "frame:doc")
 _contract("duty.heard", Repeat.SAFE, "name:string", "doc:doc")
 
-# Control and edges. A hold belongs to the connection it came over, pushes are numbered, leases only end later.
+# Control and edges. A hold belongs to the connection it came over, pushes are numbered, and an
+# edge counts its lease from when it asked.
 _contract("edge.hold", Repeat.SAFE, "edge:string inc:long applied:long", "ok:boolean note:string")
 _contract("edge.push", Repeat.SAFE, "frame:doc recs:doc commit:long", "applied:long acked:long")
 _contract(
@@ -157,11 +171,13 @@
 _contract("tie.wall", Repeat.SAFE, "name:string", "ok:boolean lo:long hi:long")
 _contract("wall.read", Repeat.SAFE, "name:string", "wall:long")
 
-# Control: doubts about members. A look costs the member a connection and takes its whole bound: it is not repeated.
+# Control: doubts about members. A look costs the member a connection and takes its whole bound:
+# it is not repeated.
 _contract("warden.doubt", Repeat.SAFE, "group:string member:string how:string")
 _contract("warden.look", Repeat.NEVER, "member:string addr:string group:string", "how:string")
 
-# Edges among themselves. A statement runs once; what is said of a session is numbered by its epoch and version.
+# Edges among themselves. A statement runs once; what is said of a session is numbered by its
+# epoch and version.
 _contract("span.deliver", Repeat.NEVER, "sid:string ask:doc", "res:doc")
 _contract(
     "span.keep",
--- a/src/petrelhaven/transport/link.py
+++ b/src/petrelhaven/transport/link.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+import logbook
+
 from petrelhaven.runtime.clock import Clock, Nest
 from petrelhaven.runtime.errors import Fault, Late, Malformed, Unsent, Unspoken, Unversed
 from petrelhaven.runtime.events import emit
@@ -58,7 +60,7 @@
     def __init__(self, link: "Link") -> None:
         self._link = link
 
-    def datagram_received(self, data: bytes, addr: Any) -> None:
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """One telling."""
         self._link.heard(data)
 
@@ -66,13 +68,14 @@
 class Held:
     """Calls by address over shared connections; `open` is the link's own.
 
-    Calls that may not be repeated have a connection to themselves: giving one up resets it, and that must not cost
-    the answers of all others.
+    Calls that may not be repeated have a connection to themselves: giving one up resets it, and
+    that must not cost the answers of all others.
     """
 
     nest: Nest
 
     def __init__(self) -> None:
+        """No connections yet."""
         self._held: dict[tuple[str, bool], Channel] = {}
         self._opening: dict[tuple[str, bool], asyncio.Task] = {}
 
@@ -91,7 +94,7 @@
         return await _shared_call(channel, kind, body, us)
 
     async def _opened(self, place: tuple[str, bool]) -> Channel:
-        """The connection that is being opened for `place`, by this caller or by another; Unsent if it comes to none."""
+        """The connection that is being opened for `place`, maybe by another caller; else Unsent."""
         task = self._opening.get(place)
         if task is None:
             task = self.nest.spawn(self._open_shared(place))
@@ -115,8 +118,14 @@
     """All links of one node over real sockets."""
 
     def __init__(
-        self, clock: Clock, nest: Nest, log: Any = None, host: str = "127.0.0.1", port: int = 0
+        self,
+        clock: Clock,
+        nest: Nest,
+        log: logbook.Logger | None = None,
+        host: str = "127.0.0.1",
+        port: int = 0,
     ) -> None:
+        """A link that is to listen at `host` and `port`; port 0 takes any."""
         super().__init__()
         self.clock, self.nest, self.log = clock, nest, log
         self.handlers: dict[str, Handler] = {}
--- a/src/petrelhaven/transport/messages.py
+++ b/src/petrelhaven/transport/messages.py
@@ -10,7 +10,7 @@
 import fastavro
 
 from petrelhaven.runtime.errors import Malformed, Unspoken, Unversed
-from petrelhaven.transport.contracts import KINDS, Shape, shape
+from petrelhaven.transport.contracts import KINDS, Shape
 
 __all__ = ["CALL", "FAULT", "KINDS", "RESULT", "TELL", "VERSION", "Message", "pack", "unpack"]
 
@@ -34,7 +34,7 @@
         ],
     }
 )
-_FAULT_SHAPE = shape("fault_res", "doc:doc")
+_FAULT_SHAPE = Shape("fault_res", "doc:doc")
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/petrelhaven/transport/reach.py
+++ b/src/petrelhaven/transport/reach.py
@@ -4,8 +4,10 @@
 from collections.abc import Mapping
 from typing import Any
 
+from petrelhaven.membership.roster import Roster
 from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.errors import Late, NotRelayed, Unreached, Unsent
+from petrelhaven.transport.channel import Channel
 from petrelhaven.transport.contracts import RELAY, Repeat, repeat_of
 from petrelhaven.transport.link import Held
 
@@ -20,17 +22,18 @@
 class Reach:
     """Calls other nodes by name. Deaf links are remembered for a while and passed round.
 
-    Whether a call may go a second way follows from its contract alone. One that may not be repeated goes another way
-    only if it is certain that nothing of it has left before.
+    Whether a call may go a second way follows from its contract alone. One that may not be repeated
+    goes another way only if it is certain that nothing of it has left before.
     """
 
-    def __init__(self, clock: Clock, link: Held, roster: Any, rng: random.Random) -> None:
+    def __init__(self, clock: Clock, link: Held, roster: Roster, rng: random.Random) -> None:
+        """Calls over `link` the nodes that `roster` knows."""
         self.clock, self.link, self.roster, self.rng = clock, link, roster, rng
         self._bad: dict[str, int] = {}
         link.on(RELAY, self._relayed)
 
     async def call(self, name: str, kind: str, body: Mapping[str, Any], us: int) -> dict[str, Any]:
-        """Calls `name`. Unsent if nothing left this node; Late or Unreached if the outcome is not known."""
+        """Calls `name`. Unsent if nothing left; Late or Unreached if the outcome is not known."""
         address = self.roster.addr_of(name)
         if name == self.roster.name:
             return await self.link.handlers[kind](None, body)
@@ -91,8 +94,8 @@
         ]
         return sorted(relays, key=lambda relay: (peers[relay].hall in halls, self.rng.random()))
 
-    async def _relayed(self, channel: Any, call: dict[str, Any]) -> dict[str, Any]:
-        """Another node's call, sent on once. That nothing of it left here is said in so many words."""
+    async def _relayed(self, channel: Channel, call: dict[str, Any]) -> dict[str, Any]:
+        """Another node's call, sent on once; NotRelayed if nothing of it left here."""
         try:
             body = await self.link.call(call["to"], call["kind"], call["body"], call["us"])
         except Unsent as fault:
--- a/src/petrelhaven/transport/sockets.py
+++ b/src/petrelhaven/transport/sockets.py
@@ -8,14 +8,14 @@
 __all__ = ["UNACKNOWLEDGED_MS", "is_closed", "reset", "tune"]
 
 UNACKNOWLEDGED_MS = 3_000
-"""How long written bytes may stay unacknowledged by the other machine before the connection counts as lost."""
+"""How long bytes may stay unacknowledged by the other machine before the connection is lost."""
 
 _LINGER_NOT = struct.pack("ii", 1, 0)
 _CLOSED_STATE = 7
 
 
 def tune(transport: asyncio.BaseTransport) -> None:
-    """Has small messages leave at once, and bytes that a dark machine does not acknowledge lost within a bound."""
+    """Has small messages leave at once, and ends the connection to a machine that is dark."""
     sock = transport.get_extra_info("socket")
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     with contextlib.suppress(OSError):
@@ -32,7 +32,7 @@
 
 
 def is_closed(transport: asyncio.BaseTransport) -> bool:
-    """Whether the connection has been reset, as the system knows it before what arrived earlier has been read."""
+    """Whether the connection was reset, known before what arrived earlier has been read."""
     if transport.is_closing():
         return True
     sock = transport.get_extra_info("socket")
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -50,6 +50,8 @@
     for kind, contract in KINDS.items():
         assert isinstance(contract, Contract) and contract.kind == kind
         assert isinstance(contract.repeat, Repeat)
+        for shape in (contract.ask, contract.result):
+            assert shape.schema["fields"] and isinstance(shape.documents, tuple)
     assert {k for k, c in KINDS.items() if c.repeat is Repeat.NEVER} == SENT_ONCE
     assert [k for k, c in KINDS.items() if c.repeat is Repeat.CARRIED] == [RELAY]
 
