A counted out member's position is needed while it is still there; a model of the proof

Cause: the position a leaving member was paused at became a floor only when it left, while an election already went without it. A drawn schedule of the new model found it: a commit received by one member alone, that member counted out, the primary lost: a member without the commit was elected. Model: drawn commits, receipts, pauses, records entered late, departures, crashes, elections, through the shipped ledger and `decide`; six parts taken out one by one, each seen to lose.

--- a/src/petrelhaven/control/failover/evidence.py
+++ b/src/petrelhaven/control/failover/evidence.py
@@ -204,14 +204,15 @@
     left = ", ".join(evidence.unproven_beside(primary))
     if left:
         return Unproven(f"{left} left and may have held the only copy of a commit", True)
+    floor = max([evidence.floor, *evidence.counted_out.values()])
     best = _highest(required, rows)
-    if best is None or best < evidence.floor:
+    if best is None or best < floor:
         required = names & set(rows)
         best = _highest(required, rows)
     if best is None:
         return Unproven("no replica is left")
-    if best < evidence.floor:
-        return Unproven(f"nobody holds {_text(evidence.floor)}; the highest is {_text(best)}", True)
+    if best < floor:
+        return Unproven(f"nobody holds {_text(floor)}; the highest is {_text(best)}", True)
     return Proven(tuple(sorted(n for n in required if rows[n].position == best)))
 
 
