A planned move hears counted out members too

While the primary serves, the move now waits for it as for any other replica; a crash move still goes without it.

--- a/src/petrelhaven/control/failover/office_move.py
+++ b/src/petrelhaven/control/failover/office_move.py
@@ -138,20 +138,25 @@
         except Late:
             return None
 
-    def _unheard(self, replicas: Iterable[MemberHandle], rows: dict[str, MemberRow]) -> str:
-        """Replicas that did not answer and are not counted out, each with the fault; or nothing."""
-        counted_out = self._evidence().counted_out
+    def _unheard(
+        self, replicas: Iterable[MemberHandle], rows: dict[str, MemberRow], spared: Iterable[str]
+    ) -> str:
+        """Replicas that did not answer and are not spared, each with the fault; or nothing."""
         return ", ".join(
             f"{handle.name} {handle.fault}"
             for handle in replicas
-            if handle.name not in rows and handle.name not in counted_out
+            if handle.name not in rows and handle.name not in spared
         )
 
     async def _relieve(
         self, replicas: list[MemberHandle], rows: dict[str, MemberRow], term: int
     ) -> bool:
-        """A planned move: only the heir goes on receiving, until it has what the primary has."""
-        unheard = self._unheard(replicas, rows)
+        """A planned move: only the heir goes on receiving, until it has what the primary has.
+
+        One that is counted out must be heard too: while the primary serves, a restart would end
+        its pause and let it receive.
+        """
+        unheard = self._unheard(replicas, rows, spared=())
         if unheard or not rows:
             return self._waits("not heard: " + unheard)
         left = ", ".join(self._evidence().unproven_beside(self.old))
@@ -219,7 +224,7 @@
         order = self._evidence().order
         if order is not None:
             return await self._obey(order, replicas, rows, term)
-        unheard = self._unheard(replicas, rows)
+        unheard = self._unheard(replicas, rows, spared=self._evidence().counted_out)
         if unheard or not replicas:
             await self._count_out_leaving(replicas, rows, term)
             return self._waits("not heard: " + unheard)
--- a/tests/test_warden.py
+++ b/tests/test_warden.py
@@ -806,6 +806,25 @@
     virtual(go)
 
 
+def test_a_counted_out_member_that_is_not_heard_holds_a_planned_move_up():
+    """Restarted amid the move, it would receive what the heir lacks."""
+
+    async def go(e):
+        leaving = asyncio.ensure_future(e.release("r1", 15))
+        await e.until(lambda: e.evidence.counted_out)
+        e.dark("r1", runs=False)
+        e.join("n1")
+        e.member("p", "draining")
+        await asyncio.sleep(2)
+        assert e.calls == [] and "r1" in e.warden.why["g"]
+        e.dark("r1", True, True)
+        e.members["r1"].held = 0
+        await e.until(lambda: e.calls and e.settled)
+        await leaving
+
+    virtual(go)
+
+
 def test_an_heir_that_begins_to_leave_before_the_platform_is_asked_is_not_promoted():
     async def go(e):
         e.barrier = 1.0
