--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -1,4 +1,4 @@
-"""A core machine of the path where sessions live with their connection: ledger, warden, edges' ties."""
+"""A core machine of the path where sessions live with their connection: ledger, failover, edges' ties."""
 
 import asyncio
 
--- a/src/petrelhaven/control/state/ledger.py
+++ b/src/petrelhaven/control/state/ledger.py
@@ -183,7 +183,7 @@
         moving = bool(office) and office["phase"] != "serve"
         evidence = self.evidence(group)
         self._put_evidence(group, evidence.with_departure(name, moving))
-        if name in evidence.counted_out:
+        if name in evidence.counted_out and not moving:
             self._shrink(group)
 
     def _succeeded(self, name: str, member: dict, group: str) -> None:
--- a/src/petrelhaven/proxy/routing/group.py
+++ b/src/petrelhaven/proxy/routing/group.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from petrelhaven.control.failover.evidence import NO_POSITION
 from petrelhaven.proxy.pool.connection_pool import Stock
 from petrelhaven.proxy.reads.log_progress import Tide
 from petrelhaven.proxy.reads.read_clock import ReadClock
@@ -61,6 +62,7 @@
         self.clock, self.nest = gate.clock, gate.nest
         self.berths, self.office = {}, None
         self.cap, self.sync, self.size, self.visits = 40, 0, 0, 0
+        self.floor = NO_POSITION
         self.reads = ReadClock(self.clock, self.nest, gate.order, self._fetch, gate.bounds)
         self._turned = None
         self._tokens = 10.0
@@ -87,6 +89,7 @@
         now = self.clock.now()
         ms = ledger.group(self.name)
         self.size = ledger.doc["sizes"].get(self.name, 0)
+        self.floor = ledger.evidence(self.name).floor
         for n, m in ms.items():
             b = self.berths.get(n)
             if b is not None and b.addr != m["addr"]:
@@ -253,8 +256,11 @@
         for b, r in zip(bs, rs):
             if r["pos"] > b.tide.log:
                 b.tide.note(r["pos"], 0)
+        highest = max(r["pos"] for r in rs)
+        if highest < self.floor:
+            raise Unreached("a member that left had more")
         self.g.count["fetched_others"] += 1
-        return max(r["pos"] for r in rs)
+        return highest
 
     def dark(self):
         """Microseconds since the primary last answered here, if it fails now."""
--- a/tests/test_band_proof.py
+++ b/tests/test_band_proof.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from petrelhaven.control.failover.evidence import Evidence
 from petrelhaven.control.state.ledger import Ledger
 from petrelhaven.proxy.reads.read_clock import Order
 from petrelhaven.proxy.routing.group import Band
@@ -35,7 +36,7 @@
         return _Conn(member)
 
 
-def _band(names, size, holds):
+def _band(names, size, holds, floor=(0, 0)):
     tie = types.SimpleNamespace(holds=holds, edges=3, doubt=lambda *_: None)
     gate = types.SimpleNamespace(
         clock=Clock(),
@@ -66,6 +67,7 @@
             },
         )
     led.doc["sizes"]["g"] = size
+    led.doc["evidence"]["g"] = Evidence(floor=floor).document()
     led.apply(
         led.seq + 1,
         {
@@ -107,3 +109,16 @@
             await _band(["m1"], 2, True)._fetch_others("p")
 
     warp(go())
+
+
+@pytest.mark.parametrize(("floor", "proves"), [((1, 137), True), ((1, 138), False)])
+def test_others_that_lack_what_a_member_that_left_had_prove_nothing(warp, floor, proves):
+    async def go():
+        band = _band(["m1", "m2", "m3"], 4, True, floor)
+        if proves:
+            assert await band._fetch_others("p") == (1, 137)
+        else:
+            with pytest.raises(Unreached):
+                await band._fetch_others("p")
+
+    warp(go())
