--- a/src/petrelhaven/proxy/routing/group.py
+++ b/src/petrelhaven/proxy/routing/group.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection
 from typing import TYPE_CHECKING, Any
 
+from petrelhaven.control.failover.evidence import NO_POSITION
 from petrelhaven.proxy.pool.connection_pool import Stock
 from petrelhaven.proxy.reads.log_progress import LogProgress
 from petrelhaven.proxy.reads.read_clock import ReadClock
@@ -63,6 +64,7 @@
         self._leadership_record: dict[str, Any] | None = None
         self.connection_cap = _CONNECTION_CAP
         self.sync_replicas = self.size = self.strong_sessions = 0
+        self.floor: Position = NO_POSITION
         self.read_clock = ReadClock(proxy.clock, proxy.nest, proxy.order, self._fetch, proxy.bounds)
         self._turned: asyncio.Future[None] | None = None
         self._second_tries = _SECOND_TRIES
@@ -101,6 +103,7 @@
         """
         rows = ledger.group(self.name)
         self.size = ledger.doc["sizes"].get(self.name, 0)
+        self.floor = ledger.evidence(self.name).floor
         for name, row in rows.items():
             self._turn_member(name, row, ledger, fresh)
         for name in [name for name in self.members if name not in rows]:
@@ -301,8 +304,11 @@
                 raise row if isinstance(row, Fault) else Unreached("not all others answered")
         for member, row in zip(others, rows, strict=True):
             member.note_log(row["pos"])
+        highest = max(row["pos"] for row in rows)
+        if highest < self.floor:
+            raise Unreached("a member that left had more")
         self._proxy.count["fetched_others"] += 1
-        return max(row["pos"] for row in rows)
+        return highest
 
     def close(self) -> None:
         """The group left the configuration."""
