--- a/src/petrelhaven/simulator/held/operator.py
+++ b/src/petrelhaven/simulator/held/operator.py
@@ -74,9 +74,9 @@
         elif answer.kind is AnswerKind.REFUSED:
             record.refusals.append(f"{core.name}: {answer.status} {answer.note}")
 
-    async def read_back(self) -> ReadRecord | None:
+    async def read_back(self, first: Box | None = None) -> ReadRecord | None:
         """The configuration in force as any core answers it; None when none did for long."""
-        end, core = self._now() + _READ_AGAIN_S, self._any_core(None)
+        end, core = self._now() + _READ_AGAIN_S, first or self._any_core(None)
         while self._now() < end:
             began = self._now()
 
