--- a/src/petrelhaven/control/consensus/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -83,9 +83,8 @@
         if view is None or self.view and view["n"] <= self.view["n"]:
             return
         newer = not self.mem.vote["value"] or self.mem.vote["value"]["n"] < view["n"]
-        heads = view["chain"][0] == self.me and view["ids"].get(self.me) == self.mem.disk
         self.mem.put_vote(
-            done=view["n"] if heads else None,
+            done=view["n"] if self._holds_all_of(view) else None,
             ids=view["ids"],
             **({"value": view} if newer else {}),
         )
@@ -105,6 +104,16 @@
         self._wake()
         self._settle()
 
+    def _holds_all_of(self, view):
+        """Whether this core holds all that is committed by the time `view` begins.
+
+        The head of a view does, and so does a core that was complete in the view before and stays in the chain:
+        what was committed there is on every core of that chain.
+        """
+        if view["ids"].get(self.me) != self.mem.disk or self.me not in view["chain"]:
+            return False
+        return view["chain"][0] == self.me or self.mem.done == view["n"] - 1
+
     def _wake(self):
         """Lets whoever waits for a commit look again."""
         moved, self._moved = self._moved, asyncio.Event()
