--- a/src/petrelhaven/runtime/clock.py
+++ b/src/petrelhaven/runtime/clock.py
@@ -1,100 +1,114 @@
-"""Time and tasks: whole microseconds of monotonic time, ticks and horizons, a nest of tasks."""
+"""Time and tasks: whole microseconds of monotonic time, timers, limits, the tasks of a node."""
+
+from __future__ import annotations
 
 import asyncio
 import os
 import time
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from petrelhaven.runtime.errors import Fault, Late
 from petrelhaven.runtime.events import emit
 
+if TYPE_CHECKING:
+    import logbook
+
 __all__ = ["Clock", "Nest"]
 
+_Result = TypeVar("_Result")
+
 
 class Clock:
     """Monotonic microseconds of this process. The simulator gives each node its own."""
 
     __slots__ = ()
 
-    def now(self):
+    def now(self) -> int:
         """Monotonic microseconds."""
         return time.monotonic_ns() // 1000
 
-    def later(self, us, fn):
-        """Calls `fn` after `us`; the handle returned can be cancelled."""
-        return asyncio.get_running_loop().call_later(max(us, 0) / 1e6, fn)
+    def later(self, us: int, call: Callable[[], object]) -> asyncio.TimerHandle:
+        """Calls `call` after `us`; the handle returned can be cancelled."""
+        return asyncio.get_running_loop().call_later(max(us, 0) / 1e6, call)
 
-    async def sleep(self, us):
+    async def sleep(self, us: int) -> None:
         """Waits for `us`."""
-        f = asyncio.get_running_loop().create_future()
-        h = self.later(us, lambda: f.done() or f.set_result(None))
+        over = asyncio.get_running_loop().create_future()
+        timer = self.later(us, lambda: over.done() or over.set_result(None))
         try:
-            await f
+            await over
         finally:
-            h.cancel()
+            timer.cancel()
+
+    async def limit(self, awaited: Awaitable[_Result], us: int, keep: bool = False) -> _Result:
+        """The outcome of `awaited` within `us`; with `keep`, it goes on after that.
 
-    async def limit(self, aw, us, keep=False):
-        """The outcome of `aw` within `us`, else Late. With `keep`, `aw` itself goes on."""
-        f = asyncio.ensure_future(aw)
-        t = asyncio.get_running_loop().create_future()
-        h = self.later(us, lambda: t.done() or t.set_result(None))
+        Raises:
+            Late: it was not there in time.
+        """
+        outcome = asyncio.ensure_future(awaited)
+        over = asyncio.get_running_loop().create_future()
+        timer = self.later(us, lambda: over.done() or over.set_result(None))
         try:
-            await asyncio.wait([f, t], return_when=asyncio.FIRST_COMPLETED)
-            if f.done():
-                return f.result()
+            await asyncio.wait([outcome, over], return_when=asyncio.FIRST_COMPLETED)
+            if outcome.done():
+                return outcome.result()
             raise Late("horizon passed")
         finally:
-            h.cancel()
-            if f.done():
-                f.cancelled() or f.exception()
+            timer.cancel()
+            if outcome.done():
+                outcome.cancelled() or outcome.exception()
             elif not keep:
-                f.cancel()
+                outcome.cancel()
 
 
 class Nest:
     """The tasks of one node; closing it ends them all."""
 
-    __slots__ = ("_own", "_log", "shut")
+    __slots__ = ("_tasks", "_log", "shut")
 
-    def __init__(self, log=None):
-        self._own = {}
+    def __init__(self, log: logbook.Logger | None = None) -> None:
+        """Has no tasks yet; faults of tasks that no other code expects go to `log`."""
+        self._tasks: dict[asyncio.Task, None] = {}
         self._log = log
         self.shut = False
 
-    def spawn(self, co):
-        """Runs `co` as a task of this node."""
+    def spawn(self, work: Coroutine[Any, Any, _Result]) -> asyncio.Task[_Result] | None:
+        """Runs `work` as a task of this node; None, and it is not run, once the node has ended."""
         if self.shut:
-            co.close()
+            work.close()
             return None
-        t = asyncio.ensure_future(co)
-        self._own[t] = None
-        t.add_done_callback(self._end)
-        return t
-
-    def _end(self, t):
-        self._own.pop(t, None)
-        if not t.cancelled() and t.exception() is not None and not isinstance(t.exception(), Fault):
-            tb = t.exception().__traceback__
-            while tb.tb_next:
-                tb = tb.tb_next
-            emit(
-                self._log,
-                903,
-                what=repr(t.exception()),
-                at=f"{os.path.basename(tb.tb_frame.f_code.co_filename)}:{tb.tb_lineno}",
-            )
-
-    async def close(self):
+        task = asyncio.ensure_future(work)
+        self._tasks[task] = None
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._tasks.pop(task, None)
+        if task.cancelled():
+            return
+        fault = task.exception()
+        if fault is None or isinstance(fault, Fault):
+            return
+        frame = fault.__traceback__
+        while frame.tb_next:
+            frame = frame.tb_next
+        file = os.path.basename(frame.tb_frame.f_code.co_filename)
+        emit(self._log, 903, what=repr(fault), at=f"{file}:{frame.tb_lineno}")
+
+    async def close(self) -> None:
         """Cancels every task and waits for their end."""
         self.kill()
-        me = asyncio.current_task()
-        ts = [t for t in self._own if t is not me]
-        if ts:
-            await asyncio.gather(*ts, return_exceptions=True)
+        this = asyncio.current_task()
+        others = [task for task in self._tasks if task is not this]
+        if others:
+            await asyncio.gather(*others, return_exceptions=True)
 
-    def kill(self):
+    def kill(self) -> None:
         """Cancels every task without waiting."""
         self.shut = True
-        me = asyncio.current_task() if asyncio.get_event_loop().is_running() else None
-        for t in list(self._own):
-            if t is not me:
-                t.cancel()
+        this = asyncio.current_task() if asyncio.get_event_loop().is_running() else None
+        for task in list(self._tasks):
+            if task is not this:
+                task.cancel()
--- a/src/petrelhaven/runtime/daemon.py
+++ b/src/petrelhaven/runtime/daemon.py
@@ -1,9 +1,13 @@
 """What the daemons share: listening, signals, readiness lines, exit codes."""
 
+from __future__ import annotations
+
 import asyncio
 import functools
 import signal
 import sys
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
 
 from petrelhaven.runtime.clock import Clock, Nest
 from petrelhaven.runtime.errors import Misplaced
@@ -15,30 +19,42 @@
 
 __all__ = ["Daemon", "say"]
 
+_SETTINGS_DECLINED = 2
+_DATA_OF_ANOTHER_NODE = 3
+_READINESS_PERIOD_US = 50_000
+
 
-def say(line):
+def say(line: str) -> None:
     """One line of signal on standard output."""
     print(line, flush=True)
 
 
 class Daemon:
-    """Runs one node: `make(daemon)` builds it, `ready(node)` tells readiness, `leave(node)` ends it."""
-
-    def __init__(self, prog, doc, core, make, leave):
+    """Runs one node from its settings to its end."""
+
+    def __init__(
+        self,
+        prog: str,
+        doc: str,
+        core: bool,
+        make: Callable[[Daemon], Any],
+        leave: Callable[[Any], Awaitable[None]],
+    ) -> None:
+        """Runs, as program `prog`, the node that `make(daemon)` builds and `leave(node)` ends."""
         self.prog, self.doc, self.core = prog, doc, core
         self._make, self._leave = make, leave
 
-    def main(self, argv=None):
+    def main(self, argv: Sequence[str] | None = None) -> int:
         """The program; returns the exit code."""
-        bad = []
+        faults: Sequence[Exception] = ()
         try:
             self.set = load(self.prog, self.doc, self.core, argv)
-        except* SettingsFault as g:
-            bad = g.exceptions
-        if bad:
-            for e in bad:
-                print(f"{self.prog}: settings declined: {e}", file=sys.stderr)
-            return 2
+        except* SettingsFault as group:
+            faults = group.exceptions
+        if faults:
+            for fault in faults:
+                print(f"{self.prog}: settings declined: {fault}", file=sys.stderr)
+            return _SETTINGS_DECLINED
         self._argv = argv
         self.log = logger(self.set.name, self.set.level)
         try:
@@ -47,26 +63,26 @@
                 say(f"settings of {self.set.name} are good")
                 return 0
             return asyncio.run(self._run())
-        except SettingsFault as e:
-            emit(self.log, 105, note=str(e))
-            return 2
-        except Misplaced as e:
-            emit(self.log, 105, note=e.note)
-            return 3
-        except OSError as e:
-            emit(self.log, 105, note=f"link or http: {e}")
-            return 2
-
-    async def _run(self):
+        except SettingsFault as fault:
+            emit(self.log, 105, note=str(fault))
+            return _SETTINGS_DECLINED
+        except Misplaced as fault:
+            emit(self.log, 105, note=fault.note)
+            return _DATA_OF_ANOTHER_NODE
+        except OSError as fault:
+            emit(self.log, 105, note=f"link or http: {fault}")
+            return _SETTINGS_DECLINED
+
+    async def _run(self) -> int:
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for s in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(s, stop.set)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
         self.clock, self.nest = Clock(), Nest(self.log)
-        h, p = self.set.link.rsplit(":", 1)
-        self.link = Link(self.clock, self.nest, self.log, h, int(p))
-        h, p = self.set.http.rsplit(":", 1)
-        self.face = self.make_face(h, int(p))
+        host, port = self.set.link.rsplit(":", 1)
+        self.link = Link(self.clock, self.nest, self.log, host, int(port))
+        host, port = self.set.http.rsplit(":", 1)
+        self.face = self.make_face(host, int(port))
         self.prepare()
         await self.link.start()
         node = None
@@ -93,35 +109,39 @@
             await self.nest.close()
         return 0
 
-    def make_face(self, host, port):
+    def make_face(self, host: str, port: int) -> Face:
         """The face that the node's routes are put on."""
         return Face(host, port, log=self.log)
 
-    def prepare(self):
+    def prepare(self) -> None:
         """Checks what must be checked before listening."""
 
-    def check(self):
+    def check(self) -> None:
         """Checks, for `--check`, what `prepare` would; changes nothing."""
 
-    def _mind(self, node):
-        if self.set.file:
-            again = functools.partial(load, self.prog, self.doc, self.core, self._argv)
-            w = Watch(self.clock, again, self.set, self._turned, self.log)
-            node.settings = w.status
-            self.nest.spawn(w.run())
-
-    def _turned(self, field, v):
+    def _mind(self, node: Any) -> None:  # noqa: ANN401 (any kind of node)
+        """Follows the settings file, if there is one."""
+        if not self.set.file:
+            return
+        again = functools.partial(load, self.prog, self.doc, self.core, self._argv)
+        watch = Watch(self.clock, again, self.set, self._turned, self.log)
+        node.settings = watch.status
+        self.nest.spawn(watch.run())
+
+    def _turned(self, field: str, value: Any) -> None:  # noqa: ANN401 (each field has its type)
+        """Takes a setting that changed while the node runs."""
         if field == "level":
-            turn_level(self.log, v)
-        elif field == "seeds" and v != "-":
-            self.seeds[:] = v
+            turn_level(self.log, value)
+        elif field == "seeds" and value != "-":
+            self.seeds[:] = value
         elif field == "platform":
-            self._node.duty.platform.turn(v)
+            self._node.duty.platform.turn(value)
 
-    async def _tell(self, node):
+    async def _tell(self, node: Any) -> None:  # noqa: ANN401 (any kind of node)
+        """Tells readiness on standard output whenever it changes."""
         was = False
         while True:
             if node.ready != was:
                 was = node.ready
                 say(f"{'ready' if was else 'unready'} name={self.set.name}")
-            await self.clock.sleep(50_000)
+            await self.clock.sleep(_READINESS_PERIOD_US)
--- a/src/petrelhaven/runtime/events.py
+++ b/src/petrelhaven/runtime/events.py
@@ -135,32 +135,33 @@
     903: ("error", "task fault", "report with the fields"),
 }
 
+_LINE = "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.channel} {record.message}"
 _LEVELS = {"info": logbook.INFO, "warning": logbook.WARNING, "error": logbook.ERROR}
 
 
-def logger(name, level="info"):
+def logger(name: str, level: str = "info") -> logbook.Logger:
     """A log of numbered events on standard error for the node `name`."""
     h = logbook.StreamHandler(
         sys.stderr,
         level="DEBUG",
         bubble=False,
-        format_string="{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.channel} {record.message}",
+        format_string=_LINE,
     )
     h.push_application()
     return logbook.Logger(name, logbook.lookup_level(level.upper()))
 
 
-def turn_level(log, level):
+def turn_level(log: logbook.Logger, level: str) -> None:
     """Sets the least level of a running log."""
     log.level = logbook.lookup_level(level.upper())
 
 
-def emit(log, number, /, **fields):
+def emit(log: logbook.Logger | None, number: int, /, **fields: object) -> None:
     """Writes event `number` with its fields."""
     if log is None:
         return
-    lv, title, _ = EVENTS[number]
+    level, title, _ = EVENTS[number]
     log.log(
-        _LEVELS[lv],
+        _LEVELS[level],
         "E{:03d} {}{}".format(number, title, "".join(f" {k}={v}" for k, v in fields.items())),
     )
--- a/src/petrelhaven/runtime/file_watch.py
+++ b/src/petrelhaven/runtime/file_watch.py
@@ -1,30 +1,60 @@
-"""Watches a settings file: a change is checked whole, taken live as far as it can be, otherwise shown as waiting."""
+"""Watches a settings file: a change is checked whole and taken live as far as it can be."""
+
+from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
 
 from petrelhaven.runtime.events import emit
-from petrelhaven.runtime.settings import LIVE, SettingsFault
+from petrelhaven.runtime.settings import LIVE, Settings, SettingsFault
+
+if TYPE_CHECKING:
+    import logbook
+
+    from petrelhaven.runtime.clock import Clock
 
 __all__ = ["Watch"]
 
+_PERIOD_US = 300_000
+_FIELDS = ("name", "hall", "link", "http", "data", "path", *LIVE)
+
 
 class Watch:
-    """Looks at the file again and again. Running settings are replaced only by settings that are right as a whole."""
+    """Looks at the file again and again.
 
-    def __init__(self, clock, again, now, turn, log=None, gap_us=300_000):
+    Running settings are replaced only by settings that are right as a whole. `waiting` names fields
+    whose change waits for a restart, `declined` what is wrong with the newest file.
+    """
+
+    def __init__(  # noqa: PLR0913, PLR0917 (whoever runs it gives each)
+        self,
+        clock: Clock,
+        again: Callable[[], Settings],
+        now: Settings,
+        turn: Callable[[str, Any], object],
+        log: logbook.Logger | None = None,
+        gap_us: int = _PERIOD_US,
+    ) -> None:
+        """Follows the file of the running settings `now`.
+
+        `again` loads the settings anew, and `turn(field, value)` is told of each that changed live.
+        """
         self.clock, self.path, self.log, self.gap_us = clock, now.file, log, gap_us
         self._again, self._now, self._turn = again, now, turn
         self._mark = self._read()
-        self.waiting, self.declined = [], []
+        self.waiting: list[str] = []
+        self.declined: list[str] = []
 
-    def _read(self):
+    def _read(self) -> str:
+        """What tells one content of the file from another."""
         try:
-            with open(self.path, "rb") as h:
-                return hashlib.sha256(h.read()).hexdigest()
-        except OSError as e:
-            return f"unreadable: {e.strerror}"
+            with open(self.path, "rb") as file:
+                return hashlib.sha256(file.read()).hexdigest()
+        except OSError as fault:
+            return f"unreadable: {fault.strerror}"
 
-    async def run(self):
+    async def run(self) -> None:
         """Looks for good."""
         while True:
             await self.clock.sleep(self.gap_us)
@@ -33,30 +63,30 @@
                 self._mark = mark
                 self._take()
 
-    def _take(self):
-        bad = []
+    def _take(self) -> None:
+        self.declined = []
         try:
             new = self._again()
-        except* SettingsFault as g:
-            bad = [str(e) for e in g.exceptions]
-        if bad:
-            self.declined = bad
-            emit(self.log, 106, note="; ".join(bad))
+        except* SettingsFault as faults:
+            self.declined = [str(fault) for fault in faults.exceptions]
+        if self.declined:
+            emit(self.log, 106, note="; ".join(self.declined))
             return
-        self.declined = []
-        old = self._now
-        fields = ("name", "hall", "link", "http", "data", "path", *LIVE)
-        diff = [k for k in fields if getattr(new, k, None) != getattr(old, k, None)]
-        live = [k for k in diff if k in LIVE]
+        running = self._now
+        changed = [
+            field for field in _FIELDS if getattr(new, field, None) != getattr(running, field, None)
+        ]
+        live = [field for field in changed if field in LIVE]
         if live:
             emit(self.log, 107, fields=",".join(live))
-        for k in live:
-            setattr(old, k, getattr(new, k))
-            self._turn(k, getattr(new, k))
-        self.waiting = [k for k in diff if k not in LIVE]
+        for field in live:
+            value = getattr(new, field)
+            setattr(running, field, value)
+            self._turn(field, value)
+        self.waiting = [field for field in changed if field not in LIVE]
         if self.waiting:
             emit(self.log, 108, fields=",".join(self.waiting))
 
-    def status(self):
+    def status(self) -> dict[str, Any]:
         """What waits for a restart, and why the newest change was declined, if it was."""
         return {"file": self.path, "waiting": self.waiting, "declined": self.declined}
--- a/src/petrelhaven/runtime/settings.py
+++ b/src/petrelhaven/runtime/settings.py
@@ -1,18 +1,30 @@
-"""Checked settings of a daemon: from a file, overridden by flags; wrong ones stop the program before it listens."""
+"""Checked settings of a daemon, from a file and from flags, which override it.
+
+Wrong ones stop the program before it listens.
+"""
+
+from __future__ import annotations
 
 import argparse
 import re
 import sys
 import tomllib
+from collections.abc import Sequence
+from typing import Any
 
 from petrelhaven.runtime.limits import NAME, Word
 
 __all__ = ["LIVE", "Settings", "SettingsFault", "load"]
 
-_ADDR = re.compile(r"(\d{1,3}\.){3}\d{1,3}:\d{1,5}")
+_ADDRESS = re.compile(r"(\d{1,3}\.){3}\d{1,3}:\d{1,5}")
+_PORT_MOST = 65535
+_BYTE_MOST = 255
+_SEEDS_MOST = 7
+_FROM_STDIN = "-"
+_SEEDS_FAULT = "seeds: must be a list of different addresses, three as a rule"
 
 
-class SettingsFault(Exception):
+class SettingsFault(Exception):  # noqa: N818 (named as all faults here)
     """A field of the settings is wrong."""
 
 
@@ -34,46 +46,53 @@
     )
     name = Word(NAME, "a name of lower-case letters, digits and hyphens")
     hall = Word(NAME, "a name of lower-case letters, digits and hyphens")
-    link = Word(_ADDR, "an address like 127.0.0.1:7000")
-    http = Word(_ADDR, "an address like 127.0.0.1:8000")
-    platform = Word(_ADDR, "an address like 127.0.0.1:8000")
+    link = Word(_ADDRESS, "an address like 127.0.0.1:7000")
+    http = Word(_ADDRESS, "an address like 127.0.0.1:8000")
+    platform = Word(_ADDRESS, "an address like 127.0.0.1:8000")
     level = Word(re.compile("debug|info|warning|error"), "debug, info, warning or error")
     data = Word(re.compile(r"[^\0]+"), "a folder")
     path = Word(re.compile("held|kept"), "held or kept")
 
     @property
-    def seeds(self):
+    def seeds(self) -> list[str] | str:
         """The three seed addresses, or `-` to read them from standard input once listening."""
         return self._seeds
 
     @seeds.setter
-    def seeds(self, v):
-        if v == "-" or v == ["-"]:
-            self._seeds = "-"
+    def seeds(self, value: object) -> None:
+        if value in (_FROM_STDIN, [_FROM_STDIN]):
+            self._seeds = _FROM_STDIN
             return
-        if not isinstance(v, list) or not 1 <= len(v) <= 7 or len(set(map(str, v))) != len(v):
-            raise ValueError("seeds: must be a list of different addresses, three as a rule")
-        for i, a in enumerate(v):
-            if not isinstance(a, str) or not _ADDR.fullmatch(a):
+        if not isinstance(value, list) or not 1 <= len(value) <= _SEEDS_MOST:
+            raise ValueError(_SEEDS_FAULT)
+        if len(set(map(str, value))) != len(value):
+            raise ValueError(_SEEDS_FAULT)
+        for i, seed in enumerate(value):
+            if not isinstance(seed, str) or not _ADDRESS.fullmatch(seed):
                 raise ValueError(f"seeds[{i}]: must be an address like 127.0.0.1:7000")
-        self._seeds = v
+        self._seeds = value
 
 
 LIVE = ("level", "platform", "seeds")
-_STD = {"link": "127.0.0.1:0", "http": "127.0.0.1:0", "level": "info"}
+_DEFAULTS = {"link": "127.0.0.1:0", "http": "127.0.0.1:0", "level": "info"}
+_NEEDED = ("name", "hall", "link", "http", "seeds", "level")
+_NEEDED_OF_CORE = ("data", "platform", "path")
+_ADDRESSES = ("link", "http", "platform")
 
 
-def parser(prog, doc, core):
+def parser(prog: str, doc: str, core: bool) -> argparse.ArgumentParser:
     """The flags of a daemon."""
     p = argparse.ArgumentParser(
         prog=prog,
         description=doc,
-        epilog="Exit codes: 0 left in order, 2 settings declined, 3 the data folder belongs to another node.",
+        epilog="Exit codes: 0 left in order, 2 settings declined, "
+        "3 the data folder belongs to another node.",
     )
     p.add_argument(
         "--settings",
         metavar="FILE",
-        help="settings file (TOML); flags override it; changes of level, platform and seeds are taken live",
+        help="settings file (TOML); flags override it; "
+        "changes of level, platform and seeds are taken live",
     )
     p.add_argument(
         "--check",
@@ -91,7 +110,8 @@
     p.add_argument(
         "--seeds",
         metavar="IP:PORT,...",
-        help="three seed addresses, the same on every node; - reads them from standard input once listening",
+        help="three seed addresses, the same on every node; "
+        "- reads them from standard input once listening",
     )
     p.add_argument("--level", help="least level of log events (info)")
     if core:
@@ -100,58 +120,71 @@
         p.add_argument(
             "--path",
             metavar="held|kept",
-            help="held: sessions live with their connection; kept: edges keep them for each other (kept)",
+            help="held: sessions live with their connection; "
+            "kept: edges keep them for each other (kept)",
         )
     return p
 
 
-def load(prog, doc, core, argv=None):
-    """The checked Settings; otherwise a group of SettingsFaults, one a field."""
-    a = vars(parser(prog, doc, core).parse_args(argv))
-    d = dict(_STD)
-    f = a.pop("settings")
-    check = a.pop("check")
-    bad = []
-    if f:
-        try:
-            with open(f, "rb") as h:
-                d.update(tomllib.load(h))
-        except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as e:
-            raise ExceptionGroup("settings declined", [SettingsFault(f"settings: {e}")]) from None
-    d.update({k: v for k, v in a.items() if v is not None})
-    if isinstance(d.get("seeds"), str):
-        d["seeds"] = d["seeds"].split(",")
-    s = Settings()
-    s.file, s.check = f, check
+def load(prog: str, doc: str, core: bool, argv: Sequence[str] | None = None) -> Settings:
+    """The checked settings of a program, from its file and its flags.
+
+    Raises:
+        ExceptionGroup: of one SettingsFault for each field that is wrong.
+    """
+    flags = vars(parser(prog, doc, core).parse_args(argv))
+    file, check = flags.pop("settings"), flags.pop("check")
+    values = dict(_DEFAULTS)
+    if file:
+        values.update(_read_file(file))
+    values.update({name: value for name, value in flags.items() if value is not None})
+    if isinstance(values.get("seeds"), str):
+        values["seeds"] = values["seeds"].split(",")
     if core:
-        d.setdefault("path", "kept")
-    need = ["name", "hall", "link", "http", "seeds", "level"] + (
-        ["data", "platform", "path"] if core else []
-    )
-    for k in d:
-        if k not in need:
-            bad.append(f"{k}: unknown field")
-    for k in need:
-        if k not in d:
-            bad.append(f"{k}: missing")
+        values.setdefault("path", "kept")
+    settings = Settings()
+    settings.file, settings.check = file, check
+    needed = [*_NEEDED, *(_NEEDED_OF_CORE if core else ())]
+    faults = [f"{name}: unknown field" for name in values if name not in needed]
+    for name in needed:
+        if name not in values:
+            faults.append(f"{name}: missing")
             continue
         try:
-            setattr(s, k, d[k])
-            if k in ("link", "http", "platform"):
-                h, p = d[k].rsplit(":", 1)
-                if int(p) > 65535 or any(int(x) > 255 for x in h.split(".")):
-                    raise ValueError(f"{k}: no such address")
-        except ValueError as e:
-            bad.append(str(e))
-    if bad:
-        raise ExceptionGroup("settings declined", [SettingsFault(b) for b in bad])
-    return s
-
-
-def seeds_from_stdin():
-    """Reads seed addresses from one line of standard input."""
-    v = sys.stdin.readline().strip().split(",")
-    for x in v:
-        if not _ADDR.fullmatch(x):
-            raise SettingsFault("seeds: must be addresses like 127.0.0.1:7000")
-    return v
+            _set(settings, name, values[name])
+        except ValueError as fault:
+            faults.append(str(fault))
+    if faults:
+        raise ExceptionGroup("settings declined", [SettingsFault(fault) for fault in faults])
+    return settings
+
+
+def _read_file(path: str) -> dict[str, Any]:
+    try:
+        with open(path, "rb") as file:
+            return tomllib.load(file)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as fault:
+        faults = [SettingsFault(f"settings: {fault}")]
+        raise ExceptionGroup("settings declined", faults) from None
+
+
+def _set(settings: Settings, name: str, value: object) -> None:
+    """Sets a field; ValueError if its value is wrong."""
+    setattr(settings, name, value)
+    if name not in _ADDRESSES:
+        return
+    host, port = value.rsplit(":", 1)
+    if int(port) > _PORT_MOST or any(int(part) > _BYTE_MOST for part in host.split(".")):
+        raise ValueError(f"{name}: no such address")
+
+
+def seeds_from_stdin() -> list[str]:
+    """Reads seed addresses from one line of standard input.
+
+    Raises:
+        SettingsFault: the line is not addresses with commas between them.
+    """
+    seeds = sys.stdin.readline().strip().split(",")
+    if not all(_ADDRESS.fullmatch(seed) for seed in seeds):
+        raise SettingsFault("seeds: must be addresses like 127.0.0.1:7000")
+    return seeds
--- a/src/petrelhaven/runtime/wall_clock.py
+++ b/src/petrelhaven/runtime/wall_clock.py
@@ -1,37 +1,43 @@
 """Times of day: a node's own reading, and the interval that most readings agree on."""
 
 import time
+from collections.abc import Sequence
 
 __all__ = ["Wall", "agreed"]
 
+_OPENS, _CLOSES = -1, 1
+
 
 class Wall:
-    """This node's wall clock, which may be wrong and may step. The simulator gives each node its own."""
+    """This node's wall clock, which may be wrong and may step.
+
+    The simulator gives each node its own.
+    """
 
     __slots__ = ()
 
-    def now(self):
+    def now(self) -> int:
         """Microseconds of UTC since 1970, as this node believes."""
         return time.clock_gettime_ns(time.CLOCK_REALTIME) // 1000
 
 
-def agreed(intervals, least):
-    """From the lowest to the highest moment that at least `least` of the (low, high) intervals hold, or None.
+def agreed(intervals: Sequence[tuple[int, int]], least: int) -> tuple[int, int] | None:
+    """The interval of all moments that at least `least` of the (low, high) intervals hold, or None.
 
-    Marzullo's way: if `least` of them hold true time, the outcome does too.
+    This is Marzullo's algorithm: if `least` of them hold true time, the outcome does too.
     """
     ends = sorted(
-        [(lo, -1) for lo, hi in intervals if lo <= hi]
-        + [(hi, 1) for lo, hi in intervals if lo <= hi]
+        [(low, _OPENS) for low, high in intervals if low <= high]
+        + [(high, _CLOSES) for low, high in intervals if low <= high]
     )
-    n, low, high = 0, None, None
-    for at, kind in ends:
-        if kind < 0:
-            n += 1
-            if n >= least and low is None:
-                low = at
+    holding, low, high = 0, None, None
+    for moment, kind in ends:
+        if kind == _OPENS:
+            holding += 1
+            if holding >= least and low is None:
+                low = moment
         else:
-            if n >= least:
-                high = at
-            n -= 1
+            if holding >= least:
+                high = moment
+            holding -= 1
     return (low, high) if low is not None else None
