--- a/src/petrelhaven/proxy/reads/position.py
+++ b/src/petrelhaven/proxy/reads/position.py
@@ -1,6 +1,9 @@
-"""Places in a member's log, as proxies of the held path compare them."""
+"""Places in a member's log, as proxies compare them."""
 
-__all__ = ["Position"]
+__all__ = ["LogPosition", "Position"]
 
 Position = tuple[int, int]
-"""(term, number): a later one holds everything that an earlier one holds."""
+"""On the held path: (term, number). A later one holds everything that an earlier one holds."""
+
+LogPosition = int | Position
+"""On either path; a place is compared only with places of the same path."""
