--- a/src/petrelhaven/simulator/net.py
+++ b/src/petrelhaven/simulator/net.py
@@ -228,10 +228,16 @@
         self.net, self.a, self.b = net, a, b
         self.ab, self.ba = _Pipe(net, a, b), _Pipe(net, b, a)
         self.ca = Channel(
-            a.link, lambda raw: self.ab.send(lambda: self._feed(self.cb, raw)), lambda: self.shut(a)
+            a.link,
+            lambda raw: self.ab.send(lambda: self._feed(self.cb, raw)),
+            lambda: self.shut(a),
+            lambda: self.reset(a),
         )
         self.cb = Channel(
-            b.link, lambda raw: self.ba.send(lambda: self._feed(self.ca, raw)), lambda: self.shut(b)
+            b.link,
+            lambda raw: self.ba.send(lambda: self._feed(self.ca, raw)),
+            lambda: self.shut(b),
+            lambda: self.reset(b),
         )
         self.key = next(net.num)
         a.pipes[self.key] = self
@@ -254,6 +260,13 @@
         o, p, c = (self.b, self.ab, self.cb) if who is self.a else (self.a, self.ba, self.ca)
         p.send(c.lose)
 
+    def reset(self, who):
+        """One side closes by a reset: what a cut holds up of its bytes is lost."""
+        way = self.ab if who is self.a else self.ba
+        if self.net.is_cut(way.src.name, way.dst.name):
+            way.q.clear()
+        self.shut(who)
+
     def cut(self, silent):
         """A machine is gone."""
         for box, ch, p in ((self.a, self.ca, self.ba), (self.b, self.cb, self.ab)):
@@ -303,6 +316,8 @@
         net, to = self._box.net, self._box_of(addr)
         for way in ((self._box, to), (to, self._box)):
             await self.clock.sleep(int(net.delay(*way) * 1e6))
+            if net.refuses(way[0].name, way[1].name):
+                raise Unsent(addr)
             if (
                 net.is_cut(way[0].name, way[1].name)
                 or to.frozen
@@ -322,6 +337,7 @@
         self.loop, self.rng = loop, rng
         self.boxes = {}
         self.cuts = collections.Counter()
+        self.refusals = collections.Counter()
         self.silent = set()
         self.loss, self.double = 0.0, 0.0
         self.apart = apart_us / 2e6
@@ -353,6 +369,23 @@
 
         self.loop.call_later(us / 1e6, heal)
 
+    def refuses(self, a, b):
+        """Whether a cut from `a` to `b` answers new connections with a refusal in place of silence."""
+        return self.refusals[(a, b)] > 0
+
+    def refuse(self, a, b, us):
+        """Cuts the ways between `a` and `b` for a while and refuses connections meanwhile."""
+        self.cut(a, b, us)
+        ways = [w for x in a for y in b if x != y for w in ((x, y), (y, x))]
+        for w in ways:
+            self.refusals[w] += 1
+
+        def heal():
+            for w in ways:
+                self.refusals[w] -= 1
+
+        self.loop.call_later(us / 1e6, heal)
+
     async def trip(self, src, dst, fn, us, fresh=False):
         """Goes from `src` to `dst`, awaits `fn()` there and comes back; Late, Unsent or Unreached otherwise.
 
