--- a/tests/test_second_loss.py
+++ b/tests/test_second_loss.py
@@ -1,4 +1,4 @@
-"""A second loss right after a repair: the head of a new view goes, with its disk, before it has handed anything over."""
+"""A second loss right after a repair: the head of a new view goes, with its disk, before it handed anything over."""
 
 import asyncio
 
