--- a/src/petrelhaven/control/consensus/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from petrelhaven.runtime.errors import Deposed, Fault, Late, NotHead, NotReady
+from petrelhaven.control.consensus.peer_clocks import PeerClocks
+from petrelhaven.runtime.errors import Deposed, DiskRefused, Fault, Late, NotHead, NotReady
 from petrelhaven.runtime.events import emit
 
 __all__ = ["Chain", "CONFIRM_US", "DRIFT"]
@@ -10,6 +11,7 @@
 CONFIRM_US = 500_000
 DRIFT = 1.05
 _AWAIT_US = 150_000
+_PAUSE_US = 300_000
 
 
 class Chain:
@@ -32,6 +34,11 @@
         self.sparing = False
         self._turns = 0
         self.tied_at = {}
+        self.boot = clock.now()
+        self._ticked = clock.now()
+        self.pause = (0, 0)
+        self.peer_clocks = PeerClocks(clock)
+        self._granted = {}
         self.on_view = []
 
     @property
@@ -61,7 +68,12 @@
 
     @property
     def complete(self):
-        return self.view is not None and self.mem.done == self.view["n"] and self._at() is not None
+        return (
+            self.view is not None
+            and self.mem.done == self.view["n"]
+            and self._at() is not None
+            and not self.mem.refuses
+        )
 
     @property
     def ruling(self):
@@ -77,9 +89,13 @@
         """Takes a decided view if it is newer."""
         if view is None or self.view and view["n"] <= self.view["n"]:
             return
-        self.view = view
         newer = not self.mem.vote["value"] or self.mem.vote["value"]["n"] < view["n"]
-        self.mem.put_vote(ids=view["ids"], **({"value": view} if newer else {}))
+        self.mem.put_vote(
+            done=view["n"] if self._holds_all_of(view) else None,
+            ids=view["ids"],
+            **({"value": view} if newer else {}),
+        )
+        self.view = view
         self.confirmed = 0
         self.adopted = self.clock.now()
         self.active_at = self.clock.now() + int(self.confirm_us * DRIFT)
@@ -88,14 +104,68 @@
             self._feeder.cancel()
             self._feeder = None
         at = self._at()
-        if at == 0:
-            self.mem.put_done(view["n"])
         if at is not None and at + 1 < len(view["chain"]):
             self._feeder = self.nest.spawn(self._feed(view, view["chain"][at + 1]))
         for f in self.on_view:
             f()
+        self._ask_others()
+        self._wake()
         self._settle()
 
+    def former_cores(self):
+        """The cores, by disk, that may still rule when the next view is proposed; None where that isn't known."""
+        if self.clock.now() >= self.active_at:
+            return [self.view["ids"]]
+        before = self.view.get("before")
+        return None if before is None else [*before, self.view["ids"]]
+
+    def granted_ages(self):
+        """For each core, how long ago this one last confirmed a view to it."""
+        now = self.clock.now()
+        return {name: now - at for name, at in self._granted.items()}
+
+    def lapse_by(self, told, at):
+        """Ends the wait after a new view as soon as every core of a former one has lapsed.
+
+        `told` is what the cores of this view said of themselves by the moment `at` or before, since the view was
+        adopted. A core rules under an older view only for `confirm_us` after a majority confirmed that to it. Of any
+        majority of a former view's cores, one confirmed to it last; once they all hold the newer view, none will again.
+        """
+        before = self.view.get("before")
+        if before is None:
+            return
+        n, lapsed_at = self.view["n"], at
+        for ids in before:
+            moved = [
+                r
+                for r in told
+                if ids.get(r["name"]) == r["disk"] and r["view"] is not None and r["view"]["n"] >= n
+            ]
+            for core in ids:
+                others = [r for r in moved if r["name"] != core]
+                if any(r["name"] == core for r in moved):
+                    continue
+                if len(others) <= len(ids) // 2:
+                    return
+                age = min(r["granted_us"].get(core, r["up_us"]) for r in others)
+                lapsed_at = max(lapsed_at, at + int(self.confirm_us * DRIFT) - age)
+        self.active_at = min(self.active_at, lapsed_at)
+
+    def _holds_all_of(self, view):
+        """Whether this core holds all that is committed by the time `view` begins.
+
+        The head of a view does, and so does a core that was complete in the view before and stays in the chain:
+        what was committed there is on every core of that chain.
+        """
+        if view["ids"].get(self.me) != self.mem.disk or self.me not in view["chain"]:
+            return False
+        return view["chain"][0] == self.me or self.mem.done == view["n"] - 1
+
+    def _wake(self):
+        """Lets whoever waits for a commit look again."""
+        moved, self._moved = self._moved, asyncio.Event()
+        moved.set()
+
     def _settle(self):
         if self.tail and self.complete:
             self._committed(self.realm.seq)
@@ -104,8 +174,7 @@
     def _committed(self, seq):
         if seq > self.commit:
             self.commit = seq
-            e, self._moved = self._moved, asyncio.Event()
-            e.set()
+            self._wake()
             for f in self.on_commit:
                 f()
 
@@ -114,23 +183,60 @@
         while self.commit < seq:
             await self._moved.wait()
 
+    def keeps(self, seq, view):
+        """Whether the record that this core holds as number `seq` is the one that was entered in `view`.
+
+        A number alone names no record: what a head entered and could not commit is replaced by another head's records.
+        """
+        if seq == self.realm.seq:
+            return self.mem.mark == view
+        return any(
+            number == seq and entered == view for number, entered, _ in reversed(self.mem.recs)
+        )
+
+    async def settled(self, seq, view):
+        """Waits until record `seq` of `view` is committed here; NotReady once it may have been replaced."""
+        while True:
+            if not self.keeps(seq, view):
+                raise NotReady("another record took the number; read back to see the outcome")
+            if self.commit >= seq:
+                return
+            if self._at() is None:
+                raise NotReady("not in the chain any more; read back to see the outcome")
+            await self._moved.wait()
+
     async def confirm(self):
         """Keeps asking the other cores whether this view is still theirs."""
         while True:
-            v = self.view
-            if v:
-                now = self.clock.now()
-                self._sent[self.me] = now
-                others = [n for n in v["ids"] if n != self.me]
-                if self.sparing and self.clock.now() < self.confirmed - self.confirm_us // 2:
-                    self._turns += 1
-                    others = [
-                        others[(self._turns + i) % len(others)] for i in range(len(v["ids"]) // 2)
-                    ]
-                for n in others:
-                    self.nest.spawn(self._ask(n, v["n"], now))
-                self._count(v)
+            self._ask_others()
+            self._ticked = self.clock.now()
             await self.clock.sleep(self.ask_us)
+            self.note_pause()
+
+    def _ask_others(self):
+        """Asks the other cores of the view; only as many as needed while this one is surely confirmed."""
+        v = self.view
+        if not v:
+            return
+        now = self.clock.now()
+        self._sent[self.me] = now
+        others = [n for n in v["ids"] if n != self.me]
+        if self.sparing and now < self.confirmed - self.confirm_us // 2:
+            self._turns += 1
+            others = [others[(self._turns + i) % len(others)] for i in range(len(v["ids"]) // 2)]
+        for n in others:
+            self.nest.spawn(self._ask(n, v["n"], now))
+        self._count(v)
+
+    def note_pause(self):
+        """Notes when this process last stood still, and for how long; it should have asked every `ask_us`."""
+        stood_us = self.clock.now() - self._ticked - self.ask_us
+        if stood_us > _PAUSE_US:
+            self.pause = (self.clock.now(), stood_us)
+
+    async def ask(self, name):
+        """Asks one core whether this view is still its own."""
+        await self._ask(name, self.view["n"], self.clock.now())
 
     async def _ask(self, name, n, at):
         try:
@@ -139,6 +245,7 @@
             )
         except Fault:
             return
+        self.peer_clocks.note(name, r["boot"], r["clock"])
         if r["view"] and self.view and r["view"]["n"] > self.view["n"]:
             self.adopt(r["view"])
         elif r["ok"] and self.view["n"] == n:
@@ -155,8 +262,16 @@
         """Answers another core's view.confirm: no, once a newer view was accepted here."""
         v = self.mem.vote["value"]
         self.tied_at[b["name"]] = (self.clock.now(), b["tied"])
-        ok = bool(v and v["n"] == b["n"] and v["ids"].get(self.me) == self.mem.disk)
-        return {"ok": ok, "view": self.view if self.view and self.view["n"] > b["n"] else None}
+        ok = bool(
+            v
+            and v["n"] == b["n"]
+            and v["ids"].get(self.me) == self.mem.disk
+            and not self.mem.refuses
+        )
+        if ok:
+            self._granted[b["name"]] = self.clock.now()
+        newer = self.view if self.view and self.view["n"] > b["n"] else None
+        return {"ok": ok, "view": newer, "boot": self.boot, "clock": self.clock.now()}
 
     async def enter(self, rec, horizon=8_000_000):
         """Numbers, checks and commits a record; this core must be the active head."""
@@ -172,9 +287,9 @@
             self.mem.put_rec(seq, n, rec)
             self._news.set()
             self._settle()
-        await self.clock.limit(self.until(seq), horizon)
+        await self.clock.limit(self.settled(seq, n), horizon)
         while not self.active:
-            if self.view["n"] != n and not self.head:
+            if self.mem.refuses or self.view["n"] != n and not self.head:
                 raise NotReady("the view changed; read back to see the outcome")
             await self.clock.sleep(30_000)
         what = ("name", "group", "hall", "state", "role") if rec["t"] == "member" else ()
@@ -237,10 +352,13 @@
         v = self.view
         if v is None or v["n"] != b["view"] or not self._at():
             raise Deposed(f"view {v['n'] if v else 0}")
+        if self.mem.refuses:
+            raise DiskRefused("the disk of this core refuses writes")
         if b["prev"] >= 0:
             if b["frame"] is not None:
                 if b["prev"] != self.realm.seq or b["mark"] != self.mem.mark:
                     self.mem.reset(b["frame"], b["mark"])
+                    self._wake()
             elif (b["prev"], b["mark"]) == (self.realm.seq, self.mem.mark):
                 for s, n, r in b["recs"]:
                     self.mem.put_rec(s, n, r)
--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -1,4 +1,4 @@
-"""A core machine of the path where sessions live with their connection: ledger, warden, edges' ties."""
+"""A core machine of the path where sessions live with their connection: ledger, failover, edges' ties."""
 
 import asyncio
 
@@ -6,8 +6,9 @@
 from petrelhaven.control.consensus.chain import DRIFT
 from petrelhaven.control.consensus.edge_survey import Muster
 from petrelhaven.control.core import _ADDR, Core
-from petrelhaven.control.failover.warden import Warden
+from petrelhaven.control.failover.coordinator import FailoverCoordinator
 from petrelhaven.control.leases import TiedDesk
+from petrelhaven.control.orders import ANSWER_US, OrderRouter
 from petrelhaven.control.state.ledger import Ledger
 from petrelhaven.runtime.errors import Duplicate, Fault, Late, Malformed, NotReady, Stale
 from petrelhaven.runtime.limits import NAME
@@ -26,7 +27,9 @@
     "slots": int,
     "count": int,
 }
-_HEARD_US = 900_000
+_FORCED_US = 20_000_000
+_OWN_US = 8_000_000
+_SPREAD_US = 20_000
 _LATE_US = 3_000_000
 _YOUNG_US = 1_500_000
 _TOLD_US = 3_000_000
@@ -67,6 +70,7 @@
         self.muster = Muster(clock, nest, log)
         super().__init__(name, hall, seeds, clock, nest, link, disk, rng, platform, log)
         self.founds = founds and link.addr in seeds
+        self.orders = OrderRouter(clock, self.chain, self.reach, name, self.roster.state)
         self.chain.sparing = True
         self.roster.quiet = 12
         self.prober.join_us = 6_000_000
@@ -74,6 +78,7 @@
         self._news = asyncio.Event()
         self.roster.on_turn.append(lambda *_: self._news.set())
         self.chain.on_view.append(self._news.set)
+        self.chain.on_view.append(lambda: nest.spawn(self._ask_who_moved()))
         self.chain.on_commit.append(self._committed)
 
     @property
@@ -101,8 +106,8 @@
         return TiedDesk(self.clock, self.nest, self.chain, self.call, self.log, lapse)
 
     def make_duty(self, platform):
-        """The warden of all offices."""
-        return Warden(self, platform)
+        """The duty that keeps a primary in office for each group."""
+        return FailoverCoordinator(self, platform)
 
     def handlers(self):
         """What edges and other cores ask."""
@@ -111,7 +116,7 @@
             "chain.force": self.desk.force,
             "tie.pulse": self._pulse,
             "warden.doubt": self._doubted,
-            "warden.look": self.duty.looked,
+            "warden.look": self.duty.answer_look,
             "wall.read": self._wall_read,
             "tie.wall": self._true_time,
         }
@@ -132,23 +137,29 @@
         except Late:
             pass
 
+    def wake(self):
+        """Ends the rest between two looks at the other cores."""
+        self._news.set()
+
     def _there(self, n):
         """A core that this one has not met since its start may be starting too."""
         young = self.clock.now() - self._born < _YOUNG_US
         return super()._there(n) or young and self.roster.state(n) is None
 
     def informed(self):
-        """Once every other core of the view has told that it rules no older one, nothing is waited for."""
-        v = self.chain.view
-        if v is None or self.chain.active_at <= self.clock.now():
+        """After a new view: what the others tell may end the wait for the cores of the former one."""
+        chain, now = self.chain, self.clock.now()
+        if chain.view is None or chain.active_at <= now:
             return
-        ns = {
-            r["name"]: r["view"]["n"] if r["view"] else v["n"]
-            for at, r in self._infos.values()
-            if r and at >= self.chain.adopted
-        }
-        if all(ns.get(n, -1) >= v["n"] for n in v["ids"] if n != self.name):
-            self.chain.active_at = self.clock.now()
+        told = [r for at, r in self._infos.values() if r and at >= chain.adopted]
+        chain.lapse_by([*told, self.told()], now)
+
+    async def _ask_who_moved(self):
+        """Asks the others for what ends the wait after a new view, once they may have heard of it."""
+        await self.clock.sleep(_SPREAD_US)
+        if self.chain.active_at > self.clock.now():
+            for address in self.others():
+                self.nest.spawn(self._info(address))
 
     def others(self):
         """The seeds, and every core that is known by now."""
@@ -173,7 +184,13 @@
                 self._gone_at.pop(n, None)
             else:
                 self._gone_at.setdefault(n, now)
-        new = [n for n in sorted(infos) if n not in v["ids"] and self.roster.state(n) == "alive"]
+        new = [
+            n
+            for n in sorted(infos)
+            if n not in v["ids"]
+            and self.roster.state(n) == "alive"
+            and self.disk_watch.takes_writes(n)
+        ]
         if not new or not self.chain.active:
             return
         ids = dict(v["ids"])
@@ -248,19 +265,28 @@
     async def _doubted(self, ch, b):
         self.duty.doubt(b["group"], b["member"], b["how"])
 
+    async def enter(self, rec, force=True, within_us=_FORCED_US):
+        """Enters a record at the head, wherever that is or moves to; with `force`, returns once it is in force."""
+        return await self.orders.submit(rec, force, within_us, lambda b: self._enter(None, b))
+
+    async def realm(self, within_us=_OWN_US):
+        """The control state as the tail answers it."""
+        return await self.orders.read(within_us)
+
     async def _enter(self, ch, b):
+        self.orders.check(b["bound"])
         try:
             return await super()._enter(ch, b)
         except (Duplicate, Stale) as e:
             seq = self.chain.realm.seq
-            await self.clock.limit(self.chain.until(seq), 5_000_000)
+            await self.clock.limit(self.chain.settled(seq, self.chain.mem.mark), 5_000_000)
             if not self.chain.active:
                 raise NotReady("not the active head any more") from None
             if b["force"] and isinstance(e, Duplicate):
                 await self.desk.in_force(seq)
             raise
 
-    async def apply(self, text, by="", retire=True):
+    async def apply(self, text, by="", retire=True, within_us=_OWN_US):
         """Checks and applies a manifest; returns once it is on every disk of the view."""
         m = read(text)
         rec = {
@@ -273,14 +299,32 @@
         if m.embargoing or m.embargoes:
             r = await self.embargoes.apply(m, rec)
         else:
-            r = await self.enter(rec, False)
+            r = await self.enter(rec, False, within_us)
         return {"version": m.version, "change": r["seq"]}
 
-    async def hall_to(self, hall, state, by=""):
+    async def hall_to(self, hall, state, by="", within_us=_OWN_US):
         """Empties or restores a hall."""
-        r = await self.enter({"t": "hall", "hall": hall, "state": state, "by": by}, False)
+        rec = {"t": "hall", "hall": hall, "state": state, "by": by}
+        r = await self.enter(rec, False, within_us)
         return {"hall": hall, "state": state, "change": r["seq"]}
 
+    async def elect(self, group: str, member: str, office: int, by: str = "") -> dict:
+        """Records an operator's order to elect `member` although acknowledged commits may be lost.
+
+        `office` is the number of the waiting office that the operator saw: an order that was held
+        up on its way finds another number and is declined.
+        """
+        order = {
+            "t": "evidence",
+            "group": group,
+            "what": "order",
+            "member": member,
+            "n": office,
+            "by": by or "operator",
+        }
+        answer = await self.enter(order, False)
+        return {"group": group, "member": member, "change": answer["seq"]}
+
     async def announce(self, doc):
         """Takes a member's announcement; what it changes is on the chain before this returns."""
         for k, t in _FACTS.items():
@@ -307,21 +351,30 @@
         if m and all(
             m.get(k) == rec[k] for k in ("group", "hall", "addr", "role", "state", "slots")
         ):
-            if not self.chain.ruling:
-                raise NotReady("not confirmed by a majority")
-            return
+            return await self._confirm_ledger()
         await self._heard(rec)
 
     async def depart(self, member):
         """A member says that it ends."""
         m = self.chain.realm.doc["members"].get(member)
         self.heard.pop(member, None)
-        if m is not None and m["state"] != "gone":
-            await self._heard({"t": "member", "name": member, "state": "gone", "addr": m["addr"]})
+        if m is None or m["state"] == "gone":
+            return await self._confirm_ledger()
+        await self._heard({"t": "member", "name": member, "state": "gone", "addr": m["addr"]})
+
+    async def _confirm_ledger(self):
+        """Returns once all that this core's ledger says is committed, and a majority has confirmed this core since.
+
+        A head, or any core before the tail, holds records that are not committed yet and may go with it.
+        """
+        chain = self.chain
+        await self.clock.limit(chain.settled(chain.realm.seq, chain.mem.mark), ANSWER_US)
+        if not chain.ruling:
+            raise NotReady("not confirmed by a majority")
 
     async def _heard(self, rec):
         try:
-            await self.clock.limit(self.enter(rec, False), _HEARD_US)
+            await self.enter(rec, False, ANSWER_US)
         except (Duplicate, Stale):
             pass
 
--- a/src/petrelhaven/transport/contracts.py
+++ b/src/petrelhaven/transport/contracts.py
@@ -117,10 +117,18 @@
     "view.ask",
     Repeat.SAFE,
     "name:string",
-    "name:string disk:string fresh:boolean view:doc done:long held:long commit:long",
+    "name:string disk:string fresh:boolean view:doc done:long held:long commit:long "
+    "up_us:long granted_us:longs",
 )
 _contract("view.learn", Repeat.SAFE, "view:doc")
-_contract("view.confirm", Repeat.SAFE, "name:string n:long tied:long", "ok:boolean view:doc")
+_contract(
+    "view.confirm",
+    Repeat.SAFE,
+    "name:string n:long tied:long",
+    "ok:boolean view:doc boot:long clock:long",
+)
+# Heard late it would hold for a while again; the teller repeats it by itself while it is true.
+_contract("disk.turned", Repeat.NEVER, "name:string refuses:boolean")
 
 # Control: the chain. Records are numbered by the head, so an append is void the second time;
 # entering a record is not.
@@ -133,7 +141,7 @@
 _contract(
     "chain.enter",
     Repeat.NEVER,
-    "rec:doc force:boolean",
+    "rec:doc force:boolean bound:doc",
     "seq:long forced:boolean doc:doc",
 )
 _contract("chain.read", Repeat.SAFE, "what:doc", "doc:doc")
