--- a/tests/test_control_days.py
+++ b/tests/test_control_days.py
@@ -11,6 +11,8 @@
 from petrelhaven.simulator.held import control_scenes as scenes
 from petrelhaven.simulator.held import control_storm as storm
 from petrelhaven.simulator.held.control_fleet import ControlFleet
+from petrelhaven.simulator.held.control_judge import judge_orders
+from petrelhaven.simulator.held.operator_order import ConfigOrder, OrderRecord
 from petrelhaven.simulator.held.storm import inside
 
 SIZES = pytest.mark.parametrize("losses", [1, 2], ids=["three", "five"])
@@ -47,6 +49,22 @@
     assert "OLDER READ" in rules(played(scenes.core_cut_off, 1, place=TAIL))
 
 
+def test_a_refusal_is_a_violation_unless_another_content_was_answered_under_the_number():
+    def record(text, **kw):
+        return OrderRecord(ConfigOrder(5, text), 1.0, ended=2.0, **kw)
+
+    refused = record("a", refusals=["c1: 409"])
+    assert rules(judge_orders([refused], [], [])) == {"REFUSED ORDER"}
+    again = record("a", answered=1.5, taken=True)
+    assert rules(judge_orders([refused, again], [], [])) == {"REFUSED ORDER"}
+    another = record("b", answered=1.5)
+    assert judge_orders([refused, another], [], []) == []
+    assert rules(judge_orders([refused, another, again], [], [])) == {
+        "REFUSED ORDER",
+        "TWO CONFIRMED",
+    }
+
+
 @SIZES
 def test_raced_orders_sent_again_after_lost_answers_are_never_refused_nor_confirmed_twice(losses):
     assert played(scenes.orders_raced_and_sent_again, losses) == []
