Proxy daemon and diff: whole names, types; the core daemon's class loses its old program name

Cause: commands/proxy and commands/diff were untyped and in single letters; _Crux was the former name of petrelhaven-control.

What they print and their exit codes are unchanged.

--- a/src/petrelhaven/commands/control.py
+++ b/src/petrelhaven/commands/control.py
@@ -68,7 +68,7 @@
     await core.drain()
 
 
-class _Crux(Daemon):
+class _ControlDaemon(Daemon):
     def make_face(self, host, port):
         """The face of the path that this core runs."""
         return (
@@ -109,7 +109,7 @@
 def main(argv=None):
     """Runs a core until it is told to stop."""
     sys.exit(
-        _Crux(
+        _ControlDaemon(
             "petrelhaven-control",
             "Core daemon: keeps the manifest, the epochs and the leases.",
             True,
--- a/src/petrelhaven/commands/diff.py
+++ b/src/petrelhaven/commands/diff.py
@@ -3,62 +3,81 @@
 import argparse
 import asyncio
 import sys
+from collections.abc import Sequence
+from typing import Any
 
 from petrelhaven.runtime.errors import Fault
 from petrelhaven.transport.http import fetch
 
 __all__ = ["differences", "main"]
 
+_COMPARED = ("manifest", "digest", "halls", "edges", "epochs", "members", "kith", "seq")
+_ANSWER_US = 3_000_000
+_NO_ANSWER = 3
 
-def _walk(a, b, path, out):
-    if isinstance(a, dict) and isinstance(b, dict):
-        for k in sorted(set(a) | set(b)):
-            _walk(a.get(k), b.get(k), f"{path}.{k}" if path else k, out)
-    elif a != b:
-        out.append((path, a, b))
+Belief = dict[str, Any]
+Difference = tuple[str, Any, Any]
 
 
-def differences(a, b):
-    """Rows of (path, belief of a, belief of b)."""
-    out = []
-    for k in ("manifest", "digest", "halls", "edges", "epochs", "members", "kith", "seq"):
-        if k in a and k in b:
-            _walk(a[k], b[k], k, out)
-    if a.get("view") and b.get("view"):
-        _walk(a["view"], b["view"], "view", out)
-    return out
+def _walk(first: object, second: object, path: str, found: list[Difference]) -> None:
+    """Adds to `found` where two documents differ, by the path of each value."""
+    if isinstance(first, dict) and isinstance(second, dict):
+        for key in sorted(set(first) | set(second)):
+            _walk(first.get(key), second.get(key), f"{path}.{key}" if path else key, found)
+    elif first != second:
+        found.append((path, first, second))
 
 
-async def _run(a, b):
+def differences(first: Belief, second: Belief) -> list[Difference]:
+    """Rows of (path, belief of the first, belief of the second)."""
+    found: list[Difference] = []
+    for key in _COMPARED:
+        if key in first and key in second:
+            _walk(first[key], second[key], key, found)
+    if first.get("view") and second.get("view"):
+        _walk(first["view"], second["view"], "view", found)
+    return found
+
+
+async def _beliefs(first: str, second: str) -> list[Belief]:
     return await asyncio.gather(
-        fetch(a, "GET", "/belief", us=3_000_000), fetch(b, "GET", "/belief", us=3_000_000)
+        *[fetch(address, "GET", "/belief", us=_ANSWER_US) for address in (first, second)]
     )
 
 
-def main(argv=None):
-    """Prints the differences; exits 0 where there are none, 1 where there are, 3 where a node does not answer."""
-    p = argparse.ArgumentParser(
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
         prog="petrelhaven-diff",
-        description="Compares the manifest version, epochs, membership and plan that two nodes hold.",
+        description="Compares the manifest version, epochs, membership and plan "
+        "that two nodes hold.",
         epilog="Exit codes: 0 the same, 1 they differ, 2 wrong call, 3 a node did not answer.",
     )
-    p.add_argument("a", metavar="IP:PORT")
-    p.add_argument("b", metavar="IP:PORT")
-    x = p.parse_args(argv)
+    parser.add_argument("a", metavar="IP:PORT")
+    parser.add_argument("b", metavar="IP:PORT")
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    """Prints the differences.
+
+    Exits 0 where there are none, 1 where there are, 3 where a node does not answer.
+    """
+    nodes = _parser().parse_args(argv)
     try:
-        a, b = asyncio.run(_run(x.a, x.b))
-    except Fault as e:
-        print(f"petrelhaven-diff: {e.code}: {e.note}", file=sys.stderr)
-        sys.exit(3)
-    ds = differences(a, b)
-    for path, u, v in ds:
-        print(f"{path}: {a['name']} {u!r}, {b['name']} {v!r}")
-    if not ds:
+        first, second = asyncio.run(_beliefs(nodes.a, nodes.b))
+    except Fault as fault:
+        print(f"petrelhaven-diff: {fault.code}: {fault.note}", file=sys.stderr)
+        sys.exit(_NO_ANSWER)
+    found = differences(first, second)
+    for path, one, other in found:
+        print(f"{path}: {first['name']} {one!r}, {second['name']} {other!r}")
+    if not found:
+        epochs = ", ".join(f"{name} epoch {epoch['n']}" for name, epoch in first["epochs"].items())
         print(
-            f"{a['name']} and {b['name']} agree: manifest {a['manifest']}, change {a['seq']}, "
-            + ", ".join(f"{g} epoch {e['n']}" for g, e in a["epochs"].items())
+            f"{first['name']} and {second['name']} agree: "
+            f"manifest {first['manifest']}, change {first['seq']}, {epochs}"
         )
-    sys.exit(1 if ds else 0)
+    sys.exit(1 if found else 0)
 
 
 if __name__ == "__main__":
--- a/src/petrelhaven/commands/proxy.py
+++ b/src/petrelhaven/commands/proxy.py
@@ -1,7 +1,8 @@
-"""petrelhaven-proxy: the edge daemon."""
+"""petrelhaven-proxy: the proxy daemon of the kept path."""
 
 import random
 import sys
+from collections.abc import Sequence
 
 from petrelhaven.proxy.kept_edge import Edge
 from petrelhaven.proxy.kept_interface import EdgeFace
@@ -11,39 +12,38 @@
 __all__ = ["main"]
 
 
-def _make(d):
-    s = d.set
-    e = Edge(
-        s.name,
-        s.hall,
-        d.seeds,
-        d.clock,
-        d.nest,
-        d.link,
+def _make(daemon: Daemon) -> Edge:
+    settings = daemon.set
+    edge = Edge(
+        settings.name,
+        settings.hall,
+        daemon.seeds,
+        daemon.clock,
+        daemon.nest,
+        daemon.link,
         random.SystemRandom(),
-        Wire(d.clock, d.nest),
-        log=d.log,
+        Wire(daemon.clock, daemon.nest),
+        log=daemon.log,
     )
-    EdgeFace(e, d.face)
-    return e
+    EdgeFace(edge, daemon.face)
+    return edge
 
 
-async def _leave(e):
-    await e.drain()
-    await e.wire.close()
+async def _leave(edge: Edge) -> None:
+    await edge.drain()
+    await edge.wire.close()
 
 
-def main(argv=None):
-    """Runs an edge until it is told to stop; then its sessions are handed over."""
-    sys.exit(
-        Daemon(
-            "petrelhaven-proxy",
-            "Edge daemon: holds visitors' sessions and serves their statements.",
-            False,
-            _make,
-            _leave,
-        ).main(argv)
+def main(argv: Sequence[str] | None = None) -> None:
+    """Runs a proxy until it is told to stop; then its sessions are handed over."""
+    daemon = Daemon(
+        "petrelhaven-proxy",
+        "Edge daemon: holds visitors' sessions and serves their statements.",
+        False,
+        _make,
+        _leave,
     )
+    sys.exit(daemon.main(argv))
 
 
 if __name__ == "__main__":
