--- /dev/null
+++ b/tests/test_platform_orders.py
@@ -0,0 +1,104 @@
+"""The operator's calls at a core on the platform: what each outcome of an order is answered with."""
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
+
+from core import Control  # noqa: E402
+from petrelhaven.control.orders import ANSWER_US  # noqa: E402
+from petrelhaven.runtime.errors import (  # noqa: E402
+    Duplicate,
+    Invalid,
+    Late,
+    NotReady,
+    Stale,
+    Taken,
+)
+from petrelhaven.transport.light_http import LightFace, _Request  # noqa: E402
+
+CONFIGURATION = json.dumps(
+    {
+        "Revision": 7,
+        "Limits": {},
+        "Services": [{"Name": "db", "HealthPath": "/health"}],
+        "Routes": [
+            {"Hostname": "h", "PathPrefix": "/", "Service": "db", "TimeoutMs": 800, "TargetMs": 300}
+        ],
+    }
+).encode()
+
+
+class Seat:
+    """A core whose orders all have one outcome; it notes how long each may take."""
+
+    def __init__(self, fault):
+        self.fault, self.within = fault, []
+
+    async def _answer(self, within_us):
+        self.within.append(within_us)
+        if self.fault:
+            raise self.fault
+
+    async def apply(self, text, by="", within_us=0):
+        await self._answer(within_us)
+
+    async def hall_to(self, hall, state, by="", within_us=0):
+        await self._answer(within_us)
+
+    async def realm(self, within_us=0):
+        await self._answer(within_us)
+
+
+def answers(fault):
+    async def go():
+        seat, face = Seat(fault), LightFace("127.0.0.1", 0)
+        Control(seat, SimpleNamespace(zones=["a", "b"], zone="a", control="h:1"), None, face)
+        replace = await face.answer(_Request("POST", "/v1/Config.Replace", CONFIGURATION))
+        begin = await face.answer(_Request("POST", "/v1/Evacuations.Begin/a", b""))
+        finish = await face.answer(_Request("POST", "/v1/Evacuations.Finish/a", b""))
+        assert seat.within == [ANSWER_US] * 3 and ANSWER_US < 1_000_000
+        if fault:
+            fetch = await face.answer(_Request("GET", "/v1/Config.Fetch", b""))
+            assert seat.within[3] == ANSWER_US and (fetch[0], fetch[2]) == (begin[0], begin[2])
+        return [
+            (status, dict(heads).get("Retry-After"))
+            for status, _, heads in (replace, begin, finish)
+        ]
+
+    return asyncio.run(go())
+
+
+def test_an_order_that_was_taken_is_acknowledged_as_often_as_it_comes():
+    assert answers(None) == [(200, None)] * 3
+
+
+@pytest.mark.parametrize(
+    ("fault", "replace"),
+    [
+        (Duplicate("version 7 is accepted already"), 200),
+        (Stale("version 9 is in force"), 200),
+        (Taken("version 7 is taken by another manifest"), 409),
+        (Invalid("manifest declined"), 422),
+    ],
+)
+def test_a_configuration_that_is_not_above_the_one_held(fault, replace):
+    async def go():
+        face = LightFace("127.0.0.1", 0)
+        Control(Seat(fault), SimpleNamespace(zones=["a"], zone="a", control="h:1"), None, face)
+        return (await face.answer(_Request("POST", "/v1/Config.Replace", CONFIGURATION)))[0]
+
+    assert asyncio.run(go()) == replace
+
+
+@pytest.mark.parametrize(
+    "fault", [NotReady("no majority of the cores answers"), Late("not confirmed yet")]
+)
+def test_without_an_outcome_the_caller_is_told_when_to_come_again(fault):
+    for status, back in answers(fault):
+        assert status in (503, 504) and back == "1"
