The lapse of a former view is reckoned from each core's answer once

Cause: Seat.informed hands Chain.lapse_by what the cores told since the view was adopted and what this core says of itself; a core that is its own seed has asked itself, too. It then counted twice, and one core alone was more than half of the others that have to have moved: the view became active while a core of the former one still ruled. Mend: one answer a name.

--- a/src/petrelhaven/control/consensus/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -135,10 +135,12 @@
         if before is None:
             return
         n, lapsed_at = self.view["n"], at
+        # This core is among those it asked, too: each counts once.
+        by_name = {r["name"]: r for r in told}
         for ids in before:
             moved = [
                 r
-                for r in told
+                for r in by_name.values()
                 if ids.get(r["name"]) == r["disk"] and r["view"] is not None and r["view"]["n"] >= n
             ]
             for core in ids:
--- a/tests/test_control_model.py
+++ b/tests/test_control_model.py
@@ -121,6 +121,20 @@
     assert result.acknowledged > 400
 
 
+def test_a_core_that_asked_itself_counts_once_when_the_lapse_of_a_former_view_is_reckoned():
+    steps = [
+        Step(66, "kill", 0, 0, 582),
+        Step(839, "replace", 3, 6, 20_000),
+        Step(0, "read", 4, 0, 819),
+        Step(286, "lose", 3, 0, 20_000),
+        Step(575, "burst", 3, 5, 2865),
+        Step(0, "lose", 1, 6, 109),
+        Step(28, "slow", 1, 6, 20_000),
+        Step(66, "kill", 0, 0, 582),
+    ]
+    assert play(Shape(3, 8192), steps, 2).broken == {}
+
+
 MUTANTS = {
     "vote_not_kept": (
         "every core is ready again after calm",
