--- a/src/petrelhaven/transport/reach.py
+++ b/src/petrelhaven/transport/reach.py
@@ -62,7 +62,7 @@
     ) -> dict[str, Any]:
         """Calls through up to two other nodes, one after the other."""
         once = repeat_of(relayed["kind"], relayed["body"]) is Repeat.NEVER
-        for relay in self._relays(name)[:_RELAYS]:
+        for relay in self._best_first(name, self._relays(name))[:_RELAYS]:
             us = end - self.clock.now()
             if us <= 0:
                 break
@@ -79,16 +79,20 @@
         raise Unreached(name) if may_have_left else Unsent(name)
 
     def _relays(self, name: str) -> list[str]:
-        """Living nodes that may see `name`, those of other halls than the two ends first."""
-        peers, now = self.roster.peers, self.clock.now()
-        halls = {self.roster.hall, peers[name].hall if name in peers else ""}
-        relays = [
+        """Living nodes that may see `name`."""
+        now = self.clock.now()
+        return [
             relay
             for relay in self.roster.living()
             if relay != name
             and self._bad.get(relay, 0) <= now
             and self.roster.state(relay) == "alive"
         ]
+
+    def _best_first(self, name: str, relays: list[str]) -> list[str]:
+        """The relays of other halls than the two ends before the others, drawn by lot among each."""
+        peers = self.roster.peers
+        halls = {self.roster.hall, peers[name].hall if name in peers else ""}
         return sorted(relays, key=lambda relay: (peers[relay].hall in halls, self.rng.random()))
 
     async def _relayed(self, channel: Any, call: dict[str, Any]) -> dict[str, Any]:
