--- a/src/petrelhaven/membership/prober.py
+++ b/src/petrelhaven/membership/prober.py
@@ -86,7 +86,9 @@
             "news": [self.roster.me().to_wire()],
         }
         for name in self.roster.living()[:most]:
-            self.link.tell(self.roster.addr_of(name), _ACK, body)
+            address = self.roster.addr_of(name)
+            if address is not None:
+                self.link.tell(address, _ACK, body)
 
     async def _join(self) -> None:
         while True:
--- a/src/petrelhaven/runtime/errors.py
+++ b/src/petrelhaven/runtime/errors.py
@@ -10,7 +10,8 @@
 class Fault(Exception):  # noqa: N818 (codes on the wire speak of faults)
     """Base of all faults. `back` is the retry-after in microseconds, where a later try can help.
 
-    `answered` says that the other side of a call answered with this fault: the call has certainly arrived there.
+    `answered` says that the other side of a call answered with this fault: the call has certainly
+    arrived there.
     """
 
     code = "fault"
--- a/src/petrelhaven/runtime/events.py
+++ b/src/petrelhaven/runtime/events.py
@@ -122,7 +122,7 @@
     343: (
         "error",
         "group waits: nobody is proved to hold every acknowledged commit",
-        "bring the member named or the primary back; or accept the loss with `petrelhavenctl elect`",
+        "bring the member named or the primary back; or accept the loss: `petrelhavenctl elect`",
     ),
     344: (
         "error",
--- a/src/petrelhaven/transport/reach.py
+++ b/src/petrelhaven/transport/reach.py
@@ -93,7 +93,7 @@
         ]
 
     def _best_first(self, name: str, relays: list[str]) -> list[str]:
-        """The relays of other halls than the two ends before the others, drawn by lot among each."""
+        """Relays of other halls than the two ends come first; drawn by lot among each."""
         peers = self.roster.peers
         halls = {self.roster.hall, peers[name].hall if name in peers else ""}
         return sorted(relays, key=lambda relay: (peers[relay].hall in halls, self.rng.random()))
--- a/tests/test_failover_evidence.py
+++ b/tests/test_failover_evidence.py
@@ -28,6 +28,8 @@
     database=None,
     suppress_health_check=list(HealthCheck),
 )
+# A guard taken out may need a rare schedule, so more are drawn where one must be found.
+DRAWN_FOR_GUARDS = settings(DRAWN, max_examples=10_000)
 PICK = st.integers(0, 1 << 16)
 
 
@@ -262,7 +264,7 @@
 def test_a_proof_with_a_part_taken_out_is_seen_to_lose(mutant):
     broken = type("Broken", (Group,), {"check": staticmethod(mutant)})
     with pytest.raises(AssertionError, match="lacks"):
-        run_state_machine_as_test(broken, settings=DRAWN)
+        run_state_machine_as_test(broken, settings=DRAWN_FOR_GUARDS)
 
 
 @pytest.mark.parametrize(
@@ -275,7 +277,7 @@
 def test_a_record_that_is_not_kept_is_seen_to_lose(monkeypatch, change, keeps):
     monkeypatch.setattr(module.Evidence, change, keeps)
     with pytest.raises(AssertionError, match="lacks"):
-        run_state_machine_as_test(Group, settings=DRAWN)
+        run_state_machine_as_test(Group, settings=DRAWN_FOR_GUARDS)
 
 
 def row(position, held=2):
