Cores leave one at a time while successors wait; the dead are let go of after 1 s

Cause: two planned replacements close together left no majority of three cores (both leavers went at once while their disks still counted), and five cores replaced without a word, never more than two lost, left none either: the time that a core had been gone began anew with each head and was 2.5 s. A leaver keeps its vote until the view no longer names it, and two go one after the other; how long a core has been gone is read from each core's own roster; one that said that it leaves is let go of at once, another after 1 s. Ruled out: swapping one for the other in one view (majorities before and after need not meet).

--- a/src/petrelhaven/control/core.py
+++ b/src/petrelhaven/control/core.py
@@ -10,6 +10,7 @@
 from petrelhaven.control.consensus.disk_watch import DiskWatch
 from petrelhaven.control.consensus.reform import Reform
 from petrelhaven.control.consensus.register import Proposer, Voter
+from petrelhaven.control.departure import Departure
 from petrelhaven.control.leases import Desk
 from petrelhaven.control.storage.core_store import CoreStore
 from petrelhaven.membership.prober import Prober
@@ -406,21 +407,9 @@
         """The control state as this core alone holds it: no majority says that it is the newest."""
         return self.chain.realm.doc
 
-    async def drain(self, us=3_000_000):
-        """Leaves: says so, goes on until the others have put this core out of the view, or cannot."""
-        emit(self.log, 103, name=self.name)
-        end = self.clock.now() + us
-        while self.clock.now() < end:
-            self.prober.leave()
-            v = self.chain.view
-            if (
-                v is None
-                or self.name not in v["chain"]
-                or len(v["chain"]) <= len(v["ids"]) // 2 + 1
-            ):
-                break
-            await self.clock.sleep(100_000)
-        emit(self.log, 104, name=self.name)
+    async def drain(self):
+        """Leaves in order: returns once the others go on without this core, or cannot."""
+        await Departure(self).run()
 
     def announce(self, doc):
         """Takes a member's announcement after checking it."""
--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -33,7 +33,7 @@
 _LATE_US = 3_000_000
 _YOUNG_US = 1_500_000
 _TOLD_US = 3_000_000
-_DEAD_US = 2_500_000
+_DEAD_US = 1_000_000
 _TIED_US = 3_500_000
 
 
@@ -64,7 +64,6 @@
     ):
         self._wall_clock, self._embargoes = wall, None
         self.wire, self.beat_us, self._most = wire, beat_us, 2 * losses + 1
-        self._gone_at = {}
         self._born = clock.now()
         self.heard, self.tied = {}, {}
         self.muster = Muster(clock, nest, log)
@@ -178,12 +177,6 @@
 
         Any majority before such a change meets any majority after it. How many count follows from what may be lost.
         """
-        now = self.clock.now()
-        for n in v["ids"]:
-            if self.roster.state(n) in ("alive", "suspect") or n == self.name:
-                self._gone_at.pop(n, None)
-            else:
-                self._gone_at.setdefault(n, now)
         new = [
             n
             for n in sorted(infos)
@@ -197,15 +190,23 @@
         if len(ids) < self._most:
             ids[new[0]] = infos[new[0]]["disk"]
             return await self.propose(v, v["chain"] + new[:1], ids, f"took in {new[0]}")
-        dead = [
-            n for n in ids if n not in v["chain"] and now - self._gone_at.get(n, now) > _DEAD_US
-        ]
+        dead = [n for n in ids if n not in v["chain"] and self._is_lost(n)]
         if dead and len(v["chain"]) > (len(ids) - 1) // 2:
             del ids[dead[0]]
             await self.propose(
                 v, v["chain"], ids, f"let go of {dead[0]}, which {new[0]} is to replace"
             )
 
+    def _is_lost(self, n):
+        """Whether a core that is out of the chain may be let go of: it left, or has been gone for a while.
+
+        That is taken from this core's own roster, so the time runs on where the head changes.
+        """
+        gone_for = self.roster.gone_for(n)
+        if gone_for is not None:
+            return self.roster.departed(n) or gone_for > _DEAD_US
+        return self.roster.state(n) is None and self.clock.now() - self._born > _DEAD_US
+
     async def frames(self):
         """The ledgers that living edges hold, by their names; edges are met as they come round."""
         return await self.muster.gather()
--- a/src/petrelhaven/membership/peer.py
+++ b/src/petrelhaven/membership/peer.py
@@ -15,7 +15,8 @@
     """A peer with an explicit state; `turn` is the one function that changes it.
 
     `since` is when its state last changed and `heard` when it last spoke to this node itself (clock
-    microseconds); `spread` counts how often this news was passed on.
+    microseconds); `spread` counts how often this news was passed on; `departed` tells that it said
+    itself that it leaves.
     """
 
     __slots__ = (
@@ -28,6 +29,7 @@
         "since",
         "spread",
         "heard",
+        "departed",
         "__dict__",
     )
     state: str
@@ -55,6 +57,7 @@
         self.since = now
         self.spread = 0
         self.heard = _NEVER_US
+        self.departed = False
         self._machine.add_model(self)
 
     def turn(self, state: str, incarnation: int, now: int) -> None:
@@ -63,6 +66,7 @@
             self.hear()
         getattr(self, self._TRIGGER[state])()
         self.inc, self.since, self.spread = incarnation, now, 0
+        self.departed = self.departed and state == GONE
 
     def news(self) -> PeerNews:
         """What this node says of the peer."""
--- a/src/petrelhaven/membership/roster.py
+++ b/src/petrelhaven/membership/roster.py
@@ -106,6 +106,19 @@
             return
         peer.role, peer.hall, peer.addr = news.role, news.zone, news.address
         self._turn(peer, news.state, news.incarnation)
+        peer.departed = news.state == GONE and news.address == source
+
+    def gone_for(self, name: str) -> int | None:
+        """Microseconds since peer `name` counts as gone; None if it does not, or is not known."""
+        peer = self.peers.get(name)
+        if peer is None or peer.state != GONE:
+            return None
+        return self.clock.now() - peer.since
+
+    def departed(self, name: str) -> bool:
+        """Whether peer `name` said to this node itself that it leaves, and has not come back."""
+        peer = self.peers.get(name)
+        return peer is not None and peer.departed
 
     def _is_hearsay(self, peer: Peer, news: PeerNews, source: str | None) -> bool:
         """Whether others say what the peer's own words to this node contradict."""
--- a/src/petrelhaven/simulator/held/control_answer.py
+++ b/src/petrelhaven/simulator/held/control_answer.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from petrelhaven.control.seat import Seat
-from petrelhaven.runtime.errors import Duplicate, Fault, Stale
+from petrelhaven.runtime.errors import Duplicate, Fault, Stale, Taken
 from petrelhaven.simulator.held.operator_order import ConfigOrder, EvacuationOrder
 
 __all__ = ["Answer", "AnswerKind", "answer_order"]
@@ -43,6 +43,8 @@
         await seat.clock.limit(_carry_out(seat, order), _ACK_US)
     except Duplicate as e:
         return Answer(AnswerKind.TAKEN_BEFORE, 200, e.note)
+    except Taken as e:
+        return Answer(AnswerKind.REFUSED, e.status, e.note)
     except Stale as e:
         if isinstance(order, ConfigOrder) and e.more.get("version", 0) > order.version:
             return Answer(AnswerKind.OLDER, 200, e.note)
