--- a/src/petrelhaven/simulator/held/control_answer.py
+++ b/src/petrelhaven/simulator/held/control_answer.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass
 
+from petrelhaven.control.orders import ANSWER_US
 from petrelhaven.control.seat import Seat
 from petrelhaven.runtime.errors import Duplicate, Fault, Stale, Taken
 from petrelhaven.simulator.held.operator_order import ConfigOrder, EvacuationOrder
@@ -57,6 +58,6 @@
 
 async def _carry_out(seat: Seat, order: ConfigOrder | EvacuationOrder) -> None:
     if isinstance(order, ConfigOrder):
-        await seat.apply(order.text, by="operator")
+        await seat.apply(order.text, by="operator", within_us=ANSWER_US)
     else:
-        await seat.hall_to(order.hall, order.state, by="operator")
+        await seat.hall_to(order.hall, order.state, by="operator", within_us=ANSWER_US)
