Without a lease, a commit is passed on only once a known replica shows its position

Cause: a primary is cut off with its zone. Its release starts a successor inside the cut, which takes the primary's log and counts for SyncReplicas before control has heard of it. Proxies inside the cut pass the commits' success on, while the core hears every replica that it knows, pauses them and elects one without the commits.

Change: where a group has SyncReplicas and this proxy holds no lease when the success of a write, or of a COMMIT that wrote, arrives, all known members but the one that answered are asked for STATUS at once. The first that shows the position in the same term is enough; after 400 ms or at the request's end the reply is `unsure`. A log of a later term doesn't count: an earlier primary's last records may lack there. With a lease nothing is asked or awaited.

Ruled out: refusing all commits without a lease (they hold where a known replica has them); counting any member that answers, since an unknown one is the fault.

The guard begins where the lease lapses, so the first 1.2 to 1.5 s of a cut stay open.

tests/test_unleased_commits.py fails without the change (six cases of no proof).

--- a/src/petrelhaven/proxy/routing/group.py
+++ b/src/petrelhaven/proxy/routing/group.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Collection, Generator
 from typing import TYPE_CHECKING, Any
 
 from petrelhaven.control.failover.evidence import NO_POSITION
@@ -12,6 +12,7 @@
 from petrelhaven.proxy.reads.read_clock import ReadClock
 from petrelhaven.proxy.routing.leadership import Leadership
 from petrelhaven.proxy.routing.member import Member
+from petrelhaven.proxy.routing.waiting import first_done
 from petrelhaven.runtime.errors import Fault, Gone, Late, Unreached, Unsent
 
 if TYPE_CHECKING:
@@ -31,6 +32,7 @@
 _OPEN_US = 450_000
 _RECENTLY_HEARD_US = 350_000
 _ROLLBACK_US = 500_000
+_REPLICA_PROOF_US = 400_000
 _DARK_US = 4_000_000
 _NEVER_US = 1 << 60
 
@@ -310,6 +312,47 @@
         self._proxy.count["fetched_others"] += 1
         return highest
 
+    def needs_replica_proof(self) -> bool:
+        """Whether a commit's success counts only once a replica known here shows it.
+
+        A replica that control does not know of may have been the one that the primary waited for.
+        """
+        return self.sync_replicas > 0 and not self._proxy.tie.holds
+
+    def replica_holds(
+        self, position: Position | None, answered: Member, end: int
+    ) -> Generator[asyncio.Future, None, bool]:
+        """Whether a known replica shows `position` by STATUS within a short bound or by `end`.
+
+        All known members but `answered` are asked at once, the first that shows it is enough. A
+        log of a later term does not show it: what an earlier primary wrote last may lack there.
+        """
+        end = min(end, self._clock.now() + _REPLICA_PROOF_US)
+        if position is None or self._proxy.nest.shut:
+            return False
+        pending = {
+            self._proxy.nest.spawn(self._status(member))
+            for member in self.members.values()
+            if member.name != answered.name
+        }
+        while pending:
+            left_us = end - self._clock.now()
+            if left_us <= 0:
+                return False
+            yield first_done(self._clock, pending, left_us)
+            done = {task for task in pending if task.done()}
+            pending -= done
+            if any(self._shows(task, position) for task in done):
+                return True
+        return False
+
+    @staticmethod
+    def _shows(task: asyncio.Task[dict[str, Any]], position: Position) -> bool:
+        if task.cancelled() or task.exception() is not None:
+            return False
+        shown = task.result()["pos"]
+        return shown[0] == position[0] and shown >= position
+
     def close(self) -> None:
         """The group left the configuration."""
         for member in self.members.values():
--- a/src/petrelhaven/proxy/routing/held_transactions.py
+++ b/src/petrelhaven/proxy/routing/held_transactions.py
@@ -62,7 +62,7 @@
             if reply is None:
                 return self._connection_lost(request)
             if reply.ok:
-                return self._succeeded(request, attempt, reply)
+                return (yield from self._finish(request, attempt, reply))
             left_us = request.end - self._clock.now()
             if not self._may_repeat(reply) or left_us <= pause_us:
                 return self._failed(request, reply)
@@ -161,6 +161,20 @@
             transaction.wrote = True
         return reply
 
+    def _finish(
+        self, request: Request, attempt: Attempt, reply: Reply
+    ) -> Generator[asyncio.Future, None, Reply]:
+        """A success; a commit's that no replica known here shows counts as a lost answer."""
+        transaction = request.session.transaction
+        wrote = request.statement.verb == "commit" and transaction.wrote
+        if wrote and transaction.group.needs_replica_proof():
+            shown = yield from transaction.group.replica_holds(
+                reply.pos, attempt.member, request.end
+            )
+            if not shown:
+                return self._connection_lost(request)
+        return self._succeeded(request, attempt, reply)
+
     @staticmethod
     def _proves_position(transaction: Transaction, attempt: Attempt, commits: bool) -> bool:
         """Whether only a primary that leads can have given this reply."""
--- a/src/petrelhaven/proxy/routing/held_writes.py
+++ b/src/petrelhaven/proxy/routing/held_writes.py
@@ -62,11 +62,24 @@
             if reply is None and attempt.sent:
                 return self._answer_lost(attempt)
             if reply is not None and reply.code not in _NOT_RUN:
-                if reply.ok and reply.pos:
-                    group.note_position(attempt, reply.pos)
-                return reply
+                return (yield from self._finish(request, attempt, reply))
             pause_us = yield from self._before_retry(group, attempt, reply, left_us, pause_us)
 
+    def _finish(
+        self, request: Request, attempt: Attempt, reply: Reply
+    ) -> Generator[asyncio.Future, None, Reply]:
+        """The member's final reply, or `unsure` for a success that no replica known here shows."""
+        group = request.group
+        if reply.ok and group.needs_replica_proof():
+            shown = yield from group.replica_holds(reply.pos, attempt.member, request.end)
+            if not shown:
+                self._proxy.count["unsure"] += 1
+                emit(self._proxy.log, 420, member=attempt.member.name)
+                return Reply(code="unsure", text="no known replica shows the write")
+        if reply.ok and reply.pos:
+            group.note_position(attempt, reply.pos)
+        return reply
+
     def _before_retry(
         self,
         group: MemberGroup,
--- /dev/null
+++ b/tests/test_unleased_commits.py
@@ -0,0 +1,211 @@
+"""Without a lease, a commit's success is passed on only once a known replica shows it."""
+
+import collections
+import types
+
+import pytest
+
+from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.proxy.reads.read_clock import Order
+from petrelhaven.proxy.routing.group import MemberGroup
+from petrelhaven.proxy.routing.held_transactions import HeldTransactions
+from petrelhaven.proxy.routing.held_writes import HeldWrites
+from petrelhaven.proxy.routing.request import Request
+from petrelhaven.proxy.session.statement import Reply
+from petrelhaven.runtime.clock import Clock, Nest
+
+WRITTEN = (1, 241)
+SHORT, EVEN, AHEAD, LATER_TERM = (1, 233), (1, 241), (1, 250), (2, 300)
+REQUEST_US = 2_000_000
+
+
+class _Connection:
+    lost = False
+
+    def __init__(self, position, delay_us, asked, clock):
+        self._position, self._delay_us, self._asked = position, delay_us, asked
+        self._clock = clock
+
+    async def own(self, verb):
+        self._asked.append(verb)
+        await self._clock.sleep(self._delay_us)
+        return {"role": "replica", "term": 1, "pos": self._position, "held": 0}
+
+    def close(self):
+        self.lost = True
+
+
+class _Wire:
+    """Opens connections to replicas whose logs are at `logs`."""
+
+    def __init__(self, logs, delays, clock):
+        self._logs, self._delays, self._clock = logs, delays, clock
+        self.asked = []
+
+    async def open(self, address, group, member, limit_us):
+        return _Connection(self._logs[member], self._delays.get(member, 0), self.asked, self._clock)
+
+
+class _Calls:
+    """A member that answers every write and commit with success at `WRITTEN`."""
+
+    async def send(self, request, attempt, flight, left_us):
+        attempt.sent = True
+        return Reply(pos=WRITTEN, state="I")
+
+    async def send_pinned(self, connection, session, statement):
+        return Reply(pos=WRITTEN, state="I")
+
+    def outcome(self, group, attempt):
+        return attempt.task.result()
+
+
+class _Pool:
+    def __init__(self):
+        self.given, self.dropped = [], []
+
+    def give(self, connection):
+        self.given.append(connection)
+
+    def drop(self, connection):
+        self.dropped.append(connection)
+
+
+class _Session:
+    mark, settled, transaction = "I", False, None
+
+    def settle(self):
+        self.settled = True
+
+
+def _proxy(logs, holds, delays):
+    clock = Clock()
+    return types.SimpleNamespace(
+        clock=clock,
+        nest=Nest(),
+        order=Order(),
+        log=None,
+        tie=types.SimpleNamespace(holds=holds, edges=3, doubt=lambda *_: None),
+        wire=_Wire(logs, delays, clock),
+        near=lambda zone: 0,
+        drain_us=0,
+        empty_us=0,
+        count=collections.Counter(),
+        bounds=lambda: types.SimpleNamespace(fetch_us=150_000, join_us=2_000_000, lanes=2),
+    )
+
+
+def _group(proxy, logs, sync_replicas):
+    ledger = Ledger()
+    for index, name in enumerate(["p", *logs]):
+        row = {"t": "member", "name": name, "group": "g", "hall": "a", "role": "replica"}
+        row |= {"addr": f"10.0.0.{index}:1", "state": "ready", "slots": 5, "count": 1}
+        ledger.apply(index + 1, row)
+    office = {"t": "office", "group": "g", "n": 1, "phase": "serve", "primary": "p", "term": 1}
+    ledger.apply(ledger.seq + 1, office | {"cause": ""})
+    group = MemberGroup("g", proxy)
+    group.sync_replicas = sync_replicas
+    group.turn(ledger, True)
+    return group
+
+
+class _Case:
+    """One write or COMMIT answered with success, and what the proxy passed on."""
+
+    def __init__(self, kind, logs, holds=False, sync_replicas=1, delays=(), wrote=True):
+        self.proxy = _proxy(logs, holds, dict(delays))
+        self.group = _group(self.proxy, logs, sync_replicas)
+        self.session, self.pool = _Session(), _Pool()
+        self._kind, self._wrote = kind, wrote
+
+    async def run(self):
+        clock = self.proxy.clock
+        began = clock.now()
+        verb = "commit" if self._kind == "commit" else "put"
+        statement = types.SimpleNamespace(verb=verb, writes=True)
+        request = Request(self.session, statement, None, self.group, began + REQUEST_US)
+        if self._kind == "commit":
+            member = types.SimpleNamespace(name="p", pool=self.pool)
+            member.last_heard = member.failures = member.down_until = 0
+            member.note_log = lambda position: None
+            self.session.transaction = types.SimpleNamespace(
+                connection=types.SimpleNamespace(lost=False),
+                member=member,
+                group=self.group,
+                wrote=self._wrote,
+                reads=False,
+            )
+            path = HeldTransactions(self.proxy, _Calls(), None)
+        else:
+            path = HeldWrites(self.proxy, _Calls())
+        reply = await _drive(path.run(request))
+        self.took_us = clock.now() - began
+        return reply
+
+
+async def _drive(steps):
+    try:
+        while True:
+            await next(steps)
+    except StopIteration as end:
+        return end.value
+
+
+KINDS = pytest.mark.parametrize("kind", ["write", "commit"])
+
+
+@KINDS
+@pytest.mark.parametrize("log", [SHORT, LATER_TERM])
+def test_a_success_that_no_known_replica_shows_is_unsure(warp, kind, log):
+    async def go():
+        case = _Case(kind, {"m1": SHORT, "m2": log})
+        reply = await case.run()
+        assert (reply.code, case.proxy.count["unsure"]) == ("unsure", 1)
+        if kind == "commit":
+            assert case.session.settled
+            assert case.session.transaction is None
+            assert (len(case.pool.given), len(case.pool.dropped)) == (0, 1)
+
+    warp(go())
+
+
+@KINDS
+@pytest.mark.parametrize("log", [EVEN, AHEAD])
+def test_one_known_replica_that_shows_it_is_enough(warp, kind, log):
+    async def go():
+        case = _Case(kind, {"m1": SHORT, "m2": log}, delays={"m1": 10_000_000})
+        assert (await case.run()).ok
+        assert case.proxy.count["unsure"] == 0
+        assert case.took_us < 100_000
+
+    warp(go())
+
+
+@KINDS
+def test_silent_replicas_are_not_waited_for_longer_than_the_bound(warp, kind):
+    async def go():
+        case = _Case(kind, {"m1": EVEN, "m2": EVEN}, delays={"m1": 10**7, "m2": 10**7})
+        assert (await case.run()).code == "unsure"
+        assert case.took_us < 600_000
+
+    warp(go())
+
+
+@KINDS
+@pytest.mark.parametrize(("holds", "sync_replicas"), [(True, 1), (False, 0)])
+def test_with_a_lease_or_without_sync_replicas_no_status_is_asked(warp, kind, holds, sync_replicas):
+    async def go():
+        case = _Case(kind, {"m1": SHORT}, holds, sync_replicas)
+        assert (await case.run()).ok
+        assert case.proxy.wire.asked == []
+
+    warp(go())
+
+
+def test_a_commit_that_wrote_nothing_needs_no_proof(warp):
+    async def go():
+        case = _Case("commit", {"m1": SHORT}, wrote=False)
+        assert (await case.run()).ok
+        assert case.proxy.wire.asked == []
+
+    warp(go())
