A promotion once requested is on record; an answer amid a move needs a replica's proof

Shown by test_unleased_commits (a lease regained amid a move, an earlier term: both failed first). Ruled out: the move taken back by the same head, which waits 2.5 s or 5 s after every request that may have been accepted.

Change: the office's record names the members that were requested (PromotionRequests); each request has a fence of its own; nobody serves beside a pending request for another member: it is fenced off, its time waited for with all replicas paused. A move once requested goes on rather than back. A success is passed on without proof only if control confirmed within 400 ms (Tie.confirmed; pulses come each 250 ms) that the answering member is in office and not of a later term. This also narrows the window of a cut with a new member inside it from the lease's 1.5 s. Tests changed: the fence is the newest move record's number, one later than before; 'unsent' means that nothing left, so the test of fencing in uses 'lost'; the replaced office is one number later (test_seatface).

--- a/src/petrelhaven/control/failover/coordinator.py
+++ b/src/petrelhaven/control/failover/coordinator.py
@@ -31,7 +31,6 @@
 
     Attributes:
         why: For each group that waits, the reason.
-        asked: Groups for which the platform was asked for a promotion since the office settled.
         heirs: The member that is to take each moving office over; it must go on receiving.
     """
 
@@ -39,11 +38,10 @@
         self.core, self.platform = core, platform
         self.clock = core.clock
         self.why: dict[str, str] = {}
-        self.asked: set[str] = set()
         self.heirs: dict[str, str] = {}
         self.observer = Observer(core)
         self.answer_look = self.observer.answer
-        self._log = core.log
+        self.log = core.log
         self._tasks = {}
         self._doubts: dict[str, str] = {}
         self._calm_until = {}
@@ -131,7 +129,7 @@
             try:
                 await work(group, *args)
             except Fault as e:
-                emit(self._log, 307, what=group, fault=e.code, note=e.note)
+                emit(self.log, 307, what=group, fault=e.code, note=e.note)
                 await self.clock.sleep(_FAULT_PAUSE_US)
             finally:
                 self._tasks.pop(group, None)
@@ -202,6 +200,7 @@
         stuck: bool = False,
         position: Position | None = None,
         accepted_loss: str = "",
+        requested: Iterable[str] = (),
     ) -> int:
         """Enters a record of the office; its number is the fence of what follows."""
         office = self._offices.get(group)
@@ -220,9 +219,11 @@
             record["pos"] = list(position)
         if accepted_loss:
             record["accepted_loss"] = accepted_loss
+        if requested:
+            record["requested"] = list(requested)
         number = await self.core.chain.enter(record)
         event = 320 if phase == "serve" else 321
-        emit(self._log, event, group=group, phase=phase, primary=primary, term=term, cause=cause)
+        emit(self.log, event, group=group, phase=phase, primary=primary, term=term, cause=cause)
         return number
 
     async def record_counted_out(self, group: str, member: str, position: Position | None) -> None:
@@ -236,14 +237,14 @@
         }
         await self.core.chain.enter(record)
         if position is not None:
-            emit(self._log, 340, group=group, member=member, pos=position)
+            emit(self.log, 340, group=group, member=member, pos=position)
         else:
-            emit(self._log, 341, group=group, member=member)
+            emit(self.log, 341, group=group, member=member)
 
     def waits(self, group: str, reason: str) -> None:
         """Notes why a group waits, and tells it once."""
         if self.why.get(group) != reason:
-            emit(self._log, 328, group=group, note=reason)
+            emit(self.log, 328, group=group, note=reason)
         self.why[group] = reason
 
     async def _look_into(self, group: str, facts: dict, doubt: str) -> None:
@@ -251,7 +252,7 @@
         primary = self.office(group)["primary"]
         survey = await self.observer.survey(primary, facts)
         seen = ",".join(survey.seen)
-        emit(self._log, 327, group=group, primary=primary, doubt=doubt, seen=seen)
+        emit(self.log, 327, group=group, primary=primary, doubt=doubt, seen=seen)
         if survey.up:
             if survey.says_replica:
                 await self._find_primary(group)
@@ -288,10 +289,6 @@
 
     async def _move(self, group: str, planned: bool, cause: str) -> None:
         self.why.pop(group, None)
-        if self.office(group)["phase"] == "serve":
-            self.asked.discard(group)
-        else:
-            self.asked.add(group)
         await OfficeMove(self, group, planned, cause).run()
 
     async def settled(
--- a/src/petrelhaven/control/failover/departures.py
+++ b/src/petrelhaven/control/failover/departures.py
@@ -174,7 +174,7 @@
         if handle is None:
             return
         async with self._coordinator.pause_lock(group):
-            if self._coordinator.heirs.get(group) == name:
+            if self._may_be_promoted(group, name):
                 return
             recorded = self._evidence(group).counted_out.get(name)
             row = await handle.status()
@@ -188,6 +188,12 @@
             if row is not None and row.position != recorded:
                 await self._record(group, name, row.position)
 
+    def _may_be_promoted(self, group: str, name: str) -> bool:
+        """Whether the member is to take over, or was asked for by whoever was the head before."""
+        office = self._core.chain.realm.doc["offices"][group]
+        requested = office.get("requested", ()) if office["phase"] != "serve" else ()
+        return self._coordinator.heirs.get(group) == name or name in requested
+
     async def _undo_if_unfollowed(self, group: str, name: str) -> None:
         since = self._unfollowed_since.setdefault(group, self._clock.now())
         serving = self._core.chain.realm.doc["offices"][group]["phase"] == "serve"
--- a/src/petrelhaven/control/failover/office_move.py
+++ b/src/petrelhaven/control/failover/office_move.py
@@ -13,7 +13,8 @@
     decide,
 )
 from petrelhaven.control.failover.member_access import ASK_US, MemberHandle
-from petrelhaven.runtime.errors import Fault, Fenced, Late, NotHead, Unsent
+from petrelhaven.control.failover.promotion import PromotionRequests
+from petrelhaven.runtime.errors import Late, NotHead
 from petrelhaven.runtime.events import emit
 
 if TYPE_CHECKING:
@@ -28,9 +29,7 @@
 _DARK_PRIMARY_US = 60_000
 _CATCH_UP_US = 1_500_000
 _CATCH_UP_TURN_US = 20_000
-_PROMOTED_US = 5_000_000
-_UNANSWERED_US = 2_500_000
-_DECLINED_US = 300_000
+_GO_ON_US = 1_500_000
 _PROMOTE_TURN_US = 40_000
 
 
@@ -53,14 +52,16 @@
         office = coordinator.office(group)
         self.old = office["primary"]
         self._term = office["term"]
+        self._requests = PromotionRequests(coordinator, group, planned)
         self._handles: dict[str, MemberHandle] = {}
-        self._fence = 0
+        self._entered = 0
+        self._old_answers_since: int | None = None
         self._stuck = False
 
     async def run(self) -> None:
         """Tries until the office has settled or this core is not the active head any more."""
         began = self._clock.now()
-        await self._enter(stuck=False, cause=self._cause)
+        self._entered = await self._requests.enter(stuck=False, cause=self._cause)
         try:
             while self._coordinator.acts:
                 self._refresh_handles()
@@ -68,28 +69,22 @@
                     return
                 await self._tell_if_stuck(began)
                 if self.planned and self.old not in self._handles:
-                    self.planned = False
+                    self.planned = self._requests.planned = False
                 if self.planned and self._clock.now() - began > _PLANNED_US:
-                    await self._give_back("the planned move found no heir in time")
-                    return
+                    if await self._give_back("the planned move found no heir in time"):
+                        return
                 await self._clock.sleep(_ATTEMPT_US)
         finally:
             for handle in self._handles.values():
                 handle.close()
 
-    async def _enter(self, stuck: bool, cause: str) -> None:
-        phase = "swap" if self.planned else "move"
-        self._stuck = stuck
-        self._fence = await self._coordinator.enter_office(
-            self.group, phase, self.old, self._term, cause, stuck=stuck
-        )
-
     async def _tell_if_stuck(self, began: int) -> None:
         """Has edges tell writers when to come back, once nobody serves and nothing is near."""
         reason = self._coordinator.why.get(self.group)
         bound = _OVERDUE_US if self.planned else _STUCK_US
         if reason and not self._stuck and self._clock.now() - began > bound:
-            await self._enter(stuck=True, cause=reason)
+            self._stuck = True
+            await self._requests.enter(stuck=True, cause=reason)
 
     def _refresh_handles(self) -> None:
         members = self._core.chain.realm.group(self.group)
@@ -110,19 +105,31 @@
         """One attempt; true once the office has settled."""
         replicas = [handle for name, handle in self._handles.items() if name != self.old]
         old_row, rows = await self._rows(replicas)
-        if old_row is not None and old_row.is_primary and not self.planned:
-            await self._give_back("the primary answers again")
-            return True
+        if not self.planned and self._stays_in_office(old_row):
+            return await self._give_back("the primary answers again")
         leading = next((n for n, row in rows.items() if row.is_primary), None)
         if leading is not None:
-            await self._settle(self._handles[leading])
-            return True
+            return await self._settle(self._handles[leading])
         known = [*rows.values(), *([old_row] if old_row is not None else [])]
         term = max((row.term for row in known), default=0) + 1
         if self.planned and old_row is not None and old_row.is_primary:
             return await self._relieve(replicas, rows, term)
         return await self._replace(replicas, rows, term)
 
+    def _stays_in_office(self, old_row: MemberRow | None) -> bool:
+        """Whether the old primary leads and the move is better taken back than carried on.
+
+        Once the platform was asked, taking it back takes longer: it is done only if the move does
+        not get on.
+        """
+        if old_row is None or not old_row.is_primary:
+            self._old_answers_since = None
+            return False
+        now = self._clock.now()
+        if self._old_answers_since is None:
+            self._old_answers_since = now
+        return not self._requests.requested or now - self._old_answers_since > _GO_ON_US
+
     async def _rows(
         self, replicas: list[MemberHandle]
     ) -> tuple[MemberRow | None, dict[str, MemberRow]]:
@@ -171,6 +178,8 @@
         heir = self._heir_of_planned(rows)
         if heir is None:
             return self._waits("no heir for a planned move")
+        if self._requests.pending_besides(heir.name):
+            return await self._give_back("another member may still be promoted")
         async with self._coordinator.pause_lock(self.group):
             self._coordinator.heirs[self.group] = heir.name
             row = await heir.status()
@@ -181,7 +190,8 @@
             return self._waits("a replica could not be paused")
         if not await self._catches_up(heir):
             return self._waits(f"{heir.name} catches up with {self.old}")
-        await self._core.desk.in_force(self._fence)
+        await self._requests.announce(heir.name, self._stuck)
+        await self._core.desk.in_force(self._entered)
         if not await self._still_holds(heir, others, replicas, term):
             return self._waits("what was paused is not any more")
         return await self._promote(heir, term)
@@ -204,6 +214,7 @@
     def _heir_of_planned(self, rows: dict[str, MemberRow]) -> MemberHandle | None:
         staying = set(self._coordinator.staying(self.group, self.old))
         names = [n for n in rows if n in staying]
+        names = [n for n in names if n in self._requests.requested] or names
         names = [n for n in names if not rows[n].held_term] or names
         name = max(names, key=lambda n: (rows[n].position, n), default=None)
         return self._handles[name] if name is not None else None
@@ -242,7 +253,8 @@
         if isinstance(verdict, Unproven):
             return self._waits_for_proof(verdict)
         heir = self._preferred(verdict.candidates)
-        await self._core.desk.in_force(self._fence)
+        await self._requests.announce(heir.name, self._stuck)
+        await self._core.desk.in_force(self._entered)
         again = await self._paused_rows(heard, term)
         if again is None or self._members_changed(replicas):
             return self._waits("what was paused is not any more")
@@ -265,11 +277,12 @@
         return self._waits(reason)
 
     def _preferred(self, candidates: Iterable[str]) -> MemberHandle:
-        """Among equals one that stays, then one in this core's hall."""
+        """Among equals one that was asked for before, one that stays, one in this core's zone."""
         staying = set(self._coordinator.staying(self.group, self.old))
 
         def rank(handle: MemberHandle) -> tuple:
             return (
+                handle.name not in self._requests.requested,
                 handle.name not in staying,
                 handle.facts["hall"] != self._core.hall,
                 handle.name,
@@ -319,22 +332,21 @@
             return self._waits(f"{order.member}, ordered by {order.by}, is not heard")
         others = [h for h in replicas if h is not heir and h.name in rows]
         await asyncio.gather(*[h.pause(term) for h in others])
-        await self._core.desk.in_force(self._fence)
+        await self._requests.announce(heir.name, self._stuck)
+        await self._core.desk.in_force(self._entered)
         emit(self._log, 344, group=self.group, member=order.member, by=order.by)
         return await self._promote(heir, term, accepted_loss=order.by)
 
     async def _promote(self, heir: MemberHandle, term: int, accepted_loss: str = "") -> bool:
         if not self._coordinator.acts:
             raise NotHead("not the active head any more")
-        self._coordinator.asked.add(self.group)
         position = heir.row.position
-        emit(self._log, 326, group=self.group, heir=heir.name, pos=position, fence=self._fence)
-        end = self._clock.now() + await self._ask_platform(heir.name)
+        emit(self._log, 326, group=self.group, heir=heir.name, pos=position)
+        end = self._clock.now() + await self._requests.send(heir.name)
         while self._clock.now() < end:
             row = await heir.status()
             if row is not None and row.is_primary:
-                await self._settle(heir, accepted_loss)
-                return True
+                return await self._settle(heir, accepted_loss)
             await self._pause_newcomers(term)
             await self._clock.sleep(_PROMOTE_TURN_US)
         return False
@@ -346,18 +358,12 @@
         for name in sorted(set(self._handles) - known):
             await self._handles[name].pause(term)
 
-    async def _ask_platform(self, heir: str) -> int:
-        """Asks for the promotion; how long it may take to show at the member."""
-        try:
-            await self._coordinator.platform.promote(self.group, heir, self._fence, self._core.name)
-        except Fault as e:
-            emit(self._log, 323, group=self.group, target=heir, fault=e.code, note=e.note)
-            if isinstance(e, Fenced):
-                raise
-            return _DECLINED_US if isinstance(e, Unsent) else _UNANSWERED_US
-        return _PROMOTED_US
-
-    async def _settle(self, heir: MemberHandle, accepted_loss: str = "") -> None:
+    async def _settle(self, heir: MemberHandle, accepted_loss: str = "") -> bool:
+        """Records who leads, once nobody else can be promoted; whether that is so."""
+        if self._requests.pending_besides(heir.name):
+            await self._requests.fence_off(heir.name, self._stuck)
+            if not await self._leads(heir):
+                return False
         row = heir.row
         await self._coordinator.enter_office(
             self.group,
@@ -371,16 +377,28 @@
         emit(self._log, 324, group=self.group, primary=heir.name, term=row.term)
         others = {name for name in self._handles if name != heir.name}
         await self._coordinator.settled(self.group, others, self._handles)
-
-    async def _give_back(self, cause: str) -> None:
-        """The old primary stays in office; calls that may be under way are fenced off first."""
-        if self.group in self._coordinator.asked:
-            fenced = "calls that may be under way are fenced off"
-            await self._enter(stuck=False, cause=fenced)
-            await self._coordinator.platform.promote(
-                self.group, self.old, self._fence, self._core.name
-            )
-            self._coordinator.asked.discard(self.group)
+        return True
+
+    async def _give_back(self, cause: str) -> bool:
+        """The old primary stays in office, if it still leads once nobody else can be promoted."""
+        if self._requests.requested:
+            await self._pause_all()
+            await self._requests.fence_off(self.old, self._stuck)
+            if not await self._leads(self._handles[self.old]):
+                return False
         await self._coordinator.enter_office(self.group, "serve", self.old, self._term, cause)
         others = {name for name in self._handles if name != self.old}
         await self._coordinator.given_back(self.group, others, self._handles)
+        return True
+
+    @staticmethod
+    async def _leads(handle: MemberHandle) -> bool:
+        row = await handle.status()
+        return row is not None and row.is_primary
+
+    async def _pause_all(self) -> None:
+        """Nothing is acknowledged by a primary whose replicas are all paused."""
+        replicas = [handle for name, handle in self._handles.items() if name != self.old]
+        rows = await asyncio.gather(*[handle.status() for handle in replicas])
+        term = max((row.term for row in rows if row is not None), default=0) + 1
+        await asyncio.gather(*[handle.pause(term) for handle in replicas])
--- a/src/petrelhaven/control/state/ledger.py
+++ b/src/petrelhaven/control/state/ledger.py
@@ -270,6 +270,7 @@
         o = self.doc["offices"][r["group"]] = {
             k: v for k, v in r.items() if k not in ("t", "group")
         }
+        o["since"] = self._office_since(before, o)
         if o["phase"] == "serve" and before is not None:
             changed = before["primary"] != o["primary"]
             position = tuple(o.get("pos") or (0, 0))
@@ -282,6 +283,13 @@
         past.append({**o, "seq": self.seq + 1})
         del past[:-_KEEP]
 
+    @staticmethod
+    def _office_since(before, now):
+        """The number of the first record from which primary and phase are what they are."""
+        if before and all(before[part] == now[part] for part in ("primary", "phase")):
+            return before.get("since", before["n"])
+        return now["n"]
+
     def _check_embargo(self, r):
         from petrelhaven.control.embargo.rules import check
 
--- a/src/petrelhaven/proxy/core_connection.py
+++ b/src/petrelhaven/proxy/core_connection.py
@@ -9,6 +9,7 @@
 __all__ = ["Tie"]
 
 _PULSE_US = 250_000
+_CONFIRMED_US = 400_000
 _BAD_US = 1_500_000
 _PATIENT_US = 3_000_000
 _DOUBT_US = 250_000
@@ -26,7 +27,7 @@
         self.cores = {}
         self.edges = 0
         self.on_change = []
-        self.lease = 0
+        self.lease = self._confirmed_at = 0
         self.time = None
         self._need = None
         self._bad, self._asked = {}, {}
@@ -43,6 +44,20 @@
         """Whether this edge holds a lease: what it has applied is the newest in force, asked right before a send."""
         return self.clock.now() < self.lease
 
+    @property
+    def confirmed(self):
+        """Whether the lease holds and was renewed as lately as it is while cores are in reach.
+
+        A lease outlives the contact that brought it; what came to be known since the last renewal,
+        such as a new replica of a group, may be known to nobody in reach.
+        """
+        return self.holds and self.clock.now() - self._confirmed_at <= _CONFIRMED_US
+
+    def _renew(self, asked_at, us):
+        """Takes a lease of `us` that was asked for at `asked_at`."""
+        self.lease = max(self.lease, asked_at + us)
+        self._confirmed_at = max(self._confirmed_at, asked_at)
+
     def _choose(self):
         now = self.clock.now()
         known = dict(self.cores)
@@ -124,9 +139,9 @@
             self.cores = {a: self._near(h) for _, h, a in r["cores"]}
         if r["ok"]:
             if self.ledger.seq >= r["need"]:
-                self.lease = max(self.lease, t0 + r["us"])
+                self._renew(t0, r["us"])
             else:
-                self._need = (r["need"], t0 + r["us"])
+                self._need = (r["need"], t0, r["us"])
         return r["ok"]
 
     def doubt(self, group, member, how):
@@ -157,6 +172,6 @@
             for f in self.on_change:
                 f(recs, fresh)
         if self._need and self.ledger.seq >= self._need[0]:
-            self.lease = max(self.lease, self._need[1])
+            self._renew(*self._need[1:])
             self._need = None
         return {"applied": self.ledger.seq, "acked": self.ledger.seq}
--- a/src/petrelhaven/proxy/routing/group.py
+++ b/src/petrelhaven/proxy/routing/group.py
@@ -312,12 +312,20 @@
         self._proxy.count["fetched_others"] += 1
         return highest
 
-    def needs_replica_proof(self) -> bool:
+    def needs_replica_proof(self, answered: Member, position: Position | None) -> bool:
         """Whether a commit's success counts only once a replica known here shows it.
 
-        A replica that control does not know of may have been the one that the primary waited for.
+        A replica that control does not know of may have been the one that the primary waited for,
+        and another member may be elected without its log. That is ruled out only while control has
+        confirmed a moment ago that `answered` is in office, and in the term of its answer.
         """
-        return self.sync_replicas > 0 and not self._proxy.tie.holds
+        if self.sync_replicas == 0:
+            return False
+        now = self.leadership
+        if now is None or now.phase == "move" or now.primary != answered.name:
+            return True
+        earlier_term = position is not None and position[0] < now.term
+        return earlier_term or not self._proxy.tie.confirmed
 
     def replica_holds(
         self, position: Position | None, answered: Member, end: int
--- a/src/petrelhaven/proxy/routing/held_transactions.py
+++ b/src/petrelhaven/proxy/routing/held_transactions.py
@@ -167,10 +167,9 @@
         """A success; a commit's that no replica known here shows counts as a lost answer."""
         transaction = request.session.transaction
         wrote = request.statement.verb == "commit" and transaction.wrote
-        if wrote and transaction.group.needs_replica_proof():
-            shown = yield from transaction.group.replica_holds(
-                reply.pos, attempt.member, request.end
-            )
+        group = transaction.group
+        if wrote and group.needs_replica_proof(attempt.member, reply.pos):
+            shown = yield from group.replica_holds(reply.pos, attempt.member, request.end)
             if not shown:
                 return self._connection_lost(request)
         return self._succeeded(request, attempt, reply)
--- a/src/petrelhaven/proxy/routing/held_writes.py
+++ b/src/petrelhaven/proxy/routing/held_writes.py
@@ -70,7 +70,7 @@
     ) -> Generator[asyncio.Future, None, Reply]:
         """The member's final reply, or `unsure` for a success that no replica known here shows."""
         group = request.group
-        if reply.ok and group.needs_replica_proof():
+        if reply.ok and group.needs_replica_proof(attempt.member, reply.pos):
             shown = yield from group.replica_holds(reply.pos, attempt.member, request.end)
             if not shown:
                 self._proxy.count["unsure"] += 1
--- a/tests/test_band.py
+++ b/tests/test_band.py
@@ -64,7 +64,7 @@
         self.members, self.drain_us, self.empty_us = members, DRAIN_US, EMPTY_US
         self.count, self.doubts = collections.Counter(), []
         self.tie = types.SimpleNamespace(
-            edges=3, holds=True, doubt=lambda *a: self.doubts.append(a)
+            edges=3, holds=True, confirmed=True, doubt=lambda *a: self.doubts.append(a)
         )
         self.wire = self
         self.ledger = Ledger()
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -120,7 +120,7 @@
 
 
 class FakeTie:
-    holds, edges = True, 3
+    holds, confirmed, edges = True, True, 3
 
     def __init__(self):
         self.ledger, self.on_change = Ledger(), []
--- a/tests/test_seatface.py
+++ b/tests/test_seatface.py
@@ -567,7 +567,7 @@
 
             await soon(moved, 20)
             rc, out, err = await tool("commands.ctl", "--core", cs, "why", "svc0")
-            assert rc == 0 and "replaced: office 2 (swap" in out, out + err
+            assert rc == 0 and "replaced: office 3 (swap" in out, out + err
             rc, out, err = await tool("commands.ctl", "--core", cs, "why", "svc0", "--epoch", "2")
             assert rc == 0 and f"cause: hall {old.zone} is emptied" in out, out + err
             assert (await tool("commands.ctl", "--core", cs, "restore", old.zone))[0] == 0
--- a/tests/test_unleased_commits.py
+++ b/tests/test_unleased_commits.py
@@ -1,4 +1,5 @@
-"""Without a lease, a commit's success is passed on only once a known replica shows it."""
+"""Unless control confirmed the office a moment ago, a commit's success is passed on only once a
+known replica shows it."""
 
 import collections
 import types
@@ -6,6 +7,7 @@
 import pytest
 
 from petrelhaven.control.state.ledger import Ledger
+from petrelhaven.proxy.core_connection import Tie
 from petrelhaven.proxy.reads.read_clock import Order
 from petrelhaven.proxy.routing.group import MemberGroup
 from petrelhaven.proxy.routing.held_transactions import HeldTransactions
@@ -13,6 +15,7 @@
 from petrelhaven.proxy.routing.request import Request
 from petrelhaven.proxy.session.statement import Reply
 from petrelhaven.runtime.clock import Clock, Nest
+from petrelhaven.transport.link import Link
 
 WRITTEN = (1, 241)
 SHORT, EVEN, AHEAD, LATER_TERM = (1, 233), (1, 241), (1, 250), (2, 300)
@@ -47,13 +50,21 @@
 
 
 class _Calls:
-    """A member that answers every write and commit with success at `WRITTEN`."""
+    """A member that answers every write and commit with success at `WRITTEN`.
+
+    `meanwhile` happens between the sending and the answer.
+    """
+
+    def __init__(self, meanwhile=lambda: None):
+        self._meanwhile = meanwhile
 
     async def send(self, request, attempt, flight, left_us):
         attempt.sent = True
+        self._meanwhile()
         return Reply(pos=WRITTEN, state="I")
 
     async def send_pinned(self, connection, session, statement):
+        self._meanwhile()
         return Reply(pos=WRITTEN, state="I")
 
     def outcome(self, group, attempt):
@@ -78,14 +89,14 @@
         self.settled = True
 
 
-def _proxy(logs, holds, delays):
+def _proxy(logs, confirmed, delays):
     clock = Clock()
     return types.SimpleNamespace(
         clock=clock,
         nest=Nest(),
         order=Order(),
         log=None,
-        tie=types.SimpleNamespace(holds=holds, edges=3, doubt=lambda *_: None),
+        tie=types.SimpleNamespace(holds=True, confirmed=confirmed, edges=3, doubt=lambda *_: None),
         wire=_Wire(logs, delays, clock),
         near=lambda zone: 0,
         drain_us=0,
@@ -106,15 +117,16 @@
     group = MemberGroup("g", proxy)
     group.sync_replicas = sync_replicas
     group.turn(ledger, True)
-    return group
+    return group, ledger
 
 
 class _Case:
     """One write or COMMIT answered with success, and what the proxy passed on."""
 
-    def __init__(self, kind, logs, holds=False, sync_replicas=1, delays=(), wrote=True):
-        self.proxy = _proxy(logs, holds, dict(delays))
-        self.group = _group(self.proxy, logs, sync_replicas)
+    def __init__(self, kind, logs, confirmed=False, sync_replicas=1, delays=(), wrote=True):
+        self.proxy = _proxy(logs, confirmed, dict(delays))
+        self.group, self.ledger = _group(self.proxy, logs, sync_replicas)
+        self.meanwhile = lambda: None
         self.session, self.pool = _Session(), _Pool()
         self._kind, self._wrote = kind, wrote
 
@@ -135,13 +147,25 @@
                 wrote=self._wrote,
                 reads=False,
             )
-            path = HeldTransactions(self.proxy, _Calls(), None)
+            path = HeldTransactions(self.proxy, _Calls(self.meanwhile), None)
         else:
-            path = HeldWrites(self.proxy, _Calls())
+            path = HeldWrites(self.proxy, _Calls(self.meanwhile))
         reply = await _drive(path.run(request))
         self.took_us = clock.now() - began
         return reply
 
+    def office(self, phase, primary, term):
+        """A record of the office reaches the proxy."""
+        number = self.ledger.doc["offices"]["g"]["n"] + 1
+        record = {"t": "office", "group": "g", "n": number, "phase": phase, "primary": primary}
+        self.ledger.apply(self.ledger.seq + 1, record | {"term": term, "cause": ""})
+        self.group.turn(self.ledger, False)
+
+    def contact_again(self, phase):
+        """The proxy, cut off as it sent, gets its lease back together with a newer office."""
+        self.proxy.tie.confirmed = True
+        self.office(phase, "p", 1)
+
 
 async def _drive(steps):
     try:
@@ -192,10 +216,12 @@
 
 
 @KINDS
-@pytest.mark.parametrize(("holds", "sync_replicas"), [(True, 1), (False, 0)])
-def test_with_a_lease_or_without_sync_replicas_no_status_is_asked(warp, kind, holds, sync_replicas):
+@pytest.mark.parametrize(("confirmed", "sync_replicas"), [(True, 1), (False, 0)])
+def test_while_confirmed_or_without_sync_replicas_no_status_is_asked(
+    warp, kind, confirmed, sync_replicas
+):
     async def go():
-        case = _Case(kind, {"m1": SHORT}, holds, sync_replicas)
+        case = _Case(kind, {"m1": SHORT}, confirmed, sync_replicas)
         assert (await case.run()).ok
         assert case.proxy.wire.asked == []
 
@@ -209,3 +235,52 @@
         assert case.proxy.wire.asked == []
 
     warp(go())
+
+
+@KINDS
+def test_a_lease_regained_amid_a_move_does_not_vouch_for_what_the_old_primary_answers(warp, kind):
+    """Sent while cut off; a new member, known to nobody, lets the old primary answer."""
+
+    async def go():
+        case = _Case(kind, {"m1": SHORT, "m2": SHORT})
+        case.meanwhile = lambda: case.contact_again("move")
+        assert (await case.run()).code == "unsure"
+
+    warp(go())
+
+
+@KINDS
+def test_an_answer_of_an_earlier_term_of_the_primary_in_office_needs_proof(warp, kind):
+    async def go():
+        case = _Case(kind, {"m1": SHORT, "m2": SHORT}, confirmed=True)
+
+        def lost_and_won_again():
+            case.office("serve", "m1", 2)
+            case.office("serve", "p", 3)
+
+        case.meanwhile = lost_and_won_again
+        assert (await case.run()).code == "unsure"
+
+    warp(go())
+
+
+@KINDS
+def test_a_planned_move_leaves_a_confirmed_primary_its_word(warp, kind):
+    async def go():
+        case = _Case(kind, {"m1": SHORT, "m2": SHORT}, confirmed=True)
+        case.meanwhile = lambda: case.office("swap", "p", 1)
+        assert (await case.run()).ok
+        assert case.proxy.wire.asked == []
+
+    warp(go())
+
+
+def test_a_lease_that_was_not_renewed_for_a_while_still_holds_but_is_not_confirmed():
+    now = 5_000_000
+    clock = types.SimpleNamespace(now=lambda: now)
+    tie = Tie(clock, Nest(), Link(clock, Nest()), None, "e1", [], lambda zone: 0)
+    assert not tie.holds and not tie.confirmed
+    tie._renew(now, 1_500_000)
+    assert tie.holds and tie.confirmed
+    now += 450_000
+    assert tie.holds and not tie.confirmed
--- a/tests/test_warden.py
+++ b/tests/test_warden.py
@@ -193,22 +193,26 @@
         self.warden.doubt(group, member, how)
 
     async def promote(self, group, name, fence, holder):
-        """The platform: fenced, slow to act, and sometimes without an answer."""
+        """The platform: fenced, slow to act, and sometimes without an answer or without the call."""
         self.trace.append(("promote", name, fence))
         self.calls.append(name)
         how = self.promote_as.pop(0) if self.promote_as else "fine"
         if how == "unsent":
             raise Unsent("down")
+        if how == "lost":
+            raise Unreached("cut")
         if fence < self.fence or not self.members[name].runs or how == "fenced":
             raise Fenced("409")
         self.fence = fence
-        asyncio.get_running_loop().call_later(self.promote_s, self.lead, name, fence)
+        if self.members[name].role != "primary":
+            asyncio.get_running_loop().call_later(self.promote_s, self.lead, name)
         if how == "unanswered":
             raise Unreached("cut")
 
-    def lead(self, name, fence):
+    def lead(self, name):
+        """A promotion takes effect: one that was accepted does, whatever fence was seen since."""
         m = self.members[name]
-        if fence < self.fence or not m.runs or m.role == "primary":
+        if not m.runs or m.role == "primary":
             return
         assert m.pos >= self.acked, f"{name} at {m.pos} leads; acknowledged is {self.acked}"
         term = max(x.term for x in self.members.values()) + 1
@@ -317,11 +321,13 @@
         moved = next(x[2] for x in e.trace if x[0] == "move")
         heir = e.calls[0]
         assert e.at("move", "p") < min(e.at("pause", "r1"), e.at("pause", "r2"))
+        fence = max(x[2] for x in e.trace if x[0] == "move")
         assert (
             max(e.at("pause", "r1"), e.at("pause", "r2"))
             < e.at("in force", moved)
-            < e.at("promote", heir, moved)
+            < e.at("promote", heir, fence)
         )
+        assert fence > moved
         assert e.at("promote") < e.at("leads", heir) < e.at("serve", heir)
         other = ({"r1", "r2"} - {heir}).pop()
         await e.until(lambda: ("resume", other) in e.trace[e.at("serve", heir) :], 1)
@@ -519,7 +525,7 @@
         assert (
             e.at("pause", "r1")
             < e.at("in force", seq)
-            < e.at("promote", "r2", seq)
+            < e.at("promote", "r2", max(x[2] for x in e.trace if x[0] == "swap"))
             < e.at("serve", "r2")
         )
         assert ("pause", "r2") not in [x[:2] for x in e.trace]
@@ -606,7 +612,7 @@
 
 def test_a_primary_that_answers_after_a_call_is_fenced_in_before_it_serves_again():
     async def go(e):
-        e.promote_as = ["unsent"] * 99
+        e.promote_as = ["lost"] * 99
         e.dark("p")
         e.warden.doubt("g", "p", "mute")
         await e.until(lambda: e.calls)
@@ -624,6 +630,77 @@
     virtual(go)
 
 
+def test_a_promotion_accepted_before_its_move_is_taken_back_leaves_no_commit_behind():
+    """The answer is lost, and the old primary is heard again before the promotion takes effect."""
+
+    async def go(e):
+        e.promote_s, e.promote_as = 1.0, ["unanswered"]
+        e.dark("p")
+        e.warden.doubt("g", "p", "mute")
+        await e.until(lambda: e.calls)
+        heir = e.calls[0]
+        other = ({"r1", "r2"} - {heir}).pop()
+        e.dark("p", True)
+        e.members[heir].follows = False
+        await e.until(lambda: ("leads", heir) in e.trace and e.settled)
+        assert e.members[other].pos >= e.acked
+
+    virtual(go)
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_new_head_lets_nobody_lead_beside_the_heir_that_the_former_one_asked_for(leaves):
+    """The record tells who may still be promoted, also if that one begins to leave meanwhile."""
+
+    async def go(e):
+        e.promote_s, e.promote_as = 1.5, ["unanswered"]
+        e.member("p", "draining")
+        await e.until(lambda: e.calls)
+        heir = e.calls[0]
+        e.chain.head = False
+        await asyncio.sleep(0.2)
+        if leaves:
+            e.member(heir, "draining")
+        e.chain.head = True
+        await e.until(lambda: ("leads", heir) in e.trace and e.settled)
+        if not leaves:
+            assert set(e.calls) == {heir}
+
+    virtual(go)
+
+
+def test_a_move_taken_back_keeps_replicas_paused_until_no_promotion_can_take_effect():
+    """The heir is not heard any more, so the move can't go on; its promotion may still come."""
+
+    async def go(e):
+        e.promote_s, e.promote_as = 2.0, ["unanswered"]
+        e.dark("p")
+        e.warden.doubt("g", "p", "mute")
+        await e.until(lambda: e.calls)
+        heir = e.calls[0]
+        e.members[heir].follows = False
+        e.dark(heir)
+        e.dark("p", True)
+        await e.until(lambda: ("leads", heir) in e.trace)
+        e.dark(heir, True)
+        await e.until(lambda: e.settled)
+        assert e.office["primary"] == heir
+
+    virtual(go)
+
+
+def test_a_second_request_goes_out_under_a_fence_of_its_own():
+    async def go(e):
+        e.promote_as = ["unsent", "unanswered"]
+        e.dark("p", runs=False)
+        e.warden.doubt("g", "p", "refused")
+        await e.until(lambda: e.calls and e.settled)
+        fences = [x[2] for x in e.trace if x[0] == "promote"]
+        assert len(fences) >= 2 and fences == sorted(set(fences))
+
+    virtual(go)
+
+
 def test_a_new_head_has_paused_replicas_receive_again():
     async def go(e):
         e.chain.head = False
@@ -647,7 +724,7 @@
 
 def test_a_member_found_in_office_is_followed():
     async def go(e):
-        e.lead("r1", 99) if e.members["r1"].pos >= e.acked else e.lead("r2", 99)
+        e.lead("r1" if e.members["r1"].pos >= e.acked else "r2")
         new = next(n for n, m in e.members.items() if m.role == "primary")
         e.warden.doubt("g", "p", "replica")
         await e.until(lambda: e.office["primary"] == new and e.office["phase"] == "serve")
