--- a/src/petrelhaven/emulator/store.py
+++ b/src/petrelhaven/emulator/store.py
@@ -284,18 +284,23 @@
         return self.entries[-1][0] if self.entries else 0
 
     def promote(self, epoch):
-        """Becomes the primary under `epoch`."""
+        """Becomes the primary under `epoch`; if it is that already, nothing changes."""
         if epoch < max(self.term, self.fence) or epoch == self.term and self.role != "primary":
             raise _Stop("FENCED")
+        if epoch == self.term:
+            return
         self.role, self.term, self.fence, self.source = "primary", epoch, epoch, None
-        for c in self.conns.values():
-            c.txn = None
+        self._end_transactions()
 
     def follow(self, source, epoch):
         """Becomes a replica of `source` under `epoch`."""
         if epoch < max(self.term, self.fence):
             raise _Stop("FENCED")
         if self.role == "primary":
-            for c in self.conns.values():
-                c.txn = None
+            self._end_transactions()
         self.role, self.source, self.fence = "replica", source, epoch
+
+    def _end_transactions(self):
+        """Closes the connections inside a transaction: a statement that follows must not run outside it."""
+        for name in [name for name, connection in self.conns.items() if connection.txn]:
+            del self.conns[name]
