A commit's success needs a replica's proof once nothing is heard from beyond

The primary and a new member, known to nobody outside, acknowledge commits inside the cut; proxies there pass them on while they still count as confirmed: up to 0.4 s of a pulse and 0.6 s of their core's own confirmation. Proxies outside prove reads by all other members meanwhile. A pulse each 100 ms: 3 KB/s a proxy of 4. A push by the core: hardly sooner than its own next ask. Change: (1) OutsideContact: the answers of members farther away than the primary, many a second anyway, show that the place is not cut off; 150 ms without one, and a commit needs proof. (2) The pulse tells how old the core's majority is; confirmed reckons from there (600 ms). (3) Others prove a read only once the primary has been silent for 250 ms to something that it was asked, so past that moment. (4) For the proof the nearest replica is asked first. Tests: test_unleased_commits, test_band_proof; the stand-in primary of test_band_proof is silent where it must be.

--- a/src/petrelhaven/control/consensus/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -80,6 +80,10 @@
         """In the current view, holding everything of it, confirmed by a majority lately."""
         return self.complete and self.clock.now() < self.confirmed
 
+    def confirmation_age(self):
+        """Microseconds since this core asked what a majority then confirmed."""
+        return self.clock.now() - (self.confirmed - self.confirm_us)
+
     @property
     def active(self):
         """Ruling, and every core of the former view has certainly lapsed."""
--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -245,6 +245,7 @@
         return {
             "ok": ok,
             "us": LENT_US,
+            "age": self.chain.confirmation_age(),
             "need": self.chain.realm.seq,
             "view": v["n"] if v else 0,
             "edges": len(self.tied)
--- a/src/petrelhaven/proxy/core_connection.py
+++ b/src/petrelhaven/proxy/core_connection.py
@@ -9,7 +9,7 @@
 __all__ = ["Tie"]
 
 _PULSE_US = 250_000
-_CONFIRMED_US = 400_000
+_CONFIRMED_US = 600_000
 _BAD_US = 1_500_000
 _PATIENT_US = 3_000_000
 _DOUBT_US = 250_000
@@ -46,17 +46,17 @@
 
     @property
     def confirmed(self):
-        """Whether the lease holds and was renewed as lately as it is while cores are in reach.
+        """Whether the lease holds, and a majority of cores was in reach as lately as on calm days.
 
         A lease outlives the contact that brought it; what came to be known since the last renewal,
         such as a new replica of a group, may be known to nobody in reach.
         """
         return self.holds and self.clock.now() - self._confirmed_at <= _CONFIRMED_US
 
-    def _renew(self, asked_at, us):
-        """Takes a lease of `us` that was asked for at `asked_at`."""
+    def _renew(self, asked_at, us, age):
+        """Takes a lease of `us` asked for at `asked_at`; the core had a majority's word `age` before."""
         self.lease = max(self.lease, asked_at + us)
-        self._confirmed_at = max(self._confirmed_at, asked_at)
+        self._confirmed_at = max(self._confirmed_at, asked_at - age)
 
     def _choose(self):
         now = self.clock.now()
@@ -139,9 +139,9 @@
             self.cores = {a: self._near(h) for _, h, a in r["cores"]}
         if r["ok"]:
             if self.ledger.seq >= r["need"]:
-                self._renew(t0, r["us"])
+                self._renew(t0, r["us"], r["age"])
             else:
-                self._need = (r["need"], t0, r["us"])
+                self._need = (r["need"], t0, r["us"], r["age"])
         return r["ok"]
 
     def doubt(self, group, member, how):
--- a/src/petrelhaven/proxy/held_edge.py
+++ b/src/petrelhaven/proxy/held_edge.py
@@ -14,6 +14,7 @@
 from petrelhaven.proxy.bounds import HeldBounds
 from petrelhaven.proxy.reads.read_clock import Order
 from petrelhaven.proxy.routing.group import MemberGroup
+from petrelhaven.proxy.routing.outside_contact import OutsideContact
 from petrelhaven.proxy.routing.request import Request
 from petrelhaven.proxy.routing.route import Route
 from petrelhaven.proxy.routing.slab import Slab
@@ -71,6 +72,7 @@
         self.tie, self.wire, self.near = tie, wire, near
         self.drain_us, self.empty_us = drain_us, empty_us
         self.order = Order()
+        self.outside_contact = OutsideContact(clock)
         self.slab = Slab(clock, _SLOTS)
         self.routes: dict[str, Route] = {}
         self.groups: dict[str, MemberGroup] = {}
--- a/src/petrelhaven/proxy/routing/group.py
+++ b/src/petrelhaven/proxy/routing/group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Collection, Generator
 from typing import TYPE_CHECKING, Any
 
@@ -33,6 +34,8 @@
 _RECENTLY_HEARD_US = 350_000
 _ROLLBACK_US = 500_000
 _REPLICA_PROOF_US = 400_000
+_NEAREST_REPLICA_US = 40_000
+_SILENT_US = 250_000
 _DARK_US = 4_000_000
 _NEVER_US = 1 << 60
 
@@ -206,8 +209,8 @@
 
     def fine(self, member: Member, position: Position | None = None) -> None:
         """The member has answered, its log at `position`."""
-        member.last_heard = self._clock.now()
-        member.failures = member.down_until = 0
+        member.note_answer(self._clock.now())
+        self._proxy.outside_contact.note(member.distance)
         if position is not None:
             member.note_log(position)
 
@@ -216,6 +219,7 @@
         now = self._clock.now()
         if how == "mute" and now - member.last_heard <= _RECENTLY_HEARD_US:
             return
+        member.refuses = how == "refused"
         member.failures = min(member.failures + 1, _FAILURES_MOST)
         member.down_until = now + min(_DOWN_US << (member.failures - 1), _DOWN_MOST_US)
         leadership = self.leadership
@@ -262,6 +266,7 @@
     async def _status(self, member: Member) -> dict[str, Any]:
         if member.status_connection is None or member.status_connection.lost:
             member.status_connection = await self._open(member)
+        member.note_asked(self._clock.now())
         try:
             row = await self._clock.limit(
                 member.status_connection.own("status"), self._proxy.bounds().join_us // 2
@@ -294,6 +299,7 @@
         return row["pos"]
 
     async def _fetch_others(self, primary: str) -> Position:
+        await self._silence_of(self.members.get(primary))
         others = [member for name, member in self.members.items() if name != primary]
         fewest = max(self.sync_replicas + 1, self.size - 1)
         if not self.sync_replicas or len(others) < fewest or not self._proxy.tie.holds:
@@ -312,42 +318,70 @@
         self._proxy.count["fetched_others"] += 1
         return highest
 
+    async def _silence_of(self, primary: Member | None) -> None:
+        """Waits until the primary has been silent for so long that nobody trusts its word unproven.
+
+        A proxy that is cut off together with it passes on its answers, without the proof by a known
+        replica, for a moment after the cut; what the other members hold proves nothing until then.
+        Any word of it since this call began shows that it was not cut off then.
+        """
+        if primary is None or primary.refuses:
+            return
+        began = self._clock.now()
+        if not primary.asked_at:
+            self._proxy.nest.spawn(self._ask_quietly(primary))
+        asked_at = primary.asked_at or began
+        if began - asked_at < _SILENT_US:
+            await self._clock.sleep(asked_at + _SILENT_US - began)
+        if asked_at <= primary.last_heard < began:
+            raise Unreached("the primary answered a moment ago")
+
+    async def _ask_quietly(self, member: Member) -> None:
+        with contextlib.suppress(Fault):
+            await self._status(member)
+
     def needs_replica_proof(self, answered: Member, position: Position | None) -> bool:
         """Whether a commit's success counts only once a replica known here shows it.
 
         A replica that control does not know of may have been the one that the primary waited for,
         and another member may be elected without its log. That is ruled out only while control has
-        confirmed a moment ago that `answered` is in office, and in the term of its answer.
+        confirmed a moment ago that `answered` is in office, in the term of its answer, and while
+        its place and this proxy's are not cut off together.
         """
         if self.sync_replicas == 0:
             return False
         now = self.leadership
         if now is None or now.phase == "move" or now.primary != answered.name:
             return True
-        earlier_term = position is not None and position[0] < now.term
-        return earlier_term or not self._proxy.tie.confirmed
+        if position is not None and position[0] < now.term:
+            return True
+        if not self._proxy.outside_contact.is_recent(answered.distance):
+            return True
+        return not self._proxy.tie.confirmed
 
     def replica_holds(
         self, position: Position | None, answered: Member, end: int
     ) -> Generator[asyncio.Future, None, bool]:
         """Whether a known replica shows `position` by STATUS within a short bound or by `end`.
 
-        All known members but `answered` are asked at once, the first that shows it is enough. A
+        The nearest is asked first, all others a little later; the first that shows it is enough. A
         log of a later term does not show it: what an earlier primary wrote last may lack there.
         """
         end = min(end, self._clock.now() + _REPLICA_PROOF_US)
         if position is None or self._proxy.nest.shut:
             return False
-        pending = {
-            self._proxy.nest.spawn(self._status(member))
-            for member in self.members.values()
-            if member.name != answered.name
-        }
-        while pending:
+        unasked = [member for member in self.members.values() if member.name != answered.name]
+        unasked.sort(key=lambda member: (member.failures > 0, member.distance, member.name))
+        pending: set[asyncio.Task[dict[str, Any]]] = set()
+        while unasked or pending:
+            asked, unasked = (unasked, []) if pending else (unasked[:1], unasked[1:])
+            pending |= {self._proxy.nest.spawn(self._status(member)) for member in asked}
             left_us = end - self._clock.now()
             if left_us <= 0:
                 return False
-            yield first_done(self._clock, pending, left_us)
+            wait_us = min(left_us, _NEAREST_REPLICA_US) if unasked else left_us
+            with contextlib.suppress(Late):
+                yield first_done(self._clock, pending, wait_us)
             done = {task for task in pending if task.done()}
             pending -= done
             if any(self._shows(task, position) for task in done):
--- a/src/petrelhaven/proxy/routing/held_transactions.py
+++ b/src/petrelhaven/proxy/routing/held_transactions.py
@@ -53,6 +53,7 @@
             attempt = Attempt(transaction.member, transaction.group.leading)
             attempt.started = self._proxy.order.next()
             attempt.started_us = self._clock.now()
+            attempt.member.note_asked(attempt.started_us)
             attempt.task = self._proxy.nest.spawn(
                 self._calls.send_pinned(connection, session, statement)
             )
--- a/src/petrelhaven/proxy/routing/member.py
+++ b/src/petrelhaven/proxy/routing/member.py
@@ -18,7 +18,9 @@
     """A member's connections, how it does, and what is known of its log.
 
     Times are clock microseconds. `distance` ranks its zone (0: this proxy's own). It is left alone
-    until `down_until`; `failures` counts faults since its last answer, at `last_heard`. New
+    until `down_until`; `failures` counts faults since its last answer, at `last_heard`; the first
+    thing it was asked since then left at `asked_at` (0: nothing was). `refuses` tells that its
+    process is not there. New
     statements may go to it before `stop_at`, if that is set. `lagging_replies` counts LAGGING
     replies in a row; until `lagging_until` whoever needs its log joins that wait, and until
     `slow_until` others are preferred. `status_connection` is the one that STATUS is asked on.
@@ -38,6 +40,8 @@
         "failures",
         "in_flight",
         "last_heard",
+        "asked_at",
+        "refuses",
         "stop_at",
         "lagging_replies",
         "lagging_until",
@@ -58,9 +62,22 @@
         self.log_progress = log_progress
         self.status_connection: Strand | None = None
         self.down_until = self.failures = self.in_flight = self.last_heard = 0
+        self.asked_at = 0
+        self.refuses = False
         self.stop_at: int | None = None
         self.lagging_replies = self.lagging_until = self.slow_until = 0
 
+    def note_asked(self, now: int) -> None:
+        """Something is sent to it now."""
+        if not self.asked_at:
+            self.asked_at = now
+
+    def note_answer(self, now: int) -> None:
+        """It has answered just now."""
+        self.last_heard = now
+        self.failures = self.down_until = self.asked_at = 0
+        self.refuses = False
+
     def note_log(self, position: Position) -> None:
         """Takes a position of its log, if that is newer."""
         if position > self.log_progress.log:
--- a/src/petrelhaven/proxy/routing/member_calls.py
+++ b/src/petrelhaven/proxy/routing/member_calls.py
@@ -135,6 +135,7 @@
     def _stamp(self, attempt: Attempt) -> None:
         attempt.started = self._proxy.order.next()
         attempt.started_us = self._clock.now()
+        attempt.member.note_asked(attempt.started_us)
 
     async def _connection(self, member: Member, session: ClientSession, limit_us: int) -> Strand:
         waiting: asyncio.Future[Strand] = member.pool.take(session)
--- /dev/null
+++ b/src/petrelhaven/proxy/routing/outside_contact.py
@@ -0,0 +1,36 @@
+"""When a proxy last had word from far away: evidence that its own place is not cut off."""
+
+from petrelhaven.runtime.clock import Clock
+
+__all__ = ["OutsideContact"]
+
+_LATELY_US = 150_000
+
+
+class OutsideContact:
+    """Notes the answers of members by their distance (0: own zone, 1: own region, 2: farther).
+
+    A zone or region that is cut off hears nothing from beyond from that moment on. Statements to
+    members elsewhere are answered many times a second, so silence shows a cut long before a lease
+    lapses, and costs no message of its own.
+    """
+
+    __slots__ = ("_clock", "_farthest", "_heard_at")
+
+    def __init__(self, clock: Clock) -> None:
+        """Starts without any word."""
+        self._clock = clock
+        self._farthest = 0
+        self._heard_at = 0
+
+    def note(self, distance: int) -> None:
+        """A member at `distance` has answered just now."""
+        if distance >= self._farthest:
+            self._farthest = distance
+            self._heard_at = self._clock.now()
+
+    def is_recent(self, distance: int) -> bool:
+        """Whether word came lately from farther away than `distance`, or never comes from there."""
+        if self._farthest <= distance:
+            return True
+        return self._clock.now() - self._heard_at <= _LATELY_US
--- a/src/petrelhaven/transport/contracts.py
+++ b/src/petrelhaven/transport/contracts.py
@@ -174,7 +174,7 @@
     "tie.pulse",
     Repeat.SAFE,
     "name:string seq:long cores:long doubts:doc",
-    "ok:boolean us:long need:long view:long edges:long cores:doc",
+    "ok:boolean us:long age:long need:long view:long edges:long cores:doc",
 )
 _contract("tie.wall", Repeat.SAFE, "name:string", "ok:boolean lo:long hi:long")
 _contract("wall.read", Repeat.SAFE, "name:string", "wall:long")
--- a/tests/test_band.py
+++ b/tests/test_band.py
@@ -12,6 +12,7 @@
 from petrelhaven.proxy.pool.member_connection import Strand
 from petrelhaven.proxy.reads.read_clock import Order
 from petrelhaven.proxy.routing.group import MemberGroup
+from petrelhaven.proxy.routing.outside_contact import OutsideContact
 from petrelhaven.runtime.clock import Clock, Nest
 from petrelhaven.runtime.errors import Busy, Gone, MemberFault, Unreached, Unsent
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
@@ -67,6 +68,7 @@
             edges=3, holds=True, confirmed=True, doubt=lambda *a: self.doubts.append(a)
         )
         self.wire = self
+        self.outside_contact = OutsideContact(self.clock)
         self.ledger = Ledger()
         self.band = MemberGroup("g", self)
         self.band.connection_cap, self.band.sync_replicas = 40, sync
--- a/tests/test_band_proof.py
+++ b/tests/test_band_proof.py
@@ -1,5 +1,6 @@
 """What all other members prove of a position while the primary does not answer."""
 
+import asyncio
 import collections
 import types
 
@@ -9,6 +10,7 @@
 from petrelhaven.control.state.ledger import Ledger
 from petrelhaven.proxy.reads.read_clock import Order
 from petrelhaven.proxy.routing.group import MemberGroup
+from petrelhaven.proxy.routing.outside_contact import OutsideContact
 from petrelhaven.runtime.clock import Clock, Nest
 from petrelhaven.runtime.errors import Unreached
 
@@ -36,15 +38,23 @@
         return _Conn(member)
 
 
+class LoopClock(Clock):
+    """The loop's own time, which is virtual here."""
+
+    def now(self):
+        return int(asyncio.get_running_loop().time() * 1e6) + 1
+
+
 def _band(names, size, holds, floor=(0, 0)):
     tie = types.SimpleNamespace(holds=holds, edges=3, doubt=lambda *_: None)
     gate = types.SimpleNamespace(
-        clock=Clock(),
+        clock=LoopClock(),
         nest=Nest(),
         order=Order(),
         tie=tie,
         wire=_Wire(),
         near=lambda h: 0,
+        outside_contact=OutsideContact(LoopClock()),
         drain_us=0,
         empty_us=0,
         count=collections.Counter(),
@@ -93,6 +103,40 @@
     warp(go())
 
 
+def test_others_prove_nothing_until_the_primary_has_been_silent_for_a_while(warp):
+    """A proxy cut off together with it may still pass on what only an unknown replica has."""
+
+    async def go():
+        band = _band(["m1", "m2", "m3"], 4, True)
+        primary, clock = band.members["p"], band._clock
+        band._ask_quietly = _nothing
+        primary.note_asked(clock.now() - 100_000)
+        began = asyncio.get_running_loop().time()
+        await band._fetch_others("p")
+        assert asyncio.get_running_loop().time() - began > 0.14
+        began = asyncio.get_running_loop().time()
+        await band._fetch_others("p")
+        assert asyncio.get_running_loop().time() - began < 0.05
+
+    warp(go())
+
+
+def test_a_primary_heard_right_before_proves_that_a_cut_may_be_young(warp):
+    async def go():
+        band = _band(["m1", "m2", "m3"], 4, True)
+        primary, clock = band.members["p"], band._clock
+        primary.note_asked(clock.now() - 1_000_000)
+        primary.last_heard = clock.now() - 10_000
+        with pytest.raises(Unreached):
+            await band._fetch_others("p")
+
+    warp(go())
+
+
+async def _nothing(member):
+    """The primary is asked, and does not answer."""
+
+
 def test_an_edge_without_a_lease_may_not_know_all_members_and_proves_nothing(warp):
     async def go():
         with pytest.raises(Unreached):
--- a/tests/test_unleased_commits.py
+++ b/tests/test_unleased_commits.py
@@ -1,6 +1,7 @@
 """Unless control confirmed the office a moment ago, a commit's success is passed on only once a
 known replica shows it."""
 
+import asyncio
 import collections
 import types
 
@@ -12,6 +13,7 @@
 from petrelhaven.proxy.routing.group import MemberGroup
 from petrelhaven.proxy.routing.held_transactions import HeldTransactions
 from petrelhaven.proxy.routing.held_writes import HeldWrites
+from petrelhaven.proxy.routing.outside_contact import OutsideContact
 from petrelhaven.proxy.routing.request import Request
 from petrelhaven.proxy.session.statement import Reply
 from petrelhaven.runtime.clock import Clock, Nest
@@ -22,6 +24,13 @@
 REQUEST_US = 2_000_000
 
 
+class _LoopClock(Clock):
+    """The loop's own time, which is virtual here."""
+
+    def now(self):
+        return int(asyncio.get_running_loop().time() * 1e6) + 1
+
+
 class _Connection:
     lost = False
 
@@ -90,7 +99,7 @@
 
 
 def _proxy(logs, confirmed, delays):
-    clock = Clock()
+    clock = _LoopClock()
     return types.SimpleNamespace(
         clock=clock,
         nest=Nest(),
@@ -98,7 +107,8 @@
         log=None,
         tie=types.SimpleNamespace(holds=True, confirmed=confirmed, edges=3, doubt=lambda *_: None),
         wire=_Wire(logs, delays, clock),
-        near=lambda zone: 0,
+        near=lambda zone: {"a": 0, "b": 2}[zone],
+        outside_contact=OutsideContact(clock),
         drain_us=0,
         empty_us=0,
         count=collections.Counter(),
@@ -106,10 +116,11 @@
     )
 
 
-def _group(proxy, logs, sync_replicas):
+def _group(proxy, logs, sync_replicas, far):
     ledger = Ledger()
     for index, name in enumerate(["p", *logs]):
-        row = {"t": "member", "name": name, "group": "g", "hall": "a", "role": "replica"}
+        row = {"t": "member", "name": name, "group": "g", "role": "replica"}
+        row |= {"hall": "b" if name == far else "a"}
         row |= {"addr": f"10.0.0.{index}:1", "state": "ready", "slots": 5, "count": 1}
         ledger.apply(index + 1, row)
     office = {"t": "office", "group": "g", "n": 1, "phase": "serve", "primary": "p", "term": 1}
@@ -123,9 +134,9 @@
 class _Case:
     """One write or COMMIT answered with success, and what the proxy passed on."""
 
-    def __init__(self, kind, logs, confirmed=False, sync_replicas=1, delays=(), wrote=True):
+    def __init__(self, kind, logs, confirmed=False, sync_replicas=1, delays=(), wrote=True, far=""):
         self.proxy = _proxy(logs, confirmed, dict(delays))
-        self.group, self.ledger = _group(self.proxy, logs, sync_replicas)
+        self.group, self.ledger = _group(self.proxy, logs, sync_replicas, far)
         self.meanwhile = lambda: None
         self.session, self.pool = _Session(), _Pool()
         self._kind, self._wrote = kind, wrote
@@ -137,9 +148,8 @@
         statement = types.SimpleNamespace(verb=verb, writes=True)
         request = Request(self.session, statement, None, self.group, began + REQUEST_US)
         if self._kind == "commit":
-            member = types.SimpleNamespace(name="p", pool=self.pool)
-            member.last_heard = member.failures = member.down_until = 0
-            member.note_log = lambda position: None
+            member = self.group.members["p"]
+            member.pool = self.pool
             self.session.transaction = types.SimpleNamespace(
                 connection=types.SimpleNamespace(lost=False),
                 member=member,
@@ -275,12 +285,40 @@
     warp(go())
 
 
+@KINDS
+@pytest.mark.parametrize("silent_us", [100_000, 200_000])
+def test_a_primary_of_the_own_zone_needs_proof_once_nothing_is_heard_from_beyond(
+    warp, kind, silent_us
+):
+    """The zone may be cut off, with a new replica inside it that control does not know."""
+
+    async def go():
+        case = _Case(kind, {"m1": SHORT, "m2": SHORT}, confirmed=True, far="m2")
+        case.group.fine(case.group.members["m2"])
+        await case.proxy.clock.sleep(silent_us)
+        assert (await case.run()).ok == (silent_us < 150_000)
+
+    warp(go())
+
+
+@KINDS
+def test_a_primary_elsewhere_is_itself_word_from_there(warp, kind):
+    async def go():
+        case = _Case(kind, {"m1": SHORT, "m2": SHORT}, confirmed=True, far="p")
+        case.group.fine(case.group.members["p"])
+        await case.proxy.clock.sleep(1_000_000)
+        assert (await case.run()).ok
+        assert case.proxy.wire.asked == []
+
+    warp(go())
+
+
 def test_a_lease_that_was_not_renewed_for_a_while_still_holds_but_is_not_confirmed():
     now = 5_000_000
     clock = types.SimpleNamespace(now=lambda: now)
     tie = Tie(clock, Nest(), Link(clock, Nest()), None, "e1", [], lambda zone: 0)
     assert not tie.holds and not tie.confirmed
-    tie._renew(now, 1_500_000)
+    tie._renew(now, 1_500_000, 200_000)
     assert tie.holds and tie.confirmed
     now += 450_000
     assert tie.holds and not tie.confirmed
