--- a/tests/test_band_proof.py
+++ b/tests/test_band_proof.py
@@ -110,6 +110,7 @@
         band = _band(["m1", "m2", "m3"], 4, True)
         primary, clock = band.members["p"], band._clock
         band._ask_quietly = _nothing
+        await clock.sleep(1_000_000)
         primary.note_asked(clock.now() - 100_000)
         began = asyncio.get_running_loop().time()
         await band._fetch_others("p")
@@ -125,6 +126,7 @@
     async def go():
         band = _band(["m1", "m2", "m3"], 4, True)
         primary, clock = band.members["p"], band._clock
+        await clock.sleep(2_000_000)
         primary.note_asked(clock.now() - 1_000_000)
         primary.last_heard = clock.now() - 10_000
         with pytest.raises(Unreached):
