A core back with an empty disk is considered when it tells of itself, not 2 s later

Cause: a core wiped and started again within a second is alive by name in every roster, so the others look whole and rest for 2 s between two looks; the answer that shows its new disk woke nobody (trace: told at 1.02 s, view proposed at 3.06 s). Ruled out: the wait for former views to lapse (0.6 s, served beside), feeding the empty core (ms). Change: an answer that shows another disk than before ends the rest; while a core of the view tells another disk than the view names, looks come each 0.3 s.

--- a/src/petrelhaven/control/core.py
+++ b/src/petrelhaven/control/core.py
@@ -201,7 +201,10 @@
                         r = await self.reach.call(n, "view.ask", {"name": self.name}, 500_000)
                     except Fault:
                         pass
+        _, before = self._infos.get(addr, (0, None))
         self._infos[addr] = (at, r)
+        if r and (before is None or before["disk"] != r["disk"]):
+            self.wake()
         self.informed()
         if r and r["view"]:
             self.chain.adopt(r["view"])
--- a/src/petrelhaven/control/seat.py
+++ b/src/petrelhaven/control/seat.py
@@ -128,6 +128,7 @@
             and len(v["chain"]) == len(v["ids"])
             and self.chain.active
             and all(self.roster.state(n) == "alive" for n in v["ids"])
+            and not self._wiped(v)
         )
         us = 2_000_000 if whole else self.mend_us if v is not None else self.mend_us // 4
         self._news.clear()
@@ -136,6 +137,11 @@
         except Late:
             pass
 
+    def _wiped(self, view):
+        """Cores of the view that came back with another disk than they had in it."""
+        told = self.news()
+        return [n for n in view["ids"] if n in told and told[n]["disk"] != view["ids"][n]]
+
     def wake(self):
         """Ends the rest between two looks at the other cores."""
         self._news.set()
