A replica lost for good is counted out, so the next loss can be mended

A dead member that never signs off was heard of nowhere and needed for every proof; so would a former primary be that is gone for good. Weighed: signing it off (a restart with its log would be declined by its call count); sparing whoever refuses at the moment of the move (its log may hold the last commits). Change: cores tell the head of replicas whose beats cease; while one refuses for over a second, another stays and has reached the position that the primary had after that, it is recorded as counted out at that position. It is spared only while its address refuses, asked again before the platform is; back or out of sight, it counts again.

--- a/src/petrelhaven/control/failover/coordinator.py
+++ b/src/petrelhaven/control/failover/coordinator.py
@@ -69,10 +69,12 @@
         return self._pause_locks.setdefault(group, asyncio.Lock())
 
     def doubt(self, group: str, member: str, how: str) -> None:
-        """Takes a doubt about a primary."""
+        """Takes a doubt about a primary, or about a replica that nobody hears of any more."""
         office = self._offices.get(group)
         if office and office["primary"] == member:
             self._doubts.setdefault(group, how)
+        elif office:
+            self._departures.suspect(group, member)
 
     async def run(self) -> None:
         """Works for good; every core watches the beats that it hears itself."""
@@ -82,6 +84,7 @@
             if chain.realm.manifest is None:
                 continue
             self._doubt_silent_primaries()
+            self._doubt_silent_replicas()
             self._departures.observe()
             if not self.acts:
                 self._stand_down()
@@ -124,6 +127,19 @@
                 del self.core.heard[office["primary"]]
                 self.core.nest.spawn(self.core.doubt(group, office["primary"], "no beats"))
 
+    def _doubt_silent_replicas(self) -> None:
+        """Tells the head once of each replica whose beats this core heard and hears no longer."""
+        now, beat_us = self.clock.now(), self.core.beat_us
+        members = self.core.chain.realm.doc["members"]
+        primaries = {office["primary"] for office in self._offices.values()}
+        for name, (heard_at, _) in list(self.core.heard.items()):
+            facts = members.get(name)
+            if facts is None or facts["state"] != "ready" or name in primaries:
+                continue
+            if _SILENT_BEATS * beat_us < now - heard_at < _FORGOTTEN_BEATS * beat_us:
+                del self.core.heard[name]
+                self.core.nest.spawn(self.core.doubt(facts["group"], name, "no beats"))
+
     def _start(self, group: str, work: Callable[..., Awaitable], *args: object) -> None:
         async def run() -> None:
             try:
@@ -348,4 +364,7 @@
                 return True
             if not self.acts or self.office(group)["phase"] != "serve":
                 return False
-            return await handle.resume()
+            answered = await handle.resume()
+            if handle.refuses:
+                self._departures.suspect(group, handle.name)
+            return answered
--- a/src/petrelhaven/control/failover/departures.py
+++ b/src/petrelhaven/control/failover/departures.py
@@ -4,6 +4,9 @@
 another replica that stays receives, the leaving one is paused and recorded as counted out: every
 commit acknowledged from then on is held by one that stays. Of a member that left without that,
 the log is at or below the primary's position read after its end.
+
+A replica that ended without a word, and may never come back, is counted out as well, at the
+position that the primary had after its end: else the next loss would wait for it for good.
 """
 
 import asyncio
@@ -28,6 +31,7 @@
 _ENDED_US = 2_000_000
 _REFUSING_US = 1_000_000
 _UNFOLLOWED_US = 500_000
+_SUSPECTED_US = 10_000_000
 
 
 class DepartureWatch:
@@ -42,6 +46,11 @@
         self._first_seen = {}
         self._draining_since = {}
         self._unfollowed_since = {}
+        self._suspected: dict[tuple[str, str], int] = {}
+
+    def suspect(self, group: str, name: str) -> None:
+        """Takes word that a replica is not heard of any more; it is looked at for a while."""
+        self._suspected[group, name] = self._clock.now()
 
     def observe(self) -> None:
         """Notes since when members drain; every core does, so that a new head knows it."""
@@ -79,7 +88,8 @@
 
     def _concerned(self, group: str) -> bool:
         evidence = self._evidence(group)
-        return bool(self._leaving(group) or evidence.unproven or evidence.counted_out)
+        suspected = any(suspect[0] == group for suspect in self._suspected)
+        return bool(self._leaving(group) or evidence.unproven or evidence.counted_out or suspected)
 
     def _forget(self, group: str) -> None:
         for handle in self._handles.pop(group, {}).values():
@@ -113,6 +123,9 @@
         if office["phase"] == "move" or not self._coordinator.acts:
             return
         ended = await self._ended(group)
+        lost = await self._lost(group, office["primary"])
+        if not self._has_work(group, lost):
+            return
         handles = self._refreshed(group)
         primary = handles.get(office["primary"])
         row = await primary.status() if primary is not None else None
@@ -122,7 +135,45 @@
         if ended and (followed or self._seen_for(group, "unfollowed end") > _ENDED_US):
             self._not_seen(group, "unfollowed end")
             await self._bound(group, ended, row.position)
-        await self._count_out(group, office["primary"], row.term + 1, followed)
+        await self._count_out(group, office["primary"], row.term + 1, followed, lost)
+        if followed:
+            await self._count_out_lost(group, lost, row.position)
+
+    def _has_work(self, group: str, lost: list[str]) -> bool:
+        """Whether more is to be done than to wait for lost members that are counted out already."""
+        evidence = self._evidence(group)
+        settled = set(evidence.counted_out) <= set(lost) <= set(evidence.counted_out)
+        return bool(self._leaving(group) or evidence.unproven or not settled)
+
+    async def _lost(self, group: str, primary: str) -> list[str]:
+        """Which replicas ended without a word: at their addresses nobody answers for a while."""
+        now = self._clock.now()
+        members = self._core.chain.realm.group(group)
+        suspects = {name for of, name in self._suspected if of == group}
+        lost = []
+        for name in sorted(suspects | set(self._evidence(group).counted_out)):
+            facts = members.get(name)
+            if facts is None or facts["state"] != "ready" or name == primary:
+                self._suspected.pop((group, name), None)
+                continue
+            how = await self._coordinator.observer.look(name, facts)
+            if how == REFUSED:
+                if self._seen_for(group, "refusing " + name) > _REFUSING_US:
+                    lost.append(name)
+                continue
+            self._not_seen(group, "refusing " + name)
+            since = self._suspected.get((group, name), 0)
+            if how != MUTE or now - since > _SUSPECTED_US:
+                self._suspected.pop((group, name), None)
+        return lost
+
+    async def _count_out_lost(self, group: str, lost: list[str], position: Position) -> None:
+        """What only they held is at or below `position`, which one that stays has reached."""
+        async with self._coordinator.pause_lock(group):
+            for name in lost:
+                self._suspected.pop((group, name), None)
+                if name not in self._evidence(group).counted_out:
+                    await self._record(group, name, position)
 
     def _refreshed(self, group: str) -> dict[str, MemberHandle]:
         handles = self._handles.setdefault(group, {})
@@ -151,8 +202,13 @@
             await self._clock.sleep(_REACH_TURN_US)
         return False
 
-    async def _count_out(self, group: str, primary: str, term: int, followed: bool) -> None:
-        """Pauses those that leave while another receives, and undoes that while none does."""
+    async def _count_out(
+        self, group: str, primary: str, term: int, followed: bool, lost: list[str]
+    ) -> None:
+        """Pauses those that leave while another receives, and undoes that while none does.
+
+        Nobody receives again while an office moves: only the heir may.
+        """
         counted_out = self._evidence(group).counted_out
         for name in self._leaving(group):
             if name == primary:
@@ -164,9 +220,11 @@
                 await self._pause(group, name, term)
             elif name in counted_out:
                 await self._undo_if_unfollowed(group, name)
+        if self._core.chain.realm.doc["offices"][group]["phase"] != "serve":
+            return
         for name in counted_out:
             facts = self._core.chain.realm.group(group).get(name)
-            if facts is not None and facts["state"] == "ready":
+            if facts is not None and facts["state"] == "ready" and name not in lost:
                 await self._undo(group, name)
 
     async def _pause(self, group: str, name: str, term: int) -> None:
--- a/src/petrelhaven/control/failover/member_access.py
+++ b/src/petrelhaven/control/failover/member_access.py
@@ -3,11 +3,12 @@
 from petrelhaven.control.failover.evidence import MemberRow
 from petrelhaven.control.failover.interfaces import Connection, MemberWire
 from petrelhaven.runtime.clock import Clock
-from petrelhaven.runtime.errors import Fault
+from petrelhaven.runtime.errors import Fault, Gone, Unsent
 
 __all__ = ["ASK_US", "MemberHandle"]
 
 ASK_US = 600_000
+_MUTE = "mute"
 
 
 class MemberHandle:
@@ -21,15 +22,27 @@
         facts: Its record in the ledger.
         row: The last row that it answered, or None.
         fault: Why the last question had no answer.
+        refuses: Whether that was because nobody, or somebody else, is at its address.
         pending: The running STATUS question to a primary that is not waited for, or None.
     """
 
-    __slots__ = ("name", "facts", "row", "fault", "pending", "_wire", "_clock", "_connection")
+    __slots__ = (
+        "name",
+        "facts",
+        "row",
+        "fault",
+        "refuses",
+        "pending",
+        "_wire",
+        "_clock",
+        "_connection",
+    )
 
     def __init__(self, wire: MemberWire, clock: Clock, name: str, facts: dict) -> None:
         self.name, self.facts = name, facts
         self.row: MemberRow | None = None
         self.fault = ""
+        self.refuses = False
         self.pending = None
         self._wire, self._clock = wire, clock
         self._connection: Connection | None = None
@@ -54,7 +67,7 @@
         try:
             return await self.ask("status")
         except Fault as e:
-            self.fault = f"{e.code} {e.note}"
+            self._note(e)
             return None
 
     async def pause(self, term: int) -> MemberRow | None:
@@ -62,7 +75,7 @@
         try:
             row = await self.ask("pause", term)
         except Fault as e:
-            self.fault = f"{e.code} {e.note}"
+            self._note(e)
             return None
         return row if row.held_term >= term else None
 
@@ -71,10 +84,14 @@
         try:
             await self.ask("resume")
         except Fault as e:
-            self.fault = f"{e.code} {e.note}"
+            self._note(e)
             return False
         return True
 
+    def _note(self, fault: Fault) -> None:
+        self.fault = f"{fault.code} {fault.note}"
+        self.refuses = isinstance(fault, Unsent | Gone) and fault.note != _MUTE
+
     def close(self) -> None:
         """Closes the connection; the next question opens another one."""
         if self._connection is not None:
--- a/src/petrelhaven/control/failover/office_move.py
+++ b/src/petrelhaven/control/failover/office_move.py
@@ -241,7 +241,7 @@
         order = self._evidence().order
         if order is not None:
             return await self._obey(order, replicas, rows, term)
-        unheard = self._unheard(replicas, rows, spared=self._evidence().counted_out)
+        unheard = self._unheard(replicas, rows, spared=self._spared(replicas))
         if unheard or not replicas:
             await self._count_out_leaving(replicas, rows, term)
             return self._waits("not heard: " + unheard)
@@ -258,11 +258,32 @@
         again = await self._paused_rows(heard, term)
         if again is None or self._members_changed(replicas):
             return self._waits("what was paused is not any more")
+        if not await self._stay_away(replicas, heard):
+            return self._waits("a member that was lost is back")
         verdict = self._decide(replicas, again)
         if isinstance(verdict, Unproven) or heir.name not in verdict.candidates:
             return self._waits("what was paused is not any more")
         return await self._promote(heir, term)
 
+    def _spared(self, replicas: Iterable[MemberHandle]) -> list[str]:
+        """Who need not be heard: those that left paused, and the lost while nobody is there."""
+        members = self._core.chain.realm.group(self.group)
+        counted_out = self._evidence().counted_out
+        return [
+            handle.name
+            for handle in replicas
+            if handle.name in counted_out
+            and handle.name in members
+            and (handle.refuses or members[handle.name]["state"] != "ready")
+        ]
+
+    async def _stay_away(self, replicas: list[MemberHandle], heard: list[MemberHandle]) -> bool:
+        """Whether those that were not heard are still spared, asked once more."""
+        missing = [handle for handle in replicas if handle not in heard]
+        rows = await asyncio.gather(*[handle.status() for handle in missing])
+        spared = self._spared(missing)
+        return not any(rows) and all(handle.name in spared for handle in missing)
+
     def _decide(
         self, replicas: list[MemberHandle], rows: dict[str, MemberRow]
     ) -> Proven | Unproven:
--- a/src/petrelhaven/runtime/events.py
+++ b/src/petrelhaven/runtime/events.py
@@ -110,10 +110,10 @@
     ),
     340: (
         "info",
-        "leaving member counted out: paused at `pos`",
+        "member counted out: what only it has is at or below `pos`",
         "none; those that stay hold the rest",
     ),
-    341: ("info", "leaving member counts again", "none; no other replica receives"),
+    341: ("info", "member counts again", "none; no other replica receives"),
     342: (
         "info",
         "log of departed members bounded",
--- a/tests/test_warden.py
+++ b/tests/test_warden.py
@@ -1015,6 +1015,87 @@
     virtual(go, halls={"p": "b", "r2": "b"})
 
 
+def lose_for_good(e, name):
+    """A replica ends without a word; a core misses its beats."""
+    e.dark(name, True, False)
+    e.warden.doubt("g", name, "no beats")
+
+
+def test_a_replica_lost_for_good_does_not_hold_up_the_next_loss():
+    async def go(e):
+        lose_for_good(e, "r1")
+        await e.until(lambda: "r1" in e.evidence.counted_out, 4)
+        await asyncio.sleep(2)
+        e.dark("p")
+        e.warden.doubt("g", "p", "mute")
+        await e.until(lambda: e.office["primary"] == "r2" and e.office["phase"] == "serve", 6)
+        assert e.calls == ["r2"]
+
+    virtual(go)
+
+
+def test_a_replica_that_may_be_alive_out_of_sight_is_waited_for():
+    """It was lost and is back, in a place that no core reaches: it may receive there."""
+
+    async def go(e):
+        lose_for_good(e, "r1")
+        await e.until(lambda: "r1" in e.evidence.counted_out, 4)
+        e.dark("r1")
+        e.dark("p")
+        e.warden.doubt("g", "p", "mute")
+        await asyncio.sleep(8)
+        assert e.calls == [] and e.office["stuck"]
+
+    virtual(go)
+
+
+@pytest.mark.parametrize("mute", [False, True])
+def test_a_lost_replica_that_is_back_receives_and_counts_again(mute):
+    async def go(e):
+        lose_for_good(e, "r1")
+        await e.until(lambda: "r1" in e.evidence.counted_out, 4)
+        e.dark("r1", not mute, True)
+        await e.until(lambda: not e.evidence.counted_out, 3)
+        e.dark("r1", True, True)
+        await e.until(lambda: e.settled)
+        e.dark("p", runs=False)
+        e.warden.doubt("g", "p", "refused")
+        await e.until(lambda: e.calls and e.settled)
+
+    virtual(go)
+
+
+def test_a_lost_replica_that_is_back_amid_a_planned_move_does_not_receive_before_its_end():
+    """Only the heir may: else the other alone could have the last commits. Found by a drawn schedule."""
+
+    async def go(e):
+        lose_for_good(e, "r1")
+        await e.until(lambda: "r1" in e.evidence.counted_out, 4)
+        e.barrier = 1.5
+        e.member("p", "draining")
+        await e.until(lambda: e.office["phase"] == "swap", 2)
+        e.dark("r1", True, True)
+        e.trace.clear()
+        await e.until(lambda: e.calls and e.office["phase"] == "serve")
+        before = e.trace[: e.at("serve", "r2")]
+        assert ("resume", "r1") not in before and ("pause", "r1") in [x[:2] for x in before]
+
+    virtual(go)
+
+
+def test_a_replica_lost_while_no_other_receives_is_not_counted_out():
+    async def go(e):
+        e.members["r2"].follows = False
+        await asyncio.sleep(0.5)
+        lose_for_good(e, "r1")
+        await asyncio.sleep(4)
+        assert not e.evidence.counted_out
+        e.members["r2"].follows = True
+        await e.until(lambda: "r1" in e.evidence.counted_out, 4)
+
+    virtual(go)
+
+
 class Leavings:
     """Planned leavings of a group, each with its new member first, among faults that pass."""
 
@@ -1081,7 +1162,9 @@
         names = sorted(n for n, m in self.e.members.items() if m.runs)
         member = self.e.members[names[pick % len(names)]]
         member.runs = False
-        await asyncio.sleep(s)
+        await asyncio.sleep(s / 2)
+        self.e.warden.doubt("g", member.name, "no beats")
+        await asyncio.sleep(s / 2 + pick % 3)
         name = next(n for n, m in self.e.members.items() if m is member)
         if self.e.chain.realm.doc["members"][name]["state"] != "gone":
             member.runs, member.held = True, 0
