--- a/src/petrelhaven/emulator/member.py
+++ b/src/petrelhaven/emulator/member.py
@@ -8,7 +8,7 @@
 import aiohttp
 from aiohttp import web
 
-from petrelhaven.emulator.store import Store, Unanswered, _Stop
+from petrelhaven.emulator.store import Declined, Store, Unanswered
 from petrelhaven.runtime.clock import Clock, Nest
 from petrelhaven.runtime.daemon import say
 from petrelhaven.runtime.errors import Fault
@@ -51,9 +51,7 @@
                 if "reset" in r:
                     self.s.entries, self.s.data = [], {}
                 if "e" in r:
-                    self.s.entries.append(r["e"])
-                    for op in r["e"][1]:
-                        self.s._do(self.s.data, op)
+                    self.s.replay(*r["e"])
                 if "role" in r:
                     self.s.role, self.s.term, self.s.fence, self.s.source = (
                         r["role"],
@@ -144,8 +142,8 @@
         self._clear()
         try:
             return {"conn": self.s.open(self._owner(req))}
-        except _Stop as e:
-            return web.json_response(e.doc, status=409)
+        except Declined as e:
+            return web.json_response(e.document, status=409)
 
     async def _run(self, req):
         b = await body_of(req)
@@ -185,8 +183,8 @@
                 pass
         try:
             return self.s.feed(b["pos"], b["term"])
-        except _Stop as e:
-            return web.json_response(e.doc, status=409)
+        except Declined as e:
+            return web.json_response(e.document, status=409)
 
     async def _promote(self, req):
         return await self._turn(lambda b: self.s.promote(b["epoch"]), req)
@@ -199,8 +197,8 @@
         await self._dark()
         try:
             fn(b)
-        except _Stop as e:
-            return web.json_response(e.doc, status=409)
+        except Declined as e:
+            return web.json_response(e.document, status=409)
         self._state()
         self._news.set()
         await self._once()
--- a/src/petrelhaven/emulator/store.py
+++ b/src/petrelhaven/emulator/store.py
@@ -1,79 +1,116 @@
-"""A stand-in member's database: a log with positions, connections, values, prepared statements, transactions."""
+"""A stand-in member's database: a log with positions, connections, values, transactions."""
+
+from __future__ import annotations
 
 import copy
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from petrelhaven.runtime.clock import Clock
+
+__all__ = ["Declined", "Store", "Unanswered"]
 
-__all__ = ["Store", "Unanswered"]
+_FLOOD_WINDOW_US = 100_000
 
+Operation = list[Any]
+Statement = Mapping[str, Any]
+Result = dict[str, Any]
 
-class Unanswered(Exception):
+
+class Unanswered(Exception):  # noqa: N818 (no error of the store: a fault that it plays)
     """The request ran (or hangs), and no result will be sent."""
 
 
-class _Stop(Exception):
-    def __init__(self, code, **more):
-        self.doc = {"fault": code, **more}
+class Declined(Exception):  # noqa: N818 (the answer to a statement, not an error of the store)
+    """A statement is not run; `document` is its result."""
+
+    def __init__(self, code: str, **more: object) -> None:
+        """Declines with a code, and what else is to be told."""
+        super().__init__(code)
+        self.document = {"fault": code, **more}
 
 
-class _Conn:
-    __slots__ = ("values", "prepared", "txn", "owner", "at")
+@dataclass(slots=True)
+class _Transaction:
+    """An open transaction: the data as it sees them, and what it wrote."""
 
-    def __init__(self, owner, at):
-        self.values, self.prepared, self.txn, self.owner, self.at = {}, {}, None, owner, at
+    mode: str
+    view: dict[str, Any]
+    operations: list[Operation] = field(default_factory=list)
 
 
-class _Txn:
-    __slots__ = ("mode", "view", "ops")
+@dataclass(slots=True)
+class _Connection:
+    """A connection of `owner`, with what its session set on it."""
 
-    def __init__(self, mode, view):
-        self.mode, self.view, self.ops = mode, view, []
+    owner: object
+    opened_at: int
+    values: dict[str, Any] = field(default_factory=dict)
+    prepared: dict[str, Statement] = field(default_factory=dict)
+    txn: _Transaction | None = None
 
 
 class Store:
-    """One member. The log is the truth; data is what the log says."""
-
-    def __init__(self, clock, name, group, hall, role, cap, rng, warm_us=0, cold_most=6):
-        self.clock, self.name, self.group, self.hall, self.cap, self.rng = (
-            clock,
-            name,
-            group,
-            hall,
-            cap,
-            rng,
-        )
+    """One member. The log is the truth; `data` is what the log says.
+
+    A test may set `dark` (nothing is answered), `stall` (nothing is received), `unanswered` (so
+    many writes lose their answers), and `draining`. `flood`, `full` and `most_conns` count what
+    callers did: statements in a tenth of a second while cold, connections declined and open.
+    """
+
+    def __init__(  # noqa: PLR0913, PLR0917 (what a member is told at its start)
+        self,
+        clock: Clock,
+        name: str,
+        group: str,
+        hall: str,
+        role: str,
+        cap: int,
+        rng: random.Random,
+        warm_us: int = 0,
+        cold_most: int = 6,
+    ) -> None:
+        """An empty member that has just started; it is warm after `warm_us`."""
+        self.clock, self.name, self.group, self.hall = clock, name, group, hall
+        self.cap, self.rng = cap, rng
         self.role = role
         self.warm_us, self.cold_most = warm_us, cold_most
         self.term = 1 if role == "primary" else 0
-        self.entries = []
-        self.data = {}
-        self.store = "%012x" % rng.getrandbits(48)
+        self.entries: list[list[Any]] = []
+        self.data: dict[str, Any] = {}
+        self.store = f"{rng.getrandbits(48):012x}"
         self.draining = False
-        self.source = None
+        self.source: str | None = None
         self.fence = 0
         self.flood = self.full = 0
         self.most_conns = 0
         self.last_statement = self.statements = 0
         self.dark = self.stall = False
         self.unanswered = 0
-        self.on_commit = []
+        self.on_commit: list[Callable[[], object]] = []
         self.boot_up()
 
-    def boot_up(self):
+    def boot_up(self) -> None:
         """A fresh start over the same log."""
-        self.boot = "%012x" % self.rng.getrandbits(48)
+        self.boot = f"{self.rng.getrandbits(48):012x}"
         self.born = self.clock.now()
-        self.conns = {}
-        self._num = 0
-        self._cold = []
+        self.conns: dict[str, _Connection] = {}
+        self._opened = 0
+        self._statements_while_cold: list[int] = []
 
     @property
-    def log(self):
+    def log(self) -> int:
+        """The position of the newest entry."""
         return len(self.entries)
 
     @property
-    def warm(self):
+    def warm(self) -> bool:
+        """Whether it has run for long enough to take its full load."""
         return self.clock.now() - self.born >= self.warm_us
 
-    def status(self):
+    def status(self) -> dict[str, Any]:
         """STATUS and READY."""
         return {
             "member": self.name,
@@ -88,13 +125,13 @@
             "conns": len(self.conns),
         }
 
-    def announcement(self, addr, beat):
+    def announcement(self, address: str, beat: int) -> dict[str, Any]:
         """What the member tells control regularly."""
         return {
             "member": self.name,
             "group": self.group,
             "hall": self.hall,
-            "addr": addr,
+            "addr": address,
             "role": self.role,
             "log": self.log,
             "cap": self.cap,
@@ -106,201 +143,235 @@
             "beat": beat,
         }
 
-    def open(self, owner):
+    def open(self, owner: object) -> str:
         """A connection for `owner`; a full member declines."""
         if len(self.conns) >= self.cap:
             self.full += 1
-            raise _Stop("FULL")
-        self._num += 1
-        n = f"{self.boot}.{self._num}"
-        self.conns[n] = _Conn(owner, self.clock.now())
+            raise Declined("FULL")
+        self._opened += 1
+        number = f"{self.boot}.{self._opened}"
+        self.conns[number] = _Connection(owner, self.clock.now())
         self.most_conns = max(self.most_conns, len(self.conns))
-        return n
+        return number
 
-    def lose(self, owner):
+    def lose(self, owner: object) -> None:
         """The connections of `owner` are gone, their transactions with them."""
-        for n in [n for n, c in self.conns.items() if c.owner == owner]:
-            del self.conns[n]
+        self._close(lambda connection: connection.owner == owner)
+
+    def _end_transactions(self) -> None:
+        """Closes the connections inside a transaction: no statement of it must run outside it."""
+        self._close(lambda connection: connection.txn is not None)
 
-    def run(self, conn, ops, owner=None):
+    def _close(self, which: Callable[[_Connection], bool]) -> None:
+        for number in [n for n, connection in self.conns.items() if which(connection)]:
+            del self.conns[number]
+
+    def run(
+        self, number: str, statements: list[Statement], owner: object | None = None
+    ) -> list[Result]:
         """Runs a batch; stops at the first fault."""
-        c = self.conns.get(conn)
-        out = []
-        if c is None or owner is not None and c.owner != owner:
+        connection = self.conns.get(number)
+        if connection is None or owner is not None and connection.owner != owner:
             return [{"fault": "NOCONN"}]
         now = self.clock.now()
         if not self.warm:
-            self._cold = [t for t in self._cold if now - t < 100_000] + [now]
-            self.flood = max(self.flood, len(self._cold))
-        for o in ops:
-            try:
-                out.append(getattr(self, "_" + str(o.get("v")), self._what)(c, o) or {"ok": True})
-            except _Stop as e:
-                out.append(e.doc)
-                break
-            except (KeyError, TypeError, ValueError) as e:
-                out.append({"fault": "BADSTATEMENT", "note": type(e).__name__})
-                break
+            self._note_flood(now)
+        results = self._run_all(connection, statements)
         self.last_statement = now
         self.statements += 1
-        if self.unanswered and any("pos" in r for r in out):
+        if self.unanswered and any("pos" in result for result in results):
             self.unanswered -= 1
             raise Unanswered
-        return out
+        return results
+
+    def _note_flood(self, now: int) -> None:
+        lately = [at for at in self._statements_while_cold if now - at < _FLOOD_WINDOW_US]
+        self._statements_while_cold = [*lately, now]
+        self.flood = max(self.flood, len(self._statements_while_cold))
 
-    def _what(self, c, o):
-        raise _Stop("BADSTATEMENT", note="verb")
+    def _run_all(self, connection: _Connection, statements: list[Statement]) -> list[Result]:
+        results = []
+        for statement in statements:
+            run = getattr(self, f"_{statement.get('v')}", self._unknown)
+            try:
+                results.append(run(connection, statement) or {"ok": True})
+            except Declined as declined:
+                results.append(declined.document)
+                break
+            except (KeyError, TypeError, ValueError) as error:
+                results.append({"fault": "BADSTATEMENT", "note": type(error).__name__})
+                break
+        return results
 
-    def _after(self, c, o):
-        if self.log < o["pos"] or self.term < o.get("term", 0):
-            raise _Stop("LAGGING", log=self.log, term=self.term)
+    def _unknown(self, connection: _Connection, statement: Statement) -> None:
+        raise Declined("BADSTATEMENT", note="verb")
 
-    def _ready(self, c, o):
-        if self.role != o["role"] or self.term != o["term"]:
-            raise _Stop("TERM", role=self.role, term=self.term)
+    def _after(self, connection: _Connection, statement: Statement) -> None:
+        if self.log < statement["pos"] or self.term < statement.get("term", 0):
+            raise Declined("LAGGING", log=self.log, term=self.term)
 
-    def _reset(self, c, o):
-        c.values, c.prepared, c.txn = {}, {}, None
+    def _ready(self, connection: _Connection, statement: Statement) -> None:
+        if self.role != statement["role"] or self.term != statement["term"]:
+            raise Declined("TERM", role=self.role, term=self.term)
 
-    def _set(self, c, o):
-        c.values[o["name"]] = o["value"]
+    def _reset(self, connection: _Connection, statement: Statement) -> None:
+        connection.values, connection.prepared, connection.txn = {}, {}, None
 
-    def _unset(self, c, o):
-        c.values.pop(o["name"], None)
+    def _set(self, connection: _Connection, statement: Statement) -> None:
+        connection.values[statement["name"]] = statement["value"]
 
-    def _prepare(self, c, o):
-        c.prepared[o["name"]] = o["statement"]
+    def _unset(self, connection: _Connection, statement: Statement) -> None:
+        connection.values.pop(statement["name"], None)
 
-    def _show(self, c, o):
-        return {"value": c.values.get(o["name"])}
+    def _prepare(self, connection: _Connection, statement: Statement) -> None:
+        connection.prepared[statement["name"]] = statement["statement"]
 
-    def _fill(self, c, x, args):
-        if isinstance(x, str) and x.startswith("$"):
-            return args[int(x[1:]) - 1] if x[1:].isdigit() else c.values[x[1:]]
-        return x
+    def _show(self, connection: _Connection, statement: Statement) -> Result:
+        return {"value": connection.values.get(statement["name"])}
 
-    def _exec(self, c, o):
-        st = c.prepared.get(o["name"])
-        if st is None:
-            raise _Stop("NOSTATEMENT")
-        f = {k: self._fill(c, v, o["args"]) for k, v in st.items() if k != "verb"}
-        return getattr(self, "_" + st["verb"])(c, {"v": st["verb"], **f})
+    @staticmethod
+    def _fill(connection: _Connection, text: object, arguments: list[Any]) -> object:
+        """A field of a statement, with `$N` and `$name` replaced."""
+        if not isinstance(text, str) or not text.startswith("$"):
+            return text
+        name = text[1:]
+        return arguments[int(name) - 1] if name.isdigit() else connection.values[name]
+
+    def _exec(self, connection: _Connection, statement: Statement) -> Result | None:
+        shape = connection.prepared.get(statement["name"])
+        if shape is None:
+            raise Declined("NOSTATEMENT")
+        filled = {
+            key: self._fill(connection, text, statement["args"])
+            for key, text in shape.items()
+            if key != "verb"
+        }
+        return getattr(self, f"_{shape['verb']}")(connection, {"v": shape["verb"], **filled})
 
-    def _view(self, c):
-        return c.txn.view if c.txn else self.data
+    def _view(self, connection: _Connection) -> dict[str, Any]:
+        return connection.txn.view if connection.txn else self.data
 
-    def _get(self, c, o):
-        return {"value": self._view(c).get(self._fill(c, o["key"], []))}
+    def _get(self, connection: _Connection, statement: Statement) -> Result:
+        return {"value": self._view(connection).get(self._fill(connection, statement["key"], []))}
 
-    def _scan(self, c, o):
-        return {
-            "value": {k: v for k, v in sorted(self._view(c).items()) if k.startswith(o["prefix"])}
-        }
+    def _scan(self, connection: _Connection, statement: Statement) -> Result:
+        rows = sorted(self._view(connection).items())
+        return {"value": {k: v for k, v in rows if k.startswith(statement["prefix"])}}
 
-    def _begin(self, c, o):
-        if o["mode"] == "write" and self.role != "primary":
-            raise _Stop("READONLY")
-        c.txn = _Txn(o["mode"], copy.copy(self.data))
+    def _begin(self, connection: _Connection, statement: Statement) -> None:
+        if statement["mode"] == "write" and self.role != "primary":
+            raise Declined("READONLY")
+        connection.txn = _Transaction(statement["mode"], copy.copy(self.data))
 
-    def _rollback(self, c, o):
-        c.txn = None
+    def _rollback(self, connection: _Connection, statement: Statement) -> None:
+        connection.txn = None
 
-    def _commit(self, c, o):
-        x, c.txn = c.txn, None
-        if x is None:
-            raise _Stop("NOTXN")
+    def _commit(self, connection: _Connection, statement: Statement) -> Result:
+        transaction, connection.txn = connection.txn, None
+        if transaction is None:
+            raise Declined("NOTXN")
         if self.role != "primary":
-            raise _Stop("READONLY")
-        return self._append(x.ops) if x.ops else {"pos": self.log}
+            raise Declined("READONLY")
+        if not transaction.operations:
+            return {"pos": self.log}
+        return self._append(transaction.operations)
 
-    def _write(self, c, op):
+    def _write(self, connection: _Connection, operation: Operation) -> Result:
+        verb, key, value = operation
         if self.role != "primary":
-            raise _Stop("READONLY")
-        if op[0] == "add" and type(op[2]) is not int:
-            raise _Stop("BADSTATEMENT", note="add")
-        if c.txn is None:
-            return self._append([op])
-        if c.txn.mode != "write":
-            raise _Stop("BADSTATEMENT", note="read only")
-        c.txn.ops.append(op)
-        self._do(c.txn.view, op)
-        return {"value": c.txn.view.get(op[1])}
-
-    def _put(self, c, o):
-        return self._write(c, ["put", self._fill(c, o["key"], []), self._fill(c, o["value"], [])])
-
-    def _add(self, c, o):
-        return self._write(c, ["add", self._fill(c, o["key"], []), self._fill(c, o["value"], [])])
-
-    def _del(self, c, o):
-        return self._write(c, ["del", self._fill(c, o["key"], []), None])
+            raise Declined("READONLY")
+        if verb == "add" and type(value) is not int:
+            raise Declined("BADSTATEMENT", note="add")
+        transaction = connection.txn
+        if transaction is None:
+            return self._append([operation])
+        if transaction.mode != "write":
+            raise Declined("BADSTATEMENT", note="read only")
+        transaction.operations.append(operation)
+        self._apply(transaction.view, operation)
+        return {"value": transaction.view.get(key)}
+
+    def _put(self, connection: _Connection, statement: Statement) -> Result:
+        return self._write(connection, self._operation(connection, statement, "value"))
+
+    def _add(self, connection: _Connection, statement: Statement) -> Result:
+        return self._write(connection, self._operation(connection, statement, "value"))
+
+    def _del(self, connection: _Connection, statement: Statement) -> Result:
+        return self._write(connection, self._operation(connection, statement, None))
+
+    def _operation(
+        self, connection: _Connection, statement: Statement, value_field: str | None
+    ) -> Operation:
+        """A write as the log keeps it: verb, key, value."""
+        key = self._fill(connection, statement["key"], [])
+        if value_field is None:
+            return [statement["v"], key, None]
+        return [statement["v"], key, self._fill(connection, statement[value_field], [])]
 
     @staticmethod
-    def _do(data, op):
-        v, k, x = op
-        if v == "put":
-            data[k] = x
-        elif v == "add":
-            data[k] = (data.get(k) if type(data.get(k)) is int else 0) + x
+    def _apply(data: dict[str, Any], operation: Operation) -> None:
+        verb, key, value = operation
+        if verb == "put":
+            data[key] = value
+        elif verb == "add":
+            data[key] = (data.get(key) if type(data.get(key)) is int else 0) + value
         else:
-            data.pop(k, None)
-
-    def _append(self, ops):
-        self.entries.append([self.term, ops])
-        for op in ops:
-            self._do(self.data, op)
-        for f in self.on_commit:
-            f()
-        return {"pos": self.log, "value": self.data.get(ops[-1][1])}
-
-    def feed(self, pos, term):
-        """What a replica at (`pos`, term of its last entry) lacks; a whole log if the two have parted."""
+            data.pop(key, None)
+
+    def _append(self, operations: list[Operation]) -> Result:
+        self.replay(self.term, operations)
+        for tell in self.on_commit:
+            tell()
+        return {"pos": self.log, "value": self.data.get(operations[-1][1])}
+
+    def feed(self, position: int, term: int) -> dict[str, Any]:
+        """What a replica at (`position`, its last term) lacks; all of it if they have parted."""
         if self.role != "primary":
-            raise _Stop("READONLY")
-        same = pos <= self.log and (pos == 0 or self.entries[pos - 1][0] == term)
+            raise Declined("READONLY")
+        same = position <= self.log and (position == 0 or self.entries[position - 1][0] == term)
         return {
             "term": self.term,
-            "from": pos if same else 0,
-            "entries": self.entries[pos:] if same else list(self.entries),
+            "from": position if same else 0,
+            "entries": self.entries[position:] if same else list(self.entries),
             "store": self.store,
         }
 
-    def absorb(self, d):
+    def absorb(self, feed: Mapping[str, Any]) -> None:
         """Takes a feed from the primary."""
-        if self.role != "replica" or d["term"] < self.fence or d["term"] < self.term:
+        if self.role != "replica" or feed["term"] < self.fence or feed["term"] < self.term:
             return
-        if d["from"] == 0 and self.entries:
+        if feed["from"] == 0 and self.entries:
             self.entries, self.data = [], {}
-        if d["from"] != len(self.entries):
+        if feed["from"] != len(self.entries):
             return
-        for t, ops in d["entries"]:
-            self.entries.append([t, ops])
-            for op in ops:
-                self._do(self.data, op)
-        self.term = d["term"]
+        for term, operations in feed["entries"]:
+            self.replay(term, operations)
+        self.term = feed["term"]
 
-    def last_term(self):
+    def replay(self, term: int, operations: list[Operation]) -> None:
+        """Takes one entry of a log as it is."""
+        self.entries.append([term, operations])
+        for operation in operations:
+            self._apply(self.data, operation)
+
+    def last_term(self) -> int:
         """The term of the newest entry."""
         return self.entries[-1][0] if self.entries else 0
 
-    def promote(self, epoch):
+    def promote(self, epoch: int) -> None:
         """Becomes the primary under `epoch`; if it is that already, nothing changes."""
         if epoch < max(self.term, self.fence) or epoch == self.term and self.role != "primary":
-            raise _Stop("FENCED")
+            raise Declined("FENCED")
         if epoch == self.term:
             return
         self.role, self.term, self.fence, self.source = "primary", epoch, epoch, None
         self._end_transactions()
 
-    def follow(self, source, epoch):
+    def follow(self, source: str, epoch: int) -> None:
         """Becomes a replica of `source` under `epoch`."""
         if epoch < max(self.term, self.fence):
-            raise _Stop("FENCED")
+            raise Declined("FENCED")
         if self.role == "primary":
             self._end_transactions()
         self.role, self.source, self.fence = "replica", source, epoch
-
-    def _end_transactions(self):
-        """Closes the connections inside a transaction: a statement that follows must not run outside it."""
-        for name in [name for name, connection in self.conns.items() if connection.txn]:
-            del self.conns[name]
--- a/src/petrelhaven/simulator/world.py
+++ b/src/petrelhaven/simulator/world.py
@@ -7,7 +7,7 @@
 from petrelhaven.control.core import Core
 from petrelhaven.emulator.balancer import Usher
 from petrelhaven.emulator.platform import PlatformLogic
-from petrelhaven.emulator.store import Store, Unanswered, _Stop
+from petrelhaven.emulator.store import Declined, Store, Unanswered
 from petrelhaven.proxy.kept_edge import Edge
 from petrelhaven.proxy.pool.member_protocol import raise_first
 from petrelhaven.runtime.errors import Fault, MemberFault, Unreached, Unsent
@@ -102,8 +102,8 @@
                 await dst.clock.sleep(3_600_000_000)
             try:
                 return fn(m)
-            except _Stop as e:
-                raise MemberFault(e.doc["fault"], more=e.doc) from None
+            except Declined as e:
+                raise MemberFault(e.document["fault"], more=e.document) from None
             except Unanswered:
                 await dst.clock.sleep(3_600_000_000)
 
@@ -293,7 +293,7 @@
                     raise Unreached("off")
                 try:
                     return json.loads(json.dumps(src.node.feed(m.log, m.last_term())))
-                except _Stop:
+                except Declined:
                     raise Unreached("no primary") from None
 
             try:
@@ -318,8 +318,8 @@
         async def there():
             try:
                 getattr(b.node, verb)(**kw)
-            except _Stop as e:
-                raise MemberFault(e.doc["fault"]) from None
+            except Declined as e:
+                raise MemberFault(e.document["fault"]) from None
 
         await self.net.trip(self.plat, b, there, 1_000_000)
 
