A primary that reset a connection is asked itself instead of all others

Change: only a member that refuses, or has been silent for 250 ms to what it was asked, is passed over.

--- a/src/petrelhaven/proxy/routing/group.py
+++ b/src/petrelhaven/proxy/routing/group.py
@@ -282,7 +282,7 @@
         primary = self.members.get(leading[1])
         if self.leading != leading:
             raise Unreached("no primary to ask")
-        if primary is None or primary.down_until > self._clock.now():
+        if primary is None or self.proofs.is_silent(primary):
             return await self.proofs.position_of_others(leading[1])
         try:
             row = await self.status(primary)
--- a/src/petrelhaven/proxy/routing/member_proofs.py
+++ b/src/petrelhaven/proxy/routing/member_proofs.py
@@ -116,6 +116,17 @@
         fewest = max(sync_replicas + 1, self._group.size - 1)
         return sync_replicas > 0 and len(others) >= fewest and self._proxy.tie.holds
 
+    def is_silent(self, member: Member) -> bool:
+        """Whether asking the member is in vain: nobody is there, or it has not answered for long.
+
+        One that reset a connection is asked again: it is there, and its own word is the quickest.
+        """
+        now = self._clock.now()
+        if member.down_until <= now:
+            return False
+        unanswered = 0 < member.asked_at <= now - _SILENT_US
+        return member.refuses or (unanswered and member.last_heard < member.asked_at)
+
     async def _silence_of(self, primary: Member | None) -> None:
         """Waits until the primary has been silent for so long that nobody trusts its word unproven.
 
