--- a/src/petrelhaven/simulator/main.py
+++ b/src/petrelhaven/simulator/main.py
@@ -103,7 +103,7 @@
     seed, size, count, kinds = job
     bad, w = run(seed, size, count=count, kinds=kinds or None)
     rows = shrink(seed, size, schedule(seed, count, kinds or None)) if bad else None
-    return seed, [told(b) for b in bad], rows, sum(v.count["ok"] for v in w.visitors)
+    return seed, [told(b) for b in bad], rows, sum(v.count["ok"] for v in w.clients)
 
 
 def _held_storm(job, **kw):
@@ -256,7 +256,7 @@
             + ", ".join(f"{t} {o or ''}{n}".replace("  ", " ") for (t, o), n in sorted(c.items()))
         )
         n = collections.Counter()
-        for x in fl.visitors:
+        for x in fl.clients:
             n.update(x.count)
         print(
             f"statements ok {n['ok']}, declined {n['declined']}; longest step {fl.longest():.2f} s"
