Commands say by their exit code whether they could do or tell what was asked; today's terms in their help

- petrelhavenctl status ends with 3 if nobody answers and with 5 if only some do (was 0).
- Help and output speak of control nodes, configurations, zones, epochs, clients; former options are hidden aliases for one version.
Output lines that tests look at were renamed with them (office -> epoch, halls -> zones).
- ctl sends a change to the next node when one could not confirm it in time.
'duplicate' from that one was printed as declined although this very call had entered it: test_embargo_system failed so on a busy machine (not what another test left: each scene has a fleet of its own).
Now it counts as done, after an own attempt only.

--- a/src/petrelhaven/commands/ctl/configuration.py
+++ b/src/petrelhaven/commands/ctl/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import sys
 
 from petrelhaven.commands.ctl.command import Command, CommandParsers, in_force, read_text
@@ -12,7 +13,7 @@
 __all__ = ["add_commands"]
 
 _UNCONFIRMED = (
-    "petrelhavenctl: NOT confirmed by a majority of the cores; "
+    "petrelhavenctl: NOT confirmed by a majority of the control nodes; "
     "a newer one may have been acknowledged"
 )
 
@@ -20,34 +21,34 @@
 def add_commands(commands: CommandParsers) -> None:
     """Adds these commands to petrelhavenctl's parser."""
     parser = commands.add_parser(
-        "apply", help="apply a whole manifest; returns once it is in force"
+        "apply", help="apply a whole configuration; returns once it is in force"
     )
-    parser.add_argument("file", help="the manifest (JSON), - for standard input")
+    parser.add_argument("file", help="the configuration (JSON), - for standard input")
     parser.add_argument("--retire", action="store_true", help="allow served groups to be left out")
     parser.set_defaults(run=_apply)
     parser = commands.add_parser(
-        "show", help="read the newest acknowledged manifest back, byte for byte"
+        "show", help="read the newest acknowledged configuration back, byte for byte"
     )
     parser.add_argument("--version", type=int, help="an older version")
     parser.add_argument(
         "--unconfirmed",
         action="store_true",
-        help="what one core alone holds, when no majority is left to confirm it",
+        help="what one control node alone holds, when no majority is left to confirm it",
     )
     parser.set_defaults(run=_show)
     parser = commands.add_parser(
         "check",
-        help="check a manifest without a fleet; names every fault by path, changes nothing",
+        help="check a configuration without a fleet; names every fault by path, changes nothing",
     )
-    parser.add_argument("file", help="the manifest (JSON), - for standard input")
-    parser.set_defaults(run=_check, needs_cores=False)
+    parser.add_argument("file", help="the configuration (JSON), - for standard input")
+    parser.set_defaults(run=_check, needs_control=False)
     parser = commands.add_parser(
         "salvage",
-        help="read the manifest out of a core's data folder without changing it; "
+        help="read the configuration out of a control node's data folder without changing it; "
         "no majority confirms it",
     )
     parser.add_argument("folder")
-    parser.set_defaults(run=_salvage, needs_cores=False)
+    parser.set_defaults(run=_salvage, needs_control=False)
 
 
 async def _apply(command: Command) -> None:
@@ -56,7 +57,8 @@
     answer = await command.change(
         f"/manifest{command.by_query}&retire={retire}", data=text.encode()
     )
-    command.print(f"version {answer['version']} is in force ({in_force(answer)})")
+    version = json.loads(text)["version"]
+    command.print(f"version {version} is in force ({in_force(answer)})")
 
 
 async def _show(command: Command) -> None:
@@ -72,9 +74,9 @@
 async def _check(command: Command) -> None:
     configuration = parse_configuration(read_text(command.arguments.file))
     command.print(
-        f"manifest {configuration.name} version {configuration.version} is good: "
+        f"configuration {configuration.name} version {configuration.version} is good: "
         f"{len(configuration.groups)} groups, {len(configuration.routes)} routes, "
-        f"{len(configuration.zones)} halls"
+        f"{len(configuration.zones)} zones"
     )
 
 
@@ -83,7 +85,7 @@
     salvaged = salvage(folder)
     configuration = salvaged.control_state.doc["manifest"]
     if configuration is None:
-        raise NoRoute(f"{folder} holds no manifest")
+        raise NoRoute(f"{folder} holds no configuration")
     origin = f"folder of {salvaged.name}, change {salvaged.control_state.seq}"
     print(f"{_UNCONFIRMED} ({origin})", file=sys.stderr)
     sys.stdout.write(configuration["text"])
--- a/src/petrelhaven/commands/ctl/embargoes.py
+++ b/src/petrelhaven/commands/ctl/embargoes.py
@@ -4,7 +4,13 @@
 
 import json
 
-from petrelhaven.commands.ctl.command import Command, CommandParsers, Document, in_force
+from petrelhaven.commands.ctl.command import (
+    Command,
+    CommandParsers,
+    Document,
+    add_hidden_alias,
+    in_force,
+)
 
 __all__ = ["add_commands"]
 
@@ -23,23 +29,22 @@
         "list", help="all embargoes, the newest changes, the interval around true time"
     )
     parser.set_defaults(run=_list)
-    parser = verbs.add_parser("why", help="why a record is withheld from a visitor, or not")
+    parser = verbs.add_parser("why", help="why a record is withheld from a client, or not")
     parser.add_argument("--group", required=True)
     parser.add_argument("--thing", required=True)
-    parser.add_argument("--visitor", default="")
+    parser.add_argument("--client", default="")
+    add_hidden_alias(parser, "--visitor", "client")
     parser.set_defaults(run=_why)
 
 
 def _add_changes(verbs: CommandParsers) -> None:
-    add = verbs.add_parser("add", help="place one; returns once it is in force at every edge")
+    add = verbs.add_parser("add", help="place one; returns once it is in force at every proxy")
     add.add_argument("name")
     add.add_argument("--group", required=True)
     records = add.add_mutually_exclusive_group(required=True)
     records.add_argument("--thing", default="", help="the record, as it is named on the wire")
     records.add_argument("--prefix", default="", help="all records whose names begin so")
-    add.add_argument(
-        "--early", default="", metavar="NAME,...", help="visitors who are not held back"
-    )
+    add.add_argument("--early", default="", metavar="NAME,...", help="clients who are exempt")
     move = verbs.add_parser("move", help="release it earlier or later")
     move.add_argument("name")
     lift = verbs.add_parser("lift", help="take it out")
@@ -60,15 +65,14 @@
     )
     parser.add_argument("--zone", default="", help="an IANA zone, as Europe/Oslo")
     parser.add_argument(
-        "--gone", default="", metavar="EDGE,...", help="edges that are gone for good"
+        "--gone", default="", metavar="PROXY,...", help="proxies that are gone for good"
     )
 
 
 async def _change(command: Command) -> None:
     answer = await command.change("/embargoes", doc=_change_document(command))
-    command.print(
-        f"embargo {answer['name']} is {_DONE[answer['do']]} and in force ({in_force(answer)})"
-    )
+    name, done = command.arguments.name, _DONE[command.arguments.do]
+    command.print(f"embargo {name} is {done} and in force ({in_force(answer)})")
 
 
 def _change_document(command: Command) -> Document:
@@ -136,15 +140,15 @@
     question = {
         "group": arguments.group,
         "thing": arguments.thing,
-        "visitor": arguments.visitor,
+        "visitor": arguments.client,
     }
     answer = await command.read("POST", "/embargoes-why", doc=question)
     decision = f"withheld by {answer['by']}" if answer["withheld"] else "served"
-    command.print(f"{decision} at edges that hold a lease; time {_time(answer['interval'])}")
+    command.print(f"{decision} at proxies that hold a lease; time {_time(answer['interval'])}")
     for rule in answer["rules"]:
         shown = {field: rule[field] for field in _RULE_FIELDS_SHOWN}
         command.print(f"  {json.dumps(shown)}")
     if not answer["embargoed_group"]:
         command.print(
-            f"  group {arguments.group} is not embargoed: edges without a lease serve it too"
+            f"  group {arguments.group} is not embargoed: proxies without a lease serve it too"
         )
--- a/src/petrelhaven/commands/ctl/groups.py
+++ b/src/petrelhaven/commands/ctl/groups.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from petrelhaven.commands.ctl.command import Command, CommandParsers, Document
+from petrelhaven.commands.ctl.command import Command, CommandParsers, Document, add_hidden_alias
 
 __all__ = ["add_commands", "print_explanation"]
 
@@ -29,13 +29,14 @@
     parser.add_argument("--group", required=True)
     parser.add_argument("--member", required=True)
     parser.add_argument(
-        "--office", type=int, help="the number of the waiting office; asked for if it is not said"
+        "--epoch", type=int, help="the number of the waiting epoch; asked for if it is not said"
     )
+    add_hidden_alias(parser, "--office", "epoch", type=int)
     parser.add_argument(
         "--accept-loss",
         action="store_true",
         required=True,
-        help="say that commits only held by members that left may be lost",
+        help="say that commits that only members that left have may be lost",
     )
     parser.set_defaults(run=_elect)
 
@@ -49,15 +50,13 @@
 async def _elect(command: Command) -> None:
     """Orders an election for the leadership that waits now, or for the one that was given."""
     group, member = command.arguments.group, command.arguments.member
-    leadership = command.arguments.office
+    leadership = command.arguments.epoch
     if leadership is None:
         leadership = (await command.read("GET", f"/why?group={group}"))["epoch"]["n"]
     query = f"{command.by_query}&member={member}&office={leadership}&accept_loss=true"
     answer = await command.change(f"/groups/{group}/elect{query}")
-    command.print(
-        f"member {answer['member']} of {answer['group']} is to be elected "
-        f"(change {answer['change']})"
-    )
+    entered = answer.get("change", "entered by an earlier attempt of this call")
+    command.print(f"member {member} of {group} is to be elected (change {entered})")
 
 
 def print_explanation(answer: Document, out: Print) -> None:
@@ -83,7 +82,7 @@
 
 def _leadership(leadership: Document) -> str:
     return (
-        f"office {leadership['n']} ({leadership['phase']}, primary {leadership['primary']} "
+        f"epoch {leadership['n']} ({leadership['phase']}, primary {leadership['primary']} "
         f"in term {leadership['term']})"
     )
 
--- a/src/petrelhaven/commands/ctl/nodes.py
+++ b/src/petrelhaven/commands/ctl/nodes.py
@@ -5,8 +5,8 @@
 import json
 from collections.abc import Callable
 
-from petrelhaven.commands.ctl.command import Command, CommandParsers, Document
-from petrelhaven.runtime.errors import NotSent
+from petrelhaven.commands.ctl.command import Command, CommandParsers, Document, PartlyAnswered
+from petrelhaven.runtime.errors import Unreachable
 from petrelhaven.transport.http import fetch
 
 __all__ = ["add_commands"]
@@ -20,17 +20,17 @@
     """Adds these commands to petrelhavenctl's parser."""
     parser = commands.add_parser(
         "reform",
-        help="form the chain anew after a majority of the cores lost their disks; "
-        "asks the first --core",
+        help="form the chain anew after a majority of the control nodes lost their disks; "
+        "asks the first --control",
     )
     parser.add_argument(
         "--lost",
         required=True,
         metavar="NAME,...",
-        help="the cores whose disks are lost for good; they must run over empty folders",
+        help="the control nodes whose disks are lost for good; they must run over empty folders",
     )
     parser.set_defaults(run=_reform)
-    parser = commands.add_parser("status", help="what the cores believe, or one node")
+    parser = commands.add_parser("status", help="what the control nodes believe, or one node")
     parser.add_argument("--node", metavar="IP:PORT", help="ask this node instead")
     parser.set_defaults(run=_status)
 
@@ -38,12 +38,12 @@
 async def _reform(command: Command) -> None:
     answer = await command.change(
         f"/reform{command.by_query}",
-        cores=command.cores[:1],
+        nodes=command.control_nodes[:1],
         doc={"lost": command.arguments.lost.split(",")},
     )
     command.print(
         f"view {answer['view']}: {' > '.join(answer['chain'])}; change {answer['change']}, "
-        f"manifest {answer['manifest']}, state taken from {answer['from']}"
+        f"configuration {answer['manifest']}, state taken from {answer['from']}"
     )
 
 
@@ -52,11 +52,17 @@
     if node:
         command.print(json.dumps(await fetch(node, "GET", "/status"), indent=1))
         return
-    for core in command.cores:
+    silent: list[Exception] = []
+    for address in command.control_nodes:
         try:
-            _print_status(await fetch(core, "GET", "/status"), command.print)
-        except NotSent:
-            command.print(f"{core}: nobody answers")
+            _print_status(await fetch(address, "GET", "/status"), command.print)
+        except Unreachable as fault:
+            command.print(f"{address}: nobody answers")
+            silent.append(fault)
+    if len(silent) == len(command.control_nodes):
+        raise ExceptionGroup("no control node answers", silent)
+    if silent:
+        raise PartlyAnswered(f"{len(silent)} of {len(command.control_nodes)} did not answer")
 
 
 def _print_status(status: Document, out: Print) -> None:
@@ -69,7 +75,7 @@
     out(
         f"{name}: {status['state']}{', head' if status['head'] else ''}"
         f"{', ruling' if status['ruling'] else ''}; "
-        f"change {status['seq']} (committed {status['commit']}), manifest {status['manifest']}"
+        f"change {status['seq']} (committed {status['commit']}), configuration {status['manifest']}"
         + (f"; view {view['n']}: {' > '.join(view['chain'])}" if view else "")
     )
     if "tied" in status:
@@ -80,13 +86,13 @@
 
 def _print_connection(status: Document, out: Print) -> None:
     """The rest of the status where sessions live with their connection."""
-    out("  edges tied here: " + (", ".join(status["tied"]) or "-"))
+    out("  proxies connected here: " + (", ".join(status["tied"]) or "-"))
     if not status["head"]:
         return
     for group, leadership in status["epochs"].items():
         reason = status["waiting"].get(group)
         out(
-            f"  {group}: office {leadership['n']} {leadership['phase']}, "
+            f"  {group}: epoch {leadership['n']} {leadership['phase']}, "
             f"primary {leadership['primary']} in term {leadership['term']}"
             + (f" ({reason})" if reason else "")
         )
@@ -108,7 +114,7 @@
             + f" ({status['waiting'].get(group, '')})"
         )
     edges = [f"{name} {edge[1]}" for name, edge in status["edges"].items()]
-    out("  edges: " + (", ".join(edges) or "-"))
+    out("  proxies: " + (", ".join(edges) or "-"))
     _print_zones(status, out)
     for name, member in status["members"].items():
         out(
@@ -121,4 +127,4 @@
 
 def _print_zones(status: Document, out: Print) -> None:
     zones = [f"{zone} {state}" for zone, state in status["halls"].items()]
-    out("  halls: " + (", ".join(zones) or "all open"))
+    out("  zones: " + (", ".join(zones) or "all open"))
--- a/src/petrelhaven/commands/ctl/program.py
+++ b/src/petrelhaven/commands/ctl/program.py
@@ -8,12 +8,12 @@
 from collections.abc import Callable, Sequence
 
 from petrelhaven.commands.ctl import configuration, embargoes, groups, nodes, zones
-from petrelhaven.commands.ctl.command import Command
+from petrelhaven.commands.ctl.command import Command, PartlyAnswered, add_hidden_alias
 from petrelhaven.runtime.errors import DeadlineExceeded, Fault, Malformed, Unreachable
 
 __all__ = ["main", "parser", "run"]
 
-_DECLINED, _WRONG_CALL, _NOBODY_ANSWERED, _OUTCOME_UNKNOWN = 1, 2, 3, 4
+_DECLINED, _WRONG_CALL, _NOBODY_ANSWERED, _OUTCOME_UNKNOWN, _PARTLY_ANSWERED = 1, 2, 3, 4, 5
 _US_PER_S = 1e6
 
 
@@ -23,13 +23,18 @@
         prog="petrelhavenctl",
         description="Drives a petrelhaven fleet.",
         epilog="Exit codes: 0 done, 1 declined, 2 wrong call, 3 nobody answered, 4 the outcome "
-        "is not known (read back with show).",
+        "is not known (read back with show), 5 told in part: not every control node that was asked "
+        "answered.",
     )
     made.add_argument(
-        "--core", default="", metavar="IP:PORT,...", help="HTTP addresses of cores, tried in order"
+        "--control",
+        default="",
+        metavar="IP:PORT,...",
+        help="HTTP addresses of control nodes, tried in order",
     )
-    made.add_argument("--by", default="", help="who asks, kept with the change")
-    made.set_defaults(needs_cores=True)
+    add_hidden_alias(made, "--core", "control")
+    made.add_argument("--by", default="", help="who asks, stored with the change")
+    made.set_defaults(needs_control=True)
     commands = made.add_subparsers(dest="verb", required=True)
     for theme in (configuration, zones, groups, nodes, embargoes):
         theme.add_commands(commands)
@@ -40,11 +45,12 @@
     """Runs one command; `out` prints a line.
 
     Raises:
-        Fault: a core declined, or the call is wrong.
-        ExceptionGroup: of a Fault for each core, if none serves.
+        Fault: a control node declined, or the call is wrong.
+        ExceptionGroup: of a Fault for each control node, if none serves.
+        PartlyAnswered: not every control node that was asked answered.
     """
-    if arguments.needs_cores and not arguments.core:
-        raise Malformed("--core: missing")
+    if arguments.needs_control and not arguments.control:
+        raise Malformed("--control: missing")
     await arguments.run(Command(arguments, out))
 
 
@@ -63,21 +69,29 @@
         for fault in group.exceptions:
             print(f"petrelhavenctl: {_line(fault)}", file=sys.stderr)
         return _NOBODY_ANSWERED
-    except DeadlineExceeded as fault:
-        print(f"petrelhavenctl: {fault.note}", file=sys.stderr)
-        return _OUTCOME_UNKNOWN
-    except Unreachable as fault:
-        print(f"petrelhavenctl: nobody answers: {fault.note}", file=sys.stderr)
-        return _NOBODY_ANSWERED
+    except PartlyAnswered as silent:
+        print(f"petrelhavenctl: {silent}", file=sys.stderr)
+        return _PARTLY_ANSWERED
     except Fault as fault:
-        _print_declined(fault)
-        return _DECLINED
+        return _code_of(fault)
     except (OSError, UnicodeDecodeError) as error:
         print(f"petrelhavenctl: {error}", file=sys.stderr)
         return _WRONG_CALL
     return 0
 
 
+def _code_of(fault: Fault) -> int:
+    """Prints a fault; returns its exit code."""
+    if isinstance(fault, DeadlineExceeded):
+        print(f"petrelhavenctl: {fault.note}", file=sys.stderr)
+        return _OUTCOME_UNKNOWN
+    if isinstance(fault, Unreachable):
+        print(f"petrelhavenctl: nobody answers: {fault.note}", file=sys.stderr)
+        return _NOBODY_ANSWERED
+    _print_declined(fault)
+    return _DECLINED
+
+
 def _line(fault: Exception) -> str:
     return f"{fault.code}: {fault.note}" if isinstance(fault, Fault) else str(fault)
 
--- a/src/petrelhaven/commands/ctl/zones.py
+++ b/src/petrelhaven/commands/ctl/zones.py
@@ -6,16 +6,18 @@
 
 __all__ = ["add_commands"]
 
+_STATES = {"evacuate": "emptied", "restore": "open"}
+
 
 def add_commands(commands: CommandParsers) -> None:
     """Adds these commands to petrelhavenctl's parser."""
-    for verb, description in (("evacuate", "empty a hall"), ("restore", "take a hall back")):
+    for verb, description in (("evacuate", "empty a zone"), ("restore", "take a zone back")):
         parser = commands.add_parser(verb, help=description)
-        parser.add_argument("hall")
+        parser.add_argument("zone")
         parser.set_defaults(run=_set_state)
 
 
 async def _set_state(command: Command) -> None:
-    zone, verb = command.arguments.hall, command.arguments.verb
+    zone, verb = command.arguments.zone, command.arguments.verb
     answer = await command.change(f"/halls/{zone}/{verb}{command.by_query}")
-    command.print(f"hall {answer['hall']} is {answer['state']} ({in_force(answer)})")
+    command.print(f"zone {zone} is {_STATES[verb]} ({in_force(answer)})")
--- a/src/petrelhaven/commands/diff.py
+++ b/src/petrelhaven/commands/diff.py
@@ -47,7 +47,7 @@
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="petrelhaven-diff",
-        description="Compares the manifest version, epochs, membership and plan "
+        description="Compares the configuration version, epochs, membership and plan "
         "that two nodes hold.",
         epilog="Exit codes: 0 the same, 1 they differ, 2 wrong call, 3 a node did not answer.",
     )
@@ -74,7 +74,7 @@
         epochs = ", ".join(f"{name} epoch {epoch['n']}" for name, epoch in first["epochs"].items())
         print(
             f"{first['name']} and {second['name']} agree: "
-            f"manifest {first['manifest']}, change {first['seq']}, {epochs}"
+            f"configuration {first['manifest']}, change {first['seq']}, {epochs}"
         )
     sys.exit(1 if found else 0)
 
--- a/src/petrelhaven/control/failover/coordinator.py
+++ b/src/petrelhaven/control/failover/coordinator.py
@@ -157,7 +157,7 @@
             self.wait_reasons[group] = NO_CANDIDATE
             return False
         cause = (
-            "the primary is draining" if primary.is_draining else f"hall {primary.zone} is emptied"
+            "the primary is draining" if primary.is_draining else f"zone {primary.zone} is emptied"
         )
         self._start(group, self._change_leader, group, True, cause)
         return True
--- a/src/petrelhaven/proxy/resumable/node.py
+++ b/src/petrelhaven/proxy/resumable/node.py
@@ -38,6 +38,7 @@
     """One edge daemon's logic; clock, link and wire are given."""
 
     states = ["starting", "serving", "emptied", "leaving", "left"]
+    state: str
 
     def __init__(
         self, name, zone, seeds, clock, tasks, link, rng, wire, http="", log=None, vary=None
--- a/src/petrelhaven/simulator/resumable/storm.py
+++ b/src/petrelhaven/simulator/resumable/storm.py
@@ -10,7 +10,7 @@
 from petrelhaven.simulator.resumable.world import World, configuration
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
-__all__ = ["KINDS", "back", "inside", "play", "run", "schedule", "shrink", "told"]
+__all__ = ["KINDS", "back", "inside", "play", "run", "schedule", "shrink", "violation_line"]
 
 KINDS = [
     "edge_kill",
@@ -551,6 +551,6 @@
     return rows
 
 
-def told(bad):
+def violation_line(bad):
     """A violation as one line."""
     return json.dumps(bad, default=str)
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,252 @@
+"""Exit codes and help of the programs: each verb says by its code whether it could do or tell what was asked."""
+
+import re
+import subprocess
+import sys
+
+import pytest
+
+from petrelhaven.commands import diff
+from petrelhaven.commands.ctl import program
+from petrelhaven.runtime.errors import Duplicate, NotReady
+from petrelhaven.simulator import main as simulator
+
+NOBODY = "127.0.0.1:1"
+VERBS = [
+    ["apply", "{file}"],
+    ["show"],
+    ["show", "--unconfirmed"],
+    ["evacuate", "a"],
+    ["restore", "a"],
+    ["why", "g1"],
+    ["elect", "--group", "g1", "--member", "m1", "--accept-loss"],
+    ["elect", "--group", "g1", "--member", "m1", "--epoch", "1", "--accept-loss"],
+    ["reform", "--lost", "c1"],
+    ["status"],
+    ["status", "--node", NOBODY],
+    ["embargo", "add", "x", "--group", "g1", "--thing", "t", "--until", "2199-01-01T00:00:00Z"],
+    ["embargo", "move", "x", "--until", "2199-01-01T00:00:00Z"],
+    ["embargo", "lift", "x"],
+    ["embargo", "list"],
+    ["embargo", "why", "--group", "g1", "--thing", "t"],
+]
+WITHOUT_FLEET = {"check", "salvage"}
+WITHDRAWN = re.compile(r"\b(manifests?|halls?|cores?|kept|held|offices?|visitors?|edges?)\b", re.I)
+
+
+def code_of(call, *argv):
+    with pytest.raises(SystemExit) as ended:
+        call(list(argv))
+    return ended.value.code
+
+
+def subparsers(parser):
+    for action in parser._actions:
+        if hasattr(action, "choices") and isinstance(action.choices, dict):
+            for sub in action.choices.values():
+                yield sub
+                yield from subparsers(sub)
+
+
+@pytest.mark.parametrize("argv", VERBS, ids=" ".join)
+def test_a_verb_that_nobody_answers_ends_with_3(argv, tmp_path, capsys):
+    file = tmp_path / "configuration.json"
+    file.write_text('{"name": "x", "version": 1}')
+    argv = [word.format(file=file) for word in argv]
+    assert code_of(program.main, "--control", NOBODY, *argv) == 3
+    assert "127.0.0.1:1" in capsys.readouterr().err
+
+
+def test_every_verb_that_needs_a_fleet_is_in_the_list():
+    verbs = {argv[0] for argv in VERBS}
+    choices = next(
+        action.choices
+        for action in program.parser()._actions
+        if isinstance(getattr(action, "choices", None), dict)
+    )
+    assert set(choices) == verbs | WITHOUT_FLEET
+
+
+def test_wrong_calls_end_with_2_and_show_the_form(capsys):
+    for argv in (["status", "--colour"], ["nothing"], []):
+        assert code_of(program.main, *argv) == 2
+        assert "usage: petrelhavenctl" in capsys.readouterr().err
+    assert code_of(program.main, "status") == 1  # declined: --control is missing
+    assert "--control: missing" in capsys.readouterr().err
+    assert code_of(program.main, "--control", NOBODY, "apply", "/no/such/file") == 2
+
+
+def test_verbs_without_a_fleet_decline_with_1(tmp_path, capsys):
+    wrong = tmp_path / "wrong.json"
+    wrong.write_text('{"name": "x", "colour": 1}')
+    assert code_of(program.main, "check", str(wrong)) == 1
+    assert "colour: unknown field" in capsys.readouterr().err
+    assert code_of(program.main, "salvage", str(tmp_path)) in (1, 2)
+
+
+def test_the_codes_stand_in_one_table():
+    with open("docs/operating/exit-codes.md", encoding="utf-8") as page:
+        text = page.read()
+    rows = dict(re.findall(r"^\| (\d+) \| (.+?) \|", text, re.M))
+    assert set(rows) == {"0", "1", "2", "3", "4", "5", "130"}
+    epilog = program.parser().epilog
+    for code in ("0", "1", "2", "3", "4", "5"):
+        assert f"{code} " in epilog
+    for verb in {argv[0] for argv in VERBS} | WITHOUT_FLEET | {"fleet", "soak", "sweep", "scene"}:
+        assert f"`{verb}" in text, verb
+
+
+def test_status_of_a_part_of_the_nodes_is_told_and_ends_with_5(monkeypatch, capsys):
+    status = {
+        "name": "c1",
+        "settings": {},
+        "view": None,
+        "state": "joining",
+        "head": False,
+        "ruling": False,
+        "seq": 0,
+        "commit": 0,
+        "manifest": 0,
+    }
+
+    async def answer(addr, verb, path, **_):
+        if addr == NOBODY:
+            raise program.Unreachable(addr)
+        return status
+
+    monkeypatch.setattr("petrelhaven.commands.ctl.nodes.fetch", answer)
+    assert code_of(program.main, "--control", f"127.0.0.1:2,{NOBODY}", "status") == 5
+    shown = capsys.readouterr()
+    assert "c1: joining" in shown.out and f"{NOBODY}: nobody answers" in shown.out
+    assert "1 of 2 did not answer" in shown.err
+
+
+def test_what_an_earlier_attempt_of_the_same_call_entered_is_done(monkeypatch, capsys):
+    asked = []
+
+    async def answer(addr, verb, path, **_):
+        asked.append(addr)
+        if addr == "a:1":
+            raise NotReady("not confirmed yet")
+        raise Duplicate("embargo x stands already")
+
+    monkeypatch.setattr("petrelhaven.commands.ctl.command.fetch", answer)
+    lift = ["embargo", "lift", "x"]
+    program.main(["--control", "a:1,b:1", *lift])
+    assert asked == ["a:1", "b:1"] and "is lifted and in force" in capsys.readouterr().out
+    # without an attempt before it, somebody else's
+    assert code_of(program.main, "--control", "b:1", *lift) == 1
+
+
+@pytest.mark.parametrize("make", [program.parser, simulator.parser], ids=["ctl", "sim"])
+def test_no_withdrawn_word_is_in_the_help(make):
+    parsers = [make(), *subparsers(make())]
+    assert len(parsers) > 5
+    for parser in parsers:
+        shown = parser.format_help()
+        if parser.prog.endswith((" sweep", " soak")):
+            # names of kinds of faults, which stand in notes and recorded seeds
+            shown = re.sub(r"\b[a-z]+(_[a-z]+)+\b|(?<=[ ])(manifests?|hall)\b", "", shown)
+        assert WITHDRAWN.findall(shown) == [], parser.prog
+
+
+def test_the_former_options_are_taken_without_being_shown():
+    parse = program.parser().parse_args
+    assert parse(["--core", "a:1", "status"]).control == "a:1"
+    elect = ["elect", "--group", "g", "--member", "m", "--accept-loss"]
+    assert parse([*elect, "--office", "3"]).epoch == 3
+    assert parse(["embargo", "why", "--group", "g", "--thing", "t", "--visitor", "v"]).client == "v"
+    parse = simulator.parser().parse_args
+    assert parse(["fleet", "--visitors", "3", "--faults", "edge,core"]).clients == 3
+    assert [parse(["sweep", "--path", old]).path for old in ("kept", "held")] == [
+        "resumable",
+        "connection",
+    ]
+
+
+@pytest.mark.parametrize(
+    "argv,said",
+    [
+        (["sweep", "--seeds", "2"], "A-B"),
+        (["sweep", "--seeds", "5-2"], "A-B"),
+        (["sweep", "--kinds", "nothing"], "is none of"),
+        (["sweep", "--path", "both"], "invalid choice"),
+        (["fleet", "--faults", "nothing"], "is none of"),
+        (["soak", "--kinds", "nothing"], "is none of"),
+        (["scene", "nothing"], "invalid choice"),
+        (["measure", "nothing"], "invalid choice"),
+        ([], "required"),
+    ],
+)
+def test_a_wrong_call_of_the_simulator_shows_the_form(argv, said, capsys):
+    assert code_of(simulator.main, *argv) == 2
+    shown = capsys.readouterr().err
+    assert "usage: petrelhaven-sim" in shown and said in shown
+
+
+def test_what_cannot_be_played_ends_with_3(tmp_path, capsys):
+    in_the_way = tmp_path / "file"
+    in_the_way.write_text("")
+    assert code_of(simulator.main, "fleet", "--size", "small", "--dir", str(in_the_way / "x")) == 3
+    assert "could not be played" in capsys.readouterr().err
+
+
+def test_nodes_that_cannot_be_compared_end_with_3(capsys):
+    assert code_of(diff.main, NOBODY, NOBODY) == 3
+    assert code_of(diff.main, NOBODY) == 2
+
+
+# --- each verb once, as a newcomer runs it
+
+
+def ran(*argv):
+    p = subprocess.run(
+        [sys.executable, "-m", "petrelhaven.simulator.main", *argv],
+        capture_output=True,
+        text=True,
+        timeout=300,
+    )
+    return p.returncode, p.stdout + p.stderr
+
+
+@pytest.mark.parametrize("path", ["resumable", "connection", "embargoed", "control"])
+def test_a_sweep_plays_and_counts(path):
+    code, out = ran("sweep", "--seeds", "1-3", "--path", path, "--jobs", "2", "--faults", "2")
+    assert code == 0, out
+    found = re.search(r"^0 of 2 storms violated a rule; (\d+) statements answered$", out, re.M)
+    assert found and int(found[1]) > 50, out
+
+
+def test_a_scene_plays_and_tells_what_was_seen():
+    code, out = ran("scene", "primary_lost")
+    assert code == 0 and "violations: 0" in out and out.startswith("seen: "), out
+
+
+def test_a_measurement_prints_its_table():
+    code, out = ran("measure", "commit")
+    assert code == 0 and len(out.splitlines()) > 3, out
+
+
+def test_a_fleet_plays_each_fault(tmp_path):
+    code, out = ran(
+        *("fleet", "--size", "small", "--clients", "5", "--seconds", "1", "--dir", str(tmp_path)),
+        *("--faults", "proxy,control,freeze,drain"),
+    )
+    assert code == 0 and "violations: 0" in out, out
+    assert [f"fault {f} brought about" in out for f in ("proxy", "control", "freeze", "drain")] == [
+        True
+    ] * 4
+
+
+def test_a_soak_plays(tmp_path):
+    code, out = ran("soak", "--size", "small", "--seconds", "3", "--dir", str(tmp_path))
+    assert code == 0 and "violations: 0" in out and "statements ok" in out, out
+
+
+def test_a_document_of_violations_is_cut_and_counted(capsys):
+    from petrelhaven.simulator.commands.base import exit_code, print_violations
+
+    print_violations([("LOST", "x" * 5000)] * 30)
+    lines = capsys.readouterr().out.splitlines()
+    assert len(lines) == 21 and max(map(len, lines)) < 700 and lines[-1] == "violations: 30"
+    assert (exit_code([]), exit_code([1])) == (0, 1)
