A node that is sent probes by one it does not know asks who that is

Cause: peers leave themselves out of their probes once they count as well known. Ruled out: spreading one's own row in each probe (bytes between regions, for good).

--- a/src/petrelhaven/membership/prober.py
+++ b/src/petrelhaven/membership/prober.py
@@ -64,6 +64,7 @@
         self._waiting: dict[int, asyncio.Future[None]] = {}
         self._round: list[str] = []
         self._nonce = _NOBODY_WAITS
+        self._meeting: set[str] = set()
         link.on(MessageKind.PEER_PROBE, self._on_probe)
         link.on(MessageKind.PEER_ACKNOWLEDGE, self._on_acknowledge)
         link.on(MessageKind.PEER_PROBE_FOR, self._on_probe_for)
@@ -92,17 +93,25 @@
     async def _join(self) -> None:
         while True:
             for address in self.seeds:
-                if address == self.link.addr:
-                    continue
-                body = {"src": self.link.addr, "news": self.roster.all_rows()}
-                with contextlib.suppress(Fault):
-                    reply = await self.link.call(
-                        address, MessageKind.PEER_JOIN, body, _JOIN_ANSWER_US
-                    )
-                    self.roster.merge(reply["news"])
+                if address != self.link.addr:
+                    await self._exchange_rosters(address)
             pause_us = self.join_us if self.roster.peers else _FIRST_JOIN_PERIOD_US
             await self.clock.sleep(pause_us)
 
+    async def _exchange_rosters(self, address: str) -> None:
+        """Sends the whole roster to the node at `address` and merges its roster."""
+        body = {"src": self.link.addr, "news": self.roster.all_rows()}
+        with contextlib.suppress(Fault):
+            reply = await self.link.call(address, MessageKind.PEER_JOIN, body, _JOIN_ANSWER_US)
+            self.roster.merge(reply["news"])
+
+    async def _meet(self, address: str) -> None:
+        """Gets to know a node that sends probes but does not introduce itself in them."""
+        try:
+            await self._exchange_rosters(address)
+        finally:
+            self._meeting.discard(address)
+
     async def _probe_seeds(self) -> None:
         """Until a peer is known, probes the seeds often, without connections that hang.
 
@@ -186,10 +195,17 @@
         self._acknowledge(self._merge_sender(body))
 
     def _merge_sender(self, body: dict[str, Any]) -> Probe:
-        """Reads a probe and merges what its sender reports."""
+        """Reads a probe and merges what its sender reports.
+
+        A sender that counts as well known leaves itself out of its probes. A node that started
+        only now may not know it, and whoever did may be gone: so it asks.
+        """
         probe = Probe.from_body(body)
         self.roster.record_contact(probe.source)
         self.roster.merge(probe.rows, probe.source)
+        if probe.source not in self._meeting and not self.roster.knows_address(probe.source):
+            self._meeting.add(probe.source)
+            self.tasks.spawn(self._meet(probe.source))
         return probe
 
     def _on_acknowledge(self, body: dict[str, Any]) -> None:
--- a/src/petrelhaven/membership/roster.py
+++ b/src/petrelhaven/membership/roster.py
@@ -78,6 +78,10 @@
         state = GONE if self.leaving else ALIVE
         return PeerUpdate(self.name, self.role, self.zone, self.addr, self.incarnation, state)
 
+    def knows_address(self, address: str) -> bool:
+        """Whether a peer, or this node, has the link address `address`."""
+        return address == self.addr or any(peer.addr == address for peer in self.peers.values())
+
     def record_contact(self, address: str) -> None:
         """Notes that the peer at `address` sent a message to this node itself."""
         for peer in self.peers.values():
