--- a/src/petrelhaven/control/interface/contracts.py
+++ b/src/petrelhaven/control/interface/contracts.py
@@ -9,6 +9,7 @@
     from petrelhaven.control.consensus.chain import Chain
     from petrelhaven.control.embargo.service import EmbargoService
     from petrelhaven.runtime.clock import Clock
+    from petrelhaven.transport.delivery import Delivery
 
 __all__ = ["Document", "Handler", "HttpRoutes", "NodeInterface", "RawAnswer", "Request"]
 
@@ -26,6 +27,10 @@
     def query(self) -> dict[str, str]:
         """The query of its path, by name."""
 
+    @property
+    def delivery(self) -> Delivery:
+        """How it came here."""
+
     def text(self) -> str:
         """The body as text; Malformed if it is not UTF-8."""
 
@@ -63,7 +68,9 @@
     async def apply(self, text: str, by: str = "", retire: bool = True) -> Document:
         """Applies a configuration."""
 
-    async def set_zone_state(self, zone: str, state: str, by: str = "") -> Document:
+    async def set_zone_state(
+        self, zone: str, state: str, by: str = "", *, delivery: Delivery
+    ) -> Document:
         """Evacuates or restores a zone."""
 
     async def elect(self, group: str, member: str, leadership: int, by: str = "") -> Document:
--- a/src/petrelhaven/control/interface/control_interface.py
+++ b/src/petrelhaven/control/interface/control_interface.py
@@ -138,7 +138,10 @@
         if state == EVACUATED and not others_open:
             fault = ConfigurationFault("hall", "the last open hall can't be emptied")
             raise declined("last open hall", [fault])
-        return await self._in_force(await self._node.set_zone_state(zone, state, _caller(request)))
+        answer = await self._node.set_zone_state(
+            zone, state, _caller(request), delivery=request.delivery
+        )
+        return await self._in_force(answer)
 
     async def _elect(self, request: Request, group: str) -> Document:
         """Elects a member without proof, where the caller accepts that commits may be lost."""
--- a/src/petrelhaven/control/node.py
+++ b/src/petrelhaven/control/node.py
@@ -33,6 +33,7 @@
     from petrelhaven.control.failover.interfaces import ControlServices, MemberWire, Platform
     from petrelhaven.runtime.wall_clock import WallClock
     from petrelhaven.transport.channel import Channel
+    from petrelhaven.transport.delivery import Delivery
 
 __all__ = ["CONNECTION_LEASE_US", "ControlNode"]
 
@@ -287,9 +288,21 @@
         return {"version": configuration.version, "change": answer.seq}
 
     async def set_zone_state(
-        self, zone: str, state: str, by: str = "", within_us: int = _ORDER_TIMEOUT_US
+        self,
+        zone: str,
+        state: str,
+        by: str = "",
+        within_us: int = _ORDER_TIMEOUT_US,
+        delivery: Delivery | None = None,
     ) -> dict[str, Any]:
-        """Evacuates or restores a zone."""
+        """Evacuates or restores a zone.
+
+        `delivery` is how the order came here; one that may have been given up is declined.
+        """
+        if delivery is not None:
+            began = self.clock.now()
+            await self.orders.require_awaited(delivery)
+            within_us -= self.clock.now() - began
         record = {"t": "hall", "hall": zone, "state": state, "by": by}
         answer = await self.enter(record, False, within_us)
         return {"hall": zone, "state": state, "change": answer.seq}
--- a/src/petrelhaven/control/orders.py
+++ b/src/petrelhaven/control/orders.py
@@ -30,6 +30,7 @@
     from petrelhaven.control.consensus.peer_clocks import Expiry
     from petrelhaven.control.consensus.view import View
     from petrelhaven.runtime.clock import Clock
+    from petrelhaven.transport.delivery import Delivery
     from petrelhaven.transport.reach import Reach
 
 __all__ = ["ANSWER_US", "OrderRouter"]
@@ -43,6 +44,10 @@
 """How long a node goes on after a new view without a majority's confirmation."""
 _PAUSE_SHARE = 0.7
 _AFTER_PAUSE_US = 300_000
+_HELD_UP_US = 700_000
+"""A request that took longer to arrive may have been given up: callers wait for a second."""
+_CALLER_END_US = 60_000
+"""How long after a request that was held up its caller's end may follow: two round trips."""
 _RETRIED = (NotHead, NotReady, ViewSuperseded, Expired, Unreachable, DeadlineExceeded)
 
 _HEAD, _TAIL = 0, -1
@@ -141,6 +146,21 @@
 
         return await self._follow(_TAIL, attempt, within_us)
 
+    async def require_awaited(self, delivery: Delivery) -> None:
+        """Checks that an order's caller still waits, for orders that no version protects.
+
+        One that was held up on its way, and given up, may be the contrary of what was acknowledged
+        since. docs/notes/worst-days.md says what can be known of it.
+
+        Raises:
+            NotReady: the order may have been given up; who still wants it sends it again.
+        """
+        if max(delivery.opening_us, delivery.transfer_us) > _HELD_UP_US:
+            raise NotReady("the order was held up on its way; send it again")
+        await self._clock.sleep(_CALLER_END_US)
+        if delivery.has_caller_left():
+            raise NotReady("whoever sent the order waits for no answer")
+
     def check(self, expiry: Expiry | None) -> None:
         """Checks an order that has come to this node as the head.
 
--- a/src/petrelhaven/transport/light_http.py
+++ b/src/petrelhaven/transport/light_http.py
@@ -11,6 +11,7 @@
 
 from petrelhaven.runtime.errors import Fault, Malformed, TooLarge
 from petrelhaven.runtime.events import Events, emit
+from petrelhaven.transport.delivery import Delivery
 
 if TYPE_CHECKING:
     import logbook
@@ -21,6 +22,7 @@
 _BACKLOG = 512
 _MAX_BODY_BYTES = 512 << 10
 _LOGGED_PATH = 60
+_US_PER_S = 1_000_000
 _NOT_FOUND = b'{"fault":"http","note":"Not Found"}'
 
 Headers = Sequence[tuple[str, str]]
@@ -29,13 +31,14 @@
 
 
 class Request:
-    """One request: its verb, its path with the query, and the bytes of its body."""
+    """One request: its verb, its path with the query, the bytes of its body, how it came."""
 
-    __slots__ = ("verb", "path", "body")
+    __slots__ = ("verb", "path", "body", "delivery")
 
-    def __init__(self, verb: str, path: str, body: bytes) -> None:
+    def __init__(self, verb: str, path: str, body: bytes, delivery: Delivery | None = None) -> None:
         """Takes the parts as they were received."""
         self.verb, self.path, self.body = verb, path, body
+        self.delivery = delivery or Delivery()
 
     @property
     def query(self) -> dict[str, str]:
@@ -79,6 +82,9 @@
         self._request: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_size = 0
+        self._opened_at = asyncio.get_running_loop().time()
+        self._first_byte_at: float | None = None
+        self._served_any = self._caller_left = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts to wait for a request."""
@@ -88,6 +94,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Forgets the connection."""
+        self._caller_left = True
         self._server.connections.discard(self)
         if self._idle is not None:
             self._idle.cancel()
@@ -99,12 +106,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes that arrived."""
+        if self._first_byte_at is None:
+            self._first_byte_at = asyncio.get_running_loop().time()
         self._protocol.receive_data(data)
         self._restart_idle_timer()
         self._read_events()
 
     def eof_received(self) -> bool:
         """The client sends no more; the connection stays open while a request is served."""
+        self._caller_left = True
         self._protocol.receive_data(b"")
         self._read_events()
         return self._task is not None
@@ -155,9 +165,20 @@
             self._request.method.decode(),
             self._request.target.decode("latin-1"),
             b"".join(self._body),
+            self._delivery(),
         )
         self._task = asyncio.ensure_future(self._serve(request))
 
+    def _delivery(self) -> Delivery:
+        """How the request that has just arrived came here."""
+        now = asyncio.get_running_loop().time()
+        first = now if self._first_byte_at is None else self._first_byte_at
+        opening = 0.0 if self._served_any else first - self._opened_at
+        self._first_byte_at, self._served_any = None, True
+        return Delivery(
+            int(opening * _US_PER_S), int((now - first) * _US_PER_S), lambda: self._caller_left
+        )
+
     async def _serve(self, request: Request) -> None:
         status, body, headers = await self._server.answer(request)
         if self._transport.is_closing():
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -48,7 +48,7 @@
     async def apply(self, text, by="", within_us=0):
         await self._answer(within_us)
 
-    async def set_zone_state(self, zone, state, by="", within_us=0):
+    async def set_zone_state(self, zone, state, by="", within_us=0, delivery=None):
         await self._answer(within_us)
 
     async def control_state(self, within_us=0):
