--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -224,7 +224,8 @@
 
 def test_a_measurement_prints_its_table():
     code, out = ran("measure", "commit")
-    assert code == 0 and len(out.splitlines()) > 3, out
+    rows = re.findall(r"^ +\d+ +[\d.]+ ms +[\d.]+ ms +[\d.]+ +[\d.]+$", out, re.M)
+    assert code == 0 and len(rows) == 2 and out.startswith("lag ms"), out
 
 
 def test_a_fleet_plays_each_fault(tmp_path):
