A control node starts without the parser of configurations; a thread loads it once the node serves

Cause: after a loss of all power every client waits for the control nodes, which were up last: two thirds of the modules that they import belong to what checks an operator's configuration (pyserde and what it brings), which nobody needs then. Ruled out: disk replay (under 1 ms in the log), the view (0.06 to 0.13 s after the last start). ParserLoader loads it 2 s after the node's start into service in a thread, or when a configuration comes; the event loop goes on. Tests: test_parser_loader (the program starts without it, the loop goes on, once for several callers).

--- a/src/petrelhaven/control/node.py
+++ b/src/petrelhaven/control/node.py
@@ -8,7 +8,7 @@
 
 from petrelhaven.control.announcements import Announcements
 from petrelhaven.control.base_node import BaseControlNode, ControlNodeIdentity, NodeResources
-from petrelhaven.control.configuration.parsing import parse_configuration
+from petrelhaven.control.configuration.parser_loader import ParserLoader
 from petrelhaven.control.connected_proxies import ConnectedProxies
 from petrelhaven.control.consensus.member_maintenance import MemberMaintenance
 from petrelhaven.control.consensus.proxy_survey import ProxySurvey
@@ -57,6 +57,7 @@
         connected_proxies: The proxies that renew their leases at this node.
         proxy_survey: Asks proxies for their control states before a reform.
         orders: Takes orders to the head and reads to the tail.
+        configuration_parser: Reads configurations.
         announcements: Takes members' heartbeats.
         heard: For each member, when its last heartbeat came, and its count.
     """
@@ -98,6 +99,7 @@
         self.wire, self.heartbeat_us = wire, heartbeat_us
         self.connected_proxies = ConnectedProxies()
         self.proxy_survey = ProxySurvey(resources.clock, resources.log)
+        self.configuration_parser = ParserLoader()
         self.announcements = Announcements(resources.clock, lambda: self.chain, self.enter)
         self.heard = self.announcements.heard
         super().__init__(identity, resources, platform)
@@ -272,7 +274,7 @@
         self, text: str, by: str = "", retire: bool = True, within_us: int = _ORDER_TIMEOUT_US
     ) -> dict[str, Any]:
         """Checks and applies a configuration; returns once it is on every disk of the view."""
-        configuration = parse_configuration(text)
+        configuration = await self.configuration_parser.parse(text)
         record: dict[str, Any] = {
             "t": "manifest",
             "text": text,
--- a/src/petrelhaven/control/orders.py
+++ b/src/petrelhaven/control/orders.py
@@ -44,7 +44,7 @@
 """How long a node goes on after a new view without a majority's confirmation."""
 _PAUSE_SHARE = 0.7
 _AFTER_PAUSE_US = 300_000
-_HELD_UP_US = 700_000
+_DELAYED_US = 700_000
 """A request that took longer to arrive may have been given up: callers wait for a second."""
 _CALLER_END_US = 60_000
 """How long after a request that was held up its caller's end may follow: two round trips."""
@@ -155,7 +155,7 @@
         Raises:
             NotReady: the order may have been given up; who still wants it sends it again.
         """
-        if max(delivery.opening_us, delivery.transfer_us) > _HELD_UP_US:
+        if max(delivery.opening_us, delivery.transfer_us) > _DELAYED_US:
             raise NotReady("the order was held up on its way; send it again")
         await self._clock.sleep(_CALLER_END_US)
         if delivery.has_caller_left():
