--- a/src/petrelhaven/simulator/connection_sessions/faults.py
+++ b/src/petrelhaven/simulator/connection_sessions/faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-__all__ = ["DISK_KINDS", "KINDS", "PLANNED", "Faults"]
+__all__ = ["DISK_KINDS", "KINDS", "PLANNED", "SIGN_OFF_KINDS", "Faults"]
 
 PLANNED = [
     "release_primary",
@@ -59,6 +59,9 @@
 #: Disks in trouble; apart from `KINDS`, whose seeds name the same schedules as ever.
 DISK_KINDS = ["disk_full", "disk_stall", "disk_slow"]
 
+#: Members that never say that they drain; apart from `KINDS` for the same reason.
+SIGN_OFF_KINDS = ["sign_off_primary", "sign_off_replica"]
+
 
 class Faults:
     """Brings the faults of one schedule about."""
@@ -334,6 +337,31 @@
         if not m.machine.up:
             self.f.replace_member(m)
 
+    async def _sign_off_primary(self, r):
+        await self._sign_off(r, self._group(r).leader)
+
+    async def _sign_off_replica(self, r):
+        await self._sign_off(r, self._replica(r))
+
+    async def _sign_off(self, r, m):
+        """A planned end without a word before: it signs off, serves on as long as one that drains, and ends."""
+        if not m.running or m.dark or any(x.state != "ready" for x in m.group.members):
+            return
+        m.state = "draining"
+        m.heartbeats.signed_off = True
+        said = m.machine.tasks.spawn(m.heartbeats.tell(lambda n: n.depart(m.name)))
+        await asyncio.wait([said], timeout=5)
+        now = self.f.loop.time()
+        acknowledged = said.done() and not said.cancelled() and said.result()
+        if acknowledged and self.f.history.in_touch("", now, 5.0):
+            self.f.history.drained[m.name] = now
+        await asyncio.sleep(r.uniform(5.3, 9))
+        if m.running:
+            m.stop()
+        await asyncio.sleep(r.uniform(0.3, 2))
+        if not m.machine.up:
+            self.f.replace_member(m)
+
     async def _release_primary(self, r):
         await self._release(r, self._group(r).leader)
 
--- a/src/petrelhaven/simulator/connection_sessions/heartbeats.py
+++ b/src/petrelhaven/simulator/connection_sessions/heartbeats.py
@@ -11,6 +11,7 @@
     def __init__(self, net, member, cores, heartbeat_us):
         self.net, self.member, self.cores, self.heartbeat_us = net, member, cores, heartbeat_us
         self.acknowledged = set()
+        self.signed_off = False
         self._at = next((i for i, c in enumerate(cores) if c.zone == member.machine.zone), 0)
 
     async def run(self):
@@ -18,7 +19,7 @@
         m, clock = self.member, self.member.machine.clock
         while True:
             m.heartbeat_now.clear()
-            if not m.dark:
+            if not m.dark and not self.signed_off:
                 await self._say()
             try:
                 await clock.limit(m.heartbeat_now.wait(), self.heartbeat_us)
--- a/tests/test_connection_sessions_storm.py
+++ b/tests/test_connection_sessions_storm.py
@@ -10,6 +10,7 @@
 from petrelhaven.control.failover.counting_out import CountingOut
 from petrelhaven.control.failover.leader_change import LeaderChange
 from petrelhaven.control.failover.member_access import MemberHandle
+from petrelhaven.control.state.control_state import ControlState
 from petrelhaven.control.storage import core_store
 from petrelhaven.control.storage.documents import ChainRecord
 from petrelhaven.proxy import core_connection as core_connection
@@ -20,6 +21,7 @@
 from petrelhaven.proxy.routing import write_path as held_writes
 from petrelhaven.proxy.session.statement import Reply
 from petrelhaven.runtime.errors import Fault, Unreachable
+from petrelhaven.simulator.connection_sessions.faults import SIGN_OFF_KINDS
 from petrelhaven.simulator.connection_sessions.member_connection import SimulatedMemberConnection
 from petrelhaven.simulator.connection_sessions.storm import inside, run, schedule, shrink
 
@@ -39,6 +41,24 @@
     assert sum(c.served for c in f.clients) > 100
 
 
+@pytest.mark.parametrize("seed", [0, 1, 5, 7, 11, 12])
+def test_members_that_sign_off_first_and_serve_on_break_no_rule(seed):
+    """NEWS-22: some never say that they drain; the acknowledgement of their sign-off binds all the same."""
+    kinds = [*SIGN_OFF_KINDS, "primary_crash", "replica_crash"]
+    bad, f = run(seed, kinds=kinds, cap=40)
+    assert bad == []
+    assert sum(c.served for c in f.clients) > 100
+    assert f.history.drained, "nobody signed off"
+
+
+def test_a_member_that_signed_off_is_sent_nothing_new_after_its_bound(monkeypatch):
+    """Without the proxies' knowledge of departures the same play breaks DRAIN."""
+
+    monkeypatch.setattr(ControlState, "_depart", lambda self, name: None)
+    broken = [run(seed, kinds=list(SIGN_OFF_KINDS), cap=40)[0] for seed in range(3)]
+    assert any("DRAIN" in str(bad) for bad in broken)
+
+
 def test_a_calm_fleet_serves_whoever_does_not_leave_early():
     async def go(f):
         await f.start()
--- a/tests/test_control_model.py
+++ b/tests/test_control_model.py
@@ -135,6 +135,25 @@
     assert play(Shape(3, 8192), steps, 2).broken == {}
 
 
+@pytest.mark.parametrize("cores", [3, 5])
+@pytest.mark.parametrize("after_ms", [5, 60, 150, 400])
+def test_a_wiped_core_and_all_power_lost_leave_the_newest_configuration(cores, after_ms):
+    """The closing fault: as many disks as may be are lost after an order was sent, and all others lose power."""
+    for who in range(cores):
+        lost = [Step(0, "lose", who + i, 0, 1500) for i in range((cores - 1) // 2)]
+        steps = [
+            Step(1000, "order", who),
+            Step(1000, "order", who + 1),
+            Step(after_ms, "lose", who, 0, 1500),
+            *lost[1:],
+            Step(0, "blackout", 0, 1, 1500),
+            *(Step(300 if i else 4000, "read", i) for i in range(cores)),
+        ]
+        result = play(Shape(cores), steps, 31 + who)
+        assert result.broken == {}, who
+        assert result.reads >= cores, who
+
+
 def _lost_after_the_cut_of_a_replacement(cores, seed, lost, gap_ms):
     """A core is replaced inside a cut; `gap_ms` after its end another core is gone for good.
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -35,6 +35,14 @@
     assert [m for m in MEASURES if f"`petrelhaven-sim measure {m}`" not in text] == []
 
 
+def test_every_test_that_a_proof_names_is_there():
+    tests = "".join(p.read_text() for p in Path(__file__).parent.glob("test_*.py"))
+    named = set(re.findall(r"`(test_\w+)`", (DOCS / "proof-platform.md").read_text()))
+    files = {p.stem for p in Path(__file__).parent.glob("test_*.py")}
+    assert len(named) > 40
+    assert [n for n in sorted(named) if n not in files and f"def {n}(" not in tests] == []
+
+
 def test_no_line_of_code_is_over_120_columns_and_nothing_rests_on_wall_time():
     for p in [*(DOCS.parent / "src").rglob("*.py"), *(DOCS.parent / "tests").rglob("*.py")]:
         text = p.read_text()
