--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -43,6 +43,19 @@
     assert [n for n in sorted(named) if n not in files and f"def {n}(" not in tests] == []
 
 
+def test_nothing_asks_members_for_their_health():
+    """Health answers may be false either way; what a member does with statements counts."""
+    root = DOCS.parent
+    files = [
+        p
+        for folder in ("control", "proxy")
+        for p in (root / "src/petrelhaven" / folder).rglob("*.py")
+    ]
+    files += (root / "platform").glob("*.py")
+    assert len(files) > 100
+    assert [p.name for p in files if "/health" in p.read_text()] == []
+
+
 def test_no_line_of_code_is_over_120_columns_and_nothing_rests_on_wall_time():
     for p in [*(DOCS.parent / "src").rglob("*.py"), *(DOCS.parent / "tests").rglob("*.py")]:
         text = p.read_text()
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -721,6 +721,29 @@
     virtual(go)
 
 
+def test_a_transaction_that_rests_too_long_is_ended_and_its_client_told_at_the_next_statement():
+    async def go(d):
+        limit_s = d.proxy.bounds().idle_txn_us / 1e6
+        f, tr = d.client()
+        f.data_received(said("BEGIN", "PUT a 1"))
+        await rest(limit_s - 0.5)
+        strand = next(s for s in d.member.member_connections if s.open_ is not None)
+        assert not strand.lost
+        f.data_received(said("PUT b 1"))
+        await rest(limit_s - 0.5)
+        assert not strand.lost, "a statement begins the rest anew"
+        await rest(1)
+        assert strand.lost and d.member.kept == {}
+        before = len(replies(tr.out)[0])
+        f.data_received(said("PUT c 1"))
+        await rest(0.1)
+        (rows, end, ready), *_ = replies(tr.out)[0][before:]
+        assert (rows, ready[:1]) == ([], b"E") and end.startswith(b"ERROR ABORTED"), end
+        assert "PUT c 1" not in [text for _, text in d.member.ran]
+
+    virtual(go)
+
+
 def test_a_client_lost_while_its_write_runs_leaves_nothing_behind():
     async def go(d):
         f, tr = d.client()
