--- a/src/petrelhaven/control/resumable/plan.py
+++ b/src/petrelhaven/control/resumable/plan.py
@@ -306,13 +306,13 @@
     """
     stores = observed.epoch.stores if observed.epoch else {}
     members = observed.members
-    kept = [
+    remaining = [
         name
         for name in electable
         if name in awaited and members[name].store == stores.get(name, members[name].store)
     ]
-    if len(kept) >= observed.group.least:
-        return kept, True
+    if len(remaining) >= observed.group.least:
+        return remaining, True
     return list(electable), False
 
 
--- a/src/petrelhaven/emulator/main.py
+++ b/src/petrelhaven/emulator/main.py
@@ -73,7 +73,7 @@
         self._members: dict[str, tuple[str, str]] = {}
         self._edges: list[str] = []
         self._tasks = BackgroundTasks()
-        self._logic = PlatformLogic(clock, self._tell, self._names_in, took_us)
+        self._logic = PlatformLogic(clock, self._call_member, self._names_in, took_us)
         self._load_balancer = LoadBalancer(
             clock, self._tasks, lambda: self._edges, self._is_ready, None, None
         )
@@ -96,7 +96,7 @@
     def _names_in(self, group: str) -> list[str]:
         return [name for name, (its_group, _) in self._members.items() if its_group == group]
 
-    async def _tell(self, member: str, verb: str, fields: Document) -> None:
+    async def _call_member(self, member: str, verb: str, fields: Document) -> None:
         """Calls a member; `source` in `fields` is a member's name and goes out as its address."""
         _, address = self._members[member]
         if "source" in fields:
--- a/src/petrelhaven/emulator/platform.py
+++ b/src/petrelhaven/emulator/platform.py
@@ -12,14 +12,14 @@
 if TYPE_CHECKING:
     from petrelhaven.runtime.clock import Clock
 
-__all__ = ["PlatformLogic", "Tell"]
+__all__ = ["PlatformLogic", "CallMember"]
 
 _PROMOTION_US = 300_000
 _FOLLOW_INTERVAL_US = 300_000
 _FOLLOW_LIMIT_S = 0.1
 _NEVER_US = 3_600_000_000
 
-Tell = Callable[[str, str, dict[str, Any]], Awaitable[object]]
+CallMember = Callable[[str, str, dict[str, Any]], Awaitable[object]]
 
 
 class PlatformLogic:
@@ -37,7 +37,7 @@
     def __init__(
         self,
         clock: Clock,
-        tell: Tell,
+        call_member: CallMember,
         members: Callable[[str], Iterable[str]],
         took_us: int = _PROMOTION_US,
     ) -> None:
@@ -45,11 +45,16 @@
 
         Args:
             clock: times the calls.
-            tell: calls a member with a verb and its fields.
+            call_member: calls a member with a verb and its fields.
             members: the members of a group.
             took_us: how long a promotion takes, in microseconds.
         """
-        self.clock, self._tell, self.members, self.took_us = clock, tell, members, took_us
+        self.clock, self._call_member, self.members, self.took_us = (
+            clock,
+            call_member,
+            members,
+            took_us,
+        )
         self.last: dict[str, tuple[int, str | None]] = {}
         self.primary: dict[str, tuple[str, int]] = {}
         self.calls: list[tuple[str, str, int, str]] = []
@@ -86,7 +91,7 @@
             self.calls.append((group, member, epoch, by))
             self.last[group] = (epoch, member)
             await self.clock.sleep(self.took_us)
-            await self._tell(member, "promote", {"epoch": epoch})
+            await self._call_member(member, "promote", {"epoch": epoch})
             self.primary[group] = (member, epoch)
             followers = [
                 asyncio.ensure_future(self._follow(name, member, epoch))
@@ -100,7 +105,7 @@
 
     async def _follow(self, member: str, source: str, epoch: int) -> None:
         with contextlib.suppress(Fault):
-            await self._tell(member, "follow", {"source": source, "epoch": epoch})
+            await self._call_member(member, "follow", {"source": source, "epoch": epoch})
 
     async def tend(self) -> None:
         """Keeps telling members that came back whom to follow."""
--- a/src/petrelhaven/emulator/store.py
+++ b/src/petrelhaven/emulator/store.py
@@ -127,7 +127,7 @@
         }
 
     def announcement(self, address: str, heartbeat: int) -> dict[str, Any]:
-        """What the member tells control regularly."""
+        """What the member reports to control regularly."""
         return {
             "member": self.name,
             "group": self.group,
@@ -323,8 +323,8 @@
 
     def _append(self, operations: list[Operation]) -> Result:
         self.replay(self.term, operations)
-        for tell in self.on_commit:
-            tell()
+        for notify in self.on_commit:
+            notify()
         return {"pos": self.log, "value": self.data.get(operations[-1][1])}
 
     def feed(self, position: int, term: int) -> dict[str, Any]:
--- a/src/petrelhaven/proxy/resumable/connection_pool.py
+++ b/src/petrelhaven/proxy/resumable/connection_pool.py
@@ -128,14 +128,14 @@
         else:
             self.idle.append(c)
         self._pump()
-        self._tell()
+        self._notify()
 
     def drop(self, c):
         """Closes a connection whose state is not known."""
         self.busy.discard(c)
         c.close()
         self._pump()
-        self._tell()
+        self._notify()
 
     def resize(self, share):
         """Sets the share; surplus idle connections are closed now, busy ones when they come back."""
@@ -143,9 +143,9 @@
         while self.idle and self.total > share:
             self.idle.pop(0).close()
         self._pump()
-        self._tell()
+        self._notify()
 
-    def _tell(self):
+    def _notify(self):
         if self.total <= self.share:
             w, self._calm = self._calm, []
             for f in w:
@@ -156,7 +156,7 @@
         """A future that is done once no more connections than the share are held."""
         f = asyncio.get_running_loop().create_future()
         self._calm.append(f)
-        self._tell()
+        self._notify()
         return f
 
     def let_go(self):
--- a/src/petrelhaven/proxy/resumable/control_client.py
+++ b/src/petrelhaven/proxy/resumable/control_client.py
@@ -156,16 +156,16 @@
         if until > self.lease:
             self.lease = until
             if self._watch is None:
-                self._watch = self.clock.later(until - self.clock.now() + 1000, self._look)
+                self._watch = self.clock.later(until - self.clock.now() + 1000, self._check)
             if not self._had and self.sends:
                 self._had = True
                 emit(self.log, Events.CONTROL_NODE_CONNECTED, core=self._core)
 
-    def _look(self):
+    def _check(self):
         left = self.lease - self.clock.now()
         self._watch = None
         if left >= 0:
-            self._watch = self.clock.later(left + 1000, self._look)
+            self._watch = self.clock.later(left + 1000, self._check)
             return
         if self._had:
             self._had = False
@@ -235,13 +235,13 @@
             for f in self.on_anew:
                 f()
         try:
-            await self.say(self._state)
+            await self.announce_state(self._state)
         except Stale:
             await self.clock.sleep(100_000)
         except Fault:
             await self.clock.sleep(200_000)
 
-    async def say(self, state):
+    async def announce_state(self, state):
         """Tells control this edge's state: up, leaving or gone."""
         self._state = state
         ch = self._ch
--- a/src/petrelhaven/proxy/resumable/delivery.py
+++ b/src/petrelhaven/proxy/resumable/delivery.py
@@ -24,7 +24,7 @@
         if homes:
             return max(homes)[1]
         if (
-            sid in self.e.session_replicas.kept
+            sid in self.e.session_replicas.stored
             or any(role in (None, "kept") for _, role, _ in rs)
             or sid in self.e.homes
         ):
--- a/src/petrelhaven/proxy/resumable/handover.py
+++ b/src/petrelhaven/proxy/resumable/handover.py
@@ -67,7 +67,7 @@
                 await self.e.clock.sleep(100_000)
             if s.state == "moving":
                 s.stay()
-                s.sure = False
+                s.is_replicated = False
         finally:
             s.unlock()
 
@@ -79,13 +79,13 @@
                 return
             await asyncio.gather(*[self._hand(s) for s in ss[:40]])
 
-    async def _say(self, state, us):
+    async def _announce(self, state, us):
         """Tells control until it has heard, or `us` have passed."""
         end = self.e.clock.now() + us
         while self.e.clock.now() < end:
             try:
                 return await self.e.clock.limit(
-                    self.e.control.say(state), min(3_000_000, end - self.e.clock.now())
+                    self.e.control.announce_state(state), min(3_000_000, end - self.e.clock.now())
                 )
             except Fault:
                 await self.e.clock.sleep(100_000)
@@ -96,24 +96,24 @@
             self.e.log,
             Events.NODE_LEAVING,
             sessions=len(self.e.homes),
-            kept=len(self.e.session_replicas.kept),
+            kept=len(self.e.session_replicas.stored),
         )
         self.e.leave()
         end = self.e.clock.now() + us
-        self.e.tasks.spawn(self._say("leaving", us))
-        while self.e.clock.now() < end and (self.e.homes or self.e.session_replicas.kept):
+        self.e.tasks.spawn(self._announce("leaving", us))
+        while self.e.clock.now() < end and (self.e.homes or self.e.session_replicas.stored):
             if self.e.homes:
                 await self.hand_all()
             await self.e.clock.sleep(50_000)
         for t in self.e.member_groups.values():
             t.close()
         self.e.control.lease = 0
-        await self._say("gone", 3_000_000)
+        await self._announce("gone", 3_000_000)
         self.e.prober.leave(4)
         self.e.end()
         emit(
             self.e.log,
             Events.NODE_ENDED,
             left_sessions=len(self.e.homes),
-            left_kept=len(self.e.session_replicas.kept),
+            left_kept=len(self.e.session_replicas.stored),
         )
--- a/src/petrelhaven/proxy/resumable/member_group.py
+++ b/src/petrelhaven/proxy/resumable/member_group.py
@@ -72,7 +72,7 @@
 
         return opened
 
-    def turn(self, e, share, zones):
+    def enter_epoch(self, e, share, zones):
         """Enters epoch `e`; returns the posts that must fall silent and by when."""
         new = self.epoch is None or self.epoch["n"] != e["n"]
         self.epoch = e
--- a/src/petrelhaven/proxy/resumable/node.py
+++ b/src/petrelhaven/proxy/resumable/node.py
@@ -143,15 +143,15 @@
     def watch_txn(self, s, x):
         """Ends a transaction that its visitor left idle past the bound."""
 
-        def look():
+        def check():
             if s.txn is x:
                 left = x.since + self.bounds().idle_txn_us - self.clock.now()
                 if left > 0:
-                    self.clock.later(left, look)
+                    self.clock.later(left, check)
                 else:
                     self.end_txn(s)
 
-        self.clock.later(self.bounds().idle_txn_us, look)
+        self.clock.later(self.bounds().idle_txn_us, check)
 
     def pick(self, t, pos, bad):
         """A replica for a read, by weight; those known to hold `pos` first."""
@@ -163,7 +163,7 @@
         ws = [p.pool.limit * (2 if p.zone == self.zone else 1) for p in ahead]
         return self.rng.choices(ahead, ws)[0]
 
-    async def held(self, t, primary, term, pos):
+    async def wait_replicated(self, t, primary, term, pos):
         """Whether every in-sync replica's log came to hold `pos` within the bound, under a lease."""
         end = self.clock.now() + self.bounds().commit_us
         while self.clock.now() < end:
@@ -273,10 +273,11 @@
             "ready": self.ready,
             "lease_us": max(0, self.control.lease - now),
             "sessions": len(self.homes),
-            "kept": len(self.session_replicas.kept),
+            "kept": len(self.session_replicas.stored),
             "unkept": sum(not s.keepers for s in self.homes.values()),
             "thin": sum(
-                not s.sure or len(s.keepers) < self.bounds().keepers for s in self.homes.values()
+                not s.is_replicated or len(s.keepers) < self.bounds().keepers
+                for s in self.homes.values()
             ),
             "slots_used": self.request_slots.used,
             "shed": self.request_slots.shed,
--- a/src/petrelhaven/proxy/resumable/sender.py
+++ b/src/petrelhaven/proxy/resumable/sender.py
@@ -24,7 +24,7 @@
 
     def tag(self, s):
         """What a connection is set up for."""
-        return (s.sid, s.epoch, s.mark)
+        return (s.sid, s.epoch, s.revision)
 
     def on(self, post, conn, s, ops, us, first=(), pinned=False):
         """Sends one batch on a connection; the lease is checked right before the send."""
--- a/src/petrelhaven/proxy/resumable/session.py
+++ b/src/petrelhaven/proxy/resumable/session.py
@@ -58,12 +58,12 @@
 
     def __init__(self, sid, epoch=1):
         self.sid, self.epoch, self.ver, self.keepers = sid, epoch, 0, []
-        self.values, self.prepared, self.tries, self.floor = {}, {}, {}, 0
+        self.values, self.prepared, self.tries, self.forgotten_tries = {}, {}, {}, 0
         self.txn, self.txns = None, 0
-        self.queue, self.busy, self.mark = [], False, 0
+        self.queue, self.busy, self.revision = [], False, 0
         self.release = []
-        self.said = 0
-        self.sure, self.over = False, False
+        self.statement_number = 0
+        self.is_replicated, self.over = False, False
         self._machine.add_model(self)
 
     def doc(self):
@@ -72,11 +72,11 @@
             "values": self.values,
             "prepared": self.prepared,
             "tries": {str(k): v for k, v in self.tries.items()},
-            "floor": self.floor,
+            "floor": self.forgotten_tries,
             "txns": self.txns,
             "keepers": list(self.keepers),
             "release": list(self.release),
-            "said": self.said,
+            "said": self.statement_number,
             "over": self.over,
         }
 
@@ -86,8 +86,8 @@
         s = cls(sid, epoch)
         s.ver, s.values, s.prepared = ver, d["values"], d["prepared"]
         s.tries = {int(k): v for k, v in d["tries"].items()}
-        s.floor, s.txns, s.said = d["floor"], d["txns"] + 1_000_000, d["said"]
-        s.mark = 1
+        s.forgotten_tries, s.txns, s.statement_number = d["floor"], d["txns"] + 1_000_000, d["said"]
+        s.revision = 1
         return s
 
     def lock(self, most=None):
@@ -116,7 +116,7 @@
         self.tries[n] = {"outcome": "unknown"}
         while len(self.tries) > _TRIES:
             k = min(self.tries)
-            self.floor = max(self.floor, k)
+            self.forgotten_tries = max(self.forgotten_tries, k)
             del self.tries[k]
 
     def forget(self):
--- a/src/petrelhaven/proxy/resumable/session_keeper.py
+++ b/src/petrelhaven/proxy/resumable/session_keeper.py
@@ -67,25 +67,25 @@
         """Brings the whole of `s` to every keeper; returns once all of them hold it."""
         s.ver += 1
         end = self.clock.now() + 1_500_000
-        held = {}
+        holders = {}
         while True:
             if self.homes.get(s.sid) is not s:
                 raise SessionMoving("the session is no longer at home here")
             self._proxy_survey(s)
             ks = list(s.keepers)
             if not ks:
-                s.sure = True
+                s.is_replicated = True
                 return False
             doc = s.doc()
-            todo = [k for k in ks if held.get(k) != ks]
+            todo = [k for k in ks if holders.get(k) != ks]
             for k, ok in zip(todo, await asyncio.gather(*[self._send(s, k, doc) for k in todo])):
                 if ok is False:
                     self.part(s)
                     raise SessionMoving("the session lives elsewhere now")
                 if ok:
-                    held[k] = ks
-            if all(held.get(k) == s.keepers for k in s.keepers) and self.homes.get(s.sid) is s:
-                s.sure = not s.release
+                    holders[k] = ks
+            if all(holders.get(k) == s.keepers for k in s.keepers) and self.homes.get(s.sid) is s:
+                s.is_replicated = not s.release
                 return True
             if self.clock.now() > end or s.state == "closed":
                 raise SessionMoving("a keeper of the session can't be reached")
@@ -141,7 +141,7 @@
                         ) from None
                     await self.clock.sleep(60_000)
         s.release = []
-        s.sure = True
+        s.is_replicated = True
 
     def _poor(self, s):
         """Keepers to be replaced: those leaving, else one that shares a hall while another hall could help."""
@@ -168,14 +168,14 @@
     def _wants(self, s):
         return s.state == "home" and (
             s.over
-            or not s.sure
+            or not s.is_replicated
             or len(s.keepers) < self.bounds().keepers
             and self.elect(s.keepers) is not None
             or not all(self.control.lives(k) for k in s.keepers)
             or bool(self._poor(s))
         )
 
-    def look(self):
+    def check(self):
         """Repairs the keepers of every session that lacks some."""
         for sid, s in sorted(self.homes.items()):
             if sid not in self._tending and self._wants(s):
@@ -193,7 +193,7 @@
             bad = self._poor(s)
             rest = [k for k in s.keepers if k not in bad]
             if bad and (rest or self.elect([], bad + s.release) is not None):
-                s.keepers, s.release, s.sure = rest, s.release + bad, False
+                s.keepers, s.release, s.is_replicated = rest, s.release + bad, False
             await self.settle(s)
         except Fault as f:
             emit(self.log, Events.SESSION_REPLICATION_DELAYED, sid=s.sid, fault=f.code, note=f.note)
--- a/src/petrelhaven/proxy/resumable/session_replicas.py
+++ b/src/petrelhaven/proxy/resumable/session_replicas.py
@@ -11,7 +11,7 @@
 __all__ = ["SessionReplicas"]
 
 _FENCES = 20_000
-_LOOK_US = 1_500_000
+_CHECK_US = 1_500_000
 
 
 class SessionReplicas:
@@ -26,7 +26,7 @@
             reach,
         )
         self.homes, self.keeper, self.log = homes, keeper, log
-        self.kept = {}
+        self.stored = {}
         self.fence = {}
         self.granted = {}
         self._due = {}
@@ -45,7 +45,7 @@
         """Takes a copy meant for this incarnation, unless a later home is known."""
         self._mine(b)
         sid, at = b["sid"], (b["epoch"], b["ver"])
-        h, c, rec = self.homes.get(sid), self.kept.get(sid), self.granted.get(sid)
+        h, c, rec = self.homes.get(sid), self.stored.get(sid), self.granted.get(sid)
         low = max(self.fence.get(sid, 0), h.epoch if h else 0, c["epoch"] if c else 0)
         if (
             b["epoch"] < low
@@ -66,7 +66,7 @@
         if h is not None:
             self.keeper.part(h)
         if c is None or at >= (c["epoch"], c["ver"]) or c["home"] != b["home"]:
-            self.kept[sid] = {
+            self.stored[sid] = {
                 "epoch": b["epoch"],
                 "ver": b["ver"],
                 "home": b["home"],
@@ -81,7 +81,7 @@
         """Becomes the home of a session that its home hands over."""
         self._mine(b)
         sid = b["sid"]
-        h, c = self.homes.get(sid), self.kept.get(sid)
+        h, c = self.homes.get(sid), self.stored.get(sid)
         if h and h.epoch >= b["epoch"] or self.fence.get(sid, 0) > b["epoch"]:
             return {
                 "ok": h is not None and h.epoch == b["epoch"],
@@ -103,25 +103,25 @@
         n = self.keeper.bounds().keepers
         s.keepers, s.release = old[:n], old[n:]
         self.homes[sid] = s
-        self.kept.pop(sid, None)
+        self.stored.pop(sid, None)
         self.granted.pop(sid, None)
         self.fence[sid] = epoch
         if len(self.fence) > _FENCES:
             self.fence.pop(next(iter(self.fence)))
-        self.keeper.look()
+        self.keeper.check()
 
     async def drop(self, ch, b):
         """Forgets a copy whose session has ended or moved."""
-        c = self.kept.get(b["sid"])
+        c = self.stored.get(b["sid"])
         if b["sid"] not in self.homes and c and c["epoch"] <= b["epoch"]:
-            self.kept.pop(b["sid"])
+            self.stored.pop(b["sid"])
         return {"ok": True}
 
     async def cede(self, ch, b):
         """Consents to another keeper's takeover, unless this one has the better claim or promised it away."""
         self._mine(b)
         sid, me = b["sid"], b["me"]
-        h, c, rec = self.homes.get(sid), self.kept.get(sid), self.granted.get(sid)
+        h, c, rec = self.homes.get(sid), self.stored.get(sid), self.granted.get(sid)
         if h is not None or self.fence.get(sid, 0) > b["epoch"] or c and c["epoch"] > b["epoch"]:
             return {"ok": False, "epoch": 0}
         if rec and rec[0] != me:
@@ -135,7 +135,7 @@
         return {"ok": True, "epoch": b["want"]}
 
     def _later(self, sid, us):
-        c = self.kept[sid]
+        c = self.stored[sid]
         self._due[sid] = self.clock.now() + us
         self.clock.later(us, lambda: self._start(sid, c["home"]))
 
@@ -149,7 +149,7 @@
             got = []
             end = self.clock.now() + 6_000_000
             while self.clock.now() < end:
-                c, rec = self.kept.get(sid), self.granted.get(sid)
+                c, rec = self.stored.get(sid), self.granted.get(sid)
                 if (
                     c is None
                     or c["home"] != home
@@ -210,7 +210,7 @@
         self._home(sid, want, c["ver"], c["state"], home)
 
     def _forget(self, sid):
-        self.kept.pop(sid, None)
+        self.stored.pop(sid, None)
         self.granted.pop(sid, None)
 
     def changed(self, recs):
@@ -227,26 +227,26 @@
             for r in mine
             if r["t"] == "lapse" or r["state"] == "gone" and r.get("by") == r["name"]
         }
-        for sid, c in sorted(self.kept.items()):
+        for sid, c in sorted(self.stored.items()):
             n = c["home"].split("/")[0]
             if not self.control.lives(c["home"]) and (
                 n in quick or self._due.get(sid, 0) < self.clock.now()
             ):
                 self._later(sid, 0 if n in quick else EXPIRY_US)
-        self.keeper.look()
+        self.keeper.check()
 
     def clear(self):
         """This edge was declared gone: its copies are nobody's any more."""
-        self.kept.clear()
+        self.stored.clear()
         self.granted.clear()
 
     def role(self, sid):
         """What this edge is to a session: home, unsure (home, not kept yet), kept or none."""
         h = self.homes.get(sid)
         if h is not None:
-            return "home" if h.sure else "unsure", h.epoch
-        if sid in self.kept:
-            return "kept", self.kept[sid]["epoch"]
+            return "home" if h.is_replicated else "unsure", h.epoch
+        if sid in self.stored:
+            return "kept", self.stored[sid]["epoch"]
         return "none", self.fence.get(sid, 0)
 
     async def seen(self, ch, b):
@@ -256,12 +256,12 @@
     async def run(self):
         """Looks for good whether what is kept here still has a home, and whether what is at home is well kept."""
         while True:
-            await self.clock.sleep(_LOOK_US + self.rng.randrange(_LOOK_US // 2))
+            await self.clock.sleep(_CHECK_US + self.rng.randrange(_CHECK_US // 2))
             if not self.control.sends:
                 continue
-            self.keeper.look()
+            self.keeper.check()
             by = {}
-            for sid, c in sorted(self.kept.items()):
+            for sid, c in sorted(self.stored.items()):
                 if self.control.lives(c["home"]):
                     by.setdefault(c["home"].split("/")[0], []).append(sid)
                 elif self._due.get(sid, 0) < self.clock.now():
@@ -283,25 +283,25 @@
             return None
 
     async def _orphans(self, sids):
-        sids = [s for s in sids if s in self.kept]
+        sids = [s for s in sids if s in self.stored]
         if not sids:
             return
         rs = await asyncio.gather(*[self.ask(n, sids) for n in self.control.others()])
         for sid in sids:
-            c = self.kept.get(sid)
+            c = self.stored.get(sid)
             if c is None:
                 continue
-            said = [
+            statement_number = [
                 (role, ep) for rows in rs if rows is not None for x, role, ep in rows if x == sid
             ]
-            if any(role == "home" and ep >= c["epoch"] for role, ep in said):
-                self.kept.pop(sid)
+            if any(role == "home" and ep >= c["epoch"] for role, ep in statement_number):
+                self.stored.pop(sid)
             elif (
                 all(r is not None for r in rs)
-                and not any(role in ("home", "unsure") for role, _ in said)
+                and not any(role in ("home", "unsure") for role, _ in statement_number)
                 and sid not in self._claims
             ):
-                low = max([ep for _, ep in said] + [c["epoch"]])
+                low = max([ep for _, ep in statement_number] + [c["epoch"]])
                 self.granted[sid] = (self.me, max(low, self.granted.get(sid, ("", 0))[1]))
                 self._claims.add(sid)
                 self.tasks.spawn(self._claim(sid, c["home"], True))
--- a/src/petrelhaven/proxy/resumable/state_follower.py
+++ b/src/petrelhaven/proxy/resumable/state_follower.py
@@ -34,9 +34,9 @@
         if calm:
             self.e.control.hold_ack(r.seq, self.e.tasks.spawn(self._calm(calm)))
         self.e.session_replicas.changed(recs)
-        self._turn()
+        self._enter_epochs()
 
-    def _turn(self):
+    def _enter_epochs(self):
         r = self.e.control.control_state
         if self.e.state in ("leaving", "left") or r.configuration is None:
             return
@@ -62,7 +62,7 @@
                 self.e.vary,
             )
         old = t.epoch
-        for p in t.turn(
+        for p in t.enter_epoch(
             e,
             lambda n: self.e.control.control_state.share(g, self.e.name, n),
             self.e.control.control_state.zone,
@@ -80,7 +80,7 @@
         ):
             calm.append(
                 self.e.tasks.spawn(
-                    self._quiet(t, old["primary"], e["grace"] if e["phase"] == "halt" else 0)
+                    self._silence(t, old["primary"], e["grace"] if e["phase"] == "halt" else 0)
                 )
             )
         return calm
@@ -98,7 +98,7 @@
             for c in list(p.pool.busy)[: max(0, p.pool.total - p.pool.share)]:
                 p.pool.drop(c)
 
-    async def _quiet(self, t, name, grace):
+    async def _silence(self, t, name, grace):
         p = t.posts.get(name)
         end = self.e.clock.now() + grace
         while p is not None and self.e.clock.now() < end:
--- a/src/petrelhaven/proxy/resumable/statement_flow.py
+++ b/src/petrelhaven/proxy/resumable/statement_flow.py
@@ -41,9 +41,9 @@
                 raise e.moved(s)
             if s.over:
                 raise NoSession("the session has ended")
-            if not s.sure:
+            if not s.is_replicated:
                 yield e.tasks.spawn(e.keeper.settle(s))
-            self._in_turn(s, d)
+            self._check_order(s, d)
             if s.txn is not None and s.txn.conn.lost:
                 e.end_txn(s)
             if "txn" in d and (s.txn is None or d["txn"] != s.txn.num):
@@ -84,17 +84,18 @@
                 lk.cancel()
 
     @staticmethod
-    def _in_turn(s, d):
+    def _check_order(s, d):
         k = d.get("say")
         if k is None:
             return
         if type(k) is not int or not 0 < k < 1 << 53:
             raise Malformed("say must be a rising whole number")
-        if k < s.said:
+        if k < s.statement_number:
             raise Superseded(
-                "a later statement of this session was served already", details={"said": s.said}
+                "a later statement of this session was served already",
+                details={"said": s.statement_number},
             )
-        s.said = k
+        s.statement_number = k
 
     def member_group(self, d):
         """The group that a statement's route names, and the route."""
--- a/src/petrelhaven/proxy/resumable/transactions.py
+++ b/src/petrelhaven/proxy/resumable/transactions.py
@@ -131,4 +131,4 @@
         finally:
             x.pool.writes -= 1
         e.end_txn(s, clean=True)
-        return (yield from self.e.flow.writer.kept(s, n, t, x.pool, x.epoch, rs[-1]))
+        return (yield from self.e.flow.writer.committed(s, n, t, x.pool, x.epoch, rs[-1]))
--- a/src/petrelhaven/proxy/resumable/value_changes.py
+++ b/src/petrelhaven/proxy/resumable/value_changes.py
@@ -56,12 +56,12 @@
         return {"ok": True}
 
     def _change(self, s, values, prepared, ops):
-        s.mark += 1
+        s.revision += 1
         try:
             yield self.e.tasks.spawn(self.e.keeper.keep(s))
         except Fault:
             s.values, s.prepared = values, prepared
-            s.mark += 1
+            s.revision += 1
             raise
         if s.txn is not None:
             try:
--- a/src/petrelhaven/proxy/resumable/verbs.py
+++ b/src/petrelhaven/proxy/resumable/verbs.py
@@ -31,7 +31,7 @@
             raise Malformed(f"{verb} needs {field}")
         if field != "value" and not isinstance(statement[field], str):
             raise Malformed(f"{verb} needs {field}")
-    if verb == "add" and not _is_whole_number(statement["value"]):
+    if verb == "add" and not _is_integer(statement["value"]):
         raise Malformed("add needs a whole number")
     return {"v": verb, **{field: statement[field] for field in fields}}
 
@@ -43,6 +43,6 @@
     return {"v": "exec", "name": name, "args": arguments}
 
 
-def _is_whole_number(value: object) -> bool:
+def _is_integer(value: object) -> bool:
     """Whether a member can add `value`; words are left to it to judge."""
     return type(value) is int or isinstance(value, str)
--- a/src/petrelhaven/proxy/resumable/writes.py
+++ b/src/petrelhaven/proxy/resumable/writes.py
@@ -29,7 +29,7 @@
             raise Malformed("a write needs its try, a rising whole number")
         if n in s.tries:
             return n, {**s.tries[n], "repeated": True}
-        if n <= s.floor:
+        if n <= s.forgotten_tries:
             return n, {"outcome": "unknown", "repeated": True}
         return n, None
 
@@ -94,16 +94,16 @@
         finally:
             post.writes -= 1
             post.pool.give(c) if ok and not c.lost else post.pool.drop(c)
-        return (yield from self.kept(s, n, t, post, term, rs[-1]))
+        return (yield from self.committed(s, n, t, post, term, rs[-1]))
 
-    def kept(self, s, n, t, post, term, r):
+    def committed(self, s, n, t, post, term, r):
         """The outcome once every in-sync replica holds `r`, or unknown."""
         e = self.e
         try:
-            held = yield e.tasks.spawn(e.held(t, post.name, term, r["pos"]))
+            replicated = yield e.tasks.spawn(e.wait_replicated(t, post.name, term, r["pos"]))
         except DeadlineExceeded:
-            held = False
-        if not held:
+            replicated = False
+        if not replicated:
             emit(e.log, Events.STATEMENT_OUTCOME_UNKNOWN, sid=s.sid, n=n, pos=r["pos"])
             return {"outcome": "unknown", "retry_after_us": 300_000}
         return (
--- a/src/petrelhaven/simulator/connection_sessions/client.py
+++ b/src/petrelhaven/simulator/connection_sessions/client.py
@@ -160,7 +160,7 @@
                 await self._set(end)
             elif x < 0.15 and self._prepared:
                 n = self.rng.choice(sorted(self._prepared))
-                await self._say(ClientStatement(self._num(), "forget", "forget", name=n), end)
+                await self._request(ClientStatement(self._num(), "forget", "forget", name=n), end)
                 del self._prepared[n]
                 await self._prepare(n, end)
             return
@@ -176,17 +176,17 @@
 
     async def _prepare(self, n, end):
         shape = f"{'put' if self.mix[1] and self.rng.random() < 0.5 else 'get'} q{self.rng.randrange(3)}"
-        await self._say(
+        await self._request(
             ClientStatement(self._num(), "prepare", "prepare", name=n, shape=shape), end
         )
         self._prepared[n] = shape
 
     async def _set(self, end):
         k, v = self.rng.choice(("lang", "zone")), self.rng.choice("abc")
-        await self._say(ClientStatement(self._num(), "set", "set", name=k, data=v), end)
+        await self._request(ClientStatement(self._num(), "set", "set", name=k, data=v), end)
         self._values[k] = v
 
-    async def _say(self, a, end):
+    async def _request(self, a, end):
         r = await self._clock.limit(self._front.ask(a), max(10_000, end - self._clock.now()))
         if not r.ok:
             raise Fault(r.code)
--- a/src/petrelhaven/simulator/connection_sessions/connection.py
+++ b/src/petrelhaven/simulator/connection_sessions/connection.py
@@ -15,8 +15,8 @@
         self.member, self.line, self.number = member, line, number
         self.values, self.prepared = {}, {}
         self.transaction = None
-        self.failed = self.ended = self.mute = False
-        self.dark_since = None
+        self.failed = self.ended = self.unanswered = False
+        self.unresponsive_since = None
         self._orders, self._on = collections.deque(), False
         self._transactions, self._reads, self._term, self._writes = 0, False, 0, []
 
@@ -27,11 +27,11 @@
 
     def take(self, order):
         """An order arrived; None is the end of the far side."""
-        if self.member.dark:
-            self.mute = True
+        if self.member.unresponsive:
+            self.unanswered = True
         elif self.ended:
             self.line.reset()
-        elif not self.mute or order is None:
+        elif not self.unanswered or order is None:
             self._orders.append(order)
             if not self._on:
                 self._on = True
@@ -55,17 +55,17 @@
                 o = self._orders.popleft()
                 if o is None:
                     return self.end()
-                if self.mute:
+                if self.unanswered:
                     continue
                 r = await self._answer(o)
-                if self.ended or self.mute or self.member.dark:
-                    self.mute = True
+                if self.ended or self.unanswered or self.member.unresponsive:
+                    self.unanswered = True
                     continue
                 if r.ok and r.stamp != "-" and self.member.losing > 0:
                     self.member.losing -= 1
                     if self.member.lost_how == "cut":
                         return self.reset()
-                    self.mute = True
+                    self.unanswered = True
                     continue
                 self.line.reply(r)
                 if not r.ok and o.verb == "connect":
@@ -198,14 +198,14 @@
 
     async def _pause(self, o):
         m = self.member
-        if o.args[0] > max(m.group.term, m.held) and not m.leads:
-            m.held = o.args[0]
+        if o.args[0] > max(m.group.term, m.paused_term) and not m.leads:
+            m.paused_term = o.args[0]
             for f in m.group.on_pause:
                 f(m)
         return (m.status(),), "-"
 
     async def _resume(self, o):
-        self.member.held = 0
+        self.member.paused_term = 0
         return (self.member.status(),), "-"
 
     async def _demote(self, o):
--- a/src/petrelhaven/simulator/connection_sessions/control_fleet.py
+++ b/src/petrelhaven/simulator/connection_sessions/control_fleet.py
@@ -22,7 +22,7 @@
 _APPLY_S = 5.0
 _LIST_LAG_S = 3.0
 _GRACE_S = 6.0
-_LOOK_S = 0.05
+_CHECK_S = 0.05
 _UNDER_WAY = 8
 _SEEDS = 3
 
@@ -70,9 +70,9 @@
         """Powers everything on, waits until every core counts, and begins to look at the cores' condition."""
         await super().start()
         self._founding = False
-        await self.until(self.whole, 30, "every core counts")
+        await self.until(self.is_complete, 30, "every core counts")
         self.trouble_at.clear()
-        self.loop.create_task(self._look())
+        self.loop.create_task(self._check())
 
     def operator(self, lost_share: float = 0.0) -> Operator:
         """Another operator."""
@@ -121,7 +121,7 @@
         by_name = {c.name: c for c in self.cores}
         return [by_name[n] for n in (newest.chain if newest else ()) if n in by_name]
 
-    def whole(self) -> bool:
+    def is_complete(self) -> bool:
         """Whether as many cores as can count are in the newest view's chain and hold all that its head holds."""
         chain = self.chain_order()
         most = 2 * self.losses + 1
@@ -133,12 +133,12 @@
             (s.chain.view for s in nodes if s.chain.view and s.chain.view.number == newest),
             key=lambda view: view.number,
         ).ids
-        held = [s.store.control_state.seq for s in nodes]
+        positions = [s.store.control_state.seq for s in nodes]
         return (
             len(counted) == len(chain)
             and all(s.chain.view and s.chain.view.number == newest for s in nodes)
             and all(s.chain.complete for s in nodes)
-            and max(held) - min(held) <= _UNDER_WAY
+            and max(positions) - min(positions) <= _UNDER_WAY
         )
 
     def may_lose_a_disk(self, core: SimulatedMachine) -> bool:
@@ -208,9 +208,9 @@
 
     def _renew_seeds(self):
         alive = [c.name for c in self.cores]
-        kept = [s.split(":")[1] for s in self.seeds if s.split(":")[1] in alive]
-        more = [n for n in alive if n not in kept]
-        self.exchange_seeds((kept + more)[:_SEEDS])
+        remaining = [s.split(":")[1] for s in self.seeds if s.split(":")[1] in alive]
+        more = [n for n in alive if n not in remaining]
+        self.exchange_seeds((remaining + more)[:_SEEDS])
 
     def note_trouble(self, core: SimulatedMachine) -> None:
         """Counts a core as lost from now on until it has had time to catch up."""
@@ -241,7 +241,7 @@
         ]
         return len(connected) > len(self.cores) // 2
 
-    async def _look(self):
+    async def _check(self):
         """Keeps when each core was in trouble, when any core's condition changed, and the settled spans."""
         while True:
             now = self.loop.time()
@@ -254,14 +254,14 @@
             if condition != self._condition:
                 self.unsettled_at = now
                 self._condition = condition
-                self.history.trouble(now, now + _LOOK_S, "core")
-            self._look_at_edges(now)
-            self._look_at_losses(now)
+                self.history.trouble(now, now + _CHECK_S, "core")
+            self._check_proxies(now)
+            self._check_losses(now)
             if self._borne and self.majority_connected() and now - self.unsettled_at > CONTACT_S:
                 self._settled_at(now)
-            await asyncio.sleep(_LOOK_S)
+            await asyncio.sleep(_CHECK_S)
 
-    def _look_at_losses(self, now):
+    def _check_losses(self, now):
         """Once more cores were lost at a time than must be borne, nothing is asked until all are whole again."""
         lost = sum(self.trouble_at.get(c.name, -1.0) > now - CATCH_UP_S for c in self.cores)
         if lost + self._missing > self.losses:
@@ -270,16 +270,16 @@
             self._borne = True
 
     def _settled_at(self, now):
-        if self.settled_spans and now - self.settled_spans[-1][1] < 2 * _LOOK_S:
+        if self.settled_spans and now - self.settled_spans[-1][1] < 2 * _CHECK_S:
             self.settled_spans[-1][1] = now
         else:
             self.settled_spans.append([now, now])
 
-    def _look_at_edges(self, now):
+    def _check_proxies(self, now):
         """An edge in touch with a settled core must hold what was acknowledged some seconds ago."""
         healthy = [c for c in self.cores if not self.core_in_trouble(c)]
         due = max((v for t, v in self.taken if t < now - _APPLY_S), default=0)
-        settled = self.settled_spans and now - self.settled_spans[-1][1] < 2 * _LOOK_S
+        settled = self.settled_spans and now - self.settled_spans[-1][1] < 2 * _CHECK_S
         for e in self.edges:
             cut = any(
                 self.net.is_cut(e.name, c.name) or self.net.is_cut(c.name, e.name) for c in healthy
@@ -288,11 +288,11 @@
                 self._edge_trouble_at[e.name] = now
             elif now - self._edge_trouble_at.get(e.name, 0.0) > CONTACT_S:
                 configuration = e.node.core_connection.control_state.doc["manifest"]
-                held = configuration["version"] if configuration else 0
-                if held < due:
-                    self.find("NOT IN FORCE", f"{e.name} holds {held}, {due} was acknowledged")
+                applied = configuration["version"] if configuration else 0
+                if applied < due:
+                    self.find("NOT IN FORCE", f"{e.name} holds {applied}, {due} was acknowledged")
 
-    async def evacuate(self, operator: Operator, zone: str, rest_s: float) -> list[bool]:
+    async def evacuate(self, operator: Operator, zone: str, pause_s: float) -> list[bool]:
         """Begins an evacuation and ends it; whether each order was acknowledged."""
         acknowledged = []
         for state in ("emptied", "open"):
@@ -306,7 +306,7 @@
                 self.zones_taken[zone] = state
                 if state == "emptied":
                     self.history.evacuations.append((zone, self.loop.time(), None))
-                    await asyncio.sleep(rest_s)
+                    await asyncio.sleep(pause_s)
         return acknowledged
 
     def _end_evacuations(self, zone, at):
--- a/src/petrelhaven/simulator/connection_sessions/control_scenes.py
+++ b/src/petrelhaven/simulator/connection_sessions/control_scenes.py
@@ -154,7 +154,7 @@
     bad = await catches_up(fleet)
     if bad:
         return bad + fleet.verdict()
-    return await sent_again(fleet) + await fleet.kept() + fleet.verdict()
+    return await sent_again(fleet) + await fleet.check_commits() + fleet.verdict()
 
 
 SCENES = {
--- a/src/petrelhaven/simulator/connection_sessions/control_storm.py
+++ b/src/petrelhaven/simulator/connection_sessions/control_storm.py
@@ -12,7 +12,7 @@
 
 _CLIENTS = 3
 _SETTLE_S = 15.0
-_WHOLE_WITHIN_S = 12.0
+_COMPLETE_WITHIN_S = 12.0
 _MOST_AT_ONCE = 6
 
 Row = tuple[float, str, int]
@@ -49,7 +49,7 @@
     bad += await serves_again(fleet, _SETTLE_S)
     await work.end()
     await fleet.calm()
-    return bad + await sent_again(fleet) + await fleet.kept() + fleet.verdict()
+    return bad + await sent_again(fleet) + await fleet.check_commits() + fleet.verdict()
 
 
 class Work:
@@ -76,11 +76,11 @@
         await asyncio.gather(*self._tasks)
 
 
-async def catches_up(fleet: ControlFleet, within_s: float = _WHOLE_WITHIN_S) -> list[tuple]:
+async def catches_up(fleet: ControlFleet, within_s: float = _COMPLETE_WITHIN_S) -> list[tuple]:
     """Every core must be back in the chain with the newest state, soon after the last fault."""
     end = fleet.loop.time() + within_s
     while fleet.loop.time() < end:
-        if fleet.whole():
+        if fleet.is_complete():
             return []
         await asyncio.sleep(0.02)
     rows = [
--- a/src/petrelhaven/simulator/connection_sessions/faults.py
+++ b/src/petrelhaven/simulator/connection_sessions/faults.py
@@ -270,8 +270,8 @@
         await self._crash(r, self._replica(r))
 
     async def _dark(self, r, m):
-        if m.running and not m.dark:
-            m.dark = True
+        if m.running and not m.unresponsive:
+            m.unresponsive = True
             await self._rest(r, 0.3, 6, m.machine.name)
             m.go_light()
 
@@ -327,9 +327,10 @@
         if "draining" in m.heartbeats.acknowledged and self.f.history.in_touch("", now, 5.0):
             self.f.history.drained[m.name] = now
         await asyncio.sleep(r.uniform(5.3, 7))
-        if m.running and not m.dark:
+        if m.running and not m.unresponsive:
             await asyncio.wait(
-                [m.machine.tasks.spawn(m.heartbeats.tell(lambda n: n.depart(m.name)))], timeout=5
+                [m.machine.tasks.spawn(m.heartbeats.call_any(lambda n: n.depart(m.name)))],
+                timeout=5,
             )
         if m.running:
             m.stop()
@@ -345,11 +346,11 @@
 
     async def _sign_off(self, r, m):
         """A planned end without a word before: it signs off, serves on as long as one that drains, and ends."""
-        if not m.running or m.dark or any(x.state != "ready" for x in m.group.members):
+        if not m.running or m.unresponsive or any(x.state != "ready" for x in m.group.members):
             return
         m.state = "draining"
         m.heartbeats.signed_off = True
-        said = m.machine.tasks.spawn(m.heartbeats.tell(lambda n: n.depart(m.name)))
+        said = m.machine.tasks.spawn(m.heartbeats.call_any(lambda n: n.depart(m.name)))
         await asyncio.wait([said], timeout=5)
         now = self.f.loop.time()
         acknowledged = said.done() and not said.cancelled() and said.result()
--- a/src/petrelhaven/simulator/connection_sessions/fleet.py
+++ b/src/petrelhaven/simulator/connection_sessions/fleet.py
@@ -324,7 +324,7 @@
             c.stop = True
         await self.until(lambda: all(c.done for c in self.clients), 60, "clients end")
 
-    async def kept(self):
+    async def check_commits(self):
         """Acknowledged control state that no core gives back any more."""
         d = None
         for i in range(60):
--- a/src/petrelhaven/simulator/connection_sessions/front.py
+++ b/src/petrelhaven/simulator/connection_sessions/front.py
@@ -86,17 +86,17 @@
         if self._session is None:
             try:
                 if not self.proxy.ready:
-                    return self._say(Reply(code="busy"))
+                    return self._reply(Reply(code="busy"))
                 self._session = self.proxy.open(a)
-                return self._say(Reply())
+                return self._reply(Reply())
             except NoRoute:
-                return self._say(Reply(code="unknown"))
+                return self._reply(Reply(code="unknown"))
         self._asked.append(a)
         if not self._on:
             self._on = True
             self.edge.tasks.spawn(self._serve())
 
-    def _say(self, r):
+    def _reply(self, r):
         self._back.send(lambda: self._hear(r))
 
     def _hear(self, r):
@@ -114,6 +114,6 @@
                 r = await self.proxy.serve_one(self._session, a)
                 if self._gone:
                     return
-                self._say(r)
+                self._reply(r)
         finally:
             self._on = False
--- a/src/petrelhaven/simulator/connection_sessions/group.py
+++ b/src/petrelhaven/simulator/connection_sessions/group.py
@@ -8,7 +8,7 @@
 __all__ = ["DatabaseGroup"]
 
 _TICK_US = 50_000
-_DARK_S = 3.0
+_DROPPED_AFTER_S = 3.0
 _SYNC_US = 3_000_000
 
 
@@ -65,17 +65,17 @@
         self.term += 1
         self.leader = member
         self._received = {}
-        kept = set(member.log)
+        shared = set(member.log)
         now = self.net.loop.time()
         for e in self.entries:
-            if e.cut is None and e not in kept:
+            if e.cut is None and e not in shared:
                 e.cut = now
         w, self._waits = self._waits, []
         for _, f in w:
             f.done() or f.set_result(False)
         for m in self.members:
-            m.held = 0
-            if m.running and not m.dark:
+            m.paused_term = 0
+            if m.running and not m.unresponsive:
                 m.follow()
             m.heartbeat_now.set()
         self.ship()
@@ -107,10 +107,10 @@
         return (
             a.running
             and m.running
-            and not a.dark
-            and not m.dark
+            and not a.unresponsive
+            and not m.unresponsive
             and not m.deaf
-            and not m.held
+            and not m.paused_term
             and not self.net.is_cut(a.machine.name, m.machine.name)
         )
 
@@ -122,11 +122,11 @@
             m.receive(a.log[len(m.log) : upto])
         if not self.net.is_cut(m.machine.name, a.machine.name):
             self.net.loop.call_later(
-                self.net.delay(m.machine, a.machine), self._told, a, m, term, len(m.log)
+                self.net.delay(m.machine, a.machine), self._on_received, a, m, term, len(m.log)
             )
 
-    def _told(self, a, m, term, n):
-        if self.leader is not a or self.term != term or not a.running or a.dark:
+    def _on_received(self, a, m, term, n):
+        if self.leader is not a or self.term != term or not a.running or a.unresponsive:
             return
         if self.net.is_cut(m.machine.name, a.machine.name):
             return
@@ -147,9 +147,9 @@
         for m in self.members:
             for c in list(m.connections):
                 if c.line.is_cut:
-                    c.dark_since = c.dark_since or now
-                    if now - c.dark_since > _DARK_S:
+                    c.unresponsive_since = c.unresponsive_since or now
+                    if now - c.unresponsive_since > _DROPPED_AFTER_S:
                         c.end()
                 else:
-                    c.dark_since = None
+                    c.unresponsive_since = None
         self.net.loop.call_later(_TICK_US / 1e6, self.tick)
--- a/src/petrelhaven/simulator/connection_sessions/heartbeats.py
+++ b/src/petrelhaven/simulator/connection_sessions/heartbeats.py
@@ -19,14 +19,14 @@
         m, clock = self.member, self.member.machine.clock
         while True:
             m.heartbeat_now.clear()
-            if not m.dark and not self.signed_off:
-                await self._say()
+            if not m.unresponsive and not self.signed_off:
+                await self._announce()
             try:
                 await clock.limit(m.heartbeat_now.wait(), self.heartbeat_us)
             except DeadlineExceeded:
                 pass
 
-    async def _say(self):
+    async def _announce(self):
         m = self.member
         m.count += 1
         d = {
@@ -39,10 +39,10 @@
             "slots": m.slots,
             "count": m.count,
         }
-        if await self.tell(lambda n: n.announce(d)):
+        if await self.call_any(lambda n: n.announce(d)):
             self.acknowledged.add(d["state"])
 
-    async def tell(self, fn):
+    async def call_any(self, fn):
         """Has one core do `fn`; whether one acknowledged it."""
         for i in range(len(self.cores)):
             c = self.cores[(self._at + i) % len(self.cores)]
@@ -56,7 +56,7 @@
                 await self.net.trip(self.member.machine, c, there, 1_000_000, fresh=True)
             except Fault:
                 continue
-            if not self.member.dark:
+            if not self.member.unresponsive:
                 self._at = (self._at + i) % len(self.cores)
                 return True
         return False
--- a/src/petrelhaven/simulator/connection_sessions/judge.py
+++ b/src/petrelhaven/simulator/connection_sessions/judge.py
@@ -13,17 +13,17 @@
     Bounds in time bind nodes that have been in touch with a settled core for `contact_s`.
     """
     asked = {s.num: (t, s) for t in history.attempts for s in t.statements}
-    kept = collections.defaultdict(list)
+    committed = collections.defaultdict(list)
     for g, e in history.entries:
         for num, _, _ in e.writes:
-            kept[num].append(e)
+            committed[num].append(e)
     rules = (
         _mixed(history, asked),
         _pinned(history, asked),
-        _unasked(history, asked, kept),
-        _effects(history, kept),
-        _stale(history, asked, kept),
-        _lost(history, kept),
+        _unasked(history, asked, committed),
+        _effects(history, committed),
+        _stale(history, asked, committed),
+        _lost(history, committed),
         _drained(history, asked, drain_s, contact_s),
         _emptied(history, empty_s, contact_s),
     )
@@ -82,7 +82,7 @@
             yield "PINNED", s.num, s.text, "the prepared name is unknown"
 
 
-def _unasked(history, asked, kept):
+def _unasked(history, asked, committed):
     for r in history.runs:
         if r.num not in asked:
             yield "UNASKED", r.member, r.num, f"{r.text}, which no client sent"
@@ -91,21 +91,21 @@
     for t in history.attempts:
         if t.transaction and not any(s.verb == "commit" for s in t.statements):
             for s in t.statements:
-                if any(e.cut is None for e in kept.get(s.num, ())):
+                if any(e.cut is None for e in committed.get(s.num, ())):
                     yield "UNASKED", s.num, "committed, its client never asked for that"
 
 
-def _effects(history, kept):
+def _effects(history, committed):
     for t in history.attempts:
         for s in t.statements:
-            n = sum(e.cut is None for e in kept.get(s.num, ()))
+            n = sum(e.cut is None for e in committed.get(s.num, ()))
             if n > 1:
                 yield "TWICE", s.num, s.text, f"took effect {n} times"
             if n and t.promised:
                 yield "REFUSED", s.num, s.text, f"kept, its client was told {t.outcome}"
 
 
-def _acknowledged(history, kept):
+def _acknowledged(history, committed):
     """(when, group, entries) of everything that a client was told is kept."""
     for t in history.attempts:
         if not t.statements:
@@ -120,10 +120,10 @@
             yield end, t.group, [end.num]
 
 
-def _stale(history, asked, kept):
+def _stale(history, asked, committed):
     acked = collections.defaultdict(list)
-    for s, g, nums in _acknowledged(history, kept):
-        for e in kept.get(nums[-1], ()):
+    for s, g, nums in _acknowledged(history, committed):
+        for e in committed.get(nums[-1], ()):
             if e.cut is None:
                 acked[g].append((s.ended, e.number))
     for g, rows in acked.items():
@@ -150,10 +150,10 @@
             )
 
 
-def _lost(history, kept):
-    for s, g, nums in _acknowledged(history, kept):
+def _lost(history, committed):
+    for s, g, nums in _acknowledged(history, committed):
         for num in nums:
-            es = kept.get(num, ())
+            es = committed.get(num, ())
             if not es:
                 yield "LOST", num, "acknowledged, but in no log"
             elif all(e.cut is not None for e in es):
--- a/src/petrelhaven/simulator/connection_sessions/line.py
+++ b/src/petrelhaven/simulator/connection_sessions/line.py
@@ -4,7 +4,7 @@
 
 __all__ = ["Line"]
 
-_DARK_S = 3.0
+_DROPPED_AFTER_S = 3.0
 _SILENT_S = 20
 
 
@@ -30,7 +30,7 @@
         a, b = self.node.name, self.member.name
         return self.net.is_cut(a, b) or self.net.is_cut(b, a)
 
-    def say(self, order):
+    def push(self, order):
         """Sends an order."""
         order.sent, order.node = self.net.loop.time(), self.node.name
         self._there.send(lambda: self.connection.take(order))
@@ -51,7 +51,9 @@
             self._drop_soon()
 
     def _drop_soon(self):
-        self.net.loop.call_later(_DARK_S, lambda: self.member.do(self._life, self.connection.end))
+        self.net.loop.call_later(
+            _DROPPED_AFTER_S, lambda: self.member.do(self._life, self.connection.end)
+        )
 
     def _forget(self):
         self.member.pipes.pop(self._key, None)
--- a/src/petrelhaven/simulator/connection_sessions/member.py
+++ b/src/petrelhaven/simulator/connection_sessions/member.py
@@ -25,8 +25,8 @@
             queue,
         )
         self.state = "ready"
-        self.log, self.data, self.held = [], {}, 0
-        self.running = self.dark = self.deaf = self.busy = False
+        self.log, self.data, self.paused_term = [], {}, 0
+        self.running = self.unresponsive = self.deaf = self.busy = False
         self.failing = self.losing = 0
         self.lost_how = "silent"
         self.lag_us = group.lag_us
@@ -50,22 +50,22 @@
 
     def start(self):
         """Starts, or comes back with its log after a crash."""
-        self.held, self.running, self.dark = 0, True, False
+        self.paused_term, self.running, self.unresponsive = 0, True, False
         self._slots, self._waiting, self._working = asyncio.Semaphore(self.slots), 0, 0
         self.connections = {}
         self.follow()
 
     def stop(self, silent=False):
         """Power off."""
-        self.running = self.dark = False
+        self.running = self.unresponsive = False
         self.machine.kill(silent)
         self.connections = {}
 
     def go_light(self):
         """Is back from the dark; the connections of that time are reset without running what they hold."""
-        if not self.running or not self.dark:
+        if not self.running or not self.unresponsive:
             return
-        self.dark = False
+        self.unresponsive = False
         self.follow()
         for c in list(self.connections):
             c.reset()
@@ -132,7 +132,7 @@
             "role": self.role,
             "term": self.group.term,
             "pos": (e.term, e.number) if e else (1, 0),
-            "held": self.held,
+            "held": self.paused_term,
             "lag_ms": "0",
             "busy": self._working,
             "conns": len(self.connections),
--- a/src/petrelhaven/simulator/connection_sessions/member_connection.py
+++ b/src/petrelhaven/simulator/connection_sessions/member_connection.py
@@ -19,13 +19,13 @@
         self._wait = collections.deque()
         self._line = Line(net, node, member, self)
 
-    def _say(self, order, kind):
+    def _order(self, order, kind):
         f = asyncio.get_running_loop().create_future()
         if self.lost:
             f.set_exception(Unreachable("connection lost"))
             return f
         self._wait.append((f, kind))
-        self._line.say(order)
+        self._line.push(order)
         return f
 
     @property
@@ -35,20 +35,20 @@
 
     def connect(self, group, member):
         """Introduces this connection."""
-        return self._say(Order("-", "connect", (group, member)), "connect")
+        return self._order(Order("-", "connect", (group, member)), "connect")
 
     def ask(self, a, after=None, alias=None):
         """A future of the Reply to a client's statement."""
         args, text = ((), a.text) if alias is None else ((alias,), a.data)
-        return self._say(Order(a.num, a.verb, args, text, after), "ask")
+        return self._order(Order(a.num, a.verb, args, text, after), "ask")
 
     def plain(self, verb, args=(), num="-"):
         """A future of the Reply to a statement said again under its client's number, or of the system's own."""
-        return self._say(Order(num, verb, args), "plain")
+        return self._order(Order(num, verb, args), "plain")
 
     def own(self, verb, *args):
         """A future of the status row that a statement of the system's own brings."""
-        return self._say(Order("-", verb, args), "row")
+        return self._order(Order("-", verb, args), "row")
 
     def hear(self, r):
         """A reply arrived."""
--- a/src/petrelhaven/simulator/connection_sessions/storm.py
+++ b/src/petrelhaven/simulator/connection_sessions/storm.py
@@ -38,7 +38,7 @@
     bad = await serves_again(f, settle)
     await f.calm()
     await asyncio.sleep(1)
-    bad += await f.kept()
+    bad += await f.check_commits()
     return bad + f.verdict()
 
 
--- a/src/petrelhaven/simulator/connection_sessions/wire.py
+++ b/src/petrelhaven/simulator/connection_sessions/wire.py
@@ -25,7 +25,7 @@
                 self.net.is_cut(a.name, b.name)
                 or to.name in self.net.silent
                 or to.node is not None
-                and to.node.dark
+                and to.node.unresponsive
             ):
                 await self.clock.sleep(max(1000, end - self.clock.now()))
                 raise NotSent("mute")
--- a/src/petrelhaven/simulator/embargo_cost.py
+++ b/src/petrelhaven/simulator/embargo_cost.py
@@ -60,13 +60,13 @@
     t = time.process_time()
     for a in asks:
         assert (await g.serve_one(v, a)).ok
-    whole = time.process_time() - t
+    total_s = time.process_time() - t
     t = time.process_time()
     if n is not None:
         for a in asks:
             g.embargo.refusal(v, a, "g1")
             g.embargo.refusal(v, a, "g1")
-    return whole, time.process_time() - t, size
+    return total_s, time.process_time() - t, size
 
 
 async def _late(f):
@@ -132,8 +132,8 @@
         rows = [
             inside(lambda f: _cost(f, n), s, EmbargoedFleet, edges=1)[0] for s in (1, 2, 3, 4, 5)
         ]
-        whole, looks = (statistics.median(x[i] for x in rows) for i in (0, 1))
-        print(f"{n:>8} {whole / off:>12.2f} {looks / off:>27.3f} {rows[0][2] / 1e6:>9.2f}")
+        total_s, looks = (statistics.median(x[i] for x in rows) for i in (0, 1))
+        print(f"{n:>8} {total_s / off:>12.2f} {looks / off:>27.3f} {rows[0][2] / 1e6:>9.2f}")
     late = [x for s in range(1, 21) for x in inside(_late, s, EmbargoedFleet)[0]]
     print(
         f"late, ms (20 seeds, 4 edges): earliest {min(late):.0f}, median {statistics.median(late):.0f}, "
--- a/src/petrelhaven/simulator/load_client.py
+++ b/src/petrelhaven/simulator/load_client.py
@@ -67,7 +67,7 @@
                 self.at = None
             raise
 
-    async def _say(self, d, tries=60):
+    async def _statement(self, d, tries=60):
         """Says a statement until it has an outcome; a declined one is said again, an unknown one is asked after."""
         self.k += 1
         d = {**d, "say": self.k}
@@ -157,7 +157,7 @@
 
     async def _try(self, d):
         try:
-            return (await self._say(d)).get("outcome", "unknown")
+            return (await self._statement(d)).get("outcome", "unknown")
         except Fault:
             return "unknown"
 
@@ -182,7 +182,7 @@
         ks = [f"b{self.num}-{self.n}-{i}" for i in (1, 2)]
         out = "not kept"
         try:
-            x = (await self._say({"route": g, "verb": "begin"})).get("txn")
+            x = (await self._statement({"route": g, "verb": "begin"})).get("txn")
             for k in ks:
                 r = await self._call(
                     lambda e, k=k: e.statement(
@@ -193,7 +193,7 @@
                 await self._call(lambda e: e.statement(self.sid, {"verb": "rollback", "txn": x}))
             else:
                 out = "unknown"
-                r = await self._say({"verb": "commit", "txn": x, "try": self.n})
+                r = await self._statement({"verb": "commit", "txn": x, "try": self.n})
                 out = r["outcome"]
         except Fault as e:
             if e.code == "unordered" and "txn" in e.details:
@@ -235,21 +235,21 @@
             v = f"{self.num}-{self.rng.randrange(1 << 30)}"
             self.want.setdefault("who", [None]).append(v)
             try:
-                r = await self._say({"verb": "set", "name": "who", "value": v})
+                r = await self._statement({"verb": "set", "name": "who", "value": v})
                 if r.get("ok"):
                     self.want["who"] = [v]
             except Fault:
                 pass
         elif x < 0.5:
             try:
-                r = await self._say(
+                r = await self._statement(
                     {
                         "verb": "prepare",
                         "name": "mine",
                         "statement": {"verb": "get", "key": f"p{self.num}-$1"},
                     }
                 )
-                r = await self._say(
+                r = await self._statement(
                     {"verb": "prepare", "name": "who", "statement": {"verb": "show", "name": "who"}}
                 )
                 if r.get("ok"):
@@ -264,7 +264,7 @@
                 else {"route": g, "verb": "show", "name": "who"}
             )
             try:
-                r = await self._say(d)
+                r = await self._statement(d)
             except Fault as e:
                 if e.code == "unordered" and "prepared" in e.note:
                     self.w.hist.append({"t": "show", "want": [], "got": e.note, "by": self.num})
--- a/src/petrelhaven/simulator/measure.py
+++ b/src/petrelhaven/simulator/measure.py
@@ -137,7 +137,7 @@
     """What waiting for every in-sync replica costs a write: latency with and without it, by lag."""
     from petrelhaven.proxy.resumable.node import ResumableProxy
 
-    real = ResumableProxy.held
+    real = ResumableProxy.wait_replicated
 
     async def at_once(self, t, primary, term, pos):
         return True
@@ -147,11 +147,11 @@
     )
     for lag in (10_000, 60_000):
         a = inside(_writes, 1, "small", lag_us=lag)[0]
-        ResumableProxy.held = at_once
+        ResumableProxy.wait_replicated = at_once
         try:
             b = inside(_writes, 1, "small", lag_us=lag)[0]
         finally:
-            ResumableProxy.held = real
+            ResumableProxy.wait_replicated = real
         x, y = statistics.median(a), statistics.median(b)
         print(
             f"{lag // 1000:>6} {1000 * x:>13.1f} ms {1000 * y:>9.1f} ms {x / y:>6.2f} {1000 * (x - y):>13.1f}"
--- a/src/petrelhaven/simulator/resumable/scenes/cores.py
+++ b/src/petrelhaven/simulator/resumable/scenes/cores.py
@@ -90,7 +90,7 @@
         v += 1
         await w.apply(configuration(w.size, v), by=v)
 
-    async def whole():
+    async def complete():
         await w.until(
             lambda: all(c.node and c.node.ready for c in w.cores), 15, "chain whole again"
         )
@@ -106,7 +106,7 @@
         await asyncio.sleep(3)
         await change()
         w.boot_core(b)
-        await whole()
+        await complete()
     a, b = w.cores[0], w.cores[1]
     a.kill()
     await asyncio.sleep(3)
@@ -119,7 +119,7 @@
     await asyncio.sleep(3)
     await change()
     w.boot_core(a)
-    await whole()
+    await complete()
     return await end(w, bad + await back(w, 12))
 
 
--- a/src/petrelhaven/simulator/resumable/scenes/edges.py
+++ b/src/petrelhaven/simulator/resumable/scenes/edges.py
@@ -225,7 +225,7 @@
 async def idle(w, rounds=1, calm=6):
     """Sessions sit idle while every machine is restarted in turn, and come back whole."""
     await w.start()
-    said = []
+    asked = []
     for i in range(12):
         e = w.edges[i % 3].node
         sid = (await e.open_session())["session"]
@@ -234,7 +234,7 @@
             sid, {"verb": "prepare", "name": "p", "statement": {"verb": "show", "name": "who"}}
         )
         d = {"verb": "add", "route": "g1", "key": f"k{i}", "value": 1, "try": 7}
-        said.append((i, sid, d, await e.statement(sid, d)))
+        asked.append((i, sid, d, await e.statement(sid, d)))
     for n in range(rounds):
         for i, b in enumerate([*w.edges, *w.cores, *w.members.values()]):
             await asyncio.sleep(calm)
@@ -251,7 +251,7 @@
     await asyncio.sleep(calm)
     bad = await back(w, 12)
     w.seen["idle_s"] = int(w.loop.time())
-    for i, sid, d, r in said:
+    for i, sid, d, r in asked:
         try:
             e = w.edges[(i + 1) % 3].node
             got = await e.statement(sid, {"verb": "exec", "route": "g1", "name": "p", "args": []})
--- a/src/petrelhaven/simulator/resumable/scenes/zones.py
+++ b/src/petrelhaven/simulator/resumable/scenes/zones.py
@@ -71,9 +71,9 @@
     for m, k in zip(ms, marks):
         if m.last_statement != k:
             bad.append(("statement to an emptied hall", m.name, w.loop.time() - t))
-    held = [b.name for b in w.edges if b.zone == h and b.node.homes]
-    if held:
-        bad.append(("sessions left in an emptied hall", held))
+    left_behind = [b.name for b in w.edges if b.zone == h and b.node.homes]
+    if left_behind:
+        bad.append(("sessions left in an emptied hall", left_behind))
     await w.zone(h, "open")
     names = [n for n, b in w.members.items() if b.zone == h]
     for i in range(80):
--- a/src/petrelhaven/simulator/resumable/storm.py
+++ b/src/petrelhaven/simulator/resumable/storm.py
@@ -72,7 +72,9 @@
             return False
         up = [b for b in self.w.edges if b.up and not b.frozen and b.node.ready]
         return len(up) == len(self.w.edges) and all(
-            s.sure and len(s.keepers) >= 2 and all(b.node.control.lives(k) for k in s.keepers)
+            s.is_replicated
+            and len(s.keepers) >= 2
+            and all(b.node.control.lives(k) for k in s.keepers)
             for b in up
             for s in b.node.homes.values()
         )
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -28,7 +28,7 @@
 
 def nothing_kept(mp):
     async def no(self, s):
-        s.ver, s.sure = s.ver + 1, True
+        s.ver, s.is_replicated = s.ver + 1, True
         s.keepers = []
         return False
 
@@ -96,7 +96,7 @@
     async def held(self, t, primary, term, pos):
         return True
 
-    mp.setattr(edge.ResumableProxy, "held", held)
+    mp.setattr(edge.ResumableProxy, "wait_replicated", held)
 
 
 def any_candidate(mp):
@@ -116,10 +116,10 @@
 
 
 def zones_ignored(mp):
-    real = member_group.ResumableMemberGroup.turn
+    real = member_group.ResumableMemberGroup.enter_epoch
     mp.setattr(
         member_group.ResumableMemberGroup,
-        "turn",
+        "enter_epoch",
         lambda self, e, share, zones: real(self, e, share, lambda h: "open"),
     )
     mp.setattr(GroupObservation, "is_leaving", lambda self, n: self.members[n].draining)
--- a/tests/test_connection_sessions_storm.py
+++ b/tests/test_connection_sessions_storm.py
@@ -308,7 +308,7 @@
     await f.apply(2, 0)
     await asyncio.sleep(12)
     await f.calm()
-    return await f.kept() + f.verdict()
+    return await f.check_commits() + f.verdict()
 
 
 GUARDS = [
--- a/tests/test_disk_refusal.py
+++ b/tests/test_disk_refusal.py
@@ -32,7 +32,7 @@
 async def end(f):
     await f.calm()
     await asyncio.sleep(1)
-    return await f.kept() + f.verdict()
+    return await f.check_commits() + f.verdict()
 
 
 @pytest.mark.parametrize("place", [0, 1, 2])
--- a/tests/test_second_loss.py
+++ b/tests/test_second_loss.py
@@ -59,7 +59,7 @@
         assert await f.apply(3) is not None
         await f.calm()
         await asyncio.sleep(1)
-        return await f.kept() + f.verdict()
+        return await f.check_commits() + f.verdict()
 
     bad, f = inside(go, seed)
     assert bad == []
@@ -71,7 +71,7 @@
 
     async def go(fleet):
         await fleet.start()
-        await fleet.until(fleet.whole, 10, "chain whole")
+        await fleet.until(fleet.is_complete, 10, "chain whole")
         gone = fleet.chain_order()[seed % 3]
         fleet.net.silent.add(gone.name)
         fleet.retire(gone)
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -178,7 +178,7 @@
         a, b = w.edges[0], w.edges[1]
         sid = (await a.node.open_session())["session"]
         await a.node.statement(sid, {"verb": "set", "name": "who", "value": "me"})
-        b.node.keeper.look = lambda: None
+        b.node.keeper.check = lambda: None
         s = a.node.homes[sid]
         s.keepers.sort()
         await a.node.move._hand(s)
