--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -202,11 +202,11 @@
         for e in w.edges[1:]:
             e.node.link.on("span.drop", lambda ch, b: asyncio.sleep(9, {"ok": True}))
         assert (await a.node.close_session(sid))["ok"]
-        assert all(sid in e.node.session_replicas.kept for e in w.edges[1:])
+        assert all(sid in e.node.session_replicas.stored for e in w.edges[1:])
         a.kill()
         await asyncio.sleep(9)
         assert not any(
-            sid in e.node.homes or sid in e.node.session_replicas.kept for e in w.edges[1:]
+            sid in e.node.homes or sid in e.node.session_replicas.stored for e in w.edges[1:]
         )
         w.boot_edge(a)
         await w.until(lambda: a.node.ready, 9, "edge ready")
@@ -231,7 +231,7 @@
         return (
             len(Session._machine.models) - was,
             sum(left),
-            sum(len(e.node.session_replicas.kept) for e in w.edges),
+            sum(len(e.node.session_replicas.stored) for e in w.edges),
         )
 
     assert inside(go, 6)[0] == (1, 1, 2)
