--- a/src/petrelhaven/proxy/node.py
+++ b/src/petrelhaven/proxy/node.py
@@ -222,6 +222,8 @@
             Events.RECORD_APPLIED,
             seq=self.core_connection.control_state.seq,
             version=configuration["version"],
+            routes=len(self.routes),
+            tenants=len(configuration.get("tenants", ())),
         )
 
     def route(self, host: str) -> tuple[Route, MemberGroup]:
--- a/src/petrelhaven/runtime/events.py
+++ b/src/petrelhaven/runtime/events.py
@@ -118,6 +118,13 @@
         319, _INFO, "copies of damaged files removed; others hold as much", "none"
     )
 
+    FIELDS_NOT_ACTED_UPON = Event(
+        312,
+        _WARNING,
+        "configuration taken with fields that nothing acts upon",
+        "don't rely on the fields named",
+    )
+
     # Control nodes: leadership of groups.
     LEADERSHIP_CHANGED = Event(320, _INFO, "leadership changed", "read `petrelhavenctl why`")
     GROUP_HALTED = Event(
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -37,6 +37,8 @@
 class ControlNode:
     """A core whose orders all have one outcome; it notes how long each may take."""
 
+    log = None
+
     def __init__(self, fault):
         self.fault, self.within = fault, []
 
