A test of tenants' limits on the wire, failing: nothing counts operations

Of 100 statements that a tenant with RatePerS 2 and Burst 2 sent in 5 s, all 100 ran in one window of 5 s, which may hold (2 x 5 + 2) x 1.1 + 20 = 33.

--- /dev/null
+++ b/tests/test_tenant_quota.py
@@ -0,0 +1,87 @@
+"""Limits of tenants on the wire: one proxy with one member, in virtual time."""
+
+import asyncio
+
+from test_platform_lines import CONFIG, rest, virtual
+
+RATE_PER_S, BURST = 2, 2
+WINDOW_S = 5
+QUOTA_EXCESS, QUOTA_SLACK = 0.1, 20
+MOST = (RATE_PER_S * WINDOW_S + BURST) * (1 + QUOTA_EXCESS) + QUOTA_SLACK
+KEY = "key-of-agency"
+LIMITED = {
+    **CONFIG,
+    "Revision": 2,
+    "Tenants": [
+        {"Name": "agency", "ApiKeys": [KEY], "RatePerS": RATE_PER_S, "Burst": BURST},
+    ],
+}
+
+
+class CountingNodeStub:
+    """Answers a proxy's reports by the shipped counter, as the counting node of every tenant."""
+
+    def __init__(self, clock):
+        self.clock, self.counters = clock, {}
+
+    async def call(self, name, kind, body=None, timeout_us=None):
+        from petrelhaven.limits.counter import TenantCounter
+        from petrelhaven.limits.terms import Quota, QuotaTerms
+        from petrelhaven.transport.quota_messages import GrantList, ReportList
+
+        terms = QuotaTerms()
+        request = ReportList.from_body(body if isinstance(body, dict) else kind)
+        grants = []
+        for report in request.reports:
+            counter = self.counters.setdefault(
+                report.tenant,
+                TenantCounter(terms.regular(Quota(RATE_PER_S, BURST)), terms.window_us),
+            )
+            grants.append(counter.report(request.proxy, report, self.clock.now()))
+        await asyncio.sleep(0.005)
+        return GrantList(grants).to_body()
+
+
+def most_in_a_window(times, window_s):
+    """The most of the ascending `times` that lie in any window of `window_s`."""
+    return max(
+        (sum(start <= time <= start + window_s for time in times) for start in times), default=0
+    )
+
+
+class TimedRuns(list):
+    """What a member ran; `times` has the moment of each, in seconds."""
+
+    def __init__(self):
+        super().__init__()
+        self.times = []
+
+    def append(self, run):
+        self.times.append(asyncio.get_running_loop().time())
+        super().append(run)
+
+
+# Guards against QUOTA of issue 30: nothing counted a tenant's operations, and all that it sent ran.
+def test_a_tenant_runs_no_more_than_its_limit_in_any_window():
+    async def go(door):
+        connection = door.core_connection
+        connection.call = CountingNodeStub(door.clock).call
+        connection.state_age_us = 0
+        door.member.ran = TimedRuns()
+        door.configure(LIMITED)
+        client, transport = door.client(b"CONNECT db " + KEY.encode() + b"\r\n")
+        for number in range(100):
+            client.data_received(b"QUERY %d FETCH k\r\n" % number)
+            await asyncio.sleep(0.05)
+        await rest()
+        lines = transport.out.split(b"\r\n")
+        ends = [line for line in lines if line.split(b" ")[0] in {b"COMPLETE", b"ERROR"}]
+        return door.member.ran.times, ends
+
+    ran, ends = virtual(go)
+    assert len(ends) == 100
+    assert 0 < most_in_a_window(ran, WINDOW_S) <= MOST
+    refused = [end for end in ends if end.startswith(b"ERROR")]
+    assert len(ends) - len(refused) == len(ran)
+    for end in refused:
+        assert end.startswith(b"ERROR BUSY not run; come back in ") and end.endswith(b" ms"), end
