Tenants' limits hold over all proxies: one counting node a tenant, permits with an end (QUOTA)

Cause: nothing counted operations; `RatePerS` and `Burst` were read nowhere. Each tenant is counted by one control node (rendezvous hashing over the view), which tells a successor; proxies take permits that end; uses and permits out together stay within the allowance. A node that knows nothing of its predecessor begins within a part kept for that, after a record.

--- a/src/petrelhaven/proxy/node.py
+++ b/src/petrelhaven/proxy/node.py
@@ -22,6 +22,7 @@
 from petrelhaven.proxy.session.client_session import ENDED, ClientSession
 from petrelhaven.proxy.session.immediate_reply import reply_at_once
 from petrelhaven.proxy.session.statement import Reply, Statement
+from petrelhaven.proxy.tenants.admission import QuotaAdmission
 from petrelhaven.proxy.tenants.directory import NOBODY, Tenant, TenantDirectory
 from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.errors import Busy, DeadlineExceeded, Denied, NoRoute
@@ -131,6 +132,7 @@
         self.outside_contact = OutsideContact(clock)
         self.request_slots = RequestSlots(clock, _SLOTS)
         self.tenants = TenantDirectory()
+        self.admission = QuotaAdmission(self)
         self.routes: dict[str, Route] = {}
         self.groups: dict[str, MemberGroup] = {}
         self.sessions: set[ClientSession] = set()
@@ -215,6 +217,7 @@
     def _configure(self, configuration: dict[str, Any]) -> None:
         configuration = with_defaults(configuration)
         tenants = TenantDirectory(configuration)
+        self.admission.apply(self.tenants, tenants)
         self.tenants = tenants
         self.routes = {
             row["host"]: Route.from_configuration(row) for row in reversed(configuration["routes"])
@@ -411,6 +414,7 @@
             "ready": self.ready,
             "visits": len(self.sessions),
             "slots_used": self.request_slots.used,
+            "permits": self.admission.status(),
             "count": dict(self.count),
             "clocks": {name: dict(group.read_clock.count) for name, group in groups},
             "stocks": {
--- a/src/petrelhaven/proxy/routing/request.py
+++ b/src/petrelhaven/proxy/routing/request.py
@@ -29,6 +29,7 @@
         group: The group that serves it.
         end: When its time is over, in microseconds of the proxy's clock.
         tenant: The tenant that it runs for.
+        runs: How many members run it or may have run it.
     """
 
     session: ClientSession
@@ -37,6 +38,7 @@
     group: MemberGroup
     end: int
     tenant: Tenant = NOBODY
+    runs: int = 0
 
     def oldest_fetch(self, now: int) -> int | None:
         """The earliest start of a fetch that a browsing read may use; None for a strong read."""
--- a/src/petrelhaven/proxy/routing/transaction_path.py
+++ b/src/petrelhaven/proxy/routing/transaction_path.py
@@ -78,8 +78,17 @@
         """Gets the transaction its connection; why that could not be done, or None."""
         if transaction.timed_out:
             return "the transaction had ended"
+        refusal = yield from self._proxy.admission.admit(
+            request.tenant, request.route.aim_us, request.end
+        )
+        if refusal is not None:
+            return refusal
         transaction.group = request.group
-        return (yield from self._start.run(request, transaction))
+        try:
+            return (yield from self._start.run(request, transaction))
+        finally:
+            if not request.runs:
+                self._proxy.admission.put_back(request.tenant)
 
     def release(self, session: ClientSession, number: str | None = None) -> None:
         """Ends a session's transaction: by its ROLLBACK `number`, else with the connection."""
