--- a/src/petrelhaven/control/configuration/defaults.py
+++ b/src/petrelhaven/control/configuration/defaults.py
@@ -4,7 +4,13 @@
 
 from typing import Any
 
-__all__ = ["BOUNDS_DEFAULTS", "GROUP_DEFAULTS", "ROUTE_DEFAULTS", "with_defaults"]
+__all__ = [
+    "BOUNDS_DEFAULTS",
+    "GROUP_DEFAULTS",
+    "ROUTE_DEFAULTS",
+    "TENANT_DEFAULTS",
+    "with_defaults",
+]
 
 GROUP_DEFAULTS: dict[str, Any] = {"members": 3, "cap": 40, "least": 1, "sync": 0}
 ROUTE_DEFAULTS: dict[str, Any] = {
@@ -15,9 +21,17 @@
     "aim_us": 500_000,
     "stale_us": 1_500_000,
     "rank": 1,
+    "public": False,
 }
-BOUNDS_DEFAULTS: dict[str, Any] = {"idle_txn_us": 10_000_000, "keepers": 2}
-"""Those that proxies of connection sessions read."""
+TENANT_DEFAULTS: dict[str, Any] = {"keys": [], "rate": -1, "burst": 0, "rank": 1}
+BOUNDS_DEFAULTS: dict[str, Any] = {
+    "idle_txn_us": 10_000_000,
+    "keepers": 2,
+    "quota_window_us": 5_000_000,
+    "quota_excess": 100,
+    "quota_slack": 20,
+}
+"""Those that connection sessions need."""
 
 
 def with_defaults(document: dict[str, Any]) -> dict[str, Any]:
@@ -27,4 +41,6 @@
         "groups": [{**GROUP_DEFAULTS, **group} for group in document["groups"]],
         "routes": [{**ROUTE_DEFAULTS, **route} for route in document["routes"]],
         "bounds": {**BOUNDS_DEFAULTS, **document.get("bounds", {})},
+        "keyed": document.get("keyed", False),
+        "tenants": [{**TENANT_DEFAULTS, **tenant} for tenant in document.get("tenants", ())],
     }
--- a/src/petrelhaven/control/configuration/document.py
+++ b/src/petrelhaven/control/configuration/document.py
@@ -9,7 +9,10 @@
 
 from serde import serde
 
-__all__ = ["Bounds", "Configuration", "Group", "Route"]
+__all__ = ["NO_LIMIT", "Bounds", "Configuration", "Group", "Route", "Tenant"]
+
+NO_LIMIT = -1
+"""Stands for no limit in a tenant's `rate` or `burst`."""
 
 
 @serde(deny_unknown_fields=True)
@@ -38,6 +41,9 @@
         wall_us: widest interval around true time by which an embargoed record is released.
         skew_us: how far a good wall clock may be from true time.
         spread_us: time after a release over which waiting readers are asked to come back.
+        quota_window_us: length of the windows in which tenants' limits hold.
+        quota_excess: thousandths by which a window may exceed a tenant's limit.
+        quota_slack: operations by which it may exceed it beside that.
     """
 
     fetch_us: int = 150_000
@@ -60,6 +66,9 @@
     wall_us: int = 500_000
     skew_us: int = 100_000
     spread_us: int = 2_000_000
+    quota_window_us: int = 5_000_000
+    quota_excess: int = 100
+    quota_slack: int = 20
 
 
 @serde(deny_unknown_fields=True)
@@ -97,6 +106,7 @@
         aim_us: latency target; a slow read is hedged after a part of it.
         stale_us: how old a browsing read may be.
         rank: the lower, the sooner served.
+        public: whether clients need no key on it.
     """
 
     name: str
@@ -108,6 +118,27 @@
     aim_us: int = 500_000
     stale_us: int = 1_500_000
     rank: int = 1
+    public: bool = False
+
+
+@serde(deny_unknown_fields=True)
+@dataclasses.dataclass(slots=True)
+class Tenant:
+    """A customer whose clients show one of its keys.
+
+    Attributes:
+        name: its name, which members are told.
+        keys: digests of its keys, as `runtime.key_digest` makes them.
+        rate: operations a second over all proxies, or `NO_LIMIT`.
+        burst: how many more may come at once.
+        rank: the lower, the sooner served.
+    """
+
+    name: str
+    keys: list[str] = dataclasses.field(default_factory=list)
+    rate: int = NO_LIMIT
+    burst: int = 0
+    rank: int = 1
 
 
 @serde(deny_unknown_fields=True)
@@ -125,6 +156,8 @@
         origin: where the document came from; free text.
         embargoing: groups whose records may be embargoed.
         embargoes: rules as documents, which `embargoes.EmbargoRule` describes.
+        keyed: whether clients need a tenant's key on routes that are not public.
+        tenants: the tenants.
     """
 
     name: str
@@ -137,6 +170,8 @@
     origin: str = ""
     embargoing: list[str] = dataclasses.field(default_factory=list)
     embargoes: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+    keyed: bool = False
+    tenants: list[Tenant] = dataclasses.field(default_factory=list)
 
     @property
     def has_embargoes(self) -> bool:
--- a/src/petrelhaven/control/configuration/type_check.py
+++ b/src/petrelhaven/control/configuration/type_check.py
@@ -10,7 +10,7 @@
 
 __all__ = ["type_faults"]
 
-_SCALARS = {int: "a whole number", str: "a string"}
+_SCALARS = {int: "a whole number", str: "a string", bool: "true or false"}
 
 
 def type_faults(
@@ -21,7 +21,8 @@
     """Yields where `value` differs from `expected`.
 
     Args:
-        expected: a dataclass, `list[...]` of anything named here, `dict[...]`, `int` or `str`.
+        expected: a dataclass, `list[...]` of anything named here, `dict[...]`, `int`, `bool` or
+            `str`.
         value: what the JSON document has at `path`. A bool is no int.
         path: where `value` stands; empty for the whole document.
 
--- a/src/petrelhaven/control/configuration/validation.py
+++ b/src/petrelhaven/control/configuration/validation.py
@@ -7,8 +7,16 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 
-from petrelhaven.control.configuration.document import Bounds, Configuration, Group, Route
+from petrelhaven.control.configuration.document import (
+    NO_LIMIT,
+    Bounds,
+    Configuration,
+    Group,
+    Route,
+    Tenant,
+)
 from petrelhaven.control.configuration.faults import ConfigurationFault
+from petrelhaven.runtime.key_digest import KEY_DIGEST
 from petrelhaven.runtime.limits import NAME, IntegerRange
 
 __all__ = ["NAME_EXPECTED", "configuration_faults"]
@@ -18,6 +26,7 @@
 _VERSION_END = 1 << 53
 _ROUTE_TIME_MAX_US = 1 << 40
 _READS = ("strong", "browsing")
+_MOST_OPERATIONS = 1 << 40
 
 _GROUP_RANGES = {
     "members": IntegerRange(1, 9),
@@ -31,6 +40,11 @@
     "stale_us": IntegerRange(0, _ROUTE_TIME_MAX_US),
     "rank": IntegerRange(-(1 << 31), 1 << 31),
 }
+_TENANT_RANGES = {
+    "rate": IntegerRange(NO_LIMIT, _MOST_OPERATIONS),
+    "burst": IntegerRange(0, _MOST_OPERATIONS),
+    "rank": IntegerRange(-(1 << 31), 1 << 31),
+}
 _BOUNDS_RANGES = {
     "fetch_us": IntegerRange(5_000, 5_000_000),
     "join_us": IntegerRange(10_000, 10_000_000),
@@ -52,6 +66,9 @@
     "wall_us": IntegerRange(10_000, 60_000_000),
     "skew_us": IntegerRange(1_000, 10_000_000),
     "spread_us": IntegerRange(0, 600_000_000),
+    "quota_window_us": IntegerRange(100_000, 3_600_000_000),
+    "quota_excess": IntegerRange(0, 10_000),
+    "quota_slack": IntegerRange(0, 1_000_000),
 }
 
 
@@ -67,6 +84,7 @@
     yield from _group_faults(configuration.groups)
     yield from _route_faults(configuration.routes, {group.name for group in configuration.groups})
     yield from _bounds_faults(configuration.bounds)
+    yield from _tenant_faults(configuration.tenants)
     if configuration.has_embargoes:
         # loaded at need: time zones and instants cost memory, and most fleets embargo nothing
         from petrelhaven.control.configuration.embargoes import embargo_faults
@@ -118,6 +136,26 @@
             yield ConfigurationFault(f"{path}.host", message)
 
 
+def _tenant_faults(tenants: Sequence[Tenant]) -> Iterator[ConfigurationFault]:
+    """Names, limits, and keys that more than one tenant has; a key itself is never shown."""
+    seen: set[str] = set()
+    owners: dict[str, int] = {}
+    for index, tenant in enumerate(tenants):
+        path = f"tenants[{index}]"
+        if not NAME.fullmatch(tenant.name):
+            yield ConfigurationFault(f"{path}.name", NAME_EXPECTED)
+        if tenant.name in seen:
+            yield ConfigurationFault(f"{path}.name", f"duplicate name {tenant.name}")
+        seen.add(tenant.name)
+        yield from _range_faults(tenant, _TENANT_RANGES, path)
+        for position, key in enumerate(tenant.keys):
+            if not KEY_DIGEST.fullmatch(key):
+                yield ConfigurationFault(f"{path}.keys[{position}]", "must be a digest of a key")
+            elif owners.setdefault(key, index) != index:
+                message = f"tenants[{owners[key]}] has this key already"
+                yield ConfigurationFault(f"{path}.keys[{position}]", message)
+
+
 def _bounds_faults(bounds: Bounds) -> Iterator[ConfigurationFault]:
     yield from _range_faults(bounds, _BOUNDS_RANGES, "bounds")
     if bounds.margin_us >= bounds.browse_us:
--- /dev/null
+++ b/src/petrelhaven/control/counting/copies.py
@@ -0,0 +1,84 @@
+"""What a counting node has told its successor, and how far it may grant before it tells more."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from petrelhaven.limits.counter import TenantCounter
+from petrelhaven.limits.standby import STANDBY_LIFE_US, CounterCopy
+
+__all__ = ["CopyTracker", "SentCopy"]
+
+_CERTAIN_LIFE_US = STANDBY_LIFE_US * 11 // 10
+_KEEP_ALIVE_US = 1_000_000
+_LEAST_RESERVE = 4
+_RESERVE_SHARE = 6
+"""The part of an allowance that may be granted between two copies."""
+
+
+@dataclass(slots=True, eq=False)
+class SentCopy:
+    """A copy that the successor may go by.
+
+    Attributes:
+        grant_limit: How many permits the counter may have granted in all while it may.
+        uses: How many uses the counter had counted when the copy was made.
+        expires_at: When the successor certainly goes by it no more; None while it is on its way.
+    """
+
+    grant_limit: int
+    uses: int
+    expires_at: int | None = None
+
+
+class CopyTracker:
+    """The copies of one tenant's count. Times are clock microseconds."""
+
+    def __init__(self) -> None:
+        """Nothing was sent yet."""
+        self._sent: list[SentCopy] = []
+        self._acknowledged: SentCopy | None = None
+        self._copied: tuple[int, int] | None = None
+        self._copied_at = 0
+
+    def most(self, counter: TenantCounter, now: int) -> int | None:
+        """How many more permits may be granted now; None for no such bound."""
+        self._sent = [c for c in self._sent if c.expires_at is None or now < c.expires_at]
+        if not self._sent:
+            return None
+        return max(0, min(copy.grant_limit for copy in self._sent) - counter.grants)
+
+    def is_due(self, counter: TenantCounter, now: int) -> bool:
+        """Whether the successor should be told now."""
+        if any(copy.expires_at is None for copy in self._sent):
+            return False
+        if now - self._copied_at >= _KEEP_ALIVE_US:
+            return True
+        return self._copied != (counter.uses, counter.grants)
+
+    def make(self, tenant: str, counter: TenantCounter, now: int) -> tuple[CounterCopy, SentCopy]:
+        """The copy to send now, and what is to be remembered of it."""
+        last = self._acknowledged
+        if last is not None and last.expires_at is not None and now >= last.expires_at:
+            last = None
+        used_now = counter.used(now)
+        reserve = max(_LEAST_RESERVE, counter.allowance // _RESERVE_SHARE)
+        used = used_now if last is None else counter.uses - last.uses
+        copy = CounterCopy(tenant, used, counter.outstanding(), reserve, last is None)
+        sent = SentCopy(counter.grants + reserve, counter.uses)
+        self._sent.append(sent)
+        self._copied, self._copied_at = (counter.uses, counter.grants), now
+        return copy, sent
+
+    def acknowledge(self, sent: SentCopy, now: int) -> None:
+        """The successor has a copy; it goes by no earlier one any more."""
+        if sent not in self._sent:
+            return
+        self._sent = self._sent[self._sent.index(sent) :]
+        sent.expires_at = now + _CERTAIN_LIFE_US
+        self._acknowledged = sent
+
+    def lose(self, sent: SentCopy, now: int) -> None:
+        """Nobody knows whether a copy arrived."""
+        sent.expires_at = now + _CERTAIN_LIFE_US
+        self._acknowledged = self._copied = None
--- /dev/null
+++ b/src/petrelhaven/control/counting/service.py
@@ -0,0 +1,324 @@
+"""Counts tenants' operations at one control node, and follows those of which it is successor."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from typing import TYPE_CHECKING, Any
+
+from petrelhaven.control.counting.copies import CopyTracker, SentCopy
+from petrelhaven.control.counting.fresh_start import FreshStart, Regime, decide
+from petrelhaven.control.counting.quotas import QuotaTable
+from petrelhaven.control.counting.relay import ReportRelay, ReportRow
+from petrelhaven.control.state.counting_record import CountingRecord
+from petrelhaven.limits.counter import TenantCounter
+from petrelhaven.limits.placement import place
+from petrelhaven.limits.reports import AccountReport, Grant
+from petrelhaven.limits.standby import CounterCopy, Standby
+from petrelhaven.limits.terms import Quota
+from petrelhaven.runtime.errors import Fault, NotReady
+from petrelhaven.transport.message_kinds import MessageKind
+from petrelhaven.transport.quota_messages import CopyList, CountRequest, GrantList, ReportList
+
+if TYPE_CHECKING:
+    from petrelhaven.control.consensus.view import View
+    from petrelhaven.control.node import ControlNode
+    from petrelhaven.transport.channel import Channel
+
+__all__ = ["CountingService"]
+
+_TICK_US = 250_000
+_COUNT_LIMIT_US = 450_000
+_COPY_LIMIT_US = 400_000
+_RECORD_LIMIT_US = 2_000_000
+_HANDOVER_US = 300_000
+"""How long a node that begins in a view waits for the counts of those who counted before."""
+_SETTLE_MARGIN_US = 1_000_000
+
+
+class _Counted:
+    """A tenant that this node counts; its regime lasts until `until`, in clock microseconds."""
+
+    __slots__ = ("counter", "copies", "regime", "until")
+
+    def __init__(self, counter: TenantCounter, regime: Regime, until: int) -> None:
+        self.counter, self.regime, self.until = counter, regime, until
+        self.copies = CopyTracker()
+
+
+class _Followed:
+    """A tenant that this node is to count next, as its counting node of a view tells."""
+
+    __slots__ = ("standby", "view_number", "is_restarting")
+
+    def __init__(self, window_us: int, view_number: int) -> None:
+        self.standby = Standby(window_us)
+        self.view_number = view_number
+        self.is_restarting = False
+
+
+class CountingService:
+    """Answers reports, tells successors, and begins anew where nothing is known.
+
+    Everything that is known belongs to one view and the one before: a node that missed a view
+    forgets all of it.
+    """
+
+    def __init__(self, node: ControlNode) -> None:
+        """Counts for `node`; `run` takes over and copies."""
+        self._node, self._clock = node, node.clock
+        self._table = QuotaTable()
+        self._relay = ReportRelay(node.clock, node.tasks, self._send_reports)
+        self._view_number = 0
+        self._view_since = 0
+        self._counted: dict[str, _Counted] = {}
+        self._followed: dict[str, _Followed] = {}
+        self._fresh_start: FreshStart | None = None
+        self._is_entering = False
+        self._starts_seen: dict[tuple[str, int], int] = {}
+
+    # What others ask
+
+    async def report(self, _channel: Channel | None, body: Mapping[str, Any]) -> dict[str, Any]:
+        """Answers a proxy's `quota.report`."""
+        request = ReportList.from_body(body)
+        view = self._require_view()
+        answers = [
+            self._relay.submit(
+                place(report.tenant, view.chain).counting or self._node.name,
+                (request.proxy, report),
+            )
+            for report in request.reports
+        ]
+        grants = await asyncio.gather(*answers)
+        return GrantList([grant for grant in grants if grant is not None]).to_body()
+
+    async def count(self, _channel: Channel | None, body: Mapping[str, Any]) -> dict[str, Any]:
+        """Answers another node's `quota.count`; reports that can't be counted have no grant."""
+        request = CountRequest.from_body(body)
+        grants = self._count_all(request.view_number, request.reports)
+        return GrantList([grant for grant in grants if grant is not None]).to_body()
+
+    async def copy(self, _channel: Channel | None, body: Mapping[str, Any]) -> None:
+        """Takes a counting node's `quota.copy`."""
+        request = CopyList.from_body(body)
+        self._follow_view()
+        newest = self._view_number
+        if request.view_number not in (newest, newest - 1):
+            raise NotReady("copies of another view")
+        now = self._clock.now()
+        taken = [self._take_copy(copy, request, now) for copy in request.copies]
+        if not all(taken):
+            raise NotReady("a copy before is missing")
+
+    def _take_copy(self, copy: CounterCopy, request: CopyList, now: int) -> bool:
+        followed = self._followed.get(copy.tenant)
+        if followed is None or followed.view_number != request.view_number:
+            followed = _Followed(self._table.terms.window_us, request.view_number)
+            self._followed[copy.tenant] = followed
+        followed.is_restarting = request.is_restarting
+        return followed.standby.take(copy, now)
+
+    # Counting
+
+    async def _send_reports(self, node: str, rows: list[ReportRow]) -> list[Grant | None]:
+        view = self._require_view()
+        if node == self._node.name:
+            return self._count_all(view.number, rows)
+        request = CountRequest(view.number, rows)
+        body = await self._node.call(
+            node, MessageKind.QUOTA_COUNT, request.to_body(), _COUNT_LIMIT_US
+        )
+        grants = {
+            (grant.tenant, grant.account): grant for grant in GrantList.from_body(body).grants
+        }
+        return [grants.get((report.tenant, report.account)) for _, report in rows]
+
+    def _count_all(self, view_number: int, rows: Sequence[ReportRow]) -> list[Grant | None]:
+        """Grants for reports; NotReady where this node does not count in that view."""
+        self._follow_view()
+        if not self._node.chain.active or self._view_number != view_number:
+            raise NotReady("not counting in this view")
+        now = self._clock.now()
+        return [self._count(proxy, report, now) for proxy, report in rows]
+
+    def _count(self, proxy: str, report: AccountReport, now: int) -> Grant | None:
+        quota = self._table.quotas.get(report.tenant)
+        counted = self._counted.get(report.tenant)
+        if quota is None or counted is None:
+            return None
+        counter = counted.counter
+        counter.allowance = self._allowance(counted, quota, now)
+        return counter.report(proxy, report, now, counted.copies.most(counter, now))
+
+    def _allowance(self, counted: _Counted, quota: Quota, now: int) -> int:
+        if now >= counted.until:
+            counted.regime = Regime.REGULAR
+        if counted.regime is Regime.REGULAR:
+            return self._table.terms.regular(quota)
+        if counted.regime is Regime.RESTARTED:
+            return self._table.terms.after_restart(quota)
+        return 0
+
+    # Views
+
+    def _require_view(self) -> View:
+        view = self._node.chain.view
+        if view is None:
+            raise NotReady("no view yet")
+        return view
+
+    def _follow_view(self) -> None:
+        """Forgets what does not belong to this node any more."""
+        self._table.follow(self._node.chain.control_state.configuration)
+        view = self._node.chain.view
+        if view is None or view.number == self._view_number:
+            return
+        is_next = view.number == self._view_number + 1
+        before, self._counted = self._counted if is_next else {}, {}
+        leaving: dict[str, dict[str, _Counted]] = {}
+        for tenant, counted in before.items():
+            counting = place(tenant, view.chain).counting
+            if counting == self._node.name:
+                counted.copies = CopyTracker()
+                self._counted[tenant] = counted
+            elif counting is not None:
+                counted.copies = CopyTracker()
+                leaving.setdefault(counting, {})[tenant] = counted
+        self._followed = {
+            tenant: followed
+            for tenant, followed in self._followed.items()
+            if followed.view_number in (view.number, view.number - 1)
+        }
+        for name, tenants in leaving.items():
+            self._node.tasks.spawn(self._send_copies(name, tenants, self._view_number))
+        self._view_number, self._view_since = view.number, self._clock.now()
+        self._fresh_start = None
+
+    async def run(self) -> None:
+        """Takes over, begins anew and tells successors, for as long as the node runs."""
+        while True:
+            await self._clock.sleep(_TICK_US)
+            self._follow_view()
+            if not self._table.quotas or not self._node.chain.active:
+                continue
+            await self._settle_starts()
+            self._take_tenants()
+            self._copy_to_successors()
+
+    def _take_tenants(self) -> None:
+        """Has a counter for each tenant that this node counts."""
+        now, view = self._clock.now(), self._require_view()
+        missing = [
+            tenant
+            for tenant in self._table.quotas
+            if tenant not in self._counted and place(tenant, view.chain).counting == self._node.name
+        ]
+        fresh = [tenant for tenant in missing if not self._go_on(tenant, now)]
+        if not fresh or now - self._view_since < _HANDOVER_US:
+            return
+        start = self._fresh_start
+        if start is None:
+            if not self._is_entering:
+                self._is_entering = True
+                self._node.tasks.spawn(self._begin(view.number))
+            return
+        for tenant in fresh:
+            counter = TenantCounter(0, self._table.terms.window_us)
+            self._counted[tenant] = _Counted(counter, start.regime, start.until)
+
+    def _go_on(self, tenant: str, now: int) -> bool:
+        """Goes on with the count of the former view's node, if that is known here."""
+        followed = self._followed.get(tenant)
+        if followed is None or followed.view_number != self._view_number - 1:
+            return False
+        if not followed.standby.is_current(now):
+            return False
+        del self._followed[tenant]
+        regime = Regime.RESTARTED if followed.is_restarting else Regime.REGULAR
+        until = now + self._table.terms.quarantine_us if followed.is_restarting else now
+        self._counted[tenant] = _Counted(followed.standby.counter(0, now), regime, until)
+        return True
+
+    async def _begin(self, view_number: int) -> None:
+        """Records that this node begins without a past, and decides what it may grant."""
+        try:
+            starts = self._node.chain.control_state.counting_starts
+            regime = decide(starts, self._node.name, view_number)
+            record = CountingRecord(self._node.name, view_number)
+            await self._node.enter(record.to_document(), False, _RECORD_LIMIT_US)
+            if self._view_number == view_number:
+                until = self._clock.now() + self._table.terms.quarantine_us
+                self._fresh_start = FreshStart(regime, until)
+        except Fault:
+            pass
+        finally:
+            self._is_entering = False
+
+    async def _settle_starts(self) -> None:
+        """As the head, records which beginnings are over."""
+        if not self._node.chain.head:
+            self._starts_seen.clear()
+            return
+        now = self._clock.now()
+        after_us = self._table.terms.quarantine_us + _SETTLE_MARGIN_US
+        for name, start in self._node.chain.control_state.counting_starts.items():
+            seen_at = self._starts_seen.setdefault((name, start.view_number), now)
+            if not start.is_settled and now - seen_at > after_us:
+                record = CountingRecord(name, start.view_number, is_settled=True)
+                try:
+                    await self._node.enter(record.to_document(), False, _RECORD_LIMIT_US)
+                except Fault:
+                    return
+
+    # Copies
+
+    def _copy_to_successors(self) -> None:
+        now, view = self._clock.now(), self._require_view()
+        due: dict[str, dict[str, _Counted]] = {}
+        for tenant, counted in self._counted.items():
+            successor = place(tenant, view.chain).successor
+            if successor is not None and counted.copies.is_due(counted.counter, now):
+                due.setdefault(successor, {})[tenant] = counted
+        for name, tenants in due.items():
+            self._node.tasks.spawn(self._send_copies(name, tenants, view.number))
+
+    async def _send_copies(
+        self, name: str, tenants: Mapping[str, _Counted], view_number: int
+    ) -> None:
+        now = self._clock.now()
+        made = {
+            tenant: counted.copies.make(tenant, counted.counter, now)
+            for tenant, counted in tenants.items()
+        }
+        is_restarting = any(counted.regime is not Regime.REGULAR for counted in tenants.values())
+        request = CopyList(view_number, is_restarting, [copy for copy, _ in made.values()])
+        arrived = False
+        try:
+            await self._node.call(name, MessageKind.QUOTA_COPY, request.to_body(), _COPY_LIMIT_US)
+            arrived = True
+        except Fault:
+            pass
+        finally:
+            for tenant, (_, sent) in made.items():
+                self._note_outcome(tenants[tenant].copies, sent, arrived)
+
+    def _note_outcome(self, copies: CopyTracker, sent: SentCopy, arrived: bool) -> None:
+        if arrived:
+            copies.acknowledge(sent, self._clock.now())
+        else:
+            copies.lose(sent, self._clock.now())
+
+    def status(self) -> dict[str, Any]:
+        """The tenants counted here: uses in the window, permits out, refusals, regime."""
+        now = self._clock.now()
+        return {
+            tenant: {
+                "used": counted.counter.used(now),
+                "out": counted.counter.outstanding(),
+                "allowance": counted.counter.allowance,
+                "refused": counted.counter.refused,
+                "regime": counted.regime.value,
+            }
+            for tenant, counted in sorted(self._counted.items())
+        }
--- a/src/petrelhaven/control/node.py
+++ b/src/petrelhaven/control/node.py
@@ -12,6 +12,7 @@
 from petrelhaven.control.connected_proxies import ConnectedProxies
 from petrelhaven.control.consensus.member_maintenance import MemberMaintenance
 from petrelhaven.control.consensus.proxy_survey import ProxySurvey
+from petrelhaven.control.counting.service import CountingService
 from petrelhaven.control.failover.coordinator import FailoverCoordinator
 from petrelhaven.control.leases import ConnectionLeaseTable, expiry_us
 from petrelhaven.control.order_messages import EnterAnswer, EnterRequest
@@ -59,6 +60,7 @@
         orders: Takes orders to the head and reads to the tail.
         configuration_parser: Reads configurations.
         announcements: Takes members' heartbeats.
+        counting: Counts tenants' operations.
         heard: For each member, when its last heartbeat came, and its count.
     """
 
@@ -102,6 +104,8 @@
         self.configuration_parser = ParserLoader()
         self.announcements = Announcements(resources.clock, lambda: self.chain, self.enter)
         self.heard = self.announcements.heard
+        self.clock, self.tasks, self.name = resources.clock, resources.tasks, identity.name
+        self.counting = CountingService(self)
         super().__init__(identity, resources, platform)
         self.views.may_found = founds and self.link.addr in self.seeds
         self.orders = OrderRouter(self.clock, self.chain, self.reach, self.name, self.roster.state)
@@ -152,8 +156,16 @@
             MessageKind.MEMBER_CHECK: self.duty.answer_inspection,
             MessageKind.WALL_CLOCK_READ: self._read_wall_clock,
             MessageKind.AGREED_TIME_READ: self._true_time,
+            MessageKind.QUOTA_REPORT: self.counting.report,
+            MessageKind.QUOTA_COUNT: self.counting.count,
+            MessageKind.QUOTA_COPY: self.counting.copy,
         }
 
+    def start(self) -> None:
+        """Starts the node's tasks."""
+        super().start()
+        self.tasks.spawn(self.counting.run())
+
     async def snapshots(self) -> dict[str, dict[str, Any]]:
         """The control states that living proxies hold, by name; each is asked as it comes by."""
         return await self.proxy_survey.gather()
@@ -358,5 +370,6 @@
             "waiting": dict(self.duty.wait_reasons),
             "tied": self.connected_proxies.names(),
             "garbage": self.link.garbage,
+            "counting": self.counting.status(),
             **({"time": embargoes.time.status()} if embargoes else {}),
         }
--- a/src/petrelhaven/control/state/control_state.py
+++ b/src/petrelhaven/control/state/control_state.py
@@ -9,6 +9,7 @@
 from petrelhaven.control.configuration.faults import ConfigurationFault, declined
 from petrelhaven.control.failover.evidence import NO_POSITION, ElectionOrder, Evidence
 from petrelhaven.control.state.base import BaseControlState, digest_of
+from petrelhaven.control.state.counting_record import CountingRecord, CountingStart
 from petrelhaven.control.state.evidence_records import (
     BoundedRecord,
     CountedOutRecord,
@@ -88,6 +89,11 @@
         row = self.doc["offices"].get(group)
         return None if row is None else Leadership.from_row(row)
 
+    @property
+    def counting_starts(self) -> dict[str, CountingStart]:
+        """The last beginning of each node that began to count tenants without a past."""
+        return {node: CountingStart(*row) for node, row in self.doc.get("counting", {}).items()}
+
     def group(self, group: str) -> dict[str, Document]:
         """The rows of the members of `group` that are not gone, by name and in its order."""
         return {
@@ -132,6 +138,8 @@
                     "nothing enters a placeholder",
                     [ConfigurationFault("t", "must be another kind")],
                 )
+            case CountingRecord():
+                self._check_counting(record)
             case _:
                 self._check_embargo(record)
 
@@ -156,6 +164,8 @@
                 self._apply_evidence(record)
             case SupersededConfiguration():
                 pass
+            case CountingRecord():
+                self._apply_counting(record)
             case _:
                 self._apply_embargo(record)
 
@@ -360,6 +370,17 @@
         past.append({**row, "seq": self.seq + 1})
         del past[:-_MOST_PAST_LEADERSHIPS]
 
+    def _check_counting(self, record: CountingRecord) -> None:
+        if not record.is_settled:
+            return
+        start = self.counting_starts.get(record.node)
+        if start != CountingStart(record.view_number, False):
+            raise Stale(f"node {record.node} began anew since, or is settled")
+
+    def _apply_counting(self, record: CountingRecord) -> None:
+        row = list(CountingStart(record.view_number, record.is_settled))
+        self.doc.setdefault("counting", {})[record.node] = row
+
     def _check_embargo(self, record: EmbargoRecord) -> None:
         from petrelhaven.control.embargo.rules import check
 
--- a/src/petrelhaven/control/state/records.py
+++ b/src/petrelhaven/control/state/records.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, ClassVar, Union
 
+from petrelhaven.control.state.counting_record import CountingRecord
 from petrelhaven.control.state.evidence_records import EvidenceRecord, evidence_from_document
 from petrelhaven.control.state.record import (
     KIND,
@@ -284,6 +285,7 @@
     DepartureRecord,
     LeadershipRecord,
     EvidenceRecord,
+    CountingRecord,
     "EmbargoRecord",
 ]
 _READERS: Mapping[str, Callable[[Document], ControlRecord]] = {
@@ -292,6 +294,7 @@
     ZoneRecord.kind: ZoneRecord.from_document,
     MemberRecord.kind: _member_from_document,
     LeadershipRecord.kind: LeadershipRecord.from_document,
+    CountingRecord.kind: CountingRecord.from_document,
     "evidence": evidence_from_document,
     "embargo": _embargo_from_document,
 }
--- /dev/null
+++ b/src/petrelhaven/limits/terms.py
@@ -0,0 +1,66 @@
+"""What a tenant's limit means, and how it is divided between ordinary counting and a restart."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["ACCOUNT_LIFE_US", "PERMIT_LIFE_US", "Quota", "QuotaTerms"]
+
+PERMIT_LIFE_US = 3_000_000
+"""How long a permit may be used after the proxy asked for it or had it confirmed."""
+
+ACCOUNT_LIFE_US = PERMIT_LIFE_US * 11 // 10
+"""After how long without contact a proxy's permits have expired on any clock."""
+
+_US_PER_S = 1_000_000
+_PER_MILLE = 1_000
+_REGULAR_PER_MILLE = 800
+"""The part of a nominal allowance that counting with full knowledge may use."""
+_MARGIN_PER_MILLE = 50
+"""The part that is left unused, for what is run twice at members after one admission."""
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """A tenant's limit: operations a second, and how many more may come at once."""
+
+    rate_per_s: int
+    burst: int
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaTerms:
+    """How limits are judged.
+
+    Attributes:
+        window_us: The length of the sliding windows, in microseconds.
+        excess_per_mille: By which part of the allowance a window may exceed it.
+        slack: By how many operations it may exceed it beside that.
+    """
+
+    window_us: int = 5_000_000
+    excess_per_mille: int = 100
+    slack: int = 20
+
+    def nominal(self, quota: Quota) -> int:
+        """How many operations of a tenant should run at most in any window."""
+        return quota.rate_per_s * self.window_us // _US_PER_S + quota.burst
+
+    def regular(self, quota: Quota) -> int:
+        """The allowance of a node that knows what was used and what is outstanding."""
+        return self.nominal(quota) * _REGULAR_PER_MILLE // _PER_MILLE
+
+    def after_restart(self, quota: Quota) -> int:
+        """The allowance of a node that knows nothing of its predecessor.
+
+        Together with `regular` it stays within what a window may hold.
+        """
+        nominal = self.nominal(quota)
+        most = nominal * (_PER_MILLE + self.excess_per_mille) // _PER_MILLE + self.slack
+        margin = nominal * _MARGIN_PER_MILLE // _PER_MILLE
+        return max(0, min(most - margin - self.regular(quota), self.regular(quota)))
+
+    @property
+    def quarantine_us(self) -> int:
+        """After how long nothing that was granted before counts in any window any more."""
+        return ACCOUNT_LIFE_US + self.window_us
--- a/src/petrelhaven/proxy/core_connection.py
+++ b/src/petrelhaven/proxy/core_connection.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from petrelhaven.control.state.control_state import ControlState
-from petrelhaven.runtime.errors import Fault
+from petrelhaven.runtime.errors import Fault, NotSent
 from petrelhaven.runtime.events import Events, emit
 from petrelhaven.transport.message_kinds import MessageKind
 from petrelhaven.transport.proxy_messages import (
@@ -285,6 +285,27 @@
             self._extend_lease(pending.asked_at, pending.lease_us, pending.confirmation_age_us)
             self._pending_lease = None
 
+    async def call(self, kind: str, body: dict[str, Any], us: int) -> dict[str, Any]:
+        """Asks the control node that this proxy is connected to.
+
+        Args:
+            kind: One of `MessageKind`.
+            body: The fields of the request.
+            us: How long the answer may take, in microseconds.
+
+        Raises:
+            NotSent: There is no connection.
+            Fault: What became of the call otherwise.
+        """
+        if self._channel is None:
+            raise NotSent("no control node is connected")
+        return await self._channel.call(kind, body, us)
+
+    @property
+    def state_age_us(self) -> int:
+        """How old what is known here of the control state may be, in microseconds."""
+        return self.clock.now() - self._confirmed_at
+
     def suspect(self, group: str, member: str, how: str) -> None:
         """Reports that a primary seems lost, at most every quarter of a second for a group.
 
--- a/src/petrelhaven/proxy/node.py
+++ b/src/petrelhaven/proxy/node.py
@@ -22,9 +22,12 @@
 from petrelhaven.proxy.session.client_session import ENDED, ClientSession
 from petrelhaven.proxy.session.immediate_reply import reply_at_once
 from petrelhaven.proxy.session.statement import Reply, Statement
+from petrelhaven.proxy.tenants.admission import QuotaAdmission
+from petrelhaven.proxy.tenants.directory import NOBODY, Tenant, TenantDirectory
 from petrelhaven.runtime.clock import Clock
-from petrelhaven.runtime.errors import Busy, DeadlineExceeded, NoRoute
+from petrelhaven.runtime.errors import Busy, DeadlineExceeded, Denied, NoRoute
 from petrelhaven.runtime.events import Events, emit
+from petrelhaven.runtime.key_digest import key_digest
 from petrelhaven.runtime.tasks import BackgroundTasks
 
 if TYPE_CHECKING:
@@ -54,6 +57,8 @@
 """After how much more a slot is freed whatever its statement waits for."""
 _RETRY_US = 250_000
 """When a client that is sent away should come back."""
+_KEYS_CERTAIN_SHARE = 0.7
+"""Part of the bound on keys that were taken away after which a proxy out of touch serves none."""
 _SESSION_ID_BITS = 0xFFFFFF
 """Part of a session's identity that is logged."""
 
@@ -67,6 +72,7 @@
         groups: The configured groups by name.
         sessions: The open sessions.
         count: Counters that the status shows.
+        tenants: The tenants of the configuration in force.
         embargo: Withholds embargoed records; None while no rule and no group asks for it.
 
     The others are those of `routing/base.ProxyServices`.
@@ -99,6 +105,7 @@
         drain_us: int,
         empty_us: int,
         log: logbook.Logger | None = None,
+        revoke_us: int | None = None,
     ) -> None:
         """Puts a proxy together; `start` starts it.
 
@@ -114,14 +121,18 @@
             drain_us: How long a primary that drains still takes new statements.
             empty_us: The same for a primary whose zone is evacuated.
             log: Where events go.
+            revoke_us: After how long out of touch keys serve no more; None where they go on.
         """
         self.name, self.zone, self.log = name, zone, log
         self.clock, self.tasks, self.rng = clock, tasks, rng
         self.core_connection, self.wire, self.zone_distance = core_connection, wire, zone_distance
         self.drain_us, self.empty_us = drain_us, empty_us
+        self._revoke_us = revoke_us
         self.order = Order()
         self.outside_contact = OutsideContact(clock)
         self.request_slots = RequestSlots(clock, _SLOTS)
+        self.tenants = TenantDirectory()
+        self.admission = QuotaAdmission(self)
         self.routes: dict[str, Route] = {}
         self.groups: dict[str, MemberGroup] = {}
         self.sessions: set[ClientSession] = set()
@@ -205,6 +216,9 @@
 
     def _configure(self, configuration: dict[str, Any]) -> None:
         configuration = with_defaults(configuration)
+        tenants = TenantDirectory(configuration)
+        self.admission.apply(self.tenants, tenants)
+        self.tenants = tenants
         self.routes = {
             row["host"]: Route.from_configuration(row) for row in reversed(configuration["routes"])
         }
@@ -222,6 +236,8 @@
             Events.RECORD_APPLIED,
             seq=self.core_connection.control_state.seq,
             version=configuration["version"],
+            routes=len(self.routes),
+            tenants=len(tenants.tenants) if tenants.is_required else "-",
         )
 
     def route(self, host: str) -> tuple[Route, MemberGroup]:
@@ -237,13 +253,20 @@
         return route, group
 
     def open(self, host: str, client: str = "") -> ClientSession:
-        """A new session.
+        """A new session for a client that names itself, or shows a key where keys are asked for.
 
         Raises:
             NoRoute: no route of the configuration has this host.
+            Denied: no tenant has the key, and the route is not public.
         """
         route, group = self.route(host)
-        session = ClientSession(host, client)
+        digest = key_digest(client)
+        tenant = self.tenants.identify(digest, route.public)
+        if tenant is None:
+            self.count["denied"] += 1
+            raise Denied("no tenant has this key")
+        name = tenant.name if self.tenants.is_required else client
+        session = ClientSession(host, name, digest, tenant.name)
         self.sessions.add(session)
         if route.reads == "strong":
             session.counted_in = group
@@ -287,6 +310,7 @@
         group = self.groups.get(route.group) if route is not None else None
         if route is None or group is None:
             return Reply(code="unknown", text="no such database any more", state=session.mark)
+        tenant = self.tenants.identify(session.key_digest, route.public)
         if self.embargo is not None:
             refusal = self.embargo.refusal(session, statement, group.name)
             if refusal is not None:
@@ -295,7 +319,12 @@
         group.earn_retry()
         limit_us = route.timeout_us - _SLACK_US
         started = self.clock.now()
-        request = Request(session, statement, route, group, started + limit_us)
+        request = Request(session, statement, route, group, started + limit_us, tenant or NOBODY)
+        if tenant is None:
+            return self._deny(request)
+        if tenant is not NOBODY and not self._keys_are_certain():
+            return self._path.transactions.refuse(request, self.retry_after())
+        self._follow_tenant(session, tenant)
         reply = await self._run_slotted(request, limit_us + _HORIZON_US)
         if self.embargo is not None:
             reply = self.embargo.check_reply(session, statement, group.name, reply)
@@ -303,6 +332,28 @@
             self._log_not_served(request, reply, self.clock.now() - started)
         return reply
 
+    def _keys_are_certain(self) -> bool:
+        """Whether a key that was taken away would be known here in time."""
+        if self._revoke_us is None:
+            return True
+        return self.core_connection.state_age_us < self._revoke_us * _KEYS_CERTAIN_SHARE
+
+    def _deny(self, request: Request) -> Reply:
+        """The reply to a statement whose key was taken away."""
+        self.count["denied"] += 1
+        text = "no tenant has this key any more"
+        if request.session.transaction is not None:
+            return self._path.transactions.abort(request, text, "denied")
+        return Reply(code="denied", text=text, state=request.session.mark)
+
+    def _follow_tenant(self, session: ClientSession, tenant: Tenant) -> None:
+        """Another tenant may have the session's key by now; a transaction stays where it is."""
+        transaction = session.transaction
+        if transaction is None or transaction.connection is None:
+            session.tenant = tenant.name
+            if self.tenants.is_required:
+                session.client = tenant.name
+
     async def _run_slotted(self, request: Request, horizon_us: int) -> Reply:
         session = request.session
         inside = session.transaction is not None
@@ -353,6 +404,7 @@
             "ready": self.ready,
             "visits": len(self.sessions),
             "slots_used": self.request_slots.used,
+            "permits": self.admission.status(),
             "count": dict(self.count),
             "clocks": {name: dict(group.read_clock.count) for name, group in groups},
             "stocks": {
--- a/src/petrelhaven/proxy/pool/connection_pool.py
+++ b/src/petrelhaven/proxy/pool/connection_pool.py
@@ -1,16 +1,18 @@
 """The connections of one proxy to one member.
 
-A session gets the connection that needs the least set-up: one that it had before, else one with
-its values and prepared statements, else any other, else a new one.
+A connection belongs to one tenant, since a member is told the tenant when it is opened. A session
+gets the connection of its tenant that needs the least set-up: one that it had before, else one with
+its values and prepared statements, else any other, else a new one. Where no more may be opened, the
+idle connection that was used longest ago makes room.
 """
 
 from __future__ import annotations
 
 import asyncio
-import collections
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+from petrelhaven.proxy.pool.fair_queue import FairQueue
 from petrelhaven.proxy.pool.member_connection import FITS, LACKS_VALUES, OTHER_VALUES
 from petrelhaven.runtime.errors import Busy, Fault, NotSent
 
@@ -41,7 +43,7 @@
         self,
         clock: Clock,
         tasks: BackgroundTasks,
-        opener: Callable[[], Awaitable[MemberConnection]],
+        opener: Callable[[str], Awaitable[MemberConnection]],
         max_size: int,
         worth_opening: Callable[[], int],
     ) -> None:
@@ -50,7 +52,7 @@
         Args:
             clock: Monotonic time.
             tasks: Where connections are opened.
-            opener: Opens one connection, or raises a `Fault`.
+            opener: Opens one connection for a tenant, or raises a `Fault`.
             max_size: How many connections may be open at once.
             worth_opening: How many connections are worth having: beyond that, an idle one is set
                 up for another session rather than a new one opened.
@@ -61,7 +63,7 @@
         self.idle: list[MemberConnection] = []
         self.busy: set[MemberConnection] = set()
         self._opening = 0
-        self._waiting: collections.deque[asyncio.Future[MemberConnection]] = collections.deque()
+        self._waiting: FairQueue[asyncio.Future[MemberConnection]] = FairQueue()
         self.closed = False
 
     @property
@@ -99,20 +101,24 @@
                 connection = None
         if connection is not None and (cost < LACKS_VALUES or full):
             self.idle.remove(connection)
-            self.busy.add(connection)
-            waiter.set_result(connection)
-        elif self.total < limit:
-            self._open_for(waiter)
+            self._hand_out(connection, waiter)
+            return waiter
+        if full and cost != OTHER_VALUES and self.idle:
+            self.idle.pop(0).close()
+        if self.total < limit:
+            self._open_for(session.tenant, waiter)
         elif len(self._waiting) >= _WAITERS_PER_CONNECTION * self.max_size:
             waiter.set_exception(Busy("too many wait for a connection"))
         else:
-            self._waiting.append(waiter)
+            self._waiting.append(session.tenant, waiter)
         return waiter
 
     def _cheapest(self, session: SessionValues) -> tuple[MemberConnection | None, int]:
-        """The idle connection that needs the least set-up, and its cost."""
+        """The tenant's idle connection that needs the least set-up, and its cost."""
         best, best_cost = None, _NOT_FOUND
         for connection in reversed(self.idle):
+            if connection.tenant != session.tenant:
+                continue
             cost = FITS if connection.owner is session else connection.set_up_cost(session)
             if cost < best_cost:
                 best, best_cost = connection, cost
@@ -126,22 +132,23 @@
         self.busy.add(connection)
         waiter.set_result(connection)
 
-    def _open_for(self, waiter: asyncio.Future[MemberConnection]) -> None:
+    def _open_for(self, tenant: str, waiter: asyncio.Future[MemberConnection]) -> None:
         self._opening += 1
-        self.tasks.spawn(self._open_one(waiter))
+        self.tasks.spawn(self._open_one(tenant, waiter))
 
-    async def _open_one(self, waiter: asyncio.Future[MemberConnection]) -> None:
-        """Opens a connection for `waiter`."""
+    async def _open_one(self, tenant: str, waiter: asyncio.Future[MemberConnection]) -> None:
+        """Opens a connection of `tenant` for `waiter`."""
         try:
-            connection = await self._open()
+            connection = await self._open(tenant)
         except Fault as fault:
             self._opening -= 1
-            self._open_failed(waiter, fault)
+            self._open_failed(tenant, waiter, fault)
             return
         except BaseException:
             self._opening -= 1
             raise
         self._opening -= 1
+        connection.tenant = tenant
         connection.on_lost = self._forget
         if self.closed:
             connection.close()
@@ -153,14 +160,16 @@
         else:
             self._hand_out(connection, waiter)
 
-    def _open_failed(self, waiter: asyncio.Future[MemberConnection], fault: Fault) -> None:
+    def _open_failed(
+        self, tenant: str, waiter: asyncio.Future[MemberConnection], fault: Fault
+    ) -> None:
         """Fails `waiter`, unless the member is full and another connection may come back."""
         if isinstance(fault, Busy):
             if self._full_at is None:
                 self.clock.later(_FULL_US, self._forget_full)
             self._full_at = self.total
             if self.total and not waiter.done():
-                self._waiting.appendleft(waiter)
+                self._waiting.append_first(tenant, waiter)
                 self._serve_waiting()
                 return
         if not waiter.done():
@@ -179,15 +188,28 @@
         self._serve_waiting()
 
     def _serve_waiting(self) -> None:
-        """Serves who waits, in order, as far as connections are idle or may be opened."""
-        while self._waiting and (self._waiting[0].done() or self.idle or self.total < self.limit):
-            waiter = self._waiting.popleft()
+        """Serves who waits, tenants in turn, as far as connections are idle or may be opened."""
+        while self._waiting:
+            tenant, waiter = self._waiting.first()
             if waiter.done():
+                self._waiting.pop_first()
+                continue
+            connection = self._idle_of(tenant)
+            if connection is None and self.total >= self.limit:
+                if not self.idle:
+                    return
+                self.idle.pop(0).close()  # which serves whoever waits, if that made room
                 continue
-            if self.idle:
-                self._hand_out(self.idle.pop(), waiter)
+            self._waiting.pop_first()
+            if connection is None:
+                self._open_for(tenant, waiter)
             else:
-                self._open_for(waiter)
+                self.idle.remove(connection)
+                self._hand_out(connection, waiter)
+
+    def _idle_of(self, tenant: str) -> MemberConnection | None:
+        """The tenant's idle connection that was used last."""
+        return next((idle for idle in reversed(self.idle) if idle.tenant == tenant), None)
 
     def release(self, connection: MemberConnection) -> None:
         """Takes a connection back.
@@ -221,7 +243,6 @@
         for connection in self.idle:
             connection.close()
         self.idle.clear()
-        waiting, self._waiting = self._waiting, collections.deque()
-        for waiter in waiting:
+        for waiter in self._waiting.clear():
             if not waiter.done():
                 waiter.set_exception(NotSent(_CLOSED))
--- /dev/null
+++ b/src/petrelhaven/proxy/pool/fair_queue.py
@@ -0,0 +1,61 @@
+"""A queue in which tenants take turns, so that a busy one holds up nobody else."""
+
+from __future__ import annotations
+
+import collections
+from typing import Generic, TypeVar
+
+__all__ = ["FairQueue"]
+
+_Item = TypeVar("_Item")
+
+
+class FairQueue(Generic[_Item]):
+    """Items by tenant: the first item of each tenant in turn, each tenant's own in their order."""
+
+    __slots__ = ("_by_tenant", "_length")
+
+    def __init__(self) -> None:
+        """An empty queue."""
+        self._by_tenant: collections.OrderedDict[str, collections.deque[_Item]] = (
+            collections.OrderedDict()
+        )
+        self._length = 0
+
+    def __len__(self) -> int:
+        """How many items wait."""
+        return self._length
+
+    def append(self, tenant: str, item: _Item) -> None:
+        """Adds an item behind those of its tenant."""
+        self._by_tenant.setdefault(tenant, collections.deque()).append(item)
+        self._length += 1
+
+    def append_first(self, tenant: str, item: _Item) -> None:
+        """Puts an item back to the front of the queue."""
+        self._by_tenant.setdefault(tenant, collections.deque()).appendleft(item)
+        self._by_tenant.move_to_end(tenant, last=False)
+        self._length += 1
+
+    def first(self) -> tuple[str, _Item]:
+        """The tenant whose turn it is, and its first item."""
+        tenant, items = next(iter(self._by_tenant.items()))
+        return tenant, items[0]
+
+    def pop_first(self) -> tuple[str, _Item]:
+        """Takes the first item; its tenant's next turn comes after all others'."""
+        tenant, items = next(iter(self._by_tenant.items()))
+        item = items.popleft()
+        self._length -= 1
+        if items:
+            self._by_tenant.move_to_end(tenant)
+        else:
+            del self._by_tenant[tenant]
+        return tenant, item
+
+    def clear(self) -> list[_Item]:
+        """Takes all items."""
+        items = [item for queue in self._by_tenant.values() for item in queue]
+        self._by_tenant.clear()
+        self._length = 0
+        return items
--- a/src/petrelhaven/proxy/pool/member_connection.py
+++ b/src/petrelhaven/proxy/pool/member_connection.py
@@ -37,12 +37,14 @@
     """What a session needs on a connection.
 
     Attributes:
+        tenant: The tenant for whom statements run; empty where there are no tenants.
         values: Its values by name.
         prepared: The texts of its prepared statements by name.
         statement_numbers: The number of the client's statement that set each value, and of each
             PREPARE under ("", name).
     """
 
+    tenant: str
     values: dict[str, str]
     prepared: dict[str, str]
     statement_numbers: dict[str | tuple[str, str], str]
@@ -62,6 +64,7 @@
     Attributes:
         due: How many replies are still to come, also those that nobody waits for any more. Only
             a connection with none due may go to another session.
+        tenant: The tenant for whom it was opened; it serves no other.
         values: The values set on it, by name.
         shapes: The name under which each text is prepared on it.
         owner: The session that it was set up for last.
@@ -74,6 +77,7 @@
 
     def __init__(self) -> None:
         """A connection on which nothing is set up."""
+        self.tenant = ""
         self.values: dict[str, str] = {}
         self.shapes: dict[str, str] = {}
         self.owner: SessionValues | None = None
--- a/src/petrelhaven/proxy/routing/base.py
+++ b/src/petrelhaven/proxy/routing/base.py
@@ -25,6 +25,7 @@
     from petrelhaven.proxy.routing.outside_contact import OutsideContact
     from petrelhaven.proxy.routing.route import Route
     from petrelhaven.proxy.session.statement import Reply
+    from petrelhaven.proxy.tenants.admission import QuotaAdmission
     from petrelhaven.runtime.clock import Clock
     from petrelhaven.runtime.tasks import BackgroundTasks
 
@@ -49,6 +50,7 @@
         core_connection: Brings the lease and the control state, takes reports of failures.
         wire: Opens connections to members.
         outside_contact: When members far away last answered.
+        admission: Admits tenants' operations within their limits.
         routes: The configured routes by host.
         count: Counters that the proxy's status shows.
         drain_us: How long a draining primary still takes new statements, in microseconds.
@@ -64,6 +66,7 @@
     core_connection: CoreConnection
     wire: MemberWire
     outside_contact: OutsideContact
+    admission: QuotaAdmission
     routes: dict[str, Route]
     count: collections.Counter[str]
     drain_us: int
--- a/src/petrelhaven/proxy/routing/group.py
+++ b/src/petrelhaven/proxy/routing/group.py
@@ -161,7 +161,7 @@
         pool = ConnectionPool(
             self._clock,
             proxy.tasks,
-            lambda: self._open(member),
+            lambda tenant: self._open(member, tenant),
             1,
             lambda: self.strong_sessions + _SPARE_CONNECTIONS,
         )
@@ -269,11 +269,11 @@
             return 0
         return self._clock.now() - member.last_heard
 
-    async def _open(self, member: Member) -> MemberConnection:
-        """A new connection to the member."""
+    async def _open(self, member: Member, tenant: str = "") -> MemberConnection:
+        """A new connection to the member, for statements of `tenant`."""
         try:
             connection = await self._proxy.wire.open(
-                member.address, self.name, member.name, _OPEN_US
+                member.address, self.name, member.name, _OPEN_US, tenant
             )
         except MemberReplaced:
             member.down_until = self._clock.now() + _MEMBER_GONE_US
--- a/src/petrelhaven/proxy/routing/member_calls.py
+++ b/src/petrelhaven/proxy/routing/member_calls.py
@@ -29,6 +29,8 @@
 __all__ = ["MemberCalls", "note_fault"]
 
 _CONNECTION_WAIT_US = 600_000
+_NOT_RUN = frozenset({"busy", "lagging", "readonly", "misdirected", "crowded", "unprepared"})
+"""Codes of a member's replies that tell that it ran nothing."""
 
 
 def note_fault(group: MemberGroup, member: Member, fault: BaseException) -> None:
@@ -74,6 +76,7 @@
                 raise NotSent("lease")
             attempt.sent = True
             self._stamp(attempt)
+            self._count_run(request)
             member.in_flight += 1
             try:
                 reply = await self._clock.limit(
@@ -82,6 +85,7 @@
             finally:
                 member.in_flight -= 1
             reusable = reply.state == "I"
+            self._note_not_run(request, reply)
             if reply.code == "unprepared":
                 connection.needs_reset = True
             return reply
@@ -115,12 +119,14 @@
             if attempt.fetch is not None and request.group.leased_primary is not member:
                 raise NotSent("lease")
             self._stamp(attempt)
+            self._count_run(request)
             mode = "reads" if transaction.reads else "writes"
             begin = SetUpStatement("begin", (mode, after), transaction.number)
             _, replies = await self._clock.limit(
                 self._set_up(connection, request.session, None, [begin]), limit_us
             )
             reply = replies[0]
+            self._note_not_run(request, reply)
             open_here = reply.ok and reply.state == "T"
             if open_here and request.session.transaction is transaction:
                 transaction.connection, transaction.member = connection, member
@@ -143,6 +149,17 @@
         note_fault(group, attempt.member, fault)
         return None
 
+    def _count_run(self, request: Request) -> None:
+        """A member gets the operation; one that another may have run counts once more."""
+        if request.runs:
+            self._proxy.admission.charge(request.tenant)
+        request.runs += 1
+
+    @staticmethod
+    def _note_not_run(request: Request, reply: Reply) -> None:
+        if reply.code in _NOT_RUN:
+            request.runs -= 1
+
     def _stamp(self, attempt: Attempt) -> None:
         attempt.started = self._proxy.order.next()
         attempt.started_us = self._clock.now()
--- a/src/petrelhaven/proxy/routing/member_wire.py
+++ b/src/petrelhaven/proxy/routing/member_wire.py
@@ -13,8 +13,10 @@
 class MemberWire(Protocol):
     """Opens connections to members."""
 
-    async def open(self, address: str, group: str, member: str, limit_us: int) -> MemberConnection:
-        """A new connection.
+    async def open(
+        self, address: str, group: str, member: str, limit_us: int, tenant: str = ""
+    ) -> MemberConnection:
+        """A new connection, for statements of `tenant`; of no tenant if that is empty.
 
         Raises:
             NotSent: the member refused or did not answer in time.
--- a/src/petrelhaven/proxy/routing/request.py
+++ b/src/petrelhaven/proxy/routing/request.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from petrelhaven.proxy.tenants.directory import NOBODY, Tenant
+
 if TYPE_CHECKING:
     from petrelhaven.proxy.routing.group import MemberGroup
     from petrelhaven.proxy.routing.route import Route
@@ -18,13 +20,25 @@
 
 @dataclass(slots=True)
 class Request:
-    """A statement with its session, route and group; `end` is when its time is over (clock µs)."""
+    """A statement on its way.
+
+    Attributes:
+        session: Its session.
+        statement: The statement.
+        route: The route by which it goes.
+        group: The group that serves it.
+        end: When its time is over, in microseconds of the proxy's clock.
+        tenant: The tenant that it runs for.
+        runs: How many members run it or may have run it.
+    """
 
     session: ClientSession
     statement: Statement
     route: Route
     group: MemberGroup
     end: int
+    tenant: Tenant = NOBODY
+    runs: int = 0
 
     def oldest_fetch(self, now: int) -> int | None:
         """The earliest start of a fetch that a browsing read may use; None for a strong read."""
--- a/src/petrelhaven/proxy/routing/route.py
+++ b/src/petrelhaven/proxy/routing/route.py
@@ -16,6 +16,7 @@
     timeout_us: int
     aim_us: int
     stale_us: int
+    public: bool = False
 
     @property
     def browsing(self) -> bool:
@@ -32,4 +33,5 @@
             row["timeout_us"],
             row["aim_us"],
             row["stale_us"],
+            row["public"],
         )
--- a/src/petrelhaven/proxy/routing/statement_path.py
+++ b/src/petrelhaven/proxy/routing/statement_path.py
@@ -10,11 +10,11 @@
 from petrelhaven.proxy.routing.transaction_path import TransactionPath
 from petrelhaven.proxy.routing.transaction_start import TransactionStart
 from petrelhaven.proxy.routing.write_path import WritePath
+from petrelhaven.proxy.session.statement import Reply
 
 if TYPE_CHECKING:
     from petrelhaven.proxy.routing.base import Continuation, ProxyServices
     from petrelhaven.proxy.routing.request import Request
-    from petrelhaven.proxy.session.statement import Reply
 
 __all__ = ["StatementPath"]
 
@@ -26,6 +26,7 @@
         """Uses the clock, the tasks and the counters of `proxy`."""
         calls = MemberCalls(proxy)
         placement = ReadPlacement(proxy)
+        self._admission = proxy.admission
         self._reads = ReadPath(proxy, calls, placement)
         self._writes = WritePath(proxy, calls)
         start = TransactionStart(proxy, calls, placement)
@@ -35,6 +36,18 @@
         """The continuation of one statement."""
         if request.session.transaction is not None:
             return self.transactions.run(request)
-        if request.statement.writes:
-            return self._writes.run(request)
-        return self._reads.run(request)
+        return self._run_admitted(request)
+
+    def _run_admitted(self, request: Request) -> Continuation[Reply]:
+        """A single statement, once its tenant's limit lets it run."""
+        refusal = yield from self._admission.admit(
+            request.tenant, request.route.aim_us, request.end
+        )
+        if refusal is not None:
+            return Reply(code="busy", text=refusal)
+        path = self._writes if request.statement.writes else self._reads
+        try:
+            return (yield from path.run(request))
+        finally:
+            if not request.runs:
+                self._admission.put_back(request.tenant)
--- a/src/petrelhaven/proxy/routing/transaction_path.py
+++ b/src/petrelhaven/proxy/routing/transaction_path.py
@@ -44,12 +44,12 @@
         if transaction.connection is None:
             why = yield from self._begin(request, transaction)
             if why is not None:
-                return self._abort(request, why)
+                return self.abort(request, why)
         pause_us = _FIRST_PAUSE_US
         while True:
             limit_us = self._limit_us(request)
             if limit_us <= 0:
-                return self._abort(request, self._proxy.retry_after())
+                return self.abort(request, self._proxy.retry_after())
             connection: MemberConnection = transaction.connection  # type: ignore[assignment]  # one is open
             attempt = Attempt(transaction.member, transaction.group.leading)
             attempt.started = self._proxy.order.next()
@@ -78,8 +78,17 @@
         """Gets the transaction its connection; why that could not be done, or None."""
         if transaction.timed_out:
             return "the transaction had ended"
+        refusal = yield from self._proxy.admission.admit(
+            request.tenant, request.route.aim_us, request.end
+        )
+        if refusal is not None:
+            return refusal
         transaction.group = request.group
-        return (yield from self._start.run(request, transaction))
+        try:
+            return (yield from self._start.run(request, transaction))
+        finally:
+            if not request.runs:
+                self._proxy.admission.put_back(request.tenant)
 
     def release(self, session: ClientSession, number: str | None = None) -> None:
         """Ends a session's transaction: by its ROLLBACK `number`, else with the connection."""
@@ -199,15 +208,21 @@
         reply.state = session.mark
         return reply
 
-    def _abort(self, request: Request, why: str) -> Reply:
-        """Nothing was committed and nothing will be."""
+    def refuse(self, request: Request, why: str) -> Reply:
+        """The reply to a statement that may not run now, inside a transaction or not."""
+        if request.session.transaction is not None:
+            return self.abort(request, why)
+        return Reply(code="busy", text=why, state=request.session.mark)
+
+    def abort(self, request: Request, why: str, code: str = "aborted") -> Reply:
+        """Ends the transaction: nothing was committed and nothing will be."""
         session = request.session
         self.release(session)
         if request.statement.verb == "commit":
             session.settle()
         else:
             session.fail()
-        return Reply(code="aborted", text=why, state=session.mark)
+        return Reply(code=code, text=why, state=session.mark)
 
     def _connection_lost(self, request: Request) -> Reply:
         """The connection is lost or without answer: it is closed, so that its member rolls back."""
--- a/src/petrelhaven/proxy/session/client_session.py
+++ b/src/petrelhaven/proxy/session/client_session.py
@@ -77,7 +77,9 @@
 
     Attributes:
         host: The database name that the client connected to.
-        client: Who it is for, if that is known.
+        client: Who it is for, if that is known: a tenant's name where clients show keys.
+        key_digest: The digest of the key that its client showed.
+        tenant: The tenant for whom its statements run now; empty where there is none.
         values: What SET has set, by name.
         prepared: The texts of its prepared statements, by name.
         statement_numbers: The number of the client's statement that set each value, and of each
@@ -92,6 +94,8 @@
     __slots__ = (
         "host",
         "client",
+        "key_digest",
+        "tenant",
         "values",
         "prepared",
         "statement_numbers",
@@ -134,10 +138,12 @@
         def end(self) -> bool:
             """The client's connection has ended."""
 
-    def __init__(self, host: str, client: str = "") -> None:
+    def __init__(self, host: str, client: str = "", key_digest: str = "", tenant: str = "") -> None:
         """Opens a session of `host`; `client` names who it is for, if anybody."""
         self.host = host
         self.client = client
+        self.key_digest = key_digest
+        self.tenant = tenant
         self.values: dict[str, str] = {}
         self.prepared: dict[str, str] = {}
         self.statement_numbers: dict[str | tuple[str, str], str] = {}
--- a/src/petrelhaven/proxy/session/statement.py
+++ b/src/petrelhaven/proxy/session/statement.py
@@ -64,7 +64,8 @@
         pos: The position of the member's log, or None.
 
     Codes: busy, lagging, readonly, misdirected, crowded, failed, unprepared, timeout, malformed,
-    aborted, unsure, unknown (no such database), oversize, withheld (not released yet).
+    aborted, unsure, unknown (no such database), oversize, withheld (not released yet),
+    denied (no tenant has the client's key).
     """
 
     __slots__ = ("rows", "stamp", "code", "text", "state", "pos")
--- a/src/petrelhaven/runtime/errors.py
+++ b/src/petrelhaven/runtime/errors.py
@@ -137,6 +137,10 @@
     """No route or group has this name."""
 
 
+class Denied(Fault, code="denied", status=403):
+    """No tenant has the key that was shown."""
+
+
 class Busy(Fault, code="busy", status=503, retry_after_us=250_000):
     """As much is under way as may be."""
 
--- a/src/petrelhaven/transport/contracts.py
+++ b/src/petrelhaven/transport/contracts.py
@@ -196,6 +196,10 @@
     "name:string seq:long cores:long doubts:doc",
     "ok:boolean us:long age:long need:long view:long edges:long cores:doc",
 )
+# Numbers of an account only grow, and a copy that counts twice counts too much, never too little.
+_contract(MessageKind.QUOTA_REPORT, Repeat.SAFE, "name:string rows:doc", "rows:doc")
+_contract(MessageKind.QUOTA_COUNT, Repeat.SAFE, "view:long rows:doc", "rows:doc")
+_contract(MessageKind.QUOTA_COPY, Repeat.SAFE, "view:long fresh:boolean rows:doc")
 _contract(MessageKind.AGREED_TIME_READ, Repeat.SAFE, "name:string", "ok:boolean lo:long hi:long")
 _contract(MessageKind.WALL_CLOCK_READ, Repeat.SAFE, "name:string", "wall:long")
 
--- a/src/petrelhaven/transport/message_kinds.py
+++ b/src/petrelhaven/transport/message_kinds.py
@@ -44,6 +44,11 @@
     PROXY_ENTER: Final = "edge.enter"
     LEASE_RENEW: Final = "tie.pulse"
     AGREED_TIME_READ: Final = "tie.wall"
+    QUOTA_REPORT: Final = "quota.report"
+
+    # Control nodes among themselves: counts of tenants' operations.
+    QUOTA_COUNT: Final = "quota.count"
+    QUOTA_COPY: Final = "quota.copy"
 
     # Proxies among themselves: resumable sessions and their replicas.
     SESSION_DELIVER: Final = "span.deliver"
--- /dev/null
+++ b/src/petrelhaven/transport/quota_messages.py
@@ -0,0 +1,94 @@
+"""Typed bodies of the messages about tenants' limits.
+
+The fields on the wire are those of the contracts `quota.report`, `quota.count` and `quota.copy` in
+`transport/contracts`; only this module translates between them and the names used in the code.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from petrelhaven.limits.reports import AccountReport, Grant
+from petrelhaven.limits.standby import CounterCopy
+
+__all__ = ["CopyList", "CountRequest", "GrantList", "ReportList"]
+
+
+@dataclass(frozen=True, slots=True)
+class ReportList:
+    """What a proxy asks its control node with `quota.report`."""
+
+    proxy: str
+    reports: Sequence[AccountReport]
+
+    def to_body(self) -> dict[str, Any]:
+        """The fields as they are sent."""
+        return {"name": self.proxy, "rows": [list(report) for report in self.reports]}
+
+    @classmethod
+    def from_body(cls, body: Mapping[str, Any]) -> ReportList:
+        """Reads what `to_body` wrote."""
+        return cls(body["name"], [AccountReport(*row) for row in body["rows"]])
+
+
+@dataclass(frozen=True, slots=True)
+class GrantList:
+    """The answer to a `ReportList`: a grant for each report that was counted."""
+
+    grants: Sequence[Grant]
+
+    def to_body(self) -> dict[str, Any]:
+        """The fields as they are sent."""
+        return {"rows": [list(grant) for grant in self.grants]}
+
+    @classmethod
+    def from_body(cls, body: Mapping[str, Any]) -> GrantList:
+        """Reads what `to_body` wrote."""
+        return cls([Grant(*row) for row in body["rows"]])
+
+
+@dataclass(frozen=True, slots=True)
+class CountRequest:
+    """What a control node asks a counting node with `quota.count`.
+
+    Attributes:
+        view_number: The view in which that node counts the tenants.
+        reports: Reports with the names of the proxies that sent them.
+    """
+
+    view_number: int
+    reports: Sequence[tuple[str, AccountReport]]
+
+    def to_body(self) -> dict[str, Any]:
+        """The fields as they are sent."""
+        rows = [[proxy, *report] for proxy, report in self.reports]
+        return {"view": self.view_number, "rows": rows}
+
+    @classmethod
+    def from_body(cls, body: Mapping[str, Any]) -> CountRequest:
+        """Reads what `to_body` wrote."""
+        return cls(body["view"], [(row[0], AccountReport(*row[1:])) for row in body["rows"]])
+
+
+@dataclass(frozen=True, slots=True)
+class CopyList:
+    """What a counting node sends its successor with `quota.copy`; `is_restarting` as it is."""
+
+    view_number: int
+    is_restarting: bool
+    copies: Sequence[CounterCopy]
+
+    def to_body(self) -> dict[str, Any]:
+        """The fields as they are sent."""
+        return {
+            "view": self.view_number,
+            "fresh": self.is_restarting,
+            "rows": [list(copy) for copy in self.copies],
+        }
+
+    @classmethod
+    def from_body(cls, body: Mapping[str, Any]) -> CopyList:
+        """Reads what `to_body` wrote."""
+        return cls(body["view"], body["fresh"], [CounterCopy(*row) for row in body["rows"]])
