--- /dev/null
+++ b/src/petrelhaven/control/counting/contracts.py
@@ -0,0 +1,44 @@
+"""What counting needs of the control node that it belongs to.
+
+For type checkers and readers: nothing imports this module at run time, so that imports go in one
+direction, from `control/node` to this package.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any, Protocol
+
+if TYPE_CHECKING:
+    from petrelhaven.control.consensus.chain import Chain
+    from petrelhaven.control.order_messages import EnterAnswer
+    from petrelhaven.runtime.clock import Clock
+    from petrelhaven.runtime.tasks import BackgroundTasks
+
+__all__ = ["CountingNode"]
+
+
+class CountingNode(Protocol):
+    """A control node; `control/node.ControlNode` is the one there is.
+
+    Attributes:
+        name: Its name.
+        clock: Monotonic time, in microseconds.
+        tasks: Its background tasks, which end with it.
+        chain: Its place in the chain.
+    """
+
+    name: str
+    clock: Clock
+    tasks: BackgroundTasks
+    chain: Chain
+
+    async def call(
+        self, name: str, kind: str, body: Mapping[str, Any], timeout_us: int
+    ) -> dict[str, Any]:
+        """Calls another control node by name."""
+
+    async def enter(
+        self, record: dict[str, Any], force: bool = ..., within_us: int = ...
+    ) -> EnterAnswer:
+        """Enters a record at the head."""
--- a/src/petrelhaven/control/counting/service.py
+++ b/src/petrelhaven/control/counting/service.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from petrelhaven.control.consensus.view import View
-    from petrelhaven.control.node import ControlNode
+    from petrelhaven.control.counting.contracts import CountingNode
     from petrelhaven.transport.channel import Channel
 
 __all__ = ["CountingService"]
@@ -64,7 +64,7 @@
     forgets all of it.
     """
 
-    def __init__(self, node: ControlNode) -> None:
+    def __init__(self, node: CountingNode) -> None:
         """Counts for `node`; `run` takes over and copies."""
         self._node, self._clock = node, node.clock
         self._table = QuotaTable()
--- a/src/petrelhaven/proxy/routing/base.py
+++ b/src/petrelhaven/proxy/routing/base.py
@@ -25,11 +25,11 @@
     from petrelhaven.proxy.routing.outside_contact import OutsideContact
     from petrelhaven.proxy.routing.route import Route
     from petrelhaven.proxy.session.statement import Reply
-    from petrelhaven.proxy.tenants.admission import QuotaAdmission
+    from petrelhaven.proxy.tenants.directory import Tenant
     from petrelhaven.runtime.clock import Clock
     from petrelhaven.runtime.tasks import BackgroundTasks
 
-__all__ = ["Continuation", "GroupMembers", "ProxyServices"]
+__all__ = ["Admission", "Continuation", "GroupMembers", "ProxyServices"]
 
 _Result = TypeVar("_Result")
 
@@ -37,6 +37,19 @@
 """A request, or a part of one: yields the futures that it waits for and returns its result."""
 
 
+class Admission(Protocol):
+    """Admits tenants' operations; `proxy/tenants/admission.QuotaAdmission` is the one there is."""
+
+    def admit(self, tenant: Tenant, aim_us: int, end: int) -> Continuation[str | None]:
+        """Takes a permit for one operation; why there is none, or None once it may run."""
+
+    def charge(self, tenant: Tenant) -> None:
+        """Counts an operation that is sent once more after its admission."""
+
+    def put_back(self, tenant: Tenant) -> None:
+        """An admitted operation ended without having been sent anywhere."""
+
+
 class ProxyServices(Protocol):
     """A proxy as its groups and statements use it; `proxy/node.ProxyNode` is the one there is.
 
@@ -50,7 +63,6 @@
         core_connection: Brings the lease and the control state, takes reports of failures.
         wire: Opens connections to members.
         outside_contact: When members far away last answered.
-        admission: Admits tenants' operations within their limits.
         routes: The configured routes by host.
         count: Counters that the proxy's status shows.
         drain_us: How long a draining primary still takes new statements, in microseconds.
@@ -66,12 +78,15 @@
     core_connection: CoreConnection
     wire: MemberWire
     outside_contact: OutsideContact
-    admission: QuotaAdmission
     routes: dict[str, Route]
     count: collections.Counter[str]
     drain_us: int
     empty_us: int
 
+    @property
+    def admission(self) -> Admission:
+        """Admits tenants' operations within their limits."""
+
     def bounds(self) -> ProxyBounds:
         """The bounds in force."""
 
--- a/src/petrelhaven/simulator/connection_sessions/wire.py
+++ b/src/petrelhaven/simulator/connection_sessions/wire.py
@@ -12,7 +12,7 @@
     def __init__(self, net, machine):
         self.net, self.machine, self.clock = net, machine, machine.clock
 
-    async def open(self, addr, group, member, us):
+    async def open(self, addr, group, member, us, tenant=""):
         """A connection to `member`.
 
         Unsent (`mute` if nothing came back), Gone if another answers there, Busy if it is full.
--- a/tests/embargo_world.py
+++ b/tests/embargo_world.py
@@ -226,7 +226,7 @@
     def __init__(self, world, machine):
         self.w, self.machine = world, machine
 
-    async def open(self, addr, group, member, us):
+    async def open(self, addr, group, member, us, tenant=""):
         dst = self.w.net.machines[member]
 
         async def hello():
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -24,6 +24,8 @@
 
 
 class LoadClient:
+    tenant = ""
+
     def __init__(self, values=None):
         self.values, self.prepared, self.statement_numbers = dict(values or {}), {}, {}
 
@@ -49,7 +51,7 @@
     def __init__(self, plan=((0.01, None),)):
         self.live, self.plan, self.asked, self.opening = set(), list(plan), 0, 0
 
-    async def open(self):
+    async def open(self, tenant=""):
         s, fault = self.plan.pop(0) if len(self.plan) > 1 else self.plan[0]
         self.asked += 1
         self.opening += 1
--- a/tests/test_control_interface.py
+++ b/tests/test_control_interface.py
@@ -69,7 +69,7 @@
 class NoMembers:
     """Members and a platform that nobody reaches."""
 
-    async def open(self, addr, group, member, us):
+    async def open(self, addr, group, member, us, tenant=""):
         raise NotSent("refused")
 
     async def promote(self, group, member, fence, by):
--- a/tests/test_member_group.py
+++ b/tests/test_member_group.py
@@ -98,7 +98,7 @@
             fetch_us=250_000, join_us=1_000_000, lanes=2, idle_txn_us=3_000_000
         )
 
-    async def open(self, addr, group, member, us):
+    async def open(self, addr, group, member, us, tenant=""):
         m = self.members[member]
         if m.how == "mute":
             await asyncio.sleep(us / 1e6)
--- a/tests/test_member_model.py
+++ b/tests/test_member_model.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import HealthCheck, Phase, given, settings
@@ -99,7 +100,7 @@
         self.read, self.kept, self.bad, self.lines, self.pos = [], [], [], [], 7
         self.owner_of, self.values_of = {}, {}
 
-    async def open(self, addr, group, member, us):
+    async def open(self, addr, group, member, us, tenant=""):
         member_connection = LineMemberConnection()
         line = Line(self, member_connection)
         self.lines.append(line)
@@ -404,11 +405,11 @@
             self.lost = True
 
     async def go(door):
-        async def opened():
+        async def opened(_tenant):
             return Conn()
 
         connection_pool = ConnectionPool(door.clock, door.tasks, opened, 2, lambda: 2)
-        c = await connection_pool.acquire(None)
+        c = await connection_pool.acquire(SimpleNamespace(tenant=""))
         connection_pool.release(c)
         assert c.lost and not connection_pool.idle
 
--- a/tests/test_member_proofs.py
+++ b/tests/test_member_proofs.py
@@ -35,7 +35,7 @@
 
 
 class _Wire:
-    async def open(self, addr, group, member, us):
+    async def open(self, addr, group, member, us, tenant=""):
         return _Conn(member)
 
 
--- a/tests/test_platform_forms.py
+++ b/tests/test_platform_forms.py
@@ -189,6 +189,7 @@
             "aim_us": 300_000,
             "stale_us": 0,
             "rank": 1,
+            "public": False,
         }
     ]
     assert m["bounds"] == {"keepers": 0, "idle_txn_us": 3_000_000}
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -124,7 +124,7 @@
     def __init__(self, member):
         self.member = member
 
-    async def open(self, addr, group, member, us):
+    async def open(self, addr, group, member, us, tenant=""):
         return MemberStrand(self.member)
 
 
@@ -897,7 +897,7 @@
 def test_whatever_a_member_says_ends_as_a_reply_or_a_typed_fault(raw, ends):
     async def go():
         c = member_connection()
-        fs = [c.connect("g", "m"), c.own("status"), c.ask(ASK)]
+        fs = [c.connect("g", "m", "me"), c.own("status"), c.ask(ASK)]
         c.data_received(raw + b"\r\n" * ends)
         c.connection_lost(None)
         for f in fs:
--- a/tests/test_proxy_interface.py
+++ b/tests/test_proxy_interface.py
@@ -71,7 +71,7 @@
 
 
 class NoMembers:
-    async def open(self, addr, group, member, us):
+    async def open(self, addr, group, member, us, tenant=""):
         await asyncio.get_running_loop().create_future()
 
 
