--- a/src/petrelhaven/control/counting/service.py
+++ b/src/petrelhaven/control/counting/service.py
@@ -74,6 +74,7 @@
         self._counted: dict[str, _Counted] = {}
         self._followed: dict[str, _Followed] = {}
         self._fresh_start: FreshStart | None = None
+        self._may_be_remembered = False
         self._is_entering = False
         self._starts_seen: dict[tuple[str, int], int] = {}
 
@@ -111,6 +112,21 @@
         if not all(taken):
             raise NotReady("a copy before is missing")
 
+    async def fetch(self, _channel: Channel | None, body: Mapping[str, Any]) -> dict[str, Any]:
+        """Answers `quota.fetch`: the copies of this view, for a node that was restarted in it."""
+        self._follow_view()
+        now = self._clock.now()
+        found = {
+            tenant: self._followed[tenant]
+            for tenant in body["tenants"]
+            if tenant in self._followed
+            and self._followed[tenant].view_number == body["view"]
+            and self._followed[tenant].standby.is_current(now)
+        }
+        is_restarting = any(followed.is_restarting for followed in found.values())
+        copies = [followed.standby.copy(tenant, now) for tenant, followed in found.items()]
+        return CopyList(body["view"], is_restarting, copies).to_body()
+
     def _take_copy(self, copy: CounterCopy, request: CopyList, now: int) -> bool:
         followed = self._followed.get(copy.tenant)
         if followed is None or followed.view_number != request.view_number:
@@ -175,6 +191,7 @@
         if view is None or view.number == self._view_number:
             return
         is_next = view.number == self._view_number + 1
+        self._may_be_remembered = self._view_number == 0
         before, self._counted = self._counted if is_next else {}, {}
         leaving: dict[str, dict[str, _Counted]] = {}
         for tenant, counted in before.items():
@@ -221,7 +238,7 @@
         if start is None:
             if not self._is_entering:
                 self._is_entering = True
-                self._node.tasks.spawn(self._begin(view.number))
+                self._node.tasks.spawn(self._begin(view, fresh))
             return
         for tenant in fresh:
             counter = TenantCounter(0, self._table.terms.window_us)
@@ -235,14 +252,50 @@
         if not followed.standby.is_current(now):
             return False
         del self._followed[tenant]
-        regime = Regime.RESTARTED if followed.is_restarting else Regime.REGULAR
-        until = now + self._table.terms.quarantine_us if followed.is_restarting else now
-        self._counted[tenant] = _Counted(followed.standby.counter(0, now), regime, until)
+        self._adopt(tenant, followed.standby, followed.is_restarting, now)
         return True
 
-    async def _begin(self, view_number: int) -> None:
-        """Records that this node begins without a past, and decides what it may grant."""
+    def _adopt(self, tenant: str, standby: Standby, is_restarting: bool, now: int) -> None:
+        """Counts a tenant from where its counting node was."""
+        regime = Regime.RESTARTED if is_restarting else Regime.REGULAR
+        until = now + self._table.terms.quarantine_us if is_restarting else now
+        self._counted[tenant] = _Counted(standby.counter(0, now), regime, until)
+
+    async def _remember(self, view: View, tenants: list[str]) -> None:
+        """Goes on with what the successors know of this process's life before, in this view."""
+        self._may_be_remembered = False
+        by_successor: dict[str, list[str]] = {}
+        for tenant in tenants:
+            successor = place(tenant, view.chain).successor
+            if successor is not None:
+                by_successor.setdefault(successor, []).append(tenant)
+        asked = [self._fetch_from(name, view, names) for name, names in by_successor.items()]
+        await asyncio.gather(*asked)
+
+    async def _fetch_from(self, name: str, view: View, tenants: list[str]) -> None:
+        body = {"view": view.number, "tenants": tenants}
+        try:
+            answer = await self._node.call(name, MessageKind.QUOTA_FETCH, body, _COPY_LIMIT_US)
+        except Fault:
+            return
+        copies = CopyList.from_body(answer)
+        now = self._clock.now()
+        for copy in copies.copies:
+            if self._view_number == view.number and copy.tenant not in self._counted:
+                standby = Standby(self._table.terms.window_us)
+                standby.take(copy, now)
+                self._adopt(copy.tenant, standby, copies.is_restarting, now)
+
+    async def _begin(self, view: View, tenants: list[str]) -> None:
+        """Records that this node begins without a past, and decides what it may grant.
+
+        Unless its successors remember all of `tenants`.
+        """
+        view_number = view.number
         try:
+            if self._may_be_remembered:
+                await self._remember(view, tenants)
+                return
             starts = self._node.chain.control_state.counting_starts
             regime = decide(starts, self._node.name, view_number)
             record = CountingRecord(self._node.name, view_number)
--- a/src/petrelhaven/control/node.py
+++ b/src/petrelhaven/control/node.py
@@ -159,6 +159,7 @@
             MessageKind.QUOTA_REPORT: self.counting.report,
             MessageKind.QUOTA_COUNT: self.counting.count,
             MessageKind.QUOTA_COPY: self.counting.copy,
+            MessageKind.QUOTA_FETCH: self.counting.fetch,
         }
 
     def start(self) -> None:
--- a/src/petrelhaven/limits/standby.py
+++ b/src/petrelhaven/limits/standby.py
@@ -9,7 +9,7 @@
 
 __all__ = ["STANDBY_LIFE_US", "CounterCopy", "Standby"]
 
-STANDBY_LIFE_US = 3_000_000
+STANDBY_LIFE_US = 5_000_000
 """How long a copy may serve a successor after it came."""
 
 
@@ -59,6 +59,11 @@
         """Whether what is known here bounds what the counting node has granted."""
         return self._received_at is not None and now - self._received_at <= STANDBY_LIFE_US
 
+    def copy(self, tenant: str, now: int) -> CounterCopy:
+        """What is known here, as a first copy for a node that has forgotten it."""
+        self._window.advance(now)
+        return CounterCopy(tenant, self._window.total, self._bound, 0, True)
+
     def counter(self, allowance: int, now: int) -> TenantCounter:
         """A counter that goes on from here."""
         counter = TenantCounter(allowance, self._window.window_us)
--- a/src/petrelhaven/limits/terms.py
+++ b/src/petrelhaven/limits/terms.py
@@ -14,8 +14,8 @@
 
 _US_PER_S = 1_000_000
 _PER_MILLE = 1_000
-_REGULAR_PER_MILLE = 800
-"""The part of a nominal allowance that counting with full knowledge may use."""
+_REGULAR_PER_MILLE = 700
+"""The part of what a window may hold that counting with full knowledge may use."""
 _MARGIN_PER_MILLE = 50
 """The part that is left unused, for what is run twice at members after one admission."""
 
@@ -46,19 +46,22 @@
         """How many operations of a tenant should run at most in any window."""
         return quota.rate_per_s * self.window_us // _US_PER_S + quota.burst
 
+    def most(self, quota: Quota) -> int:
+        """How many operations the allowances of all nodes may come to."""
+        nominal = self.nominal(quota)
+        per_mille = _PER_MILLE + self.excess_per_mille - _MARGIN_PER_MILLE
+        return nominal * per_mille // _PER_MILLE + self.slack
+
     def regular(self, quota: Quota) -> int:
         """The allowance of a node that knows what was used and what is outstanding."""
-        return self.nominal(quota) * _REGULAR_PER_MILLE // _PER_MILLE
+        return self.most(quota) * _REGULAR_PER_MILLE // _PER_MILLE
 
     def after_restart(self, quota: Quota) -> int:
         """The allowance of a node that knows nothing of its predecessor.
 
         Together with `regular` it stays within what a window may hold.
         """
-        nominal = self.nominal(quota)
-        most = nominal * (_PER_MILLE + self.excess_per_mille) // _PER_MILLE + self.slack
-        margin = nominal * _MARGIN_PER_MILLE // _PER_MILLE
-        return max(0, min(most - margin - self.regular(quota), self.regular(quota)))
+        return self.most(quota) - self.regular(quota)
 
     @property
     def quarantine_us(self) -> int:
--- a/src/petrelhaven/transport/contracts.py
+++ b/src/petrelhaven/transport/contracts.py
@@ -200,6 +200,12 @@
 _contract(MessageKind.QUOTA_REPORT, Repeat.SAFE, "name:string rows:doc", "rows:doc")
 _contract(MessageKind.QUOTA_COUNT, Repeat.SAFE, "view:long rows:doc", "rows:doc")
 _contract(MessageKind.QUOTA_COPY, Repeat.SAFE, "view:long fresh:boolean rows:doc")
+_contract(
+    MessageKind.QUOTA_FETCH,
+    Repeat.SAFE,
+    "view:long tenants:strings",
+    "view:long fresh:boolean rows:doc",
+)
 _contract(MessageKind.AGREED_TIME_READ, Repeat.SAFE, "name:string", "ok:boolean lo:long hi:long")
 _contract(MessageKind.WALL_CLOCK_READ, Repeat.SAFE, "name:string", "wall:long")
 
--- a/src/petrelhaven/transport/message_kinds.py
+++ b/src/petrelhaven/transport/message_kinds.py
@@ -49,6 +49,7 @@
     # Control nodes among themselves: counts of tenants' operations.
     QUOTA_COUNT: Final = "quota.count"
     QUOTA_COPY: Final = "quota.copy"
+    QUOTA_FETCH: Final = "quota.fetch"
 
     # Proxies among themselves: resumable sessions and their replicas.
     SESSION_DELIVER: Final = "span.deliver"
--- a/src/petrelhaven/transport/quota_messages.py
+++ b/src/petrelhaven/transport/quota_messages.py
@@ -1,7 +1,7 @@
 """Typed bodies of the messages about tenants' limits.
 
-The fields on the wire are those of the contracts `quota.report`, `quota.count` and `quota.copy` in
-`transport/contracts`; only this module translates between them and the names used in the code.
+The fields on the wire are those of the contracts `quota.report`, `quota.count`, `quota.copy` and
+`quota.fetch` in `transport/contracts`; only this module translates between them and the names used in the code.
 """
 
 from __future__ import annotations
@@ -74,7 +74,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CopyList:
-    """What a counting node sends its successor with `quota.copy`; `is_restarting` as it is."""
+    """What a counting node sends its successor with `quota.copy`.
+
+    The successor answers a `quota.fetch` with the same. `is_restarting` tells that the node may
+    grant only what is allowed after a restart.
+    """
 
     view_number: int
     is_restarting: bool
