--- a/src/petrelhaven/transport/quota_messages.py
+++ b/src/petrelhaven/transport/quota_messages.py
@@ -1,7 +1,8 @@
 """Typed bodies of the messages about tenants' limits.
 
 The fields on the wire are those of the contracts `quota.report`, `quota.count`, `quota.copy` and
-`quota.fetch` in `transport/contracts`; only this module translates between them and the names used in the code.
+`quota.fetch` in `transport/contracts`; only this module translates between them and the names used
+in the code.
 """
 
 from __future__ import annotations
