--- a/src/petrelhaven/proxy/node.py
+++ b/src/petrelhaven/proxy/node.py
@@ -255,6 +255,8 @@
     def open(self, host: str, client: str = "") -> ClientSession:
         """A new session for a client that names itself, or shows a key where keys are asked for.
 
+        `client` is the key as a whole, or a name and whatever follows it.
+
         Raises:
             NoRoute: no route of the configuration has this host.
             Denied: no tenant has the key, and the route is not public.
@@ -265,7 +267,7 @@
         if tenant is None:
             self.count["denied"] += 1
             raise Denied("no tenant has this key")
-        name = tenant.name if self.tenants.is_required else client
+        name = tenant.name if self.tenants.is_required else client.partition(" ")[0]
         session = ClientSession(host, name, digest, tenant.name)
         self.sessions.add(session)
         if route.reads == "strong":
