--- a/src/petrelhaven/proxy/tenants/admission.py
+++ b/src/petrelhaven/proxy/tenants/admission.py
@@ -31,6 +31,8 @@
 """Part of the latency target for which an operation waits while no counting node answers."""
 _COME_BACK_US = 400_000
 _LONGEST_COME_BACK_US = 2_000_000
+_REFUSAL_STANDS_US = 100_000
+"""For how long a counting node is not asked again after it had no permits."""
 _ACCOUNT_BITS = 40
 
 _ADMITTED = 0
@@ -42,12 +44,13 @@
     Each future brings `_ADMITTED`, or when the operation should come back, in microseconds.
     """
 
-    __slots__ = ("holding", "waiting", "is_asking")
+    __slots__ = ("holding", "waiting", "is_asking", "refuses_until", "retry_us")
 
     def __init__(self, holding: Holding) -> None:
         self.holding = holding
         self.waiting: collections.deque[asyncio.Future[int]] = collections.deque()
         self.is_asking = False
+        self.refuses_until = self.retry_us = 0
 
     def waiting_count(self) -> int:
         while self.waiting and self.waiting[0].done():
@@ -94,6 +97,8 @@
         now = self._clock.now()
         if not line.waiting_count() and line.holding.take(now):
             return None
+        if now < line.refuses_until:
+            return self._refusal(line.retry_us)
         waiter: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         line.waiting.append(waiter)
         self._ask_soon()
@@ -103,10 +108,11 @@
         finally:
             if not waiter.done():
                 waiter.cancel()
-        if outcome == _ADMITTED:
-            return None
+        return None if outcome == _ADMITTED else self._refusal(outcome)
+
+    def _refusal(self, retry_us: int) -> str:
         self._proxy.count["over_quota"] += 1
-        return self._proxy.retry_after(min(outcome, _LONGEST_COME_BACK_US))
+        return self._proxy.retry_after(min(retry_us, _LONGEST_COME_BACK_US))
 
     def charge(self, tenant: Tenant) -> None:
         """Counts an operation of `tenant` that is sent once more after its admission."""
@@ -124,7 +130,7 @@
             old, new = before.tenants.get(name), after.tenants.get(name)
             if new is None or new.quota is None:
                 line.refuse(len(line.waiting), _COME_BACK_US)
-                line.holding.give_back()
+                del self._lines[name]
             elif old is not None and old.quota is not None and _is_lower(new, old):
                 line.holding.give_back()
 
@@ -202,6 +208,8 @@
         line.admit_waiting(now)
         if grant is not None and grant.retry_us:
             line.refuse(line.waiting_count(), grant.retry_us)
+            line.refuses_until = now + min(grant.retry_us, _REFUSAL_STANDS_US)
+            line.retry_us = grant.retry_us
         if line.waiting_count():
             self._ask_soon(_COALESCE_US if grant is not None else _RETRY_US)
 
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -60,7 +60,11 @@
 def answers(fault):
     async def go():
         node, http_server = ControlNode(fault), LightHttpServer("127.0.0.1", 0)
-        ControlRoutes(node, SimpleNamespace(zones=["a", "b"], zone="a", control="h:1"), http_server)
+        ControlRoutes(
+            node,
+            SimpleNamespace(zones=["a", "b"], zone="a", control="h:1", quota_bounds={}),
+            http_server,
+        )
         replace = await http_server.answer(Request("POST", "/v1/Config.Replace", CONFIGURATION))
         begin = await http_server.answer(Request("POST", "/v1/Evacuations.Begin/a", b""))
         finish = await http_server.answer(Request("POST", "/v1/Evacuations.Finish/a", b""))
