--- a/src/petrelhaven/control/counting/copies.py
+++ b/src/petrelhaven/control/counting/copies.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from petrelhaven.limits.counter import TenantCounter
+from petrelhaven.limits.regime import Regime
 from petrelhaven.limits.standby import STANDBY_LIFE_US, CounterCopy
 
 __all__ = ["CopyTracker", "SentCopy"]
@@ -23,12 +24,14 @@
     Attributes:
         grant_limit: How many permits the counter may have granted in all while it may.
         uses: How many uses the counter had counted when the copy was made.
-        expires_at: When the successor certainly goes by it no more; None while it is on its way.
+        expires_at: When the successor certainly goes by it no more.
+        is_on_its_way: Whether neither an answer has come nor the time for it is over.
     """
 
     grant_limit: int
     uses: int
-    expires_at: int | None = None
+    expires_at: int
+    is_on_its_way: bool = True
 
 
 class CopyTracker:
@@ -43,42 +46,46 @@
 
     def most(self, counter: TenantCounter, now: int) -> int | None:
         """How many more permits may be granted now; None for no such bound."""
-        self._sent = [c for c in self._sent if c.expires_at is None or now < c.expires_at]
+        self._sent = [copy for copy in self._sent if now < copy.expires_at]
         if not self._sent:
             return None
         return max(0, min(copy.grant_limit for copy in self._sent) - counter.grants)
 
     def is_due(self, counter: TenantCounter, now: int) -> bool:
         """Whether the successor should be told now."""
-        if any(copy.expires_at is None for copy in self._sent):
+        if any(copy.is_on_its_way for copy in self._sent):
             return False
         if now - self._copied_at >= _KEEP_ALIVE_US:
             return True
         return self._copied != (counter.uses, counter.grants)
 
-    def make(self, tenant: str, counter: TenantCounter, now: int) -> tuple[CounterCopy, SentCopy]:
-        """The copy to send now, and what is to be remembered of it."""
+    def make(
+        self, tenant: str, counter: TenantCounter, regime: Regime, left_us: int, now: int
+    ) -> tuple[CounterCopy, SentCopy]:
+        """The copy to send now, and what is to be remembered of it.
+
+        `regime` is that of the counter, which lasts for `left_us` more.
+        """
         last = self._acknowledged
-        if last is not None and last.expires_at is not None and now >= last.expires_at:
-            last = None
         used_now = counter.used(now)
         reserve = max(_LEAST_RESERVE, counter.allowance // _RESERVE_SHARE)
         used = used_now if last is None else counter.uses - last.uses
-        copy = CounterCopy(tenant, used, counter.outstanding(), reserve, last is None)
-        sent = SentCopy(counter.grants + reserve, counter.uses)
+        copy = CounterCopy(
+            tenant, used, counter.outstanding(), reserve, last is None, regime.value, left_us
+        )
+        sent = SentCopy(counter.grants + reserve, counter.uses, now + _CERTAIN_LIFE_US)
         self._sent.append(sent)
         self._copied, self._copied_at = (counter.uses, counter.grants), now
         return copy, sent
 
-    def acknowledge(self, sent: SentCopy, now: int) -> None:
+    def acknowledge(self, sent: SentCopy) -> None:
         """The successor has a copy; it goes by no earlier one any more."""
-        if sent not in self._sent:
-            return
-        self._sent = self._sent[self._sent.index(sent) :]
-        sent.expires_at = now + _CERTAIN_LIFE_US
+        sent.is_on_its_way = False
+        if sent in self._sent:
+            self._sent = self._sent[self._sent.index(sent) :]
         self._acknowledged = sent
 
-    def lose(self, sent: SentCopy, now: int) -> None:
-        """Nobody knows whether a copy arrived."""
-        sent.expires_at = now + _CERTAIN_LIFE_US
+    def lose(self, sent: SentCopy) -> None:
+        """Nobody knows whether a copy arrived; the next one stands for all."""
+        sent.is_on_its_way = False
         self._acknowledged = self._copied = None
--- a/src/petrelhaven/control/counting/fresh_start.py
+++ b/src/petrelhaven/control/counting/fresh_start.py
@@ -8,28 +8,27 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Mapping
 from typing import NamedTuple
 
 from petrelhaven.control.state.counting_record import CountingStart
+from petrelhaven.limits.regime import Regime
 
-__all__ = ["FreshStart", "Regime", "decide"]
-
-
-class Regime(enum.Enum):
-    """Which part of a limit a counter may grant."""
-
-    REGULAR = "regular"
-    RESTARTED = "restarted"
-    QUARANTINE = "quarantine"
+__all__ = ["FreshStart", "decide"]
 
 
 class FreshStart(NamedTuple):
-    """The regime of counters without a past, and until when it lasts, in clock microseconds."""
+    """How a node begins in a view; `until` is None before its record is committed.
+
+    Attributes:
+        view_number: The view.
+        regime: The regime of counters without a past.
+        until: Until when that lasts, in clock microseconds.
+    """
 
+    view_number: int
     regime: Regime
-    until: int
+    until: int | None = None
 
 
 def decide(starts: Mapping[str, CountingStart], node: str, view_number: int) -> Regime:
@@ -41,11 +40,13 @@
         view_number: The view in which it counts. Others that began in the same view count other
             tenants there.
     """
-    earlier = [
-        start for name, start in starts.items() if name == node or start.view_number < view_number
-    ]
-    if not earlier:
+    own = starts.get(node)
+    others = [start for name, start in starts.items() if name != node]
+    if own is None and all(start.first_view >= view_number for start in others):
         return Regime.REGULAR
-    if all(start.is_settled for start in earlier):
-        return Regime.RESTARTED
-    return Regime.QUARANTINE
+    is_open = [start for start in others if not start.is_settled]
+    if own is not None and not own.is_settled:
+        return Regime.QUARANTINE
+    if any(start.view_number < view_number for start in is_open):
+        return Regime.QUARANTINE
+    return Regime.RESTARTED
--- a/src/petrelhaven/control/counting/service.py
+++ b/src/petrelhaven/control/counting/service.py
@@ -3,22 +3,30 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import TYPE_CHECKING, Any
 
+from petrelhaven.control.consensus.peer_clocks import Expiry
 from petrelhaven.control.counting.copies import CopyTracker, SentCopy
-from petrelhaven.control.counting.fresh_start import FreshStart, Regime, decide
+from petrelhaven.control.counting.fresh_start import FreshStart, decide
 from petrelhaven.control.counting.quotas import QuotaTable
 from petrelhaven.control.counting.relay import ReportRelay, ReportRow
 from petrelhaven.control.state.counting_record import CountingRecord
 from petrelhaven.limits.counter import TenantCounter
 from petrelhaven.limits.placement import place
+from petrelhaven.limits.regime import Regime
 from petrelhaven.limits.reports import AccountReport, Grant
-from petrelhaven.limits.standby import CounterCopy, Standby
-from petrelhaven.limits.terms import Quota
+from petrelhaven.limits.standby import STANDBY_LIFE_US, CounterCopy, Standby
 from petrelhaven.runtime.errors import Fault, NotReady
 from petrelhaven.transport.message_kinds import MessageKind
-from petrelhaven.transport.quota_messages import CopyList, CountRequest, GrantList, ReportList
+from petrelhaven.transport.quota_messages import (
+    CopyList,
+    CountRequest,
+    GrantList,
+    ReportList,
+    copies_from,
+    copy_rows,
+)
 
 if TYPE_CHECKING:
     from petrelhaven.control.consensus.view import View
@@ -39,12 +47,21 @@
 class _Counted:
     """A tenant that this node counts; its regime lasts until `until`, in clock microseconds."""
 
-    __slots__ = ("counter", "copies", "regime", "until")
+    __slots__ = ("counter", "copies", "_regime", "_until")
 
     def __init__(self, counter: TenantCounter, regime: Regime, until: int) -> None:
-        self.counter, self.regime, self.until = counter, regime, until
+        self.counter, self._regime, self._until = counter, regime, until
         self.copies = CopyTracker()
 
+    def regime(self, now: int) -> Regime:
+        if now >= self._until:
+            self._regime = Regime.REGULAR
+        return self._regime
+
+    def make_copy(self, tenant: str, now: int) -> tuple[CounterCopy, SentCopy]:
+        left_us = max(0, self._until - now)
+        return self.copies.make(tenant, self.counter, self.regime(now), left_us, now)
+
 
 class _Followed:
     """A tenant that this node is to count next, as its counting node of a view tells."""
@@ -54,7 +71,6 @@
     def __init__(self, window_us: int, view_number: int) -> None:
         self.standby = Standby(window_us)
         self.view_number = view_number
-        self.is_restarting = False
 
 
 class CountingService:
@@ -64,8 +80,11 @@
     forgets all of it.
     """
 
-    def __init__(self, node: CountingNode) -> None:
-        """Counts for `node`; `run` takes over and copies."""
+    def __init__(self, node: CountingNode, draw_life: Callable[[], int]) -> None:
+        """Counts for `node`; `run` takes over and copies.
+
+        `draw_life` draws a number that tells this process from the node's former ones.
+        """
         self._node, self._clock = node, node.clock
         self._table = QuotaTable()
         self._relay = ReportRelay(node.clock, node.tasks, self._send_reports)
@@ -76,7 +95,11 @@
         self._fresh_start: FreshStart | None = None
         self._may_be_remembered = False
         self._is_entering = False
-        self._starts_seen: dict[tuple[str, int], int] = {}
+        self._is_settling = False
+        self._starts_seen: dict[int, int] = {}
+        self._draw_life = draw_life
+        self._life = 0
+        self._copy_number = 0
 
     # What others ask
 
@@ -108,7 +131,11 @@
         if request.view_number not in (newest, newest - 1):
             raise NotReady("copies of another view")
         now = self._clock.now()
-        taken = [self._take_copy(copy, request, now) for copy in request.copies]
+        expiry = Expiry.read(list(request.expiry))
+        if expiry is None or not expiry.stands(self._node.chain.confirmation.boot, now):
+            raise NotReady("the copies are out of date")
+        until = expiry.moment_us
+        taken = [self._take_copy(copy, request, until, now) for copy in request.copies]
         if not all(taken):
             raise NotReady("a copy before is missing")
 
@@ -123,17 +150,15 @@
             and self._followed[tenant].view_number == body["view"]
             and self._followed[tenant].standby.is_current(now)
         }
-        is_restarting = any(followed.is_restarting for followed in found.values())
         copies = [followed.standby.copy(tenant, now) for tenant, followed in found.items()]
-        return CopyList(body["view"], is_restarting, copies).to_body()
+        return {"view": body["view"], "rows": copy_rows(copies)}
 
-    def _take_copy(self, copy: CounterCopy, request: CopyList, now: int) -> bool:
+    def _take_copy(self, copy: CounterCopy, request: CopyList, until: int, now: int) -> bool:
         followed = self._followed.get(copy.tenant)
         if followed is None or followed.view_number != request.view_number:
             followed = _Followed(self._table.terms.window_us, request.view_number)
             self._followed[copy.tenant] = followed
-        followed.is_restarting = request.is_restarting
-        return followed.standby.take(copy, now)
+        return followed.standby.take(copy, request.life, request.number, until, now)
 
     # Counting
 
@@ -164,18 +189,9 @@
         if quota is None or counted is None:
             return None
         counter = counted.counter
-        counter.allowance = self._allowance(counted, quota, now)
+        counter.allowance = counted.regime(now).allowance(self._table.terms, quota)
         return counter.report(proxy, report, now, counted.copies.most(counter, now))
 
-    def _allowance(self, counted: _Counted, quota: Quota, now: int) -> int:
-        if now >= counted.until:
-            counted.regime = Regime.REGULAR
-        if counted.regime is Regime.REGULAR:
-            return self._table.terms.regular(quota)
-        if counted.regime is Regime.RESTARTED:
-            return self._table.terms.after_restart(quota)
-        return 0
-
     # Views
 
     def _require_view(self) -> View:
@@ -219,7 +235,7 @@
             self._follow_view()
             if not self._table.quotas or not self._node.chain.active:
                 continue
-            await self._settle_starts()
+            self._settle_starts()
             self._take_tenants()
             self._copy_to_successors()
 
@@ -235,7 +251,7 @@
         if not fresh or now - self._view_since < _HANDOVER_US:
             return
         start = self._fresh_start
-        if start is None:
+        if start is None or start.until is None:
             if not self._is_entering:
                 self._is_entering = True
                 self._node.tasks.spawn(self._begin(view, fresh))
@@ -252,14 +268,13 @@
         if not followed.standby.is_current(now):
             return False
         del self._followed[tenant]
-        self._adopt(tenant, followed.standby, followed.is_restarting, now)
+        self._adopt(tenant, followed.standby, now)
         return True
 
-    def _adopt(self, tenant: str, standby: Standby, is_restarting: bool, now: int) -> None:
+    def _adopt(self, tenant: str, standby: Standby, now: int) -> None:
         """Counts a tenant from where its counting node was."""
-        regime = Regime.RESTARTED if is_restarting else Regime.REGULAR
-        until = now + self._table.terms.quarantine_us if is_restarting else now
-        self._counted[tenant] = _Counted(standby.counter(0, now), regime, until)
+        until = now + standby.regime_left_us
+        self._counted[tenant] = _Counted(standby.counter(now), standby.regime, until)
 
     async def _remember(self, view: View, tenants: list[str]) -> None:
         """Goes on with what the successors know of this process's life before, in this view."""
@@ -278,13 +293,12 @@
             answer = await self._node.call(name, MessageKind.QUOTA_FETCH, body, _COPY_LIMIT_US)
         except Fault:
             return
-        copies = CopyList.from_body(answer)
         now = self._clock.now()
-        for copy in copies.copies:
+        for copy in copies_from(answer["rows"]):
             if self._view_number == view.number and copy.tenant not in self._counted:
                 standby = Standby(self._table.terms.window_us)
-                standby.take(copy, now)
-                self._adopt(copy.tenant, standby, copies.is_restarting, now)
+                standby.take(copy, self._life, 1, now, now)
+                self._adopt(copy.tenant, standby, now)
 
     async def _begin(self, view: View, tenants: list[str]) -> None:
         """Records that this node begins without a past, and decides what it may grant.
@@ -296,33 +310,42 @@
             if self._may_be_remembered:
                 await self._remember(view, tenants)
                 return
-            starts = self._node.chain.control_state.counting_starts
-            regime = decide(starts, self._node.name, view_number)
+            if self._fresh_start is None:  # a second try must not take its own record for another's
+                starts = self._node.chain.control_state.counting_starts
+                regime = decide(starts, self._node.name, view_number)
+                self._fresh_start = FreshStart(view_number, regime)
             record = CountingRecord(self._node.name, view_number)
             await self._node.enter(record.to_document(), False, _RECORD_LIMIT_US)
-            if self._view_number == view_number:
+            start = self._fresh_start
+            if start is not None and start.view_number == view_number:
                 until = self._clock.now() + self._table.terms.quarantine_us
-                self._fresh_start = FreshStart(regime, until)
+                self._fresh_start = start._replace(until=until)
         except Fault:
             pass
         finally:
             self._is_entering = False
 
-    async def _settle_starts(self) -> None:
-        """As the head, records which beginnings are over."""
+    def _settle_starts(self) -> None:
+        """As the head, has beginnings that are over recorded so."""
         if not self._node.chain.head:
             self._starts_seen.clear()
             return
         now = self._clock.now()
         after_us = self._table.terms.quarantine_us + _SETTLE_MARGIN_US
         for name, start in self._node.chain.control_state.counting_starts.items():
-            seen_at = self._starts_seen.setdefault((name, start.view_number), now)
-            if not start.is_settled and now - seen_at > after_us:
-                record = CountingRecord(name, start.view_number, is_settled=True)
-                try:
-                    await self._node.enter(record.to_document(), False, _RECORD_LIMIT_US)
-                except Fault:
-                    return
+            seen_at = self._starts_seen.setdefault(start.seq, now)
+            if start.is_settled or now - seen_at <= after_us or self._is_settling:
+                continue
+            self._is_settling = True
+            self._node.tasks.spawn(self._settle(CountingRecord(name, start.view_number, start.seq)))
+
+    async def _settle(self, record: CountingRecord) -> None:
+        try:
+            await self._node.enter(record.to_document(), False, _RECORD_LIMIT_US)
+        except Fault:
+            pass
+        finally:
+            self._is_settling = False
 
     # Copies
 
@@ -339,13 +362,16 @@
     async def _send_copies(
         self, name: str, tenants: Mapping[str, _Counted], view_number: int
     ) -> None:
+        clocks = self._node.chain.confirmation.peer_clocks
+        if not clocks.knows(name):
+            return
         now = self._clock.now()
-        made = {
-            tenant: counted.copies.make(tenant, counted.counter, now)
-            for tenant, counted in tenants.items()
-        }
-        is_restarting = any(counted.regime is not Regime.REGULAR for counted in tenants.values())
-        request = CopyList(view_number, is_restarting, [copy for copy, _ in made.values()])
+        expiry = clocks.expiry(name, STANDBY_LIFE_US)
+        made = {tenant: counted.make_copy(tenant, now) for tenant, counted in tenants.items()}
+        copies = [copy for copy, _ in made.values()]
+        self._life = self._life or self._draw_life()
+        self._copy_number += 1
+        request = CopyList(view_number, self._life, self._copy_number, expiry.document(), copies)
         arrived = False
         try:
             await self._node.call(name, MessageKind.QUOTA_COPY, request.to_body(), _COPY_LIMIT_US)
@@ -354,13 +380,8 @@
             pass
         finally:
             for tenant, (_, sent) in made.items():
-                self._note_outcome(tenants[tenant].copies, sent, arrived)
-
-    def _note_outcome(self, copies: CopyTracker, sent: SentCopy, arrived: bool) -> None:
-        if arrived:
-            copies.acknowledge(sent, self._clock.now())
-        else:
-            copies.lose(sent, self._clock.now())
+                trackers = tenants[tenant].copies
+                trackers.acknowledge(sent) if arrived else trackers.lose(sent)
 
     def status(self) -> dict[str, Any]:
         """The tenants counted here: uses in the window, permits out, refusals, regime."""
@@ -371,7 +392,7 @@
                 "out": counted.counter.outstanding(),
                 "allowance": counted.counter.allowance,
                 "refused": counted.counter.refused,
-                "regime": counted.regime.value,
+                "regime": counted.regime(now).value,
             }
             for tenant, counted in sorted(self._counted.items())
         }
--- a/src/petrelhaven/control/node.py
+++ b/src/petrelhaven/control/node.py
@@ -47,6 +47,7 @@
 _SUSPICION_TIMEOUT_US = 800_000
 _SPREAD_LIMIT = 12
 _JOIN_INTERVAL_US = 6_000_000
+_LIFE_BITS = 48
 
 
 class ControlNode(BaseControlNode):
@@ -105,7 +106,7 @@
         self.announcements = Announcements(resources.clock, lambda: self.chain, self.enter)
         self.heard = self.announcements.heard
         self.clock, self.tasks, self.name = resources.clock, resources.tasks, identity.name
-        self.counting = CountingService(self)
+        self.counting = CountingService(self, lambda: resources.rng.getrandbits(_LIFE_BITS))
         super().__init__(identity, resources, platform)
         self.views.may_found = founds and self.link.addr in self.seeds
         self.orders = OrderRouter(self.clock, self.chain, self.reach, self.name, self.roster.state)
--- a/src/petrelhaven/control/state/control_state.py
+++ b/src/petrelhaven/control/state/control_state.py
@@ -371,15 +371,15 @@
         del past[:-_MOST_PAST_LEADERSHIPS]
 
     def _check_counting(self, record: CountingRecord) -> None:
-        if not record.is_settled:
+        if not record.settles:
             return
         start = self.counting_starts.get(record.node)
-        if start != CountingStart(record.view_number, False):
+        if start is None or start.is_settled or start.seq != record.settles:
             raise Stale(f"node {record.node} began anew since, or is settled")
 
     def _apply_counting(self, record: CountingRecord) -> None:
-        row = list(CountingStart(record.view_number, record.is_settled))
-        self.doc.setdefault("counting", {})[record.node] = row
+        start = record.start_after(self.counting_starts.get(record.node), self.seq + 1)
+        self.doc.setdefault("counting", {})[record.node] = list(start)
 
     def _check_embargo(self, record: EmbargoRecord) -> None:
         from petrelhaven.control.embargo.rules import check
--- a/src/petrelhaven/control/state/counting_record.py
+++ b/src/petrelhaven/control/state/counting_record.py
@@ -14,27 +14,31 @@
     """The last beginning of a node.
 
     Attributes:
-        view_number: The view in which it began.
+        seq: The number of the record by which it began.
+        view_number: The view in which it began; an earlier one while that beginning is not settled.
+        first_view: The view in which it began for the first time.
         is_settled: Whether nothing that was granted before counts in any window any more.
     """
 
+    seq: int
     view_number: int
+    first_view: int
     is_settled: bool
 
 
 @dataclass(frozen=True, slots=True)
 class CountingRecord:
-    """A node begins to count in a view, or (`is_settled`) its beginning is over."""
+    """A node begins to count in a view, or its beginning by record `settles` is over."""
 
     kind: ClassVar[str] = "counting"
     node: str
     view_number: int
-    is_settled: bool = False
+    settles: int = 0
 
     @classmethod
     def from_document(cls, document: Document) -> CountingRecord:
         """Reads what `to_document` made."""
-        return cls(document["node"], document["view"], document["settled"])
+        return cls(document["node"], document["view"], document["settles"])
 
     def to_document(self) -> Document:
         """The record as plain JSON values."""
@@ -42,5 +46,14 @@
             KIND: self.kind,
             "node": self.node,
             "view": self.view_number,
-            "settled": self.is_settled,
+            "settles": self.settles,
         }
+
+    def start_after(self, before: CountingStart | None, seq: int) -> CountingStart:
+        """The node's last beginning after this record, which is number `seq`."""
+        if self.settles and before is not None:
+            return before._replace(is_settled=True)
+        if before is None:
+            return CountingStart(seq, self.view_number, self.view_number, False)
+        view_number = self.view_number if before.is_settled else before.view_number
+        return CountingStart(seq, view_number, before.first_view, False)
--- a/src/petrelhaven/limits/counter.py
+++ b/src/petrelhaven/limits/counter.py
@@ -113,6 +113,9 @@
             self._accounts[key] = account
             return account
         self._count(report.used - account.used, now)
+        if report.granted > account.granted:  # by the node that counted before
+            self._inherited -= min(self._inherited, report.granted - account.granted)
+            account.granted = report.granted
         account.used = max(account.used, report.used)
         account.returned = max(account.returned, report.returned)
         account.granted = max(account.granted, account.used + account.returned)
--- a/src/petrelhaven/limits/standby.py
+++ b/src/petrelhaven/limits/standby.py
@@ -5,12 +5,13 @@
 from typing import NamedTuple
 
 from petrelhaven.limits.counter import TenantCounter
+from petrelhaven.limits.regime import Regime
 from petrelhaven.limits.usage_window import UsageWindow
 
 __all__ = ["STANDBY_LIFE_US", "CounterCopy", "Standby"]
 
-STANDBY_LIFE_US = 5_000_000
-"""How long a copy may serve a successor after it came."""
+STANDBY_LIFE_US = 4_000_000
+"""How long a copy may serve a successor after it was made."""
 
 
 class CounterCopy(NamedTuple):
@@ -22,6 +23,8 @@
         outstanding: How many permits may still be used.
         reserve: How many more may be granted until the next copy.
         first: Whether this is the first copy, which stands for all that came before.
+        regime: The value of the counter's `Regime`.
+        regime_left_us: How much longer that regime lasts, in microseconds; 0 for a regular one.
     """
 
     tenant: str
@@ -29,43 +32,86 @@
     outstanding: int
     reserve: int
     first: bool
+    regime: str = Regime.REGULAR.value
+    regime_left_us: int = 0
 
 
 class Standby:
-    """Follows one tenant's count, so that the node can go on with it."""
+    """Follows one tenant's count, so that the node can go on with it.
+
+    Attributes:
+        regime: The regime of the counter.
+        regime_left_us: How much longer that lasted when the newest copy was made.
+    """
 
     def __init__(self, window_us: int) -> None:
         """Knows nothing yet."""
         self._window = UsageWindow(window_us)
         self._bound = 0
-        self._received_at: int | None = None
-
-    def take(self, copy: CounterCopy, now: int) -> bool:
-        """Takes a copy; False if one before it is missing.
-
-        Uses count from now on, which is later than they happened.
+        self._expires_at = 0
+        self._life = -1
+        self._number = 0
+        self._former_lives: set[int] = set()
+        self.regime = Regime.REGULAR
+        self.regime_left_us = 0
+
+    def take(self, copy: CounterCopy, life: int, number: int, expires_at: int, now: int) -> bool:
+        """Takes a copy. Its uses count from now on, which is later than they happened.
+
+        Args:
+            copy: The copy.
+            life: Which process made it.
+            number: Its number among that process's copies.
+            expires_at: Until when it may serve, by the clock here.
+            now: The present time.
+
+        Returns:
+            False if it is out of date, or one before it is missing.
         """
+        if not self._is_next(copy, life, number):
+            return False
         if copy.first:
             self._window = UsageWindow(self._window.window_us)
-        elif self._received_at is None:
-            return False
         self._window.advance(now)
         self._window.add(copy.used, now)
         self._bound = copy.outstanding + copy.reserve
-        self._received_at = now
+        self._expires_at = expires_at
+        self.regime, self.regime_left_us = Regime(copy.regime), copy.regime_left_us
+        return True
+
+    def _is_next(self, copy: CounterCopy, life: int, number: int) -> bool:
+        if life in self._former_lives:
+            return False
+        if life != self._life:
+            if not copy.first:
+                return False
+            self._former_lives.add(self._life)
+            self._life, self._number = life, 0
+        if number <= self._number:
+            return False
+        self._number = number
         return True
 
     def is_current(self, now: int) -> bool:
         """Whether what is known here bounds what the counting node has granted."""
-        return self._received_at is not None and now - self._received_at <= STANDBY_LIFE_US
+        return now <= self._expires_at
 
     def copy(self, tenant: str, now: int) -> CounterCopy:
         """What is known here, as a first copy for a node that has forgotten it."""
         self._window.advance(now)
-        return CounterCopy(tenant, self._window.total, self._bound, 0, True)
-
-    def counter(self, allowance: int, now: int) -> TenantCounter:
-        """A counter that goes on from here."""
-        counter = TenantCounter(allowance, self._window.window_us)
+        return CounterCopy(
+            tenant,
+            self._window.total,
+            self._bound,
+            0,
+            True,
+            self.regime.value,
+            self.regime_left_us,
+        )
+
+    def counter(self, now: int) -> TenantCounter:
+        """A counter that goes on from here; its allowance is still to be set."""
+        self._window.advance(now)
+        counter = TenantCounter(0, self._window.window_us)
         counter.inherit(self._window, self._bound, now)
         return counter
--- a/src/petrelhaven/transport/contracts.py
+++ b/src/petrelhaven/transport/contracts.py
@@ -199,12 +199,12 @@
 # Numbers of an account only grow, and a copy that counts twice counts too much, never too little.
 _contract(MessageKind.QUOTA_REPORT, Repeat.SAFE, "name:string rows:doc", "rows:doc")
 _contract(MessageKind.QUOTA_COUNT, Repeat.SAFE, "view:long rows:doc", "rows:doc")
-_contract(MessageKind.QUOTA_COPY, Repeat.SAFE, "view:long fresh:boolean rows:doc")
+_contract(MessageKind.QUOTA_COPY, Repeat.SAFE, "view:long life:long number:long bound:doc rows:doc")
 _contract(
     MessageKind.QUOTA_FETCH,
     Repeat.SAFE,
     "view:long tenants:strings",
-    "view:long fresh:boolean rows:doc",
+    "view:long rows:doc",
 )
 _contract(MessageKind.AGREED_TIME_READ, Repeat.SAFE, "name:string", "ok:boolean lo:long hi:long")
 _contract(MessageKind.WALL_CLOCK_READ, Repeat.SAFE, "name:string", "wall:long")
--- a/src/petrelhaven/transport/quota_messages.py
+++ b/src/petrelhaven/transport/quota_messages.py
@@ -14,7 +14,14 @@
 from petrelhaven.limits.reports import AccountReport, Grant
 from petrelhaven.limits.standby import CounterCopy
 
-__all__ = ["CopyList", "CountRequest", "GrantList", "ReportList"]
+__all__ = [
+    "CopyList",
+    "CountRequest",
+    "GrantList",
+    "ReportList",
+    "copies_from",
+    "copy_rows",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,23 +84,43 @@
 class CopyList:
     """What a counting node sends its successor with `quota.copy`.
 
-    The successor answers a `quota.fetch` with the same. `is_restarting` tells that the node may
-    grant only what is allowed after a restart.
+    Attributes:
+        view_number: The view in which it counts the tenants.
+        life: Which process sends it.
+        number: Its number among that process's copies.
+        expiry: When the copies may serve no longer, by the clock of the successor.
+        copies: The copies.
     """
 
     view_number: int
-    is_restarting: bool
+    life: int
+    number: int
+    expiry: Sequence[int]
     copies: Sequence[CounterCopy]
 
     def to_body(self) -> dict[str, Any]:
         """The fields as they are sent."""
         return {
             "view": self.view_number,
-            "fresh": self.is_restarting,
-            "rows": [list(copy) for copy in self.copies],
+            "life": self.life,
+            "number": self.number,
+            "bound": list(self.expiry),
+            "rows": copy_rows(self.copies),
         }
 
     @classmethod
     def from_body(cls, body: Mapping[str, Any]) -> CopyList:
         """Reads what `to_body` wrote."""
-        return cls(body["view"], body["fresh"], [CounterCopy(*row) for row in body["rows"]])
+        return cls(
+            body["view"], body["life"], body["number"], body["bound"], copies_from(body["rows"])
+        )
+
+
+def copy_rows(copies: Sequence[CounterCopy]) -> list[list[Any]]:
+    """Copies as they are sent, also in the answer to a `quota.fetch`."""
+    return [list(copy) for copy in copies]
+
+
+def copies_from(rows: Sequence[Sequence[Any]]) -> list[CounterCopy]:
+    """Reads what `copy_rows` wrote."""
+    return [CounterCopy(*row) for row in rows]
