--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -98,7 +98,7 @@
         http_server = LightHttpServer("127.0.0.1", 0)
         ControlRoutes(
             ControlNode(fault),
-            SimpleNamespace(zones=["a"], zone="a", control="h:1"),
+            SimpleNamespace(zones=["a"], zone="a", control="h:1", quota_bounds={}),
             http_server,
         )
         return (await http_server.answer(Request("POST", "/v1/Config.Replace", CONFIGURATION)))[0]
