--- a/src/petrelhaven/control/interface/event_feed.py
+++ b/src/petrelhaven/control/interface/event_feed.py
@@ -48,6 +48,8 @@
         fields = _MEMBER_SUBJECT_FIELDS if record["t"] == "member" else _SUBJECT_FIELDS
         subject = next((record[key] for key in fields if record.get(key)), _SUBJECT_OF_OTHERS)
         shown = {key: value for key, value in record.items() if key not in _INTERNAL_FIELDS}
+        if "text" in shown:
+            shown["text"] = _without_origin(shown["text"])
         return CloudEvent(
             {
                 "id": str(seq),
@@ -69,3 +71,12 @@
             return configuration.get("name")
         name: str = configuration.name
         return name
+
+
+def _without_origin(text: str) -> str:
+    """A configuration's text without the document it was made from, in which keys stand as such."""
+    configuration = json.loads(text)
+    if not configuration.get("keyed"):
+        return text
+    configuration.pop("origin", None)
+    return json.dumps(configuration, separators=(",", ":"))
--- a/src/petrelhaven/control/state/control_state.py
+++ b/src/petrelhaven/control/state/control_state.py
@@ -178,7 +178,9 @@
 
             check_configuration(self.doc, record.embargo)
         digest = self._accepted_digest(record.version)
-        if digest is not None and digest == digest_of(record.text):
+        if digest is not None and (
+            digest == digest_of(record.text) or _has_origin_of(record, accepted)
+        ):
             state = "in force" if record.version == accepted.version else "accepted"
             raise Duplicate(
                 f"version {record.version} is {state} already", details={"version": record.version}
@@ -401,6 +403,14 @@
         }
 
 
+def _has_origin_of(record: ConfigurationRecord, accepted: AcceptedConfiguration) -> bool:
+    """Whether both were made from one document, of which another version made another text."""
+    if record.version != accepted.version:
+        return False
+    origin = json.loads(record.text).get("origin")
+    return bool(origin) and origin == json.loads(accepted.text).get("origin")
+
+
 def _without_count(row: Mapping[str, Any]) -> Document:
     return {key: value for key, value in row.items() if key != "count"}
 
--- a/src/petrelhaven/runtime/key_digest.py
+++ b/src/petrelhaven/runtime/key_digest.py
@@ -12,4 +12,4 @@
 
 def key_digest(key: str) -> str:
     """The digest of a key. Keys are drawn at random and long, so it needs no salt."""
-    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()[:_HEX_DIGITS]
+    return hashlib.sha256(key.encode("utf-8", "surrogatepass")).hexdigest()[:_HEX_DIGITS]
--- /dev/null
+++ b/tests/test_tenant_upgrades.py
@@ -0,0 +1,76 @@
+"""Tenants across a roll-out of the programs, and keys in what control nodes show."""
+
+import json
+import sys
+from pathlib import Path
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
+
+from configuration_documents import configuration_text  # noqa: E402
+from petrelhaven.control.interface.event_feed import EventFeed  # noqa: E402
+from petrelhaven.control.state.control_state import ControlState  # noqa: E402
+from petrelhaven.runtime.errors import Duplicate, VersionTaken  # noqa: E402
+from petrelhaven.runtime.key_digest import key_digest  # noqa: E402
+
+KEY = "aVeryClearKey"
+DOCUMENT = {
+    "Revision": 7,
+    "Services": [{"Name": "db"}],
+    "Routes": [{"Hostname": "h", "Service": "db", "TimeoutMs": 800}],
+    "Tenants": [{"Name": "acme", "ApiKeys": [KEY], "RatePerS": 5, "Burst": 5}],
+}
+
+
+def record(document, **bounds):
+    raw = json.dumps(document).encode()
+    text = configuration_text(raw, ["a"], bounds)
+    return {"t": "manifest", "text": text, "version": document["Revision"], "by": "operator"}
+
+
+def accepted(change):
+    state = ControlState()
+    state.check(change)
+    state.apply(1, change)
+    return state
+
+
+def test_a_document_sent_again_is_known_although_another_version_made_another_text_of_it():
+    """Guards against CONFIG: an acknowledged change that is sent again is refused (409)."""
+    state = accepted(record(DOCUMENT, quota_slack=20))
+    with pytest.raises(Duplicate):
+        state.check(record(DOCUMENT, quota_slack=21))
+
+
+def test_another_document_under_the_version_in_force_is_still_refused():
+    """Guards against CONFIG: other content under the version held is taken."""
+    state = accepted(record(DOCUMENT))
+    with pytest.raises(VersionTaken):
+        state.check(record({**DOCUMENT, "Tenants": []}))
+
+
+def test_a_configuration_that_an_older_version_made_still_asks_for_its_tenants_keys():
+    """Guards against ROUTE after a roll-out: everybody is let in until the next configuration."""
+    change = record(DOCUMENT)
+    older = json.loads(change["text"])
+    del older["keyed"], older["tenants"]
+    state = accepted({**change, "text": json.dumps(older)})
+    configuration = state.configuration
+    assert configuration["keyed"]
+    assert [row["keys"] for row in configuration["tenants"]] == [[key_digest(KEY)]]
+
+
+def test_events_of_a_control_node_tell_no_key():
+    """Guards against keys in a support bundle: the record holds the operator's document."""
+
+    class Store:
+        recs = [(1, 1, record(DOCUMENT))]
+
+    class Chain:
+        store, commit = Store(), 1
+        control_state = accepted(record(DOCUMENT))
+
+    events = json.dumps(EventFeed(Chain()).since(0))
+    assert '"version": 7' in events
+    assert KEY not in events
