A counter has its tenant's allowance before its first copy

Found by the model (L5): the first copies were made with an allowance of 0, so that the reserve was 4 for up to a second, and an idle tenant of 100 a second that asked 50 at once was refused 46 of them.

--- a/src/petrelhaven/control/counting/service.py
+++ b/src/petrelhaven/control/counting/service.py
@@ -58,6 +58,12 @@
             self._regime = Regime.REGULAR
         return self._regime
 
+    def follow(self, table: QuotaTable, tenant: str, now: int) -> None:
+        """Takes the limit in force; a tenant without one keeps the allowance that it had."""
+        quota = table.quotas.get(tenant)
+        if quota is not None:
+            self.counter.allowance = self.regime(now).allowance(table.terms, quota)
+
     def make_copy(self, tenant: str, now: int) -> tuple[CounterCopy, SentCopy]:
         left_us = max(0, self._until - now)
         return self.copies.make(tenant, self.counter, self.regime(now), left_us, now)
@@ -184,12 +190,11 @@
         return [self._count(proxy, report, now) for proxy, report in rows]
 
     def _count(self, proxy: str, report: AccountReport, now: int) -> Grant | None:
-        quota = self._table.quotas.get(report.tenant)
         counted = self._counted.get(report.tenant)
-        if quota is None or counted is None:
+        if counted is None or report.tenant not in self._table.quotas:
             return None
         counter = counted.counter
-        counter.allowance = counted.regime(now).allowance(self._table.terms, quota)
+        counted.follow(self._table, report.tenant, now)
         return counter.report(proxy, report, now, counted.copies.most(counter, now))
 
     # Views
@@ -367,6 +372,8 @@
             return
         now = self._clock.now()
         expiry = clocks.expiry(name, STANDBY_LIFE_US)
+        for tenant, counted in tenants.items():
+            counted.follow(self._table, tenant, now)
         made = {tenant: counted.make_copy(tenant, now) for tenant, counted in tenants.items()}
         copies = [copy for copy, _ in made.values()]
         self._life = self._life or self._draw_life()
