--- a/tests/test_tenant_configuration.py
+++ b/tests/test_tenant_configuration.py
@@ -271,6 +271,17 @@
     assert [at for at, _ in declined.value.details["faults"]] == ["Routes[0].Public"]
 
 
+@pytest.mark.parametrize("key", ["\ud800", "k\udfff", "\udc80"])
+@pytest.mark.parametrize("field", ["ApiKeys", "Name"])
+def test_half_a_character_in_a_tenant_is_taken_or_declined_with_a_typed_fault(field, key):
+    # CONFIG: an invalid configuration calls for a 4xx; a fault without a type is a 500, and the operator sends it again
+    tenant = {**ACME, field: [key] if field == "ApiKeys" else key}
+    try:
+        accepted(document(tenant))
+    except Invalid as declined:
+        assert declined.status == 422
+
+
 # Which documents are taken
 
 
