--- a/tests/test_tenant_bounds.py
+++ b/tests/test_tenant_bounds.py
@@ -1,6 +1,7 @@
 """Bounds of the settings file that concern tenants: keys out of touch, and how limits are judged."""
 
 import json
+from types import SimpleNamespace
 
 import pytest
 from test_platform_boot import EDGE
@@ -9,6 +10,7 @@
 from boot import load  # isort: skip
 from configuration_documents import configuration_text  # isort: skip
 from petrelhaven.control.configuration.parsing import parse_configuration
+from petrelhaven.control.interface.event_feed import EventFeed
 from petrelhaven.control.state.control_state import ControlState
 from petrelhaven.runtime.errors import Duplicate
 
@@ -126,3 +128,17 @@
     made = json.loads(text)
     assert KEY in made.pop("origin")
     assert KEY not in json.dumps(made) and OTHER_KEY not in json.dumps(made)
+
+
+def test_events_tell_no_key_of_a_configuration_that_an_older_version_made():
+    # keys in what programs outside the fleet are sent: records that were made before tenants were read
+    made = json.loads(configuration_text(json.dumps(document(LIMITED)).encode(), ["a"]))
+    del made["keyed"], made["tenants"]
+    record = {"t": "manifest", "text": json.dumps(made), "version": 1}
+    control_state = ControlState()
+    control_state.apply(1, record)
+    chain = SimpleNamespace(
+        store=SimpleNamespace(recs=[(1, 1, record)]), commit=1, control_state=control_state
+    )
+    events = EventFeed(chain).since(0)
+    assert len(events) == 1 and KEY not in json.dumps(events)
