--- a/src/petrelhaven/control/interface/event_feed.py
+++ b/src/petrelhaven/control/interface/event_feed.py
@@ -76,7 +76,7 @@
 def _without_origin(text: str) -> str:
     """A configuration's text without the document it was made from, in which keys stand as such."""
     configuration = json.loads(text)
-    if not configuration.get("keyed"):
+    if "origin" not in configuration:
         return text
-    configuration.pop("origin", None)
+    del configuration["origin"]
     return json.dumps(configuration, separators=(",", ":"))
