Simulator: fleets with tenants, their keys and limits; storms against them and a judge of what members ran

SimulatedFleet(tenants=N) gives the configuration tenants, clients show keys (also old and unknown ones), members hear the tenant at connect. The judge holds what ran against every version that was sent: ROUTE, UNASKED, CONFIG for keys taken away or refused, QUOTA over every sliding window.

--- a/src/petrelhaven/simulator/connection_sessions/attempt.py
+++ b/src/petrelhaven/simulator/connection_sessions/attempt.py
@@ -8,7 +8,7 @@
 class Attempt:
     """Its statements in order; a transaction's first one is its BEGIN."""
 
-    __slots__ = ("client", "group", "stale_us", "transaction", "statements")
+    __slots__ = ("client", "group", "stale_us", "transaction", "statements", "key", "is_public")
 
     def __init__(self, client, group, stale_us, transaction):
         self.client, self.group, self.stale_us, self.transaction = (
@@ -18,6 +18,7 @@
             transaction,
         )
         self.statements = []
+        self.key, self.is_public = "", False
 
     @property
     def outcome(self):
--- a/src/petrelhaven/simulator/connection_sessions/client.py
+++ b/src/petrelhaven/simulator/connection_sessions/client.py
@@ -165,15 +165,20 @@
                 await self._prepare(n, end)
             return
         self._close()
-        self._front = await Front.open(
-            self.fleet.net, self.fleet.out, self.rng.choice(self.fleet.edges), self.host, 800_000
-        )
+        self._front = await self._connect(self.rng.choice(self.fleet.edges))
         for _ in range(self.rng.randrange(3)):
             await self._set(end)
         for n in _NAMES:
             if self.rng.random() < 0.7:
                 await self._prepare(n, end)
 
+    async def _connect(self, edge):
+        """A session at `edge`."""
+        return await self._front_at(edge)
+
+    async def _front_at(self, edge, key=""):
+        return await Front.open(self.fleet.net, self.fleet.out, edge, self.host, 800_000, key)
+
     async def _prepare(self, n, end):
         shape = f"{'put' if self.mix[1] and self.rng.random() < 0.5 else 'get'} q{self.rng.randrange(3)}"
         await self._request(
--- a/src/petrelhaven/simulator/connection_sessions/connection.py
+++ b/src/petrelhaven/simulator/connection_sessions/connection.py
@@ -14,6 +14,7 @@
     def __init__(self, member, line, number):
         self.member, self.line, self.number = member, line, number
         self.values, self.prepared = {}, {}
+        self.who = ""
         self.transaction = None
         self.failed = self.ended = self.unanswered = False
         self.unresponsive_since = None
@@ -91,7 +92,8 @@
         return await getattr(self, "_" + o.verb)(o)
 
     async def _connect(self, o):
-        await self.member.admit(*o.args)
+        group, name, self.who = o.args
+        await self.member.admit(group, name)
         return (), "-"
 
     async def _access(self, o):
--- a/src/petrelhaven/simulator/connection_sessions/fleet.py
+++ b/src/petrelhaven/simulator/connection_sessions/fleet.py
@@ -17,6 +17,9 @@
 from petrelhaven.simulator.connection_sessions.history import History
 from petrelhaven.simulator.connection_sessions.judge import judge
 from petrelhaven.simulator.connection_sessions.member import DatabaseMember
+from petrelhaven.simulator.connection_sessions.tenancy import Tenancy
+from petrelhaven.simulator.connection_sessions.tenant_client import TenantClient
+from petrelhaven.simulator.connection_sessions.tenant_judge import judge_tenants
 from petrelhaven.simulator.connection_sessions.wire import SimulatedWire
 from petrelhaven.simulator.net import Net, SimulatedMachine
 
@@ -37,7 +40,17 @@
     stale_us = 1_500_000
     heartbeat_us = 1_200_000
 
-    def __init__(self, seed, edges=4, groups=1, lag_us=30_000, cap=None, took_us=None, losses=1):
+    def __init__(
+        self,
+        seed,
+        edges=4,
+        groups=1,
+        lag_us=30_000,
+        cap=None,
+        took_us=None,
+        losses=1,
+        tenants=0,
+    ):
         self.rng = random.Random(seed)
         self.loop = asyncio.get_running_loop()
         cap = cap or self.rng.choice((10, 20, 40))
@@ -46,6 +59,7 @@
         self.history = History()
         self.clients = []
         self.losses = losses
+        self.tenancy = Tenancy(random.Random(seed * 7919 + 3), tenants) if tenants else None
         self.cores = [
             SimulatedMachine(self.net, f"c{i + 1}", _ZONES[i % 3], self._rate())
             for i in range(2 * losses + 1)
@@ -93,6 +107,11 @@
                         "stale_us": us,
                     }
                 )
+        tenants, bounds = {}, {}
+        if self.tenancy is not None:
+            tenants = self.tenancy.fields(version, self.loop.time())
+            bounds = self.tenancy.bounds()
+            routes += [self._public_route(route) for route in routes if route["reads"] == "strong"]
         return json.dumps(
             {
                 "name": "fleet",
@@ -102,10 +121,17 @@
                     {"name": g, "cap": x.cap, "sync": x.sync} for g, x in self.groups.items()
                 ],
                 "routes": routes,
-                "bounds": {"keepers": 0, "idle_txn_us": 3_000_000},
+                "bounds": {"keepers": 0, "idle_txn_us": 3_000_000, **bounds},
+                **tenants,
             }
         )
 
+    @staticmethod
+    def _public_route(route):
+        """The same as a route, without a key."""
+        name = route["host"] + "-public"
+        return {**route, "name": name, "host": name, "public": True}
+
     def seeds_for(self, b):
         """The seeds that the settings of machine `b` name."""
         return list(self.seeds)
@@ -251,6 +277,8 @@
         r = await self._order(lambda n: n.apply(self.configuration(version, **kw)), by)
         if r is not None:
             self.taken.append((self.loop.time(), version))
+            if self.tenancy is not None:
+                self.tenancy.acknowledged(version, self.loop.time())
         return r
 
     async def zone(self, zone, state, by=0):
@@ -314,7 +342,8 @@
         """Starts clients, every third of them on a browsing route."""
         for _ in range(count):
             i = len(self.clients)
-            c = Client(self, i, random.Random(self.rng.random()), browsing=i % 3 == 2, **kw)
+            made = Client if self.tenancy is None else TenantClient
+            c = made(self, i, random.Random(self.rng.random()), browsing=i % 3 == 2, **kw)
             self.clients.append(c)
             self.out.tasks.spawn(c.run())
 
@@ -352,4 +381,8 @@
 
     def verdict(self):
         """Everything that must never happen and did."""
-        return list(self.net.findings) + judge(self.history)
+        bad = list(self.net.findings) + judge(self.history)
+        if self.tenancy is not None:
+            edges = [edge.name for edge in self.edges]
+            bad += judge_tenants(self.history, self.tenancy, edges)
+        return bad
--- a/src/petrelhaven/simulator/connection_sessions/front.py
+++ b/src/petrelhaven/simulator/connection_sessions/front.py
@@ -4,7 +4,7 @@
 import collections
 
 from petrelhaven.proxy.session.statement import Reply
-from petrelhaven.runtime.errors import Fault, NoRoute, NotSent, Unreachable
+from petrelhaven.runtime.errors import Denied, Fault, NoRoute, NotSent, Unreachable
 from petrelhaven.simulator.net import _Pipe
 
 __all__ = ["Front"]
@@ -24,23 +24,23 @@
         client.pipes[self._key] = edge.pipes[self._key] = self
 
     @classmethod
-    async def open(cls, net, client, edge, host, us):
+    async def open(cls, net, client, edge, host, us, key=""):
         """A session at `edge`; Unsent or Late otherwise."""
         if not edge.up or edge.node is None or net.is_cut(client.name, edge.name):
             raise NotSent(edge.name)
         c = cls(net, client, edge)
         try:
-            r = await client.clock.limit(c.ask(host), us)
+            r = await client.clock.limit(c.ask((host, key)), us)
         except Fault:
             c.close()
             raise
         if not r.ok:
             c.close()
-            raise NotSent(r.code)
+            raise Denied(edge.name) if r.code == "denied" else NotSent(r.code)
         return c
 
     def ask(self, a):
-        """A future of the Reply to a statement (or to a host's name)."""
+        """A future of the Reply to a statement (or to a host's name and a key)."""
         f = asyncio.get_running_loop().create_future()
         if self.lost:
             f.set_exception(Unreachable("connection lost"))
@@ -87,10 +87,12 @@
             try:
                 if not self.proxy.ready:
                     return self._reply(Reply(code="busy"))
-                self._session = self.proxy.open(a)
+                self._session = self.proxy.open(*a)
                 return self._reply(Reply())
             except NoRoute:
                 return self._reply(Reply(code="unknown"))
+            except Denied:
+                return self._reply(Reply(code="denied"))
         self._asked.append(a)
         if not self._on:
             self._on = True
--- a/src/petrelhaven/simulator/connection_sessions/member.py
+++ b/src/petrelhaven/simulator/connection_sessions/member.py
@@ -195,6 +195,7 @@
             tip=self.tip,
             stamp=f"{self.name}/{self._stamps}",
             rows=rows,
+            who=c.who,
         )
         self.group.history.runs.append(r)
         return r
--- a/src/petrelhaven/simulator/connection_sessions/member_connection.py
+++ b/src/petrelhaven/simulator/connection_sessions/member_connection.py
@@ -33,9 +33,9 @@
         """How many statements still wait for their reply."""
         return len(self._wait)
 
-    def connect(self, group, member):
-        """Introduces this connection."""
-        return self._order(Order("-", "connect", (group, member)), "connect")
+    def connect(self, group, member, tenant=""):
+        """Introduces this connection, which is for statements of `tenant`."""
+        return self._order(Order("-", "connect", (group, member, tenant)), "connect")
 
     def ask(self, a, after=None, alias=None):
         """A future of the Reply to a client's statement."""
--- a/src/petrelhaven/simulator/connection_sessions/run.py
+++ b/src/petrelhaven/simulator/connection_sessions/run.py
@@ -23,6 +23,7 @@
         "tip",
         "stamp",
         "rows",
+        "who",
     )
 
     def __init__(self, **kw):
--- a/src/petrelhaven/simulator/connection_sessions/storm.py
+++ b/src/petrelhaven/simulator/connection_sessions/storm.py
@@ -22,10 +22,10 @@
     return out
 
 
-async def play(f, rows, clients=9, settle=15.0):
+async def play(f, rows, clients=9, settle=15.0, faults=Faults):
     """Starts the fleet, brings the faults about under load, and returns what was violated."""
     await f.start()
-    s = Faults(f)
+    s = faults(f)
     f.start_clients(clients)
     await asyncio.sleep(0.5)
     t0 = f.loop.time()
@@ -80,13 +80,16 @@
         asyncio.set_event_loop(None)
 
 
-def run(seed, rows=None, clients=9, count=6, kinds=None, **kw):
+def run(seed, rows=None, clients=9, count=6, kinds=None, faults=Faults, **kw):
     """One seeded storm: (violations, fleet)."""
 
     async def go(f):
         try:
             return await play(
-                f, rows if rows is not None else schedule(seed, count, kinds), clients
+                f,
+                rows if rows is not None else schedule(seed, count, kinds),
+                clients,
+                faults=faults,
             )
         except AssertionError as e:
             return [("stuck", str(e)), *f.verdict()]
--- a/src/petrelhaven/simulator/connection_sessions/wire.py
+++ b/src/petrelhaven/simulator/connection_sessions/wire.py
@@ -33,7 +33,9 @@
                 raise NotSent("refused")
         c = SimulatedMemberConnection(self.net, self.machine, to)
         try:
-            r = await self.clock.limit(c.connect(group, member), max(1000, end - self.clock.now()))
+            r = await self.clock.limit(
+                c.connect(group, member, tenant), max(1000, end - self.clock.now())
+            )
         except DeadlineExceeded:
             c.close()
             raise NotSent("mute") from None
