--- a/src/petrelhaven/proxy/node.py
+++ b/src/petrelhaven/proxy/node.py
@@ -255,6 +255,8 @@
     def open(self, host: str, client: str = "") -> ClientSession:
         """A new session for a client that names itself, or shows a key where keys are asked for.
 
+        `client` is the key as a whole, or a name and whatever follows it.
+
         Raises:
             NoRoute: no route of the configuration has this host.
             Denied: no tenant has the key, and the route is not public.
@@ -265,7 +267,7 @@
         if tenant is None:
             self.count["denied"] += 1
             raise Denied("no tenant has this key")
-        name = tenant.name if self.tenants.is_required else client
+        name = tenant.name if self.tenants.is_required else client.partition(" ")[0]
         session = ClientSession(host, name, digest, tenant.name)
         self.sessions.add(session)
         if route.reads == "strong":
@@ -322,6 +324,9 @@
         request = Request(session, statement, route, group, started + limit_us, tenant or NOBODY)
         if tenant is None:
             return self._deny(request)
+        if self._has_moved(session, tenant):
+            text = "another tenant has this key now"
+            return self._path.transactions.abort(request, text)
         if tenant is not NOBODY and not self._keys_are_certain():
             return self._path.transactions.refuse(request, self.retry_after())
         self._follow_tenant(session, tenant)
@@ -346,13 +351,18 @@
             return self._path.transactions.abort(request, text, "denied")
         return Reply(code="denied", text=text, state=request.session.mark)
 
-    def _follow_tenant(self, session: ClientSession, tenant: Tenant) -> None:
-        """Another tenant may have the session's key by now; a transaction stays where it is."""
+    @staticmethod
+    def _has_moved(session: ClientSession, tenant: Tenant) -> bool:
+        """Whether the session's open transaction has a connection of another tenant."""
         transaction = session.transaction
-        if transaction is None or transaction.connection is None:
-            session.tenant = tenant.name
-            if self.tenants.is_required:
-                session.client = tenant.name
+        is_bound = transaction is not None and transaction.connection is not None
+        return is_bound and session.tenant != tenant.name
+
+    def _follow_tenant(self, session: ClientSession, tenant: Tenant) -> None:
+        """The session's key belongs to `tenant` by now."""
+        session.tenant = tenant.name
+        if self.tenants.is_required:
+            session.client = tenant.name
 
     async def _run_slotted(self, request: Request, horizon_us: int) -> Reply:
         session = request.session
