--- a/src/petrelhaven/simulator/connection_sessions/tenancy.py
+++ b/src/petrelhaven/simulator/connection_sessions/tenancy.py
@@ -68,11 +68,12 @@
         self.excess = rng.choice((0.0, 0.1))
         self.slack = rng.choice((5, 20))
         self.versions: dict[int, Version] = {}
-        self.hot: set[str] = set()
         self._next = {
             name: self._drawn(name, index)
             for index, name in enumerate(f"t{number + 1}" for number in range(count))
         }
+        limited = [name for name, terms in self._next.items() if terms.rate != NO_LIMIT]
+        self.hot = set(rng.sample(limited, len(limited) // 2))
 
     def _drawn(self, name: str, index: int) -> TenantTerms:
         rate, burst = _LIMITS[index % len(_LIMITS)]
--- a/src/petrelhaven/simulator/connection_sessions/tenant_faults.py
+++ b/src/petrelhaven/simulator/connection_sessions/tenant_faults.py
@@ -102,9 +102,11 @@
     async def _hot_tenant(self, drawn: random.Random) -> None:
         """The clients of a tenant send as fast as they get answers."""
         name = drawn.choice(self.f.tenancy.names())
-        self.f.tenancy.hot.add(name)
-        await asyncio.sleep(drawn.uniform(2, 8))
-        self.f.tenancy.hot.discard(name)
+        hot = self.f.tenancy.hot
+        if name not in hot:
+            hot.add(name)
+            await asyncio.sleep(drawn.uniform(2, 8))
+            hot.discard(name)
 
     # Machines
 
--- a/src/petrelhaven/simulator/connection_sessions/tenant_judge.py
+++ b/src/petrelhaven/simulator/connection_sessions/tenant_judge.py
@@ -126,20 +126,16 @@
 
     def _late(self, run: Run, attempt: Attempt, statement: Statement) -> Iterator[Finding]:
         """A proxy in touch goes by the versions that bind."""
-        holders = self._binding_holders(attempt.key, statement.sent, run.at, run.node)
-        if holders is None:
-            return
-        if not holders and not attempt.is_public:
+        holders = self._binding_holders(attempt, statement.sent, run)
+        if holders == set():
             yield (
                 "CONFIG",
                 run.num,
                 run.node,
                 f"{attempt.key} ran at {run.at:.2f}, sent {statement.sent:.2f}, though taken away",
             )
-        begun = attempt.statements[0].sent
-        binding = self._binding_holders(attempt.key, begun, run.at, run.node)
-        names = (binding or set()) | ({""} if attempt.is_public and not holders else set())
-        if holders and binding and run.who not in names:
+        names = self._binding_holders(attempt, attempt.statements[0].sent, run)
+        if names and run.who not in names:
             yield "UNASKED", run.num, run.node, f"{run.who!r} is told, the key is {names}'s"
 
     def refused_keys(self) -> Iterator[Finding]:
@@ -159,12 +155,13 @@
         versions = self._tenancy.binding(since, until)
         return {name for v in versions if (name := v.holder(key)) is not None}
 
-    def _binding_holders(self, key: str, sent: float, at: float, node: str) -> set[str] | None:
-        """Who may have `key` for a proxy in touch; None where nothing binds it."""
+    def _binding_holders(self, attempt: Attempt, sent: float, run: Run) -> set[str] | None:
+        """Whom a proxy in touch may name; "" stands for nobody. None where nothing binds it."""
         since = self._tenancy.newest_acknowledged(sent - self._apply_s)
-        if not since or not self._in_touch(node, sent, at):
+        if not since or not self._in_touch(run.node, sent, run.at):
             return None
-        return self._holders(key, since, at)
+        found = {v.holder(attempt.key) for v in self._tenancy.binding(since, run.at)}
+        return {name or "" for name in found if name or attempt.is_public}
 
     def _in_touch(self, node: str, sent: float, at: float) -> bool:
         return self._history.in_touch(node, at, self._contact_s + at - sent)
--- /dev/null
+++ b/tests/test_tenant_storm.py
@@ -0,0 +1,132 @@
+"""Storms against a fleet with tenants; each rule is seen broken once its guard is out."""
+
+import asyncio
+
+import pytest
+
+from petrelhaven.limits.counter import TenantCounter
+from petrelhaven.limits.holding import Holding
+from petrelhaven.proxy.node import ProxyNode
+from petrelhaven.proxy.pool.member_connection import MemberConnection
+from petrelhaven.proxy.tenants.admission import QuotaAdmission
+from petrelhaven.proxy.tenants.directory import TenantDirectory
+from petrelhaven.simulator.connection_sessions.storm import inside
+from petrelhaven.simulator.connection_sessions.tenant_storm import run
+
+_SERVED_AT_LEAST = 100
+
+
+def rules(bad):
+    return {finding[0] for finding in bad}
+
+
+# ROUTE, UNASKED, CONFIG and QUOTA under series of faults and faults that overlap.
+@pytest.mark.parametrize("seed", [1, 2, 3, 6])
+def test_a_storm_against_tenants_keys_and_limits_breaks_no_rule(seed):
+    bad, fleet = run(seed)
+    assert bad == []
+    assert sum(client.served for client in fleet.clients) > _SERVED_AT_LEAST
+
+
+def calm_play(seed=5, span_s=18.0):
+    """A play without faults in which every limited tenant is hot for a while; (findings, fleet)."""
+
+    async def go(fleet):
+        await fleet.start()
+        fleet.start_clients(18)
+        await asyncio.sleep(span_s / 3)
+        fleet.tenancy.hot.update(fleet.tenancy.names())
+        await asyncio.sleep(span_s / 3)
+        fleet.tenancy.hot.clear()
+        fleet.tenancy.change(*map(fleet.tenancy.with_another_key, ("t1", "t2")))
+        await fleet.apply(2)
+        await asyncio.sleep(span_s / 3)
+        await fleet.calm()
+        return fleet.verdict()
+
+    return inside(go, seed, tenants=6, cap=60)
+
+
+# The judge itself: a play in which nothing is wrong, with every kind of client, finds nothing.
+def test_hot_tenants_without_faults_break_no_rule():
+    bad, fleet = calm_play()
+    assert bad == []
+    assert fleet.history.key_refusals, "no client showed a wrong key"
+    assert {run.who for run in fleet.history.runs} >= {"", "t1", "t2", "t3"}
+
+
+def everybody_is_let_in(patch):
+    identify = TenantDirectory.identify
+    patch.setattr(TenantDirectory, "identify", lambda self, key, public: identify(self, key, True))
+
+
+def members_hear_nobody(patch):
+    patch.setattr(
+        ProxyNode, "_follow_tenant", lambda self, session, tenant: setattr(session, "tenant", "")
+    )
+
+
+class _AnyTenant(str):
+    """Equal to every tenant's name."""
+
+    def __eq__(self, other):
+        return True
+
+    __hash__ = None
+
+
+def connections_are_shared(patch):
+    shared = property(lambda self: _AnyTenant(), lambda self, _: None)
+    patch.setattr(MemberConnection, "tenant", shared, raising=False)
+
+
+def keys_stay_as_at_first(patch):
+    configure = ProxyNode._configure
+
+    def keep(self, configuration):
+        known = self.tenants
+        configure(self, configuration)
+        if known.is_required:
+            self.tenants = known
+
+    patch.setattr(ProxyNode, "_configure", keep)
+
+
+def nothing_is_counted(patch):
+    def admit(self, tenant, aim_us, end):
+        return None
+        yield
+
+    patch.setattr(QuotaAdmission, "admit", admit)
+
+
+def nodes_count_without_a_bound(patch):
+    report = TenantCounter.report
+
+    def unbounded(self, *args, **kwargs):
+        self.allowance = 1 << 30
+        return report(self, *args, **kwargs)
+
+    patch.setattr(TenantCounter, "report", unbounded)
+
+
+def permits_never_run_out(patch):
+    patch.setattr(Holding, "balance", property(lambda self: 1 if self._granted else 0))
+
+
+# The rules of the judge: a guard that is out is found in a play without any fault.
+@pytest.mark.parametrize(
+    ("mutant", "rule"),
+    [
+        (everybody_is_let_in, "ROUTE"),
+        (members_hear_nobody, "UNASKED"),
+        (connections_are_shared, "UNASKED"),
+        (keys_stay_as_at_first, "CONFIG"),
+        (nothing_is_counted, "QUOTA"),
+        (nodes_count_without_a_bound, "QUOTA"),
+        (permits_never_run_out, "QUOTA"),
+    ],
+)
+def test_a_guard_that_is_out_is_found(monkeypatch, mutant, rule):
+    mutant(monkeypatch)
+    assert rule in rules(calm_play()[0])
