--- a/src/petrelhaven/simulator/connection_sessions/tenancy.py
+++ b/src/petrelhaven/simulator/connection_sessions/tenancy.py
@@ -64,9 +64,9 @@
     def __init__(self, rng: random.Random, count: int) -> None:
         """Draws `count` tenants and the bounds by which limits are judged."""
         self._rng, self._keys_made = rng, 0
-        self.window_s = rng.choice((2, 5))
+        self.window_s = rng.choice((2, 5, 15))
         self.excess = rng.choice((0.0, 0.1))
-        self.slack = rng.choice((5, 20))
+        self.slack = rng.choice((3, 20))
         self.versions: dict[int, Version] = {}
         self._next = {
             name: self._drawn(name, index)
--- a/src/petrelhaven/simulator/connection_sessions/tenant_faults.py
+++ b/src/petrelhaven/simulator/connection_sessions/tenant_faults.py
@@ -6,12 +6,13 @@
 import dataclasses
 import random
 from collections.abc import Sequence
+from typing import Any
 
 from petrelhaven.simulator.connection_sessions.faults import Faults
 from petrelhaven.simulator.connection_sessions.tenancy import NO_LIMIT, TenantTerms
 from petrelhaven.simulator.net import SimulatedMachine
 
-__all__ = ["TENANT_KINDS", "TenantFaults"]
+__all__ = ["COUNTING_KINDS", "TENANT_KINDS", "PressedFaults", "TenantFaults"]
 
 TENANT_KINDS = [
     "revoke",
@@ -48,6 +49,29 @@
 ]
 """Kinds that come one after the other or overlap, as a schedule draws them."""
 
+COUNTING_KINDS = [
+    "core_series",
+    "core_instant",
+    "core_instant",
+    "core_freeze",
+    "core_freeze",
+    "core_one_way",
+    "core_kill",
+    "core_all",
+    "core_disk",
+    "disk_stall",
+    "edge_one_way",
+    "edge_cut",
+    "edge_freeze",
+    "herd_kill",
+    "limits",
+    "isolate",
+    "bridge",
+    "cut_one",
+    "noise",
+]
+"""Kinds that who counts, and what is known of the count, are exposed to."""
+
 _LIMITS = ((0, 0), (1, 2), (4, 0), (8, 8), (25, 10), (60, 40), (NO_LIMIT, 0))
 _US_PER_S = 1_000_000
 
@@ -163,3 +187,12 @@
         ways = [[m.name for m in ones], [m.name for m in others]]
         drawn.shuffle(ways)
         self.f.cut(ways[0], ways[1], int(drawn.uniform(0.5, 7) * _US_PER_S), both=False)
+
+
+class PressedFaults(TenantFaults):
+    """The same, while every tenant that may have a limit is hot all the time."""
+
+    def __init__(self, fleet: Any) -> None:  # noqa: ANN401
+        """Has all tenants but the first send as fast as they can."""
+        super().__init__(fleet)
+        fleet.tenancy.hot.update(fleet.tenancy.names()[1:])
