test_tenant_configuration: a key that moves ends the open transaction; half a character in a key

The test of a key that moves asked that an open transaction goes on under the former tenant's name. That was wrong: once ApplyMs has passed, each of its statements is one that only an older version allows (CONFIG), under a name that is not the key's (UNASKED). It asks now that the transaction ends with ABORTED, that nothing of it is kept and its connection is closed, and that all later ones run under the new name.

New: a tenant's key or name with half a surrogate pair is taken or declined with a type.

--- a/tests/test_tenant_configuration.py
+++ b/tests/test_tenant_configuration.py
@@ -271,6 +271,17 @@
     assert [at for at, _ in declined.value.details["faults"]] == ["Routes[0].Public"]
 
 
+@pytest.mark.parametrize("key", ["\ud800", "k\udfff", "\udc80"])
+@pytest.mark.parametrize("field", ["ApiKeys", "Name"])
+def test_half_a_character_in_a_tenant_is_taken_or_declined_with_a_typed_fault(field, key):
+    # CONFIG: an invalid configuration calls for a 4xx; a fault without a type is a 500, and the operator sends it again
+    tenant = {**ACME, field: [key] if field == "ApiKeys" else key}
+    try:
+        accepted(document(tenant))
+    except Invalid as declined:
+        assert declined.status == 422
+
+
 # Which documents are taken
 
 
@@ -471,17 +482,20 @@
     async def script(fleet):
         session = fleet.session()
         await session.ask("PUT a 1", "BEGIN", "PUT b 1")
+        (member_end,) = fleet.wire_member.open_transactions()
         fleet.change(moved)
-        got = await session.ask("PUT c 1", "COMMIT", "PUT d 1", "BEGIN", "PUT e 1", "COMMIT")
-        return got, fleet.wire_member
-
-    (got, member), _ = play(document(ACME, BOLT), script)
-    assert {end for end, _ in got} == {"COMPLETE"}
+        ended = await session.ask("PUT c 1", "COMMIT")
+        later = await session.ask("PUT d 1", "BEGIN", "PUT e 1", "COMMIT")
+        return ended, later, member_end.closed, fleet.wire_member
+
+    (ended, later, member_closed, member), _ = play(document(ACME, BOLT), script)
+    # the open transaction was the former tenant's: it ends with a promise, and nothing of it is kept
+    assert ended == [("ABORTED", "E"), ("ABORTED", "I")] and member_closed
+    assert {end for end, _ in later} == {"COMPLETE"} and set(member.kept) == {"a", "d", "e"}
     name_by_text = {text: name for name, text in member.ran if text.startswith("PUT")}
     assert name_by_text == {
         "PUT a 1": "acme",
         "PUT b 1": "acme",
-        "PUT c 1": "acme",
         "PUT d 1": "bolt",
         "PUT e 1": "bolt",
     }
