--- a/src/petrelhaven/proxy/pool/connection_pool.py
+++ b/src/petrelhaven/proxy/pool/connection_pool.py
@@ -107,7 +107,7 @@
             self.idle.pop(0).close()
         if self.total < limit:
             self._open_for(session.tenant, waiter)
-        elif len(self._waiting) >= _WAITERS_PER_CONNECTION * self.max_size:
+        elif self._waiting.count(session.tenant) >= _WAITERS_PER_CONNECTION * self.max_size:
             waiter.set_exception(Busy("too many wait for a connection"))
         else:
             self._waiting.append(session.tenant, waiter)
--- a/src/petrelhaven/proxy/pool/fair_queue.py
+++ b/src/petrelhaven/proxy/pool/fair_queue.py
@@ -26,6 +26,10 @@
         """How many items wait."""
         return self._length
 
+    def count(self, tenant: str) -> int:
+        """How many items of a tenant wait."""
+        return len(self._by_tenant.get(tenant, ()))
+
     def append(self, tenant: str, item: _Item) -> None:
         """Adds an item behind those of its tenant."""
         self._by_tenant.setdefault(tenant, collections.deque()).append(item)
