--- a/src/petrelhaven/control/counting/copies.py
+++ b/src/petrelhaven/control/counting/copies.py
@@ -15,6 +15,7 @@
 _LEAST_RESERVE = 4
 _RESERVE_SHARE = 6
 """The part of an allowance that may be granted between two copies."""
+_MOST_RESERVE_SHARE = 3
 
 
 @dataclass(slots=True, eq=False)
@@ -69,6 +70,7 @@
         last = self._acknowledged
         used_now = counter.used(now)
         reserve = max(_LEAST_RESERVE, counter.allowance // _RESERVE_SHARE)
+        reserve = max(1, min(reserve, counter.allowance // _MOST_RESERVE_SHARE))
         used = used_now if last is None else counter.uses - last.uses
         copy = CounterCopy(
             tenant, used, counter.outstanding(), reserve, last is None, regime.value, left_us
--- a/src/petrelhaven/control/counting/service.py
+++ b/src/petrelhaven/control/counting/service.py
@@ -37,6 +37,8 @@
 
 _TICK_US = 250_000
 _COUNT_LIMIT_US = 450_000
+_ANSWER_S = 0.12
+"""How long a proxy waits for the slowest of its tenants' counting nodes."""
 _COPY_LIMIT_US = 400_000
 _RECORD_LIMIT_US = 2_000_000
 _HANDOVER_US = 300_000
@@ -102,7 +104,7 @@
         self._may_be_remembered = False
         self._is_entering = False
         self._is_settling = False
-        self._starts_seen: dict[int, int] = {}
+        self._starts_seen: dict[tuple[str, int, int], int] = {}
         self._draw_life = draw_life
         self._life = 0
         self._copy_number = 0
@@ -113,6 +115,8 @@
         """Answers a proxy's `quota.report`."""
         request = ReportList.from_body(body)
         view = self._require_view()
+        if not request.reports:
+            return GrantList([]).to_body()
         answers = [
             self._relay.submit(
                 place(report.tenant, view.chain).counting or self._node.name,
@@ -120,7 +124,9 @@
             )
             for report in request.reports
         ]
-        grants = await asyncio.gather(*answers)
+        # what comes later comes with the next report: numbers of an account only grow
+        await asyncio.wait(answers, timeout=_ANSWER_S)
+        grants = [answer.result() for answer in answers if answer.done()]
         return GrantList([grant for grant in grants if grant is not None]).to_body()
 
     async def count(self, _channel: Channel | None, body: Mapping[str, Any]) -> dict[str, Any]:
@@ -132,7 +138,7 @@
     async def copy(self, _channel: Channel | None, body: Mapping[str, Any]) -> None:
         """Takes a counting node's `quota.copy`."""
         request = CopyList.from_body(body)
-        self._follow_view()
+        self.follow_view()
         newest = self._view_number
         if request.view_number not in (newest, newest - 1):
             raise NotReady("copies of another view")
@@ -147,7 +153,7 @@
 
     async def fetch(self, _channel: Channel | None, body: Mapping[str, Any]) -> dict[str, Any]:
         """Answers `quota.fetch`: the copies of this view, for a node that was restarted in it."""
-        self._follow_view()
+        self.follow_view()
         now = self._clock.now()
         found = {
             tenant: self._followed[tenant]
@@ -183,7 +189,7 @@
 
     def _count_all(self, view_number: int, rows: Sequence[ReportRow]) -> list[Grant | None]:
         """Grants for reports; NotReady where this node does not count in that view."""
-        self._follow_view()
+        self.follow_view()
         if not self._node.chain.active or self._view_number != view_number:
             raise NotReady("not counting in this view")
         now = self._clock.now()
@@ -205,7 +211,7 @@
             raise NotReady("no view yet")
         return view
 
-    def _follow_view(self) -> None:
+    def follow_view(self) -> None:
         """Forgets what does not belong to this node any more."""
         self._table.follow(self._node.chain.control_state.configuration)
         view = self._node.chain.view
@@ -237,10 +243,10 @@
         """Takes over, begins anew and tells successors, for as long as the node runs."""
         while True:
             await self._clock.sleep(_TICK_US)
-            self._follow_view()
+            self.follow_view()
+            self._settle_starts()
             if not self._table.quotas or not self._node.chain.active:
                 continue
-            self._settle_starts()
             self._take_tenants()
             self._copy_to_successors()
 
@@ -332,13 +338,13 @@
 
     def _settle_starts(self) -> None:
         """As the head, has beginnings that are over recorded so."""
-        if not self._node.chain.head:
+        if not self._node.chain.head or not self._node.chain.active:
             self._starts_seen.clear()
             return
         now = self._clock.now()
         after_us = self._table.terms.quarantine_us + _SETTLE_MARGIN_US
         for name, start in self._node.chain.control_state.counting_starts.items():
-            seen_at = self._starts_seen.setdefault(start.seq, now)
+            seen_at = self._starts_seen.setdefault((name, start.seq, start.view_number), now)
             if start.is_settled or now - seen_at <= after_us or self._is_settling:
                 continue
             self._is_settling = True
--- a/src/petrelhaven/control/node.py
+++ b/src/petrelhaven/control/node.py
@@ -115,6 +115,7 @@
         self.chain.confirmation.asks_minority = True
         self.chain.confirmation.connected_proxies = lambda: len(self.connected_proxies)
         self.chain.on_commit.append(self._committed)
+        self.chain.on_view.append(self.counting.follow_view)
 
     @property
     def embargoes(self) -> EmbargoService:
--- a/src/petrelhaven/control/resumable/node.py
+++ b/src/petrelhaven/control/resumable/node.py
@@ -106,6 +106,9 @@
     async def apply(self, text: str, by: str = "", retire: bool = False) -> dict[str, Any]:
         """Checks and applies a configuration."""
         configuration = parse_configuration(text)
+        if configuration.keyed or configuration.tenants:
+            note = "tenants need sessions that live with their connection"
+            raise Invalid("manifest declined", details={"faults": [["tenants", note]]})
         if configuration.embargoing or configuration.embargoes:
             note = "embargoes are kept only where sessions live with their connection"
             raise Invalid("manifest declined", details={"faults": [["embargoing", note]]})
--- a/src/petrelhaven/limits/counter.py
+++ b/src/petrelhaven/limits/counter.py
@@ -19,6 +19,7 @@
 _STANDING_PER_MILLE = 700
 """The part of the allowance up to which permits are granted ahead of need."""
 _SHORTEST_RETRY_US = 50_000
+_EXPIRY_CHECK_US = 50_000
 
 
 @dataclass(slots=True)
@@ -51,8 +52,10 @@
         self.grants = self.uses = self.refused = 0
         self._window = UsageWindow(window_us)
         self._accounts: dict[tuple[str, int], _Account] = {}
+        self._out = 0
         self._inherited = 0
         self._inherited_until = 0
+        self._next_expiry_check = 0
 
     def inherit(self, window: UsageWindow, outstanding: int, now: int) -> None:
         """Goes on from what a predecessor had counted; its permits are outstanding still."""
@@ -62,7 +65,7 @@
 
     def outstanding(self) -> int:
         """How many permits may still be used."""
-        return self._inherited + sum(a.outstanding for a in self._accounts.values())
+        return self._inherited + self._out
 
     def used(self, now: int) -> int:
         """How many uses count in the present window."""
@@ -81,15 +84,15 @@
         self._expire(now)
         account = self._settle(proxy, report, now)
         account.expires_at = now + ACCOUNT_LIFE_US
-        free = max(0, self.allowance - self.used(now) - self.outstanding())
-        if most is not None:
-            free = min(free, most)
+        allowed = max(0, self.allowance - self.used(now) - self.outstanding())
+        free = allowed if most is None else min(allowed, most)
         needed = min(report.needed, free)
         standing = min(report.wanted - account.outstanding, self._standing(now) - needed)
         granted = needed + max(0, min(standing, free - needed))
         account.granted += granted
+        self._out += granted
         self.grants += granted
-        missing = report.needed - needed
+        missing = max(0, report.needed - allowed)
         self.refused += missing
         return Grant(
             report.tenant,
@@ -110,8 +113,11 @@
         if account is None:
             account = _Account(report.granted, report.used, report.returned, now)
             self._inherited -= min(self._inherited, account.outstanding)
+            self._count(report.used - report.granted, now)  # run without a permit
             self._accounts[key] = account
+            self._out += account.outstanding
             return account
+        before = account.outstanding
         self._count(report.used - account.used, now)
         if report.granted > account.granted:  # by the node that counted before
             self._inherited -= min(self._inherited, report.granted - account.granted)
@@ -119,6 +125,7 @@
         account.used = max(account.used, report.used)
         account.returned = max(account.returned, report.returned)
         account.granted = max(account.granted, account.used + account.returned)
+        self._out += account.outstanding - before
         return account
 
     def _count(self, uses: int, now: int) -> None:
@@ -128,9 +135,14 @@
 
     def _expire(self, now: int) -> None:
         """Counts permits that have expired unreported as if they had been used just now."""
+        if now < self._next_expiry_check:
+            return
+        self._next_expiry_check = now + _EXPIRY_CHECK_US
         expired = [key for key, account in self._accounts.items() if account.expires_at <= now]
         for key in expired:
-            self._count(self._accounts.pop(key).outstanding, now)
+            outstanding = self._accounts.pop(key).outstanding
+            self._out -= outstanding
+            self._count(outstanding, now)
         if self._inherited and self._inherited_until <= now:
             self._count(self._inherited, now)
             self._inherited = 0
--- a/src/petrelhaven/limits/holding.py
+++ b/src/petrelhaven/limits/holding.py
@@ -32,7 +32,7 @@
         "unreported",
         "_granted",
         "_used",
-        "_reported_used",
+        "_reserved",
         "_returned",
         "_rate",
         "_rate_at",
@@ -44,32 +44,42 @@
         self.tenant, self.account = tenant, account
         self.valid_until = 0
         self.unreported = False
-        self._granted = self._used = self._reported_used = self._returned = 0
+        self._granted = self._used = self._reserved = self._returned = 0
         self._rate, self._rate_at = 0.0, now
         self._last_use = now
 
     @property
     def balance(self) -> int:
-        """How many permits are there; below 0 if more was run than was permitted."""
-        return self._granted - self._used - self._returned
+        """How many permits are free; below 0 if more was run than was permitted."""
+        return self._granted - self._used - self._returned - self._reserved
 
-    def take(self, now: int) -> bool:
-        """Takes a permit for one operation, if there is one."""
+    def take(self, now: int) -> int | None:
+        """Reserves a permit for one operation; its account, or None if there is no permit."""
         self._expire(now)
         if self.balance <= 0:
-            return False
-        self._use(now)
-        return True
+            return None
+        self._reserved += 1
+        self._note_demand(now)
+        return self.account
+
+    def use(self, account: int, now: int) -> None:
+        """The operation that reserved a permit of `account` is sent now."""
+        self._expire(now)
+        if account == self.account:
+            self._reserved -= 1
+        self._used += 1
+        self.unreported = True
 
     def charge(self, now: int) -> None:
-        """Counts an operation that was run once more after its admission."""
+        """Counts an operation that is sent once more after its permit was used."""
         self._expire(now)
-        self._use(now)
+        self._used += 1
+        self.unreported = True
 
-    def put_back(self) -> None:
-        """An operation that had taken a permit did not run; too late once that was reported."""
-        if self._used > self._reported_used:
-            self._used -= 1
+    def put_back(self, account: int) -> None:
+        """The operation that reserved a permit of `account` was not sent."""
+        if account == self.account:
+            self._reserved -= 1
 
     def give_back(self) -> None:
         """Returns every permit: the tenant's limit was lowered."""
@@ -83,7 +93,7 @@
 
     def needs_renewal(self, now: int) -> bool:
         """Whether there is anything to report, or permits would expire."""
-        if self.balance <= 0 and not self.unreported:
+        if self.balance <= 0 and not self._reserved and not self.unreported:
             return False
         return self.unreported or self.valid_until - now < PERMIT_LIFE_US // 2
 
@@ -93,7 +103,6 @@
         if self.is_idle(now) and not waiting:
             self.give_back()
         self.unreported = False
-        self._reported_used = self._used
         return AccountReport(
             self.tenant,
             self.account,
@@ -111,9 +120,7 @@
         self._granted = max(self._granted, grant.granted)
         self.valid_until = max(self.valid_until, asked_at + PERMIT_LIFE_US)
 
-    def _use(self, now: int) -> None:
-        self._used += 1
-        self.unreported = True
+    def _note_demand(self, now: int) -> None:
         self._decay(now)
         self._rate += _US_PER_S / _SMOOTHING_US
         self._last_use = now
@@ -135,8 +142,8 @@
         """
         if now < self.valid_until or not self._granted:
             return
-        overdrawn = max(0, -self.balance)
+        overdrawn = max(0, self._used + self._returned - self._granted)
         self.account += 1
-        self._granted = self._reported_used = self._returned = 0
+        self._granted = self._reserved = self._returned = 0
         self._used = overdrawn
         self.unreported = overdrawn > 0
--- a/src/petrelhaven/limits/terms.py
+++ b/src/petrelhaven/limits/terms.py
@@ -14,8 +14,8 @@
 
 _US_PER_S = 1_000_000
 _PER_MILLE = 1_000
-_REGULAR_PER_MILLE = 780
-"""The part of what a window may hold that counting with full knowledge may use."""
+_RESTART_PER_MILLE = 220
+"""The part of what a window may hold that is kept for a node that knows nothing."""
 _MARGIN_PER_MILLE = 50
 """The part that is left unused, for what is run twice at members after one admission."""
 
@@ -49,19 +49,19 @@
     def most(self, quota: Quota) -> int:
         """How many operations the allowances of all nodes may come to."""
         nominal = self.nominal(quota)
-        per_mille = _PER_MILLE + self.excess_per_mille - _MARGIN_PER_MILLE
-        return nominal * per_mille // _PER_MILLE + self.slack
+        margin = nominal * _MARGIN_PER_MILLE // _PER_MILLE
+        return nominal * (_PER_MILLE + self.excess_per_mille) // _PER_MILLE - margin + self.slack
 
     def regular(self, quota: Quota) -> int:
         """The allowance of a node that knows what was used and what is outstanding."""
-        return self.most(quota) * _REGULAR_PER_MILLE // _PER_MILLE
+        return self.most(quota) - self.after_restart(quota)
 
     def after_restart(self, quota: Quota) -> int:
         """The allowance of a node that knows nothing of its predecessor.
 
         Together with `regular` it stays within what a window may hold.
         """
-        return self.most(quota) - self.regular(quota)
+        return self.most(quota) * _RESTART_PER_MILLE // _PER_MILLE
 
     @property
     def quarantine_us(self) -> int:
--- a/src/petrelhaven/proxy/core_connection.py
+++ b/src/petrelhaven/proxy/core_connection.py
@@ -58,6 +58,7 @@
 _SUSPICION_PERIOD_US = 250_000
 _UNKNOWN_DISTANCE = 9
 _NOTHING_APPLIED = -1
+_NEVER_US = -(1 << 60)
 
 
 class LeaseCompanion(Protocol):
@@ -124,7 +125,8 @@
         self.control_nodes: dict[str, int] = {}
         self.proxy_count = 0
         self.on_change: list[StateListener] = []
-        self.lease_until = self._confirmed_at = 0
+        self.lease_until = 0
+        self._confirmed_at = _NEVER_US
         self.true_time: LeaseCompanion | None = None
         self._pending_lease: _PendingLease | None = None
         self._avoid_until: dict[str, int] = {}
--- a/src/petrelhaven/proxy/node.py
+++ b/src/petrelhaven/proxy/node.py
@@ -313,10 +313,6 @@
         if route is None or group is None:
             return Reply(code="unknown", text="no such database any more", state=session.mark)
         tenant = self.tenants.identify(session.key_digest, route.public)
-        if self.embargo is not None:
-            refusal = self.embargo.refusal(session, statement, group.name)
-            if refusal is not None:
-                return refusal
         self.count["asked"] += 1
         group.earn_retry()
         limit_us = route.timeout_us - _SLACK_US
@@ -330,6 +326,10 @@
         if tenant is not NOBODY and not self._keys_are_certain():
             return self._path.transactions.refuse(request, self.retry_after())
         self._follow_tenant(session, tenant)
+        if self.embargo is not None:
+            refusal = self.embargo.refusal(session, statement, group.name)
+            if refusal is not None:
+                return refusal
         reply = await self._run_slotted(request, limit_us + _HORIZON_US)
         if self.embargo is not None:
             reply = self.embargo.check_reply(session, statement, group.name, reply)
--- a/src/petrelhaven/proxy/pool/connection_pool.py
+++ b/src/petrelhaven/proxy/pool/connection_pool.py
@@ -107,12 +107,16 @@
             self.idle.pop(0).close()
         if self.total < limit:
             self._open_for(session.tenant, waiter)
-        elif self._waiting.count(session.tenant) >= _WAITERS_PER_CONNECTION * self.max_size:
+        elif self._waiting_count(session.tenant) >= _WAITERS_PER_CONNECTION * self.max_size:
             waiter.set_exception(Busy("too many wait for a connection"))
         else:
             self._waiting.append(session.tenant, waiter)
         return waiter
 
+    def _waiting_count(self, tenant: str) -> int:
+        """How many of a tenant's sessions wait; those that gave up do not count."""
+        return sum(not waiter.done() for waiter in self._waiting.of(tenant))
+
     def _cheapest(self, session: SessionValues) -> tuple[MemberConnection | None, int]:
         """The tenant's idle connection that needs the least set-up, and its cost."""
         best, best_cost = None, _NOT_FOUND
--- a/src/petrelhaven/proxy/pool/fair_queue.py
+++ b/src/petrelhaven/proxy/pool/fair_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterable
 from typing import Generic, TypeVar
 
 __all__ = ["FairQueue"]
@@ -26,9 +27,9 @@
         """How many items wait."""
         return self._length
 
-    def count(self, tenant: str) -> int:
-        """How many items of a tenant wait."""
-        return len(self._by_tenant.get(tenant, ()))
+    def of(self, tenant: str) -> Iterable[_Item]:
+        """The items of a tenant, in their order."""
+        return self._by_tenant.get(tenant, ())
 
     def append(self, tenant: str, item: _Item) -> None:
         """Adds an item behind those of its tenant."""
--- a/src/petrelhaven/proxy/routing/base.py
+++ b/src/petrelhaven/proxy/routing/base.py
@@ -23,9 +23,9 @@
     from petrelhaven.proxy.routing.member import Member
     from petrelhaven.proxy.routing.member_wire import MemberWire
     from petrelhaven.proxy.routing.outside_contact import OutsideContact
+    from petrelhaven.proxy.routing.request import Request
     from petrelhaven.proxy.routing.route import Route
     from petrelhaven.proxy.session.statement import Reply
-    from petrelhaven.proxy.tenants.directory import Tenant
     from petrelhaven.runtime.clock import Clock
     from petrelhaven.runtime.tasks import BackgroundTasks
 
@@ -40,14 +40,14 @@
 class Admission(Protocol):
     """Admits tenants' operations; `proxy/tenants/admission.QuotaAdmission` is the one there is."""
 
-    def admit(self, tenant: Tenant, aim_us: int, end: int) -> Continuation[str | None]:
-        """Takes a permit for one operation; why there is none, or None once it may run."""
+    def admit(self, request: Request) -> Continuation[str | None]:
+        """Reserves a permit for one operation; why there is none, or None once it may run."""
 
-    def charge(self, tenant: Tenant) -> None:
-        """Counts an operation that is sent once more after its admission."""
+    def note_sent(self, request: Request) -> None:
+        """A member gets the operation now, for the first time or once more."""
 
-    def put_back(self, tenant: Tenant) -> None:
-        """An admitted operation ended without having been sent anywhere."""
+    def put_back(self, request: Request) -> None:
+        """An admitted operation has ended, whether or not it was sent."""
 
 
 class ProxyServices(Protocol):
--- a/src/petrelhaven/proxy/routing/member_calls.py
+++ b/src/petrelhaven/proxy/routing/member_calls.py
@@ -150,9 +150,7 @@
         return None
 
     def _count_run(self, request: Request) -> None:
-        """A member gets the operation; one that another may have run counts once more."""
-        if request.runs:
-            self._proxy.admission.charge(request.tenant)
+        self._proxy.admission.note_sent(request)
         request.runs += 1
 
     @staticmethod
--- a/src/petrelhaven/proxy/routing/request.py
+++ b/src/petrelhaven/proxy/routing/request.py
@@ -29,6 +29,7 @@
         group: The group that serves it.
         end: When its time is over, in microseconds of the proxy's clock.
         tenant: The tenant that it runs for.
+        permit: The account of the permit that is reserved for it; None without one.
         runs: How many members run it or may have run it.
     """
 
@@ -38,6 +39,7 @@
     group: MemberGroup
     end: int
     tenant: Tenant = NOBODY
+    permit: int | None = None
     runs: int = 0
 
     def oldest_fetch(self, now: int) -> int | None:
--- a/src/petrelhaven/proxy/routing/statement_path.py
+++ b/src/petrelhaven/proxy/routing/statement_path.py
@@ -40,14 +40,11 @@
 
     def _run_admitted(self, request: Request) -> Continuation[Reply]:
         """A single statement, once its tenant's limit lets it run."""
-        refusal = yield from self._admission.admit(
-            request.tenant, request.route.aim_us, request.end
-        )
+        refusal = yield from self._admission.admit(request)
         if refusal is not None:
             return Reply(code="busy", text=refusal)
         path = self._writes if request.statement.writes else self._reads
         try:
             return (yield from path.run(request))
         finally:
-            if not request.runs:
-                self._admission.put_back(request.tenant)
+            self._admission.put_back(request)
--- a/src/petrelhaven/proxy/routing/transaction_path.py
+++ b/src/petrelhaven/proxy/routing/transaction_path.py
@@ -78,17 +78,14 @@
         """Gets the transaction its connection; why that could not be done, or None."""
         if transaction.timed_out:
             return "the transaction had ended"
-        refusal = yield from self._proxy.admission.admit(
-            request.tenant, request.route.aim_us, request.end
-        )
+        refusal = yield from self._proxy.admission.admit(request)
         if refusal is not None:
             return refusal
         transaction.group = request.group
         try:
             return (yield from self._start.run(request, transaction))
         finally:
-            if not request.runs:
-                self._proxy.admission.put_back(request.tenant)
+            self._proxy.admission.put_back(request)
 
     def release(self, session: ClientSession, number: str | None = None) -> None:
         """Ends a session's transaction: by its ROLLBACK `number`, else with the connection."""
--- a/src/petrelhaven/proxy/tenants/admission.py
+++ b/src/petrelhaven/proxy/tenants/admission.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import collections
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from petrelhaven.limits.holding import Holding
 from petrelhaven.limits.reports import AccountReport, Grant
@@ -17,6 +17,7 @@
     from collections.abc import Iterable
 
     from petrelhaven.proxy.routing.base import Continuation, ProxyServices
+    from petrelhaven.proxy.routing.request import Request
     from petrelhaven.proxy.tenants.directory import Tenant, TenantDirectory
 
 __all__ = ["QuotaAdmission"]
@@ -25,7 +26,7 @@
 _RENEWAL_US = 400_000
 _ASK_LIMIT_US = 700_000
 _RETRY_US = 100_000
-_LONGEST_WAIT_US = 900_000
+_LEAST_WAIT_US, _LONGEST_WAIT_US = 300_000, 900_000
 _OUT_OF_TOUCH_US = 1_200_000
 _OUT_OF_TOUCH_WAIT_SHARE = 5
 """Part of the latency target for which an operation waits while no counting node answers."""
@@ -35,39 +36,49 @@
 """For how long a counting node is not asked again after it had no permits."""
 _ACCOUNT_BITS = 40
 
-_ADMITTED = 0
 
+class _Outcome(NamedTuple):
+    """What a waiting operation gets: the account of its permit, or when to come back."""
+
+    permit: int | None
+    retry_us: int | None = None
 
-class _Line:
-    """The operations of one tenant that wait for permits, first come first served.
 
-    Each future brings `_ADMITTED`, or when the operation should come back, in microseconds.
-    """
+class _Line:
+    """The operations of one tenant that wait for permits, first come first served."""
 
-    __slots__ = ("holding", "waiting", "is_asking", "refuses_until", "retry_us")
+    __slots__ = ("holding", "waiting", "is_asking", "answered_at", "refuses_until", "retry_us")
 
     def __init__(self, holding: Holding) -> None:
         self.holding = holding
-        self.waiting: collections.deque[asyncio.Future[int]] = collections.deque()
+        self.waiting: collections.deque[asyncio.Future[_Outcome]] = collections.deque()
         self.is_asking = False
-        self.refuses_until = self.retry_us = 0
+        self.answered_at = self.refuses_until = self.retry_us = 0
 
     def waiting_count(self) -> int:
-        while self.waiting and self.waiting[0].done():
-            self.waiting.popleft()
-        return sum(not waiter.done() for waiter in self.waiting)
+        """How many operations wait."""
+        if self.waiting and any(waiter.done() for waiter in self.waiting):
+            waiting = [waiter for waiter in self.waiting if not waiter.done()]
+            self.waiting = collections.deque(waiting)
+        return len(self.waiting)
 
     def admit_waiting(self, now: int) -> None:
         """Admits who waits, as far as there are permits."""
-        while self.waiting_count() and self.holding.take(now):
-            self.waiting.popleft().set_result(_ADMITTED)
-
-    def refuse(self, count: int, retry_us: int) -> None:
-        """Sends the first `count` that wait away."""
-        while count > 0 and self.waiting_count():
-            self.waiting.popleft().set_result(retry_us)
+        count = self.waiting_count()
+        while count:
+            permit = self.holding.take(now)
+            if permit is None:
+                return
+            self.waiting.popleft().set_result(_Outcome(permit))
             count -= 1
 
+    def end(self, retry_us: int | None) -> None:
+        """Sends all that wait away, or lets them run if there is no limit any more (None)."""
+        for waiter in self.waiting:
+            if not waiter.done():
+                waiter.set_result(_Outcome(None, retry_us))
+        self.waiting.clear()
+
 
 class QuotaAdmission:
     """Holds this proxy's permits and asks the counting nodes for more."""
@@ -77,59 +88,67 @@
         self._proxy, self._clock = proxy, proxy.clock
         self._lines: dict[str, _Line] = {}
         self._flush: asyncio.TimerHandle | None = None
-        self._answered_at = 0
         self._renews = False
 
-    def admit(self, tenant: Tenant, aim_us: int, end: int) -> Continuation[str | None]:
-        """Takes a permit for one operation.
-
-        Args:
-            tenant: Whose operation it is.
-            aim_us: When its answer is wanted, in microseconds.
-            end: When its time is over.
+    def admit(self, request: Request) -> Continuation[str | None]:
+        """Reserves a permit for an operation; `request` then knows its account.
 
         Returns:
             None once it may run; else why it may not, with the time to come back.
         """
-        if tenant.quota is None:
+        if request.tenant.quota is None:
             return None
-        line = self._line(tenant.name)
+        line = self._line(request.tenant.name)
         now = self._clock.now()
-        if not line.waiting_count() and line.holding.take(now):
+        if not line.waiting_count():
+            request.permit = line.holding.take(now)
+        if request.permit is not None:
             return None
         if now < line.refuses_until:
             return self._refusal(line.retry_us)
-        waiter: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        waiter: asyncio.Future[_Outcome] = asyncio.get_running_loop().create_future()
         line.waiting.append(waiter)
         self._ask_soon()
         try:
-            yield first_done(self._clock, [waiter], self._wait_us(now, aim_us, end))
-            outcome = waiter.result() if waiter.done() else _COME_BACK_US
+            yield first_done(self._clock, [waiter], _wait_us(line, request, now))
         finally:
             if not waiter.done():
                 waiter.cancel()
-        return None if outcome == _ADMITTED else self._refusal(outcome)
+        if waiter.cancelled():
+            return self._refusal(_COME_BACK_US)
+        outcome = waiter.result()
+        request.permit = outcome.permit
+        return None if outcome.retry_us is None else self._refusal(outcome.retry_us)
 
     def _refusal(self, retry_us: int) -> str:
         self._proxy.count["over_quota"] += 1
         return self._proxy.retry_after(min(retry_us, _LONGEST_COME_BACK_US))
 
-    def charge(self, tenant: Tenant) -> None:
-        """Counts an operation of `tenant` that is sent once more after its admission."""
-        if tenant.quota is not None:
-            self._line(tenant.name).holding.charge(self._clock.now())
-
-    def put_back(self, tenant: Tenant) -> None:
-        """An admitted operation of `tenant` ended without having been sent anywhere."""
-        if tenant.quota is not None:
-            self._line(tenant.name).holding.put_back()
+    def note_sent(self, request: Request) -> None:
+        """A member gets an operation now: its permit is used, or counted once more."""
+        line = self._lines.get(request.tenant.name)
+        if line is None or request.tenant.quota is None:
+            return
+        permit, request.permit = request.permit, None
+        if permit is not None:
+            line.holding.use(permit, self._clock.now())
+        elif request.runs:
+            line.holding.charge(self._clock.now())
+
+    def put_back(self, request: Request) -> None:
+        """An admitted operation has ended; a permit that it did not use is free again."""
+        line = self._lines.get(request.tenant.name)
+        permit, request.permit = request.permit, None
+        if line is not None and permit is not None:
+            line.holding.put_back(permit)
+            line.admit_waiting(self._clock.now())
 
     def apply(self, before: TenantDirectory, after: TenantDirectory) -> None:
         """Another configuration is in force: permits under a higher limit go back."""
         for name, line in list(self._lines.items()):
             old, new = before.tenants.get(name), after.tenants.get(name)
             if new is None or new.quota is None:
-                line.refuse(len(line.waiting), _COME_BACK_US)
+                line.end(None if new is not None else _COME_BACK_US)
                 del self._lines[name]
             elif old is not None and old.quota is not None and _is_lower(new, old):
                 line.holding.give_back()
@@ -151,11 +170,6 @@
                 self._proxy.tasks.spawn(self._renew())
         return line
 
-    def _wait_us(self, now: int, aim_us: int, end: int) -> int:
-        if now - self._answered_at > _OUT_OF_TOUCH_US and self._answered_at:
-            return min(end - now, aim_us // _OUT_OF_TOUCH_WAIT_SHARE)
-        return min(end - now, _LONGEST_WAIT_US)
-
     def _ask_soon(self, delay_us: int = _COALESCE_US) -> None:
         if self._flush is None:
             self._flush = self._clock.later(delay_us, self._ask_now)
@@ -203,15 +217,26 @@
         if grant is None:
             line.holding.unreported = True
         else:
-            self._answered_at = now
+            line.answered_at = now
             line.holding.take_grant(grant, asked_at)
         line.admit_waiting(now)
         if grant is not None and grant.retry_us:
-            line.refuse(line.waiting_count(), grant.retry_us)
+            line.end(grant.retry_us)
             line.refuses_until = now + min(grant.retry_us, _REFUSAL_STANDS_US)
             line.retry_us = grant.retry_us
         if line.waiting_count():
-            self._ask_soon(_COALESCE_US if grant is not None else _RETRY_US)
+            is_served = grant is not None and grant.granted - report.granted >= report.needed
+            self._ask_soon(_COALESCE_US if is_served else _RETRY_US)
+
+
+def _wait_us(line: _Line, request: Request, now: int) -> int:
+    """How long an operation may wait for a permit, in microseconds."""
+    aim_us = request.route.aim_us
+    if line.answered_at and now - line.answered_at > _OUT_OF_TOUCH_US:
+        longest_us = aim_us // _OUT_OF_TOUCH_WAIT_SHARE
+    else:
+        longest_us = min(max(aim_us, _LEAST_WAIT_US), _LONGEST_WAIT_US)
+    return min(request.end - now, longest_us)
 
 
 def _is_lower(new: Tenant, old: Tenant) -> bool:
