--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -11,6 +11,7 @@
 import json
 import random
 
+from petrelhaven.control.consensus.peer_clocks import PeerClocks
 from petrelhaven.control.counting.service import CountingService
 from petrelhaven.control.order_messages import EnterAnswer
 from petrelhaven.control.state.control_state import ControlState
@@ -125,6 +126,13 @@
         return asyncio.get_running_loop().call_later(seconds, ring)
 
 
+class ConfirmationStub:
+    """What a node knows of the clocks of the others."""
+
+    def __init__(self, clock):
+        self.boot, self.peer_clocks = clock.now(), PeerClocks(clock)
+
+
 class ChainStub:
     """A node's place in the views, with what the real chain promises of `active`.
 
@@ -135,6 +143,7 @@
     def __init__(self, node):
         self._node, self._world = node, node.world
         self.view, self.confirmed_until = None, -1.0
+        self.confirmation = ConfirmationStub(node.clock)
 
     @property
     def control_state(self):
@@ -178,7 +187,7 @@
         self.clock = ProcessClock(self, self._rate)
         self.tasks = BackgroundTasks()
         self.chain = ChainStub(self)
-        self.counting = CountingService(self)
+        self.counting = CountingService(self, lambda: self.world.rng.getrandbits(40))
         self.handlers = {
             MessageKind.QUOTA_REPORT: self.counting.report,
             MessageKind.QUOTA_COUNT: self.counting.count,
@@ -483,6 +492,7 @@
 
     async def _confirm(self):
         while True:
+            self._read_clocks()
             for name, node in self.nodes.items():
                 if not node.is_up or node.frozen or self._is_alone(name):
                     continue
@@ -492,6 +502,20 @@
                     self._adopt_later(name, self.rng.uniform(0, 0.2))
             await asyncio.sleep(0.1)
 
+    def _read_clocks(self):
+        """Each node reads the clocks of some others, a while after they showed it."""
+        for name, node in self.nodes.items():
+            for other in self.rng.sample([n for n in self.nodes if n != name], 2):
+                if self._may_talk(name, other):
+                    peer = self.nodes[other]
+                    shown_us = peer.clock.now() - self.rng.randrange(500, 100_000)
+                    boot = peer.chain.confirmation.boot
+                    node.chain.confirmation.peer_clocks.note(other, boot, shown_us)
+
+    def _may_talk(self, name, other):
+        running = all(n.is_up and not n.frozen for n in (self.nodes[name], self.nodes[other]))
+        return running and not {(name, other), (other, name)} & self.cut
+
     # What happens
 
     def note(self, *what):
--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -14,13 +14,13 @@
 
 from petrelhaven.control.counting import service
 from petrelhaven.control.counting.copies import CopyTracker
-from petrelhaven.control.counting.fresh_start import Regime
 from petrelhaven.control.counting.service import CountingService
 from petrelhaven.limits import counter as counter_module
 from petrelhaven.limits.counter import TenantCounter
 from petrelhaven.limits.holding import Holding
 from petrelhaven.limits.placement import place
-from petrelhaven.limits.standby import Standby
+from petrelhaven.limits.regime import Regime
+from petrelhaven.limits.standby import STANDBY_LIFE_US, Standby
 from petrelhaven.limits.terms import ACCOUNT_LIFE_US, Quota
 from petrelhaven.runtime.errors import NotReady
 
@@ -69,6 +69,7 @@
         self.copies = []
         self.proxies = [PureProxy(f"p{i}", 1 + drift) for i, drift in enumerate((0.01, -0.01, 0))]
         self.under_way, self.uses = [], []
+        self.life, self.copy_number = 1, 0
 
     def use(self, proxy, most):
         for _ in range(most):
@@ -98,34 +99,39 @@
     def copy(self):
         """A copy leaves; it arrives by one of the steps below."""
         if self.tracker.is_due(self.counter, self.now):
-            copy, sent = self.tracker.make("t", self.counter, self.now)
-            self.copies.append((self.tracker, copy, sent, self.now))
+            copy, sent = self.tracker.make("t", self.counter, Regime.REGULAR, 0, self.now)
+            self.copy_number += 1
+            numbered = copy, self.life, self.copy_number, self.now + STANDBY_LIFE_US
+            self.copies.append((self.tracker, numbered, sent, self.now))
 
     def deliver_copy(self, index, kept):
         """The successor takes a copy; the counter learns of it if it still waits."""
         if not self.copies:
             return
         index %= len(self.copies)
-        tracker, copy, sent, sent_at = self.copies[index]
+        tracker, numbered, sent, sent_at = self.copies[index]
         if not kept:
             del self.copies[index]
-        taken = self.standby.take(copy, self.now)
-        if sent.expires_at is not None:
+        in_time = self.now <= numbered[-1]
+        taken = in_time and self.standby.take(*numbered, self.now)
+        if not sent.is_on_its_way:
             return
         if taken and self.now - sent_at < COPY_US:
-            tracker.acknowledge(sent, self.now)
+            tracker.acknowledge(sent)
         else:
-            tracker.lose(sent, self.now)
+            tracker.lose(sent)
 
     def give_up_copies(self):
         for tracker, _, sent, sent_at in self.copies:
-            if sent.expires_at is None and self.now - sent_at >= COPY_US:
-                tracker.lose(sent, sent_at + COPY_US)
+            if sent.is_on_its_way and self.now - sent_at >= COPY_US:
+                tracker.lose(sent)
 
     def promote(self):
         """The node that counts is lost; its successor goes on if its copy is current."""
         if self.standby.is_current(self.now):
-            self.counter = self.standby.counter(self.allowance, self.now)
+            self.counter = self.standby.counter(self.now)
+            self.counter.allowance = self.allowance
+            self.life += 1
             self.tracker, self.standby = CopyTracker(), Standby(WINDOW_US)
             self.copies = []
 
@@ -572,12 +578,12 @@
 
 
 def copy_too_old(mp):
-    mp.setattr(Standby, "is_current", lambda self, now: self._received_at is not None)
+    mp.setattr(Standby, "is_current", lambda self, now: self._expires_at > 0)
 
 
 def refilled_at_takeover(mp):
-    def counter(self, allowance, _now):
-        return TenantCounter(allowance, self._window.window_us)
+    def counter(self, _now):
+        return TenantCounter(0, self._window.window_us)
 
     mp.setattr(Standby, "counter", counter)
 
