--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -262,21 +262,19 @@
     st.sampled_from([0.05, 0.3, 0.7, 1.3, 1.6, 2.4, 4.0]),
     st.sampled_from([0.05, 0.4, 1.2, 3.5, 6.0, 12.0]),
 ).map(lambda entry: [entry])
-EPISODES = st.sampled_from(
-    [
-        [("cut owner to successor", 6.5, 12.0), ("lose owner", 1.6, 6.0)],
-        [("freeze successor", 0.3, 1.2), ("cut owner to successor", 6.3, 12.0)],
-        [("cut owner off", 6.5, 12.0)],
-        [("kill owner and successor", 1.45, 0.05)] * 3,
-        [("kill all", 1.55, 0.05), ("kill owner", 1.3, 0.05)],
-        [("lose owner and successor", 1.3, 0.3)] * 2,
-        [("kill all", 1.55, 0.05), ("lose owner", 0.7, 0.3), ("whole view", 1.3, 0.05)],
-        [("new view", 0.3, 0.05), ("whole view", 0.7, 0.05)],
-    ]
-)
-SCHEDULE = st.lists(st.one_of(SINGLE, SINGLE, EPISODES), min_size=1, max_size=7).map(
-    lambda parts: [entry for part in parts for entry in part]
-)
+EPISODES = [
+    [("cut owner to successor", 6.5, 12.0), ("lose owner", 1.6, 6.0)],
+    [("freeze successor", 0.3, 1.2), ("cut owner to successor", 6.3, 12.0)],
+    [("cut owner off", 6.5, 12.0)],
+    [("kill owner and successor", 1.45, 0.05)] * 3,
+    [("kill all", 1.55, 0.05), ("kill owner", 1.3, 0.05)],
+    [("lose owner and successor", 1.3, 0.3)] * 2,
+    [("kill all", 1.55, 0.05), ("lose owner", 0.7, 0.3), ("whole view", 1.3, 0.05)],
+    [("new view", 0.3, 0.05), ("whole view", 0.7, 0.05)],
+]
+SCHEDULE = st.lists(
+    st.one_of(SINGLE, SINGLE, st.sampled_from(EPISODES)), min_size=1, max_size=7
+).map(lambda parts: [entry for part in parts for entry in part])
 
 
 def apply(world, kind, for_s):
