--- a/tests/stand_in/member.py
+++ b/tests/stand_in/member.py
@@ -238,6 +238,7 @@
             dict(session.values),
             f"{stamp}.{secrets.token_hex(8)}",
             rows,
+            session.who,
         )
         self.history.runs.append(run)
         return run
--- a/tests/stand_in/operation.py
+++ b/tests/stand_in/operation.py
@@ -14,6 +14,7 @@
     ended: float | None = None
     tries: int = 0
     last: str = ""
+    key: str | None = None
 
     @property
     def in_aim(self):
--- a/tests/stand_in/route.py
+++ b/tests/stand_in/route.py
@@ -15,6 +15,7 @@
     deadline_ms: int = 8000
     writes: float = 0.2
     transactions: float = 0.4
+    public: bool = False
 
     def row(self, priority=1):
         """The route as a configuration holds it."""
@@ -30,6 +31,8 @@
             "MaxTries": 2,
             "RegionsAllowed": [],
         }
+        if self.public:
+            row["Public"] = True
         return (
             {**row, "MaxStalenessMs": self.max_staleness_ms}
             if self.route_type == "bounded_staleness"
