System tests of tenants: names, keys and a restart under load; a kill of everything

First test: a proxy is stopped and started again, a key is added, one removed while clients work: no violation, strangers and the removed key DENIED everywhere in time. Second: all processes killed 13 s after traffic began; members hear the right names and 0.9 of what is asked right after is served. A kill within about 10 s of an earlier start is refused for about 10 s (counting's quarantine; RecoveryS of the sites is 15): seen in a probe, 3 s after the start of traffic, and the reason for the 13 s.

--- a/tests/test_tenant_system.py
+++ b/tests/test_tenant_system.py
@@ -1,6 +1,7 @@
 """Tenants over real processes: names at members, keys that are added and taken away, a proxy that starts again."""
 
 import asyncio
+import collections
 
 import pytest
 from machine_time import passes_within, play
@@ -60,8 +61,8 @@
             assert verdict.own_ends == {}, verdict
             names = {run.who for run in s.history.runs if run.id != "-"}
             assert names == {tenant.name for tenant in s.tenants}
-            shown = {a.key for a in s.history.attempts if a.outcome == "ok"}
-            assert {first.keys[-1], old} <= shown
+            seen = collections.Counter((a.key, a.outcome) for a in s.history.attempts)
+            assert seen[first.keys[-1], "ok"] and seen[old, "ok"], seen
             assert verdict.owed > 50 and verdict.share >= 0.9 - lost, (verdict, lost)
 
     asyncio.run(go())
@@ -71,25 +72,20 @@
 def test_after_a_kill_of_everything_members_still_hear_the_tenants_names(built, tmp_path):  # noqa: F811
     async def go():
         async with Scene(built, tmp_path / "run", bounds=BOUNDS, tenants=3) as s:
-            await play(s, 3)
+            # long enough for the first counts to be settled: a second kill before that costs a rest of about 10 s
+            await play(s, 13)
             runs = [(p, p.starts) for m in s.fleet.machines.values() for p in m.processes.values()]
             s.fleet.kill(*s.fleet.machines)
             await passes_within(s.fleet, 20, lambda: all(p.starts > n and p.pid for p, n in runs))
             await passes_within(s.fleet, 20, lambda: len(s.router.ready()) == len(s.fleet.fronts()))
-            before, since = len(s.clients), s.history.now() + s.fleet.bounds["QuotaWindowS"] + 2
-            lost = await play(s, 12)
+            before = len(s.clients)
+            lost = await play(s, 5)
             verdict = await s.verdict()
             assert verdict.violations == [], verdict
             assert {run.who for run in s.history.runs if run.id != "-"} == {
                 tenant.name for tenant in s.tenants
             }
-            # who counts has lost its counts with everything else, and may let nothing run for a window
-            late = [
-                o
-                for c in s.clients[before:]
-                for o in c.operations
-                if not o.left and o.started > since
-            ]
+            late = [o for c in s.clients[before:] for o in c.operations if not o.left]
             assert late and sum(o.served for o in late) >= (0.9 - lost) * len(late), lost
 
     asyncio.run(go())
