--- a/src/petrelhaven/proxy/node.py
+++ b/src/petrelhaven/proxy/node.py
@@ -313,8 +313,6 @@
         if route is None or group is None:
             return Reply(code="unknown", text="no such database any more", state=session.mark)
         tenant = self.tenants.identify(session.key_digest, route.public)
-        self.count["asked"] += 1
-        group.earn_retry()
         limit_us = route.timeout_us - _SLACK_US
         started = self.clock.now()
         request = Request(session, statement, route, group, started + limit_us, tenant or NOBODY)
@@ -330,6 +328,8 @@
             refusal = self.embargo.refusal(session, statement, group.name)
             if refusal is not None:
                 return refusal
+        self.count["asked"] += 1
+        group.earn_retry()
         reply = await self._run_slotted(request, limit_us + _HORIZON_US)
         if self.embargo is not None:
             reply = self.embargo.check_reply(session, statement, group.name, reply)
--- a/src/petrelhaven/proxy/tenants/admission.py
+++ b/src/petrelhaven/proxy/tenants/admission.py
@@ -26,10 +26,9 @@
 _RENEWAL_US = 400_000
 _ASK_LIMIT_US = 700_000
 _RETRY_US = 100_000
-_LEAST_WAIT_US, _LONGEST_WAIT_US = 300_000, 900_000
-_OUT_OF_TOUCH_US = 1_200_000
-_OUT_OF_TOUCH_WAIT_SHARE = 5
-"""Part of the latency target for which an operation waits while no counting node answers."""
+_LEAST_WAIT_US = 300_000
+_PATIENCE_SHARE = 4
+"""The part of its latency target for which an operation waits while no counting node answers."""
 _COME_BACK_US = 400_000
 _LONGEST_COME_BACK_US = 2_000_000
 _REFUSAL_STANDS_US = 100_000
@@ -47,13 +46,13 @@
 class _Line:
     """The operations of one tenant that wait for permits, first come first served."""
 
-    __slots__ = ("holding", "waiting", "is_asking", "answered_at", "refuses_until", "retry_us")
+    __slots__ = ("holding", "waiting", "is_asking", "is_unanswered", "refuses_until", "retry_us")
 
     def __init__(self, holding: Holding) -> None:
         self.holding = holding
         self.waiting: collections.deque[asyncio.Future[_Outcome]] = collections.deque()
-        self.is_asking = False
-        self.answered_at = self.refuses_until = self.retry_us = 0
+        self.is_asking = self.is_unanswered = False
+        self.refuses_until = self.retry_us = 0
 
     def waiting_count(self) -> int:
         """How many operations wait."""
@@ -110,7 +109,11 @@
         line.waiting.append(waiter)
         self._ask_soon()
         try:
-            yield first_done(self._clock, [waiter], _wait_us(line, request, now))
+            patience_us = request.route.aim_us // _PATIENCE_SHARE
+            yield first_done(self._clock, [waiter], min(patience_us, request.end - now))
+            if not waiter.done() and not line.is_unanswered:
+                end = min(request.end, now + max(request.route.aim_us, _LEAST_WAIT_US))
+                yield first_done(self._clock, [waiter], end - self._clock.now())
         finally:
             if not waiter.done():
                 waiter.cancel()
@@ -216,8 +219,9 @@
         now = self._clock.now()
         if grant is None:
             line.holding.unreported = True
+            line.is_unanswered = True
         else:
-            line.answered_at = now
+            line.is_unanswered = False
             line.holding.take_grant(grant, asked_at)
         line.admit_waiting(now)
         if grant is not None and grant.retry_us:
@@ -229,16 +233,6 @@
             self._ask_soon(_COALESCE_US if is_served else _RETRY_US)
 
 
-def _wait_us(line: _Line, request: Request, now: int) -> int:
-    """How long an operation may wait for a permit, in microseconds."""
-    aim_us = request.route.aim_us
-    if line.answered_at and now - line.answered_at > _OUT_OF_TOUCH_US:
-        longest_us = aim_us // _OUT_OF_TOUCH_WAIT_SHARE
-    else:
-        longest_us = min(max(aim_us, _LEAST_WAIT_US), _LONGEST_WAIT_US)
-    return min(request.end - now, longest_us)
-
-
 def _is_lower(new: Tenant, old: Tenant) -> bool:
     assert new.quota is not None and old.quota is not None
     return new.quota.rate_per_s < old.quota.rate_per_s or new.quota.burst < old.quota.burst
--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import random
+from types import SimpleNamespace
 
 from petrelhaven.control.consensus.peer_clocks import PeerClocks
 from petrelhaven.control.counting.service import CountingService
@@ -266,7 +267,11 @@
         admissions, world = self.world.admissions, self.world
         admissions.asked[tenant.name] = admissions.asked.get(tenant.name, 0) + 1
         now = self.clock.now()
-        going_on = self.admission.admit(tenant, _AIM_US, now + _DEADLINE_US)
+        route = SimpleNamespace(aim_us=_AIM_US)
+        request = SimpleNamespace(
+            tenant=tenant, route=route, end=now + _DEADLINE_US, permit=None, runs=0
+        )
+        going_on = self.admission.admit(request)
         refusal = None
         try:
             while True:
@@ -278,8 +283,9 @@
         if refusal is not None:
             admissions.refused[tenant.name] = admissions.refused.get(tenant.name, 0) + 1
         elif world.rng.random() < world.put_back_share:
-            self.admission.put_back(tenant)
+            self.admission.put_back(request)
         else:
+            self.admission.note_sent(request)
             admissions.admitted(tenant.name, world.now())
 
 
--- a/tests/test_tenant_review.py
+++ b/tests/test_tenant_review.py
@@ -95,6 +95,12 @@
     return TenantDirectory({"keyed": True, "tenants": rows})
 
 
+def request_of(tenant, aim_us, end):
+    """What admission needs of an operation's request."""
+    route = SimpleNamespace(aim_us=aim_us)
+    return SimpleNamespace(tenant=tenant, route=route, end=end, permit=None, runs=0)
+
+
 # Guards against QUOTA: the permit of an operation that never ran, reported as used already, hid the
 # use of another one that ran later, so that this one left the window before its time.
 def test_a_permit_put_back_after_its_report_hides_no_later_use():
@@ -102,11 +108,11 @@
     counter = TenantCounter(2, window_us)
     holding = granted(Holding("agency", 1, 0), 2, 0)
     assert counter.report("e", AccountReport("agency", 1, 0, 0, 0, 2, 0), 0).granted == 2
-    assert holding.take(0)  # waits for a member that it never reaches
+    first = holding.take(0)  # waits for a member that it never reaches
     counter.report("e", holding.report(0, 400_000), 400_000)
     ran_at = 2 * SECOND
-    assert holding.take(ran_at)
-    holding.put_back()  # the first one's time is over
+    holding.use(holding.take(ran_at), ran_at)
+    holding.put_back(first)  # the first one's time is over
     counter.report("e", holding.report(0, ran_at), ran_at)
     just_before = ran_at + window_us - 1
     assert counter.used(just_before) >= 1
@@ -151,7 +157,7 @@
     counter = TenantCounter(100, 5 * SECOND)
     holding = granted(Holding("agency", 1, 0), 1, 0)
     counter.report("e", AccountReport("agency", 1, 0, 0, 0, 1, 0), 0)
-    assert holding.take(0)
+    holding.use(holding.take(0), 0)
     counter.report("e", holding.report(0, 400_000), 400_000)
     now = 4 * SECOND
     holding.charge(now)  # the same operation at another member, or its retry
@@ -176,7 +182,7 @@
         limits = admission(CoreConnectionStub(lambda report: None))
         before, after = directory({"name": "agency", "rate": 1}), directory({"name": "agency"})
         waiting = asyncio.ensure_future(
-            finish(limits.admit(before.tenants["agency"], 500_000, 5 * SECOND))
+            finish(limits.admit(request_of(before.tenants["agency"], 500_000, 5 * SECOND)))
         )
         await asyncio.sleep(0.1)
         limits.apply(before, after)
@@ -197,7 +203,7 @@
         limits, clock = admission(CoreConnectionStub(answer)), LoopClock()
         limited = Tenant("agency", Quota(100, 0))
         began = clock.now()
-        refusal = await finish(limits.admit(limited, aim_us, began + 5 * SECOND))
+        refusal = await finish(limits.admit(request_of(limited, aim_us, began + 5 * SECOND)))
         return refusal, clock.now() - began
 
     refusal, took_us = virtual(work)
