--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -212,19 +212,19 @@
 
     def __init__(self, proxy):
         self._proxy = proxy
-        self._node = None
+        self.node = None
 
     async def call(self, kind, body, us):
         world = self._proxy.world
-        if self._node is None:
+        if self.node is None:
             reached = [n for n in world.nodes if world.reaches(self._proxy.name, n)]
             if not reached:
                 raise NotSent("no control node is connected")
-            self._node = world.rng.choice(reached)
+            self.node = world.rng.choice(reached)
         try:
-            return await world.call(self._proxy, self._node, kind, body, us)
+            return await world.call(self._proxy, self.node, kind, body, us)
         except (DeadlineExceeded, Unreachable):
-            self._node = None
+            self.node = None
             raise
 
 
--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -488,12 +488,25 @@
     assert refused_share(rate) < 0.01
 
 
-# Guards against worth lost: copies to a successor that is out of reach hold back the whole tenant.
-def test_a_successor_out_of_reach_does_not_hold_its_tenants_back():
+def out_of_reach(control_node):
+    """Nothing passes from the counting node to its successor; proxies are at `control_node`."""
+
     def cut(world):
+        for proxy in world.proxies.values():
+            proxy.core_connection.node = control_node
         world.cut_off([OWNER], [SUCCESSOR], 10.0)
 
-    assert refused_share(100, cut) < 0.1
+    return cut
+
+
+# Guards against worth lost: copies to a successor that is out of reach hold back the whole tenant.
+def test_a_successor_out_of_reach_does_not_hold_its_tenants_back():
+    assert refused_share(100, out_of_reach(REST[0])) < 0.1
+
+
+# Guards against worth lost: answers to proxies at a node that the counting node does not reach.
+def test_a_control_node_out_of_reach_does_not_hold_its_proxies_back():
+    assert refused_share(100, out_of_reach(SUCCESSOR)) < 0.1
 
 
 # Guards against worth lost: a tenant's first operations in a row go by the reserve of no allowance.
