--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -17,7 +17,7 @@
 from petrelhaven.control.state.control_state import ControlState
 from petrelhaven.limits.terms import Quota
 from petrelhaven.proxy.tenants.admission import QuotaAdmission
-from petrelhaven.proxy.tenants.directory import Tenant, TenantDirectory
+from petrelhaven.proxy.tenants.directory import TenantDirectory
 from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.errors import DeadlineExceeded, Fault, NotReady, NotSent, Unreachable
 from petrelhaven.runtime.tasks import BackgroundTasks
@@ -30,7 +30,7 @@
 
 
 class Admissions:
-    """When each tenant's operations were admitted, and the limits in force.
+    """When each tenant's operations were sent, and the limits in force.
 
     A lowered limit binds windows that begin once every proxy has had `APPLY_S` for it.
     """
@@ -228,6 +228,22 @@
             raise
 
 
+class RouteStub:
+    """What admission reads of a route."""
+
+    aim_us = _AIM_US
+
+
+class RequestStub:
+    """What admission reads and writes of a request."""
+
+    route = RouteStub()
+
+    def __init__(self, tenant, end):
+        self.tenant, self.end = tenant, end
+        self.permit, self.runs = None, 0
+
+
 class ProxyProcess(Process):
     """A proxy: the shipped admission over stubs, and clients that ask."""
 
@@ -262,11 +278,11 @@
     def ask(self, tenant):
         self.tasks.spawn(self._operate(self.directory.tenants[tenant]))
 
-    async def _operate(self, tenant: Tenant):
+    async def _operate(self, tenant):
         admissions, world = self.world.admissions, self.world
         admissions.asked[tenant.name] = admissions.asked.get(tenant.name, 0) + 1
-        now = self.clock.now()
-        going_on = self.admission.admit(tenant, _AIM_US, now + _DEADLINE_US)
+        request = RequestStub(tenant, self.clock.now() + _DEADLINE_US)
+        going_on = self.admission.admit(request)
         refusal = None
         try:
             while True:
@@ -277,10 +293,16 @@
             going_on.close()
         if refusal is not None:
             admissions.refused[tenant.name] = admissions.refused.get(tenant.name, 0) + 1
-        elif world.rng.random() < world.put_back_share:
-            self.admission.put_back(tenant)
-        else:
-            admissions.admitted(tenant.name, world.now())
+            return
+        try:
+            if world.rng.random() < world.slow_share:
+                await self.clock.sleep(world.rng.randrange(_DEADLINE_US))
+            if world.rng.random() >= world.put_back_share:
+                self.admission.note_sent(request)
+                request.runs += 1
+                admissions.admitted(tenant.name, world.now())
+        finally:
+            self.admission.put_back(request)
 
 
 class ControlStateWithDefaults(ControlState):
@@ -310,7 +332,7 @@
         window_us=5_000_000,
     ):
         self.rng = random.Random(seed)
-        self.put_back_share = 0.01
+        self.put_back_share, self.slow_share = 0.01, 0.0
         self.late_share, self.double_share = 0.0, 0.0
         self.failed_entry_share = self.unanswered_entry_share = 0.0
         self.quotas = dict(quotas or {"t": Quota(20, 20)})
--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -15,7 +15,6 @@
 from petrelhaven.control.counting import service
 from petrelhaven.control.counting.copies import CopyTracker
 from petrelhaven.control.counting.service import CountingService
-from petrelhaven.limits import counter as counter_module
 from petrelhaven.limits.counter import TenantCounter
 from petrelhaven.limits.holding import Holding
 from petrelhaven.limits.placement import place
@@ -73,7 +72,9 @@
 
     def use(self, proxy, most):
         for _ in range(most):
-            if proxy.holding.take(proxy.clock(self.now)):
+            account = proxy.holding.take(proxy.clock(self.now))
+            if account is not None:
+                proxy.holding.use(account, proxy.clock(self.now))
                 self.uses.append(self.now)
 
     def ask(self, proxy, waiting):
@@ -271,6 +272,7 @@
     [("lose owner and successor", 1.3, 0.3)] * 2,
     [("kill all", 1.55, 0.05), ("lose owner", 0.7, 0.3), ("whole view", 1.3, 0.05)],
     [("new view", 0.3, 0.05), ("whole view", 0.7, 0.05)],
+    [("lower", 4.0, 0.05), ("wait", 7.0, 0.05)],
 ]
 SCHEDULE = st.lists(
     st.one_of(SINGLE, SINGLE, st.sampled_from(EPISODES)), min_size=1, max_size=7
@@ -350,6 +352,7 @@
         async def scene(world):
             world.late_share = 0.03 if late else 0.0
             world.double_share = 0.03 if late else 0.0
+            world.slow_share = 0.05 if late else 0.0
             world.failed_entry_share = world.unanswered_entry_share = 0.05
             await scheduled(world, schedule, asked)
 
@@ -565,16 +568,22 @@
 
 
 def returned_counted_twice(mp):
-    def outstanding(account):
-        return max(0, account.granted - account.used - 2 * account.returned)
+    real = TenantCounter._settle
 
-    mp.setattr(counter_module._Account, "outstanding", property(outstanding))
+    def settle(self, proxy, report, now):
+        before = self._accounts.get((proxy, report.account))
+        returned = before.returned if before else report.returned
+        account = real(self, proxy, report, now)
+        self._out -= account.returned - returned
+        return account
+
+    mp.setattr(TenantCounter, "_settle", settle)
 
 
 def expired_not_counted(mp):
     def expire(self, now):
         for key in [key for key, account in self._accounts.items() if account.expires_at <= now]:
-            del self._accounts[key]
+            self._out -= self._accounts.pop(key).outstanding
         if self._inherited_until <= now:
             self._inherited = 0
 
@@ -603,7 +612,7 @@
 
 def old_owner_not_fenced(mp):
     def count_all(self, view_number, reports):
-        self._follow_view()
+        self.follow_view()
         if self._view_number != view_number:
             raise NotReady("not counting in this view")
         now = self._clock.now()
