--- a/src/petrelhaven/simulator/connection_sessions/run.py
+++ b/src/petrelhaven/simulator/connection_sessions/run.py
@@ -1,5 +1,7 @@
 """One read, write or commit that a simulated member ran."""
 
+from typing import Any
+
 __all__ = ["Run"]
 
 
@@ -26,6 +28,24 @@
         "who",
     )
 
+    at: float
+    sent: float
+    node: Any
+    group: str
+    member: str
+    zone: str
+    connection: Any
+    transaction: Any
+    num: str
+    kind: str
+    text: str
+    shape: Any
+    values: Any
+    tip: Any
+    stamp: str
+    rows: Any
+    who: str
+
     def __init__(self, **kw):
         for k, v in kw.items():
             setattr(self, k, v)
