--- a/src/petrelhaven/control/counting/service.py
+++ b/src/petrelhaven/control/counting/service.py
@@ -167,7 +167,9 @@
 
     def _take_copy(self, copy: CounterCopy, request: CopyList, until: int, now: int) -> bool:
         followed = self._followed.get(copy.tenant)
-        if followed is None or followed.view_number != request.view_number:
+        if followed is not None and followed.view_number > request.view_number:
+            return False
+        if followed is None or followed.view_number < request.view_number:
             followed = _Followed(self._table.terms.window_us, request.view_number)
             self._followed[copy.tenant] = followed
         return followed.standby.take(copy, request.life, request.number, until, now)
--- a/src/petrelhaven/limits/terms.py
+++ b/src/petrelhaven/limits/terms.py
@@ -14,7 +14,7 @@
 
 _US_PER_S = 1_000_000
 _PER_MILLE = 1_000
-_RESTART_PER_MILLE = 220
+_RESTART_PER_MILLE = 300
 """The part of what a window may hold that is kept for a node that knows nothing."""
 _MARGIN_PER_MILLE = 50
 """The part that is left unused, for what is run twice at members after one admission."""
