--- a/src/petrelhaven/control/counting/contracts.py
+++ b/src/petrelhaven/control/counting/contracts.py
@@ -10,6 +10,8 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
+    import logbook
+
     from petrelhaven.control.consensus.chain import Chain
     from petrelhaven.control.order_messages import EnterAnswer
     from petrelhaven.runtime.clock import Clock
@@ -26,12 +28,14 @@
         clock: Monotonic time, in microseconds.
         tasks: Its background tasks, which end with it.
         chain: Its place in the chain.
+        log: Where its events go, or None.
     """
 
     name: str
     clock: Clock
     tasks: BackgroundTasks
     chain: Chain
+    log: logbook.Logger | None
 
     async def call(
         self, name: str, kind: str, body: Mapping[str, Any], timeout_us: int
--- a/src/petrelhaven/control/counting/service.py
+++ b/src/petrelhaven/control/counting/service.py
@@ -18,6 +18,7 @@
 from petrelhaven.limits.reports import AccountReport, Grant
 from petrelhaven.limits.standby import STANDBY_LIFE_US, CounterCopy, Standby
 from petrelhaven.runtime.errors import Fault, NotReady
+from petrelhaven.runtime.events import Events, emit
 from petrelhaven.transport.message_kinds import MessageKind
 from petrelhaven.transport.quota_messages import (
     CopyList,
@@ -261,6 +262,8 @@
             if tenant not in self._counted and place(tenant, view.chain).counting == self._node.name
         ]
         fresh = [tenant for tenant in missing if not self._go_on(tenant, now)]
+        if len(fresh) < len(missing):
+            self._log_taken_over(len(missing) - len(fresh), 0, Regime.REGULAR)
         if not fresh or now - self._view_since < _HANDOVER_US:
             return
         start = self._fresh_start
@@ -272,6 +275,17 @@
         for tenant in fresh:
             counter = TenantCounter(0, self._table.terms.window_us)
             self._counted[tenant] = _Counted(counter, start.regime, start.until)
+        self._log_taken_over(0, len(fresh), start.regime)
+
+    def _log_taken_over(self, known: int, fresh: int, regime: Regime) -> None:
+        emit(
+            self._node.log,
+            Events.COUNTS_TAKEN_OVER,
+            view=self._view_number,
+            known=known,
+            fresh=fresh,
+            regime=regime.value,
+        )
 
     def _go_on(self, tenant: str, now: int) -> bool:
         """Goes on with the count of the former view's node, if that is known here."""
--- a/src/petrelhaven/runtime/events.py
+++ b/src/petrelhaven/runtime/events.py
@@ -211,6 +211,14 @@
         "none; `by` gave the order",
     )
 
+    # Control nodes: counts of tenants' operations.
+    COUNTS_TAKEN_OVER = Event(
+        351,
+        _INFO,
+        "counts of tenants taken over",
+        "none; `fresh` of them without a past, in the regime named",
+    )
+
     # Proxies: control nodes and records.
     CONTROL_NODE_CONNECTED = Event(
         401, _INFO, "control node connected; leases come from it", "none"
--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -186,7 +186,7 @@
         self.is_up = True
         self.clock = ProcessClock(self, self._rate)
         self.tasks = BackgroundTasks()
-        self.chain = ChainStub(self)
+        self.chain, self.log = ChainStub(self), None
         self.counting = CountingService(self, lambda: self.world.rng.getrandbits(40))
         self.handlers = {
             MessageKind.QUOTA_REPORT: self.counting.report,
--- a/tests/test_tenant_review.py
+++ b/tests/test_tenant_review.py
@@ -218,6 +218,7 @@
         self.name, self.clock, self.tasks = names[0], LoopClock(), BackgroundTasks()
         self.silent, self.view = silent, SimpleNamespace(number=1, chain=names)
         state = SimpleNamespace(configuration=None)
+        self.log = None
         self.chain = SimpleNamespace(view=self.view, active=True, control_state=state)
 
     async def call(self, name, _kind, body, timeout_us):
