A count that is taken over keeps the ages of its uses

Copies now carry uses with their ages; the ages count from the copy's arrival, so none seems older than it is.

--- a/src/petrelhaven/control/counting/copies.py
+++ b/src/petrelhaven/control/counting/copies.py
@@ -68,12 +68,11 @@
         `regime` is that of the counter, which lasts for `left_us` more.
         """
         last = self._acknowledged
-        used_now = counter.used(now)
         reserve = max(_LEAST_RESERVE, counter.allowance // _RESERVE_SHARE)
         reserve = max(1, min(reserve, counter.allowance // _MOST_RESERVE_SHARE))
-        used = used_now if last is None else counter.uses - last.uses
+        uses = counter.uses_by_age(now) if last is None else [(0, counter.uses - last.uses)]
         copy = CounterCopy(
-            tenant, used, counter.outstanding(), reserve, last is None, regime.value, left_us
+            tenant, uses, counter.outstanding(), reserve, last is None, regime.value, left_us
         )
         sent = SentCopy(counter.grants + reserve, counter.uses, now + _CERTAIN_LIFE_US)
         self._sent.append(sent)
--- a/src/petrelhaven/limits/counter.py
+++ b/src/petrelhaven/limits/counter.py
@@ -72,6 +72,10 @@
         self._window.advance(now)
         return self._window.total
 
+    def uses_by_age(self, now: int) -> list[tuple[int, int]]:
+        """The uses that count in the present window, as `UsageWindow.by_age` has them."""
+        return self._window.by_age(now)
+
     def report(self, proxy: str, report: AccountReport, now: int, most: int | None = None) -> Grant:
         """Takes a proxy's report, and grants what it needs and, where there is enough, wants.
 
--- a/src/petrelhaven/limits/standby.py
+++ b/src/petrelhaven/limits/standby.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from petrelhaven.limits.counter import TenantCounter
@@ -19,7 +20,8 @@
 
     Attributes:
         tenant: The tenant.
-        used: How many uses were counted since the copy before; all that count, in the first one.
+        uses: The uses counted since the copy before, or all that count in the first one: how long
+            ago, in microseconds, and how many; the oldest first.
         outstanding: How many permits may still be used.
         reserve: How many more may be granted until the next copy.
         first: Whether this is the first copy, which stands for all that came before.
@@ -28,7 +30,7 @@
     """
 
     tenant: str
-    used: int
+    uses: Sequence[tuple[int, int]]
     outstanding: int
     reserve: int
     first: bool
@@ -56,7 +58,7 @@
         self.regime_left_us = 0
 
     def take(self, copy: CounterCopy, life: int, number: int, expires_at: int, now: int) -> bool:
-        """Takes a copy. Its uses count from now on, which is later than they happened.
+        """Takes a copy. The ages of its uses count from now on, so none seems older than it is.
 
         Args:
             copy: The copy.
@@ -73,7 +75,8 @@
         if copy.first:
             self._window = UsageWindow(self._window.window_us)
         self._window.advance(now)
-        self._window.add(copy.used, now)
+        for age_us, count in copy.uses:
+            self._window.add(count, now - age_us)
         self._bound = copy.outstanding + copy.reserve
         self._expires_at = expires_at
         self.regime, self.regime_left_us = Regime(copy.regime), copy.regime_left_us
@@ -98,10 +101,9 @@
 
     def copy(self, tenant: str, now: int) -> CounterCopy:
         """What is known here, as a first copy for a node that has forgotten it."""
-        self._window.advance(now)
         return CounterCopy(
             tenant,
-            self._window.total,
+            self._window.by_age(now),
             self._bound,
             0,
             True,
--- a/src/petrelhaven/limits/usage_window.py
+++ b/src/petrelhaven/limits/usage_window.py
@@ -7,6 +7,7 @@
 __all__ = ["UsageWindow"]
 
 _SLICE_US = 100_000
+_GROUPED_SLICES = 5
 
 
 class UsageWindow:
@@ -36,6 +37,21 @@
         while self._slices and self._end(self._slices[0]) <= now:
             self.total -= self._slices.popleft()[1]
 
+    def by_age(self, now: int) -> list[tuple[int, int]]:
+        """The uses that count now: how long ago the newest of some happened, and how many.
+
+        Ages are in microseconds, the oldest first; what happened within half a second is one entry.
+        """
+        self.advance(now)
+        grouped: dict[int, list[int]] = {}
+        for number, count in self._slices:
+            entry = grouped.setdefault(number // _GROUPED_SLICES, [number, 0])
+            entry[0] = number
+            entry[1] += count
+        return [
+            (max(0, now - (number + 1) * _SLICE_US), count) for number, count in grouped.values()
+        ]
+
     def until_freed(self, count: int, now: int) -> int:
         """Microseconds until `count` uses have left the window; its length if fewer are in it."""
         freed = 0
--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -19,6 +19,7 @@
 from petrelhaven.limits.holding import Holding
 from petrelhaven.limits.placement import place
 from petrelhaven.limits.regime import Regime
+from petrelhaven.limits.reports import AccountReport
 from petrelhaven.limits.standby import STANDBY_LIFE_US, Standby
 from petrelhaven.limits.terms import ACCOUNT_LIFE_US, Quota
 from petrelhaven.runtime.errors import NotReady
@@ -662,3 +663,19 @@
     mutant(monkeypatch)
     with pytest.raises(AssertionError):
         search()
+
+
+# Guards against refusals below the limit: a node that goes on with a count took all uses of the last
+# window for new ones, so that a tenant at 0.6 of its rate got hardly a permit for a whole window.
+def test_a_counter_that_goes_on_forgets_uses_when_they_leave_the_window():
+    counter = TenantCounter(60, WINDOW_US)
+    for index in range(40):
+        at = index * 100_000
+        counter.report("p", AccountReport("t", 1, index, index, 0, 1, 0), at)
+    now = 40 * 100_000
+    copy, _ = CopyTracker().make("t", counter, Regime.REGULAR, 0, now)
+    standby = Standby(WINDOW_US)
+    assert standby.take(copy, 1, 1, now + STANDBY_LIFE_US, now)
+    later = standby.counter(now)
+    assert later.used(now) == counter.used(now)
+    assert later.used(now + WINDOW_US // 2) <= counter.used(now + WINDOW_US // 2) + 5
