--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -57,7 +57,6 @@
         "src/petrelhaven/proxy/session/client_session.py",
         "src/petrelhaven/proxy/session/immediate_reply.py",
         "src/petrelhaven/runtime/settings.py",
-        "src/petrelhaven/simulator/connection_sessions/control_faults.py",
         "src/petrelhaven/simulator/connection_sessions/control_scenes.py",
         "src/petrelhaven/simulator/connection_sessions/embargo.py",
         "src/petrelhaven/simulator/connection_sessions/faults.py",
