--- a/src/petrelhaven/control/counting/service.py
+++ b/src/petrelhaven/control/counting/service.py
@@ -343,6 +343,7 @@
         try:
             if self._may_be_remembered:
                 await self._remember(view, tenants)
+            if all(tenant in self._counted for tenant in tenants):
                 return
             if self._fresh_start is None:  # a second try must not take its own record for another's
                 starts = self._node.chain.control_state.counting_starts
@@ -354,6 +355,8 @@
             if start is not None and start.view_number == view_number:
                 until = self._clock.now() + self._table.terms.quarantine_us
                 self._fresh_start = start._replace(until=until)
+                if self._node.chain.active:
+                    self._take_tenants()
         except Fault:
             pass
         finally:
