--- a/review/common/caller.py
+++ b/review/common/caller.py
@@ -39,8 +39,8 @@
                     status, found, got = await _exchange(address, method, path, data, headers or {})
                     if status != _REDIRECT:
                         return status, got
-                    address, _, rest = found.get("location", "").removeprefix("http://").partition(
-                        "/"
+                    address, _, rest = (
+                        found.get("location", "").removeprefix("http://").partition("/")
                     )
                     path = f"/{rest}"
         except (OSError, ValueError, TimeoutError, asyncio.IncompleteReadError):
