--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""EVAC: a primary that drains and whose zone is evacuated a moment later is used too long."""
+"""DRAIN: a late heartbeat of a member that has signed off makes it a member again."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import sys
 from pathlib import Path
 
@@ -10,54 +11,94 @@
 
 from estate import SERVICE, TROUBLE, Estate, main
 
-_DARK_AT_S = 4.0
-_DRAIN_AFTER_S = 0.3
-_DARK_S = 4.5
-_PLAY_S = 16.0
+_SIGN_OFF_AT_S = 4.0
+_LATE_BY_S = 3.0
+_SERVES_ON_S = 12.0
+_REST_S = 4.0
 
 
 async def play(estate: Estate) -> list[str]:
-    """Plays the case; returns the statements that reached the evacuated zone too late."""
-    primary = estate.primary()
-    dark = [m for m in estate.groups[SERVICE].members.values() if m is not primary][-1]
-    clients = estate.add_clients(estate.ingest, 24, 5.0, _PLAY_S)
-    clients += estate.add_clients(estate.browse, 6, 4.0, _PLAY_S)
-    await asyncio.sleep(_DARK_AT_S)
+    """Plays the case; returns the statements that reached the member too late."""
+    members = estate.groups[SERVICE].members.values()
+    leaving = next(m for m in members if m is not estate.primary())
+    clients = estate.add_clients(
+        estate.ingest, 12, 4.0, _SIGN_OFF_AT_S + _SERVES_ON_S + _REST_S + 2.0
+    )
+    clients += estate.add_clients(
+        estate.browse, 9, 4.0, _SIGN_OFF_AT_S + _SERVES_ON_S + _REST_S + 2.0
+    )
+    await asyncio.sleep(_SIGN_OFF_AT_S)
+    beats = leaving._beats
+    relay = asyncio.ensure_future(_send_held_beat(estate, leaving)) if TROUBLE else None
     if TROUBLE:
-        estate.note(f"replica {dark.id} goes dark for {_DARK_S} s")
-        dark.go_dark()
-    await asyncio.sleep(_DRAIN_AFTER_S)
-    release = asyncio.ensure_future(estate.release(primary))
-    while primary.id not in estate.history.drained:
-        await asyncio.sleep(0.005)
-    estate.note(f"primary {primary.id} in {primary.zone} says draining, acknowledged")
-    status = await estate.operator.begin(primary.zone)
-    estate.note(f"{primary.zone} is evacuated, answered with {status}")
-    acked_at = estate.history.evacuations[0].acked_at
-    await asyncio.sleep(_DARK_S - _DRAIN_AFTER_S - 0.1)
-    if TROUBLE:
-        await dark.go_light()
-        estate.note(f"replica {dark.id} is back")
-    while estate.primary() is primary:
-        await asyncio.sleep(0.01)
-    estate.note(f"{estate.primary().id if estate.primary() else 'nobody'} leads")
-    await asyncio.gather(*clients, release)
-    return late_runs(estate, primary.zone, acked_at)
+        await asyncio.sleep(1.0)  # silence: the caller goes on to the next node
+        beats._turn += 1
+        beats._target = None
+    await beats._heartbeat()
+    estate.note(f"{leaving.id} beats, CallSeq {beats._seq}, acknowledged")
+    leaving._tasks[-1].cancel()  # its last beat; it signs off next
+    await beats.deregister()
+    gone_at = estate.history.now()
+    estate.note(f"{leaving.id} signs off, acknowledged; it serves on for {_SERVES_ON_S} s")
+    await asyncio.sleep(_SERVES_ON_S)
+    await leaving.crash()
+    del estate.groups[SERVICE].members[leaving.id]
+    estate.note(f"{leaving.id} ends")
+    await asyncio.gather(*clients, *([relay] if relay else []))
+    return late_runs(estate, leaving.id, gone_at)
+
+
+async def _send_held_beat(estate: Estate, member: object) -> None:
+    """Sends a heartbeat through a relay that holds its bytes back for `_LATE_BY_S`.
+
+    The member takes the silence of a second as a failure and closes; the bytes arrive later.
+    """
+    beats = member._beats
+    beats._seq += 1
+    group = member.group
+    body = json.dumps(
+        {
+            "Service": group.service,
+            "Address": member.address,
+            "Zone": member.zone,
+            "Revision": member.revision,
+            "Capacity": group.slots,
+            "State": "ready",
+            "WarmupLeftMs": 0,
+            "DbRole": member.role,
+            "CallSeq": beats._seq,
+        },
+        separators=(",", ":"),
+    ).encode()
+    node = beats._target or beats._nodes[0]
+    estate.note(f"{member.id} beats, CallSeq {beats._seq}, to {node}; its bytes are held up")
+    await asyncio.sleep(_LATE_BY_S)
+    host, port = node.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        f"POST /v1/Members.Heartbeat/{member.id} HTTP/1.1\r\nHost: {node}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
+    estate.note("the held bytes arrive")
+    line = (await reader.readline()).decode().strip()
+    estate.note(f"answered with {line}, to nobody")
+    writer.close()
 
 
-def late_runs(estate: Estate, zone: str, acked_at: float) -> list[str]:
-    """Returns the first statements that reached the zone over `EvacuateMs` after the order."""
+def late_runs(estate: Estate, member: str, gone_at: float) -> list[str]:
+    """Returns the first statements that reached the member over `DrainMs` after its sign-off."""
     asked = {s.id: (a, s) for a in estate.history.attempts for s in a.statements}
     late = []
     for run in estate.history.runs:
-        since = run.arrived - acked_at
-        if run.zone != zone or run.id not in asked:
+        since = run.arrived - gone_at
+        if run.member != member or run.id not in asked:
             continue
         attempt, statement = asked[run.id]
-        if since > estate.fleet.bounds["EvacuateMs"] / 1000 and statement is attempt.first:
+        if since > estate.fleet.bounds["DrainMs"] / 1000 and statement is attempt.first:
             late.append(
-                f"EVAC: {run.id} {run.text} reached {run.member} in {zone} {since:.3f} s after "
-                "the acknowledgement of its evacuation"
+                f"DRAIN: {run.id} {run.text} reached {member} {since:.3f} s after the "
+                "acknowledgement that it is gone"
             )
     return late
 
