--- a/src/petrelhaven/control/failover/context.py
+++ b/src/petrelhaven/control/failover/context.py
@@ -8,7 +8,7 @@
 from petrelhaven.control.failover.group_state import NewLeadership
 from petrelhaven.control.failover.observation import Observer
 from petrelhaven.control.failover.suspicions import Suspicions
-from petrelhaven.control.state.evidence_records import CountedOutRecord
+from petrelhaven.control.state.evidence_records import CountedOutRecord, NonVotingRecord
 from petrelhaven.control.state.records import LeadershipRecord
 from petrelhaven.control.state.rows import Leadership, LeadershipPhase, Member
 from petrelhaven.runtime.events import Events, emit
@@ -136,6 +136,12 @@
         )
         return number
 
+    async def record_non_voting(self, group: str, member: str) -> int:
+        """Records that a lost member doesn't vote any more; returns the record's number."""
+        seq = await self.node.chain.append_record(NonVotingRecord(group, member).to_document())
+        emit(self.log, Events.MEMBER_NON_VOTING, group=group, member=member)
+        return seq
+
     async def record_counted_out(self, group: str, member: str, position: Position | None) -> None:
         """Records that a member is counted out at `position`, or no longer if None."""
         await self.node.chain.append_record(CountedOutRecord(group, member, position).to_document())
--- a/src/petrelhaven/control/failover/counting_out.py
+++ b/src/petrelhaven/control/failover/counting_out.py
@@ -2,18 +2,22 @@
 
 A member is counted out by pausing it and recording the position of its log. A draining member may
 be counted out while a replica that stays in the group receives the log: every commit acknowledged
-from then on is held by a replica that stays. A replica that ended without signing off is counted
-out at a position that the primary's log had after that end.
+from then on is held by a replica that stays.
+
+A replica that is lost, that is, refuses connections without having signed off, can't be paused and
+may still receive the log. It is counted out only once every proxy knows that its copies don't count
+(see `vote_removal`), at a position that the primary's log had after that.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 from petrelhaven.control.failover.group_state import MemberEndpoint
 from petrelhaven.control.failover.member_access import MemberHandle
+from petrelhaven.control.failover.vote_removal import VoteRemoval
 
 if TYPE_CHECKING:
     from petrelhaven.control.failover.context import FailoverContext
@@ -38,6 +42,7 @@
         self._handles: dict[str, MemberHandle] = {}
         self._members: dict[str, Member] = {}
         self._unreplicated_since: int | None = None
+        self._votes = VoteRemoval(context, group)
 
     def close(self) -> None:
         """Closes the connections to the members."""
@@ -76,13 +81,14 @@
         return False
 
     def _find_staying_replicas(self, primary: str) -> list[MemberHandle]:
-        counted_out = self._counted_out()
+        evidence = self._context.evidence(self._group)
         present = self._context.members(self._group)
         return [
             handle
             for name, handle in self._handles.items()
             if name != primary
-            and name not in counted_out
+            and name not in evidence.counted_out
+            and name not in evidence.non_voting
             and name in present
             and self._members[name].is_ready
         ]
@@ -96,18 +102,14 @@
         term: int,
         is_replicated: bool,
         is_overdue: Callable[[str], bool],
-        lost_replicas: list[str],
     ) -> None:
         """Counts draining members out while another replica receives, else counts them in again.
 
-        No member is counted in during a leader change, in which only the candidate may receive.
-
         Args:
             primary: The current primary.
             term: A term above that of the primary.
             is_replicated: Whether a replica that stays in the group receives the log.
             is_overdue: Whether a draining member has to be counted out in any case.
-            lost_replicas: Replicas that ended without signing off.
         """
         counted_out_before = self._counted_out()
         for name in self._draining_members():
@@ -118,29 +120,43 @@
                 await self._pause_and_record(name, term)
             elif name in counted_out_before:
                 await self._count_in_if_unreplicated(name)
-        if self._context.leadership(self._group).is_serving:
-            await self._count_in_returned(counted_out_before, lost_replicas)
 
     def _draining_members(self) -> list[str]:
         members = self._context.members(self._group)
         return [name for name, member in members.items() if member.is_draining]
 
-    async def _count_in_returned(
-        self, counted_out: Iterable[str], lost_replicas: list[str]
-    ) -> None:
-        """Counts members in again that are neither draining nor lost any more."""
-        for name in counted_out:
+    async def count_in_returned(self, lost_replicas: Collection[str]) -> None:
+        """Counts members in again that are neither draining nor lost any more.
+
+        No member is counted in during a leader change, in which only the candidate may receive.
+        """
+        evidence = self._context.evidence(self._group)
+        for name in sorted({*evidence.counted_out, *evidence.non_voting}):
+            if not self._context.leadership(self._group).is_serving:
+                return
             member = self._context.members(self._group).get(name)
             if member is not None and member.is_ready and name not in lost_replicas:
                 await self._count_in(name)
 
-    async def count_out_lost(self, lost_replicas: list[str], position: Position) -> None:
-        """Counts lost replicas out at `position`, which a replica that stays has reached."""
+    async def count_out_lost(self, lost_replicas: Collection[str], primary: str) -> None:
+        """Counts lost replicas out, once their copies count for no proxy any more.
+
+        The position is read after that. It covers every commit that was acknowledged because of
+        their copies, and a replica that stays has to reach it.
+        """
+        if not await self._votes.remove(lost_replicas):
+            return
+        uncounted = [name for name in lost_replicas if name not in self._counted_out()]
+        status = await self._handles[primary].status() if uncounted else None
+        if status is None or not status.is_primary:
+            return
+        if not await self.is_replicated(primary, status.position):
+            return
         async with self._context.pause_lock(self._group):
-            for name in lost_replicas:
+            for name in uncounted:
                 self._context.suspicions.remove_replica(self._group, name)
-                if name not in self._counted_out():
-                    await self._record_counted_out(name, position)
+                if name in self._context.evidence(self._group).non_voting:
+                    await self._record_counted_out(name, status.position)
 
     async def _pause_and_record(self, name: str, term: int) -> None:
         handle = self._handles.get(name)
--- a/src/petrelhaven/control/failover/departures.py
+++ b/src/petrelhaven/control/failover/departures.py
@@ -5,8 +5,8 @@
 log is known to end at or below a position of the primary that was read after the member's end; this
 bound is recorded.
 
-A replica that ended unannounced may never return. It is counted out as well, since otherwise the
-next failover would wait for it forever.
+A replica that refuses connections unannounced may never return. It is counted out as well, since
+otherwise the next failover would wait for it forever.
 """
 
 from __future__ import annotations
@@ -91,6 +91,7 @@
             self._draining_members(group)
             or evidence.unproven
             or evidence.counted_out
+            or evidence.non_voting
             or self._suspicions.replicas_of(group)
         )
 
@@ -133,23 +134,29 @@
             return
         ended_members = await self._find_ended_members(group)
         lost_replicas = await self._find_lost_replicas(group, leadership.primary)
+        counting_out = self._group_counting_out(group)
+        counting_out.refresh()
+        await counting_out.count_in_returned(lost_replicas)
         if self._has_work(group, lost_replicas):
             await self._update_evidence(group, leadership.primary, ended_members, lost_replicas)
 
+    def _group_counting_out(self, group: str) -> CountingOut:
+        if group not in self._counting_out:
+            self._counting_out[group] = CountingOut(self._context, self._resumption, group)
+        return self._counting_out[group]
+
     def _has_work(self, group: str, lost_replicas: list[str]) -> bool:
-        """Returns whether any member is to be counted out, counted in or bounded."""
+        """Returns whether any member is to be counted out or bounded."""
         evidence = self._evidence(group)
-        all_counted_out = set(lost_replicas) == set(evidence.counted_out)
-        return bool(self._draining_members(group) or evidence.unproven or not all_counted_out)
+        done = set(evidence.counted_out) & set(evidence.non_voting)
+        remaining = set(lost_replicas) - done
+        return bool(self._draining_members(group) or evidence.unproven or remaining)
 
     async def _update_evidence(
         self, group: str, primary: str, ended_members: list[str], lost_replicas: list[str]
     ) -> None:
         """Counts members out and bounds their logs by the primary's position, if it answers."""
-        if group not in self._counting_out:
-            self._counting_out[group] = CountingOut(self._context, self._resumption, group)
-        counting_out = self._counting_out[group]
-        counting_out.refresh()
+        counting_out = self._group_counting_out(group)
         handle = counting_out.find_handle(primary)
         status = await handle.status() if handle is not None else None
         if status is None or not status.is_primary:
@@ -165,11 +172,9 @@
         def is_overdue(name: str) -> bool:
             return self._is_overdue(group, primary, name)
 
-        await counting_out.update(
-            primary, status.term + 1, is_replicated, is_overdue, lost_replicas
-        )
+        await counting_out.update(primary, status.term + 1, is_replicated, is_overdue)
         if is_replicated:
-            await counting_out.count_out_lost(lost_replicas, status.position)
+            await counting_out.count_out_lost(lost_replicas, primary)
 
     def _is_overdue(self, group: str, primary: str, name: str) -> bool:
         """Returns whether a draining member must be counted out as the primary drains as well."""
@@ -177,8 +182,13 @@
         return primary in draining and self._draining_for_us(name) > _COUNT_OUT_AFTER_DRAINING_US
 
     async def _find_lost_replicas(self, group: str, primary: str) -> list[str]:
-        """Returns the replicas that ended unannounced: their ports have been closed for a while."""
-        suspects = self._suspicions.replicas_of(group) | set(self._evidence(group).counted_out)
+        """Returns the lost replicas: they have refused connections unannounced for a while."""
+        evidence = self._evidence(group)
+        suspects = {
+            *self._suspicions.replicas_of(group),
+            *evidence.counted_out,
+            *evidence.non_voting,
+        }
         lost_replicas = []
         for name in sorted(suspects):
             member = self._context.members(group).get(name)
--- a/src/petrelhaven/control/failover/evidence.py
+++ b/src/petrelhaven/control/failover/evidence.py
@@ -5,7 +5,9 @@
 `find_electable_members`.
 
 The invariant: every acknowledged commit is at or below `lower_bound`, or is in the log of a
-member that is still in the group, or in the log of a member named in `unproven`.
+member that is still in the group, or in the log of a member named in `unproven`. A commit is
+acknowledged when a proxy reports its success to the client; the copies of members named in
+`non_voting` don't count for that.
 """
 
 from __future__ import annotations
@@ -72,11 +74,14 @@
     Attributes:
         lower_bound: An elected member's log must reach at least this position.
         counted_out: Draining or lost members whose logs elections don't need, each with a
-            position that its log doesn't exceed.
+            position: no commit above it was acknowledged only because of that member's copy.
         unproven: Members that left and may have held the only copy of a commit.
         left_in_change: Counted out members that left during a leader change, when a promotion may
             have ended their pause.
         order: An operator's order to elect a member without proof.
+        non_voting: Lost members, which may still run and receive the log. Proxies acknowledge a
+            commit only once a replica that votes has it. A lost member is counted out only after
+            every proxy knows that it doesn't vote.
     """
 
     lower_bound: Position = NO_POSITION
@@ -84,6 +89,7 @@
     unproven: tuple[str, ...] = ()
     left_in_change: tuple[str, ...] = ()
     order: ElectionOrder | None = None
+    non_voting: tuple[str, ...] = ()
 
     @classmethod
     def from_document(cls, document: Mapping[str, Any] | None) -> Evidence:
@@ -99,6 +105,7 @@
             unproven=tuple(document["unproven"]),
             left_in_change=tuple(document["left_in_move"]),
             order=ElectionOrder(**order) if order else None,
+            non_voting=tuple(document.get("non_voting", ())),
         )
 
     def unproven_except(self, primary: str) -> tuple[str, ...]:
@@ -106,9 +113,9 @@
         return tuple(name for name in self.unproven if name != primary)
 
     def to_document(self) -> dict[str, Any]:
-        """Returns the evidence as plain JSON values."""
+        """Returns the evidence as plain JSON values; "non_voting" is left out if it is empty."""
         order = self.order
-        return {
+        document = {
             "floor": list(self.lower_bound),
             "counted_out": {
                 name: list(position) for name, position in sorted(self.counted_out.items())
@@ -117,13 +124,27 @@
             "left_in_move": list(self.left_in_change),
             "order": {"member": order.member, "by": order.by} if order else None,
         }
+        if self.non_voting:
+            document["non_voting"] = list(self.non_voting)
+        return document
 
     def with_counted_out(self, member: str, position: Position | None) -> Evidence:
-        """Returns the evidence with a member counted out at `position`, or no longer if None."""
+        """Returns the evidence with a member counted out at `position`.
+
+        Without a position, the member is not counted out any more, and it votes again.
+        """
         others = {name: paused_at for name, paused_at in self.counted_out.items() if name != member}
-        if position is not None:
-            others[member] = position
-        return replace(self, counted_out=others)
+        if position is None:
+            return replace(self._with_voting(member), counted_out=others)
+        return replace(self, counted_out={**others, member: position})
+
+    def with_non_voting(self, member: str) -> Evidence:
+        """Returns the evidence after a lost member's copies stopped to count for commits."""
+        return replace(self, non_voting=(*self._with_voting(member).non_voting, member))
+
+    def _with_voting(self, member: str) -> Evidence:
+        others = tuple(name for name in self.non_voting if name != member)
+        return replace(self, non_voting=others)
 
     def with_bounded_logs(self, members: Iterable[str], position: Position) -> Evidence:
         """Returns the evidence after the logs of ended `members` were bounded by `position`."""
@@ -144,8 +165,13 @@
         With `during_change`, a promotion may be in progress, which ends every pause.
         """
         position = self.counted_out.get(member)
-        if position is None:
-            return replace(self, unproven=(*self.unproven, member))
+        if position is None or member in self.non_voting:
+            # A member that doesn't vote isn't paused: it may receive until its process ends.
+            without_member = self.with_counted_out(member, None)
+            lower_bound = max(self.lower_bound, position or NO_POSITION)
+            return replace(
+                without_member, lower_bound=lower_bound, unproven=(*self.unproven, member)
+            )
         left_in_change = (*self.left_in_change, member) if during_change else self.left_in_change
         return replace(
             self.with_counted_out(member, None),
@@ -174,6 +200,7 @@
             self,
             lower_bound=position if accepted_loss else max(self.lower_bound, position),
             counted_out={} if changed else self.counted_out,
+            non_voting=() if changed else self.non_voting,
             unproven=(*unproven, *(name for name in self.left_in_change if name not in unproven)),
             left_in_change=(),
             order=None,
@@ -226,6 +253,7 @@
     if departed:
         return Unproven(f"{departed} left and may have held the only copy of a commit", True)
     lower_bound = max([evidence.lower_bound, *evidence.counted_out.values()])
+    required |= _received_since_counted_out(evidence, names, statuses)
     highest = _highest(required, statuses)
     if highest is None or highest < lower_bound:
         # A counted out member that answered may hold what the others lack.
@@ -241,6 +269,19 @@
     return Proven(tuple(sorted(name for name in required if statuses[name].position == highest)))
 
 
+def _received_since_counted_out(
+    evidence: Evidence, names: Iterable[str], statuses: Mapping[str, MemberStatus]
+) -> set[str]:
+    """Returns the counted out members that answered and have received the log since then."""
+    return {
+        name
+        for name in names
+        if name in statuses
+        and name in evidence.counted_out
+        and statuses[name].position > evidence.counted_out[name]
+    }
+
+
 def _highest(names: Iterable[str], statuses: Mapping[str, MemberStatus]) -> Position | None:
     return max((statuses[name].position for name in names), default=None)
 
--- a/src/petrelhaven/control/failover/group_members.py
+++ b/src/petrelhaven/control/failover/group_members.py
@@ -146,16 +146,21 @@
     def find_excused(self, replicas: Iterable[MemberHandle]) -> list[str]:
         """Returns the replicas that need not answer.
 
-        These are counted out members that are not ready, or whose ports are closed.
+        These are counted out members: those that were paused before they leave, and those that
+        don't vote and whose ports are closed.
         """
         members = self._context.members(self._group)
-        counted_out = self._context.evidence(self._group).counted_out
+        evidence = self._context.evidence(self._group)
         return [
             handle.name
             for handle in replicas
-            if handle.name in counted_out
+            if handle.name in evidence.counted_out
             and handle.name in members
-            and (handle.is_refused or not members[handle.name].is_ready)
+            and (
+                handle.is_refused
+                if handle.name in evidence.non_voting
+                else not members[handle.name].is_ready
+            )
         ]
 
     async def are_still_excused(
--- a/src/petrelhaven/control/failover/switchover.py
+++ b/src/petrelhaven/control/failover/switchover.py
@@ -98,12 +98,15 @@
     def _choose_candidate(self, statuses: dict[str, MemberStatus]) -> MemberHandle | None:
         """Chooses an eligible member, or None.
 
-        Preferred are, in this order, members that were requested before, those that are not
-        paused, and the highest log.
+        Preferred are, in this order, members that were requested before, those that vote, those
+        that are not paused, and the highest log. While only a member without a vote receives,
+        proxies acknowledge no commit.
         """
+        non_voting = self._context.evidence(self._group).non_voting
         eligible = set(self._context.eligible_replicas(self._group, self._old_primary))
         names = [name for name in statuses if name in eligible]
         names = [name for name in names if name in self._requests.requested] or names
+        names = [name for name in names if name not in non_voting] or names
         names = [name for name in names if not statuses[name].paused_term] or names
         if not names:
             return None
--- a/src/petrelhaven/control/state/control_state.py
+++ b/src/petrelhaven/control/state/control_state.py
@@ -15,6 +15,7 @@
     ElectionOrderRecord,
     EvidenceRecord,
     LogBoundRecord,
+    NonVotingRecord,
     UnknownEvidenceRecord,
 )
 from petrelhaven.control.state.record import Document
@@ -131,6 +132,7 @@
                 self._check_leadership(record)
             case (
                 CountedOutRecord()
+                | NonVotingRecord()
                 | LogBoundRecord()
                 | ElectionOrderRecord()
                 | UnknownEvidenceRecord()
@@ -160,6 +162,7 @@
                 self._apply_leadership(record)
             case (
                 CountedOutRecord()
+                | NonVotingRecord()
                 | LogBoundRecord()
                 | ElectionOrderRecord()
                 | UnknownEvidenceRecord()
@@ -294,7 +297,7 @@
         in_change = leadership is not None and not leadership.is_serving
         evidence = self.evidence(group)
         self._put_evidence(group, evidence.with_departure(name, in_change))
-        if name in evidence.counted_out and not in_change:
+        if name not in self.evidence(group).unproven and not in_change:
             self._reduce_known_size(group)
 
     def _replace_member_at_address(self, name: str, row: Document, group: str) -> None:
@@ -336,11 +339,15 @@
         leadership = self.leadership(group)
         if leadership is None:
             raise NoRoute(f"no group {group[:_MAX_SHOWN_NAME_LENGTH]} is served")
-        if isinstance(record, CountedOutRecord) and record.member not in self.group_members(group):
-            raise Stale(f"member {record.member} is gone")
+        if isinstance(record, CountedOutRecord | NonVotingRecord):
+            self._check_present(group, record.member)
         if isinstance(record, ElectionOrderRecord):
             self._check_election_order(record, leadership)
 
+    def _check_present(self, group: str, member: str) -> None:
+        if member not in self.group_members(group):
+            raise Stale(f"member {member} is gone")
+
     def _check_election_order(self, record: ElectionOrderRecord, leadership: Leadership) -> None:
         group, member = record.group[:_MAX_SHOWN_NAME_LENGTH], record.member
         if leadership.phase is not LeadershipPhase.FAILOVER:
@@ -365,6 +372,8 @@
         match record:
             case CountedOutRecord():
                 evidence = evidence.with_counted_out(record.member, record.position)
+            case NonVotingRecord():
+                evidence = evidence.with_non_voting(record.member)
             case LogBoundRecord():
                 self._apply_log_bound(record, evidence)
                 return
--- a/src/petrelhaven/control/state/evidence_records.py
+++ b/src/petrelhaven/control/state/evidence_records.py
@@ -16,6 +16,7 @@
     "CountedOutRecord",
     "ElectionOrderRecord",
     "EvidenceRecord",
+    "NonVotingRecord",
     "UnknownEvidenceRecord",
     "evidence_from_document",
 ]
@@ -23,7 +24,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CountedOutRecord:
-    """A leaving member is paused at `position`, or receives again if that is None."""
+    """Elections don't need the log of a leaving or lost member above `position`.
+
+    If the position is None, the member counts again, for elections and for commits.
+    """
 
     kind: ClassVar[str] = "evidence"
     what: ClassVar[str] = "counted_out"
@@ -47,6 +51,30 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class NonVotingRecord:
+    """A commit is acknowledged only once a replica other than the lost `member` has it."""
+
+    kind: ClassVar[str] = "evidence"
+    what: ClassVar[str] = "non_voting"
+    group: str
+    member: str
+
+    @classmethod
+    def from_document(cls, document: Document) -> NonVotingRecord:
+        """Reads a document written by `to_document`."""
+        return cls(document["group"], document["member"])
+
+    def to_document(self) -> Document:
+        """Returns the record as a JSON document."""
+        return {
+            KIND_KEY: self.kind,
+            "group": self.group,
+            "what": self.what,
+            "member": self.member,
+        }
+
+
 @dataclass(frozen=True, slots=True)
 class LogBoundRecord:
     """The logs of `members`, which have left, end at or below `position`."""
@@ -123,9 +151,16 @@
         return {KIND_KEY: self.kind, "group": self.group, "what": self.what}
 
 
-EvidenceRecord = CountedOutRecord | LogBoundRecord | ElectionOrderRecord | UnknownEvidenceRecord
+EvidenceRecord = (
+    CountedOutRecord
+    | NonVotingRecord
+    | LogBoundRecord
+    | ElectionOrderRecord
+    | UnknownEvidenceRecord
+)
 _READERS: Mapping[str, Callable[[Document], EvidenceRecord]] = {
     CountedOutRecord.what: CountedOutRecord.from_document,
+    NonVotingRecord.what: NonVotingRecord.from_document,
     LogBoundRecord.what: LogBoundRecord.from_document,
     ElectionOrderRecord.what: ElectionOrderRecord.from_document,
 }
--- a/src/petrelhaven/proxy/routing/member_proofs.py
+++ b/src/petrelhaven/proxy/routing/member_proofs.py
@@ -7,10 +7,10 @@
 
 import asyncio
 import contextlib
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from petrelhaven.control.state.rows import LeadershipPhase
-from petrelhaven.proxy.routing.waiting import wait_for_first
+from petrelhaven.proxy.routing.commit_confirmation import CommitConfirmation
 from petrelhaven.runtime.errors import Fault, Unreachable
 
 if TYPE_CHECKING:
@@ -21,8 +21,6 @@
 __all__ = ["MemberProofs"]
 
 _FAILOVER = LeadershipPhase.FAILOVER
-_MAX_CONFIRMATION_US = 400_000
-_NEAREST_REPLICA_LEAD_US = 40_000
 _SILENCE_US = 250_000
 
 
@@ -42,9 +40,14 @@
         member could be elected without that replica's log. This is ruled out only if the control
         nodes have recently confirmed that `answered` leads in the term of its answer, and if a
         partition doesn't separate both `answered` and this proxy from the others.
+
+        While the group has a lost replica without a vote, the primary may have waited for that
+        one, whose log an election does not need.
         """
         if self._group.sync_replicas == 0:
             return False
+        if self._group.non_voting:
+            return True
         leadership = self._group.leadership
         if (
             leadership is None
@@ -61,43 +64,11 @@
     def confirm_commit(
         self, position: Position | None, answered: Member, deadline: int
     ) -> Continuation[bool]:
-        """Returns whether a known replica reports `position` in STATUS, soon and before `deadline`.
-
-        It asks the nearest replica first and all others a little later; one replica is sufficient.
-        A log of a later term does not count: it may lack the last writes of the earlier primary.
-        """
-        deadline = min(deadline, self._clock.now() + _MAX_CONFIRMATION_US)
+        """Returns whether a voting replica has the commit at `position`, before `deadline`."""
         if position is None or self._proxy.tasks.closed:
             return False
-        unasked = self._replicas_by_distance(answered)
-        pending: set[asyncio.Task[dict[str, Any]]] = set()
-        while unasked or pending:
-            asked, unasked = (unasked, []) if pending else (unasked[:1], unasked[1:])
-            pending |= {self._request_status(member) for member in asked}
-            left_us = deadline - self._clock.now()
-            if left_us <= 0:
-                return False
-            wait_us = min(left_us, _NEAREST_REPLICA_LEAD_US) if unasked else left_us
-            yield wait_for_first(self._clock, pending, wait_us)
-            done = {task for task in pending if task.done()}
-            pending -= done
-            if any(_shows(task, position) for task in done):
-                return True
-        return False
-
-    def _request_status(self, member: Member) -> asyncio.Task[dict[str, Any]]:
-        task = self._proxy.tasks.spawn(self._group.status(member))
-        assert task is not None, "the node runs"
-        return task
-
-    def _replicas_by_distance(self, primary: Member) -> list[Member]:
-        """Returns all members but `primary`: those without failures first, then by distance."""
-        replicas = [
-            member for member in self._group.members.values() if member.name != primary.name
-        ]
-        return sorted(
-            replicas, key=lambda member: (member.failures > 0, member.distance, member.name)
-        )
+        confirmation = CommitConfirmation(self._group, self._proxy, position, answered.name)
+        return (yield from confirmation.run(deadline))
 
     async def position_from_others(self, primary: str) -> Position:
         """Returns a position that covers every acknowledged commit, from all but the primary.
@@ -175,11 +146,3 @@
     async def _request_status_ignoring_faults(self, member: Member) -> None:
         with contextlib.suppress(Fault):
             await self._group.status(member)
-
-
-def _shows(task: asyncio.Task[dict[str, Any]], position: Position) -> bool:
-    """Returns whether a finished STATUS request shows `position` in a log of the same term."""
-    if task.cancelled() or task.exception() is not None:
-        return False
-    reported: Position = task.result()["pos"]
-    return reported[0] == position[0] and reported >= position
--- a/src/petrelhaven/runtime/events.py
+++ b/src/petrelhaven/runtime/events.py
@@ -216,6 +216,12 @@
         "log positions of departed members bounded",
         "none; a member whose log reaches `pos` has all of their commits",
     )
+    MEMBER_NON_VOTING = Event(
+        345,
+        _INFO,
+        "lost replica without a vote: commits are acknowledged once another replica has them",
+        "none; the replica votes again once it answers",
+    )
     GROUP_WAITS_FOR_PROOF = Event(
         343,
         _ERROR,
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -34,6 +34,7 @@
     Attributes:
         reachable: Whether control nodes can reach it.
         running: Whether its process runs.
+        refuses_control: Whether a partition resets connections of control nodes to it.
         receiving: Whether it receives the log while it isn't paused.
         loses_answers: Whether its answers to commands other than STATUS are lost.
     """
@@ -41,7 +42,7 @@
     def __init__(self, name, role):
         self.name, self.role, self.term, self.position, self.paused_term = name, role, 1, (1, 5), 0
         self.reachable = self.running = self.receiving = True
-        self.loses_answers = False
+        self.loses_answers = self.refuses_control = False
 
     def row(self):
         return {
@@ -66,6 +67,9 @@
         def answer():
             if answered.done() or not (member.reachable and member.running):
                 return
+            if member.refuses_control:
+                answered.set_exception(Unreachable("reset"))
+                return
             if (
                 verb == "pause"
                 and args[0] > max(member.term, member.paused_term)
@@ -87,7 +91,11 @@
 
 
 class SimulatedGroup:
-    """A group that acknowledges a commit once a replica has it, its platform and its control node."""
+    """A group that acknowledges a commit once a replica has it, its platform and its control node.
+
+    Its proxies apply each record `in_force_delay_s` after it was committed. While they know of
+    replicas without a vote, they acknowledge a commit only once a replica that votes has it.
+    """
 
     def __init__(self, names=("p", "r1", "r2"), zones=None):
         self.clock, self.tasks, self.log = LoopClock(), BackgroundTasks(), None
@@ -97,6 +105,7 @@
         self.trace, self.acknowledged, self.fencing_token, self.promoted_names = [], (1, 5), 0, []
         self.rng, self.in_force_delay_s, self.platform_outcomes = random.Random(1), 0.0, []
         self.promotion_delay_s = 0.2
+        self.proxies_seq, self.proxies_non_voting = 0, ()
         self.wire = self.platform = self.node_caller = self.lease_table = self
         self.name, self.zone, self.heartbeat_us, self.last_heartbeats = (
             "c1",
@@ -134,8 +143,16 @@
         control_state = self.chain.control_state
         control_state.check(record)
         control_state.apply(control_state.seq + 1, record)
+        non_voting = control_state.doc["evidence"].get("g", {}).get("non_voting", ())
+        asyncio.get_running_loop().call_later(
+            self.in_force_delay_s, self.apply_at_proxies, control_state.seq, tuple(non_voting)
+        )
         return control_state.seq
 
+    def apply_at_proxies(self, seq, non_voting):
+        if seq > self.proxies_seq:
+            self.proxies_seq, self.proxies_non_voting = seq, non_voting
+
     async def append_record(self, record):
         await asyncio.sleep(0.005)
         seq = self.apply_record(record)
@@ -189,6 +206,8 @@
 
     async def wait_in_force(self, seq):
         await asyncio.sleep(self.in_force_delay_s)
+        while self.proxies_seq < seq:
+            await asyncio.sleep(0.005)
         self.trace.append(("in force", seq))
 
     async def open(self, addr, group, name, timeout_us):
@@ -196,7 +215,7 @@
         if not member.reachable:
             await asyncio.sleep(timeout_us / 1e6)
             raise NotSent("mute")
-        if not member.running:
+        if not member.running or member.refuses_control:
             raise NotSent("refused")
         return MemberConnection(self, member)
 
@@ -278,7 +297,8 @@
                 and self.rng.random() < 0.5
             ):
                 member.position = primary.position
-                self.acknowledged = max(self.acknowledged, primary.position)
+                if member.name not in self.proxies_non_voting:
+                    self.acknowledged = max(self.acknowledged, primary.position)
 
     def announce_role_changes(self):
         """Records changed roles of members at once."""
@@ -1224,6 +1244,86 @@
     run_simulated(go)
 
 
+def cut_off_by_resets(group, name):
+    """Cuts a replica off from the control nodes alone; they can't tell this from its end."""
+    group.members[name].refuses_control = True
+    group.coordinator.suspect("g", name, "no beats")
+
+
+def crash_primary(group):
+    group.set_reachability("p", running=False)
+    group.coordinator.suspect("g", "p", "refused")
+
+
+def test_commits_that_only_a_replica_cut_off_by_resets_has_are_not_acknowledged():
+    """Guards against lost commits: the replica was counted out, though it still received the log."""
+
+    async def go(group):
+        cut_off_by_resets(group, "r1")
+        await group.wait_until(lambda: "r1" in group.evidence.counted_out, 4)
+        group.members["r2"].receiving = False
+        await asyncio.sleep(0.5)
+        assert group.members["r1"].position > group.members["r2"].position
+        crash_primary(group)
+        await group.wait_until(lambda: group.promoted_names and group.settled, 6)
+        assert group.promoted_names == ["r2"]
+
+    run_simulated(go)
+
+
+@pytest.mark.parametrize("crash_after_s", [0.05, 0.2, 0.35])
+def test_a_lost_replica_that_returns_and_alone_receives_is_elected(crash_after_s):
+    """Guards against lost commits: a returned replica's log was read, but left out of the election."""
+
+    async def go(group):
+        end_unannounced(group, "r1")
+        await group.wait_until(lambda: "r1" in group.evidence.counted_out, 4)
+        await asyncio.sleep(2)
+        group.members["r2"].receiving = False
+        group.set_reachability("r1", True, True)
+        await asyncio.sleep(crash_after_s)
+        crash_primary(group)
+        await group.wait_until(lambda: group.promoted_names and group.settled, 6)
+        assert group.promoted_names == ["r1"]
+
+    run_simulated(go)
+
+
+def test_a_lost_replica_is_needed_until_every_proxy_knows_that_it_has_no_vote():
+    """Guards against lost commits that a proxy acknowledged because of that replica alone."""
+
+    async def go(group):
+        group.in_force_delay_s = 1.0
+        cut_off_by_resets(group, "r1")
+        await group.wait_until(lambda: "r1" in group.evidence.non_voting, 4)
+        group.members["r2"].receiving = False
+        await asyncio.sleep(0.8)
+        assert not group.evidence.counted_out and group.acknowledged > group.members["r2"].position
+        crash_primary(group)
+        await asyncio.sleep(4)
+        assert group.promoted_names == []
+        group.members["r1"].refuses_control = False
+        await group.wait_until(lambda: group.promoted_names and group.settled, 6)
+        assert group.promoted_names == ["r1"]
+
+    run_simulated(go)
+
+
+def test_a_replica_that_was_cut_off_by_resets_votes_again():
+    async def go(group):
+        cut_off_by_resets(group, "r1")
+        await group.wait_until(lambda: "r1" in group.evidence.counted_out, 4)
+        group.members["r2"].receiving = False
+        group.members["r1"].refuses_control = False
+        await group.wait_until(
+            lambda: not group.evidence.counted_out and not group.evidence.non_voting, 1
+        )
+        await asyncio.sleep(0.1)
+        assert group.acknowledged > group.members["r2"].position
+
+    run_simulated(go)
+
+
 class Departures:
     """Planned member replacements, in which the new member joins first, and temporary faults.
 
@@ -1298,6 +1398,24 @@
         for name in names:
             group.members[name].receiving = choice % 3 == 0
 
+    async def _cut_off_by_resets(self, choice, seconds):
+        """Cuts one member off from the control nodes, which find its port closed."""
+        group = self.group
+        if any(member.refuses_control for member in group.members.values()):
+            return
+        names = sorted(name for name, member in group.members.items() if member.running)
+        affected = group.members[names[choice % len(names)]]
+        affected.refuses_control = True
+        group.coordinator.suspect("g", affected.name, "no beats")
+        await asyncio.sleep(1 + 2 * seconds)
+        affected.refuses_control = False
+
+    async def _delay_records(self, choice, seconds):
+        """Lets proxies apply records late."""
+        self.group.in_force_delay_s = 1.5
+        await asyncio.sleep(seconds)
+        self.group.in_force_delay_s = 0.0
+
     async def _crash(self, choice, seconds):
         """Ends a member, which returns with its log unless it was signed off."""
         names = sorted(name for name, member in self.group.members.items() if member.running)
@@ -1368,3 +1486,32 @@
             await asyncio.sleep(3)
 
     run_simulated(go, zones={"p": "b", "r2": "b"})
+
+
+@GENERATED
+@given(
+    departure_events(
+        "cut_off_by_resets",
+        "cut_off_by_resets",
+        "cut_off_by_resets",
+        "single_receiver",
+        "single_receiver",
+        "crash",
+        "delay_records",
+        "lose_head_role",
+        "replace",
+    ),
+    st.integers(0, 1 << 30),
+)
+def test_generated_partitions_with_resets_lose_no_acknowledged_commit(events, seed):
+    """Finally loses two primaries; `become_primary` checks the log of each promoted member."""
+
+    async def go(group):
+        await run_departures(group, random.Random(seed), events)
+        for _ in range(2):
+            primary = group.leadership["primary"]
+            group.set_reachability(primary, running=False)
+            group.coordinator.suspect("g", primary, "refused")
+            await asyncio.sleep(3)
+
+    run_simulated(go, zones={"p": "b", "r2": "b"})
--- a/tests/test_failover_evidence.py
+++ b/tests/test_failover_evidence.py
@@ -298,6 +298,130 @@
         run_state_machine_as_test(Group, settings=GENERATED_FOR_GUARDS)
 
 
+class GroupWithLostReplicas(Group):
+    """Replicas may refuse the control nodes and still receive the log, or return after a crash.
+
+    A lost replica's vote is removed first. Once the record is in force at the proxies, a position
+    of the primary that another replica reaches is read, and the replica is counted out at it.
+    """
+
+    needs_vote, waits_for_proxies = True, True
+
+    def __init__(self):
+        super().__init__()
+        self.proxies_non_voting = ()
+
+    def commit(self, receivers):
+        """Makes a commit; proxies acknowledge it once a replica with a vote has it."""
+        primary_member = self.members[self.primary]
+        primary_member.position = (self.term, primary_member.position[1] + 1)
+        receiving = [name for name in self._replicas() if not self.members[name].paused_term]
+        for choice in receivers if receiving else ():
+            name = self._choose(receiving, choice)
+            self.members[name].position = primary_member.position
+            if name not in self.proxies_non_voting or not self.needs_vote:
+                self.acknowledged = primary_member.position
+
+    @precondition(lambda self: len(self._replicas()) > 1 and self._phase == "serve")
+    @rule(choice=CHOICE)
+    def lose(self, choice):
+        """Removes the vote of a replica that refuses the control nodes."""
+        name = self._choose(self._replicas(), choice)
+        if not self.members[name].paused_term:
+            self._record("evidence", what="non_voting", member=name)
+
+    @rule()
+    def apply_at_proxies(self):
+        self.proxies_non_voting = self._evidence.non_voting
+
+    @precondition(lambda self: not self.primary_ended and self._evidence.non_voting)
+    @rule(choice=CHOICE)
+    def count_out_lost(self, choice):
+        """Counts a lost replica out once the proxies know and another one has caught up."""
+        name = self._choose(self._evidence.non_voting, choice)
+        if self.waits_for_proxies and name not in self.proxies_non_voting:
+            return
+        evidence, position = self._evidence, self.members[self.primary].position
+        if any(
+            self.members[other].position >= position
+            for other in self._replicas()
+            if other not in evidence.non_voting and other not in evidence.counted_out
+        ):
+            self._record("evidence", what="counted_out", member=name, pos=list(position))
+
+    @precondition(lambda self: len(self._replicas()) > 1 and self._phase == "serve")
+    @rule(choice=CHOICE, proxies_know=st.booleans())
+    def lose_and_count_out(self, choice, proxies_know):
+        """Counts a replica out in all steps at once, while the others have caught up."""
+        for name in self._replicas():
+            if not self.members[name].paused_term:
+                self.members[name].position = self.members[self.primary].position
+        self.lose(choice)
+        if proxies_know:
+            self.apply_at_proxies()
+        if self._evidence.non_voting:
+            self.count_out_lost(choice)
+
+    @precondition(lambda self: self._evidence.non_voting and not self.primary_ended)
+    @rule(choice=CHOICE)
+    def return_lost(self, choice):
+        name = self._choose(self._evidence.non_voting, choice)
+        self._record("evidence", what="counted_out", member=name, pos=None)
+
+
+def test_lost_replicas_that_still_receive_cost_no_acknowledged_commit():
+    """Guards against lost commits that only a counted out replica has, which is alive."""
+    run_state_machine_as_test(GroupWithLostReplicas, settings=GENERATED)
+
+
+def elect_after_losing(group, proxies_know):
+    """Counts one replica out as lost, gives it alone a commit, and elects without it."""
+    lost, staying = sorted(group._replicas())
+    group._record("evidence", what="non_voting", member=lost)
+    if proxies_know:
+        group.apply_at_proxies()
+    group.count_out_lost(0)
+    group.commit({group._replicas().index(lost)})
+    absent = sorted(group._replicas()).index(lost)
+    group.elect(unresponsive=absent, absent=True, primary_returns=False)
+    return lost, staying
+
+
+@pytest.mark.parametrize("proxies_know", [True, False])
+def test_a_commit_that_only_a_lost_replica_has_is_unacknowledged_or_keeps_it_needed(proxies_know):
+    group = GroupWithLostReplicas()
+    _, staying = elect_after_losing(group, proxies_know)
+    assert group.primary == (staying if proxies_know else "m1") and group.primary_ended != (
+        proxies_know
+    )
+
+
+@pytest.mark.parametrize(
+    ("guard", "proxies_know"), [("needs_vote", True), ("waits_for_proxies", False)]
+)
+def test_without_a_guard_a_commit_that_only_a_lost_replica_has_is_lost(guard, proxies_know):
+    group = type("Broken", (GroupWithLostReplicas,), {guard: False})()
+    with pytest.raises(AssertionError, match="lacks"):
+        elect_after_losing(group, proxies_know)
+
+
+@pytest.mark.parametrize(
+    ("returned_at", "candidates"), [((1, 4), ("a",)), ((1, 6), ("b",)), ((1, 5), ("a",))]
+)
+def test_a_counted_out_member_that_has_received_since_is_electable(returned_at, candidates):
+    evidence = Evidence(counted_out={"b": (1, 4)}, non_voting=("b",))
+    statuses = {"a": replica_status((1, 5)), "b": replica_status(returned_at)}
+    verdict = find_electable_members(evidence, "p", ["a", "b"], statuses)
+    assert set(candidates) <= set(verdict.candidates)
+    assert all(statuses[name].position >= (1, 5) for name in verdict.candidates)
+
+
+def test_a_lost_member_that_signs_off_may_hold_the_only_copy_until_it_is_bounded():
+    """It was never paused, so it may receive until its process has ended."""
+    evidence = Evidence(counted_out={"b": (1, 4)}, non_voting=("b",)).with_departure("b", False)
+    assert evidence == Evidence(lower_bound=(1, 4), unproven=("b",))
+
+
 def replica_status(position, paused_term=2):
     return MemberStatus("replica", 1, position, paused_term)
 
--- a/tests/test_unleased_commits.py
+++ b/tests/test_unleased_commits.py
@@ -20,11 +20,13 @@
 from petrelhaven.proxy.routing.write_path import WritePath
 from petrelhaven.proxy.session.statement import Reply
 from petrelhaven.runtime.clock import Clock
+from petrelhaven.runtime.errors import Busy
 from petrelhaven.runtime.tasks import BackgroundTasks
 from petrelhaven.transport.link import Link
 
 WRITTEN = (1, 241)
 BEHIND, EVEN, AHEAD, LATER_TERM = (1, 233), (1, 241), (1, 250), (2, 300)
+TOO_BUSY = "busy"
 REQUEST_US = 2_000_000
 
 
@@ -38,14 +40,19 @@
 class _Connection:
     lost = False
 
-    def __init__(self, position, delay_us, requests, clock):
-        self._position, self._delay_us, self._requests = position, delay_us, requests
-        self._clock = clock
+    def __init__(self, log, delay_us, requests, clock):
+        """`log` is the position of each answer, or several, of which the last one is repeated."""
+        self._positions = list(log) if isinstance(log, list) else [log]
+        self._delay_us, self._requests, self._clock = delay_us, requests, clock
 
     async def send_command(self, verb):
         self._requests.append(verb)
         await self._clock.sleep(self._delay_us)
-        return {"role": "replica", "term": 1, "pos": self._position, "held": 0}
+        last = len(self._positions) == 1
+        position = self._positions[0] if last else self._positions.pop(0)
+        if position is TOO_BUSY:
+            raise Busy("busy")
+        return {"role": "replica", "term": 1, "pos": position, "held": 0}
 
     def close(self):
         self.lost = True
@@ -188,6 +195,12 @@
         self.control_state.apply(self.control_state.seq + 1, record | {"term": term, "cause": ""})
         self.group.apply_control_state(self.control_state, False)
 
+    def lose_replica(self, name):
+        """Applies the record that the copies of a lost replica don't count any more."""
+        record = {"t": "evidence", "group": "g", "what": "non_voting", "member": name}
+        self.control_state.apply(self.control_state.seq + 1, record)
+        self.group.apply_control_state(self.control_state, False)
+
     def regain_lease(self, phase):
         """Gives the partitioned proxy its lease back, together with a newer leadership record."""
         self.proxy.core_connection.lease_confirmed = True
@@ -337,6 +350,44 @@
     warp(go())
 
 
+@STATEMENT_KINDS
+@pytest.mark.parametrize(("voting_log", "code"), [(BEHIND, "unsure"), (EVEN, ""), (AHEAD, "")])
+def test_with_a_lost_replica_a_commit_needs_the_copy_of_one_that_votes(
+    warp, kind, voting_log, code
+):
+    """Guards against lost commits: the lost replica may live and alone have received them."""
+
+    async def go():
+        scenario = _Scenario(kind, {"m1": EVEN, "m2": voting_log}, confirmed=True)
+        scenario.lose_replica("m1")
+        reply = await scenario.run()
+        assert ("" if reply.ok else reply.code) == code
+        assert scenario.took_us < 600_000
+
+    warp(go())
+
+
+@STATEMENT_KINDS
+def test_a_replica_lost_between_request_and_answer_does_not_confirm_the_commit(warp, kind):
+    async def go():
+        scenario = _Scenario(kind, {"m1": EVEN, "m2": BEHIND}, confirmed=True)
+        scenario.meanwhile = lambda: scenario.lose_replica("m1")
+        assert (await scenario.run()).code == "unsure"
+
+    warp(go())
+
+
+@STATEMENT_KINDS
+@pytest.mark.parametrize("first", [BEHIND, TOO_BUSY])
+def test_a_replica_that_does_not_show_the_write_yet_is_asked_again(warp, kind, first):
+    async def go():
+        scenario = _Scenario(kind, {"m1": [first, first, EVEN]})
+        assert (await scenario.run()).ok
+        assert len(scenario.proxy.wire.requests) == 3
+
+    warp(go())
+
+
 def test_a_lease_that_was_not_renewed_for_a_while_still_holds_but_is_not_confirmed():
     now = 5_000_000
     clock = types.SimpleNamespace(now=lambda: now)
