Without a lease, every replica that answers must show a commit

Such a proxy now passes a success on only if all known voting replicas that answer show it, but for a paused one that leaves.

Evidence: by reading; the new tests fail on (BEHIND, TOO_BUSY and LATER_TERM beside a replica that has the write). Not shown with processes. Cost: writes without a lease are INDOUBT while one replica receives nothing.

--- a/src/petrelhaven/proxy/routing/__init__.py
+++ b/src/petrelhaven/proxy/routing/__init__.py
@@ -21,7 +21,7 @@
 A proxy without a lease continues to serve statements. `MemberGroup.leased_primary` is then None, so
 no read piggybacks a fetch: positions come from STATUS requests (`MemberGroup._fetch`), and the
 positions of the other members prove nothing (`MemberProofs._are_sufficient`). In groups with
-synchronous replicas, a successful write or commit counts only once a known replica shows it
-(`MemberProofs.confirm_commit`). Groups under an embargo answer `withheld` (`proxy/embargo`). The
-lease itself is `CoreConnection.holds_lease`.
+synchronous replicas, a successful write or commit counts only once the known replicas that answer
+show it (`MemberProofs.confirm_commit`). Groups under an embargo answer `withheld`
+(`proxy/embargo`). The lease itself is `CoreConnection.holds_lease`.
 """
--- a/src/petrelhaven/proxy/routing/commit_confirmation.py
+++ b/src/petrelhaven/proxy/routing/commit_confirmation.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from petrelhaven.proxy.routing.waiting import wait_for_first
 from petrelhaven.runtime.errors import Busy
@@ -18,10 +18,16 @@
 _MAX_CONFIRMATION_US = 400_000
 _NEAREST_REPLICA_LEAD_US = 40_000
 _FIRST_PAUSE_US = 20_000
+_DRAINING = "draining"
+_UNKNOWN = (0, 0)
 
 
 class CommitConfirmation:
-    """Asks the voting replicas for the commit at one log position; one of them is sufficient."""
+    """Asks the voting replicas for the commit at one log position.
+
+    One of them is sufficient while the proxy holds a lease. A proxy without one may not know that a
+    replica has lost its vote, so every replica that answers must have the commit.
+    """
 
     def __init__(
         self, group: GroupMembers, proxy: ProxyServices, position: Position, primary: str
@@ -29,10 +35,17 @@
         """Prepares to ask the members of `group` but `primary`, which answered with `position`."""
         self._group, self._proxy, self._clock = group, proxy, proxy.clock
         self._position, self._primary = position, primary
-        self._is_confirmed = False
+        self._is_one_sufficient = proxy.core_connection.holds_lease
+        self._holders: set[str] = set()
+        self._lacking: set[str] = set()
+
+    @property
+    def _is_confirmed(self) -> bool:
+        """Whether no further answer is needed."""
+        return self._is_one_sufficient and bool(self._holders)
 
     def run(self, deadline: int) -> Continuation[bool]:
-        """Returns whether a voting replica reports the position, soon and before `deadline`.
+        """Returns whether enough voting replicas report the position, soon and before `deadline`.
 
         It asks the nearest replica first and all others a little later.
         """
@@ -44,11 +57,11 @@
             pending |= {self._start_asking(member, deadline) for member in asked}
             left_us = deadline - self._clock.now()
             if left_us <= 0:
-                return False
+                break
             wait_us = min(left_us, _NEAREST_REPLICA_LEAD_US) if unasked else left_us
             yield wait_for_first(self._clock, pending, wait_us)
             pending = {task for task in pending if not task.done()}
-        return self._is_confirmed
+        return bool(self._holders) and (self._is_one_sufficient or not self._lacking)
 
     def _voting_replicas(self) -> list[Member]:
         """Returns the replicas that vote: those without failures first, then by distance."""
@@ -67,29 +80,33 @@
         return task
 
     async def _ask_repeatedly(self, member: Member, deadline: int) -> None:
-        """Asks a replica until it or another one has the commit, it fails, or it is too late.
+        """Asks a replica until it has the commit, it fails, enough others have it, or it is late.
 
         A log of a later term ends this, too: it may lack the last writes of the earlier primary.
         """
         pause_us = _FIRST_PAUSE_US
         while not self._is_confirmed and self._clock.now() < deadline:
-            reported = await self._fetch_position(member)
-            if reported is not None and reported[0] != self._position[0]:
+            status = await self._fetch_status(member)
+            if status is not None and status["held"] and member.state == _DRAINING:
+                return
+            reported: Position = _UNKNOWN if status is None else status["pos"]
+            if reported[0] == self._position[0] and reported >= self._position:
+                self._holders.add(member.name)
+                self._lacking.discard(member.name)
                 return
-            if reported is not None and reported >= self._position:
-                self._is_confirmed = True
+            self._lacking.add(member.name)
+            if reported[0] > self._position[0]:
                 return
             await self._clock.sleep(pause_us)
             pause_us *= 2
 
-    async def _fetch_position(self, member: Member) -> Position | None:
-        """Returns the end of the replica's log, or None if the replica is too busy to answer.
+    async def _fetch_status(self, member: Member) -> dict[str, Any] | None:
+        """Returns the replica's status, or None if it is too busy to answer.
 
         Raises:
             Fault: The replica can't be reached.
         """
         try:
-            position: Position = (await self._group.status(member))["pos"]
+            return await self._group.status(member)
         except Busy:
             return None
-        return position
--- a/src/petrelhaven/proxy/routing/member_proofs.py
+++ b/src/petrelhaven/proxy/routing/member_proofs.py
@@ -64,7 +64,7 @@
     def confirm_commit(
         self, position: Position | None, answered: Member, deadline: int
     ) -> Continuation[bool]:
-        """Returns whether a voting replica has the commit at `position`, before `deadline`."""
+        """Returns whether enough replicas have the commit at `position`, before `deadline`."""
         if position is None or self._proxy.tasks.closed:
             return False
         confirmation = CommitConfirmation(self._group, self._proxy, position, answered.name)
--- a/tests/test_unleased_commits.py
+++ b/tests/test_unleased_commits.py
@@ -20,7 +20,7 @@
 from petrelhaven.proxy.routing.write_path import WritePath
 from petrelhaven.proxy.session.statement import Reply
 from petrelhaven.runtime.clock import Clock
-from petrelhaven.runtime.errors import Busy
+from petrelhaven.runtime.errors import Busy, NotSent
 from petrelhaven.runtime.tasks import BackgroundTasks
 from petrelhaven.transport.link import Link
 
@@ -59,13 +59,15 @@
 
 
 class _Wire:
-    """Opens connections to replicas whose log positions are `logs`."""
+    """Opens connections to replicas whose log positions are `logs`; without a log, it is refused."""
 
     def __init__(self, logs, delays, clock):
         self._logs, self._delays, self._clock = logs, delays, clock
         self.requests = []
 
     async def open(self, address, group, member, limit_us, tenant=""):
+        if self._logs[member] is None:
+            raise NotSent("refused")
         return _Connection(
             self._logs[member], self._delays.get(member, 0), self.requests, self._clock
         )
@@ -111,7 +113,7 @@
         self.transaction_ended = True
 
 
-def _make_proxy(logs, confirmed, delays):
+def _make_proxy(logs, confirmed, delays, holds_lease):
     clock = _LoopClock()
     return types.SimpleNamespace(
         clock=clock,
@@ -119,7 +121,10 @@
         logical_clock=LogicalClock(),
         log=None,
         core_connection=types.SimpleNamespace(
-            holds_lease=True, lease_confirmed=confirmed, proxy_count=3, suspect=lambda *_: None
+            holds_lease=holds_lease,
+            lease_confirmed=confirmed,
+            proxy_count=3,
+            suspect=lambda *_: None,
         ),
         wire=_Wire(logs, delays, clock),
         zone_distance=lambda zone: {"a": 0, "b": 2}[zone],
@@ -158,8 +163,9 @@
         delays=(),
         has_written=True,
         remote_member="",
+        holds_lease=True,
     ):
-        self.proxy = _make_proxy(logs, confirmed, dict(delays))
+        self.proxy = _make_proxy(logs, confirmed, dict(delays), holds_lease)
         self.group, self.control_state = _make_group(self.proxy, logs, sync_replicas, remote_member)
         self.meanwhile = lambda: None
         self.session, self.pool = _Session(), _Pool()
@@ -388,6 +394,35 @@
     warp(go())
 
 
+@STATEMENT_KINDS
+@pytest.mark.parametrize(
+    ("other_log", "code"),
+    [(BEHIND, "unsure"), (TOO_BUSY, "unsure"), (LATER_TERM, "unsure"), (EVEN, ""), (None, "")],
+)
+def test_without_a_lease_every_replica_that_answers_must_show_the_write(
+    warp, kind, other_log, code
+):
+    """Guards against lost commits: which replicas have lost their vote may be unknown."""
+
+    async def go():
+        scenario = _Scenario(kind, {"m1": EVEN, "m2": other_log}, holds_lease=False)
+        reply = await scenario.run()
+        assert ("" if reply.ok else reply.code) == code
+        assert scenario.took_us < 600_000
+
+    warp(go())
+
+
+@STATEMENT_KINDS
+def test_without_a_lease_a_replica_that_shows_the_write_later_is_waited_for(warp, kind):
+    async def go():
+        scenario = _Scenario(kind, {"m1": EVEN, "m2": [BEHIND, EVEN]}, holds_lease=False)
+        assert (await scenario.run()).ok
+        assert scenario.took_us < 100_000
+
+    warp(go())
+
+
 def test_a_lease_that_was_not_renewed_for_a_while_still_holds_but_is_not_confirmed():
     now = 5_000_000
     clock = types.SimpleNamespace(now=lambda: now)
