Counted out and departed members have no vote either

Cause: both were left out of elections while their copies still made commits acknowledged. Now proxies count neither counted out members nor departed ones whose vote the head has removed. The head removes a departed member's vote, and reads the bounding position only once every proxy knows; the vote stays removed for 30 s. A leadership ends the mark of its own primary only.

--- a/src/petrelhaven/control/failover/counting_out.py
+++ b/src/petrelhaven/control/failover/counting_out.py
@@ -33,7 +33,11 @@
 
 
 class CountingOut:
-    """Counts the members of one group out and in again; used by the active head only."""
+    """Counts the members of one group out and in again; used by the active head only.
+
+    Attributes:
+        votes: Removes the votes of lost and departed members.
+    """
 
     def __init__(self, context: FailoverContext, resumption: ReplicaResumption, group: str) -> None:
         """Creates no connection before the first `refresh`."""
@@ -42,7 +46,7 @@
         self._handles: dict[str, MemberHandle] = {}
         self._members: dict[str, Member] = {}
         self._unreplicated_since: int | None = None
-        self._votes = VoteRemoval(context, group)
+        self.votes = VoteRemoval(context, group)
 
     def close(self) -> None:
         """Closes the connections to the members."""
@@ -87,8 +91,7 @@
             handle
             for name, handle in self._handles.items()
             if name != primary
-            and name not in evidence.counted_out
-            and name not in evidence.non_voting
+            and name not in evidence.without_vote
             and name in present
             and self._members[name].is_ready
         ]
@@ -131,32 +134,25 @@
         No member is counted in during a leader change, in which only the candidate may receive.
         """
         evidence = self._context.evidence(self._group)
-        for name in sorted({*evidence.counted_out, *evidence.non_voting}):
+        for name in sorted(evidence.without_vote):
             if not self._context.leadership(self._group).is_serving:
                 return
             member = self._context.members(self._group).get(name)
             if member is not None and member.is_ready and name not in lost_replicas:
                 await self._count_in(name)
 
-    async def count_out_lost(self, lost_replicas: Collection[str], primary: str) -> None:
-        """Counts lost replicas out, once their copies count for no proxy any more.
+    async def count_out_lost(self, lost_replicas: Collection[str], position: Position) -> None:
+        """Counts lost replicas without a vote out at `position`, which a staying replica reached.
 
-        The position is read after that. It covers every commit that was acknowledged because of
-        their copies, and a replica that stays has to reach it.
+        The position was read after every proxy knew that they don't vote. So it covers every commit
+        that was acknowledged because of their copies.
         """
-        if not await self._votes.remove(lost_replicas):
-            return
-        uncounted = [name for name in lost_replicas if name not in self._counted_out()]
-        status = await self._handles[primary].status() if uncounted else None
-        if status is None or not status.is_primary:
-            return
-        if not await self.is_replicated(primary, status.position):
-            return
         async with self._context.pause_lock(self._group):
-            for name in uncounted:
+            for name in lost_replicas:
                 self._context.suspicions.remove_replica(self._group, name)
-                if name in self._context.evidence(self._group).non_voting:
-                    await self._record_counted_out(name, status.position)
+                evidence = self._context.evidence(self._group)
+                if name in evidence.non_voting and name not in evidence.counted_out:
+                    await self._record_counted_out(name, position)
 
     async def _pause_and_record(self, name: str, term: int) -> None:
         handle = self._handles.get(name)
--- a/src/petrelhaven/control/failover/departures.py
+++ b/src/petrelhaven/control/failover/departures.py
@@ -2,8 +2,9 @@
 
 A draining replica still counts for `SyncReplicas`, and its log is lost when it ends. It is
 therefore counted out before (see `counting_out`). If a member left without being counted out, its
-log is known to end at or below a position of the primary that was read after the member's end; this
-bound is recorded.
+vote is removed (see `vote_removal`), and a position of the primary that was read after that bounds
+the commits that only it has; this bound is recorded. It may serve on after its sign-off, so its
+vote stays removed for a while.
 
 A replica that refuses connections unannounced may never return. It is counted out as well, since
 otherwise the next failover would wait for it forever.
@@ -36,8 +37,9 @@
 _ASSUMED_ENDED_AFTER_US = 2_000_000
 _LOST_AFTER_REFUSING_US = 1_000_000
 _SUSPICION_LIFETIME_US = 10_000_000
+_MAX_SERVING_AFTER_SIGN_OFF_US = 30_000_000
 _UNREPLICATED_END = "unreplicated end"
-_REFUSING_PREFIX, _UNPROVEN_PREFIX = "refusing ", "unproven "
+_REFUSING_PREFIX, _UNPROVEN_PREFIX, _DEPARTED_PREFIX = "refusing ", "unproven ", "departed "
 
 
 class DepartureWatch:
@@ -137,6 +139,7 @@
         counting_out = self._group_counting_out(group)
         counting_out.refresh()
         await counting_out.count_in_returned(lost_replicas)
+        await self._forget_departed(group)
         if self._has_work(group, lost_replicas):
             await self._update_evidence(group, leadership.primary, ended_members, lost_replicas)
 
@@ -157,14 +160,23 @@
     ) -> None:
         """Counts members out and bounds their logs by the primary's position, if it answers."""
         counting_out = self._group_counting_out(group)
+        votes = counting_out.votes
+        are_ended_without_vote = votes.are_removed(ended_members)
+        are_lost_without_vote = votes.are_removed(lost_replicas)
+        if not are_ended_without_vote:
+            await votes.remove(ended_members)
         handle = counting_out.find_handle(primary)
         status = await handle.status() if handle is not None else None
         if status is None or not status.is_primary:
             return
         is_replicated = await counting_out.is_replicated(primary, status.position)
-        if ended_members and (
-            is_replicated
-            or self._observed_for_us(group, _UNREPLICATED_END) > _ASSUMED_ENDED_AFTER_US
+        if (
+            ended_members
+            and are_ended_without_vote
+            and (
+                is_replicated
+                or self._observed_for_us(group, _UNREPLICATED_END) > _ASSUMED_ENDED_AFTER_US
+            )
         ):
             self._clear_condition(group, _UNREPLICATED_END)
             await self._record_bounded_logs(group, ended_members, status.position)
@@ -173,8 +185,10 @@
             return self._is_overdue(group, primary, name)
 
         await counting_out.update(primary, status.term + 1, is_replicated, is_overdue)
-        if is_replicated:
-            await counting_out.count_out_lost(lost_replicas, primary)
+        if is_replicated and are_lost_without_vote:
+            await counting_out.count_out_lost(lost_replicas, status.position)
+        elif is_replicated:
+            await votes.remove(lost_replicas)
 
     def _is_overdue(self, group: str, primary: str, name: str) -> bool:
         """Returns whether a draining member must be counted out as the primary drains as well."""
@@ -227,6 +241,18 @@
                 ended_members.append(name)
         return ended_members
 
+    async def _forget_departed(self, group: str) -> None:
+        """Drops departed members without a vote once they have certainly ended."""
+        evidence, members = self._evidence(group), self._context.members(group)
+        for name in evidence.non_voting:
+            if name in members or name in evidence.unproven:
+                continue
+            if (
+                self._observed_for_us(group, _DEPARTED_PREFIX + name)
+                > _MAX_SERVING_AFTER_SIGN_OFF_US
+            ):
+                await self._context.record_counted_out(group, name, None)
+
     async def _record_bounded_logs(
         self, group: str, ended_members: list[str], position: Position
     ) -> None:
--- a/src/petrelhaven/control/failover/evidence.py
+++ b/src/petrelhaven/control/failover/evidence.py
@@ -79,9 +79,9 @@
         left_in_change: Counted out members that left during a leader change, when a promotion may
             have ended their pause.
         order: An operator's order to elect a member without proof.
-        non_voting: Lost members, which may still run and receive the log. Proxies acknowledge a
-            commit only once a replica that votes has it. A lost member is counted out only after
-            every proxy knows that it doesn't vote.
+        non_voting: Lost or departed members, which may still run and receive the log. A lost
+            member is counted out, and the log of a departed one is bounded, only after every proxy
+            knows that it doesn't vote.
     """
 
     lower_bound: Position = NO_POSITION
@@ -108,6 +108,15 @@
             non_voting=tuple(document.get("non_voting", ())),
         )
 
+    @property
+    def without_vote(self) -> frozenset[str]:
+        """The members whose copy of a commit doesn't make it acknowledged.
+
+        While there are any, proxies acknowledge a commit only once another replica shows it.
+        Counted out members are among them although they are paused, since a restart ends a pause.
+        """
+        return frozenset((*self.non_voting, *self.counted_out))
+
     def unproven_except(self, primary: str) -> tuple[str, ...]:
         """Returns the members that left unproven, without the current primary."""
         return tuple(name for name in self.unproven if name != primary)
@@ -135,14 +144,15 @@
         """
         others = {name: paused_at for name, paused_at in self.counted_out.items() if name != member}
         if position is None:
-            return replace(self._with_voting(member), counted_out=others)
+            return replace(self.with_vote(member), counted_out=others)
         return replace(self, counted_out={**others, member: position})
 
     def with_non_voting(self, member: str) -> Evidence:
-        """Returns the evidence after a lost member's copies stopped to count for commits."""
-        return replace(self, non_voting=(*self._with_voting(member).non_voting, member))
+        """Returns the evidence after the vote of a lost or departed member was removed."""
+        return replace(self, non_voting=(*self.with_vote(member).non_voting, member))
 
-    def _with_voting(self, member: str) -> Evidence:
+    def with_vote(self, member: str) -> Evidence:
+        """Returns the evidence with a member that votes again, unless it is counted out."""
         others = tuple(name for name in self.non_voting if name != member)
         return replace(self, non_voting=others)
 
@@ -167,10 +177,12 @@
         position = self.counted_out.get(member)
         if position is None or member in self.non_voting:
             # A member that doesn't vote isn't paused: it may receive until its process ends.
-            without_member = self.with_counted_out(member, None)
-            lower_bound = max(self.lower_bound, position or NO_POSITION)
+            others = {name: at for name, at in self.counted_out.items() if name != member}
             return replace(
-                without_member, lower_bound=lower_bound, unproven=(*self.unproven, member)
+                self,
+                lower_bound=max(self.lower_bound, position or NO_POSITION),
+                counted_out=others,
+                unproven=(*self.unproven, member),
             )
         left_in_change = (*self.left_in_change, member) if during_change else self.left_in_change
         return replace(
@@ -200,7 +212,6 @@
             self,
             lower_bound=position if accepted_loss else max(self.lower_bound, position),
             counted_out={} if changed else self.counted_out,
-            non_voting=() if changed else self.non_voting,
             unproven=(*unproven, *(name for name in self.left_in_change if name not in unproven)),
             left_in_change=(),
             order=None,
--- a/src/petrelhaven/control/failover/vote_removal.py
+++ b/src/petrelhaven/control/failover/vote_removal.py
@@ -1,10 +1,10 @@
-"""Removes the votes of lost replicas, so that no commit is acknowledged because of their copies.
+"""Removes the votes of lost and departed replicas, whose copies then make no commit acknowledged.
 
 A replica that refuses the control nodes may have ended, or a partition may separate it from the
 control nodes alone. In the second case it still receives the log, and the primary may answer
 commits that no other replica has. Proxies therefore acknowledge a commit only once a replica that
 votes has it (`proxy/routing/member_proofs`). That holds for all proxies once the record that
-removes the vote is in force.
+removes the vote is in force. The same holds for a replica that signed off and serves on.
 """
 
 from __future__ import annotations
@@ -19,9 +19,11 @@
 
 __all__ = ["VoteRemoval"]
 
+_NEVER = 1 << 60
+
 
 class VoteRemoval:
-    """Removes the votes of the lost replicas of one group; used by the active head only."""
+    """Removes the votes of replicas of one group; used by the active head only."""
 
     def __init__(self, context: FailoverContext, group: str) -> None:
         """Starts without knowing whether any record is in force."""
@@ -30,20 +32,22 @@
         self._in_force_seq = 0
         self._is_waiting = False
 
-    async def remove(self, members: Iterable[str]) -> bool:
-        """Records that `members` don't vote; returns whether every proxy knows that.
+    def are_removed(self, members: Iterable[str]) -> bool:
+        """Returns whether every proxy knows that none of `members` votes."""
+        non_voting = self._context.evidence(self._group).non_voting
+        return all(
+            member in non_voting and self._recorded_at.get(member, _NEVER) <= self._in_force_seq
+            for member in members
+        )
 
-        It does not wait for the proxies: the caller asks again later.
-        """
+    async def remove(self, members: Iterable[str]) -> None:
+        """Records that `members` don't vote, and lets the proxies know in the background."""
         required_seq = 0
         for member in members:
             required_seq = max(required_seq, await self._record(member))
-        if required_seq <= self._in_force_seq:
-            return True
-        if not self._is_waiting:
+        if required_seq > self._in_force_seq and not self._is_waiting:
             self._is_waiting = True
             self._context.node.tasks.spawn(self._wait_in_force(required_seq))
-        return False
 
     async def _record(self, member: str) -> int:
         """Returns the number of a record at or after the one that removed the member's vote."""
--- a/src/petrelhaven/control/state/control_state.py
+++ b/src/petrelhaven/control/state/control_state.py
@@ -340,13 +340,20 @@
         if leadership is None:
             raise NoRoute(f"no group {group[:_MAX_SHOWN_NAME_LENGTH]} is served")
         if isinstance(record, CountedOutRecord | NonVotingRecord):
-            self._check_present(group, record.member)
+            self._check_counted_member(record)
         if isinstance(record, ElectionOrderRecord):
             self._check_election_order(record, leadership)
 
-    def _check_present(self, group: str, member: str) -> None:
-        if member not in self.group_members(group):
-            raise Stale(f"member {member} is gone")
+    def _check_counted_member(self, record: CountedOutRecord | NonVotingRecord) -> None:
+        """Accepts present members, and departed ones whose vote is removed or returned."""
+        evidence = self.evidence(record.group)
+        departed: tuple[str, ...] = ()
+        if isinstance(record, NonVotingRecord):
+            departed = evidence.unproven
+        elif record.position is None:
+            departed = evidence.non_voting
+        if record.member not in self.group_members(record.group) and record.member not in departed:
+            raise Stale(f"member {record.member} is gone")
 
     def _check_election_order(self, record: ElectionOrderRecord, leadership: Leadership) -> None:
         group, member = record.group[:_MAX_SHOWN_NAME_LENGTH], record.member
@@ -405,7 +412,7 @@
                 record.position or NO_POSITION,
                 bool(record.accepted_loss),
             )
-            self._put_evidence(record.group, evidence)
+            self._put_evidence(record.group, evidence.with_vote(record.primary))
         history = self.doc["past"].setdefault(record.group, [])
         history.append({**row, "seq": self.seq + 1})
         del history[:-_MAX_PAST_LEADERSHIPS]
--- a/src/petrelhaven/control/state/evidence_records.py
+++ b/src/petrelhaven/control/state/evidence_records.py
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NonVotingRecord:
-    """A commit is acknowledged only once a replica other than the lost `member` has it."""
+    """A commit is acknowledged only once a replica other than `member`, lost or gone, has it."""
 
     kind: ClassVar[str] = "evidence"
     what: ClassVar[str] = "non_voting"
--- a/src/petrelhaven/proxy/routing/group.py
+++ b/src/petrelhaven/proxy/routing/group.py
@@ -135,7 +135,7 @@
         self.largest_size = control_state.doc["sizes"].get(self.name, 0)
         evidence = control_state.evidence(self.name)
         self.lower_bound = evidence.lower_bound
-        self.non_voting = frozenset(evidence.non_voting)
+        self.non_voting = evidence.without_vote
         for name, row in rows.items():
             self._apply_member(name, row, control_state, fresh)
         for name in [name for name in self.members if name not in rows]:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -105,7 +105,7 @@
         self.trace, self.acknowledged, self.fencing_token, self.promoted_names = [], (1, 5), 0, []
         self.rng, self.in_force_delay_s, self.platform_outcomes = random.Random(1), 0.0, []
         self.promotion_delay_s = 0.2
-        self.proxies_seq, self.proxies_non_voting = 0, ()
+        self.proxies_seq, self.proxies_without_vote = 0, ()
         self.wire = self.platform = self.node_caller = self.lease_table = self
         self.name, self.zone, self.heartbeat_us, self.last_heartbeats = (
             "c1",
@@ -143,15 +143,16 @@
         control_state = self.chain.control_state
         control_state.check(record)
         control_state.apply(control_state.seq + 1, record)
-        non_voting = control_state.doc["evidence"].get("g", {}).get("non_voting", ())
+        evidence = control_state.doc["evidence"].get("g", {})
+        without_vote = (*evidence.get("non_voting", ()), *evidence.get("counted_out", ()))
         asyncio.get_running_loop().call_later(
-            self.in_force_delay_s, self.apply_at_proxies, control_state.seq, tuple(non_voting)
+            self.in_force_delay_s, self.apply_at_proxies, control_state.seq, without_vote
         )
         return control_state.seq
 
-    def apply_at_proxies(self, seq, non_voting):
+    def apply_at_proxies(self, seq, without_vote):
         if seq > self.proxies_seq:
-            self.proxies_seq, self.proxies_non_voting = seq, non_voting
+            self.proxies_seq, self.proxies_without_vote = seq, without_vote
 
     async def append_record(self, record):
         await asyncio.sleep(0.005)
@@ -297,7 +298,7 @@
                 and self.rng.random() < 0.5
             ):
                 member.position = primary.position
-                if member.name not in self.proxies_non_voting:
+                if member.name not in self.proxies_without_vote:
                     self.acknowledged = max(self.acknowledged, primary.position)
 
     def announce_role_changes(self):
@@ -1324,6 +1325,38 @@
     run_simulated(go)
 
 
+def test_a_member_that_signed_off_behind_a_partition_costs_no_acknowledged_commit():
+    """It serves on after its sign-off, and the control nodes take its refusals for its end."""
+
+    async def go(group):
+        group.members["r1"].refuses_control = True
+        row = group.chain.control_state.doc["members"]["r1"]
+        group.apply_record({"t": "member", "name": "r1", "state": "gone", "addr": row["addr"]})
+        await group.wait_until(lambda: not group.evidence.unproven, 4)
+        group.members["r2"].receiving = False
+        await asyncio.sleep(0.5)
+        crash_primary(group)
+        await asyncio.sleep(8)
+
+    run_simulated(go)
+
+
+def test_a_draining_replica_that_restarts_and_alone_receives_costs_no_acknowledged_commit():
+    """Its pause ends with the restart, and it ends before the next round reads its log."""
+
+    async def go(group):
+        group.set_member_state("r1", "draining")
+        await group.wait_until(lambda: "r1" in group.evidence.counted_out, 4)
+        group.members["r2"].receiving = False
+        group.members["r1"].paused_term = 0
+        await asyncio.sleep(0.1)
+        group.end_member("r1", signs_off=False)
+        crash_primary(group)
+        await asyncio.sleep(8)
+
+    run_simulated(go)
+
+
 class Departures:
     """Planned member replacements, in which the new member joins first, and temporary faults.
 
--- a/tests/test_failover_evidence.py
+++ b/tests/test_failover_evidence.py
@@ -419,7 +419,10 @@
 def test_a_lost_member_that_signs_off_may_hold_the_only_copy_until_it_is_bounded():
     """It was never paused, so it may receive until its process has ended."""
     evidence = Evidence(counted_out={"b": (1, 4)}, non_voting=("b",)).with_departure("b", False)
-    assert evidence == Evidence(lower_bound=(1, 4), unproven=("b",))
+    assert evidence == Evidence(lower_bound=(1, 4), unproven=("b",), non_voting=("b",))
+    bounded = evidence.with_bounded_logs(["b"], (1, 9))
+    assert bounded == Evidence(lower_bound=(1, 9), non_voting=("b",))
+    assert bounded.with_counted_out("b", None) == Evidence(lower_bound=(1, 9))
 
 
 def replica_status(position, paused_term=2):
