--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -1,6 +1,7 @@
 """Boot settings file: unknown fields are ignored; all invalid fields are reported by name before start-up."""
 
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -364,3 +365,20 @@
         for line, start in zip(process.stderr.splitlines(), expected_lines, strict=True)
     ] == [True] * len(expected_lines)
     assert sorted(os.listdir(tmp_path)) == before and not data.exists()
+
+
+@pytest.mark.parametrize("program", ["edge", "core"])
+def test_a_program_that_starts_survives_a_hangup_signal(tmp_path, program):
+    """Guards against an end during start-up; a settings file that blocks holds the program there."""
+    file = tmp_path / "boot.toml"
+    os.mkfifo(file)
+    process = subprocess.Popen(
+        [sys.executable, str(ROOT / f"platform/{program}.py")],
+        cwd=ROOT,
+        stderr=subprocess.DEVNULL,
+        env={**os.environ, "PETRELHAVEN_SETTINGS": str(file)},
+    )
+    with open(file, "w") as settings_file:
+        process.send_signal(signal.SIGHUP)
+        settings_file.write("= torn")
+    assert process.wait(HANG_S) == 2
