--- a/src/petrelhaven/control/failover/context.py
+++ b/src/petrelhaven/control/failover/context.py
@@ -137,7 +137,7 @@
         return number
 
     async def record_non_voting(self, group: str, member: str) -> int:
-        """Records that a lost member doesn't vote any more; returns the record's number."""
+        """Records that a member doesn't vote any more; returns the record's number."""
         seq = await self.node.chain.append_record(NonVotingRecord(group, member).to_document())
         emit(self.log, Events.MEMBER_NON_VOTING, group=group, member=member)
         return seq
--- a/src/petrelhaven/control/failover/departures.py
+++ b/src/petrelhaven/control/failover/departures.py
@@ -161,35 +161,38 @@
         """Counts members out and bounds their logs by the primary's position, if it answers."""
         counting_out = self._group_counting_out(group)
         votes = counting_out.votes
-        are_ended_without_vote = votes.are_removed(ended_members)
-        are_lost_without_vote = votes.are_removed(lost_replicas)
-        if not are_ended_without_vote:
+        may_bound = votes.are_removed(ended_members)
+        may_count_out = votes.are_removed(lost_replicas)
+        if not may_bound:
             await votes.remove(ended_members)
         handle = counting_out.find_handle(primary)
         status = await handle.status() if handle is not None else None
         if status is None or not status.is_primary:
             return
         is_replicated = await counting_out.is_replicated(primary, status.position)
-        if (
-            ended_members
-            and are_ended_without_vote
-            and (
-                is_replicated
-                or self._observed_for_us(group, _UNREPLICATED_END) > _ASSUMED_ENDED_AFTER_US
-            )
-        ):
-            self._clear_condition(group, _UNREPLICATED_END)
-            await self._record_bounded_logs(group, ended_members, status.position)
+        if ended_members and may_bound:
+            await self._bound_logs(group, ended_members, status.position, is_replicated)
 
         def is_overdue(name: str) -> bool:
             return self._is_overdue(group, primary, name)
 
         await counting_out.update(primary, status.term + 1, is_replicated, is_overdue)
-        if is_replicated and are_lost_without_vote:
+        if is_replicated and may_count_out:
             await counting_out.count_out_lost(lost_replicas, status.position)
         elif is_replicated:
             await votes.remove(lost_replicas)
 
+    async def _bound_logs(
+        self, group: str, ended_members: list[str], position: Position, is_replicated: bool
+    ) -> None:
+        """Bounds the logs of ended members once another replica reaches `position`, or later."""
+        if (
+            is_replicated
+            or self._observed_for_us(group, _UNREPLICATED_END) > _ASSUMED_ENDED_AFTER_US
+        ):
+            self._clear_condition(group, _UNREPLICATED_END)
+            await self._record_bounded_logs(group, ended_members, position)
+
     def _is_overdue(self, group: str, primary: str, name: str) -> bool:
         """Returns whether a draining member must be counted out as the primary drains as well."""
         draining = [member.name for member in self._draining_members(group)]
@@ -247,10 +250,8 @@
         for name in evidence.non_voting:
             if name in members or name in evidence.unproven:
                 continue
-            if (
-                self._observed_for_us(group, _DEPARTED_PREFIX + name)
-                > _MAX_SERVING_AFTER_SIGN_OFF_US
-            ):
+            bounded_for_us = self._observed_for_us(group, _DEPARTED_PREFIX + name)
+            if bounded_for_us > _MAX_SERVING_AFTER_SIGN_OFF_US:
                 await self._context.record_counted_out(group, name, None)
 
     async def _record_bounded_logs(
--- a/src/petrelhaven/proxy/routing/commit_confirmation.py
+++ b/src/petrelhaven/proxy/routing/commit_confirmation.py
@@ -68,7 +68,7 @@
         replicas = [
             member
             for member in self._group.members.values()
-            if member.name != self._primary and member.name not in self._group.non_voting
+            if member.name != self._primary and member.name not in self._group.without_vote
         ]
         return sorted(
             replicas, key=lambda member: (member.failures > 0, member.distance, member.name)
--- a/src/petrelhaven/proxy/routing/group.py
+++ b/src/petrelhaven/proxy/routing/group.py
@@ -62,7 +62,7 @@
         largest_size: The largest number of members that the group has had.
         strong_sessions: How many open sessions have a route with strong reads.
         lower_bound: No acknowledged commit of departed members is after this log position.
-        non_voting: Members whose copies of a commit don't count for its acknowledgement.
+        without_vote: Members whose copies of a commit don't count for its acknowledgement.
         read_clock: Determines the positions that reads must see.
         proofs: Confirms commits and positions with members other than the primary.
     """
@@ -78,7 +78,7 @@
         self.connection_cap = _DEFAULT_CONNECTION_CAP
         self.sync_replicas = self.largest_size = self.strong_sessions = 0
         self.lower_bound: Position = NO_POSITION
-        self.non_voting: frozenset[str] = frozenset()
+        self.without_vote: frozenset[str] = frozenset()
         self.read_clock = ReadClock(
             proxy.clock, proxy.tasks, proxy.logical_clock, self._fetch, proxy.bounds
         )
@@ -135,7 +135,7 @@
         self.largest_size = control_state.doc["sizes"].get(self.name, 0)
         evidence = control_state.evidence(self.name)
         self.lower_bound = evidence.lower_bound
-        self.non_voting = evidence.without_vote
+        self.without_vote = evidence.without_vote
         for name, row in rows.items():
             self._apply_member(name, row, control_state, fresh)
         for name in [name for name in self.members if name not in rows]:
--- a/src/petrelhaven/proxy/routing/interfaces.py
+++ b/src/petrelhaven/proxy/routing/interfaces.py
@@ -127,7 +127,7 @@
         sync_replicas: How many replicas must have a commit before it is acknowledged.
         largest_size: The largest number of members that the group has had.
         lower_bound: No acknowledged commit of departed members is after this log position.
-        non_voting: Members whose copies of a commit don't count for its acknowledgement.
+        without_vote: Members whose copies of a commit don't count for its acknowledgement.
     """
 
     members: dict[str, Member]
@@ -135,7 +135,7 @@
     sync_replicas: int
     largest_size: int
     lower_bound: Position
-    non_voting: frozenset[str]
+    without_vote: frozenset[str]
 
     async def status(self, member: Member) -> dict[str, Any]:
         """Returns a member's answer to STATUS."""
--- a/src/petrelhaven/proxy/routing/member_proofs.py
+++ b/src/petrelhaven/proxy/routing/member_proofs.py
@@ -46,7 +46,7 @@
         """
         if self._group.sync_replicas == 0:
             return False
-        if self._group.non_voting:
+        if self._group.without_vote:
             return True
         leadership = self._group.leadership
         if (
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -1462,6 +1462,14 @@
             crashed.running, crashed.paused_term = True, 0
 
 
+async def lose_two_primaries(group):
+    for _ in range(2):
+        primary = group.leadership["primary"]
+        group.set_reachability(primary, running=False)
+        group.coordinator.suspect("g", primary, "refused")
+        await asyncio.sleep(3)
+
+
 async def run_departures(group, rng, events):
     group.rng = rng
     departures = Departures(group)
@@ -1512,11 +1520,7 @@
 
     async def go(group):
         await run_departures(group, random.Random(seed), events)
-        for _ in range(2):
-            primary = group.leadership["primary"]
-            group.set_reachability(primary, running=False)
-            group.coordinator.suspect("g", primary, "refused")
-            await asyncio.sleep(3)
+        await lose_two_primaries(group)
 
     run_simulated(go, zones={"p": "b", "r2": "b"})
 
@@ -1541,10 +1545,6 @@
 
     async def go(group):
         await run_departures(group, random.Random(seed), events)
-        for _ in range(2):
-            primary = group.leadership["primary"]
-            group.set_reachability(primary, running=False)
-            group.coordinator.suspect("g", primary, "refused")
-            await asyncio.sleep(3)
+        await lose_two_primaries(group)
 
     run_simulated(go, zones={"p": "b", "r2": "b"})
