STATUS requests that run at the same time share one connection

Cause: look, open, store, with a wait in between; each request opened a connection, one was kept, nobody closed the others, and they count for ConnLimit. Now they wait for one opening, and a connection whose member left meanwhile is closed.

--- a/src/petrelhaven/proxy/routing/group.py
+++ b/src/petrelhaven/proxy/routing/group.py
@@ -303,21 +303,40 @@
         return connection
 
     async def status(self, member: Member) -> dict[str, Any]:
-        """Requests the member's status row, on a separate connection."""
-        if member.status_connection is None or member.status_connection.lost:
-            member.status_connection = await self._open(member)
+        """Requests the member's status row, on a connection that all such requests share."""
+        connection = member.status_connection
+        if connection is None or connection.lost:
+            connection = await self._open_status_connection(member)
         member.note_asked(self._clock.now())
         try:
             row = await self._clock.wait_for(
-                member.status_connection.send_command("status"), self._proxy.bounds().join_us // 2
+                connection.send_command("status"), self._proxy.bounds().join_us // 2
             )
         except (DeadlineExceeded, Unreachable):
-            member.status_connection.close()
+            connection.close()
             self.note_failure(member, NO_ANSWER)
             raise
         self.note_answer(member)
         return row
 
+    async def _open_status_connection(self, member: Member) -> MemberConnection:
+        """Opens the connection for STATUS; requests that come meanwhile wait for the same one."""
+        if member.status_opening is None:
+            member.status_opening = self._proxy.tasks.spawn(self._store_status_connection(member))
+        if member.status_opening is None:
+            raise Unreachable("the proxy stops")
+        return await asyncio.shield(member.status_opening)
+
+    async def _store_status_connection(self, member: Member) -> MemberConnection:
+        try:
+            connection = await self._open(member)
+        finally:
+            member.status_opening = None
+        member.status_connection = connection
+        if self.members.get(member.name) is not member:
+            connection.close()
+        return connection
+
     async def _fetch(self, leadership_key: tuple[int, str]) -> Position:
         """Requests the primary's position; if it does not answer, derives one from the others."""
         primary = self.members.get(leadership_key[1])
--- a/src/petrelhaven/proxy/routing/member.py
+++ b/src/petrelhaven/proxy/routing/member.py
@@ -7,6 +7,8 @@
 from petrelhaven.proxy.reads.log_progress import LogProgress
 
 if TYPE_CHECKING:
+    import asyncio
+
     from petrelhaven.proxy.pool.connection_pool import ConnectionPool
     from petrelhaven.proxy.pool.member_connection import MemberConnection
     from petrelhaven.proxy.reads.position import Position
@@ -38,6 +40,7 @@
         pool: The connections to it.
         log_progress: The reported position of its log.
         status_connection: The connection for STATUS requests, or None.
+        status_opening: The task that opens that connection, or None.
         avoided_until: Until when it is avoided because of a failure.
         failures: The number of failures since its last answer.
         in_flight: How many statements of this proxy it is running.
@@ -61,6 +64,7 @@
         "pool",
         "log_progress",
         "status_connection",
+        "status_opening",
         "avoided_until",
         "failures",
         "in_flight",
@@ -91,6 +95,7 @@
         self.pool = pool
         self.log_progress = log_progress
         self.status_connection: MemberConnection | None = None
+        self.status_opening: asyncio.Task[MemberConnection] | None = None
         self.avoided_until = self.failures = self.in_flight = self.last_answer_at = 0
         self.unanswered_since = 0
         self.refuses_connections = False
--- a/tests/test_member_proofs.py
+++ b/tests/test_member_proofs.py
@@ -12,7 +12,7 @@
 from petrelhaven.proxy.routing.group import MemberGroup
 from petrelhaven.proxy.routing.remote_contact import RemoteContact
 from petrelhaven.runtime.clock import Clock
-from petrelhaven.runtime.errors import Unreachable
+from petrelhaven.runtime.errors import NotSent, Unreachable
 from petrelhaven.runtime.tasks import BackgroundTasks
 
 LOGS = {"m1": (1, 9), "m2": (1, 135), "m3": (1, 137)}
@@ -35,7 +35,16 @@
 
 
 class _Wire:
+    """Opens connections after a while; `opened` has their members, in order."""
+
+    def __init__(self):
+        self.opened = []
+
     async def open(self, address, group, member, limit_us, tenant=""):
+        self.opened.append(member)
+        await asyncio.sleep(0.01)
+        if member not in LOGS:
+            raise NotSent("refused")
         return _Connection(member)
 
 
@@ -178,3 +187,52 @@
                 await group.proofs.position_from_others("p")
 
     warp(go())
+
+
+def test_concurrent_status_requests_share_one_connection(warp):
+    """Guards against connections that nobody closes, which count for the member's limit."""
+
+    async def go():
+        group = _make_group(["m1", "m2"], 3, True)
+        member, opened = group.members["m1"], group._proxy.wire.opened
+        rows = await asyncio.gather(*[group.status(member) for _ in range(3)])
+        assert [row["pos"] for row in rows] == [LOGS["m1"]] * 3 and opened == ["m1"]
+        member.status_connection.lost = True
+        await group.status(member)
+        assert opened == ["m1", "m1"]
+
+    warp(go())
+
+
+def test_concurrent_status_requests_fail_with_their_connection_and_are_repeated(warp):
+    async def go():
+        group = _make_group(["m1", "m4"], 3, True)
+        member, opened = group.members["m4"], group._proxy.wire.opened
+        for attempts in (1, 2):
+            requests = [group.status(member) for _ in range(3)]
+            faults = await asyncio.gather(*requests, return_exceptions=True)
+            assert [type(fault) for fault in faults] == [NotSent] * 3
+            assert opened == ["m4"] * attempts
+
+    warp(go())
+
+
+def test_a_status_connection_that_opens_after_its_member_left_is_closed(warp):
+    async def go():
+        group = _make_group(["m1", "m2"], 3, True)
+        member, closed = group.members["m1"], []
+        connection = _Connection("m1")
+        connection.close = lambda: closed.append("m1")
+        group._proxy.wire.open = lambda *_: _after(0.01, connection)
+        request = asyncio.ensure_future(group.status(member))
+        await asyncio.sleep(0.005)
+        group.members.pop("m1").close()
+        await request
+        assert closed == ["m1"]
+
+    warp(go())
+
+
+async def _after(seconds, result):
+    await asyncio.sleep(seconds)
+    return result
