--- a/src/petrelhaven/control/announcements.py
+++ b/src/petrelhaven/control/announcements.py
@@ -9,10 +9,15 @@
 from typing import TYPE_CHECKING, Any
 
 from petrelhaven.control.request_router import ANSWER_TIMEOUT_US
+from petrelhaven.control.state.records import COUNT_LIMIT, DepartureRecord, MemberRecord
+from petrelhaven.control.state.rows import MemberState
 from petrelhaven.runtime.errors import Duplicate, Malformed, NotReady, Stale
+from petrelhaven.runtime.events import Events, emit
 from petrelhaven.runtime.limits import NAME
 
 if TYPE_CHECKING:
+    from logbook import Logger
+
     from petrelhaven.control.consensus.chain import Chain
     from petrelhaven.runtime.clock import Clock
 
@@ -31,9 +36,8 @@
 }
 _RECORDED_FIELDS = ("group", "hall", "addr", "role", "state", "slots")
 _ROLES = ("primary", "replica")
-_STATES = ("ready", "draining")
+_STATES = (MemberState.READY, MemberState.DRAINING)
 _MAX_MEMBER_NAME_LENGTH = 128
-_MAX_COUNT = 1 << 53
 _MAX_REORDERING_US = 3_000_000
 _NEVER_US = -1 << 60
 _NO_COUNT = -1
@@ -83,25 +87,24 @@
             ("role", announcement.role in _ROLES),
             ("member", 0 < len(announcement.member) <= _MAX_MEMBER_NAME_LENGTH),
             ("state", announcement.state in _STATES),
-            ("count", 0 <= announcement.count < _MAX_COUNT),
+            ("count", 0 <= announcement.count < COUNT_LIMIT),
         ):
             if not is_valid:
                 raise Malformed(f"announcement field {field} is not valid")
         return announcement
 
-    def to_record(self) -> dict[str, Any]:
+    def to_record(self) -> MemberRecord:
         """Returns the record of this announcement."""
-        return {
-            "t": "member",
-            "name": self.member,
-            "group": self.group,
-            "hall": self.zone,
-            "addr": self.address,
-            "role": self.role,
-            "state": self.state,
-            "slots": self.slots,
-            "count": self.count,
-        }
+        return MemberRecord(
+            name=self.member,
+            group=self.group,
+            zone=self.zone,
+            address=self.address,
+            role=self.role,
+            state=self.state,
+            slots=self.slots,
+            count=self.count,
+        )
 
 
 class Announcements:
@@ -113,10 +116,11 @@
     """
 
     def __init__(
-        self, clock: Clock, chain: Callable[[], Chain], submit_record: SubmitRecord
+        self, clock: Clock, chain: Callable[[], Chain], submit_record: SubmitRecord, log: Logger
     ) -> None:
         """Compares with the control state of `chain` and submits changes by `submit_record`."""
         self._clock, self._chain, self._submit_record = clock, chain, submit_record
+        self._log = log
         self.last_heartbeats: dict[str, tuple[int, int]] = {}
 
     def _recorded_row(self, member: str) -> dict[str, Any] | None:
@@ -134,11 +138,29 @@
         if self._is_outdated(announcement):
             return
         self.last_heartbeats[announcement.member] = (self._clock.now(), announcement.count)
-        recorded, record = self._recorded_row(announcement.member), announcement.to_record()
+        recorded = self._recorded_row(announcement.member)
+        record = announcement.to_record().to_document()
         if recorded and all(recorded.get(field) == record[field] for field in _RECORDED_FIELDS):
             await self._confirm_control_state()
         else:
-            await self._record(record)
+            await self._record_announcement(announcement, record)
+
+    async def _record_announcement(
+        self, announcement: Announcement, record: dict[str, Any]
+    ) -> None:
+        """Records an announcement, unless the member sent it before it departed or drained."""
+        try:
+            await self._submit(record)
+        except Stale as fault:
+            self.last_heartbeats.pop(announcement.member, None)
+            emit(
+                self._log,
+                Events.LATE_ANNOUNCEMENT,
+                member=announcement.member,
+                state=announcement.state,
+                count=announcement.count,
+                note=fault.note,
+            )
 
     def _is_outdated(self, announcement: Announcement) -> bool:
         """Returns whether a later announcement of the member has arrived already."""
@@ -146,14 +168,18 @@
         return announcement.count < count and self._clock.now() - received_at < _MAX_REORDERING_US
 
     async def deregister_member(self, member: str) -> None:
-        """Records that a member leaves; returns once that is committed."""
+        """Records that a member leaves; returns once that is committed.
+
+        A departing member sends no count, and its announcements may arrive late at any node. So no
+        later announcement under its name is accepted while its departure is stored.
+        """
         recorded = self._recorded_row(member)
         self.last_heartbeats.pop(member, None)
-        if recorded is None or recorded["state"] == "gone":
+        if recorded is None or recorded["state"] == MemberState.GONE:
             await self._confirm_control_state()
         else:
-            departure = {"t": "member", "name": member, "state": "gone", "addr": recorded["addr"]}
-            await self._record(departure)
+            departure = DepartureRecord(member, recorded["addr"], COUNT_LIMIT)
+            await self._submit(departure.to_document())
 
     async def _confirm_control_state(self) -> None:
         """Waits until this node's control state is committed and a majority confirms this node.
@@ -166,6 +192,11 @@
         if not chain.is_confirmed:
             raise NotReady("not confirmed by a majority")
 
-    async def _record(self, record: dict[str, Any]) -> None:
-        with contextlib.suppress(Duplicate, Stale):
+    async def _submit(self, record: dict[str, Any]) -> None:
+        """Submits a record; returns once it, or an equal one, is committed.
+
+        Raises:
+            Stale: The record is older than what is recorded of the member.
+        """
+        with contextlib.suppress(Duplicate):
             await self._submit_record(record, False, ANSWER_TIMEOUT_US)
--- a/src/petrelhaven/control/node.py
+++ b/src/petrelhaven/control/node.py
@@ -103,7 +103,9 @@
         self.connected_proxies = ConnectedProxies()
         self.proxy_survey = ProxySurvey(resources.clock, resources.log)
         self.configuration_parser = ParserLoader()
-        self.announcements = Announcements(resources.clock, lambda: self.chain, self.submit_record)
+        self.announcements = Announcements(
+            resources.clock, lambda: self.chain, self.submit_record, resources.log
+        )
         self.last_heartbeats = self.announcements.last_heartbeats
         self.clock, self.tasks, self.name = resources.clock, resources.tasks, identity.name
         self.counting = CountingService(self, lambda: resources.rng.getrandbits(_COUNTER_ID_BITS))
--- a/src/petrelhaven/control/state/control_state.py
+++ b/src/petrelhaven/control/state/control_state.py
@@ -34,6 +34,7 @@
     Leadership,
     LeadershipPhase,
     Member,
+    MemberState,
 )
 from petrelhaven.runtime.errors import Conflict, Duplicate, NoRoute, Stale, VersionTaken
 
@@ -42,9 +43,7 @@
 
 __all__ = ["ControlState"]
 
-MEMBER_GONE = "gone"
-_MEMBER_READY = "ready"
-_MAX_GONE_MEMBERS = 64
+_MAX_STORED_DEPARTURES = 64
 _MAX_PAST_LEADERSHIPS = 16
 _MAX_ACCEPTED_VERSIONS = 128
 _MAX_SHOWN_NAME_LENGTH = 60
@@ -103,7 +102,7 @@
         return {
             name: row
             for name, row in sorted(self.doc["members"].items())
-            if row["group"] == group and row["state"] != MEMBER_GONE
+            if row["group"] == group and row["state"] != MemberState.GONE
         }
 
     def evidence(self, group: str) -> Evidence:
@@ -254,8 +253,7 @@
         row = self.doc["members"].get(record.name)
         if row is None:
             return
-        not_newer = record.count <= row["count"]
-        if row["state"] != _MEMBER_READY and record.state == _MEMBER_READY and not_newer:
+        if self._is_late(record, row):
             raise Stale(
                 f"member {record.name} is {row['state']}; this was said before",
                 details={"count": row["count"]},
@@ -263,6 +261,19 @@
         if _without_count(row) == _without_count(record.row):
             raise Duplicate(f"member {record.name} is {record.state}")
 
+    def _is_late(self, record: MemberRecord, row: Document) -> bool:
+        """Returns whether the member sent an announcement before what is recorded in its `row`.
+
+        Announcements may arrive late and at any node, and unchanged ones aren't recorded.
+        """
+        is_counted = record.count <= row["count"]
+        if row["state"] == MemberState.READY:
+            return False
+        if row["state"] == MemberState.DRAINING:
+            return record.state == MemberState.READY and is_counted
+        is_draining = record.state == MemberState.DRAINING
+        return is_counted or is_draining
+
     def _apply_member(self, record: MemberRecord) -> None:
         members = self.doc["members"]
         for name, row in members.items():
@@ -270,19 +281,27 @@
                 self._replace_member_at_address(name, row, record.group)
         members.pop(record.name, None)
         members[record.name] = dict(record.row)
-        gone = [name for name, row in members.items() if row["state"] == MEMBER_GONE]
-        for name in gone[: max(0, len(gone) - _MAX_GONE_MEMBERS)]:
-            del members[name]
+        self._drop_old_departures()
         sizes = self.doc["sizes"]
         group = record.group
         sizes[group] = max(sizes.get(group, 0), len(self.group_members(group)))
 
+    def _drop_old_departures(self) -> None:
+        """Drops the oldest departed members."""
+        members = self.doc["members"]
+        gone = [name for name, row in members.items() if row["state"] == MemberState.GONE]
+        for name in gone[: max(0, len(gone) - _MAX_STORED_DEPARTURES)]:
+            del members[name]
+
     def _check_departure(self, record: DepartureRecord) -> None:
         row = self.doc["members"].get(record.name)
-        if row is None or row["state"] == MEMBER_GONE:
+        if row is None or row["state"] == MemberState.GONE:
             raise Duplicate(f"member {record.name} is gone")
 
     def _apply_departure(self, record: DepartureRecord) -> None:
+        if record.count is not None:
+            row = self.doc["members"][record.name]
+            row["count"] = max(row["count"], record.count)
         self._set_member_gone(record.name)
 
     def _set_member_gone(self, name: str) -> None:
@@ -291,7 +310,7 @@
         Its copy of the log counts as lost.
         """
         row = self.doc["members"][name]
-        row["state"] = MEMBER_GONE
+        row["state"] = str(MemberState.GONE)
         group = row["group"]
         leadership = self.leadership(group)
         in_change = leadership is not None and not leadership.is_serving
@@ -302,8 +321,8 @@
 
     def _replace_member_at_address(self, name: str, row: Document, group: str) -> None:
         """Marks member `name` as gone because a member of `group` announced its address."""
-        was_gone = row["state"] == MEMBER_GONE
-        row["state"] = MEMBER_GONE
+        was_gone = row["state"] == MemberState.GONE
+        row["state"] = str(MemberState.GONE)
         if row["group"] != group:
             if not was_gone:
                 self._set_member_gone(name)
--- a/src/petrelhaven/control/state/records.py
+++ b/src/petrelhaven/control/state/records.py
@@ -25,11 +25,13 @@
     stored_row,
     without_none,
 )
+from petrelhaven.control.state.rows import MemberState
 
 if TYPE_CHECKING:
     from petrelhaven.control.embargo.records import EmbargoRecord
 
 __all__ = [
+    "COUNT_LIMIT",
     "ConfigurationRecord",
     "ControlRecord",
     "DepartureRecord",
@@ -40,7 +42,8 @@
     "from_document",
 ]
 
-_MEMBER_GONE = "gone"
+COUNT_LIMIT = 1 << 53
+"""Counts of announcements are below this limit, which JSON readers with floats hold exactly."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,20 +183,34 @@
 
 @dataclass(frozen=True, slots=True)
 class DepartureRecord:
-    """A member is gone: it deregistered, or was deregistered after it ended."""
+    """A member is gone: it deregistered, or was deregistered after it ended.
+
+    Attributes:
+        name: Its name.
+        address: Its host and port; "" if they aren't known.
+        count: Its announcements up to this count were sent before it departed; None if only those
+            up to the recorded count are known to be.
+    """
 
     kind: ClassVar[str] = "member"
     name: str
     address: str
+    count: int | None = None
 
     @classmethod
     def from_document(cls, document: Document) -> DepartureRecord:
         """Reads a document written by `to_document`."""
-        return cls(document["name"], document["addr"])
+        return cls(document["name"], document["addr"], document.get("count"))
 
     def to_document(self) -> Document:
         """Returns the record as a JSON document."""
-        return {KIND_KEY: self.kind, "name": self.name, "state": _MEMBER_GONE, "addr": self.address}
+        return {
+            KIND_KEY: self.kind,
+            "name": self.name,
+            "state": str(MemberState.GONE),
+            "addr": self.address,
+            **without_none({"count": self.count}),
+        }
 
 
 @dataclass(frozen=True, slots=True)
@@ -270,7 +287,7 @@
 
 
 def _member_from_document(document: Document) -> MemberRecord | DepartureRecord:
-    if document["state"] == _MEMBER_GONE:
+    if document["state"] == MemberState.GONE:
         return DepartureRecord.from_document(document)
     return MemberRecord.from_document(document)
 
--- a/src/petrelhaven/control/state/rows.py
+++ b/src/petrelhaven/control/state/rows.py
@@ -9,7 +9,18 @@
 
 from petrelhaven.control.state.record import Position, parse_position
 
-__all__ = ["AcceptedConfiguration", "Leadership", "LeadershipPhase", "Member"]
+__all__ = ["AcceptedConfiguration", "Leadership", "LeadershipPhase", "Member", "MemberState"]
+
+
+class MemberState(StrEnum):
+    """The state of a member; the values are part of the stored data."""
+
+    READY = "ready"
+    """The member serves and is not about to leave."""
+    DRAINING = "draining"
+    """The member serves for a while longer and is about to leave."""
+    GONE = "gone"
+    """The member has departed."""
 
 
 class LeadershipPhase(StrEnum):
@@ -74,12 +85,12 @@
     @property
     def is_ready(self) -> bool:
         """Whether it serves and is not about to leave."""
-        return self.state == "ready"
+        return self.state == MemberState.READY
 
     @property
     def is_draining(self) -> bool:
         """Whether it is about to leave."""
-        return self.state == "draining"
+        return self.state == MemberState.DRAINING
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/petrelhaven/runtime/events.py
+++ b/src/petrelhaven/runtime/events.py
@@ -222,6 +222,12 @@
         "lost replica without a vote: commits are acknowledged once another replica has them",
         "none; the replica votes again once it answers",
     )
+    LATE_ANNOUNCEMENT = Event(
+        346,
+        _INFO,
+        "late announcement of a member without effect: it has departed or drains",
+        "none; if the member is running, it needs another name or a count above the recorded one",
+    )
     GROUP_WAITS_FOR_PROOF = Event(
         343,
         _ERROR,
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -78,6 +78,7 @@
 
     def __init__(self):
         self.version, self.zones, self.leaderships, self.members = 0, {}, {}, {}
+        self.departed = set()
 
     def apply(self, record):
         """Applies the record if it is valid; returns whether it is."""
@@ -97,19 +98,30 @@
             if is_valid:
                 self.leaderships[record["group"]] = record["n"]
         elif record["state"] == "gone":
-            is_valid = self.members.pop(record["name"], None) is not None
+            is_valid = record["name"] in self.members
+            if is_valid:
+                self.depart(record["name"])
         else:
             fields = {k: v for k, v in record.items() if k not in ("t", "name", "count")}
             is_valid = self.members.get(record["name"]) != fields
+            is_valid &= not self.is_late_return(record)
             if is_valid:
-                self.members = {
-                    n: m
-                    for n, m in self.members.items()
-                    if m["addr"] != record["addr"] or n == record["name"]
-                }
+                self.departed.discard(record["name"])
+                for name, other in list(self.members.items()):
+                    if other["addr"] == record["addr"] and name != record["name"]:
+                        self.depart(name)
                 self.members[record["name"]] = fields
         return is_valid
 
+    def depart(self, name):
+        """Moves a member to the departed ones."""
+        del self.members[name]
+        self.departed.add(name)
+
+    def is_late_return(self, record):
+        """A departed member doesn't come back as draining."""
+        return record["name"] in self.departed and record["state"] == "draining"
+
 
 ADDRESSES = st.sampled_from(["1.1.1.1:1", "1.1.1.1:2", "1.1.1.1:3"])
 RECORDS = (
--- /dev/null
+++ b/tests/test_late_announcements.py
@@ -0,0 +1,134 @@
+"""Announcements that arrive after their member has signed off, is draining or was replaced."""
+
+import asyncio
+import json
+
+import pytest
+
+from petrelhaven.control.state.control_state import ControlState
+from petrelhaven.runtime.errors import Stale
+from petrelhaven.simulator.connection_sessions.control_fleet import ControlFleet
+from petrelhaven.simulator.connection_sessions.storm import inside
+
+CHAIN_POSITIONS = pytest.mark.parametrize("place", [0, 1, 2], ids=["head", "middle", "tail"])
+
+
+def heartbeat(count, state="ready", role="replica", member="m1", address="10.0.0.1:1"):
+    return {
+        "member": member,
+        "group": "g1",
+        "hall": "a",
+        "addr": address,
+        "role": role,
+        "state": state,
+        "slots": 5,
+        "count": count,
+    }
+
+
+def node_at(fleet, place):
+    """The control node at a place of the chain."""
+    view = next(machine.node.chain.view for machine in fleet.cores if machine.node)
+    return next(machine.node for machine in fleet.cores if machine.name == view.chain[place])
+
+
+async def committed_state(fleet, member="m1"):
+    """The state of a member, read as proxies and operators see it; None if it isn't stored."""
+    document = await node_at(fleet, 0).control_state()
+    row = document["members"].get(member)
+    return row and row["state"]
+
+
+async def sign_off_elsewhere(fleet, place):
+    """A member sends beats to the node at `place`, its last one and its sign-off to another node."""
+    await fleet.start()
+    listener, other = node_at(fleet, place), node_at(fleet, (place + 1) % 3)
+    await listener.announce(heartbeat(1))
+    for count in (2, 3):
+        await listener.announce(heartbeat(count))
+    await other.announce(heartbeat(5))
+    await other.deregister_member("m1")
+    assert await committed_state(fleet) == "gone"
+    return listener
+
+
+@CHAIN_POSITIONS
+@pytest.mark.parametrize("state", ["ready", "draining"])
+@pytest.mark.parametrize("role", ["primary", "replica"])
+def test_a_late_heartbeat_does_not_bring_back_a_member_that_signed_off(place, state, role):
+    """Guards against statements that reach a member long after its acknowledged sign-off (DRAIN)."""
+
+    async def scenario(fleet):
+        listener = await sign_off_elsewhere(fleet, place)
+        await asyncio.sleep(3)
+        for count in (4, 6):
+            await listener.announce(heartbeat(count, state, role))
+        return await committed_state(fleet)
+
+    assert inside(scenario, 1, ControlFleet, losses=1)[0] == "gone"
+
+
+async def restart_head(fleet):
+    machine = next(m for m in fleet.cores if m.node.chain.is_head)
+    machine.kill()
+    await asyncio.sleep(2)
+    fleet.boot_core(machine)
+
+
+async def restart_all(fleet):
+    for machine in fleet.cores:
+        machine.kill()
+    await asyncio.sleep(1)
+    for machine in fleet.cores:
+        fleet.boot_core(machine)
+
+
+@pytest.mark.parametrize("disrupt", [restart_head, restart_all])
+def test_a_sign_off_is_final_after_a_leader_change_and_a_restart(disrupt):
+    """Guards against control nodes that forget a sign-off with their memory (DRAIN)."""
+
+    async def scenario(fleet):
+        await sign_off_elsewhere(fleet, 1)
+        await disrupt(fleet)
+        await asyncio.sleep(8)
+        for place in range(3):
+            await node_at(fleet, place).announce(heartbeat(4))
+        return await committed_state(fleet)
+
+    assert inside(scenario, 1, ControlFleet, losses=1)[0] == "gone"
+
+
+def record(count, name="m1", state="ready", address="10.0.0.1:1", role="replica"):
+    document = heartbeat(count, state, role, name, address)
+    del document["member"]
+    return {"t": "member", "name": name, **document}
+
+
+def departure(name="m1", address="10.0.0.1:1", **count):
+    return {"t": "member", "name": name, "state": "gone", "addr": address, **count}
+
+
+def state_after(*records):
+    control_state = ControlState()
+    for document in records:
+        control_state.check(document)
+        control_state.apply(control_state.seq + 1, document)
+    return control_state
+
+
+@pytest.mark.parametrize("count", [1, 7, 8])
+@pytest.mark.parametrize("state", ["ready", "draining"])
+def test_a_departure_with_a_count_declines_announcements_up_to_it(count, state):
+    """Guards against a departure that keeps no count above which an announcement is new (DRAIN)."""
+    stored = state_after(record(1), departure(count=8)).snapshot()
+    control_state = ControlState(json.loads(json.dumps(stored)))
+    with pytest.raises(Stale):
+        control_state.check(record(count, state=state))
+    control_state.check(record(9))
+
+
+def test_a_departed_member_does_not_come_back_as_draining():
+    """Guards against a second drain time of a member that is draining or gone already (DRAIN)."""
+    control_state = state_after(record(1), record(2, state="draining"), departure())
+    with pytest.raises(Stale):
+        control_state.check(record(9, state="draining"))
