A late announcement doesn't displace the successor at its address

Cause: an announcement of an address marks the member that was there before as gone. The displaced one keeps the count of its last recorded announcement, so a heartbeat that it had sent earlier counted as news and displaced its successor, until that one's next heartbeat; a displaced primary starts a failover ("the primary has left").

Change: a departed member can't announce the address that it had while another member is recorded there.

test_control_state: the plain model has the new rule and every comparison stays.

--- a/src/petrelhaven/control/state/control_state.py
+++ b/src/petrelhaven/control/state/control_state.py
@@ -272,7 +272,14 @@
         if row["state"] == MemberState.DRAINING:
             return record.state == MemberState.READY and is_counted
         is_draining = record.state == MemberState.DRAINING
-        return is_counted or is_draining
+        return is_counted or is_draining or self._is_displaced(record, row)
+
+    def _is_displaced(self, record: MemberRecord, row: Document) -> bool:
+        """Returns whether another member was recorded at the address that a departed one had."""
+        return record.address == row["addr"] and any(
+            other["addr"] == record.address and other["state"] != MemberState.GONE
+            for other in self.doc["members"].values()
+        )
 
     def _apply_member(self, record: MemberRecord) -> None:
         members = self.doc["members"]
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -78,7 +78,7 @@
 
     def __init__(self):
         self.version, self.zones, self.leaderships, self.members = 0, {}, {}, {}
-        self.departed = set()
+        self.departed = {}
 
     def apply(self, record):
         """Applies the record if it is valid; returns whether it is."""
@@ -106,7 +106,7 @@
             is_valid = self.members.get(record["name"]) != fields
             is_valid &= not self.is_late_return(record)
             if is_valid:
-                self.departed.discard(record["name"])
+                self.departed.pop(record["name"], None)
                 for name, other in list(self.members.items()):
                     if other["addr"] == record["addr"] and name != record["name"]:
                         self.depart(name)
@@ -114,13 +114,18 @@
         return is_valid
 
     def depart(self, name):
-        """Moves a member to the departed ones."""
-        del self.members[name]
-        self.departed.add(name)
+        """Moves a member to the departed ones, of which the last address is known."""
+        self.departed[name] = self.members.pop(name)["addr"]
 
     def is_late_return(self, record):
-        """A departed member doesn't come back as draining."""
-        return record["name"] in self.departed and record["state"] == "draining"
+        """A departed member doesn't come back as draining, or to its address while another is there."""
+        if record["name"] not in self.departed:
+            return False
+        holders = {m["addr"] for m in self.members.values()}
+        returns_to_holder = (
+            record["addr"] == self.departed[record["name"]] and record["addr"] in holders
+        )
+        return record["state"] == "draining" or returns_to_holder
 
 
 ADDRESSES = st.sampled_from(["1.1.1.1:1", "1.1.1.1:2", "1.1.1.1:3"])
--- a/tests/test_late_announcements.py
+++ b/tests/test_late_announcements.py
@@ -132,3 +132,13 @@
     control_state = state_after(record(1), record(2, state="draining"), departure())
     with pytest.raises(Stale):
         control_state.check(record(9, state="draining"))
+
+
+def test_a_late_announcement_does_not_displace_the_successor_at_the_address():
+    """Guards against a replaced member whose late heartbeat takes its address back."""
+    control_state = state_after(record(1, "m1"), record(1, "m2"))
+    with pytest.raises(Stale):
+        control_state.check(record(9, "m1"))
+    control_state.check(record(9, "m1", address="10.0.0.1:2"))
+    control_state.apply(control_state.seq + 1, departure("m2"))
+    control_state.check(record(9, "m1"))
