The newest departures are no longer the first to be dropped

Where no departure is stored, a late heartbeat finds nothing to be compared with.

Cause: the 64 stored departures were dropped in the order of the members' last recorded announcements. A member that had been there from the start was dropped with the first new member after its own sign-off, once 64 others had departed.

Change: a sign-off puts its row behind those of earlier departures. As many are stored as there are members, 64 at the least, so that one is dropped only after every member has left once. Rows of records without a count keep their place: stored records give the same bytes as before.

--- a/src/petrelhaven/control/state/control_state.py
+++ b/src/petrelhaven/control/state/control_state.py
@@ -43,7 +43,7 @@
 
 __all__ = ["ControlState"]
 
-_MAX_STORED_DEPARTURES = 64
+_MIN_STORED_DEPARTURES = 64
 _MAX_PAST_LEADERSHIPS = 16
 _MAX_ACCEPTED_VERSIONS = 128
 _MAX_SHOWN_NAME_LENGTH = 60
@@ -294,10 +294,15 @@
         sizes[group] = max(sizes.get(group, 0), len(self.group_members(group)))
 
     def _drop_old_departures(self) -> None:
-        """Drops the oldest departed members."""
+        """Drops the oldest departed members.
+
+        As many are kept as there are members: a late announcement must find its departure also
+        while all members of a fleet are replaced.
+        """
         members = self.doc["members"]
         gone = [name for name, row in members.items() if row["state"] == MemberState.GONE]
-        for name in gone[: max(0, len(gone) - _MAX_STORED_DEPARTURES)]:
+        kept = max(_MIN_STORED_DEPARTURES, len(members) - len(gone))
+        for name in gone[: max(0, len(gone) - kept)]:
             del members[name]
 
     def _check_departure(self, record: DepartureRecord) -> None:
@@ -307,7 +312,9 @@
 
     def _apply_departure(self, record: DepartureRecord) -> None:
         if record.count is not None:
-            row = self.doc["members"][record.name]
+            members = self.doc["members"]
+            # Behind those that departed before; `_drop_old_departures` starts with the first.
+            row = members[record.name] = members.pop(record.name)
             row["count"] = max(row["count"], record.count)
         self._set_member_gone(record.name)
 
--- a/tests/test_late_announcements.py
+++ b/tests/test_late_announcements.py
@@ -142,3 +142,33 @@
     control_state.check(record(9, "m1", address="10.0.0.1:2"))
     control_state.apply(control_state.seq + 1, departure("m2"))
     control_state.check(record(9, "m1"))
+
+
+def test_a_departure_is_kept_while_others_depart():
+    """Guards against dropping the newest departure, of the member that was recorded first."""
+    control_state = state_after(record(1, "m1"))
+    for index in range(80):
+        name, address = f"n{index}", f"10.0.1.{index}:1"
+        for document in (record(1, name, address=address), departure(name, address)):
+            control_state.apply(control_state.seq + 1, document)
+    control_state.apply(control_state.seq + 1, departure(count=8))
+    control_state.apply(control_state.seq + 1, record(1, "m2", address="10.0.2.1:1"))
+    with pytest.raises(Stale):
+        control_state.check(record(7, "m1"))
+
+
+def test_as_many_departures_are_kept_as_there_are_members():
+    """Guards against forgetting departures within seconds while a large fleet is replaced."""
+    control_state = ControlState()
+    for name, address in [
+        (f"n{index}", f"10.0.{index // 100}.{index % 100}:1") for index in range(300)
+    ]:
+        control_state.apply(control_state.seq + 1, record(1, name, address=address))
+    for index in range(300):
+        address = f"10.0.{index // 100}.{index % 100}:1"
+        control_state.apply(control_state.seq + 1, departure(f"n{index}", address, count=8))
+        new = record(1, f"s{index}", address=f"10.1.{index // 100}.{index % 100}:1")
+        control_state.apply(control_state.seq + 1, new)
+    for index in range(300):
+        with pytest.raises(Stale):
+            control_state.check(record(7, f"n{index}"))
