A sign-off is acknowledged only where it is recorded

What callers saw: nothing yet; found by the drawn schedules of this commit.

Cause: the node that takes a sign-off looked only at its own control state. If that had no such member, or had it as gone, it acknowledged without a record. But the head may have the member already, and for a member that nobody has recorded nothing holds its first heartbeat off when that arrives late.

Change: every sign-off goes to the head; one of a member that isn't recorded is answered with 503, so that nothing is acknowledged.

Tests: two for the fault, and schedules of departing members on the model of the control nodes (late, doubled and reordered calls; killed, frozen and isolated nodes).

--- a/src/petrelhaven/control/announcements.py
+++ b/src/petrelhaven/control/announcements.py
@@ -172,14 +172,16 @@
 
         A departing member sends no count, and its announcements may arrive late at any node. So no
         later announcement under its name is accepted while its departure is stored.
+
+        Raises:
+            NotReady: The member isn't recorded, so a late announcement would make it a member.
         """
         recorded = self._recorded_row(member)
         self.last_heartbeats.pop(member, None)
-        if recorded is None or recorded["state"] == MemberState.GONE:
-            await self._confirm_control_state()
-        else:
-            departure = DepartureRecord(member, recorded["addr"], COUNT_LIMIT)
-            await self._submit(departure.to_document())
+        address = recorded["addr"] if recorded else ""
+        await self._submit(DepartureRecord(member, address, COUNT_LIMIT).to_document())
+        if self._recorded_row(member) is None:
+            raise NotReady(f"member {member[:_MAX_MEMBER_NAME_LENGTH]} is not recorded")
 
     async def _confirm_control_state(self) -> None:
         """Waits until this node's control state is committed and a majority confirms this node.
--- a/tests/test_late_announcements.py
+++ b/tests/test_late_announcements.py
@@ -4,11 +4,14 @@
 import json
 
 import pytest
+from model.cluster import Cluster, Shape
+from model.departing_members import play_departures
 
 from petrelhaven.control.state.control_state import ControlState
-from petrelhaven.runtime.errors import Stale
+from petrelhaven.runtime.errors import NotReady, Stale
 from petrelhaven.simulator.connection_sessions.control_fleet import ControlFleet
 from petrelhaven.simulator.connection_sessions.storm import inside
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
 CHAIN_POSITIONS = pytest.mark.parametrize("place", [0, 1, 2], ids=["head", "middle", "tail"])
 
@@ -98,6 +101,35 @@
     assert inside(scenario, 1, ControlFleet, losses=1)[0] == "gone"
 
 
+@pytest.mark.parametrize("place", [1, 2], ids=["middle", "tail"])
+def test_a_sign_off_at_a_node_that_does_not_have_the_member_yet_is_recorded(place):
+    """Guards against a sign-off that a node acknowledges unrecorded because its state is older."""
+
+    async def scenario(fleet):
+        await fleet.start()
+        node = node_at(fleet, place)
+        announced = asyncio.ensure_future(node_at(fleet, 0).announce(heartbeat(1)))
+        await asyncio.sleep(0.001)
+        assert "m1" not in node.chain.control_state.doc["members"]
+        await node.deregister_member("m1")
+        await announced
+        return await committed_state(fleet)
+
+    assert inside(scenario, 1, ControlFleet, losses=1)[0] == "gone"
+
+
+@CHAIN_POSITIONS
+def test_a_sign_off_of_a_member_that_nobody_recorded_is_not_acknowledged(place):
+    """Guards against a late first heartbeat after an acknowledged sign-off (DRAIN)."""
+
+    async def scenario(fleet):
+        await fleet.start()
+        with pytest.raises(NotReady):
+            await node_at(fleet, place).deregister_member("m1")
+
+    inside(scenario, 1, ControlFleet, losses=1)
+
+
 def record(count, name="m1", state="ready", address="10.0.0.1:1", role="replica"):
     document = heartbeat(count, state, role, name, address)
     del document["member"]
@@ -172,3 +204,30 @@
     for index in range(300):
         with pytest.raises(Stale):
             control_state.check(record(7, f"n{index}"))
+
+
+def violations_of_departures(seed, disturbed=True):
+    """What breaks when the calls of departing members are delayed, doubled and reordered."""
+    loop = WarpLoop()
+    asyncio.set_event_loop(loop)
+
+    async def play():
+        cluster = Cluster(Shape(), seed)
+        assert await cluster.start()
+        members = await play_departures(cluster, seed, disturbed=disturbed)
+        assert all(member.departed_at for member in members)
+        return dict(cluster.observer.broken)
+
+    try:
+        return loop.run_until_complete(play())
+    finally:
+        end_all(loop)
+        loop.close()
+        asyncio.set_event_loop(None)
+
+
+@pytest.mark.parametrize("disturbed", [False, True], ids=["calm", "disturbed"])
+@pytest.mark.parametrize("seed", range(12))
+def test_no_order_of_a_departing_members_calls_brings_it_back(seed, disturbed):
+    """Guards against late, doubled and reordered calls that undo an acknowledged departure (DRAIN)."""
+    assert violations_of_departures(seed, disturbed) == {}
