A seeded soak of departures: members sign off while their heartbeats are late

The processes of even seeds are left alone, since DRAIN holds for machines in touch.

Stand-ins: a member can sign off first and serve on, and can have a heartbeat held. Its other calls are the same.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,8 +3,10 @@
 Disruptions are drawn from the seed and overlap: members crash, come back, fall behind and are replaced; processes get
 signals; configurations change and zones are evacuated. Half of them aim at one group within a few seconds, as a lost
 replica that returns before the primary crashes. Clients go on using open connections until their process is gone.
+With `--departures` the other half is of members that leave while beats of theirs are late and arrive twice.
 
     python tests/soak.py --seeds 1-50 --seconds 24
+    python tests/soak.py --seeds 1-50 --seconds 24 --departures
     python tests/soak.py --seeds 1-2 --edges 120 --services 8
 """
 
@@ -22,6 +24,8 @@
 BOUNDS = {"ContactMs": 4000, "AckMs": 5000, "StretchMs": 12000, "DrainMs": 4000, "GraceS": 4}
 WARM_UP_S, REST_S = 1.0, 7.0
 MAX_GAP_S = 1.5
+MAX_LATE_S = 9.0
+MAX_SERVES_ON_S = 10.0
 
 
 class Soak:
@@ -42,6 +46,7 @@
         "configure",
         "evacuate",
     )
+    AIMED = "lose_replica_and_primary"
 
     def __init__(self, scene, seed):
         self.scene, self.random = scene, random.Random(seed)
@@ -56,7 +61,7 @@
         await asyncio.sleep(WARM_UP_S)
         while loop.time() < started_at + seconds:
             aimed = self.random.random() < 0.5
-            kind = "lose_replica_and_primary" if aimed else self.random.choice(self.SINGLE)
+            kind = self.AIMED if aimed else self.random.choice(self.SINGLE)
             group = self.random.choice(sorted(self.scene.groups))
             self.log.append(f"{loop.time() - started_at:.2f} {kind} {group}")
             self.tasks.append(asyncio.ensure_future(getattr(self, kind)(self.scene.groups[group])))
@@ -198,6 +203,48 @@
         await self.scene.operator.finish(zone)
 
 
+class DepartureSoak(Soak):
+    """Members depart while some of their beats are on their way.
+
+    The rule on departures holds for machines in touch, so the processes of even seeds are left alone.
+    """
+
+    AIMED = "depart_with_late_beats"
+    WITHOUT_MACHINES = (
+        "crash_replica",
+        "crash_primary",
+        "deafen_replica",
+        "replace_member",
+        "configure",
+        "evacuate",
+    )
+
+    def __init__(self, scene, seed):
+        super().__init__(scene, seed)
+        if seed % 2 == 0:
+            self.SINGLE = self.WITHOUT_MACHINES
+
+    async def depart_with_late_beats(self, group):
+        """Beats are held up, then the member leaves by way of other nodes and serves on; the beats arrive."""
+        member = self._take(group.members.values())
+        held = [
+            (self.random.uniform(0.5, MAX_LATE_S), self.random.randint(1, 2))
+            for _ in range(self.random.randint(1, 4))
+        ]
+        pause_s, drains = self.random.uniform(0.0, 1.5), self.random.random() < 0.3
+        serves_on_s = self.random.uniform(BOUNDS["DrainMs"] / 1000, MAX_SERVES_ON_S)
+        if member is None:
+            return
+        late = [asyncio.ensure_future(member.say_late(*beat)) for beat in held]
+        await asyncio.sleep(pause_s)
+        if drains:
+            await self.scene.release(member, 1000 * serves_on_s)
+        else:
+            await self.scene.sign_off(member, 1000 * serves_on_s)
+        self._free(member)
+        await asyncio.gather(*late)
+
+
 def id_of(member):
     return member.id
 
@@ -212,12 +259,12 @@
     return root
 
 
-async def play(folder, seed, seconds, edges=3, services=2, clients=4):
+async def play(folder, seed, seconds, edges=3, services=2, clients=4, soak_type=Soak):
     """Plays one seed; returns its verdict and the disruptions."""
     root = link_build(folder)
     options = {"edges": edges, "services": services, "bounds": BOUNDS}
     async with Scene(root, Path(folder) / "run", promote_ms=1000, lag_ms=8, **options) as scene:
-        soak = Soak(scene, seed)
+        soak = soak_type(scene, seed)
         total_s = seconds + REST_S + 10
         _, _ = await asyncio.gather(
             scene.play(total_s, clients=clients), asyncio.ensure_future(soak.run(seconds))
@@ -231,16 +278,17 @@
     parser.add_argument("--seconds", type=float, default=24.0)
     parser.add_argument("--edges", type=int, default=3)
     parser.add_argument("--services", type=int, default=2)
+    parser.add_argument("--departures", action="store_true")
     parser.add_argument("--keep", help="a folder for the logs of plays that broke a rule")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
+    soak_type = DepartureSoak if arguments.departures else Soak
+    options = {"edges": arguments.edges, "services": arguments.services, "soak_type": soak_type}
     broken = 0
     for seed in range(int(first), int(last or first) + 1):
         with tempfile.TemporaryDirectory() as folder:
             began = time.monotonic()
-            verdict, log = asyncio.run(
-                play(folder, seed, arguments.seconds, arguments.edges, arguments.services)
-            )
+            verdict, log = asyncio.run(play(folder, seed, arguments.seconds, **options))
             bad = verdict.violations or verdict.own_ends
             broken += bool(bad)
             print(
--- a/tests/stand_in/beats.py
+++ b/tests/stand_in/beats.py
@@ -39,10 +39,24 @@
                 pass
 
     async def deregister(self):
-        """Signs off."""
+        """Signs off; returns whether a node acknowledged it."""
         for _ in self._nodes:
             if await self._send("Deregister") is not None:
-                return
+                return True
+        return False
+
+    async def send_late(self, seconds, copies=1):
+        """Sends a beat of now that arrives `seconds` later, `copies` times; the next node is called meanwhile."""
+        node, verb = self._next_node(), "Heartbeat"
+        body = self._body()
+        self._target = None
+        self._turn += 1
+        await asyncio.sleep(seconds)
+        late = Caller()
+        path = f"/v1/Members.{verb}/{self._member.id}"
+        for _ in range(copies):
+            await late.call(node, "POST", path, body)
+        await late.close()
 
     async def close(self):
         """Closes its connections."""
@@ -58,10 +72,14 @@
                 self._changed.fire()
                 return
 
-    async def _send(self, verb):
+    def _next_node(self):
+        return self._target or self._nodes[self._turn % len(self._nodes)]
+
+    def _body(self):
+        """The body of the member's next call."""
         m, g = self._member, self._member.group
         self._seq += 1
-        body = {
+        return {
             "Service": g.service,
             "Address": m.address,
             "Zone": m.zone,
@@ -72,8 +90,10 @@
             "DbRole": m.role,
             "CallSeq": self._seq,
         }
-        node = self._target or self._nodes[self._turn % len(self._nodes)]
-        status, got = await self._caller.call(node, "POST", f"/v1/Members.{verb}/{m.id}", body)
+
+    async def _send(self, verb):
+        path, body = f"/v1/Members.{verb}/{self._member.id}", self._body()
+        status, got = await self._caller.call(self._next_node(), "POST", path, body)
         if 200 <= status < 300 and len(got) <= 4096:
             try:
                 answer = json.loads(got) if got else {}
--- a/tests/stand_in/member.py
+++ b/tests/stand_in/member.py
@@ -101,6 +101,19 @@
         await self._beats.deregister()
         await self._stop()
 
+    async def sign_off(self, serve_ms=7000):
+        """A planned end without `draining`: signs off, serves on for `serve_ms` and ends."""
+        self._tasks[-1].cancel()
+        if await self._beats.deregister():
+            self.history.drained[self.id] = self.history.now()
+        await asyncio.sleep(serve_ms / 1000)
+        if self.running:
+            await self._stop()
+
+    async def say_late(self, seconds, copies=1):
+        """Sends a beat of now that arrives `seconds` later, `copies` times."""
+        await self._beats.send_late(seconds, copies)
+
     async def close(self):
         """Ends at once, without counting as trouble."""
         if self.running:
--- a/tests/stand_in/scene.py
+++ b/tests/stand_in/scene.py
@@ -192,6 +192,14 @@
     async def release(self, member, drain_ms=None):
         """A member's planned end, after which a new member with its log stands at its address; returns that."""
         await member.release(drain_ms or self.fleet.bounds["DrainMs"])
+        return await self._replace(member)
+
+    async def sign_off(self, member, serve_ms):
+        """A member signs off first, serves on for `serve_ms` and ends; returns the new one at its address."""
+        await member.sign_off(serve_ms)
+        return await self._replace(member)
+
+    async def _replace(self, member):
         new = Member(
             member.group,
             f"{member.id}n",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from soak import play
+from soak import DepartureSoak, play
 
 pytestmark = pytest.mark.xdist_group("soak")
 
@@ -15,3 +15,12 @@
     assert verdict.violations == [], (verdict, log)
     assert verdict.own_ends == {}, (verdict, log)
     assert verdict.served > 100, (verdict, log)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_seeded_soak_of_departures_breaks_no_rule(tmp_path, seed):
+    """Guards against statements to members that signed off: late beats must not bring them back (DRAIN)."""
+    verdict, log = asyncio.run(play(tmp_path, seed, 20.0, soak_type=DepartureSoak))
+    assert verdict.violations == [], (verdict, log)
+    assert verdict.own_ends == {}, (verdict, log)
+    assert verdict.served > 100, (verdict, log)
