--- a/src/petrelhaven/control/state/control_state.py
+++ b/src/petrelhaven/control/state/control_state.py
@@ -301,8 +301,8 @@
         """
         members = self.doc["members"]
         gone = [name for name, row in members.items() if row["state"] == MemberState.GONE]
-        kept = max(_MIN_STORED_DEPARTURES, len(members) - len(gone))
-        for name in gone[: max(0, len(gone) - kept)]:
+        limit = max(_MIN_STORED_DEPARTURES, len(members) - len(gone))
+        for name in gone[: max(0, len(gone) - limit)]:
             del members[name]
 
     def _check_departure(self, record: DepartureRecord) -> None:
