--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from stand_in.checkout import link_build
 
 from petrelhaven.simulator.fleet import Fleet
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
@@ -37,3 +38,9 @@
         asyncio.run(run_fleet())
 
     return run
+
+
+@pytest.fixture
+def built(tmp_path):
+    """Returns a checkout as its build leaves it, made of links to this one."""
+    return link_build(tmp_path)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,9 +18,9 @@
 import time
 from pathlib import Path
 
+from stand_in.checkout import link_build
 from stand_in.scene import Scene
 
-ROOT = Path(__file__).parent.parent
 BOUNDS = {"ContactMs": 4000, "AckMs": 5000, "StretchMs": 12000, "DrainMs": 4000, "GraceS": 4}
 WARM_UP_S, REST_S = 1.0, 7.0
 MAX_GAP_S = 1.5
@@ -249,16 +249,6 @@
     return member.id
 
 
-def link_build(folder):
-    """Makes a checkout as its build leaves it, of links to this one; the interpreter has the packages."""
-    root = Path(folder) / "root"
-    (root / "target/app").mkdir(parents=True)
-    for name in ("deploy", "platform", "src"):
-        (root / name).symlink_to(ROOT / name)
-    (root / "target/app/petrelhaven").symlink_to(ROOT / "src/petrelhaven")
-    return root
-
-
 async def play(folder, seed, seconds, edges=3, services=2, clients=4, soak_type=Soak):
     """Plays one seed; returns its verdict and the disruptions."""
     root = link_build(folder)
--- a/tests/test_boot_watch.py
+++ b/tests/test_boot_watch.py
@@ -229,17 +229,6 @@
     watched(tmp_path / "b.toml", go)
 
 
-@pytest.fixture
-def built(tmp_path):
-    """A built checkout, made of links to this one."""
-    root = tmp_path / "root"
-    (root / "target/app").mkdir(parents=True)
-    for name in ("deploy", "platform", "src"):
-        (root / name).symlink_to(ROOT / name)
-    (root / "target/app/petrelhaven").symlink_to(ROOT / "src/petrelhaven")
-    return root
-
-
 async def status(m):
     try:
         return await fetch(f"{m.ip}:7581", "GET", "/status", us=2_000_000)
--- a/tests/test_control_interface.py
+++ b/tests/test_control_interface.py
@@ -560,17 +560,6 @@
     assert process.stdout.strip() == "[]", process.stderr
 
 
-@pytest.fixture
-def built_checkout(tmp_path):
-    """A built checkout that consists of links to this one."""
-    root = tmp_path / "root"
-    (root / "target/app").mkdir(parents=True)
-    for name in ("deploy", "platform", "src"):
-        (root / name).symlink_to(ROOT / name)
-    (root / "target/app/petrelhaven").symlink_to(ROOT / "src/petrelhaven")
-    return root
-
-
 def node_address(scene, name):
     return f"{scene.fleet.machines[name].ip}:7581"
 
@@ -605,11 +594,9 @@
     return None
 
 
-def test_operators_drive_a_fleet_on_the_users_platform(built_checkout, tmp_path):
+def test_operators_drive_a_fleet_on_the_users_platform(built, tmp_path):
     async def go():
-        async with Scene(
-            built_checkout, tmp_path / "run", bounds=SCENE_BOUNDS, services=1
-        ) as scene:
+        async with Scene(built, tmp_path / "run", bounds=SCENE_BOUNDS, services=1) as scene:
             control_nodes = [name for name in scene.fleet.machines if name.startswith("core")]
             proxies = [name for name in scene.fleet.machines if name.startswith("edge")]
             control_addresses = ",".join(node_address(scene, name) for name in control_nodes)
@@ -753,11 +740,9 @@
     asyncio.run(go())
 
 
-def test_the_state_of_two_lost_disks_is_restored_from_the_proxies(built_checkout, tmp_path):
+def test_the_state_of_two_lost_disks_is_restored_from_the_proxies(built, tmp_path):
     async def go():
-        async with Scene(
-            built_checkout, tmp_path / "run", bounds=SCENE_BOUNDS, services=1
-        ) as scene:
+        async with Scene(built, tmp_path / "run", bounds=SCENE_BOUNDS, services=1) as scene:
             control_nodes = [name for name in scene.fleet.machines if name.startswith("core")]
             lost_nodes, survivor = control_nodes[:2], control_nodes[2]
             await scene.fleet.power_off(survivor)
--- a/tests/test_embargo_system.py
+++ b/tests/test_embargo_system.py
@@ -14,7 +14,7 @@
 from stand_in.scene import Scene
 from stand_in.session import Session
 from stand_in.statement import Statement
-from test_stand_in_system import BOUNDS, built, led_by_another  # noqa: F401
+from test_stand_in_system import BOUNDS, led_by_another
 
 from petrelhaven.runtime.instant import format_instant
 
@@ -111,7 +111,7 @@
 
 
 @pytest.fixture
-def run_scene(built, tmp_path):  # noqa: F811
+def run_scene(built, tmp_path):
     def run(test, **kw):
         async def run_test():
             async with Scene(built, tmp_path / "run", bounds=BOUNDS, **kw) as scene:
--- a/tests/test_stand_in_system.py
+++ b/tests/test_stand_in_system.py
@@ -1,7 +1,6 @@
 """The system as real processes in the stand-in estate: calm days and days of trouble, each judged by the rules."""
 
 import asyncio
-from pathlib import Path
 
 import pytest
 from machine_time import play, wait_within
@@ -9,21 +8,9 @@
 
 pytestmark = pytest.mark.xdist_group("estate")
 
-ROOT = Path(__file__).parent.parent
 BOUNDS = {"ContactMs": 3000, "DrainMs": 3000, "GraceS": 4, "RecoveryS": 8}
 
 
-@pytest.fixture
-def built(tmp_path):
-    """A checkout as its build leaves it, made of links to this one."""
-    root = tmp_path / "root"
-    (root / "target/app").mkdir(parents=True)
-    for name in ("deploy", "platform", "src"):
-        (root / name).symlink_to(ROOT / name)
-    (root / "target/app/petrelhaven").symlink_to(ROOT / "src/petrelhaven")
-    return root
-
-
 @pytest.fixture
 def day(built, tmp_path):
     """Plays a scene: `faults` gets it and answers with (second, function) pairs; then every rule is judged.
--- a/tests/test_tenant_system.py
+++ b/tests/test_tenant_system.py
@@ -8,7 +8,7 @@
 from stand_in.refusal import Refusal
 from stand_in.scene import Scene
 from stand_in.session import Session
-from test_stand_in_system import BOUNDS, built  # noqa: F401
+from test_stand_in_system import BOUNDS
 
 pytestmark = pytest.mark.xdist_group("estate")
 
@@ -28,7 +28,7 @@
 # Guards against violations of UNASKED and ROUTE with real processes, while a proxy restarts and keys
 # change.
 def test_no_run_under_a_wrong_name_or_key_while_a_proxy_restarts_and_keys_come_and_go(
-    built,  # noqa: F811
+    built,
     tmp_path,
 ):
     async def run():
@@ -75,7 +75,7 @@
 
 # Guards against proxies that, after a start of all processes, accept any key or send wrong tenant names
 # to members until they have the configuration.
-def test_after_a_kill_of_all_processes_members_still_get_the_tenants_names(built, tmp_path):  # noqa: F811
+def test_after_a_kill_of_all_processes_members_still_get_the_tenants_names(built, tmp_path):
     async def run():
         async with Scene(built, tmp_path / "run", bounds=BOUNDS, tenants=3) as scene:
             # The first fresh starts must be settled: a kill before that causes a quarantine of about 10 s.
