--- a/src/petrelhaven/proxy/routing/write_path.py
+++ b/src/petrelhaven/proxy/routing/write_path.py
@@ -47,7 +47,8 @@
                 return self._proxy.timeout_reply()
             member = group.available_primary()
             if member is None:
-                if group.primary_is_lost(request.route, request.deadline):
+                is_lost = group.primary_is_lost(request.route, request.deadline)
+                if is_lost or self._proxy.ends_soon:
                     return self._proxy.timeout_reply()
                 yield wait_for_first(
                     self._clock,
