--- a/src/petrelhaven/proxy/node.py
+++ b/src/petrelhaven/proxy/node.py
@@ -127,7 +127,6 @@
         self.clock, self.tasks, self.rng = clock, tasks, rng
         self.core_connection, self.wire, self.zone_distance = core_connection, wire, zone_distance
         self.drain_us, self.evacuation_us = drain_us, evacuate_us
-        self.ends_soon = False
         self._revoke_us = revoke_us
         self.logical_clock = LogicalClock()
         self.remote_contact = RemoteContact(clock)
@@ -160,10 +159,6 @@
         emit(self.log, Events.NODE_STARTED, name=self.name, zone=self.zone)
         self.core_connection.start()
 
-    def end_waits(self) -> None:
-        """Has statements that wait for a member answered as not run, since the proxy ends soon."""
-        self.ends_soon = True
-
     def bounds(self) -> ProxyBounds:
         """Returns the limits that currently apply."""
         return self._bounds
--- a/src/petrelhaven/proxy/routing/interfaces.py
+++ b/src/petrelhaven/proxy/routing/interfaces.py
@@ -85,7 +85,6 @@
         count: Counters that the proxy's status shows.
         drain_us: How long a draining primary still accepts new statements, in microseconds.
         evacuation_us: The same for a primary whose zone is evacuated.
-        ends_soon: Whether the proxy ends so soon that no statement may wait for a member any more.
     """
 
     name: str
@@ -101,7 +100,6 @@
     count: collections.Counter[str]
     drain_us: int
     evacuation_us: int
-    ends_soon: bool
 
     @property
     def admission(self) -> Admission:
--- a/src/petrelhaven/proxy/routing/read_path.py
+++ b/src/petrelhaven/proxy/routing/read_path.py
@@ -119,8 +119,6 @@
         if attempt is not None:
             self._start_attempt(state, attempt)
         elif not state.running:
-            if self._proxy.ends_soon:
-                return self._proxy.timeout_reply()
             state.excluded.clear()
             yield wait_for_first(self._clock, (), state.pause_us)
             state.pause_us = min(state.pause_us * 2, _MAX_PAUSE_US)
--- a/src/petrelhaven/proxy/routing/transaction_start.py
+++ b/src/petrelhaven/proxy/routing/transaction_start.py
@@ -6,7 +6,6 @@
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any
 
-from petrelhaven.control.failover.evidence import NO_POSITION
 from petrelhaven.proxy.routing.attempt import Attempt
 from petrelhaven.proxy.routing.member import NO_ANSWER, NOT_PRIMARY
 from petrelhaven.proxy.routing.member_calls import note_fault
@@ -80,7 +79,7 @@
         group = request.group
         while True:
             state.left_us = request.deadline - self._clock.now()
-            if state.left_us <= 0 or self._may_not_wait(state):
+            if state.left_us <= 0 or self._is_primary_lost(state):
                 return self._proxy.retry_after()
             if state.leadership_key != group.leadership_key:
                 state.leadership_key, state.position = group.leadership_key, None
@@ -108,14 +107,12 @@
             if reason is not None:
                 return reason
 
-    def _may_not_wait(self, state: _StartState) -> bool:
-        """Returns whether the transaction would have to wait for a member for too long."""
-        request, group = state.request, state.request.group
-        if state.transaction.read_only:
-            return self._proxy.ends_soon and group.pick_member(NO_POSITION, ()) is None
-        if group.available_primary() is not None:
+    def _is_primary_lost(self, state: _StartState) -> bool:
+        """Returns whether a primary is needed but has been unavailable for too long."""
+        request = state.request
+        if state.transaction.read_only or request.group.available_primary() is not None:
             return False
-        return self._proxy.ends_soon or group.primary_is_lost(request.route, request.deadline)
+        return request.group.primary_is_lost(request.route, request.deadline)
 
     def _send_begin(self, state: _StartState, attempt: Attempt) -> Coroutine[Any, Any, Reply]:
         after = None if attempt.fetch else state.position
--- a/src/petrelhaven/proxy/routing/write_path.py
+++ b/src/petrelhaven/proxy/routing/write_path.py
@@ -47,8 +47,7 @@
                 return self._proxy.timeout_reply()
             member = group.available_primary()
             if member is None:
-                is_lost = group.primary_is_lost(request.route, request.deadline)
-                if is_lost or self._proxy.ends_soon:
+                if group.primary_is_lost(request.route, request.deadline):
                     return self._proxy.timeout_reply()
                 yield wait_for_first(
                     self._clock,
--- a/tests/test_member_proofs.py
+++ b/tests/test_member_proofs.py
@@ -69,7 +69,6 @@
         remote_contact=RemoteContact(LoopClock()),
         drain_us=0,
         evacuation_us=0,
-        ends_soon=False,
         count=collections.Counter(),
         bounds=lambda: types.SimpleNamespace(fetch_us=150_000, join_us=400_000, lanes=2),
     )
--- a/tests/test_unleased_commits.py
+++ b/tests/test_unleased_commits.py
@@ -131,7 +131,6 @@
         remote_contact=RemoteContact(clock),
         drain_us=0,
         evacuation_us=0,
-        ends_soon=False,
         count=collections.Counter(),
         bounds=lambda: types.SimpleNamespace(fetch_us=150_000, join_us=2_000_000, lanes=2),
     )
