Tests of late announcements and of the leaving proxy use what was there

The warp fixture in place of its own copy of the loop; Fleet.fronts in place of a port and a search.

--- a/tests/test_late_announcements.py
+++ b/tests/test_late_announcements.py
@@ -11,7 +11,6 @@
 from petrelhaven.runtime.errors import NotReady, Stale
 from petrelhaven.simulator.connection_sessions.control_fleet import ControlFleet
 from petrelhaven.simulator.connection_sessions.storm import inside
-from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 
 CHAIN_POSITIONS = pytest.mark.parametrize("place", [0, 1, 2], ids=["head", "middle", "tail"])
 
@@ -206,28 +205,17 @@
             control_state.check(record(7, f"n{index}"))
 
 
-def violations_of_departures(seed, disturbed=True):
+async def violations_of_departures(seed, disturbed):
     """What breaks when the calls of departing members are delayed, doubled and reordered."""
-    loop = WarpLoop()
-    asyncio.set_event_loop(loop)
-
-    async def play():
-        cluster = Cluster(Shape(), seed)
-        assert await cluster.start()
-        members = await play_departures(cluster, seed, disturbed=disturbed)
-        assert all(member.departed_at for member in members)
-        return dict(cluster.observer.broken)
-
-    try:
-        return loop.run_until_complete(play())
-    finally:
-        end_all(loop)
-        loop.close()
-        asyncio.set_event_loop(None)
+    cluster = Cluster(Shape(), seed)
+    assert await cluster.start()
+    members = await play_departures(cluster, seed, disturbed=disturbed)
+    assert all(member.departed_at for member in members)
+    return dict(cluster.observer.broken)
 
 
 @pytest.mark.parametrize("disturbed", [False, True], ids=["calm", "disturbed"])
 @pytest.mark.parametrize("seed", range(12))
-def test_no_order_of_a_departing_members_calls_brings_it_back(seed, disturbed):
+def test_no_order_of_a_departing_members_calls_brings_it_back(warp, seed, disturbed):
     """Guards against late, doubled and reordered calls that undo an acknowledged departure (DRAIN)."""
-    assert violations_of_departures(seed, disturbed) == {}
+    assert warp(violations_of_departures(seed, disturbed)) == {}
--- a/tests/test_leaving_proxy.py
+++ b/tests/test_leaving_proxy.py
@@ -26,11 +26,7 @@
             await asyncio.gather(*(member.sign_off(serve_ms=100) for member in replicas))
             leaving = asyncio.ensure_future(scene.primary().release(drain_ms=LONG_DRAIN_MS))
             await asyncio.sleep(2)
-            name, front = next(
-                (m.name, f"{m.ip}:8182")
-                for m in scene.fleet.machines.values()
-                if m.node_class == "edge"
-            )
+            name, _zone, front, _ready = scene.fleet.fronts()[0]
             session = await Session.open(front, "pri0", "u1")
             asked = asyncio.ensure_future(session.ask("00000000000000a1", "PUT 1 a"))
             await asyncio.sleep(0.5)
