A proxy logs which control nodes it searches, and by what it refuses connections

Nothing told the hypotheses apart: E405 counts the attempts at each address during a long search, E406 names the control nodes received, E426 says with which version and lease a connection is refused (at most one line a second), E402 has the cause.

The selection of control nodes moves to a module of its own, unchanged. A comparison of fakes: the fake core connections of two tests have what the log line asks for.

--- a/src/petrelhaven/proxy/core_connection.py
+++ b/src/petrelhaven/proxy/core_connection.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from petrelhaven.control.state.control_state import ControlState
+from petrelhaven.proxy.control_node_search import ControlNodeSearch
 from petrelhaven.runtime.errors import Fault, NotSent
 from petrelhaven.runtime.events import Events, emit
 from petrelhaven.transport.message_kinds import MessageKind
@@ -59,7 +60,6 @@
 _ALL_AVOIDED_PAUSE_US = 100_000
 
 _SUSPICION_PERIOD_US = 250_000
-_UNKNOWN_DISTANCE = 9
 _NO_RECORD_APPLIED = -1
 _NEVER_US = -(1 << 60)
 
@@ -81,16 +81,23 @@
     confirmation_age_us: int
 
 
+def _loss_cause(missed_renewals: int, without_grant_us: int) -> str:
+    """Returns why a connected control node counts as lost, or an empty string."""
+    if missed_renewals >= _MAX_MISSED_RENEWALS:
+        return "no answer to renewals"
+    if without_grant_us > _MAX_TIME_WITHOUT_GRANT_US:
+        return "no lease granted"
+    return ""
+
+
 class CoreConnection:
     """Receives the control state, renews the lease and reports suspected primaries.
 
     Attributes:
         name: The proxy's name.
-        seeds: Addresses of control nodes for the first connection.
+        search: The known addresses of control nodes, and which of them is tried next.
         control_state: The control state as of the last applied push.
-        joined: Whether a control state has been received.
-        view_number: The number of the newest received view of control nodes.
-        control_nodes: The zone distance of each control node of that view, by address.
+        has_control_state: Whether a control state has been received.
         proxy_count: The last reported number of proxies connected to control nodes.
         lease_until: When the lease expires, in microseconds of the proxy's clock.
         on_change: Listeners, called after each change of the control state or of `proxy_count`.
@@ -120,19 +127,17 @@
             zone_distance: Returns the distance of a zone; 0 is the proxy's own zone.
             log: Receives events of the connection.
         """
-        self.clock, self.tasks, self.link, self.rng, self.log = clock, tasks, link, rng, log
-        self.name, self.seeds, self._zone_distance = name, seeds, zone_distance
+        self.clock, self.tasks, self.link, self.log = clock, tasks, link, log
+        self.name = name
+        self.search = ControlNodeSearch(clock, rng, seeds, zone_distance, log)
         self.control_state = ControlState()
         self.has_control_state = False
-        self.view_number = 0
-        self.control_nodes: dict[str, int] = {}
         self.proxy_count = 0
         self.on_change: list[StateListener] = []
         self.lease_until = 0
         self._confirmed_at = _NEVER_US
         self.true_time: RenewalFollowUp | None = None
         self._pending_lease: _PendingLease | None = None
-        self._avoid_until: dict[str, int] = {}
         self._next_report_at: dict[str, int] = {}
         self._channel: Channel | None = None
         link.on(MessageKind.PROXY_PUSH, self._apply_push)
@@ -169,32 +174,10 @@
         self.lease_until = max(self.lease_until, asked_at + lease_us)
         self._confirmed_at = max(self._confirmed_at, asked_at - confirmation_age_us)
 
-    def _is_avoided(self, address: str) -> bool:
-        return self._avoid_until.get(address, 0) > self.clock.now()
-
-    def _select_control_node(self) -> str | None:
-        """Returns the address of a nearest usable control node; None while all are avoided."""
-        distances = dict(self.control_nodes)
-        for address in self.seeds:
-            distances.setdefault(address, _UNKNOWN_DISTANCE)
-        usable = sorted(address for address in distances if not self._is_avoided(address))
-        if not usable:
-            return None
-        shortest = min(distances[address] for address in usable)
-        return self.rng.choice([address for address in usable if distances[address] == shortest])
-
-    def _has_nearer_control_node(self, address: str) -> bool:
-        """Whether a control node nearer than `address` is usable."""
-        distance = self.control_nodes.get(address, _UNKNOWN_DISTANCE)
-        return any(
-            other_distance < distance and not self._is_avoided(other)
-            for other, other_distance in self.control_nodes.items()
-        )
-
     async def _run(self) -> None:
         """Keeps the proxy connected to a control node, for as long as the proxy runs."""
         while True:
-            address = self._select_control_node()
+            address = self.search.next_address()
             if address is None:
                 await self.clock.sleep(_ALL_AVOIDED_PAUSE_US)
                 continue
@@ -208,8 +191,8 @@
             finally:
                 self._channel = None
                 channel.close()
-            avoid_until = self.clock.now() + _DISCONNECTED_BACKOFF_US
-            self._avoid_until[address] = max(self._avoid_until.get(address, 0), avoid_until)
+            self.search.avoid(address, _DISCONNECTED_BACKOFF_US)
+            self.search.start()
 
     async def _open_channel(self, address: str) -> Channel | None:
         """Opens a channel to a control node; returns None if the node is unreachable."""
@@ -220,7 +203,7 @@
             backoff_us = (
                 _UNREACHABLE_BACKOFF_US if self.has_control_state else _FIRST_UNREACHABLE_BACKOFF_US
             )
-            self._avoid_until[address] = self.clock.now() + backoff_us
+            self.search.avoid(address, backoff_us)
             return None
 
     async def _serve_channel(self, address: str, channel: Channel) -> None:
@@ -232,7 +215,7 @@
         subscription = {"edge": self.name, "inc": 0, "applied": applied_seq}
         answer = await channel.call(MessageKind.PROXY_CONNECT, subscription, _SUBSCRIBE_TIMEOUT_US)
         if not answer["ok"]:
-            self._avoid_until[address] = self.clock.now() + _DECLINED_BACKOFF_US
+            self.search.avoid(address, _DECLINED_BACKOFF_US)
             return
         self._channel = channel
         emit(self.log, Events.CONTROL_NODE_CONNECTED, core=address)
@@ -246,15 +229,12 @@
                 granted_at = self.clock.now() if granted else granted_at
             except Fault:
                 missed_renewals += 1
-            without_grant_us = self.clock.now() - granted_at
-            if (
-                missed_renewals >= _MAX_MISSED_RENEWALS
-                or without_grant_us > _MAX_TIME_WITHOUT_GRANT_US
-            ):
-                emit(self.log, Events.CONTROL_NODE_LOST, core=address)
-                self._avoid_until[address] = self.clock.now() + _UNREACHABLE_BACKOFF_US
+            cause = _loss_cause(missed_renewals, self.clock.now() - granted_at)
+            if cause:
+                emit(self.log, Events.CONTROL_NODE_LOST, core=address, cause=cause)
+                self.search.avoid(address, _UNREACHABLE_BACKOFF_US)
                 return
-            if self._has_nearer_control_node(address):
+            if self.search.has_nearer(address):
                 return
             pause_us = _RENEWAL_RETRY_DELAY_US if missed_renewals else _RENEWAL_PERIOD_US
             await asyncio.wait([channel.gone], timeout=pause_us / 1e6)
@@ -265,11 +245,13 @@
         if channel is None:
             return False
         asked_at = self.clock.now()
-        renewal = LeaseRenewal(self.name, self.control_state.seq, self.view_number, suspicions)
+        view_number = self.search.view_number
+        renewal = LeaseRenewal(self.name, self.control_state.seq, view_number, suspicions)
         body = await channel.call(MessageKind.LEASE_RENEW, renewal.to_body(), _RENEWAL_TIMEOUT_US)
         answer = LeaseAnswer.from_body(body)
         self._update_nodes(answer)
         if answer.granted:
+            self.search.finish()
             self._apply_lease(answer, asked_at)
         return answer.granted
 
@@ -279,10 +261,7 @@
             self.proxy_count = answer.proxy_count
             self._notify([], False)
         if answer.control_nodes:
-            self.view_number = answer.view_number
-            self.control_nodes = {
-                node.address: self._zone_distance(node.zone) for node in answer.control_nodes
-            }
+            self.search.update(answer.view_number, answer.control_nodes)
 
     def _apply_lease(self, answer: LeaseAnswer, asked_at: int) -> None:
         """Applies a lease, at once or when the records that it requires have been applied."""
--- a/src/petrelhaven/proxy/node.py
+++ b/src/petrelhaven/proxy/node.py
@@ -21,6 +21,7 @@
 from petrelhaven.proxy.routing.statement_path import StatementPath
 from petrelhaven.proxy.session.client_session import ENDED, ClientSession
 from petrelhaven.proxy.session.immediate_reply import reply_without_member
+from petrelhaven.proxy.session.refusal_log import RefusalLog
 from petrelhaven.proxy.session.statement import Reply, Statement
 from petrelhaven.proxy.tenants.admission import QuotaAdmission
 from petrelhaven.proxy.tenants.directory import ANONYMOUS_TENANT, Tenant, TenantDirectory
@@ -138,6 +139,7 @@
         self.sessions: set[ClientSession] = set()
         self.count: collections.Counter[str] = collections.Counter()
         self.embargo: EmbargoFilter | None = None
+        self._refusal_log = RefusalLog(clock, core_connection, log)
         self._bounds = ProxyBounds()
         self._path = StatementPath(self)
         self._configured: asyncio.Future[None] | None = None
@@ -266,12 +268,13 @@
             NoRoute: No route of the configuration has this host.
             Denied: No tenant has the key, and the route is not public.
         """
-        route, group = self.route(host)
         digest = key_digest(client)
-        tenant = self.tenants.identify(digest, route.public)
-        if tenant is None:
-            self.count["denied"] += 1
-            raise Denied("no tenant has this key")
+        try:
+            route, group = self.route(host)
+            tenant = self._identify_tenant(digest, route)
+        except (NoRoute, Denied) as fault:
+            self._refusal_log.record(host, fault)
+            raise
         name = tenant.name if self.tenants.requires_keys else client.partition(" ")[0]
         session = ClientSession(host, name, digest, tenant.name)
         self.sessions.add(session)
@@ -281,6 +284,13 @@
         self.count["visits"] += 1
         return session
 
+    def _identify_tenant(self, digest: str, route: Route) -> Tenant:
+        tenant = self.tenants.identify(digest, route.public)
+        if tenant is None:
+            self.count["denied"] += 1
+            raise Denied("no tenant has this key")
+        return tenant
+
     def close(self, session: ClientSession) -> None:
         """Ends a session whose client connection has ended."""
         if session not in self.sessions:
--- a/src/petrelhaven/proxy/proxy_interface.py
+++ b/src/petrelhaven/proxy/proxy_interface.py
@@ -63,7 +63,7 @@
             "settings": self._settings(),
             "joined": core_connection.has_control_state,
             "lease_us": max(0, core_connection.lease_until - self._proxy.clock.now()),
-            "cores": sorted(core_connection.control_nodes),
+            "cores": sorted(core_connection.search.distances),
             "edges_tied": core_connection.proxy_count,
         }
 
--- a/src/petrelhaven/runtime/events.py
+++ b/src/petrelhaven/runtime/events.py
@@ -260,6 +260,13 @@
         "check the links to the control nodes",
     )
     RECORD_APPLIED = Event(403, _INFO, "record applied", "none")
+    CONTROL_NODE_SEARCHED = Event(
+        405,
+        _WARNING,
+        "no control node found yet; routes and keys may be outdated",
+        "check the links to `cores` and `seeds`; `tried` counts the attempts",
+    )
+    CONTROL_NODES_KNOWN = Event(406, _INFO, "control nodes of the view received", "none")
     PROXY_REJOINED = Event(404, _WARNING, "proxy was declared gone and rejoins", "check its links")
 
     # Proxies: replicas of resumable sessions.
@@ -292,6 +299,13 @@
         "read `code` and `note`: busy and aborted had no effect, unsure may have had one",
     )
 
+    CONNECTION_REFUSED = Event(
+        426,
+        _INFO,
+        "connection refused by the configuration",
+        "none; without a lease, check the links to the control nodes",
+    )
+
     # Proxies: embargoed reads.
     READ_WITHHELD = Event(
         430,
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -131,7 +131,7 @@
 
 
 class FakeCoreConnection:
-    holds_lease, lease_confirmed, proxy_count = True, True, 3
+    holds_lease, lease_confirmed, proxy_count, state_age_us = True, True, 3, 0
 
     def __init__(self):
         self.control_state, self.on_change = ControlState(), []
--- a/tests/test_tenant_configuration.py
+++ b/tests/test_tenant_configuration.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import types
 
 import logbook
 import pytest
@@ -155,11 +156,8 @@
         self.proxy.wire = LineProtocolConnector(LoopClock())
         self.proxy.log = logbook.Logger("proxy")
         core_connection = self.core_connection
-        core_connection.joined, core_connection.lease_until, core_connection.control_nodes = (
-            True,
-            0,
-            [],
-        )
+        core_connection.has_control_state, core_connection.lease_until = True, 0
+        core_connection.search = types.SimpleNamespace(distances={})
         accepted_text(configuration)
         self.configure(configuration)
 
