A search for a control node tries every address before it tries one again

Cause: known control nodes came before the seeds, an unreachable one costs 1 s to try and was avoided for 1.5 s. With three of them one was always free again, so a proxy whose known nodes had all been replaced while it was out of reach never came to its seeds.

Now a search lasts until the next lease; in its course each address is tried before any is tried again, and once two known nodes have failed the others alternate with the seeds. Attempts start 0.25 s apart and run side by side (RFC 8305), so the time to reach the last address grows by 0.25 s an address, not by 1 s. The backoff of an address stays as it was.

--- a/src/petrelhaven/proxy/control_node_search.py
+++ b/src/petrelhaven/proxy/control_node_search.py
@@ -4,7 +4,7 @@
 
 import collections
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import TYPE_CHECKING
 
 from petrelhaven.runtime.events import Events, emit
@@ -18,13 +18,17 @@
 __all__ = ["ControlNodeSearch"]
 
 _UNKNOWN_DISTANCE = 9
+_KNOWN_NODES_FIRST = 2
 _REPORT_INTERVAL_US = 5_000_000
 
 
 class ControlNodeSearch:
     """The addresses of control nodes, and which of them is tried next.
 
-    A search lasts from the loss of a control node to the next lease.
+    A search lasts from the loss of a control node to the next lease. In its course each address is
+    tried before any is tried again. The known nodes come first, the nearest before the others. If
+    two of them have failed, the others alternate with the seeds: all known nodes may have been
+    replaced in the meantime.
 
     Attributes:
         seeds: Configured addresses of control nodes; they may be outdated.
@@ -62,6 +66,8 @@
 
     def update(self, view_number: int, control_nodes: Iterable[ControlNodeAddress]) -> None:
         """Replaces the known control nodes by those of the view `view_number`."""
+        now = self._clock.now()
+        self._avoid_until = {a: until for a, until in self._avoid_until.items() if until > now}
         self.view_number = view_number
         self.distances = {node.address: self._zone_distance(node.zone) for node in control_nodes}
         emit(
@@ -88,20 +94,39 @@
     def _is_avoided(self, address: str) -> bool:
         return self._avoid_until.get(address, 0) > self._clock.now()
 
-    def next_address(self) -> str | None:
-        """Returns the address of a nearest usable control node; None while all are avoided."""
+    def next_address(self, pending: Collection[str] = ()) -> str | None:
+        """Returns the address to try next, and counts the attempt.
+
+        Returns None while all addresses are avoided or in `pending`, which are being tried.
+        """
         self._report()
-        distances = dict(self.distances)
-        for address in self.seeds:
-            distances.setdefault(address, _UNKNOWN_DISTANCE)
-        usable = sorted(address for address in distances if not self._is_avoided(address))
+        usable = [
+            address
+            for address in sorted({*self.distances, *self.seeds})
+            if not self._is_avoided(address) and address not in pending
+        ]
         if not usable:
             return None
-        shortest = min(distances[address] for address in usable)
-        selected = self._rng.choice([a for a in usable if distances[a] == shortest])
+        fewest = min(self.attempts[address] for address in usable)
+        selected = self._select([a for a in usable if self.attempts[a] == fewest])
         self.attempts[selected] += 1
         return selected
 
+    def _select(self, addresses: list[str]) -> str:
+        """Returns a nearest known node of `addresses`, or one of the others if it's their turn."""
+        known = [address for address in addresses if address in self.distances]
+        others = [address for address in addresses if address not in self.distances]
+        if not known or others and self._are_seeds_due():
+            return self._rng.choice(others)
+        shortest = min(self.distances[address] for address in known)
+        return self._rng.choice([a for a in known if self.distances[a] == shortest])
+
+    def _are_seeds_due(self) -> bool:
+        """Whether known nodes were tried more often than other addresses, by two at least."""
+        known_attempts = sum(self.attempts[address] for address in self.distances)
+        other_attempts = self.attempts.total() - known_attempts
+        return known_attempts - other_attempts >= _KNOWN_NODES_FIRST
+
     def has_nearer(self, address: str) -> bool:
         """Whether a control node nearer than `address` is usable."""
         distance = self.distances.get(address, _UNKNOWN_DISTANCE)
--- a/src/petrelhaven/proxy/core_connection.py
+++ b/src/petrelhaven/proxy/core_connection.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from petrelhaven.control.state.control_state import ControlState
+from petrelhaven.proxy.control_node_dialer import ConnectLimits, ControlNodeDialer
 from petrelhaven.proxy.control_node_search import ControlNodeSearch
 from petrelhaven.runtime.errors import Fault, NotSent
 from petrelhaven.runtime.events import Events, emit
@@ -47,17 +48,16 @@
 _MAX_CONFIRMATION_AGE_US = 600_000
 _MAX_TIME_WITHOUT_GRANT_US = 3_000_000
 
-# Until the first control state arrives, connecting times out and is retried sooner.
-_CONNECT_TIMEOUT_US = 1_000_000
-_FIRST_CONNECT_TIMEOUT_US = 250_000
 _SUBSCRIBE_TIMEOUT_US = 800_000
 
 # How long a control node is avoided after a failure.
 _UNREACHABLE_BACKOFF_US = 1_500_000
-_FIRST_UNREACHABLE_BACKOFF_US = 250_000
 _DECLINED_BACKOFF_US = 150_000
 _DISCONNECTED_BACKOFF_US = 100_000
-_ALL_AVOIDED_PAUSE_US = 100_000
+
+# Until the first control state arrives, connecting times out and is retried sooner.
+_FIRST_CONNECT_LIMITS = ConnectLimits(timeout_us=250_000, backoff_us=250_000)
+_CONNECT_LIMITS = ConnectLimits(timeout_us=1_000_000, backoff_us=_UNREACHABLE_BACKOFF_US)
 
 _SUSPICION_PERIOD_US = 250_000
 _NO_RECORD_APPLIED = -1
@@ -130,6 +130,7 @@
         self.clock, self.tasks, self.link, self.log = clock, tasks, link, log
         self.name = name
         self.search = ControlNodeSearch(clock, rng, seeds, zone_distance, log)
+        self._dialer = ControlNodeDialer(clock, tasks, link, self.search)
         self.control_state = ControlState()
         self.has_control_state = False
         self.proxy_count = 0
@@ -177,13 +178,8 @@
     async def _run(self) -> None:
         """Keeps the proxy connected to a control node, for as long as the proxy runs."""
         while True:
-            address = self.search.next_address()
-            if address is None:
-                await self.clock.sleep(_ALL_AVOIDED_PAUSE_US)
-                continue
-            channel = await self._open_channel(address)
-            if channel is None:
-                continue
+            limits = _CONNECT_LIMITS if self.has_control_state else _FIRST_CONNECT_LIMITS
+            address, channel = await self._dialer.open_channel(limits)
             try:
                 await self._serve_channel(address, channel)
             except Fault:
@@ -194,18 +190,6 @@
             self.search.avoid(address, _DISCONNECTED_BACKOFF_US)
             self.search.start()
 
-    async def _open_channel(self, address: str) -> Channel | None:
-        """Opens a channel to a control node; returns None if the node is unreachable."""
-        timeout_us = _CONNECT_TIMEOUT_US if self.has_control_state else _FIRST_CONNECT_TIMEOUT_US
-        try:
-            return await self.clock.wait_for(self.link.open(address), timeout_us)
-        except Fault:
-            backoff_us = (
-                _UNREACHABLE_BACKOFF_US if self.has_control_state else _FIRST_UNREACHABLE_BACKOFF_US
-            )
-            self.search.avoid(address, backoff_us)
-            return None
-
     async def _serve_channel(self, address: str, channel: Channel) -> None:
         """Subscribes to the control state over `channel` and renews the lease until that fails.
 
--- a/tests/test_control_node_search.py
+++ b/tests/test_control_node_search.py
@@ -16,7 +16,9 @@
 """The least time after which the users count a machine as in touch again (ContactMs)."""
 SILENCE_S = 1.0
 """After this time without an answer, the link gives up an attempt to connect."""
-OWN_ZONE = "a"
+ATTEMPT_DELAY_S = 0.25
+"""How much later the next address is tried while an attempt is not answered."""
+OWN_ZONE, OTHER_ZONE = "a", "b"
 
 
 class _Channel:
@@ -30,7 +32,7 @@
         if self.gone.done():
             raise NotSent(self.address)
         if kind == MessageKind.PROXY_CONNECT:
-            return {"ok": True}
+            return {"ok": self.address not in self._network.declining, "note": ""}
         return LeaseAnswer(
             granted=True,
             lease_us=700_000,
@@ -47,28 +49,41 @@
 
 
 class _Network:
-    """A link to control nodes; addresses that aren't `alive` are silent, as without power."""
+    """A link to control nodes; addresses that aren't `alive` are silent, as without power.
+
+    Nodes in `declining` accept connections and decline subscriptions; `delays` slows connecting, in seconds.
+    """
 
     def __init__(self, alive):
         self.alive, self.view, self.view_number = set(alive), (), 0
+        self.declining, self.delays = set(), {}
         self.opened, self.attempts = [], []
 
     def on(self, kind, handler):
         pass
 
-    def set_view(self, number, addresses, zone=OWN_ZONE):
+    def set_view(self, number, addresses):
+        """Sets the nodes of the view; those of even position are in the proxy's own zone."""
         self.view_number = number
-        self.view = tuple(ControlNodeAddress(f"c-{a}", zone, a) for a in addresses)
+        self.view = tuple(
+            ControlNodeAddress(f"c-{address}", OTHER_ZONE if i % 2 else OWN_ZONE, address)
+            for i, address in enumerate(addresses)
+        )
 
     async def open(self, address):
         self.attempts.append((asyncio.get_running_loop().time(), address))
         if address not in self.alive:
             await asyncio.sleep(SILENCE_S)
             raise NotSent(address)
+        await asyncio.sleep(self.delays.get(address, 0.001))
         channel = _Channel(self, address)
         self.opened.append(channel)
         return channel
 
+    def open_addresses(self):
+        """Returns the addresses of the channels that are open."""
+        return [channel.address for channel in self.opened if not channel.gone.done()]
+
     def lose(self, *addresses):
         self.alive.difference_update(addresses)
         for channel in self.opened:
@@ -132,3 +147,108 @@
             return await proxy.connected_within(CONTACT_S)
 
     assert warp(go()) is not None
+
+
+def test_seeds_that_change_during_the_search_are_tried(warp):
+    """Guards against a proxy out of contact that passes over addresses which were configured since (CONFIG)."""
+    old, gone, new = _addresses("old", 3), _addresses("gone", 3), _addresses("new", 3)
+
+    async def go():
+        async with _Proxy(_Network(old), old, old) as proxy:
+            proxy.network.lose(*old)
+            for seeds in ([old[0], *gone[:2]], gone):
+                await asyncio.sleep(9.0)
+                proxy.connection.search.seeds[:] = seeds
+            await asyncio.sleep(9.0)
+            proxy.network.set_view(2, new)
+            proxy.network.alive.update(new)
+            proxy.connection.search.seeds[:] = [gone[0], gone[1], new[2]]
+            return await proxy.connected_within(CONTACT_S)
+
+    assert warp(go()) is not None
+
+
+def test_known_nodes_that_decline_do_not_keep_a_proxy_from_its_seeds(warp):
+    """Guards against a proxy that stays with control nodes which left the view and still run (CONFIG)."""
+    old, new = _addresses("old", 3), _addresses("new", 3)
+
+    async def go():
+        async with _Proxy(_Network(old + new), new, old) as proxy:
+            proxy.network.declining.update(old)
+            for channel in proxy.network.opened:
+                channel.close()
+            await asyncio.sleep(1.0)
+            proxy.network.set_view(2, new)
+            return await proxy.connected_within(CONTACT_S)
+
+    assert warp(go()) is not None
+
+
+def test_a_near_known_node_comes_before_far_ones_and_seeds(warp):
+    near, far, seed = "near0:7580", "far0:7580", "seed0:7580"
+
+    async def go():
+        async with _Proxy(_Network([near, far, seed]), [seed], [near, far]) as proxy:
+            await asyncio.sleep(2.0)
+            assert proxy.network.open_addresses() == [near]
+            proxy.network.lose(near)
+            proxy.network.alive.add(near)
+            await asyncio.sleep(2.0)
+            return proxy.network.open_addresses()
+
+    assert warp(go()) == [near]
+
+
+def test_a_silent_node_costs_a_short_delay_and_no_lease(warp):
+    known = ["near0:7580", "far0:7580", "near1:7580"]
+
+    async def go():
+        async with _Proxy(_Network(known), known, known) as proxy:
+            await asyncio.sleep(1.0)
+            proxy.network.lose(known[0], known[2])
+            lapses = 0
+            for _ in range(300):
+                await asyncio.sleep(0.01)
+                lapses += not proxy.connection.holds_lease
+            assert proxy.network.open_addresses() == [known[1]]
+            return lapses
+
+    assert warp(go()) == 0
+
+
+def test_a_channel_that_opens_after_another_one_is_closed(warp):
+    """Guards against leaked connections, which a control node would push records to."""
+    known = _addresses("known", 3)
+
+    async def go():
+        async with _Proxy(_Network(known), known, known) as proxy:
+            proxy.network.lose(*known)
+            proxy.network.alive.update(known)
+            proxy.network.delays.update({known[0]: 0.9, known[2]: 0.7})
+            assert await proxy.connected_within(CONTACT_S) is not None
+            await asyncio.sleep(20.0)
+            return proxy.network.open_addresses()
+
+    assert len(warp(go())) == 1
+
+
+@pytest.mark.parametrize("draw", range(40))
+def test_whichever_control_node_is_left_is_found(warp, draw):
+    """Guards against addresses that a search never comes to, in whatever state the others are (CONFIG)."""
+    rng = random.Random(draw)
+    known = _addresses("known", rng.choice([1, 3, 5, 14]))
+    seeds = rng.sample(known, 1) + _addresses("seed", rng.randint(1, 3))
+    left = rng.choice(sorted({*known, *seeds}))
+
+    async def go():
+        async with _Proxy(_Network(known), seeds, known) as proxy:
+            proxy.network.lose(*known)
+            await asyncio.sleep(rng.uniform(0.0, 30.0))
+            proxy.network.set_view(2, [left])
+            declining = rng.sample(known, rng.randrange(len(known) + 1))
+            proxy.network.declining.update(set(declining) - {left})
+            proxy.network.alive.update([left, *declining])
+            proxy.network.delays[left] = rng.uniform(0.0, 0.1)
+            return await proxy.connected_within(CONTACT_S + len(known) * ATTEMPT_DELAY_S)
+
+    assert warp(go()) is not None
