A proxy asks again while the addresses of some control nodes are unknown

A control node answers a renewal with the members whose addresses it knows, once for each view: what it didn't know at that moment stayed unknown to the proxy until the next view.

The answer now says view 0 while an address is missing, so the proxy asks again with each renewal. An older proxy takes it the same way. The test fails on the code before: 2 of 3 nodes known, for good.

--- a/src/petrelhaven/control/node.py
+++ b/src/petrelhaven/control/node.py
@@ -203,20 +203,31 @@
         granted = self.chain.is_active
         if granted:
             self.lease_table.grant(request.proxy, CONNECTION_LEASE_US)
-        view = self.chain.view
+        view_number, control_nodes = self._control_nodes(request.view_number)
         counts = self.chain.confirmation.connected_proxy_counts
         return LeaseAnswer(
             granted=granted,
             lease_us=CONNECTION_LEASE_US,
             confirmation_age_us=self.chain.confirmation.age_us(),
             required_seq=self.chain.control_state.seq,
-            view_number=view.number if view else 0,
+            view_number=view_number,
             proxy_count=len(self.connected_proxies) + ConnectedProxies.count_elsewhere(counts, now),
-            control_nodes=self._addresses(view)
-            if view and request.view_number != view.number
-            else (),
+            control_nodes=control_nodes,
         ).to_body()
 
+    def _control_nodes(self, known_view_number: int) -> tuple[int, tuple[ControlNodeAddress, ...]]:
+        """Returns the view's number and nodes for a proxy that knows those of another view.
+
+        The number is 0 while the address of a node is unknown here, so that the proxy asks again.
+        """
+        view = self.chain.view
+        if view is None:
+            return 0, ()
+        if view.number == known_view_number:
+            return view.number, ()
+        addresses = self._addresses(view)
+        return view.number if len(addresses) == len(view.members) else 0, addresses
+
     def _addresses(self, view: View) -> tuple[ControlNodeAddress, ...]:
         """Returns the link addresses of the members of the view that are known."""
         addresses = []
--- a/src/petrelhaven/proxy/control_node_search.py
+++ b/src/petrelhaven/proxy/control_node_search.py
@@ -32,7 +32,8 @@
 
     Attributes:
         seeds: Configured addresses of control nodes; they may be outdated.
-        view_number: The number of the newest received view of control nodes.
+        view_number: The number of the view that the known control nodes are from; 0 if some of its
+            nodes are missing.
         distances: The zone distance of each control node of that view, by address.
         attempts: How often each address was tried during this search.
     """
@@ -65,17 +66,18 @@
         self._report_at = self._started_at + _REPORT_INTERVAL_US
 
     def update(self, view_number: int, control_nodes: Iterable[ControlNodeAddress]) -> None:
-        """Replaces the known control nodes by those of the view `view_number`."""
+        """Replaces the known control nodes by those of the view `view_number`.
+
+        The number is 0 if the view has more nodes than that.
+        """
         now = self._clock.now()
         self._avoid_until = {a: until for a, until in self._avoid_until.items() if until > now}
-        self.view_number = view_number
-        self.distances = {node.address: self._zone_distance(node.zone) for node in control_nodes}
-        emit(
-            self._log,
-            Events.CONTROL_NODES_KNOWN,
-            n=view_number,
-            cores=",".join(sorted(self.distances)),
-        )
+        distances = {node.address: self._zone_distance(node.zone) for node in control_nodes}
+        if (view_number, distances) == (self.view_number, self.distances):
+            return
+        self.view_number, self.distances = view_number, distances
+        cores = ",".join(sorted(distances))
+        emit(self._log, Events.CONTROL_NODES_KNOWN, n=view_number, cores=cores)
 
     def start(self) -> None:
         """Starts a search: the control node is lost."""
--- a/src/petrelhaven/transport/proxy_messages.py
+++ b/src/petrelhaven/transport/proxy_messages.py
@@ -80,7 +80,8 @@
         lease_us: The duration of the lease from the time of the request, in microseconds.
         confirmation_age_us: The time since the confirmation by a majority, in microseconds.
         required_seq: The record that the proxy must have applied before the lease is valid.
-        view_number: The number of the current view, 0 if there is none.
+        view_number: The number of the current view; 0 if there is none, or if `control_nodes`
+            lacks some of its nodes.
         proxy_count: The number of proxies that are connected to control nodes.
         control_nodes: The control nodes of the view; empty if the proxy already has this view.
     """
--- a/tests/test_control_node_search.py
+++ b/tests/test_control_node_search.py
@@ -9,6 +9,7 @@
 from petrelhaven.proxy.core_connection import CoreConnection
 from petrelhaven.runtime.errors import NotSent
 from petrelhaven.runtime.tasks import BackgroundTasks
+from petrelhaven.simulator.connection_sessions.fleet import SimulatedFleet
 from petrelhaven.transport.message_kinds import MessageKind
 from petrelhaven.transport.proxy_messages import ControlNodeAddress, LeaseAnswer
 
@@ -232,6 +233,31 @@
     assert len(warp(go())) == 1
 
 
+def test_control_nodes_whose_addresses_were_unknown_at_first_become_known_to_proxies(warp):
+    """Guards against a proxy that knows too few control nodes until the next view (CONFIG)."""
+
+    async def go():
+        fleet = SimulatedFleet(1)
+        await fleet.start()
+        search = fleet.edges[0].node.core_connection.search
+        addresses, view_number = set(search.distances), search.view_number
+        near = next(m.node for m in fleet.cores if m.zone == fleet.edges[0].zone)
+        missing = next(name for name in near.chain.view.members if name != near.name)
+        address_of = near.roster.address_of
+        near.roster.address_of = lambda name: None if name == missing else address_of(name)
+        search.view_number, search.distances = -1, {}
+        await asyncio.sleep(0.3)
+        incomplete = set(search.distances)
+        near.roster.address_of = address_of
+        await asyncio.sleep(0.3)
+        assert near.chain.view.number == view_number
+        return addresses, incomplete, set(search.distances)
+
+    addresses, incomplete, known = warp(go())
+    assert len(addresses) == 3 and len(incomplete) == 2
+    assert known == addresses
+
+
 @pytest.mark.parametrize("draw", range(40))
 def test_whichever_control_node_is_left_is_found(warp, draw):
     """Guards against addresses that a search never comes to, in whatever state the others are (CONFIG)."""
