Without a lease a proxy refuses no connection for good

Only with a lease is the proxy's control state the newest one in force. Without one an unknown database or key now gets BUSY and when to come back. Fails before: the two tests get NODB and DENIED.

--- a/src/petrelhaven/proxy/node.py
+++ b/src/petrelhaven/proxy/node.py
@@ -267,30 +267,34 @@
         Raises:
             NoRoute: No route of the configuration has this host.
             Denied: No tenant has the key, and the route is not public.
+            Busy: One of these holds by the configuration that this proxy has, but without a lease
+                a newer one may be in force.
         """
-        digest = key_digest(client)
         try:
-            route, group = self.route(host)
-            tenant = self._identify_tenant(digest, route)
+            session = self._open(host, client)
         except (NoRoute, Denied) as fault:
             self._refusal_log.record(host, fault)
+            if not self.core_connection.holds_lease:
+                raise Busy("the configuration may be outdated") from None
+            self.count["denied"] += isinstance(fault, Denied)
             raise
+        self.count["visits"] += 1
+        return session
+
+    def _open(self, host: str, client: str) -> ClientSession:
+        route, group = self.route(host)
+        digest = key_digest(client)
+        tenant = self.tenants.identify(digest, route.public)
+        if tenant is None:
+            raise Denied("no tenant has this key")
         name = tenant.name if self.tenants.requires_keys else client.partition(" ")[0]
         session = ClientSession(host, name, digest, tenant.name)
         self.sessions.add(session)
         if route.reads == "strong":
             session.strong_read_group = group
             group.strong_sessions += 1
-        self.count["visits"] += 1
         return session
 
-    def _identify_tenant(self, digest: str, route: Route) -> Tenant:
-        tenant = self.tenants.identify(digest, route.public)
-        if tenant is None:
-            self.count["denied"] += 1
-            raise Denied("no tenant has this key")
-        return tenant
-
     def close(self, session: ClientSession) -> None:
         """Ends a session whose client connection has ended."""
         if session not in self.sessions:
--- a/src/petrelhaven/simulator/connection_sessions/front.py
+++ b/src/petrelhaven/simulator/connection_sessions/front.py
@@ -4,7 +4,7 @@
 import collections
 
 from petrelhaven.proxy.session.statement import Reply
-from petrelhaven.runtime.errors import Denied, Fault, NoRoute, NotSent, Unreachable
+from petrelhaven.runtime.errors import Busy, Denied, Fault, NoRoute, NotSent, Unreachable
 from petrelhaven.simulator.net import _Pipe
 
 __all__ = ["Front"]
@@ -93,6 +93,8 @@
                 return self._reply(Reply(code="unknown"))
             except Denied:
                 return self._reply(Reply(code="denied"))
+            except Busy:
+                return self._reply(Reply(code="busy"))
         self._asked.append(a)
         if not self._on:
             self._on = True
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import re
 import socket
 import sys
 from pathlib import Path
@@ -282,6 +283,22 @@
     )
 
 
+def test_without_a_lease_an_unknown_database_gets_no_final_refusal():
+    """Guards against a refusal of a route that was added while the proxy had no contact (CONFIG)."""
+
+    async def go(door):
+        door.core_connection.holds_lease = False
+        transports = [
+            door.client(first)[1] for first in (b"CONNECT nowhere me\r\n", b"CONNECT db me\r\n")
+        ]
+        await rest()
+        return [transport.out for transport in transports]
+
+    refused, accepted = virtual(go)
+    assert re.fullmatch(rb"ERROR BUSY [^\r\n]*; come back in [1-9]\d* ms\r\n", refused)
+    assert accepted == b"READY I -\r\n"
+
+
 async def answers(door, *texts):
     client, transport = door.client()
     client.data_received(said(*texts))
--- a/tests/test_tenant_configuration.py
+++ b/tests/test_tenant_configuration.py
@@ -372,6 +372,16 @@
     assert [greeting.split(" ")[1] for greeting in greetings] == ["NODB", "NODB"]
 
 
+def test_without_a_lease_an_unknown_key_gets_no_final_refusal():
+    # Guards against a refusal of a key that was added while the proxy had no contact (CONFIG)
+    async def script(fleet):
+        fleet.core_connection.holds_lease = False
+        return [fleet.session(key).greeting for key in (KEY, "k-none")]
+
+    greetings, _ = play(document(ACME), script)
+    assert greetings[0].startswith("READY") and greetings[1].startswith("ERROR BUSY")
+
+
 def test_a_key_is_the_complete_rest_of_the_line():
     # Rules CONFIG and ROUTE: a client was served under the first word of a key that no configuration contains
     async def script(fleet):
