--- a/tests/stand_in/fleet.py
+++ b/tests/stand_in/fleet.py
@@ -10,6 +10,7 @@
 
 from .machine import Machine
 from .process import Process
+from .silent_address import SilentAddress
 
 __all__ = ["BOUNDS", "TENANT_BOUNDS", "Fleet"]
 
@@ -40,6 +41,8 @@
     "QuotaSlack": 20,
 }
 SECTIONS = ["base", "drain", "config", "cost", "sql", "recover", "places"]
+PORT_RANGE = (7580, 7595)
+FIRST_HOSTS = {"core": 1, "edge": 31}
 PORTS = {"Front": 8182, "Ready": 8181, "Control": 8180}
 SERVED_AT = {"edge": ("Front", "Ready"), "control": ("Control",)}
 
@@ -70,24 +73,28 @@
         self._sections = [*SECTIONS, "tenants", "quota"] if tenants else SECTIONS
         self._cloud = cloud
         self.roles = tomllib.loads((self.root / "deploy/system.toml").read_text())["roles"]
-        self.machines = {}
-        self._places = list(zones)
-        for node_class, count, host in (("core", cores, 1), ("edge", edges, 31)):
+        self.machines, self._former_machines, self._silent = {}, [], {}
+        self._net, self._places = net, list(zones)
+        for node_class, count in (("core", cores), ("edge", edges)):
             for i in range(count):
-                n = i % len(zones)
-                zone = self._places[n]
-                name = f"{node_class}-{zone}-{i // len(zones) + 1}"
-                disk = self.folder / name / "disk" if node_class == "core" else None
-                self.machines[name] = Machine(
-                    name,
-                    node_class,
-                    f"127.{net}.{n + 1}.{host + i // len(zones)}",
-                    zone,
-                    zones[zone],
-                    disk,
-                )
+                self._add_machine(node_class, self._places[i % len(zones)], i // len(zones) + 1)
         for role, spec in self.roles.items():
             self._assign(role, spec)
+        self.listed_controls = self.controls()
+
+    def _add_machine(self, node_class, zone, number):
+        """Adds the machine of this number, from 1 on, of a class and a zone."""
+        name = f"{node_class}-{zone}-{number}"
+        host = FIRST_HOSTS[node_class] + number - 1
+        self.machines[name] = machine = Machine(
+            name,
+            node_class,
+            f"127.{self._net}.{self._places.index(zone) + 1}.{host}",
+            zone,
+            self.zones[zone],
+            self.folder / name / "disk" if node_class == "core" else None,
+        )
+        return machine
 
     def _assign(self, role, spec):
         for zone in self._places:
@@ -102,7 +109,7 @@
                 m.serves[role] = serves
                 m.processes[role] = self._process(m, role, spec)
 
-    def _process(self, machine, role, spec):
+    def _process(self, machine, role, spec, joins=False):
         folder = self.folder / machine.name
         folder.mkdir(parents=True, exist_ok=True)
         settings = folder / f"{role}.toml"
@@ -117,7 +124,7 @@
             self.root,
             env,
             folder / f"{role}.log",
-            lambda first: settings.write_text(self.settings(machine, role, first)),
+            lambda first: settings.write_text(self.settings(machine, role, first and not joins)),
         )
 
     def settings(self, machine, role, first):
@@ -133,7 +140,7 @@
             "IpAddr": machine.ip,
             "Zone": machine.zone,
             "Region": machine.region,
-            "PortRange": [7580, 7595],
+            "PortRange": list(PORT_RANGE),
             "SeedNodes": self.controls()[:3],
             "Bootstrap": first,
             "QuorumMember": core,
@@ -188,7 +195,7 @@
         """The exit codes of processes that ended by themselves, by machine and role."""
         return {
             (m.name, r): p.own_ends
-            for m in self.machines.values()
+            for m in [*self._former_machines, *self.machines.values()]
             for r, p in m.processes.items()
             if p.own_ends
         }
@@ -202,6 +209,8 @@
     async def close(self):
         """Kills everything it started."""
         await asyncio.gather(*(p.off() for p in self._processes()))
+        for name in list(self._silent):
+            self._answer_again(name)
 
     def kill(self, *names):
         """Kills the processes of machines; they are started again."""
@@ -209,13 +218,19 @@
 
     def hup(self, *names):
         """Writes the settings of machines anew and sends SIGHUP."""
-        self._history.trouble(f"settings changed: {names}", planned=True)
+        self._history.trouble(f"settings changed: {names}", planned=True, names=())
         for name in names:
-            m = self.machines[name]
-            for role, p in m.processes.items():
-                (self.folder / name / f"{role}.toml").write_text(self.settings(m, role, False))
+            self.write_settings(name)
+            for p in self.machines[name].processes.values():
                 p.send(signal.SIGHUP)
 
+    def write_settings(self, name):
+        """Writes the settings of a machine anew, without a signal."""
+        machine = self.machines[name]
+        for role in machine.processes:
+            text = self.settings(machine, role, False)
+            (self.folder / name / f"{role}.toml").write_text(text)
+
     def freeze(self, *names):
         """Stops the processes of machines in their tracks."""
         self._send(signal.SIGSTOP, "frozen", names)
@@ -226,24 +241,71 @@
 
     async def terminate(self, *names):
         """Sends SIGTERM, and SIGKILL after the grace time; they are started again. Returns the exit codes."""
-        self._history.trouble(f"stopped: {names}", self.bounds["GraceS"], planned=True)
+        affected = self._put_out_of_touch(names)
+        grace_s = self.bounds["GraceS"]
+        self._history.trouble(f"stopped: {names}", grace_s, planned=True, names=affected)
         return await asyncio.gather(
             *(p.terminate(self.bounds["GraceS"]) for p in self._processes(names))
         )
 
-    async def power_off(self, *names, wipe=False):
-        """Takes machines down, with or without their disks."""
-        self._history.trouble(f"down: {names}")
+    async def power_off(self, *names, wipe=False, silent=False):
+        """Takes machines down, with or without their disks; `silent` ones don't even refuse connections."""
+        self._history.trouble(f"down: {names}", names=self._put_out_of_touch(names))
         await asyncio.gather(*(p.off() for p in self._processes(names)))
+        for name in names if silent else ():
+            self._fall_silent(name)
         for name in names if wipe else ():
             shutil.rmtree(self.machines[name].disk)
             self.machines[name].disk.mkdir()
 
     async def power_on(self, *names):
         """Brings machines back."""
-        self._history.trouble(f"back: {names}")
+        self._history.trouble(f"back: {names}", names=self._put_out_of_touch(names))
+        for name in names:
+            self._answer_again(name)
         await asyncio.gather(*(p.on() for p in self._processes(names)))
 
+    async def replace(self, name, gap_s=1.0):
+        """Takes a machine away for good; returns the name of an empty one that is there `gap_s` later, elsewhere."""
+        old = self.machines[name]
+        await self.power_off(name, silent=True)
+        self._former_machines.append(self.machines.pop(name))
+        await asyncio.sleep(gap_s)
+        numbers = [
+            int(m.name.rpartition("-")[2])
+            for m in [*self._former_machines, *self.machines.values()]
+            if (m.node_class, m.zone) == (old.node_class, old.zone)
+        ]
+        new = self._add_machine(old.node_class, old.zone, max(numbers) + 1)
+        for role, serves in old.serves.items():
+            new.serves[role] = serves
+            new.processes[role] = self._process(new, role, self.roles[role], joins=True)
+        await self.power_on(new.name)
+        return new.name
+
+    def publish_controls(self):
+        """Brings the list that members and the operator use, and the settings of all machines, up to date."""
+        self.listed_controls[:] = self.controls()
+        for name in self.machines:
+            self.write_settings(name)
+
+    def _fall_silent(self, name):
+        machine = self.machines[name]
+        ports = [
+            PORT_RANGE[0],
+            *(PORTS[b] for s in machine.serves.values() for x in s for b in SERVED_AT[x]),
+        ]
+        self._silent[name] = [SilentAddress(machine.ip, port) for port in ports]
+
+    def _answer_again(self, name):
+        for address in self._silent.pop(name, ()):
+            address.close()
+
+    def _put_out_of_touch(self, names):
+        """The machines that trouble of these puts out of touch: they alone, or all (None) if control is among them."""
+        has_control = any(self.machines[name].does_serve("control") for name in names)
+        return None if has_control else tuple(names)
+
     def _processes(self, names=None):
         return [
             p
@@ -252,6 +314,6 @@
         ]
 
     def _send(self, number, what, names):
-        self._history.trouble(f"{what}: {names}")
+        self._history.trouble(f"{what}: {names}", names=self._put_out_of_touch(names))
         for p in self._processes(names):
             p.send(number)
--- a/tests/stand_in/history.py
+++ b/tests/stand_in/history.py
@@ -11,6 +11,7 @@
     def __init__(self):
         self.runs, self.entries, self.attempts = [], [], []
         self.configs, self.evacuations, self.troubles, self.stray = [], [], [], []
+        self.probes = []
         self.drained = {}
         self.fetched = None
 
@@ -18,6 +19,7 @@
         """The clock of everything that is recorded."""
         return asyncio.get_running_loop().time()
 
-    def trouble(self, name, seconds=0.0, machines=True, planned=False):
-        """Notes trouble from now on, for `seconds`."""
-        self.troubles.append(Trouble(self.now(), self.now() + seconds, name, machines, planned))
+    def trouble(self, name, seconds=0.0, machines=True, planned=False, names=None):
+        """Notes trouble from now on, for `seconds`; `names` are the machines that it puts out of touch, None all."""
+        now = self.now()
+        self.troubles.append(Trouble(now, now + seconds, name, machines, planned, names))
--- a/tests/stand_in/judge.py
+++ b/tests/stand_in/judge.py
@@ -3,9 +3,10 @@
 import itertools
 
 from .keys import judge_names
+from .route_probe import ACCEPTED, UNKNOWN_DATABASE
 from .violation import Violation
 
-__all__ = ["judge"]
+__all__ = ["is_in_touch", "judge"]
 
 SYSTEM_ID = "-"
 PROMISE_NOTHING = ("INDOUBT", "TIMEOUT", "cut", "silent")
@@ -33,6 +34,7 @@
         _stray(history),
         _cut(history, contact_ms, loss_slack_ms),
         _config(history),
+        _probes(history, apply_ms, contact_ms),
     )
     return [Violation(*v) for v in itertools.chain(*rules)]
 
@@ -177,6 +179,14 @@
     )
 
 
+def is_in_touch(history, machine, at, contact_ms):
+    """Whether a machine had no trouble of its own and none of control in the `contact_ms` before."""
+    return not any(
+        t.puts_out_of_touch(machine) and t.at <= at and t.until >= at - contact_ms / 1000
+        for t in history.troubles
+    )
+
+
 def _drain(history, asked, drain_ms, contact_ms):
     for run in history.runs:
         since = history.drained.get(run.member)
@@ -250,3 +260,41 @@
             yield "CONFIG", f"the configuration read back is {got}, {newest} was acknowledged"
         elif not any(o.valid and o.config == history.fetched for o in history.configs):
             yield "CONFIG", f"the configuration read back differs from what was sent as {got}"
+
+
+def _probes(history, apply_ms, contact_ms):
+    """CONFIG: `apply_ms` after an acknowledgement, a machine in touch goes by no older version."""
+    for probe in history.probes:
+        if probe.code not in (ACCEPTED, UNKNOWN_DATABASE):
+            continue
+        allowed = _allowed_configs(history, probe, apply_ms)
+        if not allowed or not is_in_touch(history, probe.proxy, probe.sent, contact_ms):
+            continue
+        has_route = {_has_route(order, probe.database) for order in allowed}
+        if has_route == {probe.code != ACCEPTED}:
+            yield (
+                "CONFIG",
+                f"{probe.proxy} answered {probe.code} for {probe.database} at {probe.sent:.1f}, "
+                f"as no version from {allowed[0].revision} on allows",
+            )
+
+
+def _allowed_configs(history, probe, apply_ms):
+    """The valid configurations that may be in force for a probe, the oldest first; none before the first one is."""
+    acked = [
+        o.revision
+        for o in history.configs
+        if o.acked_at is not None and o.acked_at + apply_ms / 1000 < probe.sent
+    ]
+    return sorted(
+        (
+            o
+            for o in history.configs
+            if acked and o.valid and o.revision >= max(acked) and o.sent_at <= probe.ended
+        ),
+        key=lambda o: o.revision,
+    )
+
+
+def _has_route(order, database):
+    return any(route["Hostname"] == database for route in order.config["Routes"])
--- a/tests/stand_in/scene.py
+++ b/tests/stand_in/scene.py
@@ -67,7 +67,7 @@
         self.tenants = [Tenant(f"tenant{i}", [], rate_per_s, burst) for i in range(tenants)]
         for tenant in self.tenants:
             tenant.keys += [self._new_key(), self._new_key()]
-        self.operator = Operator(self.history, self.fleet.controls())
+        self.operator = Operator(self.history, self.fleet.listed_controls)
         self.router = Router(self.fleet.fronts, list(self.zones))
         self.groups = self.cloud.groups
         self.clients = []
@@ -80,7 +80,7 @@
             for i in range(members):
                 zone = list(self.zones)[(s + i) % zones]
                 address = f"127.{net}.{(s + i) % zones + 1}.{101 + s * 10 + i}:8080"
-                g.add(Member(g, f"i-{s:04x}{i:04x}", address, zone, self.fleet.controls()))
+                g.add(Member(g, f"i-{s:04x}{i:04x}", address, zone, self.fleet.listed_controls))
             self.routes += [
                 Route(f"pri{s}", name),
                 Route(f"bnd{s}", name, "bounded_staleness", 1500, writes=0.0, transactions=0.1),
@@ -205,7 +205,7 @@
             f"{member.id}n",
             member.address,
             member.zone,
-            self.fleet.controls(),
+            self.fleet.listed_controls,
             revision="v2",
         )
         member.group.replace(member, new)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,8 @@
 import asyncio
 
 import pytest
-from soak import DepartureSoak, play
+from disruptions import DepartureSoak
+from soak import play
 
 pytestmark = pytest.mark.xdist_group("soak")
 
@@ -11,7 +12,7 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_a_seeded_soak_breaks_no_rule(tmp_path, seed):
     """Guards against lost commits: a replica that was counted out returns and alone receives."""
-    verdict, log = asyncio.run(play(tmp_path, seed, 24.0))
+    verdict, log, _ = asyncio.run(play(tmp_path, seed, 24.0))
     assert verdict.violations == [], (verdict, log)
     assert verdict.own_ends == {}, (verdict, log)
     assert verdict.served > 100, (verdict, log)
@@ -20,7 +21,7 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_a_seeded_soak_of_departures_breaks_no_rule(tmp_path, seed):
     """Guards against statements to members that signed off: late beats must not bring them back (DRAIN)."""
-    verdict, log = asyncio.run(play(tmp_path, seed, 20.0, soak_type=DepartureSoak))
+    verdict, log, _ = asyncio.run(play(tmp_path, seed, 20.0, soak_type=DepartureSoak))
     assert verdict.violations == [], (verdict, log)
     assert verdict.own_ends == {}, (verdict, log)
     assert verdict.served > 100, (verdict, log)
--- a/tests/test_stand_in.py
+++ b/tests/test_stand_in.py
@@ -25,6 +25,7 @@
 from stand_in.operator import Operator
 from stand_in.refusal import Refusal
 from stand_in.route import Route
+from stand_in.route_probe import RouteProbe
 from stand_in.router import Router
 from stand_in.run import Run
 from stand_in.session import Session
@@ -844,6 +845,32 @@
     asyncio.run(go())
 
 
+def test_a_replaced_machine_is_silent_and_its_successor_has_another_address(built, tmp_path):
+    async def go():
+        fleet = Fleet(
+            built, tmp_path / "run", History(), {"z1": "r1"}, edges=1, cores=1, net=NET[4:]
+        )
+        await fleet.start()
+        try:
+            former = fleet.controls()[0]
+            new = await fleet.replace("core-z1-1", gap_s=0.0)
+            assert new == "core-z1-2" and fleet.listed_controls == [former] != fleet.controls()
+            fleet.publish_controls()
+            assert fleet.listed_controls == fleet.controls()
+            settings = (tmp_path / "run/edge-z1-1/proxy.toml").read_text()
+            assert tomllib.loads(settings)["SeedNodes"] == fleet.controls()
+            boot = tomllib.loads((tmp_path / "run/core-z1-2/control.toml").read_text())
+            assert boot["Bootstrap"] is False
+            with pytest.raises(TimeoutError):
+                host, port = former.split(":")
+                await asyncio.wait_for(asyncio.open_connection(host, int(port)), 0.5)
+        finally:
+            await fleet.close()
+        assert fleet.own_ends() == {}
+
+    asyncio.run(go())
+
+
 class Story:
     """A history by hand: one good write, one good transaction and one good read, for planting in."""
 
@@ -993,6 +1020,10 @@
     return plant
 
 
+def probe(s, database, code, sent=50.0, proxy="edge"):
+    s.h.probes.append(RouteProbe(sent, sent + 0.1, proxy, database, code))
+
+
 PLANTED = {
     "no stamp": ("MIXED", lambda s: setattr(s.read.statements[0], "stamp", "-")),
     "other rows": ("MIXED", lambda s: setattr(s.read.statements[0], "rows", ("y",))),
@@ -1041,6 +1072,8 @@
     "unasked message": ("STRAY", lambda s: s.h.stray.append(("u/1", "ROW x"))),
     "configuration went back": ("CONFIG", lambda s: setattr(s.h, "fetched", {"Revision": 2})),
     "configuration differs": ("CONFIG", lambda s: setattr(s.h, "fetched", {"Revision": 3})),
+    "added route refused": ("CONFIG", lambda s: probe(s, "db", "NODB")),
+    "removed route accepted": ("CONFIG", lambda s: probe(s, "other", "READY")),
     "invalid one taken": ("CONFIG", lambda s: setattr(s.h.configs[0], "valid", False)),
 }
 
@@ -1054,6 +1087,34 @@
     assert rule in {v.rule for v in judge(s.h)}
 
 
+@pytest.mark.parametrize(
+    ("names", "at", "counts"),
+    [
+        (None, 46.0, False),
+        (("edge",), 46.0, False),
+        (("other",), 46.0, True),
+        ((), 46.0, True),
+        (None, 44.0, True),
+    ],
+)
+def test_a_probe_counts_if_its_proxy_was_in_touch(names, at, counts):
+    s = Story()
+    s.h.troubles.append(Trouble(at, at, "kill", names=names))
+    probe(s, "db", "NODB")
+    assert ("CONFIG" in {v.rule for v in judge(s.h, contact_ms=5000)}) == counts
+
+
+def test_a_probe_may_meet_any_version_that_may_be_in_force():
+    s = Story()
+    newer = {"Revision": 4, "Routes": [{"Hostname": "db2", "Service": "svc"}]}
+    s.h.configs.append(ConfigOrder(newer, 49.9, True, 49.95))
+    for database, code in (("db", "NODB"), ("db", "READY"), ("db2", "NODB"), ("db2", "READY")):
+        probe(s, database, code)
+    probe(s, "db", "silent")
+    probe(s, "db", "BUSY")
+    assert [v for v in judge(s.h) if "answered" in v.what] == []
+
+
 def cut_in_trouble(s):
     cut_off(s)
     s.h.troubles.append(Trouble(28.0, 28.0, "crash", machines=False))
