A connection that is reset as it opens is a lost connection, not an OSError

The proxy logs E903 'OSError(9, Bad file descriptor)' 20 ms after the acknowledgement, no E402, and no E401 to the end; it answers by version 30 while 42 is in force.

Cause: it was just opening the next connection when that process was killed too.

set_socket_options now ignores a lost connection; its reader learns of the loss.

--- a/src/petrelhaven/transport/sockets.py
+++ b/src/petrelhaven/transport/sockets.py
@@ -15,9 +15,13 @@
 
 
 def set_socket_options(transport: asyncio.BaseTransport) -> None:
-    """Disables Nagle's algorithm and limits how long sent data may stay unacknowledged."""
+    """Disables Nagle's algorithm and limits how long sent data may stay unacknowledged.
+
+    Does nothing if the connection has been lost already; its reader learns that.
+    """
     sock = transport.get_extra_info("socket")
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
