Tasks that a node can't work without run again after an error

BackgroundTasks.spawn_service logs the error as E903, as before, and runs the task again 0.25 s later. A push task that fails closes its connection, so that the proxy subscribes anew.

test_an_unexpected_error_does_not_end_the_search fails before: no lease within 4 s.

--- a/src/petrelhaven/control/base_node.py
+++ b/src/petrelhaven/control/base_node.py
@@ -215,10 +215,10 @@
             addr=self.link.addr,
             disk=self.store.disk_id,
         )
-        self.tasks.spawn(self.prober.run())
-        self.tasks.spawn(self.chain.confirmation.run())
-        self.tasks.spawn(self.views.run())
-        self.tasks.spawn(self.duty.run())
+        self.tasks.spawn_service(self.prober.run)
+        self.tasks.spawn_service(self.chain.confirmation.run)
+        self.tasks.spawn_service(self.views.run)
+        self.tasks.spawn_service(self.duty.run)
         self.disk_watch.start()
 
     async def call(
--- a/src/petrelhaven/control/consensus/chain.py
+++ b/src/petrelhaven/control/consensus/chain.py
@@ -203,7 +203,7 @@
         position = self._position()
         successor = None if position is None else view.successor(position)
         if successor is not None:
-            self._feed_task = self.tasks.spawn(SuccessorFeed(self, view, successor).run())
+            self._feed_task = self.tasks.spawn_service(SuccessorFeed(self, view, successor).run)
 
     def former_members(self) -> tuple[MemberDisks, ...] | None:
         """The members of each view that nodes may still act under when the next view is proposed.
--- a/src/petrelhaven/control/counting/service.py
+++ b/src/petrelhaven/control/counting/service.py
@@ -119,7 +119,7 @@
         self._table.apply_configuration(self._node.chain.control_state.configuration)
         if self._table.quotas and not self._is_running:
             self._is_running = True
-            self._node.tasks.spawn(self.run())
+            self._node.tasks.spawn_service(self.run)
 
     # Requests from proxies and other nodes
 
--- a/src/petrelhaven/control/embargo/service.py
+++ b/src/petrelhaven/control/embargo/service.py
@@ -94,7 +94,7 @@
         """Starts reading the wall clocks of the control nodes; idempotent."""
         if not self._started:
             self._started = True
-            self._node.tasks.spawn(self.agreed_time.run())
+            self._node.tasks.spawn_service(self.agreed_time.run)
 
     def agreed_time_body(self) -> dict[str, Any]:
         """Returns the agreed time interval as the body of an answer to a proxy."""
--- a/src/petrelhaven/control/state_push.py
+++ b/src/petrelhaven/control/state_push.py
@@ -101,8 +101,10 @@
         return SubscriptionAnswer(True).to_body()
 
     def _remove_task(self, channel: Channel, task: asyncio.Task[None]) -> None:
+        """Closes the connection too: the proxy would wait for records that nobody pushes."""
         if self._push_tasks.get(channel) is task:
             del self._push_tasks[channel]
+            channel.close()
 
     async def _push_records(self, channel: Channel, proxy: str, applied_seq: int) -> None:
         """Pushes until the connection ends.
--- a/src/petrelhaven/membership/prober.py
+++ b/src/petrelhaven/membership/prober.py
@@ -68,6 +68,7 @@
         self._probe_queue: list[str] = []
         self._last_nonce = _UNAWAITED_NONCE
         self._contacted_senders: set[str] = set()
+        self._joining = False
         link.on(MessageKind.PEER_PROBE, self._on_probe)
         link.on(MessageKind.PEER_ACKNOWLEDGE, self._on_acknowledge)
         link.on(MessageKind.PEER_PROBE_FOR, self._on_probe_for)
@@ -75,8 +76,10 @@
 
     async def run(self) -> None:
         """Starts joining through the seeds, then probes peers until cancelled."""
-        self.tasks.spawn(self._join())
-        self.tasks.spawn(self._probe_seeds())
+        if not self._joining:
+            self._joining = True
+            self.tasks.spawn_service(self._join)
+            self.tasks.spawn_service(self._probe_seeds)
         while True:
             await self.clock.sleep(self.period_us)
             self.roster.expire_suspicions()
--- a/src/petrelhaven/proxy/core_connection.py
+++ b/src/petrelhaven/proxy/core_connection.py
@@ -146,7 +146,7 @@
 
     def start(self) -> None:
         """Starts the task that connects, and reconnects after a failure."""
-        self.tasks.spawn(self._run())
+        self.tasks.spawn_service(self._run)
 
     @property
     def holds_lease(self) -> bool:
--- a/src/petrelhaven/proxy/resumable/control_client.py
+++ b/src/petrelhaven/proxy/resumable/control_client.py
@@ -94,8 +94,8 @@
 
     def start(self):
         """Starts the tasks of the tie."""
-        self.tasks.spawn(self._hold())
-        self.tasks.spawn(self._renew())
+        self.tasks.spawn_service(self._hold)
+        self.tasks.spawn_service(self._renew)
 
     async def _hold(self):
         k = self.rng.randrange(len(self.seeds))
--- a/src/petrelhaven/proxy/resumable/node.py
+++ b/src/petrelhaven/proxy/resumable/node.py
@@ -116,8 +116,8 @@
     def start(self):
         """Starts the edge's tasks."""
         emit(self.log, Events.NODE_STARTED, name=self.name, zone=self.zone, addr=self.link.addr)
-        self.tasks.spawn(self.prober.run())
-        self.tasks.spawn(self.session_replicas.run())
+        self.tasks.spawn_service(self.prober.run)
+        self.tasks.spawn_service(self.session_replicas.run)
         self.control.start()
 
     def bounds(self):
--- a/src/petrelhaven/runtime/daemon.py
+++ b/src/petrelhaven/runtime/daemon.py
@@ -163,7 +163,7 @@
             self.clock, reload_settings, self.settings, self._apply_setting, self.log
         )
         node.settings = watch.status
-        self.tasks.spawn(watch.run())
+        self.tasks.spawn_service(watch.run)
 
     def _apply_setting(self, field: str, value: Any) -> None:  # noqa: ANN401 (each field has its type)
         """Applies a changed setting to the running node."""
--- a/src/petrelhaven/runtime/tasks.py
+++ b/src/petrelhaven/runtime/tasks.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import os
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from petrelhaven.runtime.errors import Fault
@@ -17,6 +17,8 @@
 
 _Result = TypeVar("_Result")
 
+_RESTART_DELAY_S = 0.25
+
 
 def _origin(error: BaseException) -> str:
     """Returns the file name and line number that raised `error`."""
@@ -60,12 +62,40 @@
         task.add_done_callback(self._on_task_done)
         return task
 
+    def spawn_service(
+        self, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> asyncio.Task[None] | None:
+        """Starts a task that the node can't work without, and runs it again if it fails.
+
+        Args:
+            run: Returns the coroutine to run; called again after each failure. A coroutine that
+                returns has done its work.
+
+        Returns:
+            The task, which cancelling ends for good; None once the group is closed.
+        """
+        return self.spawn(self._run_service(run))
+
+    async def _run_service(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                self._log_failure(error)
+            else:
+                return
+            await asyncio.sleep(_RESTART_DELAY_S)
+
     def _on_task_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.pop(task, None)
         if task.cancelled():
             return
         error = task.exception()
-        if error is None or isinstance(error, Fault):
+        if error is not None:
+            self._log_failure(error)
+
+    def _log_failure(self, error: BaseException) -> None:
+        if isinstance(error, Fault):
             return
         emit(self._log, Events.TASK_FAILED, what=repr(error), at=_origin(error))
 
--- a/tests/test_control_node_search.py
+++ b/tests/test_control_node_search.py
@@ -57,8 +57,8 @@
 
     def __init__(self, alive):
         self.alive, self.view, self.view_number = set(alive), (), 0
-        self.declining, self.delays = set(), {}
-        self.opened, self.attempts = [], []
+        self.declining, self.delays, self.fails_next_attempts = set(), {}, 0
+        self.opened = []
 
     def on(self, kind, handler):
         pass
@@ -72,7 +72,9 @@
         )
 
     async def open(self, address):
-        self.attempts.append((asyncio.get_running_loop().time(), address))
+        if self.fails_next_attempts:
+            self.fails_next_attempts -= 1
+            raise OSError(9, "Bad file descriptor")
         if address not in self.alive:
             await asyncio.sleep(SILENCE_S)
             raise NotSent(address)
@@ -233,6 +235,21 @@
     assert len(warp(go())) == 1
 
 
+def test_an_unexpected_error_does_not_end_the_search(warp):
+    """Guards against a proxy that searches no more: one OSError of the link ended the task for good (CONFIG)."""
+    known = _addresses("known", 3)
+
+    async def go():
+        async with _Proxy(_Network(known), known, known) as proxy:
+            proxy.network.fails_next_attempts = 2
+            for channel in proxy.network.opened:
+                channel.close()
+            await asyncio.sleep(1.0)
+            return await proxy.connected_within(CONTACT_S)
+
+    assert warp(go()) is not None
+
+
 def test_control_nodes_whose_addresses_were_unknown_at_first_become_known_to_proxies(warp):
     """Guards against a proxy that knows too few control nodes until the next view (CONFIG)."""
 
