The first view has the seeds as its members, whoever else has reported

Cause: MemberMaintenance takes reports of all known nodes for repairs, and the decision on the first view used the same ones. With five control nodes and three seeds it took any three that had reported; two sets of three need have no majority in common.

--- a/src/petrelhaven/control/consensus/view_maintenance.py
+++ b/src/petrelhaven/control/consensus/view_maintenance.py
@@ -56,6 +56,10 @@
         return self._node.seeds
 
     def recent_reports(self) -> Reports:
+        """The last reports of the nodes that count for a repair, by node name."""
+        return self._seed_reports()
+
+    def _seed_reports(self) -> Reports:
         """The last reports of the nodes at the seed addresses, by node name."""
         return {
             report.name: report
@@ -162,9 +166,11 @@
     async def _decide_first_view(self) -> None:
         """Decides the first view once every seed has reported that it never had a view.
 
-        The node with the lowest name proposes it; the others propose it after a delay.
+        The seeds alone are its members, whichever other nodes have reported: views of different
+        members could be decided side by side. The node with the lowest name proposes it; the others
+        propose it after a delay.
         """
-        node, reports = self._node, self.recent_reports()
+        node, reports = self._node, self._seed_reports()
         now = node.clock.now()
         all_fresh = all(report.fresh and not report.view for report in reports.values())
         if not self.may_decide_first_view or len(reports) < len(node.seeds) or not all_fresh:
