The soaks fail on unexpected errors in logs; control processes are killed in series

Fleet.logged_errors finds E903, E112 and tracebacks, the verdict has them, the soaks demand none. kill_control_after_acknowledgement kills all control processes right after a change, up to three times in a row; connections to them are refused or reset.

--- a/tests/control_disruptions.py
+++ b/tests/control_disruptions.py
@@ -25,6 +25,7 @@
         "replace_control_machine",
         "lose_power_after_acknowledgement",
         "lose_disk_after_acknowledgement",
+        "kill_control_after_acknowledgement",
         "kill_control_node",
         "stop_control_node",
         "freeze_control_node",
@@ -113,6 +114,16 @@
             await self._lose_power(wipes=True)
             await self._recover()
 
+    async def kill_control_after_acknowledgement(self, _group):
+        """A series of changes, each right before all control processes are killed; connections to them are refused."""
+        async with self._control:
+            for _ in range(self.random.randint(1, 3)):
+                self._draw_route_change()
+                await self.scene.configure()
+                self.scene.fleet.kill(*self._controls())
+                await asyncio.sleep(self.random.uniform(0.0, 1.5))
+            await self._recover()
+
     async def _lose_power(self, wipes):
         """Right after a change was acknowledged, all control machines lose power and one may lose its disk."""
         controls, fleet = self._controls(), self.scene.fleet
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -58,7 +58,7 @@
         with tempfile.TemporaryDirectory() as folder:
             began = time.monotonic()
             verdict, log, notes = asyncio.run(play(folder, seed, arguments.seconds, **options))
-            bad = verdict.violations or verdict.own_ends
+            bad = verdict.violations or verdict.own_ends or verdict.logged_errors
             broken += bool(bad)
             print(
                 f"seed {seed}: served {verdict.served} of {verdict.owed}, {len(log)} disruptions, "
@@ -66,7 +66,11 @@
                 + "".join(f", {note}" for note in notes),
                 flush=True,
             )
-            for line in [*map(str, verdict.violations[:6]), *map(str, verdict.own_ends.items())]:
+            for line in (
+                *map(str, verdict.violations[:6]),
+                *map(str, verdict.own_ends.items()),
+                *verdict.logged_errors[:6],
+            ):
                 print("   ", line)
             if bad:
                 print("   ", "; ".join(log))
--- a/tests/stand_in/fleet.py
+++ b/tests/stand_in/fleet.py
@@ -2,6 +2,7 @@
 import json
 import math
 import os
+import re
 import shutil
 import signal
 import sys
@@ -45,6 +46,8 @@
 FIRST_HOSTS = {"core": 1, "edge": 31}
 PORTS = {"Front": 8182, "Ready": 8181, "Control": 8180}
 SERVED_AT = {"edge": ("Front", "Ready"), "control": ("Control",)}
+ERROR_LINE = re.compile(r"(\S+ [A-Z]+ \S+ E(903|112) )|Traceback ")
+"""E903 and E112: a background task or a handler ended with an unexpected error."""
 
 
 class Fleet:
@@ -200,6 +203,15 @@
             if p.own_ends
         }
 
+    def logged_errors(self):
+        """The lines of all logs that tell of unexpected errors, with the machine and the role."""
+        return [
+            f"{path.parent.name}/{path.stem}: {line}"
+            for path in sorted(self.folder.glob("*/*.log"))
+            for line in path.read_text(errors="replace").splitlines()
+            if ERROR_LINE.match(line)
+        ]
+
     async def start(self):
         """Starts everything."""
         self._history.trouble("all start")
--- a/tests/stand_in/scene.py
+++ b/tests/stand_in/scene.py
@@ -257,4 +257,5 @@
             sum(o.in_aim for o in owed),
             self.fleet.own_ends(),
             dict(collections.Counter(o.last for o in owed if not o.served)),
+            self.fleet.logged_errors(),
         )
--- a/tests/stand_in/verdict.py
+++ b/tests/stand_in/verdict.py
@@ -6,7 +6,9 @@
 
 
 class Verdict(NamedTuple):
-    """What a scene came to: broken rules, operations owed, served and served in aim, processes that ended alone."""
+    """What a scene came to: broken rules, operations owed, served and served in aim, processes that ended alone, why
+    operations failed, and unexpected errors that processes logged.
+    """
 
     violations: list[Violation]
     owed: int
@@ -14,6 +16,7 @@
     in_aim: int
     own_ends: dict
     failures: dict
+    logged_errors: list[str]
 
     @property
     def share(self):
--- a/tests/test_control_soak.py
+++ b/tests/test_control_soak.py
@@ -14,7 +14,6 @@
 PROXIES, KILLS = 15, 5
 IN_FORCE_S = 7.0
 """ContactMs and ApplyMs: a proxy is in touch by then and goes by the newest configuration."""
-TASK_FAILED = "E903"
 
 
 @pytest.mark.parametrize("seed", [2, 4])
@@ -23,6 +22,7 @@
     verdict, log, notes = asyncio.run(play(tmp_path, seed, 24.0, soak_type=ControlSoak))
     assert verdict.violations == [], (verdict, log, notes)
     assert verdict.own_ends == {}, (verdict, log, notes)
+    assert verdict.logged_errors == [], (verdict, log, notes)
     assert verdict.served > 100, (verdict, log, notes)
 
 
@@ -49,8 +49,6 @@
             logs = [path.read_text for path in (tmp_path / "run").glob("edge-*/proxy.log")]
             applied = f"version={order.revision} "
             await wait_within(fleet, IN_FORCE_S, lambda: all(applied in log() for log in logs))
-            return [log() for log in logs]
+            return len(logs), fleet.logged_errors()
 
-    logs = asyncio.run(go())
-    assert len(logs) == PROXIES
-    assert [line for log in logs for line in log.splitlines() if TASK_FAILED in line] == []
+    assert asyncio.run(go()) == (PROXIES, [])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
     verdict, log, _ = asyncio.run(play(tmp_path, seed, 24.0))
     assert verdict.violations == [], (verdict, log)
     assert verdict.own_ends == {}, (verdict, log)
+    assert verdict.logged_errors == [], (verdict, log)
     assert verdict.served > 100, (verdict, log)
 
 
@@ -24,4 +25,5 @@
     verdict, log, _ = asyncio.run(play(tmp_path, seed, 20.0, soak_type=DepartureSoak))
     assert verdict.violations == [], (verdict, log)
     assert verdict.own_ends == {}, (verdict, log)
+    assert verdict.logged_errors == [], (verdict, log)
     assert verdict.served > 100, (verdict, log)
--- a/tests/test_stand_in.py
+++ b/tests/test_stand_in.py
@@ -871,6 +871,21 @@
     asyncio.run(go())
 
 
+def test_unexpected_errors_are_found_in_the_logs_of_all_machines(built, tmp_path):
+    fleet = Fleet(built, tmp_path / "run", History(), {"z1": "r1"}, edges=1, cores=1, net=NET[4:])
+    prefix = "2026-12-04T23:00:00.000000Z"
+    failed = f"{prefix} ERROR edge-z1-1 E903 background task failed what=OSError(9)"
+    handler = f"{prefix} WARNING core-z1-1 E112 internal handler failed"
+    harmless = f"{prefix} INFO edge-z1-1 E301 view adopted cause=E903 or Traceback"
+    (tmp_path / "run/edge-z1-1/door.log").write_text(f"{harmless}\n{failed}\n")
+    (tmp_path / "run/core-z1-1/keeper.log").write_text(f"{handler}\nTraceback (most recent)\n")
+    assert fleet.logged_errors() == [
+        f"core-z1-1/keeper: {handler}",
+        "core-z1-1/keeper: Traceback (most recent)",
+        f"edge-z1-1/door: {failed}",
+    ]
+
+
 class Story:
     """A history by hand: one good write, one good transaction and one good read, for planting in."""
 
