--- a/tests/test_stand_in.py
+++ b/tests/test_stand_in.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import math
 import os
 import signal
 import tomllib
@@ -17,6 +18,7 @@
 from stand_in.entry import Entry
 from stand_in.evacuation import Evacuation
 from stand_in.fleet import Fleet
+from stand_in.freeze import Freeze
 from stand_in.group import Group
 from stand_in.history import History
 from stand_in.judge import judge
@@ -1119,6 +1121,43 @@
     assert ("CONFIG" in {v.rule for v in judge(s.h, contact_ms=5000)}) == counts
 
 
+@pytest.mark.parametrize(
+    ("machine", "until", "counts"),
+    [("edge", math.inf, False), ("edge", 46.0, False), ("edge", 44.0, True), ("other", 46.0, True)],
+)
+def test_a_probe_of_a_proxy_that_stands_still_does_not_count(machine, until, counts):
+    """Guards against CONFIG for a request that arrived in a freeze of more than `ContactMs` (seed 40 of the soak)."""
+    s = Story()
+    s.h.freezes.append(Freeze(machine, 30.0, until))
+    probe(s, "db", "NODB")
+    assert ("CONFIG" in {v.rule for v in judge(s.h, contact_ms=5000)}) == counts
+
+
+def test_a_freeze_ends_with_the_thaw_or_with_the_process(built, tmp_path):
+    async def go():
+        history = History()
+        fleet = Fleet(built, tmp_path / "run", history, {"z1": "r1"}, edges=1, cores=1, net=NET[4:])
+        await fleet.start()
+        try:
+            for end in (fleet.thaw, fleet.kill, fleet.terminate, fleet.power_off):
+                await until(
+                    lambda: all(p.pid for p in fleet.machines["edge-z1-1"].processes.values())
+                )
+                fleet.freeze("edge-z1-1")
+                fleet.freeze("edge-z1-1")
+                assert history.freezes[-1].until == math.inf
+                ending = end("edge-z1-1")
+                if ending is not None:
+                    await ending
+                assert history.freezes[-1].until <= history.now()
+            fleet.freeze("edge-z1-1")
+        finally:
+            await fleet.close()
+        assert [f.machine for f in history.freezes] == ["edge-z1-1"] * 4
+
+    asyncio.run(go())
+
+
 def test_a_probe_may_meet_any_version_that_may_be_in_force():
     s = Story()
     newer = {"Revision": 4, "Routes": [{"Hostname": "db2", "Service": "svc"}]}
