--- a/src/petrelhaven/emulator/main.py
+++ b/src/petrelhaven/emulator/main.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from petrelhaven.emulator.balancer import LoadBalancer
-from petrelhaven.emulator.member import Member
+from petrelhaven.emulator.member import Member, MemberOptions
 from petrelhaven.emulator.platform import PlatformLogic
 from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.daemon import print_line
@@ -47,18 +47,21 @@
 def _add_member(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--name", required=True)
     parser.add_argument("--group", required=True)
-    parser.add_argument("--hall", required=True)
+    parser.add_argument("--hall", dest="zone", required=True)
     parser.add_argument("--role", choices=("primary", "replica"), default="replica")
     parser.add_argument("--source", default="", help="address of the primary to follow")
     parser.add_argument("--http", default="127.0.0.1:0")
     parser.add_argument(
-        "--cores", default="-", help="HTTP addresses of the cores; - reads them from standard input"
+        "--cores",
+        dest="control",
+        default="-",
+        help="HTTP addresses of the cores; - reads them from standard input",
     )
-    parser.add_argument("--cap", type=int, default=40)
+    parser.add_argument("--cap", dest="max_connections", type=int, default=40)
     parser.add_argument("--lag-us", type=int, default=60_000)
     parser.add_argument("--warm-us", type=int, default=3_000_000)
-    parser.add_argument("--hot", action="store_true", help="start warmed up")
-    parser.add_argument("--data", help="folder of its journal")
+    parser.add_argument("--hot", dest="starts_warm", action="store_true", help="start warmed up")
+    parser.add_argument("--data", dest="folder", help="folder of its journal")
 
 
 class _Platform:
@@ -143,7 +146,8 @@
 
 async def _run(arguments: argparse.Namespace) -> None:
     if arguments.verb == "member":
-        await Member(arguments).run()
+        options = {name: value for name, value in vars(arguments).items() if name != "verb"}
+        await Member(MemberOptions(**options)).run()
     else:
         await _Platform(arguments.http, arguments.took_us).run()
 
--- a/src/petrelhaven/emulator/store.py
+++ b/src/petrelhaven/emulator/store.py
@@ -56,7 +56,7 @@
 class Store:
     """One member. The log is the truth; `data` is what the log says.
 
-    A test may set `dark` (nothing is answered), `stall` (nothing is received), `unanswered` (so
+    A test may set `silent` (nothing is answered), `stall` (nothing is received), `unanswered` (so
     many writes lose their answers), and `draining`. `flood`, `full` and `most_conns` count what
     callers did: statements in a tenth of a second while cold, connections declined and open.
     """
@@ -88,7 +88,7 @@
         self.flood = self.full = 0
         self.most_conns = 0
         self.last_statement = self.statements = 0
-        self.dark = self.stall = False
+        self.silent = self.stall = False
         self.unanswered = 0
         self.on_commit: list[Callable[[], object]] = []
         self.boot_up()
--- a/src/petrelhaven/simulator/resumable/scenes/edges.py
+++ b/src/petrelhaven/simulator/resumable/scenes/edges.py
@@ -106,7 +106,7 @@
     e = w.edges[0].node
     sids = [(await e.open_session())["session"] for _ in range(60)]
     bad = []
-    w.members["g1m1"].node.dark = True
+    w.members["g1m1"].node.silent = True
     t = w.loop.time()
     shed = []
 
@@ -125,7 +125,7 @@
         bad.append(("not shed at once", len(shed), max(shed, default=None)))
     w.seen["shed"] = len(shed)
     await asyncio.gather(*ts)
-    w.members["g1m1"].node.dark = False
+    w.members["g1m1"].node.silent = False
     await asyncio.sleep(6)
     for s in sids:
         r = await e.statement(s, {"verb": "set", "name": "a", "value": 1})
--- a/src/petrelhaven/simulator/resumable/world.py
+++ b/src/petrelhaven/simulator/resumable/world.py
@@ -101,7 +101,7 @@
 
         async def there():
             m = dst.node
-            if m.dark:
+            if m.silent:
                 await dst.clock.sleep(3_600_000_000)
             try:
                 return fn(m)
@@ -236,7 +236,7 @@
         if keep is not None:
             b.node = keep
             keep.boot_up()
-            keep.dark = keep.stall = False
+            keep.silent = keep.stall = False
         else:
             b.node = Store(
                 b.clock,
@@ -265,7 +265,7 @@
         heartbeat = 0
         while True:
             heartbeat += 1
-            if not b.node.dark:
+            if not b.node.silent:
                 d = b.node.announcement(f"sim:{b.name}", heartbeat)
                 for c in self.cores:
                     b.tasks.spawn(self._say(b, c, d))
@@ -285,12 +285,12 @@
         m = b.node
         while b.node is m:
             src = self.members.get(m.source) if m.role == "replica" and m.source else None
-            if src is None or src is b or m.stall or m.dark:
+            if src is None or src is b or m.stall or m.silent:
                 await b.clock.sleep(20_000)
                 continue
 
             async def there(src=src):
-                if src.node is not None and src.node.dark:
+                if src.node is not None and src.node.silent:
                     await src.clock.sleep(3_600_000_000)
                 if src.node is None:
                     raise Unreachable("off")
--- a/tests/test_returning_control_node.py
+++ b/tests/test_returning_control_node.py
@@ -43,7 +43,7 @@
 def test_a_control_node_that_was_away_while_all_others_were_replaced_joins_again(
     warp, absence, seed
 ):
-    """Guards against a control node that knows only addresses that are gone, and answers by its old records (CONFIG)."""
+    """Guards against a control node that knows only addresses that are gone, and goes by old records (CONFIG)."""
 
     async def go():
         fleet = ControlFleet(seed, losses=2)
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -22,7 +22,6 @@
 # Modules where an old term is the name of a setting, a flag or a kind of fault; nothing is added to it.
 NAMES_FROM_OUTSIDE = frozenset(
     {
-        "src/petrelhaven/emulator/member.py",
         "src/petrelhaven/runtime/settings.py",
         "src/petrelhaven/simulator/connection_sessions/embargo.py",
         "src/petrelhaven/simulator/connection_sessions/faults.py",
@@ -37,8 +36,6 @@
         "platform/client_connection.py",
         "platform/member_connections.py",
         "platform/statements.py",
-        "src/petrelhaven/emulator/member.py",
-        "src/petrelhaven/emulator/store.py",
         "src/petrelhaven/proxy/resumable/handover.py",
         "src/petrelhaven/proxy/resumable/session_keeper.py",
         "src/petrelhaven/runtime/settings.py",
@@ -48,7 +45,6 @@
         "src/petrelhaven/simulator/fleet.py",
         "src/petrelhaven/simulator/resumable/partition.py",
         "src/petrelhaven/simulator/resumable/scenes/cores.py",
-        "src/petrelhaven/simulator/resumable/scenes/edges.py",
         "src/petrelhaven/simulator/resumable/storm.py",
         "src/petrelhaven/simulator/resumable/world.py",
         "src/petrelhaven/simulator/soak.py",
