--- a/tests/stand_in/judge.py
+++ b/tests/stand_in/judge.py
@@ -180,7 +180,7 @@
 
 
 def is_in_touch(history, machine, at, contact_ms):
-    """Whether a machine had no trouble of its own, a freeze included, and none of control in the `contact_ms` before."""
+    """Whether a machine had no trouble of its own, freezes included, and none of control in the `contact_ms` before."""
     spans = [
         *(t for t in history.troubles if t.puts_out_of_touch(machine)),
         *(f for f in history.freezes if f.machine == machine),
