--- a/tests/test_control_soak.py
+++ b/tests/test_control_soak.py
@@ -16,7 +16,7 @@
 """ContactMs and ApplyMs: a proxy is in touch by then and goes by the newest configuration."""
 
 
-@pytest.mark.parametrize("seed", [2, 4])
+@pytest.mark.parametrize("seed", [2, 11])
 def test_a_seeded_soak_of_control_machines_breaks_no_rule(tmp_path, seed):
     """Guards against proxies with an outdated configuration after all control machines were replaced (CONFIG)."""
     verdict, log, notes = asyncio.run(play(tmp_path, seed, 24.0, soak_type=ControlSoak))
