--- a/tests/stand_in/beats.py
+++ b/tests/stand_in/beats.py
@@ -47,13 +47,11 @@
 
     async def send_late(self, seconds, copies=1):
         """Sends a beat of now that arrives `seconds` later, `copies` times; the next node is called meanwhile."""
-        node, verb = self._next_node(), "Heartbeat"
-        body = self._body()
+        node, path, body = self._next_node(), self._path("Heartbeat"), self._body()
         self._target = None
         self._turn += 1
         await asyncio.sleep(seconds)
         late = Caller()
-        path = f"/v1/Members.{verb}/{self._member.id}"
         for _ in range(copies):
             await late.call(node, "POST", path, body)
         await late.close()
@@ -75,6 +73,9 @@
     def _next_node(self):
         return self._target or self._nodes[self._turn % len(self._nodes)]
 
+    def _path(self, verb):
+        return f"/v1/Members.{verb}/{self._member.id}"
+
     def _body(self):
         """The body of the member's next call."""
         m, g = self._member, self._member.group
@@ -92,8 +93,9 @@
         }
 
     async def _send(self, verb):
-        path, body = f"/v1/Members.{verb}/{self._member.id}", self._body()
-        status, got = await self._caller.call(self._next_node(), "POST", path, body)
+        status, got = await self._caller.call(
+            self._next_node(), "POST", self._path(verb), self._body()
+        )
         if 200 <= status < 300 and len(got) <= 4096:
             try:
                 answer = json.loads(got) if got else {}
