The soak of control machines reads the configuration at every control node

A blind spot of the judge: the configuration was read back once, at the end. Late answers count too: a frozen node may answer at its thaw.

--- a/tests/control_disruptions.py
+++ b/tests/control_disruptions.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from disruptions import BOUNDS, CATCH_UP_S, Soak
+from stand_in.configuration_reader import ConfigurationReader
 from stand_in.judge import is_in_touch
 from stand_in.route import Route
 from stand_in.route_probe import RouteProber
@@ -52,19 +53,21 @@
         self._added, self._removed = [], []
 
     def notes(self):
-        """Returns how many probes met a proxy in touch, and thus were judged."""
+        """Returns how many probes met a proxy in touch, and thus were judged, and how many reads were answered."""
         history = self.scene.history
         judged = sum(
             is_in_touch(history, p.proxy, p.sent, BOUNDS["ContactMs"]) for p in history.probes
         )
-        return [f"{judged} of {len(history.probes)} probes in touch"]
+        return [f"{judged} of {len(history.probes)} probes in touch", f"{len(history.reads)} reads"]
 
     async def observe(self, seconds):
-        """Asks every proxy for the routes that were added and removed last."""
-        prober = RouteProber(self.scene.history, self.scene.fleet.fronts, self._probed_databases)
+        """Asks every proxy for the routes added and removed last, and every control node for its configuration."""
+        history, fleet = self.scene.history, self.scene.fleet
+        prober = RouteProber(history, fleet.fronts, self._probed_databases)
+        reader = ConfigurationReader(history, fleet.controls)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
-                await prober.run()
+                await asyncio.gather(prober.run(), reader.run())
 
     def _probed_databases(self):
         return [route.database for route in [*self._added, *self._removed[-MAX_PROBED_ROUTES:]]]
--- a/tests/stand_in/history.py
+++ b/tests/stand_in/history.py
@@ -13,7 +13,7 @@
     def __init__(self):
         self.runs, self.entries, self.attempts = [], [], []
         self.configs, self.evacuations, self.troubles, self.stray = [], [], [], []
-        self.probes = []
+        self.probes, self.reads = [], []
         self.freezes = []
         self.drained = {}
         self.fetched = None
--- a/tests/stand_in/judge.py
+++ b/tests/stand_in/judge.py
@@ -35,6 +35,7 @@
         _cut(history, contact_ms, loss_slack_ms),
         _config(history),
         _probes(history, apply_ms, contact_ms),
+        _reads(history, apply_ms),
     )
     return [Violation(*v) for v in itertools.chain(*rules)]
 
@@ -280,18 +281,35 @@
             )
 
 
-def _allowed_configs(history, probe, apply_ms):
-    """The valid configurations that may be in force for a probe, the oldest first; none before the first one is."""
-    acked = [
+def _reads(history, apply_ms):
+    """CONFIG: `apply_ms` after an acknowledgement no machine, in touch or not, answers a read with an older version."""
+    for read in history.reads:
+        newest = _newest_in_force(history, read.sent, apply_ms)
+        if read.revision < newest:
+            yield (
+                "CONFIG",
+                f"{read.node} answered a read of {read.sent:.1f} with {read.revision}, {newest} was in force",
+            )
+
+
+def _newest_in_force(history, at, apply_ms):
+    """The newest revision that had been acknowledged `apply_ms` before, 0 if none."""
+    acked = (
         o.revision
         for o in history.configs
-        if o.acked_at is not None and o.acked_at + apply_ms / 1000 < probe.sent
-    ]
+        if o.acked_at is not None and o.acked_at + apply_ms / 1000 < at
+    )
+    return max(acked, default=0)
+
+
+def _allowed_configs(history, probe, apply_ms):
+    """The valid configurations that may be in force for a probe, the oldest first; none before the first one is."""
+    oldest = _newest_in_force(history, probe.sent, apply_ms)
     return sorted(
         (
             o
             for o in history.configs
-            if acked and o.valid and o.revision >= max(acked) and o.sent_at <= probe.ended
+            if oldest and o.valid and o.revision >= oldest and o.sent_at <= probe.ended
         ),
         key=lambda o: o.revision,
     )
--- a/tests/test_stand_in.py
+++ b/tests/test_stand_in.py
@@ -15,6 +15,7 @@
 from stand_in.client import Client
 from stand_in.cloud import Cloud
 from stand_in.config_order import ConfigOrder
+from stand_in.configuration_reader import ConfigurationRead
 from stand_in.entry import Entry
 from stand_in.evacuation import Evacuation
 from stand_in.fleet import Fleet
@@ -1091,6 +1092,10 @@
     "configuration differs": ("CONFIG", lambda s: setattr(s.h, "fetched", {"Revision": 3})),
     "added route refused": ("CONFIG", lambda s: probe(s, "db", "NODB")),
     "removed route accepted": ("CONFIG", lambda s: probe(s, "other", "READY")),
+    "older configuration read": (
+        "CONFIG",
+        lambda s: s.h.reads.append(ConfigurationRead(50.0, "core", 2)),
+    ),
     "invalid one taken": ("CONFIG", lambda s: setattr(s.h.configs[0], "valid", False)),
 }
 
@@ -1169,6 +1174,15 @@
     assert [v for v in judge(s.h) if "answered" in v.what] == []
 
 
+def test_a_read_may_answer_an_older_configuration_until_apply_ms_after_the_acknowledgement():
+    s = Story()
+    newer = {"Revision": 4, "Routes": [{"Hostname": "db", "Service": "svc"}]}
+    s.h.configs.append(ConfigOrder(newer, 45.0, True, 47.5))
+    s.h.fetched = newer
+    s.h.reads += [ConfigurationRead(50.4, "core", 3), ConfigurationRead(60.0, "core", 4)]
+    assert judge(s.h, apply_ms=3000) == []
+
+
 def cut_in_trouble(s):
     cut_off(s)
     s.h.troubles.append(Trouble(28.0, 28.0, "crash", machines=False))
