--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,7 @@
-"""One search with a large answer ends the edge that carries it, and its retries end the next edges."""
+"""A statement that waits for a primary is cut without an answer when its edge is stopped in order."""
 # ruff: noqa: ANN001, ANN002, ANN201, ANN202, ANN204, D107, E402, E501, PLR2004, RET504 (as in tests/)
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -10,103 +9,83 @@
 sys.path.insert(0, str(HERE.parent / "common2"))
 
 from estate import ROOT, Session, is_troubled, play_case, scene
-from stand_in.member_session import MemberSession
+from stand_in.route import Route
 
-ROWS, ROW_BYTES = 100, 1_000_000
-"""The large answer: 100 MB; the pages: "any number of `ROW`", and 1 MiB a message at most."""
-SEARCHES, FURTHER_TRIES, DEADLINE_S = 3, 2, 20.0
-POLL_S = 0.005
-_read = MemberSession._read
+NEW_SERVICE, NEW_DATABASE = "svc9", "new9"
+TIMEOUT_MS, DEADLINE_S = 4000, 8.0
+CLIENTS, FIRST_S, GAP_S = 6, 1.2, 0.05
+"""Clients that come while the platform still gives connections to the edge: within two misses."""
 
 
-def read(self, thing):
-    """Reads a thing; `all` finds many rows."""
-    if thing != "all":
-        return _read(self, thing)
-    return ("x" * ROW_BYTES,) * (ROWS if is_troubled() else 1)
-
-
-def resident_mb(pid):
-    """The memory of a process, in MB; 0 if it has ended."""
+async def ask_once(record, address, number):
+    """One client of the new database; returns when its write was sent, when it ended, and how."""
+    loop = asyncio.get_running_loop()
+    session = await Session.open(address, NEW_DATABASE, f"u{number}")
+    sent = loop.time()
+    id = f"{number:016x}"
+    record.add(f"client {number} sends QUERY {id} PUT {number:x} data")
     try:
-        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1024
+        answer = await session.ask(id, f"PUT {number:x} data", DEADLINE_S)
+        outcome = f"{answer.code or 'COMPLETE'} {answer.text}".strip()
+    except TimeoutError:
+        outcome = "silence"
     except OSError:
-        pass
-    return 0
-
-
-async def watch_memory(record, estate, ends):
-    """The platform: it kills a process that goes over its `MemoryMb`."""
-    limit = 260
-    while True:
-        for name, machine in estate.fleet.machines.items():
-            if machine.node_class != "edge":
-                continue
-            for process in machine.processes.values():
-                used = resident_mb(process.pid) if process.pid else 0
-                if used > limit:
-                    record.add(f"{name} uses {used:.0f} MB of its {limit} MB and is killed")
-                    ends[name] = ends.get(name, 0) + 1
-                    process.send(signal.SIGKILL)
-        await asyncio.sleep(POLL_S)
-
-
-async def stay(record, address, name, cuts):
-    """Another client of the same edge: a session that reads a thing each 50 ms."""
-    count = 0
-    while True:
-        try:
-            session = await Session.open(address, "pri0", f"s-{name}")
-            while True:
-                await session.ask(f"{hash(name) & 0xFFFF:04x}{count:012x}", "FETCH 1")
-                count += 1
-                await asyncio.sleep(0.05)
-        except (OSError, TimeoutError, scene.asyncio.TimeoutError):
-            cuts[name] = cuts.get(name, 0) + 1
-            record.add(f"another client's session at {name} is cut")
-            await asyncio.sleep(1.0)
-
-
-async def search(record, estate, number):
-    """A search with its further tries, each at the next edge."""
-    fronts = estate.fleet.fronts()
-    for attempt in range(1 + FURTHER_TRIES):
-        name, _, address, _ = fronts[attempt % len(fronts)]
-        try:
-            session = await Session.open(address, "bnd0", f"search{number}")
-            answer = await session.ask(f"{number:08x}{attempt:08x}", "FETCH all", DEADLINE_S)
-            record.add(
-                f"search {number} at {name}: {answer.code or 'COMPLETE'}, {len(answer.rows)} rows"
-            )
-            session.close(polite=True)
-            return
-        except (OSError, TimeoutError) as error:
-            record.add(f"search {number} at {name}: {type(error).__name__}")
+        outcome = "cut"
+    ended = loop.time()
+    record.add(f"client {number}: {outcome}, {ended - sent:.3f} s after it was sent")
+    session.close()
+    return sent, ended, outcome
 
 
 async def case(record, folder):
-    """Returns whether fewer than two edges ended three times, for no trouble at their machines."""
-    MemberSession._read = read
+    """Returns whether every statement that the stopped edge took got a complete answer."""
     estate = scene.Scene(ROOT, folder, services=1)
-    ends, cuts = {}, {}
     async with estate:
-        tasks = [asyncio.ensure_future(watch_memory(record, estate, ends))]
-        for name, _, address, _ in estate.fleet.fronts():
-            tasks.append(asyncio.ensure_future(stay(record, address, name, cuts)))
-        await asyncio.sleep(2.0)
-        for number in range(SEARCHES):
-            record.add(f"search {number} begins")
-            await search(record, estate, number)
-            await asyncio.sleep(6.0)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-    thrice = sorted(name for name, count in ends.items() if count >= 3)
-    record.add(f"ends over the memory limit: {ends}; other clients' sessions cut: {cuts}")
-    record.add(f"edges that ended three times or more: {thrice}")
-    return len(thrice) < 2
+        grace_s, slack_s = estate.fleet.bounds["GraceS"], estate.fleet.bounds["LossSlackMs"] / 1000
+        await add_database(record, estate)
+        name, _, front, _ = estate.fleet.fronts()[0]
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(estate.fleet.bounds["ContactMs"] / 1000)
+        stopped_at, stopping = loop.time(), None
+        if is_troubled():
+            stopping = asyncio.ensure_future(estate.fleet.terminate(name))
+            record.add(f"SIGTERM to {name}; GraceS is {grace_s}")
+        await asyncio.sleep(FIRST_S)
+        clients = []
+        for number in range(CLIENTS):
+            clients.append(asyncio.ensure_future(ask_once(record, front, number)))
+            await asyncio.sleep(GAP_S)
+        seen = await asyncio.gather(*clients)
+        if stopping is not None:
+            record.add(f"{name} ended with {await stopping}")
+    lost = [
+        (sent, ended)
+        for sent, ended, outcome in seen
+        if outcome == "cut"
+        and ended - sent > slack_s
+        and ended - sent < TIMEOUT_MS / 1000
+        and ended - stopped_at <= grace_s + 1
+    ]
+    for sent, ended in lost:
+        record.add(
+            f"LOST: sent {sent - stopped_at:.3f} s after SIGTERM, cut {ended - stopped_at:.3f} s "
+            f"after it, {ended - sent:.3f} s after the statement; no member was ever asked"
+        )
+    record.add(f"{len(lost)} of {len(seen)} statements ended without a complete answer")
+    return not lost
+
+
+async def add_database(record, estate):
+    """Adds a route and its service, whose members have not come yet, by a configuration."""
+    route = Route(NEW_DATABASE, NEW_SERVICE, timeout_ms=TIMEOUT_MS)
+    document = estate.config()
+    document["Routes"].append(route.row())
+    document["Services"].append({**document["Services"][0], "Name": NEW_SERVICE})
+    order = await estate.operator.replace(document)
+    record.add(
+        f"configuration {document['Revision']} with database {NEW_DATABASE}, TimeoutMs "
+        f"{TIMEOUT_MS}, is answered {order.status}"
+    )
 
 
 if __name__ == "__main__":
