--- a/src/petrelhaven/control/failover/promotion.py
+++ b/src/petrelhaven/control/failover/promotion.py
@@ -60,10 +60,16 @@
         self.stuck = True
         await self._record_change(cause)
 
-    async def record_candidate(self, candidate: str) -> None:
-        """Records `candidate` as requested, which yields an unused fencing token."""
+    async def record_candidate(self, candidate: str) -> int:
+        """Records `candidate` as requested, which yields an unused fencing token.
+
+        Returns:
+            The record's number. Once it is in force, proxies acknowledge only commits that the
+            candidate has.
+        """
         if self._recorded_candidate != candidate:
             await self._record_change(f"{candidate} is to take over", candidate)
+        return self._fencing_token
 
     async def request_promotion(self, candidate: str) -> int:
         """Requests the promotion of the recorded `candidate`.
--- a/src/petrelhaven/control/failover/switchover.py
+++ b/src/petrelhaven/control/failover/switchover.py
@@ -65,11 +65,10 @@
         obstacle = await self._pause_all_except(candidate, others, survey.next_term)
         if obstacle is not None:
             return obstacle
-        await self._requests.record_candidate(candidate.name)
-        await self._context.node.lease_table.wait_in_force(self._requests.change_number)
-        if not await self._is_confirmed(candidate, others, survey):
-            return Wait(PAUSE_LOST)
-        return Promote(candidate)
+        number = await self._requests.record_candidate(candidate.name)
+        await self._context.node.lease_table.wait_in_force(number)
+        obstacle = await self._confirm_candidate(candidate, others, survey)
+        return Promote(candidate) if obstacle is None else obstacle
 
     def _find_obstacle(self, survey: GroupSurvey) -> Wait | None:
         """Returns a wait for members without an answer or departed ones without a bound."""
@@ -137,6 +136,24 @@
             await clock.sleep(_CATCH_UP_POLL_US)
         return False
 
+    async def _confirm_candidate(
+        self, candidate: MemberHandle, others: list[MemberHandle], survey: GroupSurvey
+    ) -> Wait | None:
+        """Checks that the candidate has every acknowledged commit and may still be promoted.
+
+        The record that names it is in force. Until then, a commit may have been acknowledged
+        because of a member that isn't recorded yet or that has restarted; the primary's position
+        covers these. From now on, the proxies acknowledge no commit that the candidate lacks.
+
+        Returns:
+            Why another attempt is needed, or None.
+        """
+        if not await self._wait_for_catch_up(candidate):
+            return Wait(catching_up(candidate.name, self._old_primary))
+        if not await self._is_confirmed(candidate, others, survey):
+            return Wait(PAUSE_LOST)
+        return None
+
     async def _is_confirmed(
         self, candidate: MemberHandle, others: list[MemberHandle], survey: GroupSurvey
     ) -> bool:
--- a/src/petrelhaven/proxy/routing/member_proofs.py
+++ b/src/petrelhaven/proxy/routing/member_proofs.py
@@ -42,7 +42,8 @@
         partition doesn't separate both `answered` and this proxy from the others.
 
         While the group has a lost replica without a vote, the primary may have waited for that
-        one, whose log an election does not need.
+        one, whose log an election does not need. While a member may be promoted, the primary may
+        have waited for another one.
         """
         if self._group.sync_replicas == 0:
             return False
@@ -53,6 +54,7 @@
             leadership is None
             or leadership.phase is _FAILOVER
             or leadership.primary != answered.name
+            or leadership.pending
         ):
             return True
         if position is not None and position[0] < leadership.term:
--- a/tests/stand_in/beats.py
+++ b/tests/stand_in/beats.py
@@ -8,7 +8,10 @@
 
 
 class Heartbeats:
-    """A member's calls to the system: its beats, at changes at once, and its sign-off."""
+    """A member's calls to the system: its beats, at changes at once, and its sign-off.
+
+    `first_after_s` holds the first beat back; while `cut` is set, no call gets an answer.
+    """
 
     def __init__(self, member, nodes, beat_ms):
         self._member, self._nodes, self._beat_ms = member, nodes, beat_ms
@@ -16,6 +19,7 @@
         self._soon = asyncio.Event()
         self._seq, self._turn, self._target = 0, 0, None
         self._acknowledged, self._changed = None, Signal()
+        self.first_after_s, self.cut = 0.0, False
 
     def soon(self):
         """Has the next beat sent at once."""
@@ -28,6 +32,7 @@
 
     async def run(self):
         """Beats until it is cancelled."""
+        await asyncio.sleep(self.first_after_s)
         while True:
             self._soon.clear()
             if self._nodes:
@@ -93,6 +98,9 @@
         }
 
     async def _send(self, verb):
+        if self.cut:
+            await asyncio.sleep(self._caller.seconds)
+            return None
         status, got = await self._caller.call(
             self._next_node(), "POST", self._path(verb), self._body()
         )
--- a/tests/stand_in/group.py
+++ b/tests/stand_in/group.py
@@ -117,7 +117,7 @@
         """Carries the leader's commits to one member for as long as that runs."""
         while True:
             await self.changed.wait_for(lambda: self._behind(member))
-            await asyncio.sleep(self.net_ms / 1000)
+            await asyncio.sleep(self._delay_s(member))
             if self._behind(member):
                 member.follow()
                 entries = self.leader.log[len(member.log) :]
@@ -126,6 +126,10 @@
                     entry.synced = True
                 self.changed.fire()
 
+    def _delay_s(self, member):
+        """How long a commit is on its way to a member."""
+        return (self.net_ms if member.net_ms is None else member.net_ms) / 1000
+
     def _behind(self, member):
         leader = self.leader
         if leader is None or leader is member or not (leader.running and member.running):
--- a/tests/stand_in/member.py
+++ b/tests/stand_in/member.py
@@ -11,13 +11,16 @@
 
 __all__ = ["Member"]
 
+UNHEARD_POLL_S = 0.02
+
 
 class Member:
     """A database member at its own address, with switches for its faults.
 
     `dark` says nothing, connects to it hang, and the connections of that time are reset when it is back without running
     what they hold. `deaf` receives nothing. `refuse` answers BUSY. `failing` counts statements that will run and fail,
-    `losing` counts successes that will not be told; `lost_how` is `silent` or `cut`.
+    `losing` counts successes that will not be told; `lost_how` is `silent` or `cut`. `net_ms` is how long commits are
+    on their way to it, None for the group's own. `unheard` tells of a caller's address whether it gets no answers now.
     """
 
     def __init__(self, group, id, address, zone, nodes=(), beat_ms=1200, revision="v1"):
@@ -32,6 +35,8 @@
         self.log, self.data, self.held = [], {}, 0
         self.running, self.dark, self.deaf, self.refuse = False, False, False, False
         self.failing, self.losing, self.lost_how = 0, 0, "silent"
+        self.net_ms = None
+        self.unheard = None
         self.lit = asyncio.Event()
         self.lit.set()
         self.connections = 0
@@ -110,6 +115,21 @@
         if self.running:
             await self._stop()
 
+    def beat_first_after(self, seconds):
+        """Has its first beat arrive `seconds` after its start; call it before that."""
+        self._beats.first_after_s = seconds
+
+    async def cut_from(self, unheard, seconds):
+        """Answers no caller whose address `unheard` tells so, and has no beat acknowledged, for `seconds`."""
+        self.unheard = unheard
+        self._beats.cut = True
+        for wire in list(self._sessions.values()):
+            if unheard(wire.peer):
+                wire.reset()
+        self.history.trouble(f"{self.id} cut off", seconds, machines=False)
+        await asyncio.sleep(seconds)
+        self.unheard, self._beats.cut = None, False
+
     async def say_late(self, seconds, copies=1):
         """Sends a beat of now that arrives `seconds` later, `copies` times."""
         await self._beats.send_late(seconds, copies)
@@ -291,6 +311,7 @@
             await self.lit.wait()
             line = await wire.read()
             await self.lit.wait()
+            await self._wait_while_unheard(wire)
             if line and line.endswith(("HTTP/1.1", "HTTP/1.0")):
                 await self._answer_http(wire, line)
             elif line:
@@ -303,6 +324,16 @@
             del self._sessions[task]
             wire.close()
 
+    async def _wait_while_unheard(self, wire):
+        """Keeps a caller waiting that it is cut off from, and resets its connection at the end of the cut."""
+        unheard = self.unheard
+        if unheard is None or not unheard(wire.peer):
+            return
+        while self.unheard is unheard:
+            await asyncio.sleep(UNHEARD_POLL_S)
+        wire.reset()
+        raise asyncio.CancelledError
+
     async def _answer_http(self, wire, line):
         while await wire.read():
             pass
--- a/tests/stand_in/scene.py
+++ b/tests/stand_in/scene.py
@@ -13,6 +13,7 @@
 from .operator import Operator
 from .route import Route
 from .router import Router
+from .socket_owner import is_owned_by
 from .tenant import Tenant
 from .until import until
 from .verdict import Verdict
@@ -21,6 +22,8 @@
 
 START_S = 120.0
 """Real seconds after which a start counts as a hang."""
+FIRST_JOINED_HOST = 200
+"""Members that join at addresses of their own are above this host number."""
 
 
 class Scene:
@@ -47,7 +50,8 @@
         burst=400,
         **group,
     ):
-        net = network()
+        self._net = net = network()
+        self._joined = 0
         self.history = History()
         self.zones = {f"hall-{chr(97 + i)}": f"region-{chr(97 + i)}" for i in range(zones)}
         self.cloud = Cloud({}, f"127.{net}.250.1:8186")
@@ -199,6 +203,30 @@
         await member.sign_off(serve_ms)
         return await self._replace(member)
 
+    async def join(self, service="svc0", zone=None, first_beat_after_s=0.0):
+        """Starts a new member without a log at an address of its own; returns it."""
+        group = self.groups[service]
+        self._joined += 1
+        zone = zone or group.leader.zone
+        place = list(self.zones).index(zone) + 1
+        address = f"127.{self._net}.{place}.{FIRST_JOINED_HOST + self._joined}:8080"
+        id = f"i-j{self._joined:07x}"
+        new = Member(group, id, address, zone, self.fleet.listed_controls, revision="v2")
+        new.beat_first_after(first_beat_after_s)
+        group.members[id] = new
+        return await new.start()
+
+    async def leave(self, member, drain_ms=None):
+        """A member's planned end, after which nobody stands at its address."""
+        await member.release(drain_ms or self.fleet.bounds["DrainMs"])
+        del member.group.members[member.id]
+
+    def cut_from_control(self, member, seconds):
+        """Cuts a member off from the control nodes alone, for `seconds`; returns a coroutine."""
+        controls = [m for m in self.fleet.machines.values() if m.does_serve("control")]
+        pids = {p.pid for m in controls for p in m.processes.values() if p.pid}
+        return member.cut_from(lambda peer: is_owned_by(peer, pids), seconds)
+
     async def _replace(self, member):
         new = Member(
             member.group,
--- a/tests/stand_in/wire.py
+++ b/tests/stand_in/wire.py
@@ -19,6 +19,11 @@
         host, port = address.rsplit(":", 1)
         return cls(*await asyncio.open_connection(host, int(port), limit=MESSAGE_BYTES))
 
+    @property
+    def peer(self):
+        """The other side's IP and port."""
+        return self._writer.get_extra_info("peername")
+
     async def read(self):
         """The next line, or None once the other side has closed, reset or broken the wire."""
         try:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -11,7 +11,10 @@
 from petrelhaven.control.consensus.view import View
 from petrelhaven.control.failover.coordinator import FailoverCoordinator
 from petrelhaven.control.failover.group_state import MemberEndpoint
+from petrelhaven.control.failover.promotion import PromotionRequests
+from petrelhaven.control.failover.switchover import Switchover
 from petrelhaven.control.state.control_state import ControlState
+from petrelhaven.control.state.rows import LeadershipPhase
 from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.errors import Conflict, Fenced, Invalid, NotSent, Unreachable
 from petrelhaven.runtime.tasks import BackgroundTasks
@@ -90,11 +93,29 @@
         self.lost = True
 
 
+class ProxyView:
+    """What proxies know as of one record; decides, as `MemberProofs` does, which copies make a commit acknowledged."""
+
+    def __init__(self, control_state):
+        self.seq = control_state.seq
+        self.members = set(control_state.group_members("g"))
+        self.without_vote = control_state.evidence("g").without_vote
+        leadership = control_state.leadership("g")
+        self.is_failover = leadership is not None and leadership.phase is LeadershipPhase.FAILOVER
+        self.successors = leadership.pending if leadership is not None else frozenset()
+
+    def acknowledges(self, holders):
+        """Returns whether a commit that only the primary and `holders` have is acknowledged."""
+        voting = holders & self.members - self.without_vote
+        if self.successors:
+            return bool(voting) and self.successors <= holders
+        return bool(voting if self.is_failover or self.without_vote else holders)
+
+
 class SimulatedGroup:
     """A group that acknowledges a commit once a replica has it, its platform and its control node.
 
-    Its proxies apply each record `in_force_delay_s` after it was committed. While they know of
-    replicas without a vote, they acknowledge a commit only once a replica that votes has it.
+    Its proxies apply each record `in_force_delay_s` after it was committed. They acknowledge a commit by `ProxyView`.
     """
 
     def __init__(self, names=("p", "r1", "r2"), zones=None):
@@ -105,7 +126,7 @@
         self.trace, self.acknowledged, self.fencing_token, self.promoted_names = [], (1, 5), 0, []
         self.rng, self.in_force_delay_s, self.platform_outcomes = random.Random(1), 0.0, []
         self.promotion_delay_s = 0.2
-        self.proxies_seq, self.proxies_without_vote = 0, ()
+        self.proxy_view = ProxyView(ControlState())
         self.wire = self.platform = self.node_caller = self.lease_table = self
         self.name, self.zone, self.heartbeat_us, self.last_heartbeats = (
             "c1",
@@ -143,16 +164,14 @@
         control_state = self.chain.control_state
         control_state.check(record)
         control_state.apply(control_state.seq + 1, record)
-        evidence = control_state.doc["evidence"].get("g", {})
-        without_vote = (*evidence.get("non_voting", ()), *evidence.get("counted_out", ()))
         asyncio.get_running_loop().call_later(
-            self.in_force_delay_s, self.apply_at_proxies, control_state.seq, without_vote
+            self.in_force_delay_s, self.apply_at_proxies, ProxyView(control_state)
         )
         return control_state.seq
 
-    def apply_at_proxies(self, seq, without_vote):
-        if seq > self.proxies_seq:
-            self.proxies_seq, self.proxies_without_vote = seq, without_vote
+    def apply_at_proxies(self, view):
+        if view.seq > self.proxy_view.seq:
+            self.proxy_view = view
 
     async def append_record(self, record):
         await asyncio.sleep(0.005)
@@ -169,11 +188,21 @@
 
     def join(self, name, position=None):
         """Adds a member at a new address; it starts to receive 0.1 s after its first heartbeat."""
-        member = self.members[name] = Member(name, "replica")
-        member.term = max(other.term for other in self.members.values())
-        member.position = position or (1, 0)
+        member = self.start_unannounced(name, position)
         member.receiving = False
         asyncio.get_running_loop().call_later(0.1, setattr, member, "receiving", True)
+        self.announce(name)
+
+    def start_unannounced(self, name, position=None):
+        """Adds a member that receives at once, before its first heartbeat; returns it."""
+        member = Member(name, "replica")
+        member.term = max(other.term for other in self.members.values())
+        member.position = position or (1, 0)
+        self.members[name] = member
+        return member
+
+    def announce(self, name):
+        """Records the first heartbeat of a member."""
         self.apply_record(
             {
                 "t": "member",
@@ -206,8 +235,7 @@
         return self.chain.control_state.evidence("g")
 
     async def wait_in_force(self, seq):
-        await asyncio.sleep(self.in_force_delay_s)
-        while self.proxies_seq < seq:
+        while self.proxy_view.seq < seq:
             await asyncio.sleep(0.005)
         self.trace.append(("in force", seq))
 
@@ -277,7 +305,10 @@
         self.trace.append(("leads", name))
 
     def commit_once(self):
-        """Commits on the primary; each receiving replica gets the log with probability 0.5."""
+        """Commits on the primary; each receiving replica gets the log with probability 0.5.
+
+        Proxies go by the replicas that get this commit at once: earlier ones are behind it in the log.
+        """
         primary = next(
             (
                 member
@@ -289,20 +320,22 @@
         if primary is None:
             return
         primary.position = (primary.term, primary.position[1] + 1)
-        for member in self.members.values():
-            if (
-                member is not primary
-                and member.running
-                and member.receiving
-                and not member.paused_term
-                and self.rng.random() < 0.5
-            ):
-                member.position = primary.position
-                if member.name not in self.proxies_without_vote:
-                    self.acknowledged = max(self.acknowledged, primary.position)
+        holders = {
+            member.name
+            for member in self.members.values()
+            if member is not primary
+            and member.running
+            and member.receiving
+            and not member.paused_term
+            and self.rng.random() < 0.5
+        }
+        for name in holders:
+            self.members[name].position = primary.position
+        if self.proxy_view.acknowledges(holders):
+            self.acknowledged = primary.position
 
     def announce_role_changes(self):
-        """Records changed roles of members at once."""
+        """Records changed roles of known members at once."""
         for name, row in self.chain.control_state.group_members("g").items():
             if self.members[name].running and self.members[name].role != row["role"]:
                 self.apply_record(
@@ -614,13 +647,11 @@
         group.members["r2"].receiving = True
         await group.wait_until(lambda: group.promoted_names and group.settled)
         assert group.promoted_names == ["r2"] and group.leadership["primary"] == "r2"
-        seq = next(entry[2] for entry in group.trace if entry[0] == "swap")
+        fencing_token = max(entry[2] for entry in group.trace if entry[0] == "swap")
         assert (
             group.trace_index("pause", "r1")
-            < group.trace_index("in force", seq)
-            < group.trace_index(
-                "promote", "r2", max(entry[2] for entry in group.trace if entry[0] == "swap")
-            )
+            < group.trace_index("in force", fencing_token)
+            < group.trace_index("promote", "r2", fencing_token)
             < group.trace_index("serve", "r2")
         )
         assert ("pause", "r2") not in [entry[:2] for entry in group.trace]
@@ -1357,6 +1388,99 @@
     run_simulated(go)
 
 
+def stop_receiving_at_promotion(group):
+    """Has each candidate receive nothing from the moment that the platform is asked for it."""
+    request_promotion = group.promote
+
+    async def promote(service, name, fencing_token, holder):
+        group.members[name].receiving = False
+        await request_promotion(service, name, fencing_token, holder)
+
+    group.promote = promote
+
+
+async def switch_over_beside_an_unannounced_member(group):
+    """A member receives before its first heartbeat, while the primary is replaced."""
+    stop_receiving_at_promotion(group)
+    group.start_unannounced("n1")
+    group.set_member_state("p", "draining")
+    await group.wait_until(lambda: group.promoted_names and group.settled)
+
+
+CHANGES_WITH_ANOTHER_RECEIVER = [switch_over_beside_an_unannounced_member]
+SEEDS = range(4)
+
+
+async def change_leader(group, change, seed, delay_s):
+    """Changes the leader with proxies that apply records `delay_s` late and a promotion that takes 0.5 s."""
+    group.rng, group.in_force_delay_s, group.promotion_delay_s = random.Random(seed), delay_s, 0.5
+    await change(group)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("delay_s", [0.0, 0.4])
+@pytest.mark.parametrize("change", CHANGES_WITH_ANOTHER_RECEIVER)
+def test_no_acknowledged_commit_rests_on_a_member_beside_the_candidate(change, delay_s, seed):
+    """Guards against lost commits: a member that is unknown, or whose pause a restart ended, alone receives them."""
+    run_simulated(lambda group: change_leader(group, change, seed, delay_s))
+
+
+def proxies_ignore_successors(monkeypatch):
+    acknowledges = ProxyView.acknowledges
+
+    def acknowledge_without_successors(view, holders):
+        view.successors = frozenset()
+        return acknowledges(view, holders)
+
+    monkeypatch.setattr(ProxyView, "acknowledges", acknowledge_without_successors)
+
+
+def candidate_needs_not_be_in_force(monkeypatch):
+    record_candidate = PromotionRequests.record_candidate
+
+    async def return_number_in_force(requests, candidate):
+        await record_candidate(requests, candidate)
+        return 0
+
+    monkeypatch.setattr(PromotionRequests, "record_candidate", return_number_in_force)
+
+
+def candidate_catches_up_only_before_its_record(monkeypatch):
+    wait_for_catch_up, prepared = Switchover._wait_for_catch_up, set()
+
+    async def wait_once(switchover, candidate):
+        if switchover in prepared:
+            return True
+        prepared.add(switchover)
+        return await wait_for_catch_up(switchover, candidate)
+
+    monkeypatch.setattr(Switchover, "_wait_for_catch_up", wait_once)
+
+
+@pytest.mark.parametrize(
+    ("remove_guard", "changes"),
+    [
+        (proxies_ignore_successors, CHANGES_WITH_ANOTHER_RECEIVER),
+        (candidate_needs_not_be_in_force, CHANGES_WITH_ANOTHER_RECEIVER),
+        (candidate_catches_up_only_before_its_record, CHANGES_WITH_ANOTHER_RECEIVER[:1]),
+    ],
+)
+def test_without_a_guard_of_the_candidate_the_model_loses_commits(
+    monkeypatch, remove_guard, changes
+):
+    remove_guard(monkeypatch)
+    for change in changes:
+        assert any(_is_lossy(change, seed) for seed in range(20)), change
+
+
+def _is_lossy(change, seed):
+    try:
+        run_simulated(lambda group: change_leader(group, change, seed, 0.4))
+    except AssertionError:
+        return True
+    return False
+
+
 class Departures:
     """Planned member replacements, in which the new member joins first, and temporary faults.
 
--- a/tests/test_unleased_commits.py
+++ b/tests/test_unleased_commits.py
@@ -194,10 +194,12 @@
         self.took_us = clock.now() - started_at
         return reply
 
-    def set_leadership(self, phase, primary, term):
-        """Applies a new leadership record to the proxy."""
+    def set_leadership(self, phase, primary, term, requested=()):
+        """Applies a new leadership record to the proxy; `requested` may be promoted."""
         number = self.control_state.doc["offices"]["g"]["n"] + 1
         record = {"t": "office", "group": "g", "n": number, "phase": phase, "primary": primary}
+        if requested:
+            record["requested"] = list(requested)
         self.control_state.apply(self.control_state.seq + 1, record | {"term": term, "cause": ""})
         self.group.apply_control_state(self.control_state, False)
 
@@ -423,6 +425,86 @@
     warp(go())
 
 
+@STATEMENT_KINDS
+@pytest.mark.parametrize("phase", ["swap", "move"])
+@pytest.mark.parametrize(
+    ("requested", "code"),
+    [(["m1"], ""), (["m2"], "unsure"), (["m1", "m2"], "unsure"), (["gone"], "unsure")],
+)
+def test_while_members_may_be_promoted_each_of_them_must_show_the_write(
+    warp, kind, phase, requested, code
+):
+    """Guards against lost commits: only a member has them that is unknown, or whose pause a restart ended."""
+
+    async def go():
+        scenario = _Scenario(kind, {"m1": EVEN, "m2": BEHIND}, confirmed=True)
+        scenario.meanwhile = lambda: scenario.set_leadership(phase, "p", 1, requested)
+        reply = await scenario.run()
+        assert ("" if reply.ok else reply.code) == code
+        assert scenario.took_us < 600_000
+
+    warp(go())
+
+
+@STATEMENT_KINDS
+def test_a_candidate_that_shows_the_write_is_the_only_one_that_is_asked(warp, kind):
+    async def go():
+        scenario = _Scenario(kind, {"m1": BEHIND, "m2": EVEN}, confirmed=True, remote_member="m2")
+        scenario.set_leadership("swap", "p", 1, ["m2"])
+        assert (await scenario.run()).ok
+        assert len(scenario.proxy.wire.requests) == 1
+
+    warp(go())
+
+
+@STATEMENT_KINDS
+@pytest.mark.parametrize(("late_log", "code"), [(BEHIND, "unsure"), (EVEN, "")])
+def test_a_candidate_that_is_named_while_replicas_are_asked_must_show_the_write(
+    warp, kind, late_log, code
+):
+    """Guards against lost commits: the primary answered before the proxy knew of the candidate."""
+
+    async def go():
+        delays = {"m1": 30_000, "m2": 30_000}
+        scenario = _Scenario(kind, {"m1": EVEN, "m2": late_log}, delays=delays)
+        name_candidate = lambda: scenario.set_leadership("swap", "p", 1, ["m2"])  # noqa: E731
+        scenario.proxy.clock.call_later(10_000, name_candidate)
+        reply = await scenario.run()
+        assert ("" if reply.ok else reply.code) == code
+
+    warp(go())
+
+
+@STATEMENT_KINDS
+@pytest.mark.parametrize("new_primarys_log", [BEHIND, LATER_TERM])
+def test_a_new_primary_without_the_write_leaves_it_unsure(warp, kind, new_primarys_log):
+    """Guards against lost commits: the candidate leads by the time that another replica shows the write."""
+
+    async def go():
+        delays = {"m1": 60_000}
+        scenario = _Scenario(
+            kind, {"m1": EVEN, "m2": new_primarys_log}, confirmed=True, delays=delays
+        )
+        scenario.set_leadership("swap", "p", 1, ["m2"])
+        scenario.proxy.clock.call_later(
+            20_000, lambda: scenario.set_leadership("serve", "m2", LATER_TERM[0])
+        )
+        assert (await scenario.run()).code == "unsure"
+
+    warp(go())
+
+
+@STATEMENT_KINDS
+def test_a_cancelled_leader_change_needs_its_candidate_no_more(warp, kind):
+    async def go():
+        scenario = _Scenario(kind, {"m1": EVEN, "m2": BEHIND}, confirmed=True)
+        scenario.set_leadership("swap", "p", 1, ["m2"])
+        scenario.proxy.clock.call_later(60_000, lambda: scenario.set_leadership("serve", "p", 1))
+        assert (await scenario.run()).ok
+
+    warp(go())
+
+
 def test_a_lease_that_was_not_renewed_for_a_while_still_holds_but_is_not_confirmed():
     now = 5_000_000
     clock = types.SimpleNamespace(now=lambda: now)
