--- a/src/petrelhaven/control/failover/failover.py
+++ b/src/petrelhaven/control/failover/failover.py
@@ -65,9 +65,13 @@
         return self._context.evidence(self._group)
 
     async def _record_candidate(self, candidate: MemberHandle) -> None:
-        """Records the candidate; returns once every proxy has applied the failover record."""
-        await self._requests.record_candidate(candidate.name)
-        await self._context.node.lease_table.wait_in_force(self._requests.change_number)
+        """Records the candidate; returns once every proxy has applied that record.
+
+        From then on, the proxies acknowledge no commit that the candidate lacks, even if another
+        replica restarts, which ends its pause.
+        """
+        number = await self._requests.record_candidate(candidate.name)
+        await self._context.node.lease_table.wait_in_force(number)
 
     async def _confirm_candidate(
         self, candidate: MemberHandle, survey: GroupSurvey
--- a/src/petrelhaven/control/failover/promotion.py
+++ b/src/petrelhaven/control/failover/promotion.py
@@ -31,7 +31,6 @@
     Attributes:
         planned: Whether the change is a switchover, during which the old primary serves.
         stuck: Whether proxies reject writes, since no primary is expected soon.
-        change_number: The number of the record that started the change.
         requested: Members that may still be promoted by a request of this change.
     """
 
@@ -39,7 +38,6 @@
         """Takes the pending requests from the group's leadership record."""
         self._context, self._group = context, group
         self.planned, self.stuck = planned, False
-        self.change_number = 0
         leadership = context.leadership(group)
         self._primary, self._term = leadership.primary, leadership.term
         self.requested = leadership.pending
@@ -53,7 +51,6 @@
     async def record_start(self, cause: str) -> None:
         """Records the start of the change."""
         await self._record_change(cause)
-        self.change_number = self._fencing_token
 
     async def record_stuck(self, cause: str) -> None:
         """Records that no primary is expected soon."""
--- a/tests/test_acknowledged_commits.py
+++ b/tests/test_acknowledged_commits.py
@@ -20,6 +20,8 @@
 WARM_UP_S, AFTER_S = 1.5, 1.5
 PROMOTE_MS = 600
 LATE_BEAT_S = 3.0
+DOWN_S = 0.1
+CUT_S = 5.0
 LED_WITHIN_S = 20
 BOUNDS = {"ContactMs": 4000, "DrainMs": 4000, "GraceS": 4}
 
@@ -124,6 +126,37 @@
     leaving.cancel()
 
 
+async def restart_other_replica(scene, group, old):
+    """Restarts the paused replica while the platform promotes the candidate."""
+    candidate = await deafen_candidate(scene, group)
+    other = next(m for m in group.members.values() if m not in (old, candidate))
+    await other.crash()
+    await asyncio.sleep(DOWN_S)
+    await other.start()
+    await until_it_leads(scene, group, candidate)
+
+
+async def restart_amid_a_release(scene, group):
+    leaving = asyncio.ensure_future(scene.leave(group.leader))
+    await restart_other_replica(scene, group, group.leader)
+    leaving.cancel()
+
+
+async def restart_amid_a_failover(scene, group):
+    old = group.leader
+    cut = asyncio.ensure_future(scene.cut_from_control(old, CUT_S))
+    await restart_other_replica(scene, group, old)
+    await cut
+
+
 def test_a_new_member_whose_first_beat_is_late_costs_no_acknowledged_commit(built, tmp_path):
     """Guards against acknowledged commits that only a member has which no control node knows (review/4)."""
     assert play(built, tmp_path, release_beside_a_late_beat) == []
+
+
+@pytest.mark.parametrize("change_leader", [restart_amid_a_release, restart_amid_a_failover])
+def test_a_paused_replica_that_restarts_during_a_promotion_costs_no_acknowledged_commit(
+    built, tmp_path, change_leader
+):
+    """Guards against acknowledged commits that only a replica has whose pause ended with its restart (review/5)."""
+    assert play(built, tmp_path, change_leader) == []
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -432,7 +432,7 @@
         fencing_token = max(entry[2] for entry in group.trace if entry[0] == "move")
         assert (
             max(group.trace_index("pause", "r1"), group.trace_index("pause", "r2"))
-            < group.trace_index("in force", failover_number)
+            < group.trace_index("in force", fencing_token)
             < group.trace_index("promote", candidate, fencing_token)
         )
         assert fencing_token > failover_number
@@ -1407,7 +1407,32 @@
     await group.wait_until(lambda: group.promoted_names and group.settled)
 
 
-CHANGES_WITH_ANOTHER_RECEIVER = [switch_over_beside_an_unannounced_member]
+async def restart_other_during_promotion(group):
+    """Restarts the paused replica that is not promoted; its restart ends its pause."""
+    stop_receiving_at_promotion(group)
+    await group.wait_until(lambda: group.promoted_names)
+    other = ({"r1", "r2"} - set(group.promoted_names)).pop()
+    group.members[other].paused_term = 0
+    await group.wait_until(lambda: group.settled)
+
+
+async def switch_over_while_a_replica_restarts(group):
+    group.set_member_state("p", "draining")
+    await restart_other_during_promotion(group)
+
+
+async def fail_over_while_a_replica_restarts(group):
+    """The primary serves on, unreachable for the control nodes."""
+    group.set_reachability("p")
+    group.coordinator.suspect("g", "p", "mute")
+    await restart_other_during_promotion(group)
+
+
+CHANGES_WITH_ANOTHER_RECEIVER = [
+    switch_over_beside_an_unannounced_member,
+    switch_over_while_a_replica_restarts,
+    fail_over_while_a_replica_restarts,
+]
 SEEDS = range(4)
 
 
@@ -1514,6 +1539,34 @@
         if name in self.staying():
             await group.drain_and_end(name, 7.3 + (choice % 5) * 1.5, signs_off=choice % 7 != 0)
 
+    async def _replace_with_late_heartbeat(self, choice, seconds):
+        """Replaces any member; the new one receives for some seconds before its first heartbeat."""
+        group = self.group
+        names = self.staying()
+        if len(names) < 3:
+            return
+        self.count += 1
+        new = f"n{self.count}"
+        group.start_unannounced(new)
+        asyncio.get_running_loop().call_later(seconds + choice % 3, group.announce, new)
+        await group.drain_and_end(names[choice % len(names)])
+
+    async def _restart(self, choice, seconds):
+        """Restarts a replica, which ends its pause; it is away for a tenth of a second."""
+        names = [
+            name
+            for name, member in sorted(self.group.members.items())
+            if member.running and member.role == "replica"
+        ]
+        if not names:
+            return
+        member = self.group.members[names[choice % len(names)]]
+        member.running = False
+        await asyncio.sleep(0.1)
+        name = next(name for name, other in self.group.members.items() if other is member)
+        if self.group.chain.control_state.doc["members"].get(name, {}).get("state") != "gone":
+            member.running, member.paused_term = True, 0
+
     async def _stop_receiving(self, choice, seconds):
         await self._without("receiving", choice, seconds)
 
@@ -1672,3 +1725,29 @@
         await lose_two_primaries(group)
 
     run_simulated(go, zones={"p": "b", "r2": "b"})
+
+
+@GENERATED
+@given(
+    departure_events(
+        "replace_with_late_heartbeat",
+        "replace_with_late_heartbeat",
+        "restart",
+        "restart",
+        "restart",
+        "single_receiver",
+        "delay_records",
+        "lose_head_role",
+        "suspect",
+    ),
+    st.integers(0, 1 << 30),
+)
+def test_generated_restarts_and_late_heartbeats_lose_no_acknowledged_commit(events, seed):
+    """Guards against commits that rest on a member beside the candidate; `become_primary` checks each promoted log."""
+
+    async def go(group):
+        group.promotion_delay_s = 0.6
+        await run_departures(group, random.Random(seed), events)
+        await asyncio.sleep(10)
+
+    run_simulated(go, zones={"p": "b", "r2": "b"})
