--- a/tests/test_connection_sessions_storm.py
+++ b/tests/test_connection_sessions_storm.py
@@ -16,7 +16,13 @@
 from petrelhaven.proxy import core_connection as core_connection
 from petrelhaven.proxy.pool import member_connection as member_connection
 from petrelhaven.proxy.reads import read_clock as clock
-from petrelhaven.proxy.routing import attempt, group, member_calls, member_proofs
+from petrelhaven.proxy.routing import (
+    attempt,
+    commit_confirmation,
+    group,
+    member_calls,
+    member_proofs,
+)
 from petrelhaven.proxy.routing import transaction_path as held_transactions
 from petrelhaven.proxy.routing import write_path as held_writes
 from petrelhaven.proxy.session.statement import Reply
@@ -106,6 +112,12 @@
     mp.setattr(MemberHandle, "resume", resume_)
 
 
+def successors_ignored(mp):
+    """Any known replica that shows a commit is enough, whoever may be promoted."""
+    none = property(lambda self: frozenset())
+    mp.setattr(commit_confirmation.CommitConfirmation, "_successors", none)
+
+
 def lowest_candidate(mp):
     real = LeaderChange._promote
 
@@ -314,8 +326,21 @@
     return await f.check_commits() + f.verdict()
 
 
+# The candidate receives nothing, and the other replicas restart while it is promoted, which ends their pauses.
+RESTARTS_AMID_A_PROMOTION = [
+    (1.0, "deaf_heir", 1),
+    (1.5, "release_primary", 2),
+    *((1.7 + 0.2 * turn, "replica_blink", turn) for turn in range(4)),
+]
+
 GUARDS = [
-    ("LOST", no_pause, [(1.0, "deaf_heir", 1), (1.5, "release_primary", 2)], {}),
+    (
+        "LOST",
+        (no_pause, successors_ignored),
+        [(1.0, "deaf_heir", 1), (1.5, "release_primary", 2)],
+        {},
+    ),
+    ("LOST", successors_ignored, RESTARTS_AMID_A_PROMOTION, {"took_us": 900_000}),
     ("LOST", lowest_candidate, ["primary_crash", "replica_deaf", "replica_deaf"], {}),
     (
         "STALE",
@@ -392,3 +417,9 @@
 @pytest.mark.parametrize("seed", [1, 52, 56])
 def test_a_read_whose_client_was_answered_is_not_sent_any_more(seed):
     assert run(seed, kinds=["replica_lag", "member_busy"], cap=10, clients=18)[0] == []
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_replicas_that_restart_during_a_promotion_cost_no_acknowledged_commit(seed):
+    """Guards against lost commits: only a replica has them whose pause ended with its restart (review/5)."""
+    assert run(seed, RESTARTS_AMID_A_PROMOTION, took_us=900_000)[0] == []
