--- a/src/petrelhaven/proxy/node.py
+++ b/src/petrelhaven/proxy/node.py
@@ -26,7 +26,7 @@
 from petrelhaven.proxy.tenants.admission import QuotaAdmission
 from petrelhaven.proxy.tenants.directory import ANONYMOUS_TENANT, Tenant, TenantDirectory
 from petrelhaven.runtime.clock import Clock
-from petrelhaven.runtime.errors import Busy, DeadlineExceeded, Denied, NoRoute
+from petrelhaven.runtime.errors import Busy, DeadlineExceeded, Denied, Draining, NoRoute
 from petrelhaven.runtime.events import Events, emit
 from petrelhaven.runtime.key_digest import key_digest
 from petrelhaven.runtime.tasks import BackgroundTasks
@@ -143,6 +143,7 @@
         self._bounds = ProxyBounds()
         self._path = StatementPath(self)
         self._configured: asyncio.Future[None] | None = None
+        self._accepts_statements = True
         Machine(
             self,
             states=self.states,
@@ -161,6 +162,20 @@
         emit(self.log, Events.NODE_STARTED, name=self.name, zone=self.zone)
         self.core_connection.start()
 
+    def end_waits(self) -> None:
+        """Answers statements that ran nowhere as not run; call it repeatedly while draining.
+
+        Such statements wait for a primary, a connection, a log position or a permit. Those that a
+        member may be running go on.
+        """
+        self.request_slots.end_waits()
+
+    def end_statements(self) -> None:
+        """Answers all statements with what is known of them, and refuses new ones."""
+        self._accepts_statements = False
+        self.request_slots.end_waits()
+        self.request_slots.end_all()
+
     def bounds(self) -> ProxyBounds:
         """Returns the limits that currently apply."""
         return self._bounds
@@ -343,11 +358,9 @@
         )
         if tenant is None:
             return self._deny(request)
-        if self._is_bound_to_another_tenant(session, tenant):
-            text = "another tenant has this key now"
-            return self._path.transactions.abort_transaction(request, text)
-        if tenant is not ANONYMOUS_TENANT and not self._keys_are_current():
-            return self._path.transactions.refuse_statement(request, self.retry_after())
+        refusal = self._refuse_if_not_admissible(request, tenant)
+        if refusal is not None:
+            return refusal
         self._update_tenant(session, tenant)
         if self.embargo is not None:
             refusal = self.embargo.refuse_if_withheld(session, statement, group.name)
@@ -362,6 +375,16 @@
             self._log_not_served(request, reply, self.clock.now() - started)
         return reply
 
+    def _refuse_if_not_admissible(self, request: Request, tenant: Tenant) -> Reply | None:
+        """Returns a refusal if the statement of a session of `tenant` may not run now."""
+        if self._is_bound_to_another_tenant(request.session, tenant):
+            text = "another tenant has this key now"
+            return self._path.transactions.abort_transaction(request, text)
+        has_outdated_key = tenant is not ANONYMOUS_TENANT and not self._keys_are_current()
+        if has_outdated_key or not self._accepts_statements:
+            return self._path.transactions.refuse_statement(request, self.retry_after())
+        return None
+
     def _keys_are_current(self) -> bool:
         """Whether the control state is recent enough to accept keys.
 
@@ -397,7 +420,11 @@
         session = request.session
         in_transaction = session.transaction is not None
         try:
-            return await self.request_slots.run(self._path.run(request), time_limit_us)
+            return await self.request_slots.run(
+                self._path.run(request), time_limit_us, lambda: request.has_run_nowhere
+            )
+        except Draining:
+            return self._path.transactions.refuse_statement(request, self.retry_after())
         except Busy as fault:
             delay_us: int = fault.retry_after_us  # type: ignore[assignment]  # never None in Busy
             code, text = "busy", self.retry_after(delay_us)
--- a/src/petrelhaven/proxy/routing/member_calls.py
+++ b/src/petrelhaven/proxy/routing/member_calls.py
@@ -94,12 +94,14 @@
             if connection is not None:
                 self._return_connection(member, connection, reusable)
 
-    async def send_in_transaction(
-        self, connection: MemberConnection, session: ClientSession, statement: Statement
-    ) -> Reply:
+    async def send_in_transaction(self, request: Request, connection: MemberConnection) -> Reply:
         """Sends a statement of the transaction on `connection` and returns the member's reply."""
+        session, statement = request.session, request.statement
         alias, _ = await self._set_up(connection, session, statement)
-        return await connection.send_statement(statement, None, alias)
+        request.possible_runs += 1
+        reply = await connection.send_statement(statement, None, alias)
+        self._uncount_if_not_run(request, reply)
+        return reply
 
     async def begin(
         self,
--- a/src/petrelhaven/proxy/routing/request.py
+++ b/src/petrelhaven/proxy/routing/request.py
@@ -42,6 +42,11 @@
     permit: int | None = None
     possible_runs: int = 0
 
+    @property
+    def has_run_nowhere(self) -> bool:
+        """Whether no member has run it and none can be running it now."""
+        return self.possible_runs == 0
+
     def oldest_usable_fetch(self, now: int) -> int | None:
         """Returns the earliest start of a fetch that a browsing read may use; None if strong."""
         if not self.route.browsing:
--- a/src/petrelhaven/proxy/routing/request_slots.py
+++ b/src/petrelhaven/proxy/routing/request_slots.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, TypeVar
 
-from petrelhaven.runtime.errors import Busy, DeadlineExceeded
+from petrelhaven.runtime.errors import Busy, DeadlineExceeded, Draining
 
 if TYPE_CHECKING:
     from petrelhaven.proxy.routing.interfaces import Continuation
@@ -22,14 +23,19 @@
 _DEFAULT_SLOTS = 512
 
 
+def _never() -> bool:
+    return False
+
+
 class _Slot:
     """A slot for one continuation; `generation` increases each time that it is freed."""
 
-    __slots__ = ("generation", "continuation", "outcome", "timer", "waits_for")
+    __slots__ = ("generation", "continuation", "outcome", "has_run_nowhere", "timer", "waits_for")
 
     generation: int
     continuation: Continuation[Any]
     outcome: asyncio.Future[Any]
+    has_run_nowhere: Callable[[], bool]
     timer: asyncio.TimerHandle
     waits_for: asyncio.Future[Any] | None
 
@@ -63,13 +69,17 @@
             self._free.append(index)
 
     def run(
-        self, continuation: Continuation[_Result], time_limit_us: int
+        self,
+        continuation: Continuation[_Result],
+        time_limit_us: int,
+        has_run_nowhere: Callable[[], bool] = _never,
     ) -> asyncio.Future[_Result]:
         """Starts a continuation.
 
         Args:
             continuation: The continuation to run; it is closed if no slot is free.
             time_limit_us: The time after which `DeadlineExceeded` is thrown into it.
+            has_run_nowhere: Returns whether its request certainly ran nowhere, see `end_waits`.
 
         Returns:
             A future of its result.
@@ -85,22 +95,39 @@
         slot = self._slots[index]
         outcome: asyncio.Future[_Result] = asyncio.get_running_loop().create_future()
         slot.continuation, slot.outcome = continuation, outcome
+        slot.has_run_nowhere = has_run_nowhere
         generation = slot.generation
         slot.timer = self.clock.call_later(time_limit_us, lambda: self._expire(index, generation))
         self._resume(index, generation, None, None)
         return outcome
 
+    def end_waits(self) -> None:
+        """Throws `Draining` into every continuation whose request ran nowhere."""
+        for index in self._used_indices():
+            slot = self._slots[index]
+            if slot.has_run_nowhere():
+                self._interrupt(index, slot.generation, Draining("the proxy drains"))
+
+    def end_all(self) -> None:
+        """Throws `DeadlineExceeded` into every continuation; it may still return a result."""
+        for index in self._used_indices():
+            fault = DeadlineExceeded("the proxy stops")
+            self._interrupt(index, self._slots[index].generation, fault)
+
+    def _used_indices(self) -> list[int]:
+        free = set(self._free)
+        return [index for index in range(len(self._slots)) if index not in free]
+
     def _expire(self, index: int, generation: int) -> None:
         """Throws `DeadlineExceeded` into a continuation; it may still return a result."""
+        self._interrupt(index, generation, DeadlineExceeded("horizon passed"))
+
+    def _interrupt(self, index: int, generation: int, fault: DeadlineExceeded) -> None:
+        """Throws `fault` into a continuation, unless another one has the slot by now."""
         slot = self._slots[index]
         if slot.generation == generation:
             slot.waits_for = None
-            self._resume(
-                index,
-                generation,
-                None,
-                DeadlineExceeded("horizon passed"),
-            )
+            self._resume(index, generation, None, fault)
 
     def _wake(self, index: int, generation: int, awaited: asyncio.Future[Any]) -> None:
         """Resumes a continuation with the result of `awaited`, if it still waits for that."""
@@ -145,7 +172,7 @@
         slot.generation += 1
         slot.timer.cancel()
         outcome = slot.outcome
-        del slot.continuation, slot.outcome
+        del slot.continuation, slot.outcome, slot.has_run_nowhere
         slot.waits_for = None
         self._free.append(index)
         if outcome.done():
--- a/src/petrelhaven/proxy/routing/transaction_path.py
+++ b/src/petrelhaven/proxy/routing/transaction_path.py
@@ -39,8 +39,7 @@
 
     def run(self, request: Request) -> Continuation[Reply]:
         """Runs a statement; the first one begins the transaction at a member."""
-        session, statement = request.session, request.statement
-        transaction: Transaction = session.transaction  # type: ignore[assignment]  # a transaction is open
+        transaction: Transaction = request.session.transaction  # type: ignore[assignment]  # a transaction is open
         if transaction.connection is None:
             reason = yield from self._begin_at_member(request, transaction)
             if reason is not None:
@@ -56,7 +55,7 @@
             attempt.started_us = self._clock.now()
             attempt.member.note_asked(attempt.started_us)
             attempt.task = self._proxy.tasks.spawn(  # type: ignore[assignment]  # the node runs
-                self._calls.send_in_transaction(connection, session, statement)
+                self._calls.send_in_transaction(request, connection)
             )
             with contextlib.suppress(DeadlineExceeded):
                 yield wait_for_first(self._clock, [attempt.task], limit_us)
--- a/src/petrelhaven/runtime/errors.py
+++ b/src/petrelhaven/runtime/errors.py
@@ -166,6 +166,10 @@
     """A time limit has passed; the requested operation may still take effect."""
 
 
+class Draining(DeadlineExceeded, code="draining", retry_after_us=250_000):
+    """The proxy drains and ended the wait of a statement that certainly ran nowhere."""
+
+
 class Unreachable(Fault, code="unreached", status=503, retry_after_us=300_000):
     """The remote side didn't answer; it may have received the message."""
 
--- a/tests/test_connection_sessions_storm.py
+++ b/tests/test_connection_sessions_storm.py
@@ -241,9 +241,10 @@
 def another_connection(mp):
     real = member_calls.MemberCalls.send_in_transaction
 
-    async def pinned(self, c, v, a):
-        idle = v.transaction.member.pool.idle
-        return await real(self, idle[0] if idle and a.verb != "commit" else c, v, a)
+    async def pinned(self, request, c):
+        idle = request.session.transaction.member.pool.idle
+        commits = request.statement.verb == "commit"
+        return await real(self, request, idle[0] if idle and not commits else c)
 
     mp.setattr(member_calls.MemberCalls, "send_in_transaction", pinned)
 
--- a/tests/test_unleased_commits.py
+++ b/tests/test_unleased_commits.py
@@ -87,7 +87,7 @@
         self._meanwhile()
         return Reply(position=WRITTEN, state="I")
 
-    async def send_in_transaction(self, connection, session, statement):
+    async def send_in_transaction(self, request, connection):
         self._meanwhile()
         return Reply(position=WRITTEN, state="I")
 
