A node that stops answers the HTTP requests in progress

It is answered 504 with when to come back now; the order may be in force or not, and may be sent again. test_a_request_in_progress_is_answered_when_the_server_closes fails without the change (no answer).

--- a/src/petrelhaven/transport/light_http.py
+++ b/src/petrelhaven/transport/light_http.py
@@ -9,7 +9,7 @@
 
 import h11
 
-from petrelhaven.runtime.errors import Fault, Malformed, TooLarge
+from petrelhaven.runtime.errors import DeadlineExceeded, Fault, Malformed, TooLarge
 from petrelhaven.runtime.events import Events, emit
 from petrelhaven.transport.delivery import Delivery
 
@@ -221,7 +221,11 @@
         self._transport.write(encoded + (self._protocol.send(h11.EndOfMessage()) or b""))
 
     def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection; answers a request in progress that it may still take effect."""
+        if self._serving_task is not None and not self._transport.is_closing():
+            fault = DeadlineExceeded("this node stops; the request may still take effect")
+            document = json.dumps(fault.doc()).encode()
+            self._respond(fault.status, document, _retry_after(fault), close=True)
         self._transport.close()
 
 
@@ -324,7 +328,7 @@
         return self.addr
 
     async def close(self) -> None:
-        """Stops listening and closes all connections."""
+        """Stops listening, answers requests in progress and closes all connections."""
         if self._listener is not None:
             self._listener.close()
         for connection in list(self.connections):
--- a/tests/test_light_http.py
+++ b/tests/test_light_http.py
@@ -411,6 +411,24 @@
     talk(go)
 
 
+def test_a_request_in_progress_is_answered_when_the_server_closes():
+    """Guards against orders that are cut without a word when a control node stops."""
+
+    async def go(server, protocol, transport):
+        server.pending_response = asyncio.get_running_loop().create_future()
+        protocol.data_received(get("/held"))
+        await asyncio.sleep(0.1)
+        await server.http_server.close()
+        server.pending_response.set_result(None)
+        await asyncio.sleep(0.1)
+        assert transport.closed and transport.written_after_close == b""
+        return transport.out
+
+    [(status, headers, body)] = answers(talk(go))
+    assert (status, json.loads(body)["fault"]) == (DeadlineExceeded.status, DeadlineExceeded.code)
+    assert headers["retry-after"] == "1"
+
+
 def test_an_idle_connection_is_closed_and_a_used_one_is_not():
     async def go(server, protocol, transport):
         for _ in range(4):
