--- a/tests/disruptions.py
+++ b/tests/disruptions.py
@@ -62,6 +62,10 @@
         """Returns lines on what was observed."""
         return []
 
+    def violations(self):
+        """Returns the rules that were broken before the soak's own eyes, beside those that the judge finds."""
+        return []
+
     def _draw_kind(self):
         aimed = self.random.random() < 0.5
         return self.AIMED if aimed else self.random.choice(self.SINGLE)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,11 +4,13 @@
 signals; configurations change and zones are evacuated. Half of them aim at one group within a few seconds, as a lost
 replica that returns before the primary crashes. Clients go on using open connections until their process is gone.
 With `--departures` the other half is of members that leave while beats of theirs are late and arrive twice; with
-`--control` control machines are replaced at other addresses and lose power and disks, while proxies are frozen.
+`--control` control machines are replaced at other addresses and lose power and disks, while proxies are frozen; with
+`--promotions` unknown members receive and paused ones restart while a primary is replaced, and proxies get signals in series.
 
     python tests/soak.py --seeds 1-50 --seconds 24
     python tests/soak.py --seeds 1-50 --seconds 24 --departures
     python tests/soak.py --seeds 1-50 --seconds 24 --control
+    python tests/soak.py --seeds 1-50 --seconds 24 --promotions
     python tests/soak.py --seeds 1-2 --edges 120 --services 8
 """
 
@@ -21,6 +23,7 @@
 
 from control_disruptions import ControlSoak
 from disruptions import BOUNDS, DepartureSoak, Soak
+from promotion_disruptions import PromotionSoak
 from stand_in.checkout import link_build
 from stand_in.scene import Scene
 
@@ -35,7 +38,9 @@
         await asyncio.gather(
             scene.play(total_s, clients=clients), soak.run(seconds), soak.observe(total_s)
         )
-        return await scene.verdict(), soak.log, soak.notes()
+        verdict = await scene.verdict()
+        verdict.violations.extend(soak.violations())
+        return verdict, soak.log, soak.notes()
 
 
 def main():
@@ -45,7 +50,11 @@
     parser.add_argument("--edges", type=int, default=3)
     parser.add_argument("--services", type=int, default=2)
     soak_types = parser.add_mutually_exclusive_group()
-    for option, soak_type in (("--departures", DepartureSoak), ("--control", ControlSoak)):
+    for option, soak_type in (
+        ("--departures", DepartureSoak),
+        ("--control", ControlSoak),
+        ("--promotions", PromotionSoak),
+    ):
         soak_types.add_argument(option, dest="soak_type", action="store_const", const=soak_type)
     parser.set_defaults(soak_type=Soak)
     parser.add_argument("--keep", help="a folder for the logs of plays that broke a rule")
--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -367,6 +367,10 @@
     assert sorted(os.listdir(tmp_path)) == before and not data.exists()
 
 
+IMPORTED = 7
+"""The exit status of a program that got as far as its imports."""
+
+
 @pytest.mark.parametrize("program", ["edge", "core"])
 def test_a_program_that_starts_survives_a_hangup_signal(tmp_path, program):
     """Guards against an end during start-up; a settings file that blocks holds the program there."""
@@ -382,3 +386,22 @@
         process.send_signal(signal.SIGHUP)
         settings_file.write("= torn")
     assert process.wait(HANG_S) == 2
+
+
+@pytest.mark.parametrize("program", ["edge", "core"])
+def test_a_program_survives_a_hangup_signal_while_it_imports(tmp_path, program):
+    """Guards against an end during start-up; a module of the standard library that blocks holds the program there."""
+    gate, modules = tmp_path / "gate", tmp_path / "modules"
+    os.mkfifo(gate)
+    modules.mkdir()
+    (modules / "random.py").write_text(
+        f"open({str(gate)!r}).read()\nraise SystemExit({IMPORTED})\n"
+    )
+    process = subprocess.Popen(
+        [sys.executable, str(ROOT / f"platform/{program}.py")],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": str(modules)},
+    )
+    with open(gate, "w"):
+        process.send_signal(signal.SIGHUP)
+    assert process.wait(HANG_S) == IMPORTED
