--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,7 +5,8 @@
 replica that returns before the primary crashes. Clients go on using open connections until their process is gone.
 With `--departures` the other half is of members that leave while beats of theirs are late and arrive twice; with
 `--control` control machines are replaced at other addresses and lose power and disks, while proxies are frozen; with
-`--promotions` unknown members receive and paused ones restart while a primary is replaced, and proxies get signals in series.
+`--promotions` unknown members receive and paused ones restart while a primary is replaced, and proxies get signals in
+series.
 
     python tests/soak.py --seeds 1-50 --seconds 24
     python tests/soak.py --seeds 1-50 --seconds 24 --departures
