--- a/tests/test_stand_in.py
+++ b/tests/test_stand_in.py
@@ -26,6 +26,7 @@
 from stand_in.loopback import network
 from stand_in.member import Member
 from stand_in.operator import Operator
+from stand_in.process import Process
 from stand_in.refusal import Refusal
 from stand_in.route import Route
 from stand_in.route_probe import RouteProbe
@@ -1330,3 +1331,21 @@
     s = story_of_tenants()
     ALLOWED_FOR_TENANTS[name](s)
     assert judge(s.h) == []
+
+
+@pytest.mark.parametrize(("ran_s", "own_ends"), [(0.0, []), (1.3, [-signal.SIGHUP])])
+def test_a_hangup_signal_that_meets_a_start_is_no_own_end_and_a_later_one_is(
+    tmp_path, ran_s, own_ends
+):
+    async def go():
+        process = Process(
+            ["sleep", "30"], tmp_path, dict(os.environ), tmp_path / "log", lambda first: None
+        )
+        await process.on()
+        await asyncio.sleep(ran_s)
+        process.send(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        await process.off()
+        return process.own_ends
+
+    assert asyncio.run(go()) == own_ends
