--- a/tests/test_failover_lost_replicas.py
+++ b/tests/test_failover_lost_replicas.py
@@ -204,3 +204,34 @@
         await asyncio.sleep(8)
 
     run_simulated(go)
+
+
+def test_a_crash_beside_an_unannounced_member_costs_no_acknowledged_commit():
+    """Guards against lost commits: the control nodes know nothing of the only replica that received them."""
+
+    async def go(group):
+        group.start_unannounced("n1")
+        for name in ("r1", "r2"):
+            group.members[name].receiving = False
+        await asyncio.sleep(0.1)
+        crash_primary(group)
+        await group.wait_until(lambda: group.promoted_names and group.settled, 6)
+
+    run_simulated(go)
+
+
+def test_a_draining_replica_that_restarts_before_its_counting_out_is_in_force_costs_no_commit():
+    """Guards against lost commits: proxies that apply records late still count its copies."""
+
+    async def go(group):
+        group.in_force_delay_s = 1.0
+        group.set_member_state("r1", "draining")
+        await group.wait_until(lambda: "r1" in group.evidence.counted_out, 4)
+        group.members["r2"].receiving = False
+        group.members["r1"].paused_term = 0
+        await asyncio.sleep(0.2)
+        group.end_member("r1")
+        crash_primary(group)
+        await asyncio.sleep(8)
+
+    run_simulated(go)
