--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -408,6 +408,21 @@
     assert process.wait(HANG_S) == IMPORTED
 
 
+def test_importing_the_programs_leaves_the_action_of_a_hangup_signal():
+    """Guards against processes that inherit an ignored SIGHUP from whatever imported a program."""
+    code = (
+        "import signal, sys; sys.path[:0] = [%r, %r]; signal.signal(signal.SIGHUP, signal.SIG_DFL); "
+        "import core, edge; print(signal.getsignal(signal.SIGHUP).name)"
+    )
+    process = subprocess.run(
+        [sys.executable, "-c", code % (str(ROOT / "platform"), str(ROOT / "src"))],
+        capture_output=True,
+        text=True,
+        timeout=HANG_S,
+    )
+    assert process.stdout.strip() == "SIG_DFL", process.stderr
+
+
 def test_a_settings_file_that_is_being_written_is_read_again(tmp_path, monkeypatch):
     """Guards against an end during start-up while the settings file is written anew."""
     path = tmp_path / "boot.toml"
--- a/tests/test_stand_in.py
+++ b/tests/test_stand_in.py
@@ -6,6 +6,7 @@
 import math
 import os
 import signal
+import sys
 import tomllib
 
 import aiohttp
@@ -1333,18 +1334,33 @@
     assert judge(s.h) == []
 
 
+ENDS_AT_A_HANGUP_SIGNAL = (
+    "import signal, time; signal.signal(signal.SIGHUP, signal.SIG_DFL); time.sleep(30)"
+)
+"""A program with the default action, whatever the runner of the tests does with SIGHUP."""
+END_SEEN_S = 5
+"""Time in which an end is seen on a busy machine."""
+
+
 @pytest.mark.parametrize(("ran_s", "own_ends"), [(0.0, []), (1.3, [-signal.SIGHUP])])
 def test_a_hangup_signal_that_meets_a_start_is_no_own_end_and_a_later_one_is(
     tmp_path, ran_s, own_ends
 ):
     async def go():
         process = Process(
-            ["sleep", "30"], tmp_path, dict(os.environ), tmp_path / "log", lambda first: None
+            [sys.executable, "-c", ENDS_AT_A_HANGUP_SIGNAL],
+            tmp_path,
+            dict(os.environ),
+            tmp_path / "log",
+            lambda first: None,
         )
         await process.on()
         await asyncio.sleep(ran_s)
         process.send(signal.SIGHUP)
-        await asyncio.sleep(0.2)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(END_SEEN_S):
+                while process.starts == 1:
+                    await asyncio.sleep(0.02)
         await process.off()
         return process.own_ends
 
