A control node that stops while it accepts a connection logs no traceback

Cause: Link._accept was a coroutine, so asyncio ran it as a task of its own. A stop that cancels this task before its first step makes the callback of asyncio.streams raise CancelledError (streams.py:249), which is logged.

Evidence: the kept logs show the callback of link.py:280 in all five tracebacks. The new test cancels at each of six steps of the event loop; it failed at step 2 before and passes now.

Change: _accept awaits nothing, so it is a plain function, for which asyncio makes no task.

--- a/src/petrelhaven/transport/link.py
+++ b/src/petrelhaven/transport/link.py
@@ -277,7 +277,7 @@
         self.tasks.spawn(self._read_messages(channel, reader, writer))
         return channel
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._make_channel(reader, writer)
 
     async def _read_messages(
--- a/tests/test_link_resets.py
+++ b/tests/test_link_resets.py
@@ -1,6 +1,7 @@
-"""Connections that the other side resets while they are being opened."""
+"""Connections that are reset, or whose process stops, while they are being opened."""
 
 import asyncio
+import socket
 
 import pytest
 from virtual_io import LoopClock, run_in_virtual_time
@@ -63,3 +64,29 @@
             await asyncio.sleep(0.1)
 
     run_in_virtual_time(go())
+
+
+@pytest.mark.parametrize("steps", range(6))
+def test_a_stop_while_a_connection_is_accepted_is_no_error(steps):
+    """Guards against a traceback in the log of a process that stops, at each step of the event loop."""
+
+    async def go():
+        errors = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, error: errors.append(error))
+        tasks = BackgroundTasks()
+        server = Link(LoopClock(), tasks)
+        host, port = (await server.start()).split(":")
+        before = asyncio.all_tasks()
+        with socket.create_connection((host, int(port))):
+            while not asyncio.all_tasks() - before:
+                await asyncio.sleep(0)
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            for task in asyncio.all_tasks() - before:
+                task.cancel()
+            await asyncio.sleep(0.05)
+        await server.close()
+        tasks.kill()
+        return errors
+
+    assert asyncio.run(go()) == []
