--- a/src/petrelhaven/proxy/routing/commit_confirmation.py
+++ b/src/petrelhaven/proxy/routing/commit_confirmation.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from petrelhaven.proxy.routing.waiting import wait_for_first
-from petrelhaven.runtime.errors import Busy, DeadlineExceeded
+from petrelhaven.runtime.errors import Busy, DeadlineExceeded, Fault, MemberReplaced
 
 if TYPE_CHECKING:
     from petrelhaven.proxy.reads.position import Position
@@ -33,7 +33,8 @@
       nodes, or whose pause ended with a restart.
 
     A proxy without a lease may know of neither: it may have missed that a replica lost its vote, or
-    that a leader change has begun. There, every replica that answers must have the commit.
+    that a leader change has begun. There, every replica must have the commit, but for those that
+    have ended as far as it can see: a silent one may be about to lead.
 
     What is required is looked up at each answer, since it may change while replicas are asked.
     """
@@ -134,12 +135,14 @@
 
         A log of a later term ends this, too: it may lack the last writes of the earlier primary.
         """
+        self._lacking.add(member.name)
         pause_us = _FIRST_PAUSE_US
         while not self._is_confirmed and self._clock.now() < deadline:
             status = await self._fetch_status(member)
             reported: Position = _UNKNOWN if status is None else status["pos"]
             has_commit = reported[0] == self._position[0] and reported >= self._position
             if status is not None and status["held"] and member.state == _DRAINING:
+                self._lacking.discard(member.name)
                 if has_commit:
                     self._leaving_holders.add(member.name)
                 return
@@ -147,7 +150,6 @@
                 self._holders.add(member.name)
                 self._lacking.discard(member.name)
                 return
-            self._lacking.add(member.name)
             if reported[0] > self._position[0]:
                 return
             await self._clock.sleep(pause_us)
@@ -163,3 +165,7 @@
             return await self._group.status(member)
         except Busy:
             return None
+        except Fault as fault:
+            if isinstance(fault, MemberReplaced) or member.refuses_connections:
+                self._lacking.discard(member.name)
+            raise
--- a/tests/test_unleased_commits.py
+++ b/tests/test_unleased_commits.py
@@ -20,13 +20,14 @@
 from petrelhaven.proxy.routing.write_path import WritePath
 from petrelhaven.proxy.session.statement import Reply
 from petrelhaven.runtime.clock import Clock
-from petrelhaven.runtime.errors import Busy, NotSent
+from petrelhaven.runtime.errors import Busy, MemberReplaced, NotSent
 from petrelhaven.runtime.tasks import BackgroundTasks
 from petrelhaven.transport.link import Link
 
 WRITTEN = (1, 241)
 BEHIND, EVEN, AHEAD, LATER_TERM = (1, 233), (1, 241), (1, 250), (2, 300)
 TOO_BUSY = "busy"
+REPLACED = "replaced"
 REQUEST_US = 2_000_000
 
 
@@ -68,6 +69,8 @@
     async def open(self, address, group, member, limit_us, tenant=""):
         if self._logs[member] is None:
             raise NotSent("refused")
+        if self._logs[member] is REPLACED:
+            raise MemberReplaced("another member")
         return _Connection(
             self._logs[member], self._delays.get(member, 0), self.requests, self._clock
         )
@@ -399,7 +402,14 @@
 @STATEMENT_KINDS
 @pytest.mark.parametrize(
     ("other_log", "code"),
-    [(BEHIND, "unsure"), (TOO_BUSY, "unsure"), (LATER_TERM, "unsure"), (EVEN, ""), (None, "")],
+    [
+        (BEHIND, "unsure"),
+        (TOO_BUSY, "unsure"),
+        (LATER_TERM, "unsure"),
+        (EVEN, ""),
+        (None, ""),
+        (REPLACED, ""),
+    ],
 )
 def test_without_a_lease_every_replica_that_answers_must_show_the_write(
     warp, kind, other_log, code
@@ -415,6 +425,20 @@
     warp(go())
 
 
+@STATEMENT_KINDS
+def test_without_a_lease_a_silent_replica_leaves_the_commit_unsure(warp, kind):
+    """Guards against lost commits: it may be the candidate of a leader change, unknown to this proxy."""
+
+    async def go():
+        scenario = _Scenario(
+            kind, {"m1": EVEN, "m2": EVEN}, delays={"m2": 10**7}, holds_lease=False
+        )
+        assert (await scenario.run()).code == "unsure"
+        assert scenario.took_us < 600_000
+
+    warp(go())
+
+
 @STATEMENT_KINDS
 def test_without_a_lease_a_replica_that_shows_the_write_later_is_waited_for(warp, kind):
     async def go():
