--- a/tests/test_control_interface.py
+++ b/tests/test_control_interface.py
@@ -14,6 +14,7 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 from machine_time import play
+from program_importer import run_after_importing_programs
 from stand_in.scene import Scene
 from stand_in.until import until
 from virtual_io import HANG_S, LoopClock, run_in_virtual_time
@@ -547,17 +548,10 @@
 
 
 def test_the_interfaces_load_no_library_until_events_are_requested():
-    code = (
-        "import sys; sys.path[:0] = [%r, %r]; import core, edge; "
+    loaded = run_after_importing_programs(
         "print([m for m in ('aiohttp', 'cloudevents', 'argparse') if m in sys.modules])"
     )
-    process = subprocess.run(
-        [sys.executable, "-c", code % (str(ROOT / "platform"), str(ROOT / "src"))],
-        capture_output=True,
-        text=True,
-        timeout=HANG_S,
-    )
-    assert process.stdout.strip() == "[]", process.stderr
+    assert loaded == "[]"
 
 
 def node_address(scene, name):
--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -11,6 +11,7 @@
 import pytest
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
+from program_importer import run_after_importing_programs
 from virtual_io import HANG_S
 
 ROOT = Path(__file__).parent.parent
@@ -410,17 +411,11 @@
 
 def test_importing_the_programs_leaves_the_action_of_a_hangup_signal():
     """Guards against processes that inherit an ignored SIGHUP from whatever imported a program."""
-    code = (
-        "import signal, sys; sys.path[:0] = [%r, %r]; signal.signal(signal.SIGHUP, signal.SIG_DFL); "
-        "import core, edge; print(signal.getsignal(signal.SIGHUP).name)"
+    action = run_after_importing_programs(
+        "print(signal.getsignal(signal.SIGHUP).name)",
+        before="import signal; signal.signal(signal.SIGHUP, signal.SIG_DFL)",
     )
-    process = subprocess.run(
-        [sys.executable, "-c", code % (str(ROOT / "platform"), str(ROOT / "src"))],
-        capture_output=True,
-        text=True,
-        timeout=HANG_S,
-    )
-    assert process.stdout.strip() == "SIG_DFL", process.stderr
+    assert action == "SIG_DFL"
 
 
 def test_a_settings_file_that_is_being_written_is_read_again(tmp_path, monkeypatch):
