Tests: one clock of the virtual loop; the line protocol's tests stand in two files beside their harness

LoopClock was defined nine times; virtual_io has it. test_platform_lines (1,068 lines) is test_client_connection and test_member_connections now, and what six other test files imported from it is proxy_harness. The files concerned pass, and those that use the failover model and the wire model.

--- a/tests/failover_model.py
+++ b/tests/failover_model.py
@@ -5,13 +5,13 @@
 import types
 
 from hypothesis import Phase, settings
+from virtual_io import LoopClock
 
 from petrelhaven.control.consensus.view import View
 from petrelhaven.control.failover.coordinator import FailoverCoordinator
 from petrelhaven.control.failover.group_state import MemberEndpoint
 from petrelhaven.control.state.control_state import ControlState
 from petrelhaven.control.state.rows import LeadershipPhase
-from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.errors import Fenced, NotSent, Unreachable
 from petrelhaven.runtime.tasks import BackgroundTasks
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
@@ -24,11 +24,6 @@
 HEARTBEAT_INTERVAL_US = 1_200_000
 
 
-class LoopClock(Clock):
-    def now(self):
-        return int(asyncio.get_running_loop().time() * 1e6)
-
-
 class Member:
     """A simulated member.
 
--- a/tests/test_boot_watch.py
+++ b/tests/test_boot_watch.py
@@ -13,9 +13,8 @@
 from stand_in.loopback import network
 from stand_in.scene import Scene
 from stand_in.until import until
-from virtual_io import HANG_S
+from virtual_io import HANG_S, LoopClock
 
-from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.errors import Fault
 from petrelhaven.simulator.fleet import until as soon
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
@@ -56,11 +55,6 @@
 OTHER = EDGE.replace("10.2.0.41", "10.3.0.41")
 
 
-class LoopClock(Clock):
-    def now(self):
-        return int(asyncio.get_running_loop().time() * 1e6)
-
-
 class Log:
     def __init__(self):
         self.lines = []
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -11,9 +11,9 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from virtual_io import LoopClock
 
 from petrelhaven.proxy.reads.read_clock import LogicalClock, ReadClock
-from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.errors import Unreachable
 from petrelhaven.runtime.tasks import BackgroundTasks
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
@@ -21,11 +21,6 @@
 BOUNDS = SimpleNamespace(fetch_us=50_000, join_us=200_000, lanes=1)
 
 
-class LoopClock(Clock):
-    def now(self):
-        return int(asyncio.get_running_loop().time() * 1e6)
-
-
 def run(coroutine):
     loop = WarpLoop()
     asyncio.set_event_loop(loop)
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -5,10 +5,10 @@
 import pytest
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
+from virtual_io import LoopClock
 
 from petrelhaven.proxy.pool.connection_pool import ConnectionPool
 from petrelhaven.proxy.pool.member_connection import MemberConnection
-from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.errors import Busy, Fault, NotSent
 from petrelhaven.runtime.tasks import BackgroundTasks
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
@@ -18,11 +18,6 @@
 )
 
 
-class LoopClock(Clock):
-    def now(self):
-        return int(asyncio.get_running_loop().time() * 1e6)
-
-
 class Session:
     tenant = ""
 
--- a/tests/test_entered_record.py
+++ b/tests/test_entered_record.py
@@ -8,23 +8,16 @@
 
 import pytest
 from test_record_log import MemoryDisk
+from virtual_io import LoopClock
 
 from petrelhaven.control.consensus.chain import Chain
 from petrelhaven.control.consensus.view import View
 from petrelhaven.control.state.control_state import ControlState
 from petrelhaven.control.storage.node_store import ControlNodeStore
-from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.errors import NotReady, NotSent
 from petrelhaven.runtime.tasks import BackgroundTasks
 
 
-class LoopClock(Clock):
-    """A clock that returns the virtual time of the event loop."""
-
-    def now(self):
-        return int(asyncio.get_running_loop().time() * 1e6)
-
-
 async def _others_confirm(name, kind, body, timeout_us):
     if kind == "view.confirm":
         return {"ok": True, "view": None, "boot": name, "clock": 1}
--- a/tests/test_member_group.py
+++ b/tests/test_member_group.py
@@ -7,13 +7,13 @@
 import pytest
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
+from virtual_io import LoopClock
 
 from petrelhaven.control.state.control_state import ControlState
 from petrelhaven.proxy.pool.member_connection import MemberConnection
 from petrelhaven.proxy.reads.read_clock import LogicalClock
 from petrelhaven.proxy.routing.group import MemberGroup
 from petrelhaven.proxy.routing.remote_contact import RemoteContact
-from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.errors import Busy, MemberDeclined, MemberReplaced, NotSent, Unreachable
 from petrelhaven.runtime.tasks import BackgroundTasks
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
@@ -24,11 +24,6 @@
 DRAIN_US, EVACUATION_US = 2_000_000, 4_000_000
 
 
-class LoopClock(Clock):
-    def now(self):
-        return int(asyncio.get_running_loop().time() * 1e6)
-
-
 class Member:
     """A member with its reaction to STATUS: fine, mute, refused, gone, full, busy, odd or lost."""
 
--- a/tests/test_member_model.py
+++ b/tests/test_member_model.py
@@ -13,7 +13,7 @@
 import pytest
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
-from test_platform_lines import virtual
+from proxy_harness import run_on_proxy
 
 from member_connections import LineMemberConnection  # isort: skip
 from petrelhaven.proxy.pool.connection_pool import ConnectionPool
@@ -188,10 +188,10 @@
 
     numbers = itertools.count()
 
-    def __init__(self, door, member, name):
-        self.door, self.member, self.name = door, member, name
+    def __init__(self, harness, member, name):
+        self.harness, self.member, self.name = harness, member, name
         self.replies, self.writes, self.values, self.disconnected = {}, {}, {}, False
-        self.front, self.transport = door.client()
+        self.front, self.transport = harness.client()
 
     async def query(self, text, number):
         """Returns (keyword, code or stamp, rows, state) of the reply, or None if there is none."""
@@ -276,10 +276,10 @@
 
 
 def played(steps, reactions):
-    async def go(door):
+    async def go(harness):
         member = Member(reactions)
-        door.proxy.wire = member
-        clients = [Client(door, member, f"c{i}") for i in range(3)]
+        harness.proxy.wire = member
+        clients = [Client(harness, member, f"c{i}") for i in range(3)]
         all_clients, busy = list(clients), {}
         for action, index in steps:
             client = clients[index % 3]
@@ -289,7 +289,7 @@
                 await asyncio.sleep(1)
             elif action == "leave":
                 client.disconnect()
-                clients[index % 3] = Client(door, member, f"d{len(all_clients)}")
+                clients[index % 3] = Client(harness, member, f"d{len(all_clients)}")
                 all_clients.append(clients[index % 3])
             elif client not in busy or busy[client].done():
                 busy[client] = asyncio.ensure_future(client.run_action(action, index))
@@ -310,7 +310,7 @@
                     member.violations.append(("acknowledged and not committed", number))
         if len(set(member.committed)) < len(member.committed):
             member.violations.append(("committed twice", sorted(member.committed)))
-        for group in door.proxy.groups.values():
+        for group in harness.proxy.groups.values():
             for group_member in group.members.values():
                 for connection in group_member.pool.idle:
                     if connection.pending_replies or connection.lost:
@@ -323,7 +323,7 @@
                         )
         return member.violations
 
-    return virtual(go)
+    return run_on_proxy(go)
 
 
 @DRAWN
@@ -432,13 +432,13 @@
         def close(self):
             self.lost = True
 
-    async def go(door):
+    async def go(harness):
         async def opened(_tenant):
             return Connection()
 
-        connection_pool = ConnectionPool(door.clock, door.tasks, opened, 2, lambda: 2)
+        connection_pool = ConnectionPool(harness.clock, harness.tasks, opened, 2, lambda: 2)
         connection = await connection_pool.acquire(SimpleNamespace(tenant=""))
         connection_pool.release(connection)
         assert connection.lost and not connection_pool.idle
 
-    virtual(go)
+    run_on_proxy(go)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,19 +3,14 @@
 import asyncio
 
 import pytest
+from virtual_io import LoopClock
 
 from petrelhaven.emulator.balancer import LoadBalancer
 from petrelhaven.emulator.platform import PlatformLogic
-from petrelhaven.runtime.clock import Clock
 from petrelhaven.runtime.errors import Fenced, NotReady
 from petrelhaven.runtime.tasks import BackgroundTasks
 
 
-class LoopClock(Clock):
-    def now(self):
-        return int(asyncio.get_running_loop().time() * 1e6)
-
-
 def test_one_caller_at_a_time_and_no_epoch_below_the_last(warp):
     told = []
 
--- a/tests/test_tenant_configuration.py
+++ b/tests/test_tenant_configuration.py
@@ -11,13 +11,15 @@
 
 import logbook
 import pytest
-from test_platform_lines import Door, LoopClock, WarpLoop, end_all, replies, rest, said
+from proxy_harness import ProxyHarness, queries, replies, settle
+from virtual_io import LoopClock
 
 from configuration_documents import configuration_text, platform_configuration  # isort: skip
 from member_connections import LineProtocolConnector  # isort: skip
 from petrelhaven.control.configuration.parsing import parse_configuration
 from petrelhaven.proxy.proxy_interface import ProxyInterface
 from petrelhaven.runtime.errors import Invalid
+from petrelhaven.simulator.virtual_time import WarpLoop, end_all
 from petrelhaven.transport.light_http import LightHttpServer, Request
 
 KEY, OTHER_KEY, ADDED_KEY = "k-5f21c0aa97", "k-77b3e1d204", "k-0c9d84fe13"
@@ -146,7 +148,7 @@
         return [end for end in self.connections if end.uncommitted is not None]
 
 
-class Fleet(Door):
+class Fleet(ProxyHarness):
     """A proxy with one member, which uses the platform's protocol on both sides."""
 
     def __init__(self, configuration):
@@ -193,8 +195,8 @@
 
     async def ask(self, *texts, within_s=0.5):
         before = len(replies(self.transport.out)[0])
-        self.front.data_received(said(*texts))
-        await rest(within_s)
+        self.front.data_received(queries(*texts))
+        await settle(within_s)
         return [
             (end.decode().split(" ")[0 if end.startswith(b"COMPLETE") else 1], ready[:1].decode())
             for _, end, ready in replies(self.transport.out)[0][before:]
@@ -333,7 +335,7 @@
     async def script(fleet):
         served, unknown = fleet.session(), fleet.session("k-none")
         replies_received = await served.ask("PUT a 1", "FETCH a")
-        await rest()
+        await settle()
         return (
             replies_received,
             unknown.greeting,
--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -8,16 +8,17 @@
 import hashlib
 
 import pytest
-from test_platform_lines import (
+from proxy_harness import (
     CONFIG,
     FakeTransport,
-    LineProtocolConnector,
+    queries,
     replies,
-    rest,
-    said,
-    virtual,
+    run_on_proxy,
+    settle,
 )
 
+from member_connections import LineProtocolConnector  # isort: skip
+
 KEY, OTHER_KEY = "key-One", "key-two"
 TENANTS = [
     {"Name": "school", "ApiKeys": [KEY]},
@@ -91,7 +92,7 @@
             harness.configure(configuration)
         return await scenario(harness, member)
 
-    return virtual(run_scenario, leave_starting=True)
+    return run_on_proxy(run_scenario, leave_starting=True)
 
 
 def connect(client, database=b"db"):
@@ -101,7 +102,7 @@
 def assert_denied(harness, member, transport):
     assert transport.out.startswith(b"ERROR DENIED "), transport.out
     assert transport.out.count(b"\r\n") == 1 and transport.closed
-    assert not harness.proxy.sessions and not harness.door
+    assert not harness.proxy.sessions and not harness.clients
     assert member.statements == []
 
 
@@ -137,8 +138,8 @@
 
 
 async def check_denied_client(harness, member, first):
-    _, transport = harness.client(first + said("PUT a 1", "BEGIN", "FETCH a", "COMMIT"))
-    await rest()
+    _, transport = harness.client(first + queries("PUT a 1", "BEGIN", "FETCH a", "COMMIT"))
+    await settle()
     assert_denied(harness, member, transport)
 
 
@@ -167,8 +168,8 @@
 def test_without_any_configured_key_every_client_is_denied(tenants):
     async def scenario(harness, member):
         for client in (b" me", b" ", b"", b" keyless"):
-            _, transport = harness.client(b"CONNECT db" + client + b"\r\n" + said("PUT a 1"))
-            await rest()
+            _, transport = harness.client(b"CONNECT db" + client + b"\r\n" + queries("PUT a 1"))
+            await settle()
             assert_denied(harness, member, transport)
 
     run_with_scripted_member(scenario, {**CONFIG, "Tenants": tenants})
@@ -179,11 +180,11 @@
 def test_statements_sent_with_a_denied_connect_do_not_run(piece):
     async def scenario(harness, member):
         client, transport = harness.client(None)
-        raw = connect(b"stranger") + said("PUT a 1", "FETCH a") + connect(KEY.encode())
+        raw = connect(b"stranger") + queries("PUT a 1", "FETCH a") + connect(KEY.encode())
         for at in range(0, len(raw), piece):
             client.data_received(raw[at : at + piece])
-        client.data_received(said("PUT b 1"))
-        await rest()
+        client.data_received(queries("PUT b 1"))
+        await settle()
         assert_denied(harness, member, transport)
 
     run_with_scripted_member(scenario)
@@ -195,8 +196,8 @@
     async def scenario(harness, member):
         for database in (b"nowhere", b"", b"DB"):
             for client in (KEY.encode(), b"stranger", b""):
-                _, transport = harness.client(connect(client, database) + said("PUT a 1"))
-                await rest()
+                _, transport = harness.client(connect(client, database) + queries("PUT a 1"))
+                await settle()
                 assert transport.out.startswith(b"ERROR NODB "), (database, client, transport.out)
                 assert transport.out.count(b"\r\n") == 1 and transport.closed
                 assert not harness.proxy.sessions and member.statements == []
@@ -215,9 +216,9 @@
         ):
             count_before = len(member.statements)
             _, transport = harness.client(
-                connect(key.encode()) + said("PUT a 1", "BEGIN", "PUT a 2", "COMMIT")
+                connect(key.encode()) + queries("PUT a 1", "BEGIN", "PUT a 2", "COMMIT")
             )
-            await rest()
+            await settle()
             assert reply_codes(transport) == [b"COMPLETE"] * 4 and not transport.closed
             assert {client for client, _ in member.statements[count_before:]} == {name}
             assert key.encode() not in member.received_bytes()
@@ -230,8 +231,8 @@
     async def scenario(harness, member):
         for name, first in {**INVALID_KEYS, **KEYS_WITH_BLANKS}.items():
             member.statements.clear()
-            _, transport = harness.client(first + said("PUT a 1"))
-            await rest()
+            _, transport = harness.client(first + queries("PUT a 1"))
+            await settle()
             assert reply_codes(transport) == [b"COMPLETE"] and not transport.closed, name
             assert member.statements == [("petrelhaven", "PUT a 1")], name
             assert member.received_names() == {"petrelhaven"}, name
@@ -243,8 +244,8 @@
 def test_no_statement_runs_before_the_first_configuration():
     async def scenario(harness, member):
         for client in (KEY.encode(), b"stranger", b""):
-            _, transport = harness.client(connect(client) + said("PUT a 1"))
-            await rest()
+            _, transport = harness.client(connect(client) + queries("PUT a 1"))
+            await settle()
             assert transport.out.startswith(b"ERROR BUSY ") and transport.closed, client
             assert member.statements == [] and not harness.proxy.sessions, client
 
@@ -254,12 +255,12 @@
 # Guards against ROUTE: the first configuration accepts a waiting client without checking its key.
 def test_clients_that_connect_before_the_first_configuration_need_a_key():
     async def scenario(harness, member):
-        _, stranger = harness.client(connect(b"stranger") + said("PUT a 1"))
-        _, known = harness.client(connect(KEY.encode()) + said("PUT a 2"))
-        await rest(0.5)
+        _, stranger = harness.client(connect(b"stranger") + queries("PUT a 1"))
+        _, known = harness.client(connect(KEY.encode()) + queries("PUT a 2"))
+        await settle(0.5)
         assert stranger.out == known.out == b"" and member.statements == []
         harness.configure(KEYED)
-        await rest()
+        await settle()
         assert stranger.out.startswith(b"ERROR DENIED ") and stranger.closed
         assert stranger.out.count(b"\r\n") == 1
         assert reply_codes(known) == [b"COMPLETE"] and member.statements == [("school", "PUT a 2")]
@@ -273,13 +274,13 @@
     async def scenario(harness, member):
         client, transport = harness.client(connect(b"stranger"))
         key_client, key_transport = harness.client(connect(KEY.encode()))
-        client.data_received(said("PUT a 1"))
-        await rest()
+        client.data_received(queries("PUT a 1"))
+        await settle()
         harness.configure({**KEYED, "Revision": 2})
         count_before = len(member.statements)
-        client.data_received(said("PUT a 2", "FETCH a"))
-        key_client.data_received(said("PUT a 3"))
-        await rest()
+        client.data_received(queries("PUT a 2", "FETCH a"))
+        key_client.data_received(queries("PUT a 3"))
+        await settle()
         assert (
             reply_codes(transport)[0] == b"COMPLETE"
             and b"COMPLETE" not in reply_codes(transport)[1:]
@@ -295,12 +296,12 @@
 @pytest.mark.parametrize("after", [CONFIG, PUBLIC], ids=["no section", "public"])
 def test_any_client_is_accepted_once_no_key_is_required(after):
     async def scenario(harness, member):
-        _, refused = harness.client(connect(b"stranger") + said("PUT a 1"))
-        await rest()
+        _, refused = harness.client(connect(b"stranger") + queries("PUT a 1"))
+        await settle()
         assert_denied(harness, member, refused)
         harness.configure({**after, "Revision": 2})
-        _, transport = harness.client(connect(b"stranger") + said("PUT a 1"))
-        await rest()
+        _, transport = harness.client(connect(b"stranger") + queries("PUT a 1"))
+        await settle()
         assert reply_codes(transport) == [b"COMPLETE"]
         assert member.statements == [("petrelhaven", "PUT a 1")]
 
@@ -313,8 +314,8 @@
     async def scenario(harness, member):
         for client in (b" me", b" ", b"", b" two words", b" \xff"):
             member.statements.clear()
-            _, transport = harness.client(b"CONNECT db" + client + b"\r\n" + said("PUT a 1"))
-            await rest()
+            _, transport = harness.client(b"CONNECT db" + client + b"\r\n" + queries("PUT a 1"))
+            await settle()
             assert reply_codes(transport) == [b"COMPLETE"] and not transport.closed, client
             assert member.statements == [("petrelhaven", "PUT a 1")], client
             assert member.received_names() == {"petrelhaven"}, client
--- a/tests/test_tenant_names.py
+++ b/tests/test_tenant_names.py
@@ -12,7 +12,7 @@
 import pytest
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
-from test_platform_lines import Door
+from proxy_harness import ProxyHarness
 from virtual_io import LoopClock, run_in_virtual_time
 
 from member_connections import LineProtocolConnector
@@ -146,7 +146,7 @@
         writer.close()
 
 
-class HarnessWithMembers(Door):
+class HarnessWithMembers(ProxyHarness):
     """A proxy with member connections over sockets; client connections are called with bytes."""
 
     def __init__(self, members):
@@ -505,12 +505,12 @@
     st.sampled_from([TYPICAL_LIMIT, ONE_CONNECTION]),
 )
 def test_any_sequence_of_sessions_runs_under_their_own_names(steps, limit):
-    async def go(door):
+    async def go(harness):
         open_, all_ = {}, []
         for name, which, step in steps:
             s = open_.get((name, which))
             if s is None:
-                s = open_[name, which] = await door.session(KEYS[name])
+                s = open_[name, which] = await harness.session(KEYS[name])
                 s.values, s.prepared, s.outside = {}, "", True
                 all_.append(s)
             if step == "close":
@@ -519,7 +519,7 @@
                 await checked_ask(s, step, limit)
         for s in open_.values():
             s.close()
-        check_names(door, all_)
+        check_names(harness, all_)
 
     play(go, configuration(limit=limit))
 
--- a/tests/test_tenant_pool.py
+++ b/tests/test_tenant_pool.py
@@ -8,7 +8,8 @@
 
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
-from test_connection_pool import Connection, LoopClock, acquired
+from test_connection_pool import Connection, acquired
+from virtual_io import LoopClock
 
 from petrelhaven.proxy.pool.connection_pool import ConnectionPool
 from petrelhaven.runtime.errors import Busy, Fault
--- a/tests/test_tenant_quota.py
+++ b/tests/test_tenant_quota.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from test_platform_lines import CONFIG, rest, virtual
+from proxy_harness import CONFIG, run_on_proxy, settle
 
 RATE_PER_S, BURST = 2, 2
 WINDOW_S = 5
@@ -63,22 +63,22 @@
 
 # Guards against QUOTA of issue 30: a tenant's operations were not counted, and all of them ran.
 def test_a_tenant_runs_no_more_than_its_limit_in_any_window():
-    async def run(door):
-        connection = door.core_connection
-        connection.call = CountingNodeStub(door.clock).call
+    async def run(harness):
+        connection = harness.core_connection
+        connection.call = CountingNodeStub(harness.clock).call
         connection.state_age_us = 0
-        door.member.ran = TimedRuns()
-        door.configure(LIMITED)
-        client, transport = door.client(b"CONNECT db " + KEY.encode() + b"\r\n")
+        harness.member.ran = TimedRuns()
+        harness.configure(LIMITED)
+        client, transport = harness.client(b"CONNECT db " + KEY.encode() + b"\r\n")
         for number in range(100):
             client.data_received(b"QUERY %d FETCH k\r\n" % number)
             await asyncio.sleep(0.05)
-        await rest()
+        await settle()
         lines = transport.out.split(b"\r\n")
         ends = [line for line in lines if line.split(b" ")[0] in {b"COMPLETE", b"ERROR"}]
-        return door.member.ran.times, ends
+        return harness.member.ran.times, ends
 
-    run_times, ends = virtual(run)
+    run_times, ends = run_on_proxy(run)
     assert len(ends) == 100
     assert 0 < most_in_a_window(run_times, WINDOW_S) <= MAX_IN_WINDOW
     refused = [end for end in ends if end.startswith(b"ERROR")]
--- a/tests/test_tenant_review.py
+++ b/tests/test_tenant_review.py
@@ -8,11 +8,10 @@
 from types import SimpleNamespace
 
 import pytest
-from test_connection_pool import LoopClock
+from proxy_harness import CONFIG, run_on_proxy, settle
 from test_connection_pool import Member as PoolMember
-from test_platform_lines import CONFIG, rest
-from test_platform_lines import virtual as on_a_proxy
 from test_tenant_quota import TimedRuns, most_in_a_window
+from virtual_io import LoopClock
 
 from configuration_documents import configuration_text
 from petrelhaven.control.configuration.defaults import TENANT_DEFAULTS
@@ -128,27 +127,27 @@
     tenants = [{"Name": "agency", "ApiKeys": [key.decode()], "RatePerS": rate, "Burst": burst}]
     limited = {**CONFIG, "Revision": 2, "Routes": [route], "Tenants": tenants}
 
-    async def run(door):
-        policy, clock = QuotaPolicy(), door.clock
+    async def run(harness):
+        policy, clock = QuotaPolicy(), harness.clock
         counter = TenantCounter(policy.regular_allowance(Quota(rate, burst)), policy.window_us)
         stub = CoreConnectionStub(lambda report: counter.process_report("e", report, clock.now()))
-        door.core_connection.call, door.core_connection.state_age_us = stub.call, 0
-        door.member.ran = TimedRuns()
-        door.configure(limited)
-        member = door.proxy.groups["svc"].members["m1"]
+        harness.core_connection.call, harness.core_connection.state_age_us = stub.call, 0
+        harness.member.ran = TimedRuns()
+        harness.configure(limited)
+        member = harness.proxy.groups["svc"].members["m1"]
         member.avoided_until = clock.now() + 60 * SECOND
         clients = []
         for number in range(400):
             if number == 80:  # after 4 s
                 member.avoided_until = 0
-            client, _ = door.client(b"CONNECT db " + key + b"\r\n")
+            client, _ = harness.client(b"CONNECT db " + key + b"\r\n")
             client.data_received(b"QUERY %d PUT k v\r\n" % number)
             clients.append(client)
             await asyncio.sleep(0.05)
-        await rest()
-        return most_in_a_window(door.member.ran.times, window_s)
+        await settle()
+        return most_in_a_window(harness.member.ran.times, window_s)
 
-    assert 0 < on_a_proxy(run) <= max_in_window
+    assert 0 < run_on_proxy(run) <= max_in_window
 
 
 # Guards against QUOTA: an operation was sent again after its permits had expired. That use belonged to
--- a/tests/wire_model.py
+++ b/tests/wire_model.py
@@ -3,7 +3,8 @@
 import asyncio
 import collections
 
-from petrelhaven.runtime.clock import Clock
+from virtual_io import LoopClock
+
 from petrelhaven.runtime.errors import Fault, Malformed, NotSent
 from petrelhaven.runtime.tasks import BackgroundTasks
 from petrelhaven.simulator.virtual_time import WarpLoop, end_all
@@ -13,13 +14,6 @@
 WAY_S = 0.005  # one-way delay
 
 
-class LoopClock(Clock):
-    """The clock of the running loop."""
-
-    def now(self):
-        return int(asyncio.get_running_loop().time() * 1e6)
-
-
 class Node(SharedConnections):
     """A node that makes real calls over real channels, on modelled connections."""
 
