A simulator fleet ends its clients when it closes, also amid a reply

Cause, found by reading and shown by a test: Fleet.ask used asyncio.wait_for, which on Python 3.11 returns the reply and swallows a cancellation that arrives in the same step of the event loop. Fleet.close cancels each client once and waits for it; such a client goes on for good, and a test that has failed never ends. It is the more likely the busier the machine is.

No deployed role uses this module; of the other asyncio.wait_for in src/ none is in a loop that a close has to end.

--- a/src/petrelhaven/simulator/fleet.py
+++ b/src/petrelhaven/simulator/fleet.py
@@ -398,8 +398,12 @@
         return await p.end(s)
 
     async def ask(self, edge, fn, us):
-        """A visitor's exchange with an edge."""
-        return await asyncio.wait_for(fn(edge), us / 1e6 + 1)
+        """A client's request to a proxy.
+
+        `asyncio.wait_for` would swallow a cancellation that meets the reply, and the client would go on.
+        """
+        async with asyncio.timeout(us / 1e6 + 1):
+            return await fn(edge)
 
     def start_clients(self, count, **kw):
         """Starts visitors."""
