Stand-in: a signal to a process that has just ended leaves its exit code to the event loop

No program here ends with 255. Cause: Process.send used Popen.send_signal, which polls first. When the SIGKILL after GraceS meets a process that has just ended, the poll takes its exit status, the event loop's own wait finds no child and reports 255 (asyncio's word for that). Signals go by a process descriptor now, which neither polls nor can reach another process of that number.

test_a_signal_leaves_the_exit_code_to_the_event_loop failed before ([2812, 2812] polls). All tests of test_stand_in_fleet and test_leaving_proxy pass. An exit after GraceS still shows as -9, as it did.

--- a/tests/stand_in/process.py
+++ b/tests/stand_in/process.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import os
 import signal
 
 __all__ = ["Process"]
@@ -25,6 +26,7 @@
         )
         self._pause = pause
         self._child, self._keeper, self._told = None, None, False
+        self._descriptor = None
         self.starts, self.own_ends = 0, []
         self._started_at = 0.0
 
@@ -47,13 +49,18 @@
         self.send(signal.SIGKILL)
         if self._child:
             await self._child.wait()
+        self._close_descriptor()
 
     def send(self, number):
-        """Sends it a signal."""
-        if self.pid:
+        """Sends it a signal.
+
+        `Popen.send_signal` polls first; if the process has just ended, that takes its exit code away from the event
+        loop, which then reports 255.
+        """
+        if self.pid and self._descriptor is not None:
             self._told = self._told or number in (signal.SIGKILL, signal.SIGTERM)
             with contextlib.suppress(ProcessLookupError):
-                self._child.send_signal(number)
+                signal.pidfd_send_signal(self._descriptor, number)
 
     async def terminate(self, grace):
         """Sends SIGTERM, and SIGKILL after `grace` seconds; returns its exit code."""
@@ -83,6 +90,14 @@
                 stdout=out,
                 stderr=out,
             )
+        self._close_descriptor()
+        with contextlib.suppress(ProcessLookupError):  # it may have ended already
+            self._descriptor = os.pidfd_open(self._child.pid)
+
+    def _close_descriptor(self):
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+            self._descriptor = None
 
     async def _keep(self):
         while True:
--- a/tests/test_stand_in_fleet.py
+++ b/tests/test_stand_in_fleet.py
@@ -5,6 +5,7 @@
 import math
 import os
 import signal
+import subprocess
 import sys
 import tomllib
 
@@ -193,18 +194,34 @@
 """Time in which an end is seen on a busy machine."""
 
 
+def program_process(tmp_path, code):
+    """Returns a process, not started yet, that runs `code`."""
+    argv = [sys.executable, "-c", code]
+    return Process(argv, tmp_path, dict(os.environ), tmp_path / "log", lambda first: None)
+
+
+def test_a_signal_leaves_the_exit_code_to_the_event_loop(tmp_path, monkeypatch):
+    """Guards against exit code 255 of a process that ended by itself right before it got SIGKILL."""
+    polled = []
+    monkeypatch.setattr(subprocess.Popen, "poll", lambda child: polled.append(child.pid))
+
+    async def go():
+        process = program_process(tmp_path, ENDS_AT_A_HANGUP_SIGNAL)
+        await process.on()
+        process.send(signal.SIGCONT)
+        await process.off()
+        return process.starts, process.own_ends
+
+    assert asyncio.run(go()) == (1, [])
+    assert polled == []
+
+
 @pytest.mark.parametrize(("ran_s", "own_ends"), [(0.0, []), (1.3, [-signal.SIGHUP])])
 def test_a_hangup_signal_that_meets_a_start_is_no_own_end_and_a_later_one_is(
     tmp_path, ran_s, own_ends
 ):
     async def go():
-        process = Process(
-            [sys.executable, "-c", ENDS_AT_A_HANGUP_SIGNAL],
-            tmp_path,
-            dict(os.environ),
-            tmp_path / "log",
-            lambda first: None,
-        )
+        process = program_process(tmp_path, ENDS_AT_A_HANGUP_SIGNAL)
         await process.on()
         await asyncio.sleep(ran_s)
         process.send(signal.SIGHUP)
